--- /dev/null
+++ b/internal/broker/broker.go
@@ -0,0 +1,530 @@
+// Package broker is the core of the gatherer: it stands between the fronts, the servers and the decision
+// module, and knows no wire. It does no input or output and reads no clock: whoever owns a Core tells it what
+// was seen and when, and carries out what comes back. A Core is not safe for concurrent use.
+package broker
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"math"
+	"slices"
+
+	yw "yarrowwalk"
+)
+
+// Module is the decision module, as the core drives it.
+type Module interface {
+	Step(now int64, events []yw.Event) []yw.Action
+}
+
+// Budget rations the further attempts of one tenant: within any Window at most Free plus Ratio times the
+// parts taken for it.
+type Budget struct {
+	Free, Ratio float64
+	Window      int64
+}
+
+// Terms are what the core itself holds to. Times are microseconds, as everywhere.
+type Terms struct {
+	Period        int64 // the least time between two steps of the module
+	Shards        int
+	MaxOpen       int // queries and parts held at a time; 0: no bound
+	PartsPerCall  int
+	RetryAfter    bool // refusals may tell when to come back
+	MaxRetryAfter int64
+	AnswerGrace   int64 // how long past its deadline a query may wait for the module's word
+	Classes       []yw.Class
+	Tenants       map[string]Budget // by tenant; those that are absent are not rationed
+}
+
+// Ask is a query as a front hands it in.
+type Ask struct {
+	Label              string // what servers are told as the query's name
+	Class, Tenant, Key string
+	Deadline           int64
+	Parts              []AskPart
+	Text               []byte // what every part carries
+}
+
+// AskPart is one part of an Ask.
+type AskPart struct {
+	Shard  int
+	Weight float64
+	Work   int64
+	Key    string
+}
+
+// AttemptID names one attempt between the core and the drivers.
+type AttemptID int64
+
+// Effect is something that the owner of a Core has to do, in the order given.
+type Effect interface{ isEffect() }
+
+// Call carries parts to a server, as one call.
+type Call struct {
+	Server   yw.ServerID
+	Attempts []Attempt
+}
+
+// Attempt is one part of a call.
+type Attempt struct {
+	ID    AttemptID
+	Label string
+	Shard int
+	Due   int64 // when the gatherer stops waiting
+	Text  []byte
+}
+
+// Drop gives up an attempt; what still comes back for it is nobody's.
+type Drop struct{ Attempt AttemptID }
+
+// CloseIdle closes the idle connections to a server.
+type CloseIdle struct{ Server yw.ServerID }
+
+// Watch asks for changes of the list of servers.
+type Watch struct{}
+
+// Fetch asks for the whole list once.
+type Fetch struct{}
+
+// Note is a line for the log.
+type Note struct{ Text string }
+
+// Verdict is how a query ended.
+type Verdict int
+
+// The verdicts.
+const (
+	Answered Verdict = iota
+	Refused          // repeating the query does no harm
+	Failed
+)
+
+// Final is the one final answer of a query.
+type Final struct {
+	Query      yw.ID
+	Verdict    Verdict
+	Whole      bool
+	RetryAfter int64 // with Refused; 0: no advice
+	Overdue    bool  // ended by the deadline guard, or with its time up
+	Values     []Value
+	Shards     int // parts asked for
+}
+
+// Value is what a server gave for one part.
+type Value struct {
+	Shard int
+	Data  []byte
+}
+
+func (Call) isEffect()      {}
+func (Drop) isEffect()      {}
+func (CloseIdle) isEffect() {}
+func (Watch) isEffect()     {}
+func (Fetch) isEffect()     {}
+func (Note) isEffect()      {}
+func (Final) isEffect()     {}
+
+type query struct {
+	id    yw.ID
+	ask   Ask
+	class *yw.Class
+	parts []*part
+	over  bool
+}
+
+type part struct {
+	id     yw.ID
+	q      *query
+	ask    AskPart
+	tries  int
+	out    int
+	mayRun bool // some attempt may have run
+	value  []byte
+	in     bool
+}
+
+type attempt struct {
+	id     AttemptID
+	p      *part
+	n      int
+	server yw.ServerID
+	sent   int64
+	due    int64
+}
+
+// Core holds every open query and attempt of one gatherer.
+type Core struct {
+	terms    Terms
+	module   Module
+	classes  map[string]*yw.Class
+	lastID   int64 // ids stay below 2^52, which one gatherer can't use up
+	queries  map[yw.ID]*query
+	parts    map[yw.ID]*part
+	attempts map[AttemptID]*attempt
+	open     int // queries and parts held
+	alarms   []yw.SetAlarm
+	events   []yw.Event
+	effects  []Effect
+	calls    map[yw.ServerID]int // index of the call that still takes parts, within a step
+	budgets  map[string]*ration
+	stepped  int64
+	began    bool
+}
+
+// New makes a core round a module.
+func New(terms Terms, module Module) *Core {
+	c := &Core{terms: terms, module: module, classes: map[string]*yw.Class{}, queries: map[yw.ID]*query{},
+		parts: map[yw.ID]*part{}, attempts: map[AttemptID]*attempt{}, calls: map[yw.ServerID]int{},
+		budgets: map[string]*ration{}}
+	for i := range terms.Classes {
+		c.classes[terms.Classes[i].Name] = &terms.Classes[i]
+	}
+	for name, b := range terms.Tenants {
+		c.budgets[name] = &ration{Budget: b}
+	}
+	return c
+}
+
+func (c *Core) nextID() int64 {
+	c.lastID++
+	return c.lastID
+}
+
+// Held is the number of queries that still wait for their final answer.
+func (c *Core) Held() int { return len(c.queries) }
+
+// ErrMalformed marks an Ask that no module could decide on.
+var ErrMalformed = errors.New("malformed query")
+
+func (c *Core) check(a Ask) error {
+	if c.classes[a.Class] == nil {
+		return fmt.Errorf("%w: unknown class %q", ErrMalformed, a.Class)
+	}
+	if len(a.Parts) == 0 {
+		return fmt.Errorf("%w: it has no parts", ErrMalformed)
+	}
+	seen := map[int]bool{}
+	for _, p := range a.Parts {
+		switch {
+		case p.Shard < 0 || p.Shard >= c.terms.Shards:
+			return fmt.Errorf("%w: there is no shard %d", ErrMalformed, p.Shard)
+		case seen[p.Shard]:
+			return fmt.Errorf("%w: shard %d is named twice", ErrMalformed, p.Shard)
+		case !(p.Weight >= 0) || math.IsInf(p.Weight, 0) || p.Work < 0:
+			return fmt.Errorf("%w: shard %d has a weight or work below nought", ErrMalformed, p.Shard)
+		}
+		seen[p.Shard] = true
+	}
+	return nil
+}
+
+// Open takes a query. Its final answer comes as an effect, unless it is malformed or, with as much open as
+// may be, ended on the spot: then the Final is returned and the module never hears of it.
+func (c *Core) Open(now int64, a Ask) (yw.ID, *Final, error) {
+	if err := c.check(a); err != nil {
+		return 0, nil, err
+	}
+	if c.terms.MaxOpen > 0 && c.open >= c.terms.MaxOpen {
+		return 0, &Final{Verdict: Refused, RetryAfter: c.advice(0), Shards: len(a.Parts)}, nil
+	}
+	q := &query{id: yw.ID(c.nextID()), ask: a, class: c.classes[a.Class]}
+	group := c.nextID()
+	var work int64
+	for _, p := range a.Parts {
+		work += p.Work
+	}
+	c.events = append(c.events, yw.Query{ID: q.id, Group: group, Class: a.Class, Tenant: a.Tenant,
+		Deadline: a.Deadline, Work: work, Key: a.Key})
+	for _, ap := range a.Parts {
+		p := &part{id: yw.ID(c.nextID()), q: q, ask: ap}
+		q.parts = append(q.parts, p)
+		c.parts[p.id] = p
+		c.events = append(c.events, yw.Part{ID: p.id, Group: group, Shard: ap.Shard, Weight: ap.Weight,
+			Work: ap.Work, Key: ap.Key})
+	}
+	c.queries[q.id] = q
+	c.open += 1 + len(q.parts)
+	if r := c.budgets[a.Tenant]; r != nil {
+		r.take(now, len(q.parts))
+	}
+	return q.id, nil, nil
+}
+
+// Left says that nobody waits for a query any more.
+func (c *Core) Left(id yw.ID) {
+	if q := c.queries[id]; q != nil {
+		c.close(q)
+		c.events = append(c.events, yw.ClientLeft{Query: id})
+	}
+}
+
+// Fleet brings news of the list of servers.
+func (c *Core) Fleet(f yw.FleetChanged) { c.events = append(c.events, f) }
+
+// Ended reports how an attempt ended. What is reported for one that has ended before, such as an answer that
+// came after its time-out, is dropped: each attempt has one outcome.
+func (c *Core) Ended(now int64, id AttemptID, o yw.Outcome, value []byte, report *yw.LoadReport) {
+	a := c.attempts[id]
+	if a == nil {
+		return
+	}
+	delete(c.attempts, id)
+	p := a.p
+	p.out--
+	if o != yw.Rejected && o != yw.Unreachable && o != yw.NotSent {
+		p.mayRun = true
+	}
+	if o == yw.Served && !p.in && !p.q.over {
+		p.in, p.value = true, value
+	}
+	if p.out == 0 && p.q.over {
+		delete(c.parts, p.id)
+	}
+	c.events = append(c.events, yw.AttemptEnded{Part: p.id, Attempt: a.n, Server: a.server, Outcome: o,
+		Latency: now - a.sent, Report: report})
+}
+
+// Next is when Step wants to be called next; ok is false while nothing is awaited.
+func (c *Core) Next() (at int64, ok bool) {
+	at = math.MaxInt64
+	if len(c.events) > 0 {
+		at = c.stepped + c.terms.Period
+	}
+	for _, a := range c.alarms {
+		at = min(at, max(a.At, c.stepped+c.terms.Period))
+	}
+	for _, a := range c.attempts {
+		at = min(at, a.due)
+	}
+	for _, q := range c.queries {
+		at = min(at, q.ask.Deadline+c.terms.AnswerGrace)
+	}
+	return at, at != math.MaxInt64 || !c.began
+}
+
+// Step lets time pass: overdue attempts time out, the deadline guard looks after queries that the module has
+// forgotten, and the module is stepped where there is an event and its period allows.
+func (c *Core) Step(now int64) []Effect {
+	c.effects = nil
+	c.expire(now)
+	if now >= c.stepped+c.terms.Period {
+		c.ring(now)
+		if len(c.events) > 0 {
+			events := c.events
+			c.events, c.stepped, c.began = nil, now, true
+			clear(c.calls)
+			for _, a := range c.module.Step(now, events) {
+				c.carryOut(now, a)
+			}
+		}
+	}
+	c.guard(now)
+	return c.effects
+}
+
+func (c *Core) do(e Effect) { c.effects = append(c.effects, e) }
+
+func (c *Core) expire(now int64) {
+	var due []*attempt
+	for _, a := range c.attempts {
+		if a.due <= now {
+			due = append(due, a)
+		}
+	}
+	slices.SortFunc(due, func(a, b *attempt) int { return cmp.Compare(a.id, b.id) })
+	for _, a := range due {
+		c.do(Drop{Attempt: a.id})
+		c.Ended(now, a.id, yw.TimedOut, nil, nil)
+	}
+}
+
+func (c *Core) ring(now int64) {
+	kept := c.alarms[:0]
+	for _, a := range c.alarms {
+		if a.At <= now {
+			c.events = append(c.events, yw.AlarmRang{Mark: a.Mark})
+		} else {
+			kept = append(kept, a)
+		}
+	}
+	c.alarms = kept
+}
+
+// guard fails the queries whose time ran out without the module's word. Guards the rule that no query is
+// lost against a module that loses sight of one; the module always comes first, by AnswerGrace.
+func (c *Core) guard(now int64) {
+	var late []*query
+	for _, q := range c.queries {
+		if now >= q.ask.Deadline+c.terms.AnswerGrace {
+			late = append(late, q)
+		}
+	}
+	slices.SortFunc(late, func(a, b *query) int { return cmp.Compare(a.id, b.id) })
+	for _, q := range late {
+		c.do(Note{Text: "deadline guard: the module left a query unanswered"})
+		c.finish(q, Final{Verdict: Failed, Overdue: true})
+		c.events = append(c.events, yw.ClientLeft{Query: q.id})
+	}
+}
+
+func (c *Core) carryOut(now int64, a yw.Action) {
+	switch a := a.(type) {
+	case yw.Send:
+		c.send(now, a)
+	case yw.Cancel:
+		for _, t := range c.attempts {
+			if t.p.id == a.Part && t.n == a.Attempt {
+				c.do(Drop{Attempt: t.id})
+				c.Ended(now, t.id, yw.Cancelled, nil, nil)
+				break
+			}
+		}
+	case yw.Answer:
+		c.answer(now, a)
+	case yw.Refuse:
+		if q := c.queries[a.Query]; q != nil {
+			c.refuse(q, now, a.RetryAfter)
+		}
+	case yw.Fail:
+		if q := c.queries[a.Query]; q != nil {
+			c.finish(q, Final{Verdict: Failed, Overdue: now >= q.ask.Deadline-2*c.terms.Period})
+		}
+	case yw.SetAlarm:
+		c.alarms = append(c.alarms, a)
+	case yw.CloseIdle:
+		c.do(CloseIdle{Server: a.Server})
+	case yw.Watch:
+		c.do(Watch{})
+	case yw.Fetch:
+		c.do(Fetch{})
+	case yw.Note:
+		c.do(Note{Text: a.Text})
+	case yw.Tell: // gatherers share nothing
+	}
+}
+
+func (c *Core) send(now int64, s yw.Send) {
+	p := c.parts[s.Part]
+	if p == nil {
+		c.do(Note{Text: fmt.Sprintf("the module sent part %d, which is not held", s.Part)})
+		return
+	}
+	due := p.q.ask.Deadline
+	if s.Timeout != 0 {
+		due = min(due, now+s.Timeout)
+	}
+	a := &attempt{id: AttemptID(c.nextID()), p: p, n: p.tries, server: s.Server, sent: now, due: due}
+	p.tries++
+	p.out++
+	c.attempts[a.id] = a
+	// A part that is in, or whose query is over, must not leave again; nor may one whose tenant's budget is
+	// spent. Not sent proves that it never ran.
+	if r := c.budgets[p.q.ask.Tenant]; p.in || p.q.over || due <= now || a.n > 0 && r != nil && !r.spend(now) {
+		c.Ended(now, a.id, yw.NotSent, nil, nil)
+		return
+	}
+	out := Attempt{ID: a.id, Label: p.q.ask.Label, Shard: p.ask.Shard, Due: due, Text: p.q.ask.Text}
+	if i, ok := c.calls[s.Server]; ok {
+		call := c.effects[i].(Call)
+		if len(call.Attempts) < c.terms.PartsPerCall {
+			call.Attempts = append(call.Attempts, out)
+			c.effects[i] = call
+			return
+		}
+	}
+	c.calls[s.Server] = len(c.effects)
+	c.do(Call{Server: s.Server, Attempts: []Attempt{out}})
+}
+
+// answer gives what is in. Guards the rule of honest answers a second time: less than the class's least
+// share is never given, nor marked whole where it is not.
+func (c *Core) answer(now int64, a yw.Answer) {
+	q := c.queries[a.Query]
+	if q == nil {
+		return
+	}
+	f := Final{Verdict: Answered}
+	weight, all := 0.0, true
+	for _, p := range q.parts {
+		if p.in {
+			weight += p.ask.Weight
+			f.Values = append(f.Values, Value{Shard: p.ask.Shard, Data: p.value})
+		}
+		all = all && p.in
+	}
+	const rounding = 0.0001
+	if len(f.Values) == 0 || !all && weight < q.class.Floor-rounding {
+		c.finish(q, Final{Verdict: Failed})
+		return
+	}
+	f.Whole = a.Whole && (all || weight >= q.class.Need-rounding)
+	c.finish(q, f)
+}
+
+// refuse tells the client that repeating is harmless, which for a class that must not run twice holds only
+// while no part can have run.
+func (c *Core) refuse(q *query, now, after int64) {
+	overdue := now >= q.ask.Deadline-2*c.terms.Period
+	if q.class.Effect == yw.AtMostOnce {
+		for _, p := range q.parts {
+			if p.mayRun || p.out > 0 {
+				c.finish(q, Final{Verdict: Failed, Overdue: overdue})
+				return
+			}
+		}
+	}
+	c.finish(q, Final{Verdict: Refused, RetryAfter: c.advice(after), Overdue: overdue})
+}
+
+// advice is when a refused client should come back, as far as the settings permit to say.
+func (c *Core) advice(after int64) int64 {
+	if !c.terms.RetryAfter {
+		return 0
+	}
+	if after <= 0 {
+		return c.terms.MaxRetryAfter
+	}
+	return min(after, c.terms.MaxRetryAfter)
+}
+
+func (c *Core) finish(q *query, f Final) {
+	f.Query, f.Shards = q.id, len(q.parts)
+	c.close(q)
+	c.do(f)
+}
+
+func (c *Core) close(q *query) {
+	q.over = true
+	delete(c.queries, q.id)
+	c.open -= 1 + len(q.parts)
+	for _, p := range q.parts {
+		if p.out == 0 {
+			delete(c.parts, p.id)
+		}
+	}
+}
+
+// ration counts what one tenant's budget has left.
+type ration struct {
+	Budget
+	taken, extras []int64
+}
+
+func (r *ration) take(now int64, parts int) {
+	for range parts {
+		r.taken = append(r.taken, now)
+	}
+}
+
+func (r *ration) spend(now int64) bool {
+	old := func(at int64) bool { return at <= now-r.Window }
+	r.taken = slices.DeleteFunc(r.taken, old)
+	r.extras = slices.DeleteFunc(r.extras, old)
+	if float64(len(r.extras)+1) > r.Free+r.Ratio*float64(len(r.taken)) {
+		return false
+	}
+	r.extras = append(r.extras, now)
+	return true
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,90 @@
+// Package config is the one place where the environment, the platform's configuration and the operator's
+// file are read, checked and given defaults. Errors name the key at fault.
+package config
+
+import (
+	"fmt"
+	"net"
+	"strconv"
+
+	yw "yarrowwalk"
+	"yarrowwalk/internal/platform"
+)
+
+// Node is the whole configuration of one gatherer on the platform.
+type Node struct {
+	Name, Listen, Discovery string
+	Seed                    uint64
+	Sockets, MemoryMB       int
+	Known                   []yw.Server // the list of workers as last held
+	Addresses               map[yw.ServerID]string
+	Generation              int64
+	// StartMillis are the times, in Unix milliseconds, at which the known workers started.
+	Settings Settings
+}
+
+// Load reads the platform's configuration by the variables that an environment gives. readFile reads a file.
+func Load(getenv func(string) string, readFile func(string) ([]byte, error)) (Node, error) {
+	path := getenv("LB_CONFIG")
+	if path == "" {
+		return Node{}, fmt.Errorf("LB_CONFIG: missing")
+	}
+	text, err := readFile(path)
+	if err != nil {
+		return Node{}, fmt.Errorf("LB_CONFIG: %w", err)
+	}
+	n, err := parseNode(text, getenv)
+	if err != nil {
+		return Node{}, fmt.Errorf("LB_CONFIG: %w", err)
+	}
+	return n, nil
+}
+
+func parseNode(text []byte, getenv func(string) string) (Node, error) {
+	r, err := newReader(text)
+	if err != nil {
+		return Node{}, err
+	}
+	r.require("settings")
+	either := func(env, key string) string {
+		if v := getenv(env); v != "" {
+			return v
+		}
+		return r.str(key, "")
+	}
+	n := Node{Name: either("LB_NAME", "name"), Listen: either("LB_LISTEN", "listen"),
+		Discovery: either("LB_DISCOVERY", "discovery"),
+		Sockets:   r.object("limits").count("sockets", 1024), MemoryMB: r.object("limits").count("memory_mb", 192)}
+	for key, addr := range map[string]string{"listen": n.Listen, "discovery": n.Discovery} {
+		if _, _, err := net.SplitHostPort(addr); err != nil {
+			r.fault(key, "%q is not host:port", addr)
+		}
+	}
+	if n.Sockets < 64 {
+		r.fault("limits.sockets", "want 64 or more, not %d", n.Sockets)
+	}
+	if n.MemoryMB < 16 {
+		r.fault("limits.memory_mb", "want 16 or more, not %d", n.MemoryMB)
+	}
+	if n.Seed, err = strconv.ParseUint(r.str("seed", "0"), 16, 64); err != nil {
+		r.fault("seed", "want hex digits, not %q", r.str("seed", ""))
+	}
+	if r.has("settings") {
+		n.Settings = readSettings(r.object("settings"))
+		n.Settings.checkServing(r.object("settings"))
+	}
+	if *r.err != nil {
+		return Node{}, *r.err
+	}
+	n.Addresses = map[yw.ServerID]string{}
+	if r.has("known") {
+		list, err := platform.ParseList(r.v.Get("known").MarshalTo(nil))
+		if err != nil {
+			return Node{}, fmt.Errorf("known: %w", err)
+		}
+		n.Generation = list.Generation
+		n.Known = list.Servers
+		n.Addresses = list.Addresses
+	}
+	return n, nil
+}
--- /dev/null
+++ b/internal/config/settings.go
@@ -0,0 +1,104 @@
+package config
+
+import (
+	"fmt"
+
+	yw "yarrowwalk"
+)
+
+// Settings is what one aggregator is told: what the module needs, and what only the program round it needs.
+type Settings struct {
+	Module         yw.Settings
+	MaxOpen        int   // queries and parts held at a time; 0: no bound
+	ConnectTimeout int64 // microseconds, as all times here
+	IdleClose      int64 // an idle connection is closed by the worker's machine at the latest then
+	StreamsPerConn int
+}
+
+var effects = map[string]yw.Effect{"free": yw.Repeatable, "guarded": yw.Deduped, "single_shot": yw.AtMostOnce}
+
+// ParseSettings reads the settings object, in the form that the simulator's first message and a gatherer's
+// configuration share. What the figures mean is judged by yarrowwalk.New; form is judged here.
+func ParseSettings(text []byte) (Settings, error) {
+	r, err := newReader(text)
+	if err != nil {
+		return Settings{}, err
+	}
+	s := readSettings(r)
+	return s, *r.err
+}
+
+func readSettings(r reader) Settings {
+	r.require("family_info", "classes")
+	fam, perm, rules := r.object("family_info"), r.object("permissions"), r.object("rules")
+	classes := r.array("classes")
+	n := len(classes)
+	s := Settings{
+		MaxOpen:        perm.count("max_open", 0),
+		ConnectTimeout: perm.integer("connect_timeout_us", 250_000),
+		IdleClose:      perm.integer("idle_close_us", 15_000_000),
+		StreamsPerConn: perm.count("streams_per_conn", 32),
+	}
+	m := &s.Module
+	*m = yw.Settings{
+		Self: r.count("me", 0), Aggregators: r.count("balancers", 0), Zone: r.str("zone", ""),
+		Period: r.integer("period_us", 0),
+		Shards: fam.count("shards", 0), Cells: fam.count("positions", 0), Reach: fam.count("reach", 0),
+		CallOverhead: fam.integer("overhead_us", 0), PartsPerCall: fam.count("parts_a_call", 0),
+		AskMembership:  r.str("membership_mode", "") == "ask",
+		OverShareWorth: r.float("over_share_worth", 0),
+		Limits: yw.Limits{MaxTries: perm.count("most_tries", 0), SecondCopies: perm.boolean("second_copies"),
+			MayCancel: perm.boolean("may_cancel"), Peers: perm.boolean("peers"),
+			RetryAfter: perm.boolean("retry_after"), MaxRetryAfter: perm.integer("max_retry_after_us", 0)},
+		Prices: yw.Prices{CrossZone: r.object("prices").float("cross_zone", 0)},
+		Rules: yw.Rules{AnswerGrace: rules.integer("grace_to_answer_us", 0),
+			DrainGrace: rules.integer("stop_sending_within_us", 0), ColdShare: rules.float("cold_share", 0),
+			WarmWithin: rules.integer("warm_within_us", 0), FallMultiple: rules.float("fall_multiple", 0),
+			FallWindow: rules.integer("fall_us", 0), AskWithin: rules.integer("ask_within_us", 0),
+			FreeExtras: rules.float("free_resends", 0), ExtraWindow: rules.integer("extra_window_us", 0)},
+	}
+	if rules.has("extra_ratio") {
+		m.Rules.Budgeted, m.Rules.ExtraRatio = true, rules.float("extra_ratio", 0)
+	}
+	for _, p := range r.array("parties") {
+		m.Tenants = append(m.Tenants, yw.Tenant{Name: p.str("name", ""), Quota: p.float("quota_per_s", 0)})
+	}
+	if !r.has("family_info") {
+		return s
+	}
+	fetch, partial := fam.floats("class_fetch", n), fam.floats("class_partial", n)
+	floor, whole := fam.floats("floor_by_class", n), fam.floats("whole_at", n)
+	for i, c := range classes {
+		effect, ok := effects[c.str("effect", "")]
+		if !ok {
+			c.fault("effect", "unknown effect %q of class %q", c.str("effect", ""), c.str("name", ""))
+		}
+		m.Classes = append(m.Classes, yw.Class{Name: c.str("name", ""), Aim: c.integer("aim_us", 0),
+			AimStretch: c.float("aim_stretch", 0), HardLimit: c.integer("hard_limit_us", 0),
+			Worth: c.float("worth", 0), LateWorth: c.float("late_worth", 0), Effect: effect,
+			RepeatWindow: c.integer("repeat_window_us", 0), Need: whole[i], Floor: floor[i],
+			Partial: partial[i], Fetch: int(fetch[i])})
+	}
+	return s
+}
+
+// checkServing refuses what the program, unlike the simulator's adapter, can't do.
+func (s Settings) checkServing(r reader) {
+	for i, c := range s.Module.Classes {
+		if c.Fetch > 0 {
+			r.fault("family_info.class_fetch", "class %q has a second step, which is not served on sockets", c.Name)
+		}
+		if s.Module.Classes[i].Name == "" {
+			r.fault(fmt.Sprintf("classes[%d].name", i), "missing")
+		}
+	}
+	for key, v := range map[string]int64{"connect_timeout_us": s.ConnectTimeout, "idle_close_us": s.IdleClose,
+		"streams_per_conn": int64(s.StreamsPerConn)} {
+		if v <= 0 {
+			r.fault("permissions."+key, "want a number above nought, not %d", v)
+		}
+	}
+	if s.MaxOpen < 0 {
+		r.fault("permissions.max_open", "want nought or more, not %d", s.MaxOpen)
+	}
+}
--- /dev/null
+++ b/internal/platform/client.go
@@ -0,0 +1,121 @@
+package platform
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+
+	"github.com/valyala/fastjson"
+
+	"yarrowwalk/internal/broker"
+	"yarrowwalk/internal/http1"
+)
+
+// Front speaks the platform's protocol towards clients.
+type Front struct {
+	// Margin is taken off each client's time: it counts from the client's send, which is before the arrival.
+	Margin int64
+}
+
+func plain(status int, text string) *http1.Response {
+	return &http1.Response{Status: status, Type: "text/plain; charset=utf-8", Body: []byte(text + "\n")}
+}
+
+// Fault is the answer to a request that could not be read.
+func (Front) Fault(status int, text string) http1.Response { return *plain(status, text) }
+
+// Open turns a request that arrived at now into a query, or into a response where it asks for nothing that
+// the broker has to decide.
+func (f Front) Open(m *http1.Message, now int64, ready bool) (broker.Ask, func(broker.Final, int64) http1.Response, *http1.Response) {
+	var none broker.Ask
+	path, _, _ := strings.Cut(m.Target, "?")
+	if path == "/_health" {
+		if m.Method != "GET" && m.Method != "HEAD" {
+			return none, nil, plain(405, "want GET")
+		}
+		if !ready {
+			return none, nil, plain(503, "shutting down")
+		}
+		return none, nil, plain(200, "ready")
+	}
+	key, ok := strings.CutPrefix(path, "/api/")
+	if !ok {
+		return none, nil, plain(404, "no such path")
+	}
+	if m.Method != "POST" {
+		return none, nil, plain(405, "want POST")
+	}
+	ask, err := f.ask(m, key, now)
+	if err != nil {
+		return none, nil, plain(400, err.Error())
+	}
+	return ask, func(final broker.Final, _ int64) http1.Response { return answer(final) }, nil
+}
+
+func (f Front) ask(m *http1.Message, key string, now int64) (broker.Ask, error) {
+	a := broker.Ask{Label: m.Header.Get("Request-Id"), Class: m.Header.Get("Request-Class"),
+		Tenant: m.Header.Get("Tenant"), Key: key}
+	if a.Label == "" || strings.ContainsAny(a.Label, " .\n") {
+		return a, fmt.Errorf("Request-Id: missing, or with a space or dot")
+	}
+	ms, err := strconv.ParseInt(m.Header.Get("Request-Timeout-Ms"), 10, 64)
+	if err != nil || ms < 0 || ms > math.MaxInt32 {
+		return a, fmt.Errorf("Request-Timeout-Ms: want whole milliseconds, not %q", m.Header.Get("Request-Timeout-Ms"))
+	}
+	a.Deadline = now + ms*1000 - f.Margin
+	v, err := fastjson.ParseBytes(m.Body)
+	if err != nil {
+		return a, fmt.Errorf("body: %w", err)
+	}
+	parts := v.Get("segments")
+	if parts == nil || parts.Type() != fastjson.TypeArray {
+		return a, fmt.Errorf("segments: want a list")
+	}
+	text := v.Get("text")
+	if text == nil || text.Type() != fastjson.TypeString {
+		return a, fmt.Errorf("text: want a string")
+	}
+	a.Text = bytes.Clone(text.GetStringBytes())
+	for i, p := range parts.GetArray() {
+		shard, err := p.Get("segment").Int()
+		if err != nil {
+			return a, fmt.Errorf("segments[%d].segment: %w", i, err)
+		}
+		part := broker.AskPart{Shard: shard, Weight: p.GetFloat64("boost"), Work: int64(p.GetFloat64("work"))}
+		part.Key = string(p.GetStringBytes("affinity"))
+		a.Parts = append(a.Parts, part)
+	}
+	return a, nil
+}
+
+func answer(f broker.Final) http1.Response {
+	switch f.Verdict {
+	case broker.Answered:
+		b := fmt.Appendf(nil, `{"all_in":%t,"matches":[`, f.Whole)
+		for i, v := range f.Values {
+			if i > 0 {
+				b = append(b, ',')
+			}
+			quoted, err := json.Marshal(string(v.Data))
+			if err != nil {
+				return *plain(500, "a value could not be written")
+			}
+			b = fmt.Appendf(b, `{"segment":%d,"payload":%s}`, v.Shard, quoted)
+		}
+		return http1.Response{Status: 200, Type: "application/json", Body: append(b, "]}"...)}
+	case broker.Refused:
+		r := plain(429, "refused: trying again is harmless")
+		if f.RetryAfter > 0 {
+			s := strconv.FormatFloat(math.Ceil(float64(f.RetryAfter)/1000)/1000, 'f', -1, 64)
+			r.Fields = append(r.Fields, [2]string{"Retry-After", s})
+		}
+		return *r
+	}
+	if f.Overdue {
+		return *plain(504, "no answer in time")
+	}
+	return *plain(502, "failed")
+}
--- /dev/null
+++ b/internal/transport/engine.go
@@ -0,0 +1,187 @@
+// Package transport holds the thin drivers over package net: the listener and its connections, the pool of
+// connections to servers, the watch on discovery, and the goroutine that owns the core.
+package transport
+
+import (
+	"cmp"
+	"log"
+	"maps"
+	"slices"
+	"time"
+
+	yw "yarrowwalk"
+	"yarrowwalk/internal/broker"
+)
+
+func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K { return slices.Sorted(maps.Keys(m)) }
+
+// Clock gives Unix microseconds: the time at its making plus what has passed since by the monotonic clock,
+// so that it never runs backwards and yet compares with the times at which servers started.
+type Clock struct{ start time.Time }
+
+// NewClock makes a clock.
+func NewClock() Clock { return Clock{start: time.Now()} }
+
+// Now is the present time.
+func (c Clock) Now() int64 { return c.start.UnixMicro() + time.Since(c.start).Microseconds() }
+
+// Engine is the one goroutine that owns the core, the module behind it and the pool. Everything else hands it
+// functions to run.
+type Engine struct {
+	clock   Clock
+	core    *broker.Core
+	pool    *pool
+	inbox   chan func(now int64)
+	stop    chan struct{}
+	stopped chan struct{}
+	waiting map[yw.ID]func(broker.Final)
+	log     *log.Logger
+	sweepAt int64
+	// Watch and Fetch, where set, carry out what the module asks of discovery; they must not block.
+	Watch, Fetch func()
+}
+
+const (
+	inboxSize  = 1024
+	sweepEvery = 500_000 // microseconds
+)
+
+// NewEngine makes an engine; Run starts it.
+func NewEngine(clock Clock, core *broker.Core, cfg PoolConfig, d broker.Dialect, logger *log.Logger) *Engine {
+	e := &Engine{clock: clock, core: core, inbox: make(chan func(int64), inboxSize), stop: make(chan struct{}),
+		stopped: make(chan struct{}), waiting: map[yw.ID]func(broker.Final){}, log: logger}
+	e.pool = newPool(cfg, d, e.post)
+	e.pool.ended = core.Ended
+	return e
+}
+
+func (e *Engine) post(f func(now int64)) {
+	select {
+	case e.inbox <- f:
+	case <-e.stopped:
+	}
+}
+
+// Run owns the core until Stop.
+func (e *Engine) Run() {
+	defer close(e.stopped)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case f := <-e.inbox:
+			f(e.clock.Now())
+			for more := true; more; { // what has come in meanwhile belongs to the same step
+				select {
+				case f := <-e.inbox:
+					f(e.clock.Now())
+				default:
+					more = false
+				}
+			}
+		case <-timer.C:
+		case <-e.stop:
+			return
+		}
+		now := e.clock.Now()
+		e.carryOut(now, e.core.Step(now))
+		if now >= e.sweepAt {
+			e.sweepAt = now + sweepEvery
+			e.pool.sweep(now)
+		}
+		at := e.sweepAt
+		if next, ok := e.core.Next(); ok {
+			at = min(at, next)
+		}
+		timer.Reset(time.Duration(max(0, at-e.clock.Now())) * time.Microsecond)
+	}
+}
+
+// Stop ends Run.
+func (e *Engine) Stop() {
+	close(e.stop)
+	<-e.stopped
+}
+
+func (e *Engine) carryOut(now int64, effects []broker.Effect) {
+	for _, x := range effects {
+		switch x := x.(type) {
+		case broker.Call:
+			e.pool.call(now, x)
+		case broker.Drop:
+			e.pool.drop(now, x.Attempt)
+		case broker.CloseIdle:
+			e.pool.closeIdle(now, x.Server)
+		case broker.Final:
+			if done := e.waiting[x.Query]; done != nil {
+				delete(e.waiting, x.Query)
+				done(x)
+			}
+		case broker.Watch:
+			if e.Watch != nil {
+				e.Watch()
+			}
+		case broker.Fetch:
+			if e.Fetch != nil {
+				e.Fetch()
+			}
+		case broker.Note:
+			e.log.Printf("level=info event=note text=%q", x.Text)
+		}
+	}
+}
+
+// Ticket is a query that was handed to the engine.
+type Ticket struct {
+	Final chan broker.Final // gets the one final answer
+	Err   chan error        // gets an error instead where the query is malformed
+	id    yw.ID
+}
+
+// Open hands over a query.
+func (e *Engine) Open(a broker.Ask) *Ticket {
+	t := &Ticket{Final: make(chan broker.Final, 1), Err: make(chan error, 1)}
+	e.post(func(now int64) {
+		id, final, err := e.core.Open(now, a)
+		switch {
+		case err != nil:
+			t.Err <- err
+		case final != nil:
+			t.Final <- *final
+		default:
+			t.id = id
+			e.waiting[id] = func(f broker.Final) { t.Final <- f }
+		}
+	})
+	return t
+}
+
+// Left says that the client of a query is gone.
+func (e *Engine) Left(t *Ticket) {
+	e.post(func(int64) {
+		if e.waiting[t.id] != nil {
+			delete(e.waiting, t.id)
+			e.core.Left(t.id)
+		}
+	})
+}
+
+// Fleet brings news of the list of servers.
+func (e *Engine) Fleet(f yw.FleetChanged, addresses map[yw.ServerID]string) {
+	e.post(func(now int64) {
+		e.core.Fleet(f)
+		e.pool.fleet(now, f, addresses)
+	})
+}
+
+// Held is the number of queries without their final answer.
+func (e *Engine) Held() int {
+	n := make(chan int, 1)
+	e.post(func(int64) { n <- e.core.Held() })
+	select {
+	case held := <-n:
+		return held
+	case <-e.stopped:
+		return 0
+	}
+}
--- /dev/null
+++ b/internal/transport/pool.go
@@ -0,0 +1,432 @@
+package transport
+
+import (
+	"net"
+	"sync/atomic"
+	"time"
+
+	yw "yarrowwalk"
+	"yarrowwalk/internal/broker"
+)
+
+// PoolConfig bounds the connections to servers. Times are microseconds.
+type PoolConfig struct {
+	ConnectTimeout int64
+	IdleClose      int64 // the server's machine closes idle connections at the latest then
+	MaxConns       int   // over all servers
+}
+
+const (
+	writeTimeout = 2 * time.Second
+	readChunk    = 16 << 10
+)
+
+// pool is the set of connections to servers. The engine's goroutine owns it; connections report to that
+// goroutine through post and touch nothing of the pool themselves.
+type pool struct {
+	cfg     PoolConfig
+	dialect broker.Dialect
+	post    func(func(now int64))
+	ended   func(now int64, id broker.AttemptID, o yw.Outcome, value []byte, report *yw.LoadReport)
+	servers map[yw.ServerID]*server
+	out     map[broker.AttemptID]*serverConn
+	conns   int
+}
+
+type server struct {
+	id      yw.ServerID
+	address string
+	conns   []*serverConn
+	started int64
+	closed  bool // draining or gone: nothing new
+}
+
+type serverConn struct {
+	server   *server
+	session  broker.Session
+	net      net.Conn // nil until it is up
+	up       bool
+	retired  bool // takes no further calls and closes once it is empty
+	dead     bool
+	backlog  []broker.Call              // waiting for the connection to come up
+	calls    map[broker.AttemptID]int64 // out, with the number of the write that carries each
+	wrote    int64                      // writes handed over
+	done     *atomic.Int64              // writes completed
+	writes   chan []byte
+	usedAt   int64
+	heardAt  int64
+	openedAt int64
+	sentAt   map[broker.AttemptID]int64
+}
+
+func newPool(cfg PoolConfig, d broker.Dialect, post func(func(int64))) *pool {
+	return &pool{cfg: cfg, dialect: d, post: post, servers: map[yw.ServerID]*server{},
+		out: map[broker.AttemptID]*serverConn{}}
+}
+
+func (p *pool) serverOf(id yw.ServerID) *server {
+	s := p.servers[id]
+	if s == nil {
+		s = &server{id: id}
+		p.servers[id] = s
+	}
+	return s
+}
+
+// fleet takes in news of the list of servers.
+func (p *pool) fleet(now int64, f yw.FleetChanged, addresses map[yw.ServerID]string) {
+	listed := map[yw.ServerID]bool{}
+	for _, v := range f.Servers {
+		s := p.serverOf(v.ID)
+		if a := addresses[v.ID]; a != "" && a != s.address {
+			p.retire(now, s)
+			s.address = a
+		}
+		listed[v.ID] = true
+		if v.StartedAt > s.started {
+			s.started = v.StartedAt
+			p.outlived(now, s)
+		}
+		s.closed = v.Health != yw.Ready
+	}
+	for id, s := range p.servers {
+		if f.Kind != yw.FleetDelta && f.Kind != yw.FleetFailed && !listed[id] {
+			s.closed = true
+		}
+		if !s.closed {
+			continue
+		}
+		// Guards the drain rule: what still waits for a connection must not leave after the news.
+		for _, c := range append([]*serverConn(nil), s.conns...) {
+			p.withdraw(now, c)
+		}
+		p.retire(now, s)
+		if len(s.conns) == 0 {
+			delete(p.servers, id)
+		}
+	}
+}
+
+// outlived closes connections to a process that has since been replaced: nothing comes back on them, and a
+// machine that vanished may leave them silent instead of resetting them.
+func (p *pool) outlived(now int64, s *server) {
+	for _, c := range append([]*serverConn(nil), s.conns...) {
+		if c.up && c.openedAt < s.started {
+			p.fail(now, c)
+		}
+	}
+}
+
+func (p *pool) withdraw(now int64, c *serverConn) {
+	waiting := c.backlog
+	c.backlog = nil
+	for _, call := range waiting {
+		for _, a := range call.Attempts {
+			p.end(now, c, broker.Reply{Attempt: a.ID, Outcome: yw.Unreachable})
+		}
+	}
+}
+
+func (p *pool) retire(now int64, s *server) {
+	for _, c := range append([]*serverConn(nil), s.conns...) {
+		c.retired = true
+		p.closeIfEmpty(now, c)
+	}
+}
+
+// closeIdle closes the idle connections to a server.
+func (p *pool) closeIdle(now int64, id yw.ServerID) {
+	if s := p.servers[id]; s != nil {
+		for _, c := range append([]*serverConn(nil), s.conns...) {
+			if c.up && len(c.calls) == 0 {
+				p.fail(now, c)
+			}
+		}
+	}
+}
+
+func (p *pool) closeIfEmpty(now int64, c *serverConn) {
+	if c.retired && len(c.calls) == 0 && len(c.backlog) == 0 && !c.dead {
+		p.fail(now, c)
+	}
+}
+
+// call sends a call over the fullest connection with room, over one that is coming up, or over a new one.
+func (p *pool) call(now int64, call broker.Call) {
+	s := p.servers[call.Server]
+	if s == nil || s.address == "" || s.closed {
+		p.refuse(now, call)
+		return
+	}
+	var best *serverConn
+	for _, c := range s.conns {
+		if c.dead || c.retired || len(c.calls)+len(call.Attempts) > max(p.dialect.Streams(), len(call.Attempts)) {
+			continue
+		}
+		if c.up && now-c.usedAt > p.cfg.IdleClose*2/3 && len(c.calls) == 0 {
+			continue // may be closing at the far end just now
+		}
+		if best == nil || c.up && !best.up || c.up == best.up && len(c.calls) > len(best.calls) {
+			best = c
+		}
+	}
+	if best == nil {
+		if best = p.dial(now, s); best == nil {
+			p.refuse(now, call)
+			return
+		}
+	}
+	for _, a := range call.Attempts {
+		best.calls[a.ID], best.sentAt[a.ID] = 0, now
+		p.out[a.ID] = best
+	}
+	if !best.up {
+		best.backlog = append(best.backlog, call)
+		return
+	}
+	p.write(now, best, call)
+}
+
+func (p *pool) refuse(now int64, call broker.Call) {
+	for _, a := range call.Attempts {
+		p.ended(now, a.ID, yw.Unreachable, nil, nil)
+	}
+}
+
+func (p *pool) write(now int64, c *serverConn, call broker.Call) {
+	b := c.session.Call(nil, call, now)
+	select {
+	case c.writes <- b:
+		c.wrote++
+		c.usedAt = now
+		for _, a := range call.Attempts {
+			c.calls[a.ID] = c.wrote
+		}
+	default: // the far end takes nothing any more
+		for _, a := range call.Attempts {
+			c.calls[a.ID] = c.wrote + 1
+		}
+		p.fail(now, c)
+	}
+}
+
+// drop gives an attempt up. timedOut tells that nothing came back in its time.
+func (p *pool) drop(now int64, id broker.AttemptID) {
+	c := p.out[id]
+	if c == nil {
+		return
+	}
+	silent := c.heardAt < c.sentAt[id] && now-c.sentAt[id] > silence
+	delete(p.out, id)
+	delete(c.calls, id)
+	delete(c.sentAt, id)
+	for i, call := range c.backlog {
+		kept := make([]broker.Attempt, 0, len(call.Attempts))
+		for _, a := range call.Attempts {
+			if a.ID != id {
+				kept = append(kept, a)
+			}
+		}
+		c.backlog[i].Attempts = kept
+	}
+	if !c.up {
+		return
+	}
+	b, keep := c.session.Drop(nil, id)
+	if !keep {
+		p.fail(now, c)
+		return
+	}
+	if len(b) > 0 {
+		select {
+		case c.writes <- b:
+			c.wrote++
+		default:
+			p.fail(now, c)
+			return
+		}
+	}
+	// Guards against machines that vanish without a word: a connection on which nothing at all has come back
+	// for so long may be open at this end only.
+	if silent {
+		c.retired = true
+	}
+	p.closeIfEmpty(now, c)
+}
+
+// silence is how long a connection with a call out may say nothing before it takes no further calls, in
+// microseconds. Servers stand still for less.
+const silence = 1_500_000
+
+func (p *pool) dial(now int64, s *server) *serverConn {
+	if p.conns >= p.cfg.MaxConns {
+		p.shed(now)
+		if p.conns >= p.cfg.MaxConns {
+			return nil
+		}
+	}
+	c := &serverConn{server: s, session: p.dialect.Session(s.address), calls: map[broker.AttemptID]int64{},
+		sentAt: map[broker.AttemptID]int64{}, done: &atomic.Int64{},
+		writes: make(chan []byte, 4*p.dialect.Streams()+16), usedAt: now, openedAt: now}
+	s.conns = append(s.conns, c)
+	p.conns++
+	address, timeout := s.address, time.Duration(p.cfg.ConnectTimeout)*time.Microsecond
+	go func() {
+		conn, err := net.DialTimeout("tcp", address, timeout)
+		if err != nil {
+			p.post(func(now int64) { p.fail(now, c) })
+			return
+		}
+		p.post(func(now int64) { p.isUp(now, c, conn) })
+	}()
+	return c
+}
+
+// shed closes the connection that has been idle for longest, so that there is room for a new one.
+func (p *pool) shed(now int64) {
+	var oldest *serverConn
+	for _, s := range p.servers {
+		for _, c := range s.conns {
+			if c.up && len(c.calls) == 0 && (oldest == nil || c.usedAt < oldest.usedAt) {
+				oldest = c
+			}
+		}
+	}
+	if oldest != nil {
+		p.fail(now, oldest)
+	}
+}
+
+func (p *pool) isUp(now int64, c *serverConn, conn net.Conn) {
+	if c.dead {
+		conn.Close()
+		return
+	}
+	c.net, c.up, c.usedAt, c.heardAt = conn, true, now, now
+	go p.serve(c, conn)
+	waiting := c.backlog
+	c.backlog = nil
+	for _, call := range waiting {
+		if len(call.Attempts) > 0 && !c.dead {
+			p.write(now, c, call)
+		} else {
+			for _, a := range call.Attempts {
+				p.end(now, c, broker.Reply{Attempt: a.ID, Outcome: yw.Unreachable})
+			}
+		}
+	}
+	if !c.dead {
+		p.closeIfEmpty(now, c)
+	}
+}
+
+// serve reads and writes one connection until it ends.
+func (p *pool) serve(c *serverConn, conn net.Conn) {
+	stop, written := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(written)
+		for {
+			select {
+			case b := <-c.writes:
+				conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+				if _, err := conn.Write(b); err != nil {
+					conn.Close()
+					return
+				}
+				c.done.Add(1)
+			case <-stop:
+				return
+			}
+		}
+	}()
+	buf := make([]byte, readChunk)
+	for {
+		n, err := conn.Read(buf) // the pool closes it when idle or silent for too long, so this ends
+		if n > 0 {
+			b := append([]byte(nil), buf[:n]...)
+			p.post(func(now int64) { p.heard(now, c, b) })
+		}
+		if err != nil {
+			break
+		}
+	}
+	conn.Close()
+	close(stop)
+	<-written
+	p.post(func(now int64) {
+		if !c.dead {
+			for _, r := range c.session.Closed() {
+				p.end(now, c, r)
+			}
+			p.fail(now, c)
+		}
+	})
+}
+
+func (p *pool) heard(now int64, c *serverConn, b []byte) {
+	if c.dead {
+		return
+	}
+	c.heardAt = now
+	replies, err := c.session.Feed(b)
+	for _, r := range replies {
+		c.usedAt = now
+		p.end(now, c, r)
+	}
+	if err != nil {
+		p.fail(now, c)
+		return
+	}
+	p.closeIfEmpty(now, c)
+}
+
+func (p *pool) end(now int64, c *serverConn, r broker.Reply) {
+	if _, out := c.calls[r.Attempt]; !out {
+		return
+	}
+	delete(c.calls, r.Attempt)
+	delete(c.sentAt, r.Attempt)
+	delete(p.out, r.Attempt)
+	p.ended(now, r.Attempt, r.Outcome, r.Value, r.Report)
+}
+
+// fail ends a connection. What was not written whole has never run; the rest may have.
+func (p *pool) fail(now int64, c *serverConn) {
+	if c.dead {
+		return
+	}
+	c.dead = true
+	p.conns--
+	if c.net != nil {
+		c.net.Close()
+	}
+	s := c.server
+	for i, o := range s.conns {
+		if o == c {
+			s.conns = append(s.conns[:i:i], s.conns[i+1:]...)
+			break
+		}
+	}
+	done := c.done.Load()
+	for _, id := range sortedKeys(c.calls) {
+		o := yw.Unreachable
+		if n := c.calls[id]; n > 0 && n <= done {
+			o = yw.Broken
+		}
+		p.end(now, c, broker.Reply{Attempt: id, Outcome: o})
+	}
+	if s.closed && len(s.conns) == 0 && p.servers[s.id] == s {
+		delete(p.servers, s.id)
+	}
+}
+
+// sweep closes connections before the server's machine does, and those that stayed silent with calls out.
+func (p *pool) sweep(now int64) {
+	for _, s := range p.servers {
+		for _, c := range append([]*serverConn(nil), s.conns...) {
+			if c.up && len(c.calls) == 0 && now-c.usedAt > p.cfg.IdleClose*2/3 {
+				p.fail(now, c)
+			}
+		}
+	}
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -10,6 +10,7 @@
 	"math"
 
 	yw "yarrowwalk"
+	"yarrowwalk/internal/config"
 )
 
 // Kind tells what a decoded line is.
@@ -46,7 +47,7 @@
 	Serial      *int64             `json:"serial"`
 	Who         *string            `json:"who"`
 	Seed        *uint64            `json:"random_seed"`
-	Setup       *rawSetup          `json:"setup"`
+	Setup       json.RawMessage    `json:"setup"`
 	Slot        *int               `json:"slot"`
 	Members     *[]rawServer       `json:"members"`
 	Scope       *int               `json:"scope"`
@@ -156,14 +157,14 @@
 }
 
 func readOpen(l *rawLine) (Message, error) {
-	if err := need("who", l.Who != nil, "random_seed", l.Seed != nil, "setup", l.Setup != nil); err != nil {
+	if err := need("who", l.Who != nil, "random_seed", l.Seed != nil, "setup", len(l.Setup) > 0); err != nil {
 		return Message{}, err
 	}
-	set, err := l.Setup.settings()
+	set, err := config.ParseSettings(l.Setup)
 	if err != nil {
 		return Message{}, fmt.Errorf("setup: %w", err)
 	}
-	return Message{Kind: Open, Seed: *l.Seed, Settings: set}, nil
+	return Message{Kind: Open, Seed: *l.Seed, Settings: set.Module}, nil
 }
 
 func readLedger(l *rawLine) (Message, error) {
