--- a/cmd/saffronquay/main.go
+++ b/cmd/saffronquay/main.go
@@ -15,6 +15,7 @@
 	yw "yarrowwalk"
 	"yarrowwalk/internal/broker"
 	"yarrowwalk/internal/config"
+	"yarrowwalk/internal/opensearch"
 	"yarrowwalk/internal/platform"
 	"yarrowwalk/internal/transport"
 )
@@ -36,58 +37,120 @@
 	quiet       = 1_000_000 // arrivals must have ceased for so long before an exit, in microseconds
 )
 
-func run(logger *log.Logger, term <-chan os.Signal) error {
+// plan is what the two ways of setting the program up come down to.
+type plan struct {
+	name, listen      string
+	seed              uint64
+	sockets, memoryMB int
+	settings          config.Settings
+	budgets           map[string]broker.Budget
+	front             transport.Front
+	dialect           broker.Dialect
+	partsPerCall      int
+	fleet             yw.FleetChanged
+	addresses         map[yw.ServerID]string
+	watch             func(*transport.Engine) *transport.Watcher // nil: the list of servers is fixed
+}
+
+func load(logger *log.Logger) (plan, error) {
+	op, ok, err := config.LoadOperator(os.Getenv, os.ReadFile)
+	if err != nil {
+		return plan{}, err
+	}
+	if ok {
+		return searching(op), nil
+	}
 	node, err := config.Load(os.Getenv, os.ReadFile)
+	if err != nil {
+		return plan{}, err
+	}
+	return plan{name: node.Name, listen: node.Listen, seed: node.Seed, sockets: node.Sockets,
+		memoryMB: node.MemoryMB, settings: node.Settings, front: platform.Front{Margin: margin},
+		dialect:      platform.Workers{PerConn: node.Settings.StreamsPerConn},
+		partsPerCall: max(1, node.Settings.Module.PartsPerCall),
+		fleet:        yw.FleetChanged{Kind: yw.FleetCached, Servers: node.Known}, addresses: node.Addresses,
+		watch: func(e *transport.Engine) *transport.Watcher {
+			return transport.NewWatcher(node.Discovery, node.Generation, node.Settings.Module.AskMembership, e.Fleet, logger)
+		}}, nil
+}
+
+func searching(op config.Operator) plan {
+	front := opensearch.Front{Indices: op.Indices, TenantHeader: op.TenantHeader, Tenants: map[string]bool{},
+		Longest: map[string]int64{}, Margin: margin}
+	for _, t := range op.Settings.Module.Tenants {
+		front.Tenants[t.Name] = true
+	}
+	for _, c := range op.Settings.Module.Classes {
+		front.Longest[c.Name] = c.HardLimit
+	}
+	return plan{name: op.Name, listen: op.Listen, seed: op.Seed, sockets: op.Sockets, memoryMB: op.MemoryMB,
+		settings: op.Settings, budgets: op.Budgets, front: front, dialect: opensearch.Servers{}, partsPerCall: 1,
+		fleet: yw.FleetChanged{Kind: yw.FleetFull, Servers: op.Servers}, addresses: op.Addresses}
+}
+
+func run(logger *log.Logger, term <-chan os.Signal) error {
+	p, err := load(logger)
 	if err != nil {
 		return fmt.Errorf("configuration: %w", err)
 	}
-	debug.SetMemoryLimit(int64(node.MemoryMB) << 20 * 3 / 4)
-	set := node.Settings
-	module, err := yw.New(set.Module, node.Seed)
+	debug.SetMemoryLimit(int64(p.memoryMB) << 20 * 3 / 4)
+	set := p.settings
+	module, err := yw.New(set.Module, p.seed)
 	if err != nil {
 		return fmt.Errorf("configuration: settings: %w", err)
 	}
 	clock := transport.NewClock()
 	core := broker.New(broker.Terms{Period: set.Module.Period, Shards: set.Module.Shards, MaxOpen: set.MaxOpen,
-		PartsPerCall: max(1, set.Module.PartsPerCall), RetryAfter: set.Module.Limits.RetryAfter,
+		PartsPerCall: p.partsPerCall, RetryAfter: set.Module.Limits.RetryAfter,
 		MaxRetryAfter: set.Module.Limits.MaxRetryAfter, AnswerGrace: set.Module.Period,
-		Classes: set.Module.Classes}, module)
+		Classes: set.Module.Classes, Tenants: p.budgets}, module)
 	engine := transport.NewEngine(clock, core, transport.PoolConfig{ConnectTimeout: set.ConnectTimeout,
-		IdleClose: set.IdleClose, MaxConns: serverConns}, platform.Workers{PerConn: set.StreamsPerConn}, logger)
-	engine.Fleet(yw.FleetChanged{Kind: yw.FleetCached, Servers: node.Known}, node.Addresses)
-	watcher := transport.NewWatcher(node.Discovery, node.Generation, set.Module.AskMembership, engine.Fleet, logger)
-	engine.Watch, engine.Fetch = watcher.Begin, watcher.Begin
-	socket, err := net.Listen("tcp", node.Listen)
+		IdleClose: set.IdleClose, MaxConns: serverConns}, p.dialect, logger)
+	engine.Fleet(p.fleet, p.addresses)
+	var watcher *transport.Watcher
+	if p.watch != nil {
+		watcher = p.watch(engine)
+		engine.Watch, engine.Fetch = watcher.Begin, watcher.Begin
+	}
+	socket, err := net.Listen("tcp", p.listen)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	listener := transport.NewListener(socket, transport.ListenerConfig{MaxConns: max(16, node.Sockets-reserved),
-		Idle: 2 * time.Minute, Slow: 10 * time.Second}, engine, platform.Front{Margin: margin}, logger)
+	listener := transport.NewListener(socket, transport.ListenerConfig{MaxConns: max(16, p.sockets-reserved),
+		Idle: 2 * time.Minute, Slow: 10 * time.Second}, engine, p.front, logger)
 	go engine.Run()
-	go watcher.Run()
+	if watcher != nil {
+		go watcher.Run()
+	}
 	served := make(chan error, 1)
 	go func() { served <- listener.Serve() }()
-	logger.Printf("level=info event=start name=%s listen=%s workers=%d", node.Name, node.Listen, len(node.Known))
+	logger.Printf("level=info event=start name=%s listen=%s servers=%d", p.name, socket.Addr(), len(p.fleet.Servers))
 	select {
 	case err := <-served:
 		return fmt.Errorf("accept: %w", err)
 	case <-term:
 	}
+	leave(clock, engine, listener, logger)
+	if watcher != nil {
+		watcher.Stop()
+	}
+	engine.Stop()
+	logger.Printf("level=info event=stopped")
+	return nil
+}
+
+// leave goes on serving until nothing is held and nothing comes in any more.
+func leave(clock transport.Clock, engine *transport.Engine, listener *transport.Listener, logger *log.Logger) {
 	listener.Leave()
 	logger.Printf("level=info event=leaving held=%d", engine.Held())
-	left := clock.Now()
+	since := clock.Now()
 	tick := time.NewTicker(50 * time.Millisecond)
 	defer tick.Stop()
-	for {
-		<-tick.C
+	for range tick.C {
 		now := clock.Now()
-		if now-left >= quiet && listener.Quiet(now-quiet) && engine.Held() == 0 {
+		if now-since >= quiet && listener.Quiet(now-quiet) && engine.Held() == 0 {
 			break
 		}
 	}
 	listener.Close()
-	watcher.Stop()
-	engine.Stop()
-	logger.Printf("level=info event=stopped")
-	return nil
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -19,8 +19,7 @@
 	Known                   []yw.Server // the list of workers as last held
 	Addresses               map[yw.ServerID]string
 	Generation              int64
-	// StartMillis are the times, in Unix milliseconds, at which the known workers started.
-	Settings Settings
+	Settings                Settings
 }
 
 // Load reads the platform's configuration by the variables that an environment gives. readFile reads a file.
--- /dev/null
+++ b/internal/config/operator.go
@@ -0,0 +1,142 @@
+package config
+
+import (
+	"fmt"
+	"net"
+	"strconv"
+
+	"github.com/valyala/fastjson"
+
+	yw "yarrowwalk"
+	"yarrowwalk/internal/broker"
+	"yarrowwalk/internal/opensearch"
+)
+
+// Operator is what an operator's file sets up: a gatherer that speaks the search API, away from the platform.
+type Operator struct {
+	Name, Listen      string
+	Seed              uint64
+	Sockets, MemoryMB int
+	Settings          Settings
+	Budgets           map[string]broker.Budget // of attempts, by tenant
+	TenantHeader      string
+	Indices           map[string]opensearch.Index
+	Servers           []yw.Server
+	Addresses         map[yw.ServerID]string
+}
+
+// LoadOperator reads the operator's file that the environment names; ok is false where it names none, and the
+// second front stays off.
+func LoadOperator(getenv func(string) string, readFile func(string) ([]byte, error)) (o Operator, ok bool, err error) {
+	const variable = "SAFFRONQUAY_OPERATOR_FILE"
+	path := getenv(variable)
+	if path == "" {
+		return o, false, nil
+	}
+	text, err := readFile(path)
+	if err != nil {
+		return o, true, fmt.Errorf("%s: %w", variable, err)
+	}
+	if o, err = ParseOperator(text); err != nil {
+		return o, true, fmt.Errorf("%s: %w", variable, err)
+	}
+	return o, true, nil
+}
+
+// ParseOperator reads an operator's file.
+func ParseOperator(text []byte) (Operator, error) {
+	r, err := newReader(text)
+	if err != nil {
+		return Operator{}, err
+	}
+	r.require("listen", "settings", "indices", "servers")
+	o := Operator{Name: r.str("name", "saffronquay"), Listen: r.str("listen", ""),
+		TenantHeader: r.str("tenant_header", "X-Tenant"), Settings: readSettings(r.object("settings")),
+		Sockets: r.object("limits").count("sockets", 1024), MemoryMB: r.object("limits").count("memory_mb", 192),
+		Budgets: map[string]broker.Budget{}, Indices: map[string]opensearch.Index{},
+		Addresses: map[yw.ServerID]string{}}
+	r.hostPort("listen", o.Listen)
+	if o.Seed, err = strconv.ParseUint(r.str("seed", "0"), 16, 64); err != nil {
+		r.fault("seed", "want hex digits, not %q", r.str("seed", ""))
+	}
+	o.Settings.checkServing(r.object("settings"))
+	o.tenants(r)
+	for _, x := range r.array("indices") {
+		o.index(x)
+	}
+	for _, x := range r.array("servers") {
+		x.require("id", "address", "cell")
+		id := yw.ServerID(x.str("id", ""))
+		if _, twice := o.Addresses[id]; twice {
+			x.fault("id", "%q is named twice", id)
+		}
+		cell := x.count("cell", 0)
+		if cell < 0 || cell >= o.Settings.Module.Cells {
+			x.fault("cell", "there is no cell %d", cell)
+		}
+		o.Addresses[id] = x.str("address", "")
+		x.hostPort("address", o.Addresses[id])
+		o.Servers = append(o.Servers, yw.Server{ID: id, Zone: x.str("zone", ""), Cell: cell, Health: yw.Ready})
+	}
+	return o, *r.err
+}
+
+func (r reader) hostPort(key, value string) {
+	if _, _, err := net.SplitHostPort(value); err != nil {
+		r.fault(key, "%q is not host:port", value)
+	}
+}
+
+// tenants reads the contracts: each tenant's share, and the budget of its further attempts.
+func (o *Operator) tenants(r reader) {
+	list := r.array("tenants")
+	if len(list) > 0 {
+		o.Settings.Module.Tenants = nil
+	}
+	for _, t := range list {
+		t.require("name", "quota_per_s")
+		name := t.str("name", "")
+		o.Settings.Module.Tenants = append(o.Settings.Module.Tenants, yw.Tenant{Name: name, Quota: t.float("quota_per_s", 0)})
+		if !t.has("budget") {
+			continue
+		}
+		b := t.object("budget")
+		b.require("window_us")
+		o.Budgets[name] = broker.Budget{Free: b.float("free", 0), Ratio: b.float("ratio", 0), Window: b.integer("window_us", 0)}
+		if x := o.Budgets[name]; x.Free < 0 || x.Ratio < 0 || x.Window <= 0 {
+			b.fault("window_us", "a budget wants free and ratio of nought or more and a window above nought")
+		}
+	}
+}
+
+func (o *Operator) index(x reader) {
+	x.require("name", "class", "field", "ranges")
+	ix := opensearch.Index{Name: x.str("name", ""), Class: x.str("class", ""), Field: x.str("field", ""),
+		PartWork: x.integer("part_work_us", 0)}
+	known := false
+	for _, c := range o.Settings.Module.Classes {
+		known = known || c.Name == ix.Class
+	}
+	if !known {
+		x.fault("class", "unknown class %q", ix.Class)
+	}
+	if _, twice := o.Indices[ix.Name]; twice {
+		x.fault("name", "%q is named twice", ix.Name)
+	}
+	for _, g := range x.array("ranges") {
+		g.require("from", "to", "shard")
+		span := opensearch.Span{From: g.integer("from", 0), To: g.integer("to", 0)}
+		shard := g.count("shard", 0)
+		if span.From >= span.To {
+			g.fault("to", "want more than from: to is the first value that is no longer in")
+		}
+		if shard < 0 || shard >= o.Settings.Module.Shards {
+			g.fault("shard", "there is no shard %d", shard)
+		}
+		ix.Ranges = append(ix.Ranges, opensearch.Range{Span: span, Shard: shard})
+	}
+	if x.has("ranges") && x.v.Get("ranges").Type() == fastjson.TypeArray && len(ix.Ranges) == 0 {
+		x.fault("ranges", "want at least one")
+	}
+	o.Indices[ix.Name] = ix
+}
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -59,6 +59,8 @@
 	Response bool
 	// Stream, where set, is handed body bytes as they come; bodies are then neither kept nor bounded.
 	Stream func([]byte)
+	// Limit bounds a body; 0 stands for MaxBody.
+	Limit int
 	// Headed, where set, is called with each message whose header block is complete.
 	Headed func(*Message)
 
@@ -175,8 +177,12 @@
 }
 
 func (p *Parser) fits() error {
-	if p.Stream == nil && len(p.msg.Body)+p.left > MaxBody {
-		return bad(413, "body over %d bytes", MaxBody)
+	limit := p.Limit
+	if limit == 0 {
+		limit = MaxBody
+	}
+	if p.Stream == nil && len(p.msg.Body)+p.left > limit {
+		return bad(413, "body over %d bytes", limit)
 	}
 	return nil
 }
@@ -326,7 +332,7 @@
 	return false
 }
 
-var reasons = map[int]string{100: "Continue", 200: "OK", 400: "Bad Request", 404: "Not Found",
+var reasons = map[int]string{100: "Continue", 200: "OK", 400: "Bad Request", 403: "Forbidden", 404: "Not Found",
 	405: "Method Not Allowed", 408: "Request Timeout", 413: "Content Too Large", 429: "Too Many Requests",
 	431: "Request Header Fields Too Large", 500: "Internal Server Error", 501: "Not Implemented",
 	502: "Bad Gateway", 503: "Service Unavailable", 504: "Gateway Timeout",
--- /dev/null
+++ b/internal/loopback/opensearch_test.go
@@ -0,0 +1,144 @@
+package loopback
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/url"
+	"strconv"
+	"strings"
+	"testing"
+
+	"yarrowwalk/internal/http1"
+)
+
+type openSearchDialect struct{}
+
+func (openSearchDialect) config(t *testing.T, w *world) []string {
+	var servers, ranges, indices []map[string]any
+	for i, s := range w.servers {
+		servers = append(servers, map[string]any{"id": s.name, "address": s.address, "zone": "a", "cell": s.cell})
+		ranges = append(ranges, map[string]any{"from": 100 * i, "to": 100 * (i + 1), "shard": i})
+	}
+	for _, class := range []string{"safe", "once"} {
+		indices = append(indices, map[string]any{"name": class, "class": class, "field": "taxpayer",
+			"part_work_us": 1000, "ranges": ranges})
+	}
+	path := writeJSON(t, map[string]any{"listen": "127.0.0.1:0", "settings": json.RawMessage(settings),
+		"tenants": []any{map[string]any{"name": "desk", "quota_per_s": 100}}, "indices": indices, "servers": servers})
+	return []string{"SAFFRONQUAY_OPERATOR_FILE=" + path}
+}
+
+func (openSearchDialect) request(class string, shards []int, ms int) []byte {
+	var any []string
+	for _, s := range shards {
+		any = append(any, fmt.Sprintf(`{"range":{"taxpayer":{"gte":%d,"lt":%d}}}`, 100*s+10, 100*s+90))
+	}
+	return search(class, fmt.Sprintf(`{"timeout":"%dms","query":{"bool":{"should":[%s]}}}`, ms, strings.Join(any, ",")))
+}
+
+func search(index, body string) []byte {
+	return fmt.Appendf(nil, "POST /%s/_search HTTP/1.1\r\nHost: x\r\nX-Tenant: desk\r\nX-Opaque-Id: o-7\r\n"+
+		"Content-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", index, len(body), body)
+}
+
+func (openSearchDialect) outcome(m *http1.Message) string {
+	var a struct {
+		Took     *int
+		TimedOut *bool                                   `json:"timed_out"`
+		Shards   struct{ Total, Successful, Failed int } `json:"_shards"`
+		Hits     struct {
+			Total struct{ Value int }
+			Hits  []struct {
+				ID string `json:"_id"`
+			}
+		}
+		Error  struct{ Type, Reason string }
+		Status int
+	}
+	if err := json.Unmarshal(m.Body, &a); err != nil {
+		return fmt.Sprintf("not JSON: %s", m.Body)
+	}
+	if m.Status != 200 && (a.Status != m.Status || a.Error.Type == "" || a.Error.Reason == "") {
+		return fmt.Sprintf("an error in another shape: %s", m.Body)
+	}
+	switch m.Status {
+	case 200:
+		if a.Took == nil || a.TimedOut == nil || *a.TimedOut || a.Shards.Failed > 0 ||
+			a.Shards.Successful != len(a.Hits.Hits) || a.Hits.Total.Value != len(a.Hits.Hits) ||
+			m.Header.Get("X-Opaque-Id") != "o-7" {
+			return fmt.Sprintf("not whole: %s", m.Body)
+		}
+		var in []int
+		for _, h := range a.Hits.Hits {
+			n, err := strconv.Atoi(h.ID)
+			if err != nil {
+				return fmt.Sprintf("made up: %s", m.Body)
+			}
+			in = append(in, n)
+		}
+		return answered(in)
+	case 429:
+		if a.Error.Type != "rejected_execution_exception" {
+			return "refused as " + a.Error.Type
+		}
+		return refused(m)
+	case 400, 408, 413, 431, 501, 505:
+		return fmt.Sprint("malformed ", m.Status)
+	case 500:
+		return "failed"
+	}
+	return fmt.Sprint("status ", m.Status)
+}
+
+// What stand-in servers answer, by behaviour; %d is the shard.
+var bodies = map[string]string{
+	"serve": `{"took":1,"timed_out":false,"_shards":{"total":1,"successful":1,"skipped":0,"failed":0},` +
+		`"hits":{"total":{"value":1,"relation":"eq"},"max_score":1.0,"hits":[{"_index":"i","_id":"%d","_score":1.0}]}}`,
+	"error-in-success": `{"error":{"type":"search_phase_execution_exception","reason":"all shards failed"},"status":200,"took":1,` +
+		`"timed_out":false,"_shards":{"total":1,"successful":1,"failed":0},"hits":{"total":{"value":0},"hits":[]}}`,
+	"timed-out-in-success": `{"took":1,"timed_out":true,"_shards":{"total":1,"successful":1,"failed":0},"hits":{"total":{"value":0},"hits":[]}}`,
+	"failed-shards":        `{"took":1,"timed_out":false,"_shards":{"total":1,"successful":0,"failed":1},"hits":{"total":{"value":0},"hits":[]}}`,
+	"error":                `{"error":{"type":"illegal_state_exception","reason":"broken"},"status":500}`,
+	"reject":               `{"error":{"type":"rejected_execution_exception","reason":"queue is full"},"status":429}`,
+}
+
+// serve is a stand-in search server.
+func (openSearchDialect) serve(w *world, s *standIn, conn net.Conn) {
+	r := bufio.NewReader(conn)
+	for {
+		m, err := readMessage(conn, r, false)
+		if err != nil {
+			return
+		}
+		path, params, _ := strings.Cut(m.Target, "?")
+		q, err := url.ParseQuery(params)
+		shard, nerr := strconv.Atoi(strings.TrimPrefix(q.Get("preference"), "_shards:"))
+		var body struct {
+			From, Size int
+			Query      json.RawMessage
+		}
+		if err != nil || nerr != nil || !strings.HasSuffix(path, "/_search") || json.Unmarshal(m.Body, &body) != nil ||
+			len(body.Query) == 0 || !strings.HasSuffix(q.Get("timeout"), "ms") || m.Header.Get("X-Opaque-Id") != "o-7" {
+			w.t.Errorf("a server got %s %s %s", m.Method, m.Target, m.Body)
+			return
+		}
+		w.count(w.received, shard)
+		status, does := 200, s.does()
+		switch does {
+		case "hang":
+			r.ReadByte() // until the gatherer closes it
+			w.count(w.dropped, shard)
+			return
+		case "reset":
+			return
+		case "error":
+			status = 500
+		case "reject":
+			status = 429
+		}
+		text := strings.Replace(bodies[does], "%d", strconv.Itoa(shard), 1)
+		fmt.Fprintf(conn, "HTTP/1.1 %d X\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", status, len(text), text)
+	}
+}
--- /dev/null
+++ b/internal/loopback/platform_test.go
@@ -0,0 +1,194 @@
+package loopback
+
+import (
+	"bufio"
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"yarrowwalk/internal/http1"
+)
+
+type platformDialect struct{}
+
+func (platformDialect) config(t *testing.T, w *world) []string {
+	var list []map[string]any
+	for _, s := range w.servers {
+		list = append(list, entry(s, "SERVING"))
+	}
+	path := writeJSON(t, map[string]any{"name": "n0", "listen": "127.0.0.1:0", "discovery": discovery(t, w),
+		"seed": "8c1f30d27a5be964", "limits": map[string]any{"sockets": 256, "memory_mb": 192},
+		"known":    map[string]any{"generation": 41, "reset": true, "instances": list},
+		"settings": json.RawMessage(settings)})
+	return []string{"LB_CONFIG=" + path, "LB_LISTEN=", "LB_DISCOVERY=", "LB_NAME="}
+}
+
+func entry(s *standIn, state string) map[string]any {
+	return map[string]any{"instanceId": s.name, "hostPort": s.address, "zone": "a", "cell": s.cell,
+		"lifecycle": state, "weight": 1.0, "startedAtMs": 0}
+}
+
+// discovery is a stand-in agent: it holds a watch open and tells what the scenario says.
+func discovery(t *testing.T, w *world) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				if _, err := readMessage(conn, bufio.NewReader(conn), false); err != nil {
+					return
+				}
+				fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n")
+				generation := 41
+				for change := range w.lists {
+					name, state, _ := strings.Cut(change, " ")
+					generation++
+					i := slices.IndexFunc(w.servers, func(s *standIn) bool { return s.name == name })
+					line, err := json.Marshal(map[string]any{"generation": generation, "reset": false,
+						"instances": []any{entry(w.servers[i], state)}})
+					if err != nil {
+						t.Error(err)
+						return
+					}
+					fmt.Fprintf(conn, "%x\r\n%s\n\r\n", len(line)+1, line)
+				}
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+var requests atomic.Int64
+
+func (platformDialect) request(class string, shards []int, ms int) []byte {
+	var parts []string
+	for _, s := range shards {
+		parts = append(parts, fmt.Sprintf(`{"segment":%d,"boost":%g,"work":1000}`, s, 1/float64(len(shards))))
+	}
+	body := `{"segments":[` + strings.Join(parts, ",") + `],"text":"c41e\u00377d0"}`
+	id := requests.Add(1)
+	return fmt.Appendf(nil, "POST /api/k%d HTTP/1.1\r\nHost: x\r\nRequest-Id: r%d\r\nRequest-Class: %s\r\nTenant: desk\r\n"+
+		"Request-Timeout-Ms: %d\r\nContent-Length: %d\r\n\r\n%s", id, id, class, ms, len(body), body)
+}
+
+func (platformDialect) outcome(m *http1.Message) string {
+	switch m.Status {
+	case 200:
+		var a struct {
+			Whole   bool `json:"all_in"`
+			Matches []struct {
+				Segment int
+				Payload string
+			}
+		}
+		if err := json.Unmarshal(m.Body, &a); err != nil || !a.Whole {
+			return fmt.Sprintf("not whole: %s", m.Body)
+		}
+		var in []int
+		for _, x := range a.Matches {
+			if x.Payload != fmt.Sprintf("v%d \"c41e77d0\"", x.Segment) {
+				return fmt.Sprintf("made up: %s", m.Body)
+			}
+			in = append(in, x.Segment)
+		}
+		return answered(in)
+	case 429:
+		return refused(m)
+	case 400, 408, 413, 431, 501, 505:
+		return fmt.Sprint("malformed ", m.Status)
+	case 502, 504:
+		return "failed"
+	}
+	return fmt.Sprint("status ", m.Status)
+}
+
+func answered(shards []int) string {
+	slices.Sort(shards)
+	var text []string
+	for _, s := range shards {
+		text = append(text, strconv.Itoa(s))
+	}
+	return "answered " + strings.Join(text, ",")
+}
+
+func refused(m *http1.Message) string {
+	if s, err := strconv.ParseFloat(m.Header.Get("Retry-After"), 64); err == nil && s > 0 {
+		return "refused later"
+	}
+	return "refused"
+}
+
+// serve is a stand-in worker: frames in, frames out.
+func (platformDialect) serve(w *world, s *standIn, conn net.Conn) {
+	r := bufio.NewReader(conn)
+	var mu sync.Mutex
+	out := map[string]int{}
+	defer func() {
+		mu.Lock()
+		defer mu.Unlock()
+		for _, shard := range out {
+			w.count(w.dropped, shard)
+		}
+	}()
+	for {
+		var head [4]byte
+		if _, err := io.ReadFull(r, head[:]); err != nil {
+			return
+		}
+		body := make([]byte, binary.BigEndian.Uint32(head[:]))
+		if _, err := io.ReadFull(r, body); err != nil {
+			return
+		}
+		if body[0] == 'A' {
+			id := string(body[1:])
+			mu.Lock()
+			if shard, ok := out[id]; ok {
+				delete(out, id)
+				w.count(w.dropped, shard)
+			}
+			mu.Unlock()
+			continue
+		}
+		line, text, _ := strings.Cut(string(body[1:]), "\n")
+		f := strings.Fields(line)
+		shard, err := strconv.Atoi(f[1])
+		if body[0] != 'R' || err != nil || !strings.HasPrefix(f[2], "d=") || f[3] != strconv.Itoa(len(text)) {
+			w.t.Errorf("a worker got the frame %q", body)
+			return
+		}
+		w.count(w.received, shard)
+		end, value := "OK", fmt.Sprintf("v%d %q", shard, text)
+		switch does := s.does(); does {
+		case "serve":
+		case "hang":
+			mu.Lock()
+			out[f[0]] = shard
+			mu.Unlock()
+			continue
+		case "reset":
+			return
+		case "reject":
+			end, value = "REJECTED", ""
+		default: // every way of saying that it went wrong
+			end, value = "ERROR", ""
+		}
+		answer := fmt.Sprintf("Y%s %s 7 queue=0,util=0.1\n%s", f[0], end, value)
+		conn.Write(append(binary.BigEndian.AppendUint32(nil, uint32(len(answer))), answer...))
+	}
+}
--- /dev/null
+++ b/internal/loopback/scenario_test.go
@@ -0,0 +1,426 @@
+// Package loopback tests the program as it is started, over loopback sockets, in both dialects. A scenario is
+// a text of one step a line; the same text runs in each dialect and has to come out the same.
+//
+//	only DIALECT                      the scenario is not for the other one
+//	server NAME|* BEHAVIOUR           how a stand-in server treats calls from here on
+//	fleet NAME STATE                  discovery tells of a server
+//	send Q CLASS SHARDS [MS]          a client sends a query; shards in any order
+//	raw Q NAME                        a client sends one of the malformed requests
+//	close Q                           the client goes away
+//	stop                              SIGTERM to the program
+//	wait shard S received|dropped N   until servers have seen so much
+//	wait told N                       until the program has heard of discovery's version N
+//	expect Q OUTCOME                  the one final answer of a query
+//	expect shard S received N         how many calls for a shard servers have seen in all
+//	expect ready|leaving|exit         the program's health, or its orderly end
+package loopback
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"yarrowwalk/internal/http1"
+)
+
+const patience = 20 * time.Second // for what has to happen; no verdict hangs on how soon it does
+
+var program string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "saffronquay")
+	if err == nil {
+		program = filepath.Join(dir, "saffronquay")
+		var out []byte
+		if out, err = exec.Command("go", "build", "-o", program, "yarrowwalk/cmd/saffronquay").CombinedOutput(); err != nil {
+			err = fmt.Errorf("%w: %s", err, out)
+		}
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "build:", err)
+		os.Exit(1)
+	}
+	code := m.Run()
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// dialect is what differs between the two fronts for a test.
+type dialect interface {
+	// config writes the program's configuration and returns the environment that names it.
+	config(t *testing.T, w *world) []string
+	request(class string, shards []int, ms int) []byte
+	// outcome reads an answer: "answered 0,2", "refused later", "refused", "failed" or "malformed STATUS".
+	outcome(m *http1.Message) string
+	serve(w *world, s *standIn, conn net.Conn)
+}
+
+// world is one run of the program with its stand-ins.
+type world struct {
+	t       *testing.T
+	d       dialect
+	servers []*standIn
+	address string
+	cmd     *exec.Cmd
+	exited  chan error
+	clients map[string]*client
+	lists   chan string // changes that discovery has to tell
+
+	mu       sync.Mutex
+	changed  *sync.Cond
+	received map[int]int
+	dropped  map[int]int
+	told     map[int]int // by version of the list
+}
+
+type client struct {
+	conn net.Conn
+	got  chan string
+}
+
+func (w *world) count(of map[int]int, shard int) {
+	w.mu.Lock()
+	of[shard]++
+	w.changed.Broadcast()
+	w.mu.Unlock()
+}
+
+// standIn is one server: it serves, or treats calls in another way that a scenario names.
+type standIn struct {
+	name      string
+	cell      int
+	mu        sync.Mutex
+	l         net.Listener
+	address   string
+	behaviour string
+}
+
+func (s *standIn) does() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.behaviour
+}
+
+func (s *standIn) set(w *world, behaviour string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.behaviour = behaviour
+	if behaviour == "down" {
+		s.l.Close()
+	}
+}
+
+func (s *standIn) listen(w *world) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	s.l, s.address, s.behaviour = l, l.Addr().String(), "serve"
+	w.t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				w.d.serve(w, s, conn)
+			}()
+		}
+	}()
+}
+
+var told = regexp.MustCompile(`event=fleet generation=(\d+)`)
+
+var started = regexp.MustCompile(`event=start .*listen=(\S+)`)
+
+func newWorld(t *testing.T, d dialect) *world {
+	w := &world{t: t, d: d, clients: map[string]*client{}, exited: make(chan error, 1), lists: make(chan string, 8),
+		received: map[int]int{}, dropped: map[int]int{}, told: map[int]int{}}
+	w.changed = sync.NewCond(&w.mu)
+	for i := range 4 {
+		s := &standIn{name: fmt.Sprintf("s%d", i), cell: i}
+		s.listen(w)
+		w.servers = append(w.servers, s)
+	}
+	w.cmd = exec.Command(program)
+	w.cmd.Env = append(os.Environ(), d.config(t, w)...)
+	errs, err := w.cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := w.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	addresses, ended := make(chan string, 1), make(chan struct{})
+	go func() {
+		defer close(ended)
+		for lines := bufio.NewScanner(errs); lines.Scan(); {
+			if m := started.FindStringSubmatch(lines.Text()); m != nil {
+				addresses <- m[1]
+			}
+			if m := told.FindStringSubmatch(lines.Text()); m != nil {
+				n, _ := strconv.Atoi(m[1])
+				w.count(w.told, n)
+			}
+			if strings.Contains(lines.Text(), "panic") || strings.Contains(lines.Text(), "DATA RACE") ||
+				strings.Contains(lines.Text(), "deadline guard") {
+				t.Errorf("the program said: %s", lines.Text())
+			}
+		}
+	}()
+	go func() { <-ended; w.exited <- w.cmd.Wait() }()
+	t.Cleanup(func() { w.cmd.Process.Kill(); <-ended })
+	select {
+	case w.address = <-addresses:
+	case <-time.After(patience):
+		t.Fatal("the program did not start")
+	}
+	return w
+}
+
+func (w *world) dial() net.Conn {
+	conn, err := net.DialTimeout("tcp", w.address, patience)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.t.Cleanup(func() { conn.Close() })
+	return conn
+}
+
+// send writes a request on a connection of its own and reads the answer in the background.
+func (w *world) send(name string, request []byte) {
+	c := &client{conn: w.dial(), got: make(chan string, 1)}
+	w.clients[name] = c
+	if _, err := c.conn.Write(request); err != nil {
+		w.t.Fatalf("send %s: %v", name, err)
+	}
+	go func() {
+		m, err := readMessage(c.conn, bufio.NewReader(c.conn), true)
+		if err != nil {
+			c.got <- "no answer: " + err.Error()
+			return
+		}
+		c.got <- w.d.outcome(m)
+	}()
+}
+
+func readMessage(conn net.Conn, r *bufio.Reader, response bool) (*http1.Message, error) {
+	p := http1.Parser{Response: response}
+	for {
+		if m, err := p.Next(); m != nil || err != nil {
+			return m, err
+		}
+		conn.SetReadDeadline(time.Now().Add(patience))
+		b, err := r.ReadByte()
+		if err != nil {
+			return nil, err
+		}
+		p.Feed([]byte{b})
+	}
+}
+
+func (w *world) health() string {
+	conn := w.dial()
+	defer conn.Close()
+	conn.Write([]byte("GET /_health HTTP/1.1\r\nHost: x\r\n\r\n"))
+	m, err := readMessage(conn, bufio.NewReader(conn), true)
+	switch {
+	case err != nil:
+		return err.Error()
+	case m.Status == 200:
+		return "ready"
+	case m.Status == 503:
+		return "leaving"
+	}
+	return strconv.Itoa(m.Status)
+}
+
+// await waits until a count is reached.
+func (w *world) await(of map[int]int, shard, n int) bool {
+	timer := time.AfterFunc(patience, w.changed.Broadcast)
+	defer timer.Stop()
+	end := time.Now().Add(patience)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for of[shard] < n {
+		if !time.Now().Before(end) {
+			return false
+		}
+		w.changed.Wait()
+	}
+	return true
+}
+
+var malformed = map[string]string{
+	"bad-line":     "BOGUS\r\n\r\n",
+	"no-host":      "GET /_health HTTP/1.1\r\n\r\n",
+	"both-lengths": "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+	"big-body":     "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 70000\r\n\r\n",
+	"big-head":     "GET / HTTP/1.1\r\nHost: x\r\nX: " + strings.Repeat("y", 20000) + "\r\n\r\n",
+	"bad-chunk":    "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+}
+
+// play runs a scenario and returns what its queries came to.
+func play(t *testing.T, d dialect, text string) []string {
+	w := newWorld(t, d)
+	var seen []string
+	for i, line := range strings.Split(text, "\n") {
+		line, _, _ = strings.Cut(line, "#")
+		f := strings.Fields(line)
+		if len(f) == 0 {
+			continue
+		}
+		if err := w.step(f, &seen); err != nil {
+			t.Fatalf("line %d: %s: %v", i+1, line, err)
+		}
+	}
+	return seen
+}
+
+func (w *world) step(f []string, seen *[]string) error {
+	num := func(i int) int {
+		n, err := strconv.Atoi(f[i])
+		if err != nil {
+			w.t.Fatalf("%v: %v", f, err)
+		}
+		return n
+	}
+	switch verb := f[0]; verb {
+	case "only":
+	case "server":
+		for _, s := range w.servers {
+			if f[1] == "*" || f[1] == s.name {
+				s.set(w, f[2])
+			}
+		}
+	case "fleet":
+		w.lists <- strings.Join(f[1:], " ")
+	case "send":
+		var shards []int
+		for _, s := range strings.Split(f[3], ",") {
+			n, err := strconv.Atoi(s)
+			if err != nil {
+				return err
+			}
+			shards = append(shards, n)
+		}
+		ms := 3000
+		if len(f) > 4 {
+			ms = num(4)
+		}
+		w.send(f[1], w.d.request(f[2], shards, ms))
+	case "raw":
+		if malformed[f[2]] == "" {
+			return fmt.Errorf("unknown request")
+		}
+		w.send(f[1], []byte(malformed[f[2]]))
+	case "close":
+		w.clients[f[1]].conn.Close()
+	case "stop":
+		return w.cmd.Process.Signal(syscall.SIGTERM)
+	case "wait":
+		if f[1] == "told" {
+			f = []string{"wait", "shard", f[2], "told", "1"}
+		}
+		of := map[string]map[int]int{"received": w.received, "dropped": w.dropped, "told": w.told}[f[3]]
+		if !w.await(of, num(2), num(4)) {
+			return fmt.Errorf("it never came to that")
+		}
+	case "expect":
+		got, want := "", strings.Join(f[2:], " ")
+		switch f[1] {
+		case "shard":
+			w.mu.Lock()
+			got, want = strconv.Itoa(w.received[num(2)]), f[4]
+			w.mu.Unlock()
+		case "ready", "leaving":
+			got, want = w.health(), f[1]
+		case "exit":
+			select {
+			case err := <-w.exited:
+				got, want = fmt.Sprint(err), fmt.Sprint(error(nil))
+			case <-time.After(patience):
+				got = "still running"
+			}
+		default:
+			select {
+			case got = <-w.clients[f[1]].got:
+				*seen = append(*seen, f[1]+" "+got)
+			case <-time.After(patience):
+				got = "no answer"
+			}
+		}
+		if got != want {
+			return fmt.Errorf("got %q", got)
+		}
+	default:
+		return fmt.Errorf("unknown step")
+	}
+	return nil
+}
+
+func TestScenarios(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.txt")
+	if err != nil || len(files) == 0 {
+		t.Fatalf("no scenarios: %v", err)
+	}
+	for _, file := range files {
+		text, err := os.ReadFile(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Run(strings.TrimSuffix(filepath.Base(file), ".txt"), func(t *testing.T) {
+			t.Parallel()
+			results := map[string]string{}
+			for name, d := range map[string]dialect{"platform": platformDialect{}, "opensearch": openSearchDialect{}} {
+				if strings.Contains(string(text), "only ") && !strings.Contains(string(text), "only "+name) {
+					continue
+				}
+				t.Run(name, func(t *testing.T) {
+					results[name] = strings.Join(play(t, d, string(text)), "\n")
+				})
+			}
+			if len(results) == 2 && results["platform"] != results["opensearch"] {
+				t.Errorf("the dialects differ:\n%s\n--\n%s", results["platform"], results["opensearch"])
+			}
+		})
+	}
+}
+
+// settings are those of both dialects: four shards in four cells, each held by two.
+const settings = `{"me":0,"balancers":1,"zone":"a","period_us":5000,"membership_mode":"push","areas":["a"],
+ "classes":[
+  {"name":"safe","aim_us":2000000,"hard_limit_us":4000000,"worth":1,"late_worth":0.5,"effect":"free"},
+  {"name":"once","aim_us":2000000,"hard_limit_us":4000000,"worth":1,"late_worth":0.5,"effect":"single_shot"}],
+ "family_info":{"class_fetch":[0,0],"class_partial":[0.9,0.9],"floor_by_class":[1,1],"whole_at":[1,1],
+  "overhead_us":0,"parts_a_call":1,"positions":4,"reach":2,"shards":4},
+ "permissions":{"max_open":12,"connect_timeout_us":250000,"idle_close_us":15000000,"streams_per_conn":32,
+  "may_cancel":true,"most_tries":2,"second_copies":true,"retry_after":true,"max_retry_after_us":500000},
+ "parties":[{"name":"desk","quota_per_s":100}],"over_share_worth":0.1,"prices":{"cross_zone":0},
+ "rules":{"cold_share":0.2,"fall_multiple":2.5,"fall_us":1500000,"grace_to_answer_us":20000,
+  "stop_sending_within_us":250000,"warm_within_us":14000000,"ask_within_us":10000000}}`
+
+func writeJSON(t *testing.T, v any) string {
+	b, err := json.Marshal(v)
+	if err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, b, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
--- /dev/null
+++ b/internal/opensearch/front.go
@@ -0,0 +1,274 @@
+// Package opensearch is the second dialect: an OpenSearch-style search API, towards clients and towards
+// servers. It opens no socket and decides nothing; which parts go where, when to try again and when to give up
+// is the broker's and its module's word, as it is for the platform's protocol.
+package opensearch
+
+import (
+	"bytes"
+	"cmp"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"net/url"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/valyala/fastjson"
+
+	"yarrowwalk/internal/broker"
+	"yarrowwalk/internal/http1"
+)
+
+// Index is one index that may be searched.
+type Index struct {
+	Name, Class string
+	Field       string // whose ranges tell the shards
+	PartWork    int64  // hint of the work of a part, in microseconds; 0 when there is none
+	Ranges      []Range
+}
+
+// Range says which shard holds a span of the field's values.
+type Range struct {
+	Span
+	Shard int
+}
+
+func (ix Index) domain() spans {
+	var out spans
+	for _, r := range ix.Ranges {
+		out = append(out, r.Span)
+	}
+	return union(out)
+}
+
+// shards lists, in order and once each, the shards that hold some of a set.
+func (ix Index) shards(want spans) []int {
+	var out []int
+	for _, r := range ix.Ranges {
+		if len(intersect(want, spans{r.Span})) > 0 && !slices.Contains(out, r.Shard) {
+			out = append(out, r.Shard)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Front speaks the search API towards clients.
+type Front struct {
+	Indices      map[string]Index
+	Tenants      map[string]bool  // those with a contract; empty: no tenants are told apart
+	TenantHeader string           // which header field names the tenant
+	Longest      map[string]int64 // by class: how long a query may take, in microseconds
+	Margin       int64            // taken off each client's time
+}
+
+func (f Front) fail(e *fault) http1.Response {
+	cause := fmt.Sprintf(`{"type":%s,"reason":%s}`, quote(e.kind), quote(e.reason))
+	return http1.Response{Status: e.status, Type: "application/json; charset=UTF-8",
+		Body: fmt.Appendf(nil, `{"error":{"root_cause":[%s],"type":%s,"reason":%s},"status":%d}`, cause, quote(e.kind), quote(e.reason), e.status)}
+}
+
+func quote(s string) string {
+	b, err := json.Marshal(s)
+	if err != nil { // a string always has a form
+		return `""`
+	}
+	return string(b)
+}
+
+// Fault is the answer to a request that could not be read or decided on.
+func (f Front) Fault(status int, text string) http1.Response {
+	return f.fail(&fault{status, "illegal_argument_exception", text})
+}
+
+// Open turns a request that arrived at now into a query, or into a response where it asks for nothing that
+// the broker has to decide.
+func (f Front) Open(m *http1.Message, now int64, ready bool) (broker.Ask, func(broker.Final, int64) http1.Response, *http1.Response) {
+	if path, _, _ := strings.Cut(m.Target, "?"); path == "/_health" {
+		r := http1.Response{Status: 200, Type: "application/json; charset=UTF-8", Body: []byte(`{"status":"green"}`)}
+		if !ready {
+			r = f.fail(&fault{503, "node_not_connected_exception", "shutting down"})
+		}
+		return broker.Ask{}, nil, &r
+	}
+	ask, s, err := f.open(m, now)
+	opaque := m.Header.Get("X-Opaque-Id")
+	finish := func(r http1.Response) http1.Response {
+		if opaque != "" {
+			r.Fields = append(r.Fields, [2]string{"X-Opaque-Id", opaque})
+		}
+		return r
+	}
+	if err != nil {
+		e := &fault{500, "exception", err.Error()}
+		errors.As(err, &e)
+		r := finish(f.fail(e))
+		return ask, nil, &r
+	}
+	if len(ask.Parts) == 0 { // clauses that exclude each other: nothing can match
+		r := finish(s.respond(broker.Final{Whole: true}, 0))
+		return ask, nil, &r
+	}
+	return ask, func(final broker.Final, at int64) http1.Response {
+		return finish(f.word(s, final, at-now))
+	}, nil
+}
+
+func (f Front) open(m *http1.Message, now int64) (a broker.Ask, s search, err error) {
+	path, params, _ := strings.Cut(m.Target, "?")
+	name, ok := strings.CutSuffix(strings.TrimPrefix(path, "/"), "/_search")
+	if !ok || strings.Contains(name, "/") {
+		return a, s, &fault{400, "illegal_argument_exception", "no handler found for uri [" + path + "] and method [" + m.Method + "]"}
+	}
+	if m.Method != "POST" && m.Method != "GET" {
+		return a, s, &fault{405, "illegal_argument_exception", "incorrect HTTP method for [" + path + "]: want POST or GET"}
+	}
+	if name, err = url.PathUnescape(name); err != nil {
+		return a, s, illegal("the path can't be read: %v", err)
+	}
+	ix, ok := f.Indices[name]
+	if !ok {
+		return a, s, &fault{404, "index_not_found_exception", "no such index [" + name + "]"}
+	}
+	tenant := m.Header.Get(f.TenantHeader)
+	if len(f.Tenants) > 0 && !f.Tenants[tenant] {
+		return a, s, &fault{403, "security_exception", "no contract for tenant [" + tenant + "]"}
+	}
+	if s, err = parseSearch(m.Body, ix); err != nil {
+		return a, s, err
+	}
+	if err = s.params(params); err != nil {
+		return a, s, err
+	}
+	if s.from > maxWindow || s.size > maxWindow || s.from+s.size > maxWindow {
+		return a, s, illegal("result window is too large: from + size must be %d at most", maxWindow)
+	}
+	a = broker.Ask{Label: m.Header.Get("X-Opaque-Id"), Class: ix.Class, Tenant: tenant}
+	wait := f.Longest[ix.Class]
+	if us := s.timeout.Microseconds(); s.timeout > 0 && us < wait {
+		wait = us
+	}
+	a.Deadline = now + wait - f.Margin
+	held := intersect(s.want, ix.domain())
+	a.Key = fmt.Sprint(name, held)
+	shards := ix.shards(held)
+	for _, shard := range shards {
+		a.Parts = append(a.Parts, broker.AskPart{Shard: shard, Weight: 1 / float64(len(shards)), Work: ix.PartWork,
+			Key: fmt.Sprint(a.Key, "#", shard)})
+	}
+	a.Text = append([]byte(name+"\n"), s.upstream()...)
+	return a, s, nil
+}
+
+// params reads the parameters of the address; they overrule the body, as OpenSearch has it.
+func (s *search) params(text string) error {
+	values, err := url.ParseQuery(text)
+	if err != nil {
+		return illegal("the parameters can't be read: %v", err)
+	}
+	names := make([]string, 0, len(values))
+	for name := range values {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		v := values.Get(name)
+		switch name {
+		case "timeout":
+			err = duration(v, &s.timeout)
+		case "size", "from":
+			n, nerr := strconv.Atoi(v)
+			if nerr != nil || n < 0 {
+				return illegal("[%s] wants a whole number from nought, not [%s]", name, v)
+			}
+			if name == "size" {
+				s.size = n
+			} else {
+				s.from = n
+			}
+		case "pretty", "human", "error_trace":
+		default:
+			return illegal("request contains unrecognized parameter: [%s]", name)
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// word puts a query's end into the form of the search API. What failed must not look as if it could be sent
+// again: client libraries of this API repeat a 502, 503 or 504 by themselves, hence 500.
+func (f Front) word(s search, final broker.Final, took int64) http1.Response {
+	switch {
+	case final.Verdict == broker.Answered:
+		return s.respond(final, took)
+	case final.Verdict == broker.Refused:
+		r := f.fail(&fault{429, "rejected_execution_exception", "turned away: sending it again does no harm"})
+		if final.RetryAfter > 0 {
+			seconds := int64(math.Ceil(float64(final.RetryAfter) / 1e6))
+			r.Fields = append(r.Fields, [2]string{"Retry-After", strconv.FormatInt(seconds, 10)})
+		}
+		return r
+	case final.Overdue:
+		return f.fail(&fault{500, "timeout_exception", "no answer in time; parts of it may have run"})
+	}
+	return f.fail(&fault{500, "search_phase_execution_exception", "shards failed; parts of it may have run"})
+}
+
+// respond merges what the shards gave.
+func (s search) respond(final broker.Final, took int64) http1.Response {
+	type hit struct {
+		score float64
+		text  []byte
+	}
+	var hits []hit
+	total, top, scored := int64(0), math.Inf(-1), false
+	relation := "eq"
+	for _, v := range final.Values {
+		h, err := fastjson.ParseBytes(v.Data)
+		if err != nil { // a session hands on what it has parsed
+			return Front{}.fail(&fault{500, "search_phase_execution_exception", "a shard's hits can't be read"})
+		}
+		total += hitCount(h)
+		if string(h.GetStringBytes("total", "relation")) == "gte" {
+			relation = "gte"
+		}
+		for _, x := range h.GetArray("hits") {
+			score := math.Inf(-1)
+			if sv := x.Get("_score"); sv != nil && sv.Type() == fastjson.TypeNumber {
+				score = sv.GetFloat64()
+				top, scored = max(top, score), true
+			}
+			hits = append(hits, hit{score, x.MarshalTo(nil)})
+		}
+	}
+	slices.SortStableFunc(hits, func(a, b hit) int { return cmp.Compare(b.score, a.score) })
+	hits = hits[min(s.from, len(hits)):]
+	hits = hits[:min(s.size, len(hits))]
+	best := []byte("null")
+	if scored {
+		best = strconv.AppendFloat(nil, top, 'g', -1, 64)
+	}
+	in := len(final.Values)
+	b := fmt.Appendf(nil, `{"took":%d,"timed_out":%t,"_shards":{"total":%d,"successful":%d,"skipped":0,"failed":%d},`,
+		took/1000, !final.Whole, final.Shards, in, final.Shards-in)
+	b = fmt.Appendf(b, `"hits":{"total":{"value":%d,"relation":"%s"},"max_score":%s,"hits":[`, total, relation, best)
+	for i, h := range hits {
+		if i > 0 {
+			b = append(b, ',')
+		}
+		b = append(b, bytes.TrimSpace(h.text)...)
+	}
+	return http1.Response{Status: 200, Type: "application/json; charset=UTF-8", Body: append(b, "]}}"...)}
+}
+
+// hitCount reads hits.total, which older servers give as a bare number.
+func hitCount(hits *fastjson.Value) int64 {
+	if n := hits.GetInt64("total", "value"); n != 0 {
+		return n
+	}
+	return hits.GetInt64("total")
+}
--- /dev/null
+++ b/internal/opensearch/search.go
@@ -0,0 +1,306 @@
+package opensearch
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/valyala/fastjson"
+)
+
+// fault is a search that is refused before the broker hears of it.
+type fault struct {
+	status int
+	kind   string // the error's type, as OpenSearch names it
+	reason string
+}
+
+func (f *fault) Error() string { return f.reason }
+
+func parsing(format string, args ...any) error {
+	return &fault{400, "parsing_exception", fmt.Sprintf(format, args...)}
+}
+
+func illegal(format string, args ...any) error {
+	return &fault{400, "illegal_argument_exception", fmt.Sprintf(format, args...)}
+}
+
+// maxWindow is the most that from and size may reach, as index.max_result_window is by default.
+const maxWindow = 10_000
+
+// search is what one request asks for.
+type search struct {
+	query      *fastjson.Value // nil: all
+	source     *fastjson.Value
+	from, size int
+	timeout    time.Duration // 0: the class's
+	want       spans
+}
+
+// parseSearch reads a search's body. Clauses that are not supported are refused by name, never passed over:
+// an answer to another question than was asked looks like a right one.
+func parseSearch(body []byte, ix Index) (search, error) {
+	s := search{size: 10, want: everything}
+	if len(strings.TrimSpace(string(body))) == 0 {
+		return s, nil
+	}
+	v, err := fastjson.ParseBytes(body)
+	if err != nil {
+		return s, parsing("the body is not JSON: %v", err)
+	}
+	o, err := v.Object()
+	if err != nil {
+		return s, parsing("the body is not an object")
+	}
+	err = visit(o, func(key string, v *fastjson.Value) error {
+		switch key {
+		case "query":
+			s.query = v
+			s.want, err = ix.restrict(v)
+			return err
+		case "size":
+			return whole(v, key, &s.size)
+		case "from":
+			return whole(v, key, &s.from)
+		case "timeout":
+			return duration(string(v.GetStringBytes()), &s.timeout)
+		case "_source":
+			s.source = v
+			return nil
+		case "track_total_hits":
+			if v.Type() == fastjson.TypeTrue {
+				return nil
+			}
+			return parsing("unsupported value for [track_total_hits]: hits are always counted whole")
+		}
+		return parsing("unsupported clause [%s] in the search", key)
+	})
+	return s, err
+}
+
+// visit goes through an object's keys in order, up to the first error; a key that is named twice is refused.
+func visit(o *fastjson.Object, f func(key string, v *fastjson.Value) error) error {
+	var err error
+	seen := map[string]bool{}
+	o.Visit(func(k []byte, v *fastjson.Value) {
+		key := string(k)
+		if err == nil && seen[key] {
+			err = parsing("duplicate key [%s]", key)
+		}
+		seen[key] = true
+		if err == nil {
+			err = f(key, v)
+		}
+	})
+	return err
+}
+
+func whole(v *fastjson.Value, name string, into *int) error {
+	n, err := v.Int()
+	if err != nil || n < 0 {
+		return illegal("[%s] wants a whole number from nought, not [%s]", name, v)
+	}
+	*into = n
+	return nil
+}
+
+var units = []struct {
+	name string
+	size time.Duration
+}{{"micros", time.Microsecond}, {"nanos", time.Nanosecond}, {"ms", time.Millisecond}, {"s", time.Second},
+	{"m", time.Minute}, {"h", time.Hour}, {"d", 24 * time.Hour}}
+
+// duration reads a time value, such as 500ms or 2s.
+func duration(text string, into *time.Duration) error {
+	for _, u := range units {
+		digits, ok := strings.CutSuffix(text, u.name)
+		if !ok {
+			continue
+		}
+		n, err := strconv.ParseInt(digits, 10, 64)
+		if err != nil || n <= 0 || n > int64(math.MaxInt64/u.size) {
+			break
+		}
+		*into = time.Duration(n) * u.size
+		return nil
+	}
+	return illegal("failed to parse setting [timeout] with value [%s] as a time value", text)
+}
+
+// restrict is the set of range-field values that a query can match. Leaves on other fields match anywhere:
+// the servers judge them.
+func (ix Index) restrict(v *fastjson.Value) (spans, error) {
+	o, err := v.Object()
+	if err != nil || o.Len() != 1 {
+		return nil, parsing("a query wants an object with one clause")
+	}
+	var out spans
+	err = visit(o, func(name string, v *fastjson.Value) error {
+		var err error
+		switch name {
+		case "match_all":
+			out = everything
+		case "range":
+			out, err = ix.rangeOf(v)
+		case "term", "terms":
+			out, err = ix.terms(name, v)
+		case "match", "match_phrase", "exists", "prefix":
+			out, err = everything, nil
+			if v.Get(ix.Field) != nil {
+				err = parsing("unsupported clause [%s] on the range field [%s]", name, ix.Field)
+			}
+		case "bool":
+			out, err = ix.boolean(v)
+		default:
+			err = parsing("unsupported clause [%s]", name)
+		}
+		return err
+	})
+	return out, err
+}
+
+func (ix Index) boolean(v *fastjson.Value) (spans, error) {
+	o, err := v.Object()
+	if err != nil {
+		return nil, parsing("[bool] wants an object")
+	}
+	out, any, required, least := everything, spans(nil), false, -1
+	shoulds := false
+	err = visit(o, func(name string, v *fastjson.Value) error {
+		switch name {
+		case "minimum_should_match":
+			if text := strings.Trim(v.String(), `"`); text != "1" {
+				return parsing("unsupported value [%s] for [minimum_should_match]: want 1", text)
+			}
+			least = 1
+			return nil
+		case "filter", "must", "should":
+		default:
+			return parsing("unsupported clause [%s] in [bool]", name)
+		}
+		clauses := v.GetArray()
+		if v.Type() == fastjson.TypeObject {
+			clauses = []*fastjson.Value{v}
+		} else if v.Type() != fastjson.TypeArray {
+			return parsing("[%s] wants a query or a list of them", name)
+		}
+		for _, clause := range clauses {
+			set, err := ix.restrict(clause)
+			if err != nil {
+				return err
+			}
+			if name == "should" {
+				shoulds, any = true, union(any, set)
+			} else {
+				required, out = true, intersect(out, set)
+			}
+		}
+		return nil
+	})
+	if shoulds && (!required || least == 1) { // else it only adds to the score
+		out = intersect(out, any)
+	}
+	return out, err
+}
+
+// number reads a bound: a whole number, or one in a string.
+func number(v *fastjson.Value) (int64, error) {
+	text := v.String()
+	if v.Type() == fastjson.TypeString {
+		text = string(v.GetStringBytes())
+	}
+	n, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || n == math.MaxInt64 {
+		return 0, parsing("[%s] is not a whole number", text)
+	}
+	return n, nil
+}
+
+func (ix Index) rangeOf(v *fastjson.Value) (spans, error) {
+	o, err := v.Object()
+	if err != nil || o.Len() != 1 {
+		return nil, parsing("[range] wants one field")
+	}
+	s := everything[0]
+	err = visit(o, func(field string, v *fastjson.Value) error {
+		if field != ix.Field {
+			return parsing("unknown range: [%s] has no ranges on field [%s]", ix.Name, field)
+		}
+		bounds, err := v.Object()
+		if err != nil {
+			return parsing("[range] on [%s] wants bounds", field)
+		}
+		return visit(bounds, func(name string, v *fastjson.Value) error {
+			if !slices.Contains([]string{"gte", "gt", "lte", "lt"}, name) {
+				return parsing("[range] query does not support [%s]", name)
+			}
+			n, err := number(v)
+			switch name {
+			case "gte":
+				s.From = max(s.From, n)
+			case "gt":
+				s.From = max(s.From, n+1)
+			case "lte":
+				s.To = min(s.To, n+1)
+			case "lt":
+				s.To = min(s.To, n)
+			}
+			return err
+		})
+	})
+	if err != nil {
+		return nil, err
+	}
+	if s.From >= s.To {
+		return nil, parsing("inverted range on [%s]: nothing lies between its bounds", ix.Field)
+	}
+	if len(intersect(spans{s}, ix.domain())) == 0 {
+		return nil, parsing("unknown range on [%s]: [%s] holds nothing there", ix.Field, ix.Name)
+	}
+	return spans{s}, nil
+}
+
+func (ix Index) terms(name string, v *fastjson.Value) (spans, error) {
+	values := v.Get(ix.Field)
+	if values == nil {
+		return everything, nil
+	}
+	list := values.GetArray()
+	if name == "term" {
+		if values.Type() == fastjson.TypeObject {
+			values = values.Get("value")
+		}
+		list = []*fastjson.Value{values}
+	}
+	var out spans
+	for _, x := range list {
+		if x == nil {
+			return nil, parsing("[%s] on [%s] has no value", name, ix.Field)
+		}
+		n, err := number(x)
+		if err != nil {
+			return nil, err
+		}
+		point := spans{{n, n + 1}}
+		if len(intersect(point, ix.domain())) == 0 {
+			return nil, parsing("unknown range on [%s]: [%s] holds nothing at [%d]", ix.Field, ix.Name, n)
+		}
+		out = union(out, point)
+	}
+	return out, nil
+}
+
+// upstream is the body that goes to servers: each gives as many hits as the whole answer may need.
+func (s search) upstream() []byte {
+	b := fmt.Appendf(nil, `{"from":0,"size":%d,"track_total_hits":true`, s.from+s.size)
+	if s.query != nil {
+		b = s.query.MarshalTo(append(b, `,"query":`...))
+	}
+	if s.source != nil {
+		b = s.source.MarshalTo(append(b, `,"_source":`...))
+	}
+	return append(b, '}')
+}
--- /dev/null
+++ b/internal/opensearch/servers.go
@@ -0,0 +1,115 @@
+package opensearch
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"strings"
+
+	"github.com/valyala/fastjson"
+
+	yw "yarrowwalk"
+	"yarrowwalk/internal/broker"
+	"yarrowwalk/internal/http1"
+)
+
+// maxAnswer bounds a server's answer.
+const maxAnswer = 1 << 20
+
+// Servers is the search API towards servers: one search at a time on a connection.
+type Servers struct{}
+
+// Streams is how many calls one connection carries at a time.
+func (Servers) Streams() int { return 1 }
+
+// Session begins a connection to the server at an address.
+func (Servers) Session(address string) broker.Session {
+	return &session{host: address, parser: http1.Parser{Response: true, Limit: maxAnswer}}
+}
+
+type session struct {
+	host   string
+	parser http1.Parser
+	out    broker.AttemptID // 0: none
+}
+
+// Call writes the search for one part, kept to its shard.
+func (s *session) Call(dst []byte, c broker.Call, now int64) []byte {
+	a := c.Attempts[0]
+	s.out = a.ID
+	index, body, _ := bytes.Cut(a.Text, []byte{'\n'})
+	target := fmt.Sprintf("/%s/_search?preference=_shards:%d&timeout=%dms&allow_partial_search_results=false", index,
+		a.Shard, max(1, (a.Due-now)/1000))
+	fields := [][2]string{{"Content-Type", "application/json"}}
+	if a.Label != "" {
+		fields = append(fields, [2]string{"X-Opaque-Id", a.Label})
+	}
+	return http1.AppendRequest(dst, "POST", target, s.host, fields, body)
+}
+
+// Drop has no words in this dialect: only closing the connection gives a search up.
+func (s *session) Drop(dst []byte, id broker.AttemptID) ([]byte, bool) { return dst, s.out != id }
+
+var errLast = errors.New("the server ends the connection")
+
+// Feed takes in bytes from the server and returns what they end.
+func (s *session) Feed(b []byte) ([]broker.Reply, error) {
+	s.parser.Feed(b)
+	for {
+		m, err := s.parser.Next()
+		if err != nil {
+			return nil, err
+		}
+		if m == nil {
+			return nil, nil
+		}
+		if m.Status >= 100 && m.Status < 200 {
+			continue
+		}
+		if s.out == 0 {
+			return nil, errors.New("an answer that nothing asked for")
+		}
+		r := s.take(m)
+		if m.Close {
+			return r, errLast
+		}
+		return r, nil
+	}
+}
+
+func (s *session) take(m *http1.Message) []broker.Reply {
+	r := broker.Reply{Attempt: s.out}
+	s.out = 0
+	r.Outcome, r.Value = judge(m)
+	return []broker.Reply{r}
+}
+
+// Closed says that the server has ended the connection, which may be what ends its answer.
+func (s *session) Closed() []broker.Reply {
+	if m, err := s.parser.Ended(); err == nil && m != nil && s.out != 0 {
+		return s.take(m)
+	}
+	return nil
+}
+
+// judge tells how a search came out. A success status proves nothing: guards against errors, time-outs and
+// failed shards inside a well-formed 200, which must never pass for a served part.
+func judge(m *http1.Message) (yw.Outcome, []byte) {
+	v, err := fastjson.ParseBytes(m.Body)
+	if err != nil {
+		return yw.Errored, nil
+	}
+	if m.Status == 429 && strings.HasSuffix(string(v.GetStringBytes("error", "type")), "rejected_execution_exception") {
+		return yw.Rejected, nil // turned away from a full queue: it never ran
+	}
+	hits := v.Get("hits")
+	shards := v.Get("_shards")
+	switch {
+	case m.Status != 200, v.Get("error") != nil, v.Get("timed_out") == nil, v.GetBool("timed_out"),
+		shards == nil, shards.GetInt("failed") > 0, len(shards.GetArray("failures")) > 0,
+		shards.GetInt("successful") < shards.GetInt("total"), hits == nil, hits.Type() != fastjson.TypeObject,
+		hits.Get("hits") == nil, hits.Get("hits").Type() != fastjson.TypeArray:
+		return yw.Errored, nil
+	}
+	return yw.Served, hits.MarshalTo(nil)
+}
--- a/internal/transport/discovery.go
+++ b/internal/transport/discovery.go
@@ -170,5 +170,6 @@
 		kind = yw.FleetFull
 	}
 	w.tell(yw.FleetChanged{Kind: kind, Servers: l.Servers}, l.Addresses)
+	w.log.Printf("level=info event=fleet generation=%d whole=%t entries=%d", l.Generation, l.Whole, len(l.Servers))
 	return nil
 }
