--- a/cmd/saffronquay/main.go
+++ b/cmd/saffronquay/main.go
@@ -50,6 +50,7 @@
 	fleet             yw.FleetChanged
 	addresses         map[yw.ServerID]string
 	watch             func(*transport.Engine) *transport.Watcher // nil: the list of servers is fixed
+	vrrp              *config.VRRP                               // nil: off
 }
 
 func load(logger *log.Logger) (plan, error) {
@@ -85,7 +86,7 @@
 	}
 	return plan{name: op.Name, listen: op.Listen, seed: op.Seed, sockets: op.Sockets, memoryMB: op.MemoryMB,
 		settings: op.Settings, budgets: op.Budgets, front: front, dialect: opensearch.Servers{}, partsPerCall: 1,
-		fleet: yw.FleetChanged{Kind: yw.FleetFull, Servers: op.Servers}, addresses: op.Addresses}
+		fleet: yw.FleetChanged{Kind: yw.FleetFull, Servers: op.Servers}, addresses: op.Addresses, vrrp: op.VRRP}
 }
 
 func run(logger *log.Logger, term <-chan os.Signal) error {
@@ -116,12 +117,28 @@
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	listener := transport.NewListener(socket, transport.ListenerConfig{MaxConns: max(16, p.sockets-reserved),
-		Idle: 2 * time.Minute, Slow: 10 * time.Second}, engine, p.front, logger)
+	bounds := transport.ListenerConfig{MaxConns: max(16, p.sockets-reserved), Idle: 2 * time.Minute,
+		Slow: 10 * time.Second}
+	if p.vrrp != nil {
+		bounds.MaxConns /= 2 // the virtual address has a listener of its own
+	}
+	for _, c := range set.Module.Classes { // an open query must never look like an idle connection
+		bounds.Idle = max(bounds.Idle, 2*time.Duration(c.HardLimit)*time.Microsecond)
+	}
+	listener := transport.NewListener(socket, bounds, engine, p.front, logger)
 	go engine.Run()
 	if watcher != nil {
 		go watcher.Run()
 	}
+	var virtual *service
+	if p.vrrp != nil {
+		virtual = &service{address: p.vrrp.Service, log: logger, open: func(l net.Listener) *transport.Listener {
+			return transport.NewListener(l, bounds, engine, p.front, logger)
+		}}
+		if err := virtual.begin(clock, *p.vrrp); err != nil {
+			return err
+		}
+	}
 	served := make(chan error, 1)
 	go func() { served <- listener.Serve() }()
 	logger.Printf("level=info event=start name=%s listen=%s servers=%d", p.name, socket.Addr(), len(p.fleet.Servers))
@@ -130,7 +147,15 @@
 		return fmt.Errorf("accept: %w", err)
 	case <-term:
 	}
-	leave(clock, engine, listener, logger)
+	still := listener.Quiet
+	if virtual != nil {
+		virtual.leave()
+		still = func(since int64) bool { return listener.Quiet(since) && virtual.quiet(since) }
+	}
+	leave(clock, engine, listener, still, logger)
+	if virtual != nil {
+		virtual.close()
+	}
 	if watcher != nil {
 		watcher.Stop()
 	}
@@ -140,7 +165,8 @@
 }
 
 // leave goes on serving until nothing is held and nothing comes in any more.
-func leave(clock transport.Clock, engine *transport.Engine, listener *transport.Listener, logger *log.Logger) {
+func leave(clock transport.Clock, engine *transport.Engine, listener *transport.Listener, still func(int64) bool,
+	logger *log.Logger) {
 	listener.Leave()
 	logger.Printf("level=info event=leaving held=%d", engine.Held())
 	since := clock.Now()
@@ -148,7 +174,7 @@
 	defer tick.Stop()
 	for range tick.C {
 		now := clock.Now()
-		if now-since >= quiet && listener.Quiet(now-quiet) && engine.Held() == 0 {
+		if now-since >= quiet && still(now-quiet) && engine.Held() == 0 {
 			break
 		}
 	}
--- /dev/null
+++ b/cmd/saffronquay/service.go
@@ -0,0 +1,117 @@
+package main
+
+import (
+	"fmt"
+	"log"
+	"net"
+	"sync"
+	"time"
+
+	"yarrowwalk/internal/config"
+	"yarrowwalk/internal/transport"
+	"yarrowwalk/internal/vrrp"
+)
+
+// service listens at the virtual address while this gatherer is the Active router.
+type service struct {
+	address string
+	open    func(net.Listener) *transport.Listener
+	log     *log.Logger
+	router  *transport.Redundancy
+	stop    chan struct{} // ends the present time as Active; the router's goroutine owns it
+
+	mu        sync.Mutex
+	listeners []*transport.Listener // the present one, and drained ones that may still have answers to give
+}
+
+const (
+	listenAgain = 100 * time.Millisecond
+	mostDrained = 4 // then the oldest is closed
+)
+
+func (s *service) begin(clock transport.Clock, v config.VRRP) error {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(v.Listen))
+	if err != nil {
+		return fmt.Errorf("vrrp: listen: %w", err)
+	}
+	s.router = transport.NewRedundancy(clock, v.Router, conn, v.Peers, s.become, s.log)
+	go s.router.Run()
+	return nil
+}
+
+// become follows the router's state.
+func (s *service) become(state vrrp.State) {
+	if s.stop != nil {
+		close(s.stop)
+		s.stop = nil
+	}
+	if state == vrrp.Active {
+		s.stop = make(chan struct{})
+		go s.serve(s.stop)
+	}
+}
+
+// serve listens until stop. The address may still be held for a moment by the router that was Active before.
+func (s *service) serve(stop <-chan struct{}) {
+	for {
+		socket, err := net.Listen("tcp", s.address)
+		if err == nil {
+			s.run(socket, stop)
+			return
+		}
+		s.log.Printf("level=warn event=vrrp_service address=%s error=%q", s.address, err)
+		t := time.NewTimer(listenAgain)
+		select {
+		case <-t.C:
+		case <-stop:
+			t.Stop()
+			return
+		}
+	}
+}
+
+func (s *service) run(socket net.Listener, stop <-chan struct{}) {
+	l := s.open(socket)
+	s.mu.Lock()
+	s.listeners = append(s.listeners, l)
+	if len(s.listeners) > mostDrained {
+		s.listeners[0].Close()
+		s.listeners = s.listeners[1:]
+	}
+	s.mu.Unlock()
+	s.log.Printf("level=info event=vrrp_service address=%s", s.address)
+	go func() {
+		<-stop
+		l.Drain()
+	}()
+	if err := l.Serve(); err != nil {
+		s.log.Printf("level=error event=vrrp_service error=%q", err)
+	}
+}
+
+// quiet tells that no listener has a request in hand, nor has had one since a time.
+func (s *service) quiet(since int64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, l := range s.listeners {
+		if !l.Quiet(since) {
+			return false
+		}
+	}
+	return true
+}
+
+// leave gives the virtual address up, first of all: a peer takes over while this one still answers.
+func (s *service) leave() {
+	s.router.Stop()
+	s.become(vrrp.Initialize)
+}
+
+// close ends what is left.
+func (s *service) close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, l := range s.listeners {
+		l.Close()
+	}
+}
--- /dev/null
+++ b/internal/broker/broker_test.go
@@ -0,0 +1,254 @@
+package broker
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+
+	yw "yarrowwalk"
+)
+
+// script is a module that does what the test says and writes down what it is told.
+type script struct {
+	next  []yw.Action
+	seen  []yw.Event
+	steps []int64
+}
+
+func (s *script) Step(now int64, events []yw.Event) []yw.Action {
+	s.seen, s.steps = append(s.seen, events...), append(s.steps, now)
+	a := s.next
+	s.next = nil
+	return a
+}
+
+func (s *script) outcomes() string {
+	var out []string
+	for _, e := range s.seen {
+		if e, ok := e.(yw.AttemptEnded); ok {
+			out = append(out, fmt.Sprintf("%d.%d=%d@%d", e.Part, e.Attempt, e.Outcome, e.Latency))
+		}
+	}
+	return strings.Join(out, " ")
+}
+
+func terms() Terms {
+	return Terms{Period: 10, Shards: 4, MaxOpen: 6, PartsPerCall: 2, RetryAfter: true, MaxRetryAfter: 500, AnswerGrace: 20,
+		Classes: []yw.Class{{Name: "free", Need: 1, Floor: 0.5}, {Name: "once", Need: 1, Floor: 1, Effect: yw.AtMostOnce}}}
+}
+
+// ask makes a query of half-weight parts; the ids that follow are 1 for the query and 3, 4 for its parts.
+func ask(class string, shards ...int) Ask {
+	a := Ask{Label: "q", Class: class, Tenant: "t", Deadline: 1000}
+	for _, s := range shards {
+		a.Parts = append(a.Parts, AskPart{Shard: s, Weight: 1 / float64(len(shards)), Work: 5})
+	}
+	return a
+}
+
+func begin(t *testing.T, terms Terms, class string, shards ...int) (*Core, *script) {
+	t.Helper()
+	m := &script{}
+	c := New(terms, m)
+	if id, f, err := c.Open(100, ask(class, shards...)); id != 1 || f != nil || err != nil {
+		t.Fatal(id, f, err)
+	}
+	return c, m
+}
+
+// act steps the core at a time with what the module is to do, and returns the effects of one kind.
+func act[E Effect](c *Core, m *script, now int64, actions ...yw.Action) []E {
+	m.next = actions
+	if len(actions) > 0 && len(c.events) == 0 {
+		c.Fleet(yw.FleetChanged{})
+	}
+	var out []E
+	for _, e := range c.Step(now) {
+		if e, ok := e.(E); ok {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+func TestOneFinalAnswer(t *testing.T) {
+	c, m := begin(t, terms(), "free", 0)
+	calls := act[Call](c, m, 100, yw.Send{Part: 3, Server: "s"})
+	if len(calls) != 1 || calls[0].Attempts[0].Due != 1000 {
+		t.Fatalf("%v", calls)
+	}
+	c.Ended(140, calls[0].Attempts[0].ID, yw.Served, []byte("v"), nil)
+	got := act[Final](c, m, 150, yw.Answer{Query: 1, Whole: true}, yw.Refuse{Query: 1}, yw.Fail{Query: 1})
+	if len(got) != 1 || got[0].Verdict != Answered || !got[0].Whole || string(got[0].Values[0].Data) != "v" {
+		t.Errorf("%+v", got)
+	}
+	if got := act[Final](c, m, 2000, yw.Answer{Query: 1}); len(got) != 0 || c.Held() != 0 || len(c.parts) != 0 || c.open != 0 {
+		t.Errorf("%+v, %d held, %d open", got, c.Held(), c.open)
+	}
+}
+
+// A module that loses sight of a query must not lose it for the client.
+func TestDeadlineGuard(t *testing.T) {
+	c, m := begin(t, terms(), "once", 0)
+	act[Call](c, m, 100, yw.Send{Part: 3, Server: "s"})
+	if got := act[Final](c, m, 1019); len(got) != 0 {
+		t.Fatalf("too soon: %v", got)
+	}
+	if at, ok := c.Next(); !ok || at != 1020 && at != 1029 {
+		t.Errorf("next at %d %t", at, ok)
+	}
+	if got := act[Final](c, m, 1020); len(got) != 1 || got[0].Verdict != Failed || !got[0].Overdue {
+		t.Errorf("%+v", got)
+	}
+	act[Final](c, m, 1100)
+	if last := m.seen[len(m.seen)-1]; last != (yw.ClientLeft{Query: 1}) {
+		t.Errorf("the module was told %v", last)
+	}
+}
+
+// Each attempt has one outcome: what comes after its time-out or cancel is dropped, and nothing is answered
+// from it.
+func TestOneOutcome(t *testing.T) {
+	c, m := begin(t, terms(), "free", 0, 1)
+	calls := act[Call](c, m, 100, yw.Send{Part: 3, Server: "s", Timeout: 50}, yw.Send{Part: 4, Server: "s"})
+	if len(calls) != 1 || len(calls[0].Attempts) != 2 {
+		t.Fatalf("parts to one server share a call: %v", calls)
+	}
+	a, b := calls[0].Attempts[0].ID, calls[0].Attempts[1].ID
+	if drops := act[Drop](c, m, 150); len(drops) != 1 || drops[0].Attempt != a {
+		t.Fatalf("%v", drops)
+	}
+	c.Ended(155, a, yw.Served, []byte("late"), nil)
+	if drops := act[Drop](c, m, 160, yw.Cancel{Part: 4, Attempt: 0}, yw.Cancel{Part: 4, Attempt: 0}); len(drops) != 1 {
+		t.Fatalf("%v", drops)
+	}
+	c.Ended(165, b, yw.Served, []byte("late"), nil)
+	got := act[Final](c, m, 170, yw.Answer{Query: 1})
+	if len(got) != 1 || got[0].Verdict != Failed {
+		t.Errorf("answered from nothing: %+v", got)
+	}
+	if o := m.outcomes(); o != "3.0=3@50 4.0=6@60" {
+		t.Errorf("outcomes %s", o)
+	}
+	if len(c.parts) != 0 || len(c.attempts) != 0 {
+		t.Errorf("%d parts and %d attempts are kept", len(c.parts), len(c.attempts))
+	}
+}
+
+// A query that must not run twice may be refused only while no part can have run, whatever the module says.
+func TestRefusalIsHarmless(t *testing.T) {
+	for o, want := range map[yw.Outcome]Verdict{yw.Rejected: Refused, yw.Unreachable: Refused, yw.Errored: Failed,
+		yw.Broken: Failed, yw.Served: Failed} {
+		c, m := begin(t, terms(), "once", 0)
+		calls := act[Call](c, m, 100, yw.Send{Part: 3, Server: "s"})
+		c.Ended(110, calls[0].Attempts[0].ID, o, nil, nil)
+		got := act[Final](c, m, 120, yw.Refuse{Query: 1, RetryAfter: 900})
+		if len(got) != 1 || got[0].Verdict != want || want == Refused && got[0].RetryAfter != 500 {
+			t.Errorf("after outcome %d: %+v", o, got)
+		}
+	}
+	c, m := begin(t, terms(), "once", 0)
+	act[Call](c, m, 100, yw.Send{Part: 3, Server: "s"})
+	if got := act[Final](c, m, 120, yw.Refuse{Query: 1}); len(got) != 1 || got[0].Verdict != Failed {
+		t.Errorf("while an attempt is out: %+v", got)
+	}
+}
+
+func TestHonestAnswers(t *testing.T) {
+	for served, want := range map[int]string{0: "2 false", 1: "0 false", 2: "0 true"} {
+		c, m := begin(t, terms(), "free", 0, 1)
+		calls := act[Call](c, m, 100, yw.Send{Part: 3, Server: "s"}, yw.Send{Part: 4, Server: "s"})
+		for _, a := range calls[0].Attempts[:served] {
+			c.Ended(110, a.ID, yw.Served, []byte("v"), nil)
+		}
+		got := act[Final](c, m, 120, yw.Answer{Query: 1, Whole: true})
+		if len(got) != 1 || fmt.Sprint(int(got[0].Verdict), " ", got[0].Whole) != want {
+			t.Errorf("with %d of 2 in: %+v", served, got)
+		}
+	}
+}
+
+func TestMaxOpen(t *testing.T) {
+	c, m := begin(t, terms(), "free", 0, 1, 2)
+	if id, f, err := c.Open(100, ask("free", 0)); id == 0 || f != nil || err != nil {
+		t.Fatal("room is left")
+	}
+	_, f, err := c.Open(100, ask("free", 0))
+	if err != nil || f == nil || f.Verdict != Refused || f.RetryAfter != 500 {
+		t.Errorf("%+v, %v", f, err)
+	}
+	c.Left(1)
+	if _, f, _ := c.Open(100, ask("free", 0)); f != nil {
+		t.Error("room was made")
+	}
+	act[Final](c, m, 100)
+	queries := 0
+	for _, e := range m.seen {
+		if _, ok := e.(yw.Query); ok {
+			queries++
+		}
+	}
+	if queries != 3 {
+		t.Errorf("the module heard of %d queries", queries)
+	}
+}
+
+func TestPeriod(t *testing.T) {
+	c, m := begin(t, terms(), "free", 0)
+	for now := int64(100); now <= 130; now++ {
+		c.Step(now)
+		if now == 103 {
+			c.Fleet(yw.FleetChanged{})
+			if at, ok := c.Next(); at != 110 || !ok {
+				t.Errorf("next at %d", at)
+			}
+		}
+		if now == 110 {
+			m.next = []yw.Action{yw.SetAlarm{Mark: 7, At: 125}}
+			c.Fleet(yw.FleetChanged{})
+		}
+	}
+	if fmt.Sprint(m.steps) != "[100 110 120 130]" {
+		t.Errorf("steps at %v", m.steps)
+	}
+	if last := m.seen[len(m.seen)-1]; last != (yw.AlarmRang{Mark: 7}) {
+		t.Errorf("last was %v", last)
+	}
+}
+
+// A tenant's budget holds over any window; what it forbids is told as not sent.
+func TestTenantBudget(t *testing.T) {
+	x := terms()
+	x.Tenants = map[string]Budget{"t": {Free: 1, Ratio: 0, Window: 100}}
+	c, m := begin(t, x, "free", 0)
+	now := int64(100)
+	for i, want := range []int{1, 1, 0, 0} {
+		calls := act[Call](c, m, now, yw.Send{Part: 3, Server: "s"})
+		if len(calls) != want {
+			t.Fatalf("send %d: %d calls, want %d", i, len(calls), want)
+		}
+		if want == 1 {
+			c.Ended(now+5, calls[0].Attempts[0].ID, yw.Errored, nil, nil)
+		}
+		now += 10
+	}
+	act[Call](c, m, now)
+	if o := m.outcomes(); o != "3.0=1@5 3.1=1@5 3.2=7@0 3.3=7@0" {
+		t.Errorf("outcomes %s", o)
+	}
+	if calls := act[Call](c, m, 211, yw.Send{Part: 3, Server: "s"}); len(calls) != 1 {
+		t.Error("the window has passed")
+	}
+}
+
+func TestMalformed(t *testing.T) {
+	c := New(terms(), &script{})
+	negative := ask("free", 0)
+	negative.Parts[0].Weight = -1
+	for _, a := range []Ask{ask("free"), ask("free", 4), ask("free", -1), ask("free", 1, 1), ask("other", 1), negative} {
+		if _, f, err := c.Open(0, a); f != nil || !errors.Is(err, ErrMalformed) {
+			t.Errorf("%+v: %v, %v", a, f, err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,121 @@
+package config
+
+import (
+	"errors"
+	"os"
+	"strings"
+	"testing"
+
+	yw "yarrowwalk"
+)
+
+func node(t *testing.T, from, to string) (Node, error) {
+	t.Helper()
+	text := strings.Replace(valid, from, to, 1)
+	if from != "" && text == valid {
+		t.Fatalf("%q is not in the text", from)
+	}
+	return Load(func(name string) string { return map[string]string{"LB_CONFIG": "f", "LB_NAME": "n9"}[name] },
+		func(string) ([]byte, error) { return []byte(text), nil })
+}
+
+const valid = `{"name":"n3","listen":"127.0.0.1:8080","discovery":"127.0.0.1:8500","seed":"8c1f30d27a5be964",
+ "limits":{"cores":1.0,"memory_mb":192,"sockets":1024},
+ "known":{"generation":41,"reset":true,"instances":[
+  {"instanceId":"s-5","hostPort":"127.0.0.1:9","zone":"a","cell":3,"lifecycle":"SERVING","startedAtMs":2}]},
+ "settings":{"me":0,"balancers":3,"zone":"a","period_us":5000,
+  "classes":[{"name":"c","aim_us":1000,"hard_limit_us":2000,"effect":"free","worth":1.0}],
+  "family_info":{"class_fetch":[0],"class_partial":[0.9],"floor_by_class":[1.0],"whole_at":[1.0],
+   "positions":12,"reach":4,"shards":12,"parts_a_call":1},
+  "permissions":{"max_open":61,"connect_timeout_us":250000,"idle_close_us":15000000,"streams_per_conn":32,"may_cancel":true},
+  "rules":{"grace_to_answer_us":20000}}}`
+
+func TestLoad(t *testing.T) {
+	n, err := node(t, "", "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if n.Name != "n9" || n.Seed != 0x8c1f30d27a5be964 || n.Sockets != 1024 || n.Generation != 41 || n.Settings.MaxOpen != 61 ||
+		len(n.Known) != 1 || n.Known[0].StartedAt != 2000 || n.Addresses["s-5"] != "127.0.0.1:9" || !n.Settings.Module.Limits.MayCancel {
+		t.Errorf("%+v", n)
+	}
+	if _, err := yw.New(n.Settings.Module, n.Seed); err != nil {
+		t.Error(err)
+	}
+}
+
+// A fault is told with the name of its key.
+func TestFaultsNameTheKey(t *testing.T) {
+	for _, c := range []struct{ from, to, names string }{
+		{`"127.0.0.1:8080"`, `"nowhere"`, "listen"},
+		{`"127.0.0.1:8500"`, `7`, "discovery"},
+		{`8c1f30d27a5be964`, `xyz`, "seed"},
+		{`"sockets":1024`, `"sockets":3`, "limits.sockets"},
+		{`"memory_mb":192`, `"memory_mb":"much"`, "limits.memory_mb"},
+		{`"balancers":3`, `"balancers":3.5`, "settings.balancers"},
+		{`"effect":"free"`, `"effect":"odd"`, "settings.classes[0].effect"},
+		{`"aim_us":1000`, `"aim_us":"1"`, "settings.classes[0].aim_us"},
+		{`"whole_at":[1.0]`, `"whole_at":[1.0,1.0]`, "settings.family_info.whole_at"},
+		{`"class_fetch":[0]`, `"class_fetch":[2]`, "settings.family_info.class_fetch"},
+		{`"may_cancel":true`, `"may_cancel":1`, "settings.permissions.may_cancel"},
+		{`"streams_per_conn":32`, `"streams_per_conn":0`, "settings.permissions.streams_per_conn"},
+		{`"SERVING"`, `"ASLEEP"`, "known"},
+		{`"settings":{`, `"setings":{`, "settings: missing"},
+		{`"family_info":{`, `"family":{`, "settings.family_info: missing"},
+		{`{"name"`, `"name"`, "not JSON"},
+	} {
+		if _, err := node(t, c.from, c.to); err == nil || !strings.Contains(err.Error(), c.names) {
+			t.Errorf("%s: got %v, want %s named", c.to, err, c.names)
+		}
+	}
+	none := func(string) string { return "" }
+	if _, err := Load(none, nil); err == nil || !strings.Contains(err.Error(), "LB_CONFIG") {
+		t.Errorf("got %v", err)
+	}
+	if _, ok, err := LoadOperator(none, nil); ok || err != nil {
+		t.Errorf("the second front is off unless a file is named: %t, %v", ok, err)
+	}
+	gone := errors.New("gone")
+	_, ok, err := LoadOperator(func(string) string { return "f" }, func(string) ([]byte, error) { return nil, gone })
+	if !ok || !errors.Is(err, gone) {
+		t.Errorf("got %t, %v", ok, err)
+	}
+}
+
+func TestOperatorFile(t *testing.T) {
+	text, err := os.ReadFile("../../deploy/opensearch.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	o, err := ParseOperator(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := yw.New(o.Settings.Module, o.Seed); err != nil {
+		t.Error(err)
+	}
+	if len(o.Indices) != 2 || len(o.Servers) != 4 || o.Budgets["estudio-lagos"].Window != 10_000_000 || o.VRRP == nil ||
+		len(o.Settings.Module.Tenants) != 2 {
+		t.Errorf("%+v", o)
+	}
+	for _, c := range []struct{ from, to, names string }{
+		{`"class": "filing-submit"`, `"class": "odd"`, "indices[1].class"},
+		{`"from": 25000, "to": 50000`, `"from": 50000, "to": 50000`, "indices[0].ranges[1].to"},
+		{`"shard": 3`, `"shard": 4`, "indices[0].ranges[3].shard"},
+		{`"id": "ledger-1"`, `"id": "ledger-0"`, "servers[1].id"},
+		{`"127.0.0.1:9300"`, `"here"`, "servers[0].address"},
+		{`"window_us": 10000000`, `"window_us": 0`, "tenants[0].budget"},
+		{`"quota_per_s": 14.0`, `"quota": 14.0`, "tenants[0].quota_per_s"},
+		{`"vrid": 7`, `"vrid": 256`, "vrrp.vrid"},
+		{`"interval_ms": 1000`, `"interval_ms": 1001`, "vrrp.interval_ms"},
+		{`"listen": "127.0.0.1:9200"`, `"listen": 9200`, "listen"},
+	} {
+		changed := strings.Replace(string(text), c.from, c.to, 1)
+		if changed == string(text) {
+			t.Fatalf("%q is not in the file", c.from)
+		}
+		if _, err := ParseOperator([]byte(changed)); err == nil || !strings.Contains(err.Error(), c.names) {
+			t.Errorf("%s: got %v, want %s named", c.to, err, c.names)
+		}
+	}
+}
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"net/netip"
 	"strconv"
 
 	"github.com/valyala/fastjson"
@@ -10,6 +11,7 @@
 	yw "yarrowwalk"
 	"yarrowwalk/internal/broker"
 	"yarrowwalk/internal/opensearch"
+	"yarrowwalk/internal/vrrp"
 )
 
 // Operator is what an operator's file sets up: a gatherer that speaks the search API, away from the platform.
@@ -23,6 +25,15 @@
 	Indices           map[string]opensearch.Index
 	Servers           []yw.Server
 	Addresses         map[yw.ServerID]string
+	VRRP              *VRRP // nil: off
+}
+
+// VRRP sets up a virtual router that this gatherer takes part in.
+type VRRP struct {
+	Router  vrrp.Config
+	Listen  netip.AddrPort
+	Peers   []netip.AddrPort
+	Service string // host:port that clients reach at the virtual address, served while Active
 }
 
 // LoadOperator reads the operator's file that the environment names; ok is false where it names none, and the
@@ -78,9 +89,50 @@
 		x.hostPort("address", o.Addresses[id])
 		o.Servers = append(o.Servers, yw.Server{ID: id, Zone: x.str("zone", ""), Cell: cell, Health: yw.Ready})
 	}
+	if r.has("vrrp") {
+		o.VRRP = readVRRP(r.object("vrrp"))
+	}
 	return o, *r.err
 }
 
+func readVRRP(r reader) *VRRP {
+	r.require("vrid", "priority", "listen", "peers", "service")
+	v := &VRRP{Service: r.str("service", "")}
+	r.hostPort("service", v.Service)
+	v.Listen = r.addrPort("listen", r.str("listen", ""))
+	vrid, priority, ms := r.integer("vrid", 0), r.integer("priority", 0), r.integer("interval_ms", 1000)
+	if vrid < 1 || vrid > 255 {
+		r.fault("vrid", "want 1 to 255, not %d", vrid)
+	}
+	if priority < 1 || priority > 255 {
+		r.fault("priority", "want 1 to 255, not %d", priority)
+	}
+	if ms < 10 || ms > 40950 || ms%10 != 0 {
+		r.fault("interval_ms", "want 10 to 40950 in steps of 10, not %d", ms)
+	}
+	for _, p := range r.array("peers") {
+		v.Peers = append(v.Peers, p.addrPort("address", p.str("address", "")))
+	}
+	v.Router = vrrp.Config{VRID: byte(vrid), Priority: byte(priority), Interval: ms / 10,
+		Preempt: !r.has("preempt") || r.boolean("preempt"), Primary: v.Listen.Addr()}
+	if host, _, err := net.SplitHostPort(v.Service); err == nil {
+		ip, err := netip.ParseAddr(host)
+		if err != nil || !ip.Is4() {
+			r.fault("service", "want an IPv4 address, not %q", host)
+		}
+		v.Router.Addresses = []netip.Addr{ip}
+	}
+	return v
+}
+
+func (r reader) addrPort(key, value string) netip.AddrPort {
+	a, err := netip.ParseAddrPort(value)
+	if err != nil || !a.Addr().Is4() {
+		r.fault(key, "%q is not an IPv4 address and port", value)
+	}
+	return a
+}
+
 func (r reader) hostPort(key, value string) {
 	if _, _, err := net.SplitHostPort(value); err != nil {
 		r.fault(key, "%q is not host:port", value)
--- /dev/null
+++ b/internal/opensearch/opensearch_test.go
@@ -0,0 +1,236 @@
+package opensearch
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+
+	"yarrowwalk/internal/broker"
+	"yarrowwalk/internal/http1"
+)
+
+var front = Front{TenantHeader: "X-Tenant", Tenants: map[string]bool{"desk": true}, Longest: map[string]int64{"c": 5_000_000},
+	Indices: map[string]Index{"ix": {Name: "ix", Class: "c", Field: "taxpayer", PartWork: 7, Ranges: []Range{
+		{Span{0, 100}, 0}, {Span{100, 200}, 1}, {Span{200, 300}, 2}, {Span{300, 400}, 0}}}}}
+
+func open(target, tenant, body string) (broker.Ask, func(broker.Final, int64) http1.Response, *http1.Response) {
+	var p http1.Parser
+	p.Feed(fmt.Appendf(nil, "POST %s HTTP/1.1\r\nHost: x\r\nX-Tenant: %s\r\nContent-Length: %d\r\n\r\n%s", target, tenant, len(body), body))
+	m, err := p.Next()
+	if err != nil {
+		panic(err)
+	}
+	return front.Open(m, 1000, true)
+}
+
+func between(lo, hi int) string {
+	return fmt.Sprintf(`{"range":{"taxpayer":{"gte":%d,"lt":%d}}}`, lo, hi)
+}
+
+func anyOf(q ...string) string { return `{"bool":{"should":[` + strings.Join(q, ",") + `]}}` }
+
+// Ranges in any order, overlapping or repeated, give the parts that sorted ones give.
+func TestRangesToShards(t *testing.T) {
+	for _, c := range []struct{ query, shards string }{
+		{`{"match_all":{}}`, "[0 1 2]"},
+		{between(150, 160), "[1]"},
+		{between(50, 150), "[0 1]"},
+		{`{"range":{"taxpayer":{"gt":99,"lte":200}}}`, "[1 2]"},
+		{`{"range":{"taxpayer":{"gte":"250"}}}`, "[0 2]"},
+		{`{"range":{"taxpayer":{"gte":350,"lt":99999}}}`, "[0]"},
+		{anyOf(between(0, 50), between(200, 250)), "[0 2]"},
+		{anyOf(between(200, 250), between(0, 50)), "[0 2]"},
+		{anyOf(between(200, 250), between(0, 50), between(200, 250), between(20, 60)), "[0 2]"},
+		{anyOf(between(220, 250), between(200, 230), between(0, 50)), "[0 2]"},
+		{`{"bool":{"filter":[` + between(0, 150) + `,` + between(120, 300) + `]}}`, "[1]"},
+		{`{"bool":{"must":` + between(0, 150) + `,"should":[` + between(200, 210) + `]}}`, "[0 1]"},
+		{`{"bool":{"must":` + between(0, 250) + `,"should":[` + between(200, 210) + `],"minimum_should_match":1}}`, "[2]"},
+		{`{"term":{"taxpayer":150}}`, "[1]"},
+		{`{"term":{"taxpayer":{"value":"150"}}}`, "[1]"},
+		{`{"terms":{"taxpayer":[250,50,250]}}`, "[0 2]"},
+		{`{"bool":{"filter":[` + between(100, 200) + `],"must":[{"match":{"text":"iva"}}]}}`, "[1]"},
+	} {
+		ask, _, resp := open("/ix/_search", "desk", `{"query":`+c.query+`}`)
+		if resp != nil {
+			t.Errorf("%s: %s", c.query, resp.Body)
+			continue
+		}
+		var got []int
+		for _, p := range ask.Parts {
+			got = append(got, p.Shard)
+		}
+		if fmt.Sprint(got) != c.shards {
+			t.Errorf("%s: shards %v, want %s", c.query, got, c.shards)
+		}
+	}
+	a, _, _ := open("/ix/_search", "desk", `{"query":`+anyOf(between(200, 250), between(0, 50), between(0, 50))+`}`)
+	b, _, _ := open("/ix/_search", "desk", `{"query":`+anyOf(between(0, 50), between(200, 250))+`}`)
+	if a.Key != b.Key || fmt.Sprint(a.Parts) != fmt.Sprint(b.Parts) {
+		t.Errorf("%v and %v differ", a, b)
+	}
+}
+
+func TestExclusiveClauses(t *testing.T) {
+	_, _, resp := open("/ix/_search", "desk", `{"query":{"bool":{"filter":[`+between(0, 50)+`,`+between(200, 210)+`]}}}`)
+	if resp == nil || resp.Status != 200 || !strings.Contains(string(resp.Body), `"hits":[]`) {
+		t.Errorf("%v", resp)
+	}
+}
+
+// What can't be answered is refused by name.
+func TestRefusedByName(t *testing.T) {
+	q := func(query string) string { return `{"query":` + query + `}` }
+	for _, c := range []struct {
+		target, tenant, body string
+		status               int
+		kind, names          string
+	}{
+		{"/ix/_search", "desk", q(between(60, 50)), 400, "parsing_exception", "inverted range"},
+		{"/ix/_search", "desk", q(between(50, 50)), 400, "parsing_exception", "inverted range"},
+		{"/ix/_search", "desk", q(between(900, 950)), 400, "parsing_exception", "unknown range"},
+		{"/ix/_search", "desk", q(`{"range":{"colour":{"gte":1}}}`), 400, "parsing_exception", "[colour]"},
+		{"/ix/_search", "desk", q(`{"range":{"taxpayer":{"gte":1.5}}}`), 400, "parsing_exception", "1.5"},
+		{"/ix/_search", "desk", q(`{"range":{"taxpayer":{"above":1}}}`), 400, "parsing_exception", "[above]"},
+		{"/ix/_search", "desk", q(`{"fuzzy":{"name":"x"}}`), 400, "parsing_exception", "[fuzzy]"},
+		{"/ix/_search", "desk", q(`{"bool":{"must_not":[` + between(0, 50) + `]}}`), 400, "parsing_exception", "[must_not]"},
+		{"/ix/_search", "desk", `{"aggs":{}}`, 400, "parsing_exception", "[aggs]"},
+		{"/ix/_search", "desk", `{"size":1,"size":2}`, 400, "parsing_exception", "[size]"},
+		{"/ix/_search", "desk", `{"query"`, 400, "parsing_exception", "JSON"},
+		{"/ix/_search", "desk", `{"size":-1}`, 400, "illegal_argument_exception", "[size]"},
+		{"/ix/_search", "desk", `{"size":9000,"from":9000}`, 400, "illegal_argument_exception", "result window"},
+		{"/ix/_search", "desk", `{"timeout":"soon"}`, 400, "illegal_argument_exception", "[timeout]"},
+		{"/ix/_search?scroll=1m", "desk", "", 400, "illegal_argument_exception", "[scroll]"},
+		{"/other/_search", "desk", "", 404, "index_not_found_exception", "[other]"},
+		{"/ix/_count", "desk", "", 400, "illegal_argument_exception", "/ix/_count"},
+		{"/ix/_search", "nobody", "", 403, "security_exception", "[nobody]"},
+	} {
+		_, _, resp := open(c.target, c.tenant, c.body)
+		if resp == nil {
+			t.Errorf("%s %s was taken", c.target, c.body)
+			continue
+		}
+		var e struct {
+			Error struct {
+				Type, Reason string
+				RootCause    []struct{ Type string } `json:"root_cause"`
+			}
+			Status int
+		}
+		if err := json.Unmarshal(resp.Body, &e); err != nil || resp.Status != c.status || e.Status != c.status ||
+			e.Error.Type != c.kind || !strings.Contains(e.Error.Reason, c.names) || len(e.Error.RootCause) != 1 {
+			t.Errorf("%s %s: %d %s", c.target, c.body, resp.Status, resp.Body)
+		}
+	}
+}
+
+func TestDeadline(t *testing.T) {
+	for _, c := range []struct {
+		target, body string
+		want         int64
+	}{
+		{"/ix/_search", ``, 5_001_000}, {"/ix/_search", `{"timeout":"300ms"}`, 301_000},
+		{"/ix/_search?timeout=1s", `{"timeout":"300ms"}`, 1_001_000}, {"/ix/_search?timeout=1h", ``, 5_001_000},
+	} {
+		if ask, _, resp := open(c.target, "desk", c.body); resp != nil || ask.Deadline != c.want {
+			t.Errorf("%s %s: deadline %d, want %d", c.target, c.body, ask.Deadline, c.want)
+		}
+	}
+}
+
+func TestMerge(t *testing.T) {
+	hits := func(total int, scored ...string) []byte {
+		return fmt.Appendf(nil, `{"total":{"value":%d,"relation":"eq"},"max_score":9,"hits":[%s]}`, total, strings.Join(scored, ","))
+	}
+	_, word, _ := open("/ix/_search", "desk", `{"from":1,"size":2}`)
+	r := word(broker.Final{Verdict: broker.Answered, Whole: true, Shards: 3, Values: []broker.Value{
+		{Shard: 0, Data: hits(7, `{"_id":"a","_score":3}`, `{"_id":"b","_score":1}`)},
+		{Shard: 1, Data: hits(0)},
+		{Shard: 2, Data: hits(2, `{"_id":"c","_score":2}`, `{"_id":"d","_score":null}`)}}}, 42_000)
+	want := `{"took":41,"timed_out":false,"_shards":{"total":3,"successful":3,"skipped":0,"failed":0},` +
+		`"hits":{"total":{"value":9,"relation":"eq"},"max_score":3,"hits":[{"_id":"c","_score":2},{"_id":"b","_score":1}]}}`
+	if string(r.Body) != want {
+		t.Errorf("got %s", r.Body)
+	}
+}
+
+// Clients of this API repeat a 429, and many libraries a 502, 503 or 504: what may have run is none of these.
+func TestEnds(t *testing.T) {
+	_, word, _ := open("/ix/_search", "desk", "")
+	r := word(broker.Final{Verdict: broker.Refused, RetryAfter: 1_200_000}, 0)
+	if r.Status != 429 || fmt.Sprint(r.Fields) != "[[Retry-After 2]]" {
+		t.Errorf("%d %v", r.Status, r.Fields)
+	}
+	for _, overdue := range []bool{false, true} {
+		if r := word(broker.Final{Verdict: broker.Failed, Overdue: overdue}, 0); r.Status != 500 {
+			t.Errorf("%d", r.Status)
+		}
+	}
+}
+
+func serverSays(text string, pieces int) string {
+	s := Servers{}.Session("h:1")
+	s.Call(nil, broker.Call{Attempts: []broker.Attempt{{ID: 5, Text: []byte("ix\n{}")}}}, 0)
+	out := ""
+	for i := range pieces {
+		replies, err := s.Feed([]byte(text[i*len(text)/pieces : (i+1)*len(text)/pieces]))
+		for _, r := range replies {
+			out += fmt.Sprintf("%d:%d:%s ", r.Attempt, r.Outcome, r.Value)
+		}
+		if err != nil {
+			return out + "closed"
+		}
+	}
+	for _, r := range s.Closed() {
+		out += fmt.Sprintf("%d:%d:%s at the end", r.Attempt, r.Outcome, r.Value)
+	}
+	return out
+}
+
+// A success status proves nothing.
+func TestJudge(t *testing.T) {
+	const ok = `"took":1,"timed_out":false,"_shards":{"total":1,"successful":1,"failed":0},"hits":{"hits":[]}`
+	for _, c := range []struct {
+		status     int
+		body, want string
+	}{
+		{200, "{" + ok + "}", `5:0:{"hits":[]} `},
+		{200, `{"error":{"type":"x"},` + ok + `}`, "5:1: "},
+		{200, "{" + strings.Replace(ok, "false", "true", 1) + "}", "5:1: "},
+		{200, "{" + strings.Replace(ok, `"failed":0`, `"failed":1`, 1) + "}", "5:1: "},
+		{200, "{" + strings.Replace(ok, `"successful":1`, `"successful":0`, 1) + "}", "5:1: "},
+		{200, "{" + strings.Replace(ok, `{"hits":[]}`, `null`, 1) + "}", "5:1: "},
+		{200, "<html>", "5:1: "},
+		{500, "{" + ok + "}", "5:1: "},
+		{503, `{"error":{"type":"cluster_block_exception"},"status":503}`, "5:1: "},
+		{429, `{"error":{"type":"rejected_execution_exception"},"status":429}`, "5:2: "},
+		{429, `{"error":{"type":"circuit_breaking_exception"},"status":429}`, "5:1: "},
+	} {
+		text := fmt.Sprintf("HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n%s", c.status, len(c.body), c.body)
+		for _, pieces := range []int{1, 2, len(text)} {
+			if got := serverSays(text, pieces); got != c.want {
+				t.Errorf("%d %s in %d pieces: got %q, want %q", c.status, c.body, pieces, got, c.want)
+			}
+		}
+	}
+	if got := serverSays("HTTP/1.1 200 OK\r\n\r\n{"+ok+"}", 3); got != `5:0:{"hits":[]} at the end` {
+		t.Errorf("up to the end: %q", got)
+	}
+	if got := serverSays("HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n{", 1); got != "" {
+		t.Errorf("cut short: %q", got)
+	}
+}
+
+func FuzzSearch(f *testing.F) {
+	f.Add(`{"query":` + anyOf(between(200, 250), between(0, 50)) + `,"size":3}`)
+	f.Add(`{"query":{"bool":{"must":{"terms":{"taxpayer":[1,"2"]}}}}}`)
+	f.Fuzz(func(t *testing.T, body string) {
+		if len(body) > 4096 {
+			return
+		}
+		ask, _, resp := open("/ix/_search", "desk", body)
+		if resp == nil && len(ask.Parts) == 0 {
+			t.Errorf("a query without parts: %s", body)
+		}
+	})
+}
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -80,7 +80,12 @@
 	}
 	a.Text = bytes.Clone(text.GetStringBytes())
 	for i, p := range parts.GetArray() {
-		shard, err := p.Get("segment").Int()
+		// fastjson's typed readers crash on an absent value: one malformed request must not end the program.
+		v := p.Get("segment")
+		if v == nil {
+			return a, fmt.Errorf("segments[%d].segment: missing", i)
+		}
+		shard, err := v.Int()
 		if err != nil {
 			return a, fmt.Errorf("segments[%d].segment: %w", i, err)
 		}
--- /dev/null
+++ b/internal/platform/platform_test.go
@@ -0,0 +1,169 @@
+package platform
+
+import (
+	"encoding/binary"
+	"fmt"
+	"strings"
+	"testing"
+
+	yw "yarrowwalk"
+	"yarrowwalk/internal/broker"
+	"yarrowwalk/internal/http1"
+)
+
+func frame(body string) string {
+	return string(binary.BigEndian.AppendUint32(nil, uint32(len(body)))) + body
+}
+
+func call(ids ...broker.AttemptID) broker.Call {
+	c := broker.Call{Server: "s"}
+	for _, id := range ids {
+		c.Attempts = append(c.Attempts, broker.Attempt{ID: id, Label: "9b1f", Shard: int(id), Due: 250_500, Text: []byte("c4\n1")})
+	}
+	return c
+}
+
+func TestCallFrame(t *testing.T) {
+	s := Workers{PerConn: 32}.Session("")
+	got := string(s.Call(nil, call(3, 4), 10_000))
+	if want := frame("R9b1f.3 3 d=240 4\nc4\n19b1f.4 4 d=240 4\nc4\n1"); got != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
+	b, keep := s.Drop(nil, 3)
+	if want := frame("A9b1f.3"); string(b) != want || !keep {
+		t.Errorf("got %q, want %q", b, want)
+	}
+	if b, keep := s.Drop(nil, 3); len(b) > 0 || !keep {
+		t.Errorf("given up twice: %q", b)
+	}
+}
+
+// read feeds pieces to a session with attempts 3 and 4 out and writes down what they end.
+func read(pieces ...string) string {
+	s := Workers{PerConn: 32}.Session("")
+	s.Call(nil, call(3, 4), 0)
+	var out strings.Builder
+	for _, p := range pieces {
+		replies, err := s.Feed([]byte(p))
+		for _, r := range replies {
+			fmt.Fprintf(&out, "%d:%d:%s:", r.Attempt, r.Outcome, r.Value)
+			if r.Report != nil {
+				fmt.Fprintf(&out, "%v", *r.Report)
+			}
+			out.WriteByte(' ')
+		}
+		if err != nil {
+			return out.String() + "error"
+		}
+	}
+	return out.String()
+}
+
+var answers = []struct{ name, text, want string }{
+	{"in any order", frame("Y9b1f.4 OK 1 inflight=7,util=0.61,odd=1\nva\nl") + frame("Y9b1f.3 REJECTED 0 -\n"),
+		"4:0:va\nl:{-1 7 -1 0.61} 3:2:: "},
+	{"a late answer is dropped", frame("Y9b1f.3 OK 1 -\nv") + frame("Y9b1f.3 OK 1 -\nw") + frame("Y9b1f.9 OK 1 -\nw") +
+		frame("Y9b1f.4 ERROR 1 queue=2\n"), "3:0:v: 4:1::{2 -1 -1 -1} "},
+	{"unusable", frame("Nwhat was that"), "error"},
+	{"unknown end", frame("Y9b1f.3 MAYBE 1 -\n"), "error"},
+	{"no line", frame("Y9b1f.3 OK 1 -"), "error"},
+	{"empty frame", "\x00\x00\x00\x00", "error"},
+	{"frame too long", "\x7f\x00\x00\x00", "error"},
+	{"unknown letter", frame("Z"), "error"},
+}
+
+func TestAnswersEverySplit(t *testing.T) {
+	for _, c := range answers {
+		t.Run(c.name, func(t *testing.T) {
+			for i := range len(c.text) {
+				if got := read(c.text[:i], c.text[i:]); got != c.want {
+					t.Fatalf("split at %d: got %q, want %q", i, got, c.want)
+				}
+			}
+			if got := read(strings.Split(c.text, "")...); got != c.want {
+				t.Fatalf("byte by byte: got %q, want %q", got, c.want)
+			}
+		})
+	}
+}
+
+func FuzzAnswers(f *testing.F) {
+	for _, c := range answers {
+		f.Add(c.text, 3)
+	}
+	f.Fuzz(func(t *testing.T, text string, at int) {
+		at = max(0, min(at, len(text)))
+		if a, b := read(text), read(text[:at], text[at:]); a != b {
+			t.Errorf("split at %d: got %q, whole %q", at, b, a)
+		}
+	})
+}
+
+func request(headers, body string) *http1.Message {
+	var p http1.Parser
+	p.Feed(fmt.Appendf(nil, "POST /api/k1 HTTP/1.1\r\nHost: x\r\n%sContent-Length: %d\r\n\r\n%s", headers, len(body), body))
+	m, err := p.Next()
+	if err != nil {
+		panic(err)
+	}
+	return m
+}
+
+const headers = "Request-Id: 9b1f\r\nRequest-Class: c\r\nTenant: acme\r\nRequest-Timeout-Ms: 480\r\n"
+
+func TestRequest(t *testing.T) {
+	body := `{"segments":[{"segment":3,"boost":0.5,"work":9000,"affinity":"00ff"},{"segment":9,"boost":0.5}],"text":"a\"b"}`
+	ask, word, resp := Front{Margin: 10}.Open(request(headers, body), 1000, true)
+	if resp != nil {
+		t.Fatalf("%s", resp.Body)
+	}
+	want := broker.Ask{Label: "9b1f", Class: "c", Tenant: "acme", Key: "k1", Deadline: 480_990, Text: []byte(`a"b`),
+		Parts: []broker.AskPart{{Shard: 3, Weight: 0.5, Work: 9000, Key: "00ff"}, {Shard: 9, Weight: 0.5}}}
+	if fmt.Sprint(ask) != fmt.Sprint(want) {
+		t.Errorf("got %v, want %v", ask, want)
+	}
+	r := word(broker.Final{Verdict: broker.Answered, Whole: true, Values: []broker.Value{{Shard: 3, Data: []byte(`5b"`)}}}, 0)
+	if got := string(r.Body); r.Status != 200 || got != `{"all_in":true,"matches":[{"segment":3,"payload":"5b\""}]}` {
+		t.Errorf("got %d %s", r.Status, got)
+	}
+	r = word(broker.Final{Verdict: broker.Refused, RetryAfter: 250_100}, 0)
+	if r.Status != 429 || fmt.Sprint(r.Fields) != "[[Retry-After 0.251]]" {
+		t.Errorf("got %d %v", r.Status, r.Fields)
+	}
+	for _, f := range []broker.Final{{Verdict: broker.Failed}, {Verdict: broker.Failed, Overdue: true}} {
+		if r := word(f, 0); r.Status == 429 || r.Status == 503 || r.Status < 500 {
+			t.Errorf("a failure must not say that a repeat is harmless: %d", r.Status)
+		}
+	}
+}
+
+func TestRequestFaults(t *testing.T) {
+	const body = `{"segments":[{"segment":3,"boost":0.5}],"text":"t"}`
+	for _, c := range []struct{ headers, body, names string }{
+		{strings.Replace(headers, "9b1f", "a.b", 1), body, "Request-Id"},
+		{strings.Replace(headers, "480", "soon", 1), body, "Request-Timeout-Ms"},
+		{headers, `{"segments":[{"boost":1}],"text":"t"}`, "segments[0].segment"},
+		{headers, `{"text":"t"}`, "segments"},
+		{headers, `{"segments":[],"text":7}`, "text"},
+		{headers, `{`, "body"},
+	} {
+		_, _, resp := Front{}.Open(request(c.headers, c.body), 0, true)
+		if resp == nil || resp.Status != 400 || !strings.Contains(string(resp.Body), c.names) {
+			t.Errorf("%s: got %v, want a 400 that names %s", c.body, resp, c.names)
+		}
+	}
+}
+
+func TestList(t *testing.T) {
+	l, err := ParseList([]byte(`{"generation":43,"reset":true,"instances":[{"instanceId":"s-5","hostPort":"10.1.0.18:8080",` +
+		`"zone":"a","cell":3,"lifecycle":"DRAINING","weight":1.0,"startedAtMs":7}]}`))
+	want := yw.Server{ID: "s-5", Zone: "a", Cell: 3, Health: yw.Draining, StartedAt: 7000}
+	if err != nil || l.Generation != 43 || !l.Whole || l.Servers[0] != want || l.Addresses["s-5"] != "10.1.0.18:8080" {
+		t.Errorf("got %v, %v", l, err)
+	}
+	for _, bad := range []string{`{`, `{}`, `{"generation":1,"instances":[{"instanceId":"s","lifecycle":"ASLEEP"}]}`} {
+		if _, err := ParseList([]byte(bad)); err == nil {
+			t.Errorf("%s was taken", bad)
+		}
+	}
+}
--- a/internal/transport/discovery.go
+++ b/internal/transport/discovery.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"log"
 	"net"
-	"sync"
 	"time"
 
 	yw "yarrowwalk"
@@ -22,7 +21,7 @@
 	log        *log.Logger
 	stop       chan struct{}
 	begin      chan struct{}
-	wg         sync.WaitGroup
+	done       chan struct{}
 }
 
 const (
@@ -38,7 +37,7 @@
 func NewWatcher(address string, generation int64, asked bool, tell func(yw.FleetChanged, map[yw.ServerID]string),
 	logger *log.Logger) *Watcher {
 	return &Watcher{address: address, generation: generation, asked: asked, tell: tell, log: logger,
-		stop: make(chan struct{}), begin: make(chan struct{}, 1)}
+		stop: make(chan struct{}), done: make(chan struct{}), begin: make(chan struct{}, 1)}
 }
 
 // Begin asks for the watch, where it waits to be asked.
@@ -51,8 +50,7 @@
 
 // Run follows discovery until Stop.
 func (w *Watcher) Run() {
-	w.wg.Add(1)
-	defer w.wg.Done()
+	defer close(w.done)
 	pause := watchPauseMin
 	for {
 		if w.asked {
@@ -87,10 +85,10 @@
 	}
 }
 
-// Stop ends Run.
+// Stop ends Run and waits for its end.
 func (w *Watcher) Stop() {
 	close(w.stop)
-	w.wg.Wait()
+	<-w.done
 }
 
 // watch holds one watch open until it ends or falls silent; heard tells that something came.
--- a/internal/transport/listener.go
+++ b/internal/transport/listener.go
@@ -134,6 +134,19 @@
 // Leave makes the listener not ready; it goes on accepting and answering.
 func (l *Listener) Leave() { l.leaving.Store(true) }
 
+// Drain stops accepting and closes each connection once it is idle.
+func (l *Listener) Drain() {
+	l.leaving.Store(true)
+	l.net.Close()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.conns {
+		if !c.idleAt.IsZero() {
+			c.net.Close()
+		}
+	}
+}
+
 // Quiet tells that no request is in hand and that none has come in since a time, in microseconds.
 func (l *Listener) Quiet(since int64) bool { return l.busy.Load() == 0 && l.last.Load() < since }
 
@@ -235,18 +248,13 @@
 func (c *clientConn) answer() {
 	defer c.l.wg.Done()
 	defer c.l.remove(c)
-	defer c.net.Close()
-	defer close(c.quit)
-	// What was queued and is not answered any more still has to be taken off the count.
 	defer func() {
-		for {
-			select {
-			case <-c.requests:
-				c.l.busy.Add(-1)
-			default:
-				return
-			}
-		}
+		close(c.quit)
+		c.net.Close()
+		<-c.gone
+		// What the reader had queued and is not answered any more has to be taken off the count, or the
+		// listener would never be quiet.
+		c.l.busy.Add(-int64(len(c.requests)))
 	}()
 	for {
 		var m *http1.Message
@@ -284,7 +292,7 @@
 			r = word(f, c.l.engine.clock.Now())
 		case err := <-t.Err:
 			r = c.l.front.Fault(400, err.Error())
-		case <-c.left():
+		case <-c.gone:
 			c.l.engine.Left(t)
 			return true, false
 		case <-c.l.engine.stopped:
@@ -299,10 +307,6 @@
 	return last, c.write(*resp, last)
 }
 
-// left is closed when the client has gone. One that has sent something unreadable behind its request still
-// waits for its answer.
-func (c *clientConn) left() <-chan struct{} { return c.gone }
-
 func (c *clientConn) write(r http1.Response, last bool) bool {
 	c.net.SetWriteDeadline(time.Now().Add(writeTimeout))
 	_, err := c.net.Write(r.Append(nil, last))
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -112,7 +112,7 @@
 func (p *pool) outlived(now int64, s *server) {
 	for _, c := range append([]*serverConn(nil), s.conns...) {
 		if c.up && c.openedAt < s.started {
-			p.fail(now, c)
+			p.fail(now, c, false)
 		}
 	}
 }
@@ -139,7 +139,7 @@
 	if s := p.servers[id]; s != nil {
 		for _, c := range append([]*serverConn(nil), s.conns...) {
 			if c.up && len(c.calls) == 0 {
-				p.fail(now, c)
+				p.fail(now, c, false)
 			}
 		}
 	}
@@ -147,7 +147,7 @@
 
 func (p *pool) closeIfEmpty(now int64, c *serverConn) {
 	if c.retired && len(c.calls) == 0 && len(c.backlog) == 0 && !c.dead {
-		p.fail(now, c)
+		p.fail(now, c, false)
 	}
 }
 
@@ -203,14 +203,11 @@
 			c.calls[a.ID] = c.wrote
 		}
 	default: // the far end takes nothing any more
-		for _, a := range call.Attempts {
-			c.calls[a.ID] = c.wrote + 1
-		}
-		p.fail(now, c)
+		p.fail(now, c, false)
 	}
 }
 
-// drop gives an attempt up. timedOut tells that nothing came back in its time.
+// drop gives an attempt up.
 func (p *pool) drop(now int64, id broker.AttemptID) {
 	c := p.out[id]
 	if c == nil {
@@ -234,7 +231,7 @@
 	}
 	b, keep := c.session.Drop(nil, id)
 	if !keep {
-		p.fail(now, c)
+		p.fail(now, c, false)
 		return
 	}
 	if len(b) > 0 {
@@ -242,7 +239,7 @@
 		case c.writes <- b:
 			c.wrote++
 		default:
-			p.fail(now, c)
+			p.fail(now, c, false)
 			return
 		}
 	}
@@ -274,7 +271,7 @@
 	go func() {
 		conn, err := net.DialTimeout("tcp", address, timeout)
 		if err != nil {
-			p.post(func(now int64) { p.fail(now, c) })
+			p.post(func(now int64) { p.fail(now, c, false) })
 			return
 		}
 		p.post(func(now int64) { p.isUp(now, c, conn) })
@@ -293,7 +290,7 @@
 		}
 	}
 	if oldest != nil {
-		p.fail(now, oldest)
+		p.fail(now, oldest, false)
 	}
 }
 
@@ -358,7 +355,7 @@
 			for _, r := range c.session.Closed() {
 				p.end(now, c, r)
 			}
-			p.fail(now, c)
+			p.fail(now, c, true)
 		}
 	})
 }
@@ -374,7 +371,7 @@
 		p.end(now, c, r)
 	}
 	if err != nil {
-		p.fail(now, c)
+		p.fail(now, c, false)
 		return
 	}
 	p.closeIfEmpty(now, c)
@@ -390,8 +387,10 @@
 	p.ended(now, r.Attempt, r.Outcome, r.Value, r.Report)
 }
 
-// fail ends a connection. What was not written whole has never run; the rest may have.
-func (p *pool) fail(now int64, c *serverConn) {
+// fail ends a connection. What was not written whole has never run; the rest may have. Only once the writer
+// has ended (settled) is it known how much it wrote: before, all that was handed to it may have left. Guards
+// against a part that must not run twice being sent again while its first frame is on its way.
+func (p *pool) fail(now int64, c *serverConn, settled bool) {
 	if c.dead {
 		return
 	}
@@ -410,7 +409,7 @@
 	done := c.done.Load()
 	for _, id := range sortedKeys(c.calls) {
 		o := yw.Unreachable
-		if n := c.calls[id]; n > 0 && n <= done {
+		if n := c.calls[id]; n > 0 && (n <= done || !settled) {
 			o = yw.Broken
 		}
 		p.end(now, c, broker.Reply{Attempt: id, Outcome: o})
@@ -420,12 +419,12 @@
 	}
 }
 
-// sweep closes connections before the server's machine does, and those that stayed silent with calls out.
+// sweep closes idle connections before the server's machine does.
 func (p *pool) sweep(now int64) {
 	for _, s := range p.servers {
 		for _, c := range append([]*serverConn(nil), s.conns...) {
 			if c.up && len(c.calls) == 0 && now-c.usedAt > p.cfg.IdleClose*2/3 {
-				p.fail(now, c)
+				p.fail(now, c, false)
 			}
 		}
 	}
--- /dev/null
+++ b/internal/transport/vrrp.go
@@ -0,0 +1,125 @@
+package transport
+
+import (
+	"log"
+	"net"
+	"net/netip"
+	"time"
+
+	"yarrowwalk/internal/vrrp"
+)
+
+// Redundancy carries a virtual router's advertisements over UDP, from this router to each of its peers.
+type Redundancy struct {
+	clock   Clock
+	machine *vrrp.Machine
+	conn    *net.UDPConn
+	peers   []netip.AddrPort
+	changed func(vrrp.State) // runs on Run's goroutine
+	log     *log.Logger
+	stop    chan struct{}
+	done    chan struct{}
+}
+
+// NewRedundancy makes a virtual router on an open socket; Run runs it.
+func NewRedundancy(clock Clock, cfg vrrp.Config, conn *net.UDPConn, peers []netip.AddrPort,
+	changed func(vrrp.State), logger *log.Logger) *Redundancy {
+	return &Redundancy{clock: clock, machine: vrrp.New(cfg), conn: conn, peers: peers, changed: changed,
+		log: logger, stop: make(chan struct{}), done: make(chan struct{})}
+}
+
+type received struct {
+	a    vrrp.Advertisement
+	from netip.Addr
+}
+
+// Run takes part until Stop.
+func (r *Redundancy) Run() {
+	defer close(r.done)
+	in := make(chan received, 64)
+	go r.read(in)
+	state := r.machine.State()
+	r.send(r.machine.Start(r.clock.Now()))
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		if now := r.machine.State(); now != state {
+			state = now
+			r.log.Printf("level=info event=vrrp state=%s", state)
+			r.changed(state)
+		}
+		if at, ok := r.machine.Timer(); ok {
+			timer.Reset(time.Duration(max(0, at-r.clock.Now())) * time.Microsecond)
+		}
+		select {
+		case <-timer.C:
+			r.send(r.machine.Tick(r.clock.Now()))
+		case m := <-in:
+			r.send(r.machine.Receive(r.clock.Now(), m.a, m.from))
+		case <-r.stop:
+			r.send(r.machine.Stop())
+			r.conn.Close()
+			return
+		}
+	}
+}
+
+// Stop gives the addresses up and ends Run.
+func (r *Redundancy) Stop() {
+	close(r.stop)
+	<-r.done
+}
+
+// read takes in what peers send until the socket closes. What others send is not for this router.
+func (r *Redundancy) read(in chan<- received) {
+	buf := make([]byte, 2048)
+	for {
+		n, from, err := r.conn.ReadFromUDPAddrPort(buf)
+		if err != nil {
+			select {
+			case <-r.done:
+				return
+			case <-r.stop:
+				return
+			default:
+			}
+			// A peer that is down shows as a refused datagram on loopback; the socket stays good.
+			r.log.Printf("level=warn event=vrrp_read error=%q", err)
+			if _, ok := err.(net.Error); !ok {
+				return
+			}
+			continue
+		}
+		known := false
+		for _, p := range r.peers {
+			known = known || p.Addr() == from.Addr().Unmap()
+		}
+		a, err := vrrp.Parse(buf[:n])
+		if !known || err != nil {
+			r.log.Printf("level=warn event=vrrp_discard from=%s known=%t error=%v", from, known, err)
+			continue
+		}
+		select {
+		case in <- received{a, from.Addr().Unmap()}:
+		case <-r.done:
+			return
+		}
+	}
+}
+
+func (r *Redundancy) send(a *vrrp.Advertisement) {
+	if a == nil {
+		return
+	}
+	b, err := a.Append(nil)
+	if err != nil {
+		r.log.Printf("level=error event=vrrp_send error=%q", err)
+		return
+	}
+	for _, p := range r.peers {
+		r.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+		if _, err := r.conn.WriteToUDPAddrPort(b, p); err != nil {
+			r.log.Printf("level=warn event=vrrp_send to=%s error=%q", p, err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/vrrp/packet.go
@@ -0,0 +1,81 @@
+// Package vrrp is the Virtual Router Redundancy Protocol, version 3 (RFC 9568): its state machine and its
+// advertisements, without sockets or clocks. A driver carries the advertisements.
+package vrrp
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"net/netip"
+)
+
+// Advertisement is the one message of the protocol.
+type Advertisement struct {
+	VRID      byte
+	Priority  byte  // 0: the sender gives up being Active
+	Interval  int64 // centiseconds, 12 bits
+	Addresses []netip.Addr
+}
+
+const (
+	versionType = 3<<4 | 1
+	headLen     = 8
+	maxInterval = 1<<12 - 1
+)
+
+// Append writes an advertisement of IPv4 addresses.
+func (a Advertisement) Append(dst []byte) ([]byte, error) {
+	if a.Interval < 1 || a.Interval > maxInterval || len(a.Addresses) == 0 || len(a.Addresses) > 255 {
+		return dst, fmt.Errorf("vrrp: interval %d or %d addresses can't be written", a.Interval, len(a.Addresses))
+	}
+	start := len(dst)
+	dst = append(dst, versionType, a.VRID, a.Priority, byte(len(a.Addresses)))
+	dst = binary.BigEndian.AppendUint16(dst, uint16(a.Interval))
+	dst = append(dst, 0, 0)
+	for _, ip := range a.Addresses {
+		if !ip.Is4() {
+			return dst[:start], fmt.Errorf("vrrp: %s is not an IPv4 address", ip)
+		}
+		four := ip.As4()
+		dst = append(dst, four[:]...)
+	}
+	binary.BigEndian.PutUint16(dst[start+6:], ^sum(dst[start:]))
+	return dst, nil
+}
+
+// sum is the one's complement sum of 16-bit words; over a message with its right checksum it is all ones.
+func sum(b []byte) uint16 {
+	var s uint32
+	for i := 0; i+1 < len(b); i += 2 {
+		s += uint32(b[i])<<8 | uint32(b[i+1])
+	}
+	for s > 0xffff {
+		s = s>>16 + s&0xffff
+	}
+	return uint16(s)
+}
+
+// Parse reads an advertisement; what section 7.1 tells to discard is an error.
+func Parse(b []byte) (Advertisement, error) {
+	if len(b) < headLen {
+		return Advertisement{}, errors.New("vrrp: too short")
+	}
+	if b[0] != versionType {
+		return Advertisement{}, fmt.Errorf("vrrp: version and type %#x", b[0])
+	}
+	n := int(b[3])
+	if n == 0 || len(b) != headLen+4*n {
+		return Advertisement{}, fmt.Errorf("vrrp: %d addresses in %d bytes", n, len(b))
+	}
+	if sum(b) != 0xffff {
+		return Advertisement{}, errors.New("vrrp: wrong checksum")
+	}
+	a := Advertisement{VRID: b[1], Priority: b[2], Interval: int64(binary.BigEndian.Uint16(b[4:]) & maxInterval)}
+	if a.VRID == 0 || a.Interval == 0 {
+		return Advertisement{}, errors.New("vrrp: no router id or no interval")
+	}
+	for i := range n {
+		a.Addresses = append(a.Addresses, netip.AddrFrom4([4]byte(b[headLen+4*i:])))
+	}
+	return a, nil
+}
