--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -48,6 +48,17 @@
 	}
 }
 
+// stalled gives the server a connection that is up and whose writer does not get to its queue of one.
+func (b *bench) stalled(t *testing.T) *serverConn {
+	near, far := net.Pipe()
+	t.Cleanup(func() { far.Close() })
+	s := b.servers["s"]
+	c := &serverConn{server: s, session: b.dialect.Session(""), net: near, up: true, calls: map[broker.AttemptID]int64{},
+		sentAt: map[broker.AttemptID]int64{}, done: new(atomic.Int64), writes: make(chan []byte, 1)}
+	s.conns, b.conns = []*serverConn{c}, 1
+	return c
+}
+
 func callOf(id broker.AttemptID) broker.Call {
 	return broker.Call{Server: "s", Attempts: []broker.Attempt{{ID: id, Label: "q", Shard: int(id), Due: 1 << 40}}}
 }
@@ -78,13 +89,7 @@
 	for settled, want := range map[bool]yw.Outcome{false: yw.Broken, true: yw.Unreachable} {
 		b := newBench()
 		b.fleet(0, yw.Ready, 0, "127.0.0.1:1")
-		s := b.servers["s"]
-		near, far := net.Pipe()
-		defer far.Close()
-		// A connection that is up and whose writer has not got to its queue.
-		c := &serverConn{server: s, session: b.dialect.Session(""), net: near, up: true, calls: map[broker.AttemptID]int64{},
-			sentAt: map[broker.AttemptID]int64{}, done: new(atomic.Int64), writes: make(chan []byte, 1)}
-		s.conns, b.conns = []*serverConn{c}, 1
+		c := b.stalled(t)
 		b.call(0, callOf(1))
 		b.fail(0, c, settled)
 		if got, ok := b.ends[1]; !ok || got != want {
@@ -97,12 +102,7 @@
 func TestFullQueueNeverRan(t *testing.T) {
 	b := newBench()
 	b.fleet(0, yw.Ready, 0, "127.0.0.1:1")
-	s := b.servers["s"]
-	near, far := net.Pipe()
-	defer far.Close()
-	c := &serverConn{server: s, session: b.dialect.Session(""), net: near, up: true, calls: map[broker.AttemptID]int64{},
-		sentAt: map[broker.AttemptID]int64{}, done: new(atomic.Int64), writes: make(chan []byte, 1)}
-	s.conns, b.conns = []*serverConn{c}, 1
+	b.stalled(t)
 	b.call(0, callOf(1))
 	b.call(0, callOf(2))
 	if b.ends[1] != yw.Broken || b.ends[2] != yw.Unreachable || len(b.ends) != 2 || b.conns != 0 {
