Go on watching a client that sent what can't be read, so that its going is seen

Cause, by reading internal/transport/listener.go: after five requests in one read the queue could be full before the answering side took the first, the reader stopped for good, and a query that was open then waited for its own end alone; Listener.Close waited for that. A race between two goroutines. In service the query's deadline bounds it, in the test nothing does. Now the reader passes over what follows a fault until the connection ends, and the client's going always ends the wait.

--- a/internal/transport/listener.go
+++ b/internal/transport/listener.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"log"
 	"net"
 	"sync"
@@ -96,7 +97,7 @@
 		return false
 	}
 	c := &clientConn{l: l, net: conn, idleAt: time.Now(), requests: make(chan *http1.Message, 4),
-		gone: make(chan struct{})}
+		gone: make(chan struct{}), bad: make(chan struct{})}
 	l.conns[c] = true
 	l.wg.Add(2)
 	go c.read()
@@ -168,8 +169,9 @@
 	l        *Listener
 	net      net.Conn
 	requests chan *http1.Message
-	gone     chan struct{} // closed when the client has left or sent what can't be read
-	fault    *http1.Error  // set before gone is closed
+	gone     chan struct{} // closed when the client has left
+	bad      chan struct{} // closed when it has sent what can't be read; it may still wait for answers
+	fault    *http1.Error  // set before bad is closed
 	idleAt   time.Time     // since when it is idle; zero while it is not. Under l.mu
 }
 
@@ -211,8 +213,8 @@
 			for {
 				m, perr := p.Next()
 				if perr != nil {
-					errors.As(perr, &c.fault)
 					c.l.busy.Add(-1)
+					c.refuse(perr)
 					return
 				}
 				if m == nil {
@@ -225,7 +227,7 @@
 				case c.requests <- m:
 				default:
 					c.l.busy.Add(-2)
-					c.fault = &http1.Error{Status: 400, Text: "too many requests ahead of their answers"}
+					c.refuse(&http1.Error{Status: 400, Text: "too many requests ahead of their answers"})
 					return
 				}
 			}
@@ -240,13 +242,22 @@
 			}
 			var timeout net.Error
 			if partial && errors.As(err, &timeout) && timeout.Timeout() {
-				c.fault = &http1.Error{Status: 408, Text: "the request took too long to come in"}
+				c.refuse(&http1.Error{Status: 408, Text: "the request took too long to come in"})
 			}
 			return
 		}
 	}
 }
 
+// refuse marks what can't be read and passes over the rest, so that the client's going is still seen.
+func (c *clientConn) refuse(err error) {
+	c.fault = &http1.Error{Status: 400, Text: err.Error()}
+	errors.As(err, &c.fault)
+	close(c.bad)
+	c.net.SetReadDeadline(time.Now().Add(c.l.cfg.Idle))
+	io.Copy(io.Discard, c.net) // ends with the connection, whichever side ends it
+}
+
 func (c *clientConn) answer() {
 	defer c.l.wg.Done()
 	defer c.l.remove(c)
@@ -262,12 +273,12 @@
 		select {
 		case m = <-c.requests:
 		case <-c.gone:
+			return
+		case <-c.bad:
 			select {
 			case m = <-c.requests: // came in before what can't be read
 			default:
-				if c.fault != nil {
-					c.write(c.l.front.Fault(c.fault.Status, c.fault.Text), true)
-				}
+				c.write(c.l.front.Fault(c.fault.Status, c.fault.Text), true)
 				return
 			}
 		}
@@ -287,24 +298,18 @@
 	if resp == nil {
 		c.l.last.Store(now)
 		t := c.l.engine.Open(ask)
-		gone := c.gone
-		for resp == nil {
-			select {
-			case f := <-t.Final:
-				r := word(f, c.l.engine.clock.Now())
-				resp = &r
-			case err := <-t.Err:
-				r := c.l.front.Fault(400, err.Error())
-				resp = &r
-			case <-gone:
-				if c.fault == nil {
-					c.l.engine.Left(t)
-					return true, false
-				}
-				gone = nil // it sent what can't be read behind this request, and still waits for its answer
-			case <-c.l.engine.stopped:
-				return true, false
-			}
+		select {
+		case f := <-t.Final:
+			r := word(f, c.l.engine.clock.Now())
+			resp = &r
+		case err := <-t.Err:
+			r := c.l.front.Fault(400, err.Error())
+			resp = &r
+		case <-c.gone:
+			c.l.engine.Left(t)
+			return true, false
+		case <-c.l.engine.stopped:
+			return true, false
 		}
 	}
 	last = m.Close || c.l.leaving.Load()
