Hear SIGHUP: read the file again and move the watch to its discovery

Checked: signal.Notify in cmd/saffronquay/main.go named SIGTERM and interrupt only, so the default action ended the program. LB_DISCOVERY overrules the file in config.Load, which would have pinned the old address. The watcher's address was fixed at its making and its version carried on. Ruled out: the listener and the core, which took no part. Change: config.Reload lets the file's discovery prevail; Watcher.Move ends the watch and begins at the new address with the whole list, as another address's versions need not continue ours; a bad file keeps the old settings and is logged by key; the operator's file takes the list of servers anew. Tests: scenarios reload (both dialects) and reload-watch, seen to fail without the handler.

--- a/cmd/saffronquay/main.go
+++ b/cmd/saffronquay/main.go
@@ -22,9 +22,10 @@
 
 func main() {
 	logger := log.New(os.Stderr, "", log.LstdFlags|log.Lmicroseconds|log.LUTC)
-	term := make(chan os.Signal, 1)
+	term, hup := make(chan os.Signal, 1), make(chan os.Signal, 1)
 	signal.Notify(term, syscall.SIGTERM, os.Interrupt)
-	if err := run(logger, term); err != nil {
+	signal.Notify(hup, syscall.SIGHUP) // unheard it would end the program
+	if err := run(logger, term, hup); err != nil {
 		logger.Printf("level=error event=exit error=%q", err)
 		os.Exit(1)
 	}
@@ -50,6 +51,7 @@
 	addresses         map[yw.ServerID]string
 	watch             func(*transport.Engine) *transport.Watcher // nil: the list of servers is fixed
 	vrrp              *config.VRRP                               // nil: off
+	reload            func(*transport.Engine, *transport.Watcher) error
 }
 
 func load(logger *log.Logger) (plan, error) {
@@ -58,7 +60,7 @@
 		return plan{}, err
 	}
 	if ok {
-		return searching(op), nil
+		return searching(op, logger), nil
 	}
 	node, err := config.Load(os.Getenv, os.ReadFile)
 	if err != nil {
@@ -71,10 +73,19 @@
 		fleet:        yw.FleetChanged{Kind: yw.FleetCached, Servers: node.Known}, addresses: node.Addresses,
 		watch: func(e *transport.Engine) *transport.Watcher {
 			return transport.NewWatcher(node.Discovery, node.Generation, node.Settings.Module.AskMembership, e.Fleet, logger)
+		},
+		reload: func(_ *transport.Engine, w *transport.Watcher) error {
+			again, err := config.Reload(os.Getenv, os.ReadFile)
+			if err != nil {
+				return err
+			}
+			w.Move(again.Discovery)
+			logger.Printf("level=info event=reload discovery=%s", again.Discovery)
+			return nil
 		}}, nil
 }
 
-func searching(op config.Operator) plan {
+func searching(op config.Operator, logger *log.Logger) plan {
 	front := opensearch.Front{Indices: op.Indices, TenantHeader: op.TenantHeader, Tenants: map[string]bool{},
 		Longest: map[string]int64{}, Margin: margin}
 	for _, t := range op.Settings.Module.Tenants {
@@ -85,10 +96,19 @@
 	}
 	return plan{name: op.Name, listen: op.Listen, seed: op.Seed, sockets: op.Sockets, memoryMB: op.MemoryMB,
 		settings: op.Settings, budgets: op.Budgets, front: front, dialect: opensearch.Servers{}, partsPerCall: 1,
-		fleet: yw.FleetChanged{Kind: yw.FleetFull, Servers: op.Servers}, addresses: op.Addresses, vrrp: op.VRRP}
+		fleet: yw.FleetChanged{Kind: yw.FleetFull, Servers: op.Servers}, addresses: op.Addresses, vrrp: op.VRRP,
+		reload: func(e *transport.Engine, _ *transport.Watcher) error {
+			again, _, err := config.LoadOperator(os.Getenv, os.ReadFile)
+			if err != nil {
+				return err
+			}
+			e.Fleet(yw.FleetChanged{Kind: yw.FleetFull, Servers: again.Servers}, again.Addresses)
+			logger.Printf("level=info event=reload servers=%d", len(again.Servers))
+			return nil
+		}}
 }
 
-func run(logger *log.Logger, term <-chan os.Signal) error {
+func run(logger *log.Logger, term, hup <-chan os.Signal) error {
 	p, err := load(logger)
 	if err != nil {
 		return fmt.Errorf("configuration: %w", err)
@@ -144,17 +164,43 @@
 	served := make(chan error, 1)
 	go func() { served <- listener.Serve() }()
 	logger.Printf("level=info event=start name=%s listen=%s servers=%d", p.name, socket.Addr(), len(p.fleet.Servers))
-	select {
-	case err := <-served:
-		return fmt.Errorf("accept: %w", err)
-	case <-term:
+	reload := func() { // a file that can't be used changes nothing
+		if err := p.reload(engine, watcher); err != nil {
+			logger.Printf("level=error event=reload kept=old error=%q", err)
+		}
 	}
+	for running := true; running; {
+		select {
+		case err := <-served:
+			return fmt.Errorf("accept: %w", err)
+		case <-hup:
+			reload()
+		case <-term:
+			running = false
+		}
+	}
+	// While it leaves, a further SIGHUP may still move the watch: what it holds has to end well.
+	left := make(chan struct{})
+	reloads := make(chan struct{})
+	go func() {
+		defer close(reloads)
+		for {
+			select {
+			case <-hup:
+				reload()
+			case <-left:
+				return
+			}
+		}
+	}()
 	still := listener.Quiet
 	if virtual != nil {
 		virtual.leave()
 		still = func(since int64) bool { return listener.Quiet(since) && virtual.quiet(since) }
 	}
 	leave(clock, engine, listener, still, logger)
+	close(left)
+	<-reloads
 	if virtual != nil {
 		virtual.close()
 	}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -39,6 +39,18 @@
 	return n, nil
 }
 
+// Reload reads the file once more while the program runs. What it says of discovery prevails then over
+// LB_DISCOVERY, which only names the address at the start: guards against a variable that pins the program to an
+// address that is being given up.
+func Reload(getenv func(string) string, readFile func(string) ([]byte, error)) (Node, error) {
+	return Load(func(name string) string {
+		if name == "LB_DISCOVERY" {
+			return ""
+		}
+		return getenv(name)
+	}, readFile)
+}
+
 func parseNode(text []byte, getenv func(string) string) (Node, error) {
 	r, err := newReader(text)
 	if err != nil {
--- a/internal/loopback/opensearch_test.go
+++ b/internal/loopback/opensearch_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -15,19 +16,25 @@
 
 type openSearchDialect struct{}
 
-func (openSearchDialect) config(t *testing.T, w *world) []string {
+func (d openSearchDialect) config(t *testing.T, w *world) []string {
+	d.rewrite(t, w, nil)
+	return []string{"SAFFRONQUAY_OPERATOR_FILE=" + w.file}
+}
+
+func (openSearchDialect) rewrite(t *testing.T, w *world, gone []string) {
 	var servers, ranges, indices []map[string]any
 	for i, s := range w.servers {
-		servers = append(servers, map[string]any{"id": s.name, "address": s.address, "zone": "a", "cell": s.cell})
+		if !slices.Contains(gone, s.name) {
+			servers = append(servers, map[string]any{"id": s.name, "address": s.address, "zone": "a", "cell": s.cell})
+		}
 		ranges = append(ranges, map[string]any{"from": 100 * i, "to": 100 * (i + 1), "shard": i})
 	}
 	for _, class := range []string{"safe", "once"} {
 		indices = append(indices, map[string]any{"name": class, "class": class, "field": "taxpayer",
 			"part_work_us": 1000, "ranges": ranges})
 	}
-	path := writeJSON(t, map[string]any{"listen": "127.0.0.1:0", "settings": json.RawMessage(settings),
+	writeJSON(t, w, map[string]any{"listen": "127.0.0.1:0", "settings": json.RawMessage(settings),
 		"tenants": []any{map[string]any{"name": "desk", "quota_per_s": 100}}, "indices": indices, "servers": servers})
-	return []string{"SAFFRONQUAY_OPERATOR_FILE=" + path}
 }
 
 func (openSearchDialect) request(class string, shards []int, ms int) []byte {
@@ -125,7 +132,7 @@
 			return
 		}
 		w.count(w.received, shard)
-		status, does := 200, s.does()
+		status, does := 200, s.held()
 		switch does {
 		case "hang":
 			r.ReadByte() // until the gatherer closes it
--- a/internal/loopback/platform_test.go
+++ b/internal/loopback/platform_test.go
@@ -19,16 +19,32 @@
 
 type platformDialect struct{}
 
-func (platformDialect) config(t *testing.T, w *world) []string {
+func (d platformDialect) config(t *testing.T, w *world) []string {
+	address := discovery(t, w, 41, nil)
+	writePlatform(t, w, address)
+	return []string{"LB_CONFIG=" + w.file, "LB_LISTEN=", "LB_DISCOVERY=" + address, "LB_NAME="}
+}
+
+func (platformDialect) rewrite(t *testing.T, w *world, gone []string) {
+	close(w.lists) // the old address ends its watch and takes no more
+	writePlatform(t, w, discovery(t, w, 7, gone))
+}
+
+func writePlatform(t *testing.T, w *world, discovery string) {
+	writeJSON(t, w, map[string]any{"name": "n0", "listen": "127.0.0.1:0", "discovery": discovery,
+		"seed": "8c1f30d27a5be964", "limits": map[string]any{"sockets": 256, "memory_mb": 192},
+		"known":    map[string]any{"generation": 41, "reset": true, "instances": entries(w, nil)},
+		"settings": json.RawMessage(settings)})
+}
+
+func entries(w *world, gone []string) []map[string]any {
 	var list []map[string]any
 	for _, s := range w.servers {
-		list = append(list, entry(s, "SERVING"))
+		if !slices.Contains(gone, s.name) {
+			list = append(list, entry(s, "SERVING"))
+		}
 	}
-	path := writeJSON(t, map[string]any{"name": "n0", "listen": "127.0.0.1:0", "discovery": discovery(t, w),
-		"seed": "8c1f30d27a5be964", "limits": map[string]any{"sockets": 256, "memory_mb": 192},
-		"known":    map[string]any{"generation": 41, "reset": true, "instances": list},
-		"settings": json.RawMessage(settings)})
-	return []string{"LB_CONFIG=" + path, "LB_LISTEN=", "LB_DISCOVERY=", "LB_NAME="}
+	return list
 }
 
 func entry(s *standIn, state string) map[string]any {
@@ -36,47 +52,59 @@
 		"lifecycle": state, "weight": 1.0, "startedAtMs": 0}
 }
 
-// discovery is a stand-in agent: it holds a watch open and tells what the scenario says.
-func discovery(t *testing.T, w *world) string {
+// discovery is a stand-in agent: it gives the whole list, which lacks some servers, holds a watch open and tells
+// what the scenario says.
+func discovery(t *testing.T, w *world, generation int, gone []string) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { l.Close() })
+	lists := make(chan string, 8)
+	w.lists = lists
+	chunk := func(conn net.Conn, whole bool, entries []map[string]any) {
+		line, err := json.Marshal(map[string]any{"generation": generation, "reset": whole, "instances": entries})
+		if err != nil {
+			t.Error(err)
+		}
+		fmt.Fprintf(conn, "%x\r\n%s\n\r\n", len(line)+1, line)
+	}
 	go func() {
-		generation := 41
-		for { // one gatherer, one watch at a time
+		for open := true; open; { // one gatherer, one watch at a time
 			conn, err := l.Accept()
 			if err != nil {
 				return
 			}
-			func() {
+			open = func() bool {
 				defer conn.Close()
-				m, err := readMessage(conn, bufio.NewReader(conn), false)
+				r := bufio.NewReader(conn)
+				m, err := readMessage(conn, r, false)
+				if err == nil && m.Target == "/catalog/members" {
+					fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+					chunk(conn, true, entries(w, gone))
+					fmt.Fprintf(conn, "0\r\n\r\n")
+					m, err = readMessage(conn, r, false)
+				}
 				if err != nil {
-					return
+					return true
 				}
 				if want := fmt.Sprintf("/catalog/members?watch=1&from=%d", generation); m.Target != want {
 					t.Errorf("discovery was asked for %s, want %s", m.Target, want)
 				}
 				fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n")
-				for change := range w.lists {
+				for change := range lists {
 					name, state, _ := strings.Cut(change, " ")
 					if name == "break" {
-						return
+						return true
 					}
 					generation++
 					i := slices.IndexFunc(w.servers, func(s *standIn) bool { return s.name == name })
-					line, err := json.Marshal(map[string]any{"generation": generation, "reset": false,
-						"instances": []any{entry(w.servers[i], state)}})
-					if err != nil {
-						t.Error(err)
-						return
-					}
-					fmt.Fprintf(conn, "%x\r\n%s\n\r\n", len(line)+1, line)
+					chunk(conn, false, []map[string]any{entry(w.servers[i], state)})
 				}
+				return false
 			}()
 		}
+		l.Close()
 	}()
 	return l.Addr().String()
 }
@@ -180,22 +208,33 @@
 			return
 		}
 		w.count(w.received, shard)
-		end, value := "OK", fmt.Sprintf("v%d %q", shard, text)
-		switch does := s.does(); does {
-		case "serve":
-		case "hang":
+		if does := s.does(); does == "hang" {
 			mu.Lock()
 			out[f[0]] = shard
 			mu.Unlock()
 			continue
-		case "reset":
+		} else if does == "reset" {
 			return
-		case "reject":
-			end, value = "REJECTED", ""
-		default: // every way of saying that it went wrong
-			end, value = "ERROR", ""
 		}
-		answer := fmt.Sprintf("Y%s %s 7 queue=0,util=0.1\n%s", f[0], end, value)
-		conn.Write(append(binary.BigEndian.AppendUint32(nil, uint32(len(answer))), answer...))
+		go func() {
+			conn.Write(workerAnswer(s.held(), f[0], fmt.Sprintf("v%d %q", shard, text)))
+		}()
 	}
 }
+
+// workerAnswer is what a worker that behaves so sends for a part.
+func workerAnswer(does, id, value string) []byte {
+	end := "OK"
+	switch does {
+	case "serve":
+	case "reject":
+		end, value = "REJECTED", ""
+	default: // every way of saying that it went wrong
+		end, value = "ERROR", ""
+	}
+	return frame(fmt.Sprintf("Y%s %s 7 queue=0,util=0.1\n%s", id, end, value))
+}
+
+func frame(body string) []byte {
+	return append(binary.BigEndian.AppendUint32(nil, uint32(len(body))), body...)
+}
--- a/internal/loopback/scenario_test.go
+++ b/internal/loopback/scenario_test.go
@@ -2,7 +2,8 @@
 // a text of one step a line; the same text runs in each dialect and has to come out the same.
 //
 //	only DIALECT                      the scenario is not for the other one
-//	server NAME|* BEHAVIOUR           how a stand-in server treats calls from here on
+//	server NAME|* BEHAVIOUR           how a stand-in server treats calls from here on; hold keeps the answers
+//	                                  back until the next one
 //	fleet NAME STATE                  discovery tells of a server
 //	fleet break                       discovery ends its watch without a word
 //	send Q CLASS SHARDS [MS]          a client sends a query; shards in any order. The same Q again, once it
@@ -11,6 +12,8 @@
 //	raw Q NAME                        a client sends one of the malformed requests
 //	close Q                           the client goes away
 //	stop                              SIGTERM to the program
+//	reload bad | reload NAME...       SIGHUP, with a file that can't be used or one by which these servers are gone;
+//	                                  discovery is then at another address, where versions begin anew
 //	wait shard S received|dropped N   until servers have seen so much
 //	wait told N                       until the program has heard of discovery's version N
 //	expect Q OUTCOME                  the one final answer of a query
@@ -63,6 +66,8 @@
 type dialect interface {
 	// config writes the program's configuration and returns the environment that names it.
 	config(t *testing.T, w *world) []string
+	// rewrite writes the file anew, with a list that lacks some servers.
+	rewrite(t *testing.T, w *world, gone []string)
 	request(class string, shards []int, ms int) []byte
 	// outcome reads an answer: "answered 0,2", "refused later", "refused", "failed" or "malformed STATUS".
 	outcome(m *http1.Message) string
@@ -79,6 +84,7 @@
 	exited  chan error
 	clients map[string]*client
 	lists   chan string // changes that discovery has to tell
+	file    string      // the program's configuration
 
 	mu       sync.Mutex
 	changed  *sync.Cond
@@ -108,6 +114,7 @@
 	l         net.Listener
 	address   string
 	behaviour string
+	changed   chan struct{} // closed when the behaviour changes
 }
 
 func (s *standIn) does() string {
@@ -116,10 +123,25 @@
 	return s.behaviour
 }
 
+// held waits until the server is told to do something else than hold its answer back.
+func (s *standIn) held() string {
+	for {
+		s.mu.Lock()
+		does, changed := s.behaviour, s.changed
+		s.mu.Unlock()
+		if does != "hold" {
+			return does
+		}
+		<-changed
+	}
+}
+
 func (s *standIn) set(w *world, behaviour string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.behaviour = behaviour
+	close(s.changed)
+	s.changed = make(chan struct{})
 	if behaviour == "down" {
 		s.l.Close()
 	}
@@ -130,7 +152,7 @@
 	if err != nil {
 		w.t.Fatal(err)
 	}
-	s.l, s.address, s.behaviour = l, l.Addr().String(), "serve"
+	s.l, s.address, s.behaviour, s.changed = l, l.Addr().String(), "serve", make(chan struct{})
 	w.t.Cleanup(func() { l.Close() })
 	go func() {
 		for {
@@ -146,7 +168,17 @@
 	}()
 }
 
-const leaving = -1 // stands among the versions for word that the program has heard SIGTERM
+// These stand among the versions for word that the program has heard a signal.
+const (
+	leaving  = -1
+	reloaded = -2
+	keptOld  = -3
+)
+
+const (
+	badFile   = `{"listen":"127.0.0.1:1","discovery":"127.0.0.1:1","indices":[],"servers":[],"settings":7}`
+	faultyKey = "settings: want object"
+)
 
 var told = regexp.MustCompile(`event=fleet generation=(\d+)`)
 
@@ -193,6 +225,11 @@
 			if strings.Contains(lines.Text(), "event=leaving") {
 				w.count(w.told, leaving)
 			}
+			if strings.Contains(lines.Text(), "event=reload kept=old") && strings.Contains(lines.Text(), faultyKey) {
+				w.count(w.told, keptOld)
+			} else if strings.Contains(lines.Text(), "event=reload") {
+				w.count(w.told, reloaded)
+			}
 			if m := told.FindStringSubmatch(lines.Text()); m != nil {
 				n, _ := strconv.Atoi(m[1])
 				w.count(w.told, n)
@@ -368,6 +405,25 @@
 		if !w.await(w.told, leaving, 1) {
 			return fmt.Errorf("the program did not hear it")
 		}
+	case "reload":
+		heard, gone := reloaded, f[1:]
+		if f[1] == "bad" {
+			heard = keptOld
+			if err := os.WriteFile(w.file, []byte(badFile), 0o600); err != nil {
+				return err
+			}
+		} else {
+			w.d.rewrite(w.t, w, gone)
+		}
+		w.mu.Lock()
+		before := w.told[heard]
+		w.mu.Unlock()
+		if err := w.cmd.Process.Signal(syscall.SIGHUP); err != nil {
+			return err
+		}
+		if !w.await(w.told, heard, before+1) {
+			return fmt.Errorf("the program did not hear it")
+		}
 	case "wait":
 		if f[1] == "told" {
 			f = []string{"wait", "shard", f[2], "told", "1"}
@@ -450,14 +506,15 @@
  "rules":{"cold_share":0.2,"fall_multiple":2.5,"fall_us":1500000,"grace_to_answer_us":20000,
   "stop_sending_within_us":250000,"warm_within_us":14000000,"ask_within_us":10000000}}`
 
-func writeJSON(t *testing.T, v any) string {
+func writeJSON(t *testing.T, w *world, v any) {
 	b, err := json.Marshal(v)
 	if err != nil {
 		t.Fatal(err)
 	}
-	path := filepath.Join(t.TempDir(), "config.json")
-	if err := os.WriteFile(path, b, 0o600); err != nil {
+	if w.file == "" {
+		w.file = filepath.Join(t.TempDir(), "config.json")
+	}
+	if err := os.WriteFile(w.file, b, 0o600); err != nil {
 		t.Fatal(err)
 	}
-	return path
 }
--- a/internal/loopback/vrrp_test.go
+++ b/internal/loopback/vrrp_test.go
@@ -24,7 +24,9 @@
 		t.Fatal(err)
 	}
 	file["vrrp"] = router
-	return []string{"SAFFRONQUAY_OPERATOR_FILE=" + writeJSON(t, file)}
+	w := &world{}
+	writeJSON(t, w, file)
+	return []string{"SAFFRONQUAY_OPERATOR_FILE=" + w.file}
 }
 
 func freePort(t *testing.T) int {
