--- a/api.go
+++ b/api.go
@@ -133,6 +133,7 @@
 	Broken
 	Cancelled
 	NotSent
+	Stranded // its connection was given up for another reason: that says nothing of the server
 )
 
 // Event is something that an aggregator has seen: one of the types below.
--- a/cmd/saffronquay/main.go
+++ b/cmd/saffronquay/main.go
@@ -120,7 +120,7 @@
 		return fmt.Errorf("configuration: settings: %w", err)
 	}
 	// Clients must never take the descriptors that servers and discovery need.
-	serverConns := min(128, p.sockets/4)
+	serverConns := min(192, p.sockets/3)
 	clientConns := p.sockets - serverConns - ownSockets
 	clock := transport.NewClock()
 	core := broker.New(broker.Terms{Period: set.Module.Period, Shards: set.Module.Shards, MaxOpen: set.MaxOpen,
@@ -139,14 +139,11 @@
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	bounds := transport.ListenerConfig{MaxConns: clientConns, Idle: 2 * time.Minute,
-		Slow: 10 * time.Second}
+	bounds := transport.ListenerConfig{MaxConns: clientConns, Idle: 15 * time.Second,
+		First: 2500 * time.Millisecond, Slow: 2500 * time.Millisecond, MaxHeld: int64(p.memoryMB) << 20 / 8}
 	if p.vrrp != nil {
 		bounds.MaxConns /= 2 // the virtual address has a listener of its own
 	}
-	for _, c := range set.Module.Classes { // an open query must never look like an idle connection
-		bounds.Idle = max(bounds.Idle, 2*time.Duration(c.HardLimit)*time.Microsecond)
-	}
 	listener := transport.NewListener(socket, bounds, engine, p.front, logger)
 	go engine.Run()
 	if watcher != nil {
--- a/evidence_test.go
+++ b/evidence_test.go
@@ -183,3 +183,58 @@
 		})
 	}
 }
+
+// Guards the many that wait: where one client in ten goes away soon, the others are served as before.
+func TestAFewWhoLeaveTurnNobodyAway(t *testing.T) {
+	sc := newScript(t, oneCell())
+	sc.step(0, fleetOf(map[ServerID]string{"a1": "a"}))
+	for i := range ID(40) {
+		s := of[Send](sc.step(50*ms, sc.ask(100+10*i, 10*ms)...))
+		if len(s) != 1 {
+			t.Fatalf("query %d: %d sends", i, len(s))
+		}
+		if i%10 == 9 {
+			sc.step(10*ms, ClientLeft{Query: 100 + 10*i})
+			sc.step(0, AttemptEnded{Part: s[0].Part, Server: "a1", Outcome: Cancelled, Latency: 10 * ms})
+		} else {
+			sc.step(10*ms, served(s[0], 0, 10*ms))
+		}
+	}
+	if w := sc.s.patienceOf(&sc.s.cfg.Classes[0]); w < 800*ms {
+		t.Errorf("clients are thought to wait %v ms of 1000", w/ms)
+	}
+}
+
+// Attempts stranded with their connection say nothing of the server; they may have run all the same.
+func TestStrandedAttemptsAreNotTheServers(t *testing.T) {
+	cfg := oneCell()
+	cfg.Classes[0].Effect = AtMostOnce
+	sc := newScript(t, cfg)
+	sc.step(0, fleetOf(map[ServerID]string{"a1": "a"}))
+	for id := ID(100); id < 140; id += 2 {
+		s := of[Send](sc.step(ms, sc.ask(id, 10*ms)...))[0]
+		got := sc.step(500*ms, AttemptEnded{Part: s.Part, Server: s.Server, Outcome: Stranded, Latency: 500 * ms})
+		if len(of[Fail](got)) != 1 || len(of[Send](got)) != 0 {
+			t.Fatalf("want one failure, got %v", got)
+		}
+	}
+	if p := sc.s.risk(0, sc.s.servers["a1"]); p > 0.01 {
+		t.Errorf("risk %v", p)
+	}
+}
+
+// A new process in a server's place is judged by what it does itself.
+func TestAReplacedProcessStartsClean(t *testing.T) {
+	sc := newScript(t, oneCell())
+	list := FleetChanged{Kind: FleetFull, Servers: []Server{{ID: "a1", Health: Ready}}}
+	sc.step(0, list)
+	s := of[Send](sc.step(ms, sc.ask(100, 10*ms)...))[0]
+	sc.step(400*ms, AttemptEnded{Part: s.Part, Server: s.Server, Outcome: Served, Latency: 400 * ms,
+		Report: &LoadReport{Queue: 9, InFlight: -1}})
+	list.Servers[0].StartedAt = sc.now
+	sc.step(ms, list)
+	r := sc.s.servers["a1"]
+	if r.pace != 0 || r.foreign != 0 || r.usedAt != 0 || sc.s.warmth(r) > 0.5 {
+		t.Errorf("pace %v, foreign %v, used %d, warmth %v", r.pace, r.foreign, r.usedAt, sc.s.warmth(r))
+	}
+}
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -41,6 +41,7 @@
 // Ask is a query as a front hands it in.
 type Ask struct {
 	Label              string // what servers are told as the query's name
+	Unique             bool   // no other open query may bear the label
 	Class, Tenant, Key string
 	Deadline           int64
 	Parts              []AskPart
@@ -161,6 +162,7 @@
 	classes  map[string]*yw.Class
 	lastID   int64 // ids stay below 2^52, which one gatherer can't use up
 	queries  map[yw.ID]*query
+	labels   map[string]bool // of the open queries whose label must be theirs alone
 	parts    map[yw.ID]*part
 	attempts map[AttemptID]*attempt
 	open     int // queries and parts held
@@ -176,7 +178,7 @@
 // New makes a core round a module.
 func New(terms Terms, module Module) *Core {
 	c := &Core{terms: terms, module: module, classes: map[string]*yw.Class{}, queries: map[yw.ID]*query{},
-		parts: map[yw.ID]*part{}, attempts: map[AttemptID]*attempt{}, calls: map[yw.ServerID]int{},
+		labels: map[string]bool{}, parts: map[yw.ID]*part{}, attempts: map[AttemptID]*attempt{}, calls: map[yw.ServerID]int{},
 		budgets: map[string]*ration{}}
 	for i := range terms.Classes {
 		c.classes[terms.Classes[i].Name] = &terms.Classes[i]
@@ -198,6 +200,14 @@
 // ErrMalformed marks an Ask that no module could decide on.
 var ErrMalformed = errors.New("malformed query")
 
+// ErrTaken marks an Ask whose label an open query bears.
+var ErrTaken = errors.New("an open query has this id")
+
+const (
+	weightSlack = 0.01           // by which rounded weights may miss 1
+	mostWork    = 86_400_000_000 // microseconds of one part: a day
+)
+
 func (c *Core) check(a Ask) error {
 	if c.classes[a.Class] == nil {
 		return fmt.Errorf("%w: unknown class %q", ErrMalformed, a.Class)
@@ -205,17 +215,27 @@
 	if len(a.Parts) == 0 {
 		return fmt.Errorf("%w: it has no parts", ErrMalformed)
 	}
-	seen := map[int]bool{}
+	seen, sum := map[int]bool{}, 0.0
 	for _, p := range a.Parts {
 		switch {
 		case p.Shard < 0 || p.Shard >= c.terms.Shards:
 			return fmt.Errorf("%w: there is no shard %d", ErrMalformed, p.Shard)
 		case seen[p.Shard]:
 			return fmt.Errorf("%w: shard %d is named twice", ErrMalformed, p.Shard)
-		case !(p.Weight >= 0) || math.IsInf(p.Weight, 0) || p.Work < 0:
-			return fmt.Errorf("%w: shard %d has a weight or work below nought", ErrMalformed, p.Shard)
+		case !(p.Weight >= 0 && p.Weight <= 1):
+			return fmt.Errorf("%w: shard %d has a weight out of range", ErrMalformed, p.Shard)
+		case p.Work < 0 || p.Work > mostWork:
+			return fmt.Errorf("%w: shard %d has work out of range", ErrMalformed, p.Shard)
 		}
 		seen[p.Shard] = true
+		sum += p.Weight
+	}
+	if math.Abs(sum-1) > weightSlack {
+		return fmt.Errorf("%w: its weights add up to %g", ErrMalformed, sum)
+	}
+	// Guards the first query: what servers answer for one would otherwise count for the other.
+	if a.Unique && c.labels[a.Label] {
+		return fmt.Errorf("%w: %q", ErrTaken, a.Label)
 	}
 	return nil
 }
@@ -245,6 +265,9 @@
 			Work: ap.Work, Key: ap.Key})
 	}
 	c.queries[q.id] = q
+	if a.Unique {
+		c.labels[a.Label] = true
+	}
 	c.open += 1 + len(q.parts)
 	if r := c.budgets[a.Tenant]; r != nil {
 		r.take(now, len(q.parts))
@@ -498,6 +521,9 @@
 func (c *Core) close(q *query) {
 	q.over = true
 	delete(c.queries, q.id)
+	if q.ask.Unique {
+		delete(c.labels, q.ask.Label)
+	}
 	c.open -= 1 + len(q.parts)
 	for _, p := range q.parts {
 		if p.out == 0 {
--- a/internal/broker/broker_test.go
+++ b/internal/broker/broker_test.go
@@ -246,9 +246,37 @@
 	c := New(terms(), &script{})
 	negative := ask("free", 0)
 	negative.Parts[0].Weight = -1
-	for _, a := range []Ask{ask("free"), ask("free", 4), ask("free", -1), ask("free", 1, 1), ask("other", 1), negative} {
+	heavy, light, long := ask("free", 0), ask("free", 0, 1), ask("free", 1)
+	heavy.Parts[0].Weight, light.Parts[0].Weight, long.Parts[0].Work = 1.5, 0.3, 1<<60
+	for _, a := range []Ask{ask("free"), ask("free", 4), ask("free", -1), ask("free", 1, 1), ask("other", 1), negative,
+		heavy, light, long} {
 		if _, f, err := c.Open(0, a); f != nil || !errors.Is(err, ErrMalformed) {
 			t.Errorf("%+v: %v, %v", a, f, err)
 		}
 	}
 }
+
+// An id that is open is not taken again, and the first query goes on; once that has ended it may come again.
+func TestIDIsOpen(t *testing.T) {
+	m := &script{}
+	c := New(terms(), m)
+	a := ask("free", 1)
+	a.Unique = true
+	first, _, err := c.Open(0, a)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, f, err := c.Open(1, a); f != nil || !errors.Is(err, ErrTaken) || c.Held() != 1 {
+		t.Errorf("%v, %v, %d held", f, err, c.Held())
+	}
+	if finals := act[Final](c, m, 20, yw.Refuse{Query: first}); len(finals) != 1 || finals[0].Verdict != Refused {
+		t.Errorf("the first ended as %v", finals)
+	}
+	if _, f, err := c.Open(30, a); f != nil || err != nil {
+		t.Errorf("again: %v, %v", f, err)
+	}
+	c.Left(5)
+	if len(c.labels) != 0 && c.Held() == 0 {
+		t.Errorf("%d ids are kept", len(c.labels))
+	}
+}
--- a/internal/broker/dialect.go
+++ b/internal/broker/dialect.go
@@ -1,6 +1,13 @@
 package broker
 
-import yw "yarrowwalk"
+import (
+	"errors"
+
+	yw "yarrowwalk"
+)
+
+// ErrLast says that the answer which came with it was the last on its connection; nothing was wrong with it.
+var ErrLast = errors.New("the server ends the connection")
 
 // Dialect is how servers are spoken to. It knows no socket.
 type Dialect interface {
@@ -17,8 +24,11 @@
 	// Drop appends what tells the server that an attempt is given up; keep is false where only closing the
 	// connection can say so.
 	Drop(dst []byte, id AttemptID) (out []byte, keep bool)
-	// Feed takes in bytes from the server. After an error the connection is of no use.
+	// Feed takes in bytes from the server, which it does not keep. What was good is returned beside an error;
+	// after that the connection is of no use, and what is still out on it may have run.
 	Feed(b []byte) ([]Reply, error)
+	// Partial tells that bytes of an unfinished answer are held.
+	Partial() bool
 	// Closed says that the server has ended the connection, and returns what that completes.
 	Closed() []Reply
 }
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -65,6 +65,7 @@
 	Headed func(*Message)
 
 	buf      []byte
+	scanned  int // bytes of buf known to hold no end of a header block
 	state    state
 	left     int // bytes to come of the body or chunk
 	msg      *Message
@@ -75,6 +76,14 @@
 // Idle tells that no byte of a further message has come.
 func (p *Parser) Idle() bool { return p.state == inHead && len(p.buf) == 0 }
 
+// Held is how many bytes of unfinished messages are kept.
+func (p *Parser) Held() int {
+	if p.msg != nil {
+		return len(p.buf) + len(p.msg.Body)
+	}
+	return len(p.buf)
+}
+
 // Feed takes in bytes. The messages they complete come from Next.
 func (p *Parser) Feed(b []byte) { p.buf = append(p.buf, b...) }
 
@@ -160,6 +169,9 @@
 func (p *Parser) done() *Message {
 	m := p.msg
 	p.msg, p.state = nil, inHead
+	if len(p.buf) == 0 {
+		p.buf = nil // connections that only wait keep no buffer
+	}
 	return m
 }
 
@@ -237,9 +249,14 @@
 
 func (p *Parser) head() (*Message, bool, error) {
 	for len(p.buf) > 0 && (p.buf[0] == '\r' || p.buf[0] == '\n') { // stray line ends between messages
-		p.buf = p.buf[1:]
+		p.buf, p.scanned = p.buf[1:], 0
 	}
-	end := headEnd(p.buf)
+	// Only what came since is looked at: guards against a block that comes byte by byte.
+	end := headEnd(p.buf[p.scanned:])
+	if end >= 0 {
+		end += p.scanned
+	}
+	p.scanned = max(0, len(p.buf)-3)
 	if end < 0 && len(p.buf) > MaxHead || end > MaxHead {
 		return nil, false, bad(431, "header block over %d bytes", MaxHead)
 	}
@@ -247,7 +264,15 @@
 		return nil, false, nil
 	}
 	block := p.buf[:end]
-	p.buf = p.buf[end:]
+	p.buf, p.scanned = p.buf[end:], 0
+	for _, b := range block { // such bytes are read in more than one way
+		if b < ' ' && b != '\t' && b != '\r' && b != '\n' || b == 0x7f {
+			return nil, false, bad(400, "control character in the header block")
+		}
+	}
+	if bytes.Contains(bytes.ReplaceAll(block, []byte("\r\n"), nil), []byte("\r")) {
+		return nil, false, bad(400, "bare carriage return in the header block")
+	}
 	r := textproto.NewReader(bufio.NewReader(bytes.NewReader(block)))
 	first, err := r.ReadLine()
 	if err != nil {
@@ -333,7 +358,7 @@
 }
 
 var reasons = map[int]string{100: "Continue", 200: "OK", 400: "Bad Request", 403: "Forbidden", 404: "Not Found",
-	405: "Method Not Allowed", 408: "Request Timeout", 413: "Content Too Large", 429: "Too Many Requests",
+	405: "Method Not Allowed", 408: "Request Timeout", 409: "Conflict", 413: "Content Too Large", 429: "Too Many Requests",
 	431: "Request Header Fields Too Large", 500: "Internal Server Error", 501: "Not Implemented",
 	502: "Bad Gateway", 503: "Service Unavailable", 504: "Gateway Timeout",
 	505: "HTTP Version Not Supported"}
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -133,3 +133,16 @@
 		}
 	})
 }
+
+// A connection that only waits keeps no bytes, however much has passed.
+func TestKeepsNothing(t *testing.T) {
+	var p Parser
+	p.Feed([]byte("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\na"))
+	if m, err := p.Next(); m != nil || err != nil || p.Held() != 1 {
+		t.Errorf("%v, %v, %d held", m, err, p.Held())
+	}
+	p.Feed([]byte("bc"))
+	if m, err := p.Next(); m == nil || err != nil || p.buf != nil || p.Held() != 0 {
+		t.Errorf("%v, %v, %d held of %d", m, err, p.Held(), cap(p.buf))
+	}
+}
--- a/internal/loopback/opensearch_test.go
+++ b/internal/loopback/opensearch_test.go
@@ -145,7 +145,32 @@
 		case "reject":
 			status = 429
 		}
-		text := strings.Replace(bodies[does], "%d", strconv.Itoa(shard), 1)
-		fmt.Fprintf(conn, "HTTP/1.1 %d X\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", status, len(text), text)
+		text := bodies[does]
+		if text == "" {
+			text = bodies["serve"]
+		}
+		text = strings.Replace(text, "%d", strconv.Itoa(shard), 1)
+		good := fmt.Sprintf("HTTP/1.1 %d X\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", status, len(text), text)
+		switch does {
+		case "twice":
+			good += good
+		case "noise-behind":
+			good += "HT"
+		case "noise":
+			good = "what now?\r\n\r\n"
+		case "endless":
+			good = "HTTP/1.1 200 OK\r\nX: " + strings.Repeat("9", 1<<16)
+		case "huge":
+			good = "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n" + text
+		case "stops":
+			good = good[:len(good)-3]
+		}
+		fmt.Fprint(conn, good)
+		for does == "huge" { // keeps coming until the gatherer cuts it off
+			if _, err := conn.Write(make([]byte, 1<<16)); err != nil {
+				w.count(w.dropped, shard)
+				return
+			}
+		}
 	}
 }
--- a/internal/loopback/platform_test.go
+++ b/internal/loopback/platform_test.go
@@ -217,7 +217,14 @@
 			return
 		}
 		go func() {
-			conn.Write(workerAnswer(s.held(), f[0], fmt.Sprintf("v%d %q", shard, text)))
+			does := s.held()
+			conn.Write(workerAnswer(does, f[0], fmt.Sprintf("v%d %q", shard, text)))
+			for does == "huge" { // keeps coming until the gatherer cuts it off
+				if _, err := conn.Write(make([]byte, 1<<16)); err != nil {
+					w.count(w.dropped, shard)
+					return
+				}
+			}
 		}()
 	}
 }
@@ -225,10 +232,28 @@
 // workerAnswer is what a worker that behaves so sends for a part.
 func workerAnswer(does, id, value string) []byte {
 	end := "OK"
+	good := frame(fmt.Sprintf("Y%s OK 7 queue=0,util=0.1\n%s", id, value))
 	switch does {
 	case "serve":
+		return good
 	case "reject":
 		end, value = "REJECTED", ""
+	case "bad-report":
+		return frame(fmt.Sprintf("Y%s OK 7 queue=NaN;; util\n%s", id, value))
+	case "twice":
+		return append(good, good...)
+	case "noise-behind":
+		return append(good, "\x00\x00\x01"...)
+	case "noise":
+		return []byte("\x00\x00\x00\x09what now?")
+	case "endless":
+		return append([]byte("\x00\x00\xff\xffY"), strings.Repeat("9", 4000)...)
+	case "huge":
+		return append([]byte("\xb2\xd0\x5e\x00Y"+id+" OK 7 -\n"), value...)
+	case "stops":
+		return good[:len(good)-3]
+	case "stranger":
+		return frame("Y9b1f.0 OK 7 -\n" + value)
 	default: // every way of saying that it went wrong
 		end, value = "ERROR", ""
 	}
--- a/internal/loopback/scenario_test.go
+++ b/internal/loopback/scenario_test.go
@@ -10,6 +10,8 @@
 //	                                  has its answer, is sent on the same connection
 //	idle N                            so many clients connect and send nothing
 //	raw Q NAME                        a client sends one of the malformed requests
+//	conceal Q SHARD                   a request that can be read in two ways, with a whole one in its body
+//	flood Q SHARD N                   so many requests at once on one connection
 //	close Q                           the client goes away
 //	stop                              SIGTERM to the program
 //	reload bad | reload NAME...       SIGHUP, with a file that can't be used or one by which these servers are gone;
@@ -334,6 +336,11 @@
 	"both-lengths": "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
 	"big-body":     "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 70000\r\n\r\n",
 	"big-head":     "GET / HTTP/1.1\r\nHost: x\r\nX: " + strings.Repeat("y", 20000) + "\r\n\r\n",
+	"half":         "POST / HTTP/1.1\r\nHost: x\r\nContent-",
+	"negative":     "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: -1\r\n\r\n",
+	"huge":         "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 99999999999999999999\r\n\r\n",
+	"sent-anyway":  "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 600000\r\n\r\n" + strings.Repeat("y", 600000),
+	"control":      "GET / HTTP/1.1\r\nHost: x\r\nX: a\rContent-Length: 4\r\n\r\n",
 	"bad-chunk":    "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
 }
 
@@ -390,6 +397,16 @@
 		for range num(1) {
 			w.dial()
 		}
+	case "conceal": // a whole request in the body of one whose length can be read in two ways
+		inner := w.d.request("once", []int{num(2)}, 3000)
+		w.send(f[1], fmt.Appendf(nil, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n%s",
+			5+len(inner), inner))
+	case "flood": // many requests on one connection, without waiting for answers
+		var all []byte
+		for range num(3) {
+			all = append(all, w.d.request("once", []int{num(2)}, 3000)...)
+		}
+		w.send(f[1], all)
 	case "raw":
 		if malformed[f[2]] == "" {
 			return fmt.Errorf("unknown request")
--- a/internal/opensearch/front.go
+++ b/internal/opensearch/front.go
@@ -150,7 +150,7 @@
 	if us := s.timeout.Microseconds(); s.timeout > 0 && us < wait {
 		wait = us
 	}
-	a.Deadline = now + wait - f.Margin
+	a.Deadline = now + wait - min(f.Margin, wait/4)
 	held := intersect(s.want, ix.domain())
 	a.Key = fmt.Sprint(name, held)
 	shards := ix.shards(held)
--- a/internal/opensearch/servers.go
+++ b/internal/opensearch/servers.go
@@ -50,8 +50,6 @@
 // Drop has no words in this dialect: only closing the connection gives a search up.
 func (s *session) Drop(dst []byte, id broker.AttemptID) ([]byte, bool) { return dst, s.out != id }
 
-var errLast = errors.New("the server ends the connection")
-
 // Feed takes in bytes from the server and returns what they end.
 func (s *session) Feed(b []byte) ([]broker.Reply, error) {
 	s.parser.Feed(b)
@@ -70,8 +68,11 @@
 			return nil, errors.New("an answer that nothing asked for")
 		}
 		r := s.take(m)
-		if m.Close {
-			return r, errLast
+		switch {
+		case m.Close:
+			return r, broker.ErrLast
+		case !s.parser.Idle():
+			return r, errors.New("bytes behind an answer")
 		}
 		return r, nil
 	}
@@ -84,6 +85,9 @@
 	return []broker.Reply{r}
 }
 
+// Partial tells that bytes of an unfinished answer are held.
+func (s *session) Partial() bool { return !s.parser.Idle() }
+
 // Closed says that the server has ended the connection, which may be what ends its answer.
 func (s *session) Closed() []broker.Reply {
 	if m, err := s.parser.Ended(); err == nil && m != nil && s.out != 0 {
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -16,10 +16,13 @@
 
 // Front speaks the platform's protocol towards clients.
 type Front struct {
-	// Margin is taken off each client's time: it counts from the client's send, which is before the arrival.
+	// Margin is taken off each client's time, or a quarter of that where it is less: it counts from the client's
+	// send, which is before the arrival.
 	Margin int64
 }
 
+const maxID = 128
+
 func plain(status int, text string) *http1.Response {
 	return &http1.Response{Status: status, Type: "text/plain; charset=utf-8", Body: []byte(text + "\n")}
 }
@@ -56,16 +59,18 @@
 }
 
 func (f Front) ask(m *http1.Message, key string, now int64) (broker.Ask, error) {
-	a := broker.Ask{Label: m.Header.Get("Request-Id"), Class: m.Header.Get("Request-Class"),
+	a := broker.Ask{Label: m.Header.Get("Request-Id"), Unique: true, Class: m.Header.Get("Request-Class"),
 		Tenant: m.Header.Get("Tenant"), Key: key}
-	if a.Label == "" || strings.ContainsAny(a.Label, " .\n") {
-		return a, fmt.Errorf("Request-Id: missing, or with a space or dot")
+	// Workers read the id up to a dot or space, so it has to be a plain word.
+	if a.Label == "" || len(a.Label) > maxID || strings.ContainsFunc(a.Label, func(r rune) bool { return r <= ' ' || r > '~' || r == '.' }) {
+		return a, fmt.Errorf("Request-Id: missing, too long, or not a plain word")
 	}
-	ms, err := strconv.ParseInt(m.Header.Get("Request-Timeout-Ms"), 10, 64)
-	if err != nil || ms < 0 || ms > math.MaxInt32 {
-		return a, fmt.Errorf("Request-Timeout-Ms: want whole milliseconds, not %q", m.Header.Get("Request-Timeout-Ms"))
+	wait := m.Header.Get("Request-Timeout-Ms")
+	ms, err := strconv.ParseUint(wait, 10, 31)
+	if err != nil || ms == 0 {
+		return a, fmt.Errorf("Request-Timeout-Ms: want whole milliseconds above nought, not %.40q", wait)
 	}
-	a.Deadline = now + ms*1000 - f.Margin
+	a.Deadline = now + int64(ms)*1000 - min(f.Margin, int64(ms)*250)
 	v, err := fastjson.ParseBytes(m.Body)
 	if err != nil {
 		return a, fmt.Errorf("body: %w", err)
@@ -89,7 +94,8 @@
 		if err != nil {
 			return a, fmt.Errorf("segments[%d].segment: %w", i, err)
 		}
-		part := broker.AskPart{Shard: shard, Weight: p.GetFloat64("boost"), Work: int64(p.GetFloat64("work"))}
+		part := broker.AskPart{Shard: shard, Weight: p.GetFloat64("boost"),
+			Work: int64(max(-1, min(p.GetFloat64("work"), math.MaxInt32*1e6)))} // the core judges the range
 		part.Key = string(p.GetStringBytes("affinity"))
 		a.Parts = append(a.Parts, part)
 	}
--- a/internal/platform/frames.go
+++ b/internal/platform/frames.go
@@ -4,15 +4,22 @@
 	"bytes"
 	"encoding/binary"
 	"fmt"
+	"math"
 	"strconv"
 	"strings"
+	"unicode/utf8"
 
 	yw "yarrowwalk"
 	"yarrowwalk/internal/broker"
+	"yarrowwalk/internal/http1"
 )
 
-// maxFrame bounds what one frame of a worker's may hold.
-const maxFrame = 1 << 20
+// The bounds of what a worker sends. A value has to fit into an answer to a client.
+const (
+	maxAnswerLine = 1 << 10
+	maxFrame      = 1 + maxAnswerLine + http1.MaxBody
+	mostDropped   = 256 // names remembered of attempts that were given up, on one connection
+)
 
 // Workers is the platform's dialect towards workers: many calls at a time on one connection.
 type Workers struct{ PerConn int }
@@ -22,14 +29,16 @@
 
 // Session begins a connection to a worker.
 func (Workers) Session(string) broker.Session {
-	return &session{names: map[broker.AttemptID]string{}, out: map[string]broker.AttemptID{}}
+	return &session{names: map[broker.AttemptID]string{}, out: map[string]broker.AttemptID{}, dropped: map[string]int{}}
 }
 
 // session holds the names under which attempts are out on one connection.
 type session struct {
-	buf   []byte
-	names map[broker.AttemptID]string
-	out   map[string]broker.AttemptID
+	buf     []byte
+	names   map[broker.AttemptID]string
+	out     map[string]broker.AttemptID
+	dropped map[string]int // given up, and may still be answered; the oldest are forgotten
+	order   []string       // of dropped
 }
 
 // Call writes a frame for a call that leaves at now.
@@ -59,9 +68,31 @@
 		return dst, true
 	}
 	s.forget(id)
+	if len(s.order) == mostDropped {
+		s.late(s.order[0])
+	}
+	s.dropped[name]++
+	s.order = append(s.order, name)
 	return appendFrame(dst, append([]byte{'A'}, name...)), true
 }
 
+// late forgets one dropped attempt of a name; ok is false where there was none.
+func (s *session) late(name string) (ok bool) {
+	if s.dropped[name] == 0 {
+		return false
+	}
+	if s.dropped[name]--; s.dropped[name] == 0 {
+		delete(s.dropped, name)
+	}
+	for i, o := range s.order {
+		if o == name {
+			s.order = append(s.order[:i:i], s.order[i+1:]...)
+			break
+		}
+	}
+	return true
+}
+
 func (s *session) forget(id broker.AttemptID) {
 	if name := s.names[id]; s.out[name] == id {
 		delete(s.out, name)
@@ -71,34 +102,67 @@
 
 var ends = map[string]yw.Outcome{"OK": yw.Served, "ERROR": yw.Errored, "REJECTED": yw.Rejected}
 
-// Feed takes in bytes from the worker and returns what they end.
+// Partial tells that bytes of an unfinished answer are held.
+func (s *session) Partial() bool { return len(s.buf) > 0 }
+
+// Feed takes in bytes from the worker and returns what they end. Each bound is judged as soon as the bytes
+// that tell it are in: guards against buffering what a spoilt answer declares or never ends. What was good
+// before the spoilt bytes is returned with the error.
 func (s *session) Feed(b []byte) ([]broker.Reply, error) {
 	s.buf = append(s.buf, b...)
 	var replies []broker.Reply
 	for len(s.buf) >= 4 {
-		n := int(binary.BigEndian.Uint32(s.buf))
+		n := int64(binary.BigEndian.Uint32(s.buf))
 		if n < 1 || n > maxFrame {
 			return replies, fmt.Errorf("frame of %d bytes", n)
 		}
-		if len(s.buf) < 4+n {
+		if len(s.buf) == 4 {
 			break
 		}
-		letter, rest := s.buf[4], s.buf[5:4+n]
-		s.buf = s.buf[4+n:]
-		switch letter {
+		body := s.buf[4:min(int64(len(s.buf)), 4+n)]
+		switch body[0] {
 		case 'Y':
-			r, known, err := s.reply(rest)
-			if err != nil {
-				return replies, err
-			}
-			if known {
-				replies = append(replies, r)
-			}
 		case 'N':
-			return replies, fmt.Errorf("the worker could not use a frame: %q", rest)
+			return replies, fmt.Errorf("the worker could not use a frame: %q", body[1:min(len(body), 100)])
 		default:
-			return replies, fmt.Errorf("unknown frame %q", letter)
+			return replies, fmt.Errorf("unknown frame %q", body[0])
+		}
+		whole := int64(len(body)) == n
+		line, value, ended := bytes.Cut(body[1:], []byte{'\n'})
+		if len(line) > maxAnswerLine || whole && !ended {
+			return replies, fmt.Errorf("answer line of %d bytes without an end", len(line))
 		}
+		if !ended {
+			break
+		}
+		r, known, err := s.head(line)
+		if err == nil && whole && r.Outcome == yw.Served && !utf8.Valid(value) {
+			err = fmt.Errorf("a value that no answer can carry") // it would be another one once it is in JSON
+		}
+		if err != nil {
+			if known {
+				s.forget(r.Attempt)
+				replies = append(replies, broker.Reply{Attempt: r.Attempt, Outcome: yw.Errored})
+			}
+			return replies, err
+		}
+		if !whole {
+			break
+		}
+		if known {
+			s.forget(r.Attempt)
+			r.Value = bytes.Clone(value)
+			replies = append(replies, r)
+		} else {
+			name, _, _ := strings.Cut(string(line), " ")
+			s.late(name)
+		}
+		s.buf = s.buf[4+n:]
+	}
+	if len(s.buf) == 0 {
+		s.buf = nil // an idle connection keeps no buffer
+	} else if len(s.out) == 0 && len(s.dropped) == 0 {
+		return replies, fmt.Errorf("%d bytes that nothing asked for", len(s.buf))
 	}
 	return replies, nil
 }
@@ -106,24 +170,27 @@
 // Closed says that the worker has ended the connection.
 func (s *session) Closed() []broker.Reply { return nil }
 
-func (s *session) reply(b []byte) (r broker.Reply, known bool, err error) {
-	line, value, ok := bytes.Cut(b, []byte{'\n'})
-	f := strings.Split(string(line), " ")
-	if !ok || len(f) != 4 {
-		return r, false, fmt.Errorf("answer line %q", line)
+// head reads an answer's line. An answer for a name that was never sent here, or that has been answered, is
+// spoilt; a late one for an attempt that was given up is not.
+func (s *session) head(line []byte) (r broker.Reply, known bool, err error) {
+	f := strings.SplitN(string(line), " ", 4) // a report that can't be read may hold anything
+	r.Attempt, known = s.out[f[0]]
+	if !known && s.dropped[f[0]] == 0 {
+		return r, false, fmt.Errorf("an answer for %.40q, which is not out", f[0])
 	}
-	if r.Outcome, ok = ends[f[1]]; !ok {
-		return r, false, fmt.Errorf("answer with unknown end %q", f[1])
+	if len(f) != 4 {
+		return r, known, fmt.Errorf("answer line %.100q", line)
 	}
-	if r.Attempt, known = s.out[f[0]]; !known {
-		return r, false, nil // given up before: a late answer is dropped
+	var ok bool
+	if r.Outcome, ok = ends[f[1]]; !ok {
+		return r, known, fmt.Errorf("answer with unknown end %.40q", f[1])
 	}
-	s.forget(r.Attempt)
-	r.Value, r.Report = bytes.Clone(value), report(f[3])
-	return r, true, nil
+	r.Report = report(f[3])
+	return r, known, nil
 }
 
-// report reads a load report; figures that are not known are skipped.
+// report reads a load report; figures that are not known are skipped. One that can't be read as a whole says
+// nothing: guards against figures such as NaN, which would stay in every mean that they enter.
 func report(text string) *yw.LoadReport {
 	if text == "-" || text == "" {
 		return nil
@@ -131,10 +198,17 @@
 	l := &yw.LoadReport{Queue: -1, InFlight: -1, Throughput: -1, Utilization: -1}
 	fields := map[string]*float64{"queue": &l.Queue, "inflight": &l.InFlight, "qps": &l.Throughput, "util": &l.Utilization}
 	for _, pair := range strings.Split(text, ",") {
-		key, figure, _ := strings.Cut(pair, "=")
-		if v, err := strconv.ParseFloat(figure, 64); err == nil && fields[key] != nil {
+		key, figure, ok := strings.Cut(pair, "=")
+		v, err := strconv.ParseFloat(figure, 64)
+		if !ok || err != nil || math.IsNaN(v) || v < 0 || v > mostReported {
+			return nil
+		}
+		if fields[key] != nil {
 			*fields[key] = v
 		}
 	}
 	return l
 }
+
+// mostReported is more than any figure of a report can be.
+const mostReported = 1e9
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -38,10 +38,11 @@
 	}
 }
 
-// read feeds pieces to a session with attempts 3 and 4 out and writes down what they end.
+// read feeds pieces to a session with attempts 3 and 4 out, and 5 given up, and writes down what they end.
 func read(pieces ...string) string {
 	s := Workers{PerConn: 32}.Session("")
-	s.Call(nil, call(3, 4), 0)
+	s.Call(nil, call(3, 4, 5), 0)
+	s.Drop(nil, 5)
 	var out strings.Builder
 	for _, p := range pieces {
 		replies, err := s.Feed([]byte(p))
@@ -62,10 +63,20 @@
 var answers = []struct{ name, text, want string }{
 	{"in any order", frame("Y9b1f.4 OK 1 inflight=7,util=0.61,odd=1\nva\nl") + frame("Y9b1f.3 REJECTED 0 -\n"),
 		"4:0:va\nl:{-1 7 -1 0.61} 3:2:: "},
-	{"a late answer is dropped", frame("Y9b1f.3 OK 1 -\nv") + frame("Y9b1f.3 OK 1 -\nw") + frame("Y9b1f.9 OK 1 -\nw") +
-		frame("Y9b1f.4 ERROR 1 queue=2\n"), "3:0:v: 4:1::{2 -1 -1 -1} "},
+	{"a late answer is dropped", frame("Y9b1f.5 OK 1 -\nv") + frame("Y9b1f.3 OK 1 -\nw") +
+		frame("Y9b1f.4 ERROR 1 queue=2\n"), "3:0:w: 4:1::{2 -1 -1 -1} "},
+	{"the late one comes but once", frame("Y9b1f.5 OK 1 -\nv") + frame("Y9b1f.5 OK 1 -\nv"), "error"},
+	{"a second copy", frame("Y9b1f.3 OK 1 -\nv") + frame("Y9b1f.3 OK 1 -\nv"), "3:0:v: error"},
+	{"noise behind", frame("Y9b1f.3 OK 1 -\nv") + frame("Y9b1f.4 OK 1 -\nw") + frame("Y9b1f.5 OK 1 -\n") + "\x00", "3:0:v: 4:0:w: error"},
+	{"never sent here", frame("Y9b1f.9 OK 1 -\nw"), "error"},
+	{"reports that can't be read", frame("Y9b1f.3 OK 1 queue=NaN,util=0.5\nv") + frame("Y9b1f.4 OK 1 ;; util 7 = -1\nw"), "3:0:v: 4:0:w: "},
+	{"reports out of range", frame("Y9b1f.3 OK 1 queue=-3\nv") + frame("Y9b1f.4 OK 1 queue=1e300\nw"), "3:0:v: 4:0:w: "},
+	{"a line without an end", "\x00\x00\xff\x00Y" + strings.Repeat("9", 2000), "error"},
+	{"3 GB", "\xb2\xd0\x5e\x00Y9b1f.3 OK 1 -\nv", "error"},
+	{"no text", frame("Y9b1f.3 OK 1 -\n\xff\xfe"), "3:1:: error"},
 	{"unusable", frame("Nwhat was that"), "error"},
-	{"unknown end", frame("Y9b1f.3 MAYBE 1 -\n"), "error"},
+	{"unknown end", frame("Y9b1f.3 MAYBE 1 -\n"), "3:1:: error"},
+	{"too few words", frame("Y9b1f.4 OK\nv"), "4:1:: error"},
 	{"no line", frame("Y9b1f.3 OK 1 -"), "error"},
 	{"empty frame", "\x00\x00\x00\x00", "error"},
 	{"frame too long", "\x7f\x00\x00\x00", "error"},
@@ -117,7 +128,7 @@
 	if resp != nil {
 		t.Fatalf("%s", resp.Body)
 	}
-	want := broker.Ask{Label: "9b1f", Class: "c", Tenant: "acme", Key: "k1", Deadline: 480_990, Text: []byte(`a"b`),
+	want := broker.Ask{Label: "9b1f", Unique: true, Class: "c", Tenant: "acme", Key: "k1", Deadline: 480_990, Text: []byte(`a"b`),
 		Parts: []broker.AskPart{{Shard: 3, Weight: 0.5, Work: 9000, Key: "00ff"}, {Shard: 9, Weight: 0.5}}}
 	if fmt.Sprint(ask) != fmt.Sprint(want) {
 		t.Errorf("got %v, want %v", ask, want)
@@ -141,7 +152,13 @@
 	const body = `{"segments":[{"segment":3,"boost":0.5}],"text":"t"}`
 	for _, c := range []struct{ headers, body, names string }{
 		{strings.Replace(headers, "9b1f", "a.b", 1), body, "Request-Id"},
+		{strings.Replace(headers, "9b1f", "", 1), body, "Request-Id"},
+		{strings.Replace(headers, "9b1f", strings.Repeat("9", 200), 1), body, "Request-Id"},
 		{strings.Replace(headers, "480", "soon", 1), body, "Request-Timeout-Ms"},
+		{strings.Replace(headers, "480", "0", 1), body, "Request-Timeout-Ms"},
+		{strings.Replace(headers, "480", "-5", 1), body, "Request-Timeout-Ms"},
+		{strings.Replace(headers, "480", "1e3", 1), body, "Request-Timeout-Ms"},
+		{headers, `{"segments":[{"segment":1.5,"boost":1}],"text":"t"}`, "segments[0].segment"},
 		{headers, `{"segments":[{"boost":1}],"text":"t"}`, "segments[0].segment"},
 		{headers, `{"text":"t"}`, "segments"},
 		{headers, `{"segments":[],"text":7}`, "text"},
@@ -154,6 +171,18 @@
 	}
 }
 
+// A dropped attempt's name is remembered until its late answer, or until many others were dropped after it.
+func TestDroppedNamesAreBounded(t *testing.T) {
+	s := Workers{PerConn: 32}.Session("").(*session)
+	for id := broker.AttemptID(1); id <= 3*mostDropped; id++ {
+		s.Call(nil, call(id), 0)
+		s.Drop(nil, id)
+	}
+	if len(s.dropped) != mostDropped || len(s.order) != mostDropped || len(s.names)+len(s.out) > 0 {
+		t.Errorf("%d dropped, %d in order, %d names, %d out", len(s.dropped), len(s.order), len(s.names), len(s.out))
+	}
+}
+
 func TestList(t *testing.T) {
 	l, err := ParseList([]byte(`{"generation":43,"reset":true,"instances":[{"instanceId":"s-5","hostPort":"10.1.0.18:8080",` +
 		`"zone":"a","cell":3,"lifecycle":"DRAINING","weight":1.0,"startedAtMs":7}]}`))
--- a/internal/transport/engine.go
+++ b/internal/transport/engine.go
@@ -43,7 +43,7 @@
 
 const (
 	inboxSize  = 1024
-	sweepEvery = 500_000 // microseconds
+	sweepEvery = 50_000 // microseconds
 )
 
 // NewEngine makes an engine; Run starts it.
@@ -51,14 +51,16 @@
 	e := &Engine{clock: clock, core: core, inbox: make(chan func(int64), inboxSize), stop: make(chan struct{}),
 		stopped: make(chan struct{}), waiting: map[yw.ID]func(broker.Final){}, log: logger}
 	e.pool = newPool(cfg, d, e.post)
-	e.pool.ended = core.Ended
+	e.pool.ended, e.pool.over = core.Ended, e.stopped
 	return e
 }
 
-func (e *Engine) post(f func(now int64)) {
+func (e *Engine) post(f func(now int64)) bool {
 	select {
 	case e.inbox <- f:
+		return true
 	case <-e.stopped:
+		return false
 	}
 }
 
@@ -169,8 +171,9 @@
 // Fleet brings news of the list of servers.
 func (e *Engine) Fleet(f yw.FleetChanged, addresses map[yw.ServerID]string) {
 	e.post(func(now int64) {
-		e.core.Fleet(f)
+		// What ends at a process that is gone comes first: it says nothing of the one in its place.
 		e.pool.fleet(now, f, addresses)
+		e.core.Fleet(f)
 	})
 }
 
--- a/internal/transport/listener.go
+++ b/internal/transport/listener.go
@@ -24,10 +24,26 @@
 // ListenerConfig bounds a listener.
 type ListenerConfig struct {
 	MaxConns int
-	// Idle bounds the wait for a further request, Slow the time that one may take to come in.
-	Idle, Slow time.Duration
+	// Idle bounds the wait for a further request. First bounds the time from connecting until the first request
+	// is whole, Slow the time that a later one may take to come in.
+	Idle, First, Slow time.Duration
+	// MaxHeld bounds the bytes of unfinished requests, over all connections.
+	MaxHeld int64
 }
 
+const (
+	clientChunk = 4 << 10
+	pipeline    = 4 // requests that may wait behind the one in work
+	// faultGrace is how long what came in before unreadable bytes may still take, linger how long is read on
+	// after their answer, and lingerBytes how much: closing over unread bytes resets the connection, which may
+	// destroy an answer on its way.
+	faultGrace  = 1500 * time.Millisecond
+	linger      = time.Second
+	lingerBytes = 1 << 20
+	idleEnough  = 2 * time.Second        // then a connection may be closed where room is wanted
+	silentLong  = 300 * time.Millisecond // clients that mean to ask do so at once
+)
+
 // Listener accepts clients' connections and answers their requests.
 type Listener struct {
 	cfg     ListenerConfig
@@ -37,7 +53,8 @@
 	net     net.Listener
 	leaving atomic.Bool
 	last    atomic.Int64 // when a query last came in
-	busy    atomic.Int64 // requests being read, decided or answered
+	busy    atomic.Int64 // connections with a request being read, decided or answered
+	held    atomic.Int64 // bytes of unfinished requests
 	freed   chan struct{}
 	wg      sync.WaitGroup
 
@@ -69,6 +86,9 @@
 			continue
 		}
 		wait = 5 * time.Millisecond
+		if l.crowded() {
+			l.evict()
+		}
 		for !l.add(conn) {
 			l.evict()
 			l.pause(50 * time.Millisecond)
@@ -86,6 +106,13 @@
 	}
 }
 
+// crowded tells that room is wanted: before the table is full, or each new client would wait for it.
+func (l *Listener) crowded() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.conns) >= l.cfg.MaxConns*3/4
+}
+
 func (l *Listener) add(conn net.Conn) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -96,12 +123,11 @@
 	if len(l.conns) >= l.cfg.MaxConns {
 		return false
 	}
-	c := &clientConn{l: l, net: conn, idleAt: time.Now(), requests: make(chan *http1.Message, 4),
-		gone: make(chan struct{}), bad: make(chan struct{})}
+	c := &clientConn{l: l, net: conn, accepted: time.Now(), since: time.Now(), gone: make(chan struct{}),
+		bad: make(chan struct{}), told: make(chan struct{})}
 	l.conns[c] = true
-	l.wg.Add(2)
+	l.wg.Add(1)
 	go c.read()
-	go c.answer()
 	return true
 }
 
@@ -115,21 +141,39 @@
 	}
 }
 
-// evict closes the client connection that has been idle for longest: a full table must not keep new clients
-// out while old ones only hold their connections.
+// evict closes the client connection that is missed least, so that neither old connections nor bad clients
+// keep new ones out: first one that has had its error, then one that has never said anything, then one that has
+// been idle for longest, and for long enough.
 func (l *Listener) evict() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var oldest *clientConn
+	now := time.Now()
+	var pick *clientConn
 	for c := range l.conns {
-		if !c.idleAt.IsZero() && (oldest == nil || c.idleAt.Before(oldest.idleAt)) {
-			oldest = c
+		if n := c.spare(now); n > 0 && (pick == nil || n > pick.spare(now) || n == pick.spare(now) && c.since.Before(pick.since)) {
+			pick = c
 		}
 	}
-	if oldest != nil {
-		oldest.idleAt = time.Time{}
-		oldest.net.Close()
+	if pick != nil {
+		pick.evicted = true
+		pick.net.Close()
+	}
+}
+
+// spare is how little a connection is missed; 0 where it must stay.
+func (c *clientConn) spare(now time.Time) int {
+	age := now.Sub(c.since)
+	switch {
+	case c.evicted || c.answering || len(c.queue) > 0:
+		return 0
+	case c.fault != nil:
+		return 3
+	case !c.spoke && age > silentLong:
+		return 2
+	case c.spoke && !c.partial && age > idleEnough:
+		return 1
 	}
+	return 0
 }
 
 // Leave makes the listener not ready; it goes on accepting and answering.
@@ -142,7 +186,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for c := range l.conns {
-		if !c.idleAt.IsZero() {
+		if !c.partial && !c.answering {
 			c.net.Close()
 		}
 	}
@@ -163,153 +207,268 @@
 	l.wg.Wait()
 }
 
-// clientConn is one client's connection: one goroutine reads, and so sees the client leave, the other
-// answers, one request at a time.
+// clientConn is one client's connection. One goroutine reads, and so sees the client leave; while requests
+// wait another answers them, one at a time and in order.
 type clientConn struct {
 	l        *Listener
 	net      net.Conn
-	requests chan *http1.Message
+	accepted time.Time
 	gone     chan struct{} // closed when the client has left
-	bad      chan struct{} // closed when it has sent what can't be read; it may still wait for answers
-	fault    *http1.Error  // set before bad is closed
-	idleAt   time.Time     // since when it is idle; zero while it is not. Under l.mu
+	bad      chan struct{} // closed when it has sent what can't be read
+	told     chan struct{} // closed when that has been answered, or can't be any more
+
+	// Under l.mu:
+	queue     []*http1.Message
+	fault     *http1.Error // what it sent that can't be read; nothing after it is passed on
+	faultAt   time.Time
+	answering bool
+	partial   bool // a request has begun to come in
+	spoke     bool // a whole request has come in
+	evicted   bool
+	ended     bool // the reader has ended
+	busy      bool
+	since     time.Time // when it last became idle
 }
 
-func (c *clientConn) setIdle(idle bool) {
+// change alters the state under the listener's lock and keeps the count of busy connections.
+func (c *clientConn) change(f func()) {
 	c.l.mu.Lock()
 	defer c.l.mu.Unlock()
-	c.idleAt = time.Time{}
-	if idle {
-		c.idleAt = time.Now()
+	f()
+	busy := c.answering || c.partial && !c.ended
+	if busy == c.busy {
+		return
+	}
+	c.busy = busy
+	if busy {
+		c.l.busy.Add(1)
+	} else {
+		c.l.busy.Add(-1)
+		c.since = time.Now()
+	}
+	if !busy && c.fault == nil {
+		c.net.SetReadDeadline(c.since.Add(c.l.cfg.Idle))
 	}
 }
 
 func (c *clientConn) read() {
 	defer c.l.wg.Done()
-	defer close(c.gone)
+	var held int64
+	defer func() {
+		c.l.held.Add(-held)
+		close(c.gone)
+		over := false
+		c.change(func() { c.ended, over = true, !c.answering })
+		if over {
+			c.close()
+		}
+	}()
 	var p http1.Parser
 	p.Headed = func(m *http1.Message) {
 		// Nothing else is being written then: clients that wait for this have no request before it open.
-		if m.Header.Get("Expect") == "100-continue" && len(c.requests) == 0 {
+		if m.Header.Get("Expect") == "100-continue" && !c.isAnswering() {
 			c.net.SetWriteDeadline(time.Now().Add(writeTimeout))
 			c.net.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")) // a failure shows at the next read
 		}
 	}
-	buf := make([]byte, readChunk)
-	partial := false
+	buf := make([]byte, clientChunk)
+	c.net.SetReadDeadline(c.accepted.Add(c.l.cfg.First))
 	for {
-		if p.Idle() {
-			c.net.SetReadDeadline(time.Now().Add(c.l.cfg.Idle))
-		}
 		n, err := c.net.Read(buf)
 		if n > 0 {
-			if !partial {
-				partial = true
-				c.l.busy.Add(1)
-				c.setIdle(false)
-				c.net.SetReadDeadline(time.Now().Add(c.l.cfg.Slow))
-			}
 			p.Feed(buf[:n])
-			for {
-				m, perr := p.Next()
-				if perr != nil {
-					c.l.busy.Add(-1)
-					c.refuse(perr)
-					return
-				}
-				if m == nil {
-					break
-				}
-				c.l.busy.Add(1)
-				// Never waits: guards against a client that fills the queue and leaves, whose going would not
-				// be seen while this goroutine waited for room.
-				select {
-				case c.requests <- m:
-				default:
-					c.l.busy.Add(-2)
-					c.refuse(&http1.Error{Status: 400, Text: "too many requests ahead of their answers"})
-					return
-				}
+			batch, perr := whole(&p)
+			now := int64(p.Held())
+			if c.l.held.Add(now-held) > c.l.cfg.MaxHeld && perr == nil && now > 0 {
+				// What was not read to its end has not run: trying again is harmless.
+				perr = &http1.Error{Status: 503, Text: "too much is coming in at once"}
 			}
-			if p.Idle() {
-				partial = false
-				c.l.busy.Add(-1)
+			held = now
+			if c.take(batch, perr, !p.Idle()) {
+				c.pass()
+				return
 			}
 		}
 		if err != nil {
-			if partial {
-				c.l.busy.Add(-1)
-			}
 			var timeout net.Error
-			if partial && errors.As(err, &timeout) && timeout.Timeout() {
-				c.refuse(&http1.Error{Status: 408, Text: "the request took too long to come in"})
+			if !p.Idle() && errors.As(err, &timeout) && timeout.Timeout() {
+				c.take(nil, &http1.Error{Status: 408, Text: "the request took too long to come in"}, false)
+				c.pass()
 			}
 			return
 		}
 	}
 }
 
-// refuse marks what can't be read and passes over the rest, so that the client's going is still seen.
-func (c *clientConn) refuse(err error) {
-	c.fault = &http1.Error{Status: 400, Text: err.Error()}
-	errors.As(err, &c.fault)
-	close(c.bad)
-	c.net.SetReadDeadline(time.Now().Add(c.l.cfg.Idle))
-	io.Copy(io.Discard, c.net) // ends with the connection, whichever side ends it
+// whole returns the messages that are complete.
+func whole(p *http1.Parser) (batch []*http1.Message, err error) {
+	for {
+		m, err := p.Next()
+		if m == nil || err != nil {
+			return batch, err
+		}
+		batch = append(batch, m)
+	}
+}
+
+// take hands requests over to be answered, and what can't be read behind them. It never waits: guards against a
+// client that fills the queue and leaves, whose going would not be seen while its reader waited for room.
+func (c *clientConn) take(batch []*http1.Message, fault error, partial bool) (bad bool) {
+	c.change(func() {
+		if c.fault != nil { // its last answer has left
+			bad = true
+			return
+		}
+		if fault == nil && len(c.queue)+len(batch) > pipeline {
+			fault, batch = &http1.Error{Status: 400, Text: "too many requests ahead of their answers"}, nil
+		}
+		now := time.Now()
+		if partial && (!c.partial || len(batch) > 0) && c.spoke {
+			c.net.SetReadDeadline(now.Add(c.l.cfg.Slow))
+		}
+		c.partial = partial
+		c.queue = append(c.queue, batch...)
+		c.spoke = c.spoke || len(batch) > 0
+		if fault != nil {
+			c.fault, c.faultAt, c.partial = &http1.Error{Status: 400, Text: fault.Error()}, now, false
+			errors.As(fault, &c.fault)
+			close(c.bad)
+		}
+		if !c.answering && (len(c.queue) > 0 || fault != nil) {
+			c.answering = true
+			c.l.wg.Add(1)
+			go c.answer()
+		}
+		if c.answering && !partial && fault == nil {
+			c.net.SetReadDeadline(time.Time{}) // an open query is no idle connection
+		}
+		bad = fault != nil
+	})
+	return bad
+}
+
+// pass reads on past what can't be read, within bounds, so that the client's going is seen and the error
+// reaches it.
+func (c *clientConn) pass() {
+	c.net.SetReadDeadline(time.Now().Add(faultGrace + linger))
+	if n, err := io.CopyN(io.Discard, c.net, lingerBytes); err == nil && n == lingerBytes {
+		<-c.told
+	}
+}
+
+func (c *clientConn) isAnswering() bool {
+	c.l.mu.Lock()
+	defer c.l.mu.Unlock()
+	return c.answering
+}
+
+// next is the request to answer next, or the fault to end with; neither where the connection is idle again.
+func (c *clientConn) next() (m *http1.Message, fault *http1.Error) {
+	c.change(func() {
+		switch {
+		case len(c.queue) > 0 && (c.fault == nil || time.Since(c.faultAt) < faultGrace):
+			m, c.queue = c.queue[0], c.queue[1:]
+		case c.fault != nil:
+			fault, c.queue = c.fault, nil
+		default:
+			c.queue, c.answering = nil, false
+		}
+	})
+	return m, fault
 }
 
 func (c *clientConn) answer() {
 	defer c.l.wg.Done()
-	defer c.l.remove(c)
-	defer func() {
-		c.net.Close()
-		<-c.gone
-		// What the reader had queued and is not answered any more has to be taken off the count, or the
-		// listener would never be quiet.
-		c.l.busy.Add(-int64(len(c.requests)))
-	}()
 	for {
-		var m *http1.Message
-		select {
-		case m = <-c.requests:
-		case <-c.gone:
+		m, fault := c.next()
+		switch {
+		case fault != nil:
+			c.write(c.l.front.Fault(fault.Status, fault.Text), true)
+			c.finish(true)
+			return
+		case m == nil:
+			c.endIfOver()
 			return
-		case <-c.bad:
-			select {
-			case m = <-c.requests: // came in before what can't be read
-			default:
-				c.write(c.l.front.Fault(c.fault.Status, c.fault.Text), true)
-				return
-			}
 		}
-		last, ok := c.serve(m)
-		c.setIdle(ok && !last)
-		c.l.busy.Add(-1)
-		if last || !ok {
+		if last, ok := c.serve(m); last || !ok {
+			c.finish(ok)
 			return
 		}
 	}
 }
 
+// finish ends the connection after its last answer: at once where nobody reads it, else once the client has
+// ended it too or the time to linger is over.
+func (c *clientConn) finish(reads bool) {
+	over := false
+	c.change(func() {
+		c.queue = nil
+		c.answering, over = false, c.ended
+		if c.fault == nil {
+			c.fault = &http1.Error{}
+		}
+	})
+	close(c.told)
+	half, ok := c.net.(interface{ CloseWrite() error })
+	switch {
+	case over || !reads || !ok || half.CloseWrite() != nil:
+		c.close()
+	default:
+		c.net.SetReadDeadline(time.Now().Add(linger))
+	}
+}
+
+// endIfOver closes the connection where its reader has ended meanwhile.
+func (c *clientConn) endIfOver() {
+	c.l.mu.Lock()
+	over := c.ended && !c.answering
+	c.l.mu.Unlock()
+	if over {
+		c.close()
+	}
+}
+
+// close may be called more than once.
+func (c *clientConn) close() {
+	c.net.Close()
+	c.l.remove(c)
+}
+
 // serve answers one request; ok is false where the client is gone.
 func (c *clientConn) serve(m *http1.Message) (last, ok bool) {
 	now := c.l.engine.clock.Now()
+	bad := c.bad
+	var late <-chan time.Time
 	ask, word, resp := c.l.front.Open(m, now, !c.l.leaving.Load())
 	if resp == nil {
 		c.l.last.Store(now)
 		t := c.l.engine.Open(ask)
-		select {
-		case f := <-t.Final:
-			r := word(f, c.l.engine.clock.Now())
-			resp = &r
-		case err := <-t.Err:
-			r := c.l.front.Fault(400, err.Error())
-			resp = &r
-		case <-c.gone:
-			c.l.engine.Left(t)
-			return true, false
-		case <-c.l.engine.stopped:
-			return true, false
+		for resp == nil {
+			select {
+			case f := <-t.Final:
+				r := word(f, c.l.engine.clock.Now())
+				resp = &r
+			case err := <-t.Err:
+				status := 400
+				if errors.Is(err, broker.ErrTaken) {
+					status = 409
+				}
+				r := c.l.front.Fault(status, err.Error())
+				resp = &r
+			case <-bad:
+				bad = nil
+				timer := time.NewTimer(faultGrace)
+				defer timer.Stop()
+				late = timer.C
+			case <-late: // the client broke the rules while it waited, and is owed an answer to that
+				c.l.engine.Left(t)
+				return false, true
+			case <-c.gone:
+				c.l.engine.Left(t)
+				return true, false
+			case <-c.l.engine.stopped:
+				return true, false
+			}
 		}
 	}
 	last = m.Close || c.l.leaving.Load()
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"errors"
 	"net"
 	"sync/atomic"
 	"time"
@@ -21,16 +22,21 @@
 	readChunk    = 16 << 10
 )
 
+var errStalled = errors.New("an answer that stands still")
+
 // pool is the set of connections to servers. The engine's goroutine owns it; connections report to that
 // goroutine through post and touch nothing of the pool themselves.
 type pool struct {
 	cfg     PoolConfig
 	dialect broker.Dialect
-	post    func(func(now int64))
+	post    func(func(now int64)) bool // false: nobody runs it any more
 	ended   func(now int64, id broker.AttemptID, o yw.Outcome, value []byte, report *yw.LoadReport)
 	servers map[yw.ServerID]*server
 	out     map[broker.AttemptID]*serverConn
+	over    <-chan struct{} // closed when nothing that is posted runs any more
 	conns   int
+	spoilt  int64   // when a server last sent spoilt bytes; 0: never
+	typical float64 // slow moving average of how long a call takes to be served, in microseconds
 }
 
 type server struct {
@@ -38,7 +44,8 @@
 	address string
 	conns   []*serverConn
 	started int64
-	closed  bool // draining or gone: nothing new
+	closed  bool  // draining or gone: nothing new
+	lately  int64 // when the latest call left that it is known to have answered
 }
 
 type serverConn struct {
@@ -56,10 +63,12 @@
 	usedAt   int64
 	heardAt  int64
 	openedAt int64
+	upAt     int64
 	sentAt   map[broker.AttemptID]int64
+	stalled  int64 // when the last bytes of an unfinished answer came; 0: there is none
 }
 
-func newPool(cfg PoolConfig, d broker.Dialect, post func(func(int64))) *pool {
+func newPool(cfg PoolConfig, d broker.Dialect, post func(func(int64)) bool) *pool {
 	return &pool{cfg: cfg, dialect: d, post: post, servers: map[yw.ServerID]*server{},
 		out: map[broker.AttemptID]*serverConn{}}
 }
@@ -151,15 +160,75 @@
 	}
 }
 
+const (
+	// wary is how long after spoilt bytes calls travel alone, in microseconds: a connection takes what else is
+	// out on it along when it has to be closed, and parts that must not run twice are then lost.
+	wary      = 10_000_000
+	mostAlone = 8 // connections to one server meanwhile
+	// stall is how long an unfinished answer may stand still, in microseconds: it is written in one go.
+	stall = 250_000
+)
+
+// hush is how long a connection with calls out may say nothing before further calls take another one, and lull
+// how long before it is held to be silent, in microseconds. Both go by what calls usually take: days differ in
+// scale, and servers stand still for a while.
+func (p *pool) hush() int64 { return p.times(8, 30_000) }
+
+func (p *pool) lull() int64 { return p.times(40, 200_000) }
+
+func (p *pool) times(n float64, least int64) int64 {
+	if p.typical == 0 {
+		return silence
+	}
+	return min(max(int64(n*p.typical), least), silence)
+}
+
+// waits is since when a connection owes an answer and has said nothing; 0 where it owes none.
+func (c *serverConn) waits() int64 {
+	oldest := int64(0)
+	for _, at := range c.sentAt {
+		if oldest == 0 || at < oldest {
+			oldest = at
+		}
+	}
+	if oldest == 0 || !c.up {
+		return 0
+	}
+	return max(oldest, c.heardAt, c.upAt)
+}
+
+// strand ends a connection that has fallen silent while its server goes on answering: on another connection it
+// has answered a call that left well after this one fell silent. Guards against links that are cut without a
+// word, on which calls would wait until their time is up. What was out there may have run, and says nothing of
+// the server. Where one connection carries one call, a long call looks the same, so nothing is concluded.
+func (p *pool) strand(now int64, c *serverConn) {
+	since := c.waits()
+	if p.dialect.Streams() < 2 || since == 0 || now-since < p.lull() || c.server.lately < since+p.hush() {
+		return
+	}
+	for _, id := range sortedKeys(c.calls) {
+		p.end(now, c, broker.Reply{Attempt: id, Outcome: yw.Stranded})
+	}
+	p.fail(now, c, false)
+}
+
 // call sends a call over the fullest connection with room, over one that is coming up, or over a new one.
+// While servers send spoilt bytes it takes an idle connection or a new one first, as far as there is room.
 func (p *pool) call(now int64, call broker.Call) {
 	s := p.servers[call.Server]
 	if s == nil || s.address == "" || s.closed {
 		p.refuse(now, call)
 		return
 	}
+	alone := p.spoilt > 0 && now-p.spoilt < wary && len(s.conns) < mostAlone && p.conns < p.cfg.MaxConns*3/4
 	var best *serverConn
 	for _, c := range s.conns {
+		if alone && len(c.calls) > 0 || c.stalled > 0 && len(c.calls) == 0 {
+			continue
+		}
+		if since := c.waits(); since > 0 && now-since > p.hush() && len(s.conns) < mostAlone {
+			continue // it may have fallen silent
+		}
 		if c.dead || c.retired || len(c.calls)+len(call.Attempts) > max(p.dialect.Streams(), len(call.Attempts)) {
 			continue
 		}
@@ -300,7 +369,7 @@
 		return
 	}
 	// heardAt stays unset: that a connection came up is no sign that its far end still lives.
-	c.net, c.up, c.usedAt = conn, true, now
+	c.net, c.up, c.usedAt, c.upAt = conn, true, now, now
 	go p.serve(c, conn)
 	waiting := c.backlog
 	c.backlog = nil
@@ -338,11 +407,19 @@
 		}
 	}()
 	buf := make([]byte, readChunk)
+	taken := make(chan struct{}, 1)
 	for {
 		n, err := conn.Read(buf) // the pool closes it when idle or silent for too long, so this ends
 		if n > 0 {
-			b := append([]byte(nil), buf[:n]...)
-			p.post(func(now int64) { p.heard(now, c, b) })
+			// Nothing more is read until this is taken in: guards against a server that sends without end, whose
+			// bytes would pile up in the engine's inbox.
+			if !p.post(func(now int64) { p.heard(now, c, buf[:n]); taken <- struct{}{} }) {
+				break
+			}
+			select {
+			case <-taken:
+			case <-p.over:
+			}
 		}
 		if err != nil {
 			break
@@ -372,16 +449,43 @@
 		p.end(now, c, r)
 	}
 	if err != nil {
-		p.fail(now, c, false)
+		p.spoil(now, c, err)
 		return
 	}
+	c.stalled = 0
+	if c.session.Partial() {
+		c.stalled = now
+	}
 	p.closeIfEmpty(now, c)
 }
 
+// spoil ends a connection whose bytes are of no use. The attempt that has been out for longest is taken to be
+// the one whose answer was spoilt; the others are given up with the connection. Either may have run. They are
+// not reported as broken: that is how queries look that bring down what serves them.
+func (p *pool) spoil(now int64, c *serverConn, err error) {
+	if len(c.calls) > 0 || !errors.Is(err, broker.ErrLast) {
+		p.spoilt = now
+	}
+	o := yw.Errored
+	for _, id := range sortedKeys(c.calls) {
+		p.end(now, c, broker.Reply{Attempt: id, Outcome: o})
+		o = yw.Stranded
+	}
+	p.fail(now, c, false)
+}
+
 func (p *pool) end(now int64, c *serverConn, r broker.Reply) {
 	if _, out := c.calls[r.Attempt]; !out {
 		return
 	}
+	if sent := c.sentAt[r.Attempt]; r.Outcome == yw.Served {
+		c.server.lately = max(c.server.lately, sent)
+		if took := float64(now - sent); p.typical == 0 {
+			p.typical = took
+		} else {
+			p.typical += (took - p.typical) / 32
+		}
+	}
 	delete(c.calls, r.Attempt)
 	delete(c.sentAt, r.Attempt)
 	delete(p.out, r.Attempt)
@@ -420,11 +524,17 @@
 	}
 }
 
-// sweep closes idle connections before the server's machine does.
+// sweep closes idle connections before the server's machine does, those on which an answer stands still, and
+// those that have fallen silent.
 func (p *pool) sweep(now int64) {
 	for _, s := range p.servers {
 		for _, c := range append([]*serverConn(nil), s.conns...) {
-			if c.up && len(c.calls) == 0 && now-c.usedAt > p.cfg.IdleClose*2/3 {
+			switch {
+			case c.stalled > 0 && now-c.stalled > stall:
+				p.spoil(now, c, errStalled)
+			case len(c.calls) > 0:
+				p.strand(now, c)
+			case c.up && len(c.calls) == 0 && now-c.usedAt > p.cfg.IdleClose*2/3:
 				p.fail(now, c, false)
 			}
 		}
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -27,7 +27,7 @@
 func newBench() *bench {
 	b := &bench{posted: make(chan func(int64), 64), ends: map[broker.AttemptID]yw.Outcome{}}
 	b.pool = newPool(PoolConfig{ConnectTimeout: 1_000_000, IdleClose: 9_000_000, MaxConns: 4}, platform.Workers{PerConn: 2},
-		func(f func(int64)) { b.posted <- f })
+		func(f func(int64)) bool { b.posted <- f; return true })
 	b.ended = func(_ int64, id broker.AttemptID, o yw.Outcome, _ []byte, _ *yw.LoadReport) { b.ends[id] = o }
 	return b
 }
@@ -210,7 +210,7 @@
 
 func (echo) Open(m *http1.Message, now int64, _ bool) (broker.Ask, func(broker.Final, int64) http1.Response, *http1.Response) {
 	if m.Target == "/held" {
-		return broker.Ask{Class: "c", Deadline: now + 1<<40, Parts: []broker.AskPart{{}}}, nil, nil
+		return broker.Ask{Class: "c", Deadline: now + 1<<40, Parts: []broker.AskPart{{Weight: 1}}}, nil, nil
 	}
 	return broker.Ask{}, nil, &http1.Response{Status: 200, Body: []byte("ok")}
 }
@@ -237,7 +237,7 @@
 // Clients that go away with requests queued, held or half sent leave nothing on the listener's count: a
 // gatherer that is told to end must come to rest.
 func TestComesToRest(t *testing.T) {
-	l, e := serve(t, ListenerConfig{MaxConns: 8, Idle: patience, Slow: patience})
+	l, e := serve(t, ListenerConfig{MaxConns: 8, Idle: patience, First: patience, Slow: patience, MaxHeld: 1 << 20})
 	request := func(target string) string { return "GET " + target + " HTTP/1.1\r\nHost: x\r\n\r\n" }
 	for i := range 60 {
 		conn, err := net.Dial("tcp", l.net.Addr().String())
@@ -265,7 +265,7 @@
 
 // More requests than are queued are not waited for: the client's going would not be seen meanwhile.
 func TestTooFarAhead(t *testing.T) {
-	l, e := serve(t, ListenerConfig{MaxConns: 8, Idle: patience, Slow: patience})
+	l, e := serve(t, ListenerConfig{MaxConns: 8, Idle: patience, First: patience, Slow: patience, MaxHeld: 1 << 20})
 	conn, err := net.Dial("tcp", l.net.Addr().String())
 	if err != nil {
 		t.Fatal(err)
@@ -288,7 +288,8 @@
 
 // A request that does not come in whole in its time is answered 408 and its connection closed.
 func TestSlowRequest(t *testing.T) {
-	l, _ := serve(t, ListenerConfig{MaxConns: 8, Idle: patience, Slow: 50 * time.Millisecond})
+	l, _ := serve(t, ListenerConfig{MaxConns: 8, Idle: patience, First: 50 * time.Millisecond, Slow: 50 * time.Millisecond,
+		MaxHeld: 1 << 20})
 	conn, err := net.Dial("tcp", l.net.Addr().String())
 	if err != nil {
 		t.Fatal(err)
@@ -301,3 +302,200 @@
 		t.Errorf("%q, %v", got, err)
 	}
 }
+
+// Of what is out on a connection whose bytes are spoilt the oldest has failed and the rest is given up; while
+// such bytes are seen, calls travel alone, so that one spoilt answer takes no other part along.
+func TestSpoiltBytes(t *testing.T) {
+	address, conns := acceptor(t)
+	b := newBench()
+	b.fleet(0, yw.Ready, 0, address)
+	b.call(1, callOf(1))
+	b.next(t, 1)
+	b.call(2, callOf(2))
+	far := <-conns
+	defer far.Close()
+	if len(b.servers["s"].conns) != 1 {
+		t.Fatalf("%d connections before anything was spoilt", len(b.servers["s"].conns))
+	}
+	fmt.Fprint(far, "\xff\xff\xff\xff")
+	b.next(t, 3)
+	if b.ends[1] != yw.Errored || b.ends[2] != yw.Stranded || len(b.ends) != 2 || b.conns != 0 {
+		t.Errorf("%v, %d connections", b.ends, b.conns)
+	}
+	b.call(4, callOf(3))
+	b.call(4, callOf(4))
+	if n := len(b.servers["s"].conns); n != 2 {
+		t.Errorf("%d connections for two calls, while servers send spoilt bytes", n)
+	}
+	b.drop(4+wary, 3)
+	b.call(4+wary, callOf(5))
+	if n := len(b.servers["s"].conns); n != 2 {
+		t.Errorf("%d connections after that", n)
+	}
+}
+
+// An answer that stands still is found out, and its connection takes no call meanwhile.
+func TestAnswerThatStandsStill(t *testing.T) {
+	address, conns := acceptor(t)
+	b := newBench()
+	b.fleet(0, yw.Ready, 0, address)
+	b.call(1, callOf(1))
+	b.next(t, 1)
+	far := <-conns
+	defer far.Close()
+	fmt.Fprint(far, "\x00\x00\x00\x20Yq.1 OK")
+	b.next(t, 2)
+	b.sweep(2 + stall)
+	if len(b.ends) != 0 {
+		t.Fatalf("ended too soon: %v", b.ends)
+	}
+	b.drop(3+stall, 1)
+	b.call(3+stall, callOf(2))
+	if n := len(b.servers["s"].conns); n != 2 {
+		t.Errorf("%d connections: a call follows an unfinished answer", n)
+	}
+	b.sweep(3 + stall)
+	if n := len(b.servers["s"].conns); n != 1 || b.spoilt == 0 {
+		t.Errorf("%d connections, spoilt at %d", n, b.spoilt)
+	}
+}
+
+// A server that sends without end has one chunk at a time with the engine, however slow that is.
+func TestReadsNoFurtherThanTaken(t *testing.T) {
+	address, conns := acceptor(t)
+	b := newBench()
+	b.fleet(0, yw.Ready, 0, address)
+	b.call(1, callOf(1))
+	b.next(t, 1)
+	far := <-conns
+	defer far.Close()
+	far.SetWriteDeadline(time.Now().Add(100 * time.Millisecond))
+	far.Write(make([]byte, 1<<22)) // as much as the sockets hold
+	if n := len(b.posted); n != 1 {
+		t.Errorf("%d chunks wait for the engine", n)
+	}
+}
+
+// Clients that say nothing are let go, and so is one whose first request does not come in whole.
+func TestSilentClient(t *testing.T) {
+	l, _ := serve(t, ListenerConfig{MaxConns: 8, Idle: patience, First: 50 * time.Millisecond, Slow: patience, MaxHeld: 1 << 20})
+	conn, err := net.Dial("tcp", l.net.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	conn.SetReadDeadline(time.Now().Add(patience))
+	if got, err := io.ReadAll(conn); err != nil || len(got) > 0 {
+		t.Errorf("%q, %v", got, err)
+	}
+}
+
+// What can't be read behind an open query is answered soon, and the query is given up: a client that breaks the
+// rules must not wait for the query's own end.
+func TestFaultBehindAnOpenQuery(t *testing.T) {
+	l, e := serve(t, ListenerConfig{MaxConns: 8, Idle: patience, First: patience, Slow: patience, MaxHeld: 1 << 20})
+	conn, err := net.Dial("tcp", l.net.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(patience))
+	fmt.Fprint(conn, "GET /held HTTP/1.1\r\nHost: x\r\n\r\nwhat now?\r\n\r\n")
+	if got, err := io.ReadAll(conn); err != nil || len(got) < 12 || string(got[9:12]) != "400" {
+		t.Errorf("%q, %v", got, err)
+	}
+	if n := e.Held(); n != 0 {
+		t.Errorf("%d queries are held", n)
+	}
+}
+
+// Unfinished requests hold so many bytes in all; one more is told that it may try again.
+func TestHeldBytesAreBounded(t *testing.T) {
+	l, _ := serve(t, ListenerConfig{MaxConns: 8, Idle: patience, First: patience, Slow: patience, MaxHeld: 10_000})
+	half := "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 60000\r\n\r\n" + string(make([]byte, 6000))
+	var conns []net.Conn
+	for range 2 {
+		conn, err := net.Dial("tcp", l.net.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		conn.SetDeadline(time.Now().Add(patience))
+		conns = append(conns, conn)
+		fmt.Fprint(conn, half)
+		for end := time.Now().Add(patience); l.held.Load() < 6000; {
+			if time.Now().After(end) {
+				t.Fatalf("%d bytes held", l.held.Load())
+			}
+		}
+	}
+	got, err := io.ReadAll(conns[1])
+	if err != nil || len(got) < 12 || string(got[9:12]) != "503" {
+		t.Errorf("%q, %v", got, err)
+	}
+	conns[0].Close()
+	for end := time.Now().Add(patience); l.held.Load() != 0; {
+		if time.Now().After(end) {
+			t.Fatalf("%d bytes still held", l.held.Load())
+		}
+	}
+}
+
+// Which connection has to go when room is wanted.
+func TestSpareConnections(t *testing.T) {
+	now := time.Now()
+	ago := func(d time.Duration) time.Time { return now.Add(-d) }
+	for name, c := range map[string]struct {
+		conn clientConn
+		want int
+	}{
+		"has had its error":       {clientConn{fault: &http1.Error{}, since: now}, 3},
+		"never said anything":     {clientConn{since: ago(time.Second)}, 2},
+		"has just connected":      {clientConn{since: now}, 0},
+		"long idle":               {clientConn{spoke: true, since: ago(3 * time.Second)}, 1},
+		"idle for a moment":       {clientConn{spoke: true, since: ago(time.Second)}, 0},
+		"waits for an answer":     {clientConn{spoke: true, answering: true, since: ago(time.Hour)}, 0},
+		"waits, and broke a rule": {clientConn{fault: &http1.Error{}, answering: true, since: ago(time.Hour)}, 0},
+		"is sending":              {clientConn{spoke: true, partial: true, since: ago(time.Hour)}, 0},
+		"is being closed":         {clientConn{evicted: true, since: ago(time.Hour)}, 0},
+	} {
+		if got := c.conn.spare(now); got != c.want {
+			t.Errorf("%s: %d, want %d", name, got, c.want)
+		}
+	}
+}
+
+// A connection that has fallen silent while its server goes on answering takes no further calls after a hush,
+// and is given up after a lull; a server that is silent altogether is not concluded from.
+func TestConnectionThatFellSilent(t *testing.T) {
+	address, conns := acceptor(t)
+	b := newBench()
+	b.fleet(0, yw.Ready, 0, address)
+	b.typical = 10_000
+	b.call(1, callOf(1))
+	b.next(t, 1)
+	far := <-conns
+	defer far.Close()
+	late := 1 + b.hush() + 1
+	b.call(late, callOf(2))
+	b.next(t, late) // it is up
+	second := <-conns
+	defer second.Close()
+	if n := len(b.servers["s"].conns); n != 2 {
+		t.Fatalf("%d connections after the hush", n)
+	}
+	b.sweep(late + b.lull())
+	if len(b.ends) != 0 {
+		t.Fatalf("nothing was answered, and yet %v", b.ends)
+	}
+	second.Write([]byte("\x00\x00\x00\x0cYq.2 OK 7 -\n"))
+	b.next(t, late+10_000)
+	b.sweep(late + 1)
+	if len(b.ends) != 1 || b.ends[2] != yw.Served {
+		t.Fatalf("too soon: %v", b.ends)
+	}
+	b.sweep(late + b.lull())
+	if b.ends[1] != yw.Stranded || len(b.servers["s"].conns) != 1 {
+		t.Errorf("%v, %d connections", b.ends, len(b.servers["s"].conns))
+	}
+}
--- a/scheduler.go
+++ b/scheduler.go
@@ -27,6 +27,7 @@
 	slackMost   = 1.6  // most that is allowed when all goes well; 1.2: gruenau -0.03, 2.0: incidents -0.02
 	worstFall   = 8.0  // risk is worth at most so many aims
 	failureCost = 0.5  // aims that a failed attempt loses; 1 or 2: within noise
+	leaving     = 2.0  // half of a class's clients leaving tells as much as all
 	fewQueries  = 4.0  // queries of a tenant that tell little of its traffic
 	lastMoment  = 3.0  // predictions left before the aim that make a further attempt due; 2: lowell -0.02
 )
@@ -122,9 +123,7 @@
 			r.Cell = v.Cell
 			s.place(r)
 		}
-		if v.StartedAt > r.StartedAt { // a new process: what the old one did is no evidence
-			r.failing, r.byClass = evidence{}, make([]evidence, len(s.cfg.Classes))
-		}
+		r.renew(v.StartedAt)
 		if s.zones[v.Zone] == nil {
 			s.zones[v.Zone] = &evidence{}
 		}
@@ -483,16 +482,18 @@
 		s.do(Note{Text: "clients of class " + q.class.Name + " leave early"})
 	}
 	s.patience[i], s.leftAt[i] = next, s.now
+	s.leavers[i].note(s.now, 4*q.class.Aim, 1)
 	s.learn(q, false)
 }
 
-// patienceOf is how long clients of a class are expected to wait, the aim at most.
+// patienceOf is how long clients of a class are expected to wait, the aim at most, as far as they do leave.
 func (s *Scheduler) patienceOf(c *Class) float64 {
 	i, aim := s.classIndex(c), float64(c.Aim)
 	if s.leftAt[i] == 0 {
 		return aim
 	}
-	return min(aim, aim+(s.patience[i]-aim)*fade(s.now-s.leftAt[i], 4*c.Aim))
+	counts := min(1, leaving*s.leavers[i].rate(s.now, 4*c.Aim, 0)) * fade(s.now-s.leftAt[i], 4*c.Aim)
+	return min(aim, aim+(s.patience[i]-aim)*counts)
 }
 
 // wanted is the time after which an answer earns nothing.
@@ -520,6 +521,7 @@
 
 func (s *Scheduler) answer(q *query) {
 	whole := q.whole() && (!q.second || q.first)
+	s.leavers[s.classIndex(q.class)].note(s.now, 4*q.class.Aim, 0)
 	s.learn(q, whole && s.now <= q.aimOf())
 	s.do(Answer{Query: q.ID, Whole: whole})
 	if q.class.Fetch > 0 && !q.second {
@@ -910,7 +912,7 @@
 	switch {
 	case e.Outcome == Served:
 		s.partServed(p, a, float64(e.Latency))
-	case s.cut(a, e.Outcome):
+	case s.cut(a, e.Outcome), e.Outcome == Stranded:
 	case e.Outcome == Broken && !p.q.done:
 		a.broke = s.zones[r.Zone].rate(s.now, 4*s.aim, 0) <= 0.5 // else the path is to blame
 		s.judge(p, r, 1)
--- a/state.go
+++ b/state.go
@@ -124,12 +124,13 @@
 	tenants   map[string]*tenant // those with a share, by name
 	asked     float64            // decaying count of queries
 	askedAt   int64
-	meanCost  float64   // mean predicted cost of a part
-	crowd     evidence  // mean of what reports showed beyond own parts
-	patience  []float64 // how long clients were seen to wait, by class
-	leftAt    []int64   // when one was last seen to leave early
-	classLen  []float64 // mean cost hint of a part by class
-	served    float64   // decaying sum of work served by warm servers
+	meanCost  float64    // mean predicted cost of a part
+	crowd     evidence   // mean of what reports showed beyond own parts
+	patience  []float64  // how long clients were seen to wait, by class
+	leftAt    []int64    // when one was last seen to leave early
+	leavers   []evidence // how many do, by class
+	classLen  []float64  // mean cost hint of a part by class
+	served    float64    // decaying sum of work served by warm servers
 	servedAt  int64
 	alarmAt   int64
 	mark      int64
@@ -150,6 +151,7 @@
 		average:  make([]float64, cfg.Shards),
 		patience: make([]float64, len(cfg.Classes)),
 		leftAt:   make([]int64, len(cfg.Classes)),
+		leavers:  make([]evidence, len(cfg.Classes)),
 		classLen: make([]float64, len(cfg.Classes)), started: -1}
 	s.tenants = map[string]*tenant{}
 	sum := 0.0
@@ -349,3 +351,13 @@
 	delete(s.servers, r.ID)
 	return true
 }
+
+// renew forgets what a server's former process showed, where one has started since: nothing of that is evidence
+// of the new one.
+func (r *replica) renew(started int64) {
+	if started <= r.StartedAt {
+		return
+	}
+	r.failing, r.byClass = evidence{}, make([]evidence, len(r.byClass))
+	r.pace, r.paceT, r.foreign, r.foreignT, r.usedAt, r.struck = 0, 0, 0, 0, 0, false
+}
