Let calls travel alone while connections are lost; one break is one piece of evidence

Checked with a probe in pool.fail: connections ended by servers took up to 19 calls along (258 ends with calls out, some 700 attempts); the logs name queries "of key ... that bring down servers", 10 of them in 25 s. Ruled out: CPU (0.14 s in the worst second), the far end's queues (57 to 238 rejections in 5 s, a quarter of the resets). At fault: pool.call put all calls on the fullest connection; pool.fail reported every call of a lost connection as broken, so that a query with two parts out condemned its key and its servers were judged once for each call. Change: for 10 s after a connection was lost under a call, calls take the idle connection used last or a new one, up to 8 for a server; of what was out on a broken connection the oldest is Broken, the rest Stranded (may have run). Test: TestBrokenConnection, seen to fail before.

--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -35,7 +35,7 @@
 	out     map[broker.AttemptID]*serverConn
 	over    <-chan struct{} // closed when nothing that is posted runs any more
 	conns   int
-	spoilt  int64   // when a server last sent spoilt bytes; 0: never
+	hurt    int64   // when a connection was last lost with calls out on it; 0: never
 	typical float64 // slow moving average of how long a call takes to be served, in microseconds
 }
 
@@ -161,8 +161,8 @@
 }
 
 const (
-	// wary is how long after spoilt bytes calls travel alone, in microseconds: a connection takes what else is
-	// out on it along when it has to be closed, and parts that must not run twice are then lost.
+	// wary is how long calls travel alone after a connection was lost under one, in microseconds: it takes what
+	// else is out on it along, and parts that must not run twice are then lost.
 	wary      = 10_000_000
 	mostAlone = 8 // connections to one server meanwhile
 	// stall is how long an unfinished answer may stand still, in microseconds: it is written in one go.
@@ -213,29 +213,31 @@
 }
 
 // call sends a call over the fullest connection with room, over one that is coming up, or over a new one.
-// While servers send spoilt bytes it takes an idle connection or a new one first, as far as there is room.
+// While connections are being lost it takes the idle one used last, or a new one, as far as there is room, and
+// then the emptiest.
 func (p *pool) call(now int64, call broker.Call) {
 	s := p.servers[call.Server]
 	if s == nil || s.address == "" || s.closed {
 		p.refuse(now, call)
 		return
 	}
-	alone := p.spoilt > 0 && now-p.spoilt < wary && len(s.conns) < mostAlone && p.conns < p.cfg.MaxConns*3/4
+	alone := p.hurt > 0 && now-p.hurt < wary
+	room := len(s.conns) < mostAlone && p.conns < p.cfg.MaxConns*3/4
 	var best *serverConn
 	for _, c := range s.conns {
-		if alone && len(c.calls) > 0 || c.stalled > 0 && len(c.calls) == 0 {
+		if c.dead || c.retired || len(c.calls)+len(call.Attempts) > max(p.dialect.Streams(), len(call.Attempts)) {
+			continue
+		}
+		if alone && room && len(c.calls) > 0 || c.stalled > 0 && len(c.calls) == 0 {
 			continue
 		}
 		if since := c.waits(); since > 0 && now-since > p.hush() && len(s.conns) < mostAlone {
 			continue // it may have fallen silent
 		}
-		if c.dead || c.retired || len(c.calls)+len(call.Attempts) > max(p.dialect.Streams(), len(call.Attempts)) {
-			continue
-		}
 		if c.up && now-c.usedAt > p.cfg.IdleClose*2/3 && len(c.calls) == 0 {
 			continue // may be closing at the far end just now
 		}
-		if best == nil || c.up && !best.up || c.up == best.up && len(c.calls) > len(best.calls) {
+		if best == nil || c.better(best, alone) {
 			best = c
 		}
 	}
@@ -256,6 +258,20 @@
 	p.write(now, best, call)
 }
 
+// better tells which of two connections a call takes.
+func (c *serverConn) better(than *serverConn, alone bool) bool {
+	n, m := len(c.calls), len(than.calls)
+	switch {
+	case alone && n != m:
+		return n < m
+	case c.up != than.up:
+		return c.up
+	case alone:
+		return c.usedAt > than.usedAt
+	}
+	return n > m
+}
+
 func (p *pool) refuse(now int64, call broker.Call) {
 	for _, a := range call.Attempts {
 		p.ended(now, a.ID, yw.Unreachable, nil, nil)
@@ -463,8 +479,8 @@
 // the one whose answer was spoilt; the others are given up with the connection. Either may have run. They are
 // not reported as broken: that is how queries look that bring down what serves them.
 func (p *pool) spoil(now int64, c *serverConn, err error) {
-	if len(c.calls) > 0 || !errors.Is(err, broker.ErrLast) {
-		p.spoilt = now
+	if !errors.Is(err, broker.ErrLast) {
+		p.hurt = now
 	}
 	o := yw.Errored
 	for _, id := range sortedKeys(c.calls) {
@@ -512,10 +528,14 @@
 		}
 	}
 	done := c.done.Load()
+	ran := yw.Broken
 	for _, id := range sortedKeys(c.calls) {
 		o := yw.Unreachable
 		if n := c.calls[id]; n > 0 && (n <= done || !settled) {
-			o = yw.Broken
+			// One break is one piece of evidence, however many calls were out: guards servers, and the keys of
+			// queries, against being blamed for what else was lost with the connection.
+			o, ran = ran, yw.Stranded
+			p.hurt = now
 		}
 		p.end(now, c, broker.Reply{Attempt: id, Outcome: o})
 	}
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -355,8 +355,8 @@
 		t.Errorf("%d connections: a call follows an unfinished answer", n)
 	}
 	b.sweep(3 + stall)
-	if n := len(b.servers["s"].conns); n != 1 || b.spoilt == 0 {
-		t.Errorf("%d connections, spoilt at %d", n, b.spoilt)
+	if n := len(b.servers["s"].conns); n != 1 || b.hurt == 0 {
+		t.Errorf("%d connections, hurt at %d", n, b.hurt)
 	}
 }
 
@@ -499,3 +499,40 @@
 		t.Errorf("%v, %d connections", b.ends, len(b.servers["s"].conns))
 	}
 }
+
+// A connection that breaks is one piece of evidence: one of its calls is broken, the others are stranded with it.
+// Calls then travel alone, over the idle connection used last.
+func TestBrokenConnection(t *testing.T) {
+	address, conns := acceptor(t)
+	b := newBench()
+	b.fleet(0, yw.Ready, 0, address)
+	b.call(1, callOf(1))
+	b.next(t, 1)
+	b.call(2, callOf(2))
+	far := <-conns
+	if _, err := io.ReadFull(far, make([]byte, 40)); err != nil { // both frames have left
+		t.Fatal(err)
+	}
+	far.Close()
+	for len(b.ends) == 0 {
+		b.next(t, 3)
+	}
+	if b.ends[1] != yw.Broken || b.ends[2] != yw.Stranded {
+		t.Errorf("%v", b.ends)
+	}
+	b.call(4, callOf(3))
+	b.call(4, callOf(4))
+	b.next(t, 5)
+	b.next(t, 6)
+	if n := len(b.servers["s"].conns); n != 2 {
+		t.Fatalf("%d connections for two calls", n)
+	}
+	b.drop(7, 3)
+	b.drop(8, 4)
+	last := b.servers["s"].conns[0]
+	last.usedAt = 100
+	b.call(101, callOf(5))
+	if len(last.calls) != 1 || len(b.servers["s"].conns) != 2 {
+		t.Error("the idle connection used last was passed over")
+	}
+}
