--- a/evidence_test.go
+++ b/evidence_test.go
@@ -238,3 +238,18 @@
 		t.Errorf("pace %v, foreign %v, used %d, warmth %v", r.pace, r.foreign, r.usedAt, sc.s.warmth(r))
 	}
 }
+
+// Keys that were seen served while some key brought down servers are forgotten although nothing is turned away.
+func TestKeysAreForgottenWithoutRefusals(t *testing.T) {
+	sc := newScript(t, oneCell())
+	sc.step(0, fleetOf(map[ServerID]string{"a1": "a"}))
+	sc.s.condemn("bad")
+	for id := ID(100); id < 2100; id += 2 {
+		s := of[Send](sc.step(20*ms, withKey(sc.ask(id, ms), fmt.Sprint("key", id))...))
+		sc.step(ms, served(s[0], 0, ms))
+	}
+	sc.run(20_000 * ms)
+	if n := len(sc.s.keys); n > 0 {
+		t.Errorf("%d keys are kept", n)
+	}
+}
--- a/scheduler.go
+++ b/scheduler.go
@@ -8,7 +8,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"math"
 	"slices"
 	"strings"
@@ -46,6 +45,7 @@
 		s.take(e)
 	}
 	s.budget() // also forgets what has left its window
+	s.sweep()
 	s.gaugeFleet()
 	s.review()
 	s.dispatch()
@@ -555,11 +555,6 @@
 	if q.arrived == s.now || s.now < s.goal(q) {
 		s.ended[q.signature()] = q.arrived
 	}
-	if s.now >= s.sweptAt+q.class.HardLimit {
-		s.sweptAt = s.now
-		maps.DeleteFunc(s.keys, func(_ string, k keyMark) bool { return !s.recent(k.at) })
-		maps.DeleteFunc(s.ended, func(_ string, at int64) bool { return s.now >= at+s.longest })
-	}
 	s.end(q)
 }
 
--- a/state.go
+++ b/state.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -361,3 +362,14 @@
 	r.failing, r.byClass = evidence{}, make([]evidence, len(r.byClass))
 	r.pace, r.paceT, r.foreign, r.foreignT, r.usedAt, r.struck = 0, 0, 0, 0, 0, false
 }
+
+// sweep forgets now and then the keys and ended queries that count no more, whether or not anything is turned
+// away: keys are new all day long.
+func (s *Scheduler) sweep() {
+	if s.now < s.sweptAt+s.longest {
+		return
+	}
+	s.sweptAt = s.now
+	maps.DeleteFunc(s.keys, func(_ string, k keyMark) bool { return !s.recent(k.at) })
+	maps.DeleteFunc(s.ended, func(_ string, at int64) bool { return s.now >= at+s.longest })
+}
