End connections with their answer once clients keep a quarter of the descriptors

Checked with a probe that logged client connections from accept to end: the table stood at 168 and then at 224 of 224; 128 connections (a third of the descriptors) that had asked once and were kept, health checks that ask on a new connection each time and keep it (1600), silent ones that were let go after 0.9 s. The program itself refused nothing before 21 s. Ruled out: the module (369 refusals, all in the last seconds, of queries that had waited to be accepted), CPU, workers. At fault: transport/listener.go kept idle connections for 2 s whatever their number, made room only at three quarters of the table, and with a full table of young ones paused accepting for 50 ms a client. Change: from a quarter of the descriptors on, answers carry Connection: close; room is then made too; a full table gives way its oldest idle connection, however young. Test: TestClientsThatKeepTheirConnections, TestSpareConnections.

--- a/cmd/saffronquay/main.go
+++ b/cmd/saffronquay/main.go
@@ -139,10 +139,11 @@
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	bounds := transport.ListenerConfig{MaxConns: clientConns, Idle: 15 * time.Second,
+	bounds := transport.ListenerConfig{MaxConns: clientConns, Enough: p.sockets / 4, Idle: 15 * time.Second,
 		First: 2500 * time.Millisecond, Slow: 2500 * time.Millisecond, MaxHeld: int64(p.memoryMB) << 20 / 8}
 	if p.vrrp != nil {
 		bounds.MaxConns /= 2 // the virtual address has a listener of its own
+		bounds.Enough /= 2
 	}
 	listener := transport.NewListener(socket, bounds, engine, p.front, logger)
 	go engine.Run()
--- a/internal/transport/listener.go
+++ b/internal/transport/listener.go
@@ -24,6 +24,8 @@
 // ListenerConfig bounds a listener.
 type ListenerConfig struct {
 	MaxConns int
+	// Enough is how many connections clients may keep between requests; with more, answers end their connection.
+	Enough int
 	// Idle bounds the wait for a further request. First bounds the time from connecting until the first request
 	// is whole, Slow the time that a later one may take to come in.
 	Idle, First, Slow time.Duration
@@ -80,17 +82,17 @@
 		}
 		if err != nil {
 			l.log.Printf("level=warn event=accept error=%q", err)
-			l.evict()
+			l.evict(0)
 			l.pause(wait)
 			wait = min(2*wait, most)
 			continue
 		}
 		wait = 5 * time.Millisecond
 		if l.crowded() {
-			l.evict()
+			l.evict(1)
 		}
 		for !l.add(conn) {
-			l.evict()
+			l.evict(0)
 			l.pause(50 * time.Millisecond)
 		}
 	}
@@ -110,7 +112,27 @@
 func (l *Listener) crowded() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return len(l.conns) >= l.cfg.MaxConns*3/4
+	return len(l.conns) >= l.cfg.MaxConns*3/4 || l.kept() >= l.cfg.Enough
+}
+
+// scarce tells that clients keep as many connections as they may. Guards against clients that ask once and keep
+// their connection: what they hold is missing to those who have yet to ask. Saying so in the answer, unlike
+// closing later, can't cross a request.
+func (l *Listener) scarce() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.kept() > l.cfg.Enough
+}
+
+// kept counts the connections that have asked and may ask again.
+func (l *Listener) kept() int {
+	n := 0
+	for c := range l.conns {
+		if c.spoke && c.fault == nil {
+			n++
+		}
+	}
+	return n
 }
 
 func (l *Listener) add(conn net.Conn) bool {
@@ -143,14 +165,14 @@
 
 // evict closes the client connection that is missed least, so that neither old connections nor bad clients
 // keep new ones out: first one that has had its error, then one that has never said anything, then one that has
-// been idle for longest, and for long enough.
-func (l *Listener) evict() {
+// been idle for longest. With least 1 it has to have been idle for long enough.
+func (l *Listener) evict(least int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
 	var pick *clientConn
 	for c := range l.conns {
-		if n := c.spare(now); n > 0 && (pick == nil || n > pick.spare(now) || n == pick.spare(now) && c.since.Before(pick.since)) {
+		if n := c.spare(now); n >= least && (pick == nil || n > pick.spare(now) || n == pick.spare(now) && c.since.Before(pick.since)) {
 			pick = c
 		}
 	}
@@ -160,20 +182,22 @@
 	}
 }
 
-// spare is how little a connection is missed; 0 where it must stay.
+// spare is how little a connection is missed; below nought where it must stay.
 func (c *clientConn) spare(now time.Time) int {
 	age := now.Sub(c.since)
 	switch {
-	case c.evicted || c.answering || len(c.queue) > 0:
-		return 0
+	case c.evicted || c.answering || len(c.queue) > 0 || c.fault == nil && c.partial:
+		return -1
 	case c.fault != nil:
 		return 3
 	case !c.spoke && age > silentLong:
 		return 2
-	case c.spoke && !c.partial && age > idleEnough:
+	case c.spoke && age > idleEnough:
 		return 1
+	case c.spoke:
+		return 0
 	}
-	return 0
+	return -1
 }
 
 // Leave makes the listener not ready; it goes on accepting and answering.
@@ -471,7 +495,7 @@
 			}
 		}
 	}
-	last = m.Close || c.l.leaving.Load()
+	last = m.Close || c.l.leaving.Load() || c.l.scarce()
 	if m.Method == "HEAD" {
 		resp.Body = nil
 	}
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -237,7 +237,7 @@
 // Clients that go away with requests queued, held or half sent leave nothing on the listener's count: a
 // gatherer that is told to end must come to rest.
 func TestComesToRest(t *testing.T) {
-	l, e := serve(t, ListenerConfig{MaxConns: 8, Idle: patience, First: patience, Slow: patience, MaxHeld: 1 << 20})
+	l, e := serve(t, ListenerConfig{MaxConns: 8, Enough: 8, Idle: patience, First: patience, Slow: patience, MaxHeld: 1 << 20})
 	request := func(target string) string { return "GET " + target + " HTTP/1.1\r\nHost: x\r\n\r\n" }
 	for i := range 60 {
 		conn, err := net.Dial("tcp", l.net.Addr().String())
@@ -265,7 +265,7 @@
 
 // More requests than are queued are not waited for: the client's going would not be seen meanwhile.
 func TestTooFarAhead(t *testing.T) {
-	l, e := serve(t, ListenerConfig{MaxConns: 8, Idle: patience, First: patience, Slow: patience, MaxHeld: 1 << 20})
+	l, e := serve(t, ListenerConfig{MaxConns: 8, Enough: 8, Idle: patience, First: patience, Slow: patience, MaxHeld: 1 << 20})
 	conn, err := net.Dial("tcp", l.net.Addr().String())
 	if err != nil {
 		t.Fatal(err)
@@ -288,7 +288,7 @@
 
 // A request that does not come in whole in its time is answered 408 and its connection closed.
 func TestSlowRequest(t *testing.T) {
-	l, _ := serve(t, ListenerConfig{MaxConns: 8, Idle: patience, First: 50 * time.Millisecond, Slow: 50 * time.Millisecond,
+	l, _ := serve(t, ListenerConfig{MaxConns: 8, Enough: 8, Idle: patience, First: 50 * time.Millisecond, Slow: 50 * time.Millisecond,
 		MaxHeld: 1 << 20})
 	conn, err := net.Dial("tcp", l.net.Addr().String())
 	if err != nil {
@@ -378,7 +378,7 @@
 
 // Clients that say nothing are let go, and so is one whose first request does not come in whole.
 func TestSilentClient(t *testing.T) {
-	l, _ := serve(t, ListenerConfig{MaxConns: 8, Idle: patience, First: 50 * time.Millisecond, Slow: patience, MaxHeld: 1 << 20})
+	l, _ := serve(t, ListenerConfig{MaxConns: 8, Enough: 8, Idle: patience, First: 50 * time.Millisecond, Slow: patience, MaxHeld: 1 << 20})
 	conn, err := net.Dial("tcp", l.net.Addr().String())
 	if err != nil {
 		t.Fatal(err)
@@ -393,7 +393,7 @@
 // What can't be read behind an open query is answered soon, and the query is given up: a client that breaks the
 // rules must not wait for the query's own end.
 func TestFaultBehindAnOpenQuery(t *testing.T) {
-	l, e := serve(t, ListenerConfig{MaxConns: 8, Idle: patience, First: patience, Slow: patience, MaxHeld: 1 << 20})
+	l, e := serve(t, ListenerConfig{MaxConns: 8, Enough: 8, Idle: patience, First: patience, Slow: patience, MaxHeld: 1 << 20})
 	conn, err := net.Dial("tcp", l.net.Addr().String())
 	if err != nil {
 		t.Fatal(err)
@@ -411,7 +411,7 @@
 
 // Unfinished requests hold so many bytes in all; one more is told that it may try again.
 func TestHeldBytesAreBounded(t *testing.T) {
-	l, _ := serve(t, ListenerConfig{MaxConns: 8, Idle: patience, First: patience, Slow: patience, MaxHeld: 10_000})
+	l, _ := serve(t, ListenerConfig{MaxConns: 8, Enough: 8, Idle: patience, First: patience, Slow: patience, MaxHeld: 10_000})
 	half := "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 60000\r\n\r\n" + string(make([]byte, 6000))
 	var conns []net.Conn
 	for range 2 {
@@ -451,13 +451,13 @@
 	}{
 		"has had its error":       {clientConn{fault: &http1.Error{}, since: now}, 3},
 		"never said anything":     {clientConn{since: ago(time.Second)}, 2},
-		"has just connected":      {clientConn{since: now}, 0},
+		"has just connected":      {clientConn{since: now}, -1},
 		"long idle":               {clientConn{spoke: true, since: ago(3 * time.Second)}, 1},
 		"idle for a moment":       {clientConn{spoke: true, since: ago(time.Second)}, 0},
-		"waits for an answer":     {clientConn{spoke: true, answering: true, since: ago(time.Hour)}, 0},
-		"waits, and broke a rule": {clientConn{fault: &http1.Error{}, answering: true, since: ago(time.Hour)}, 0},
-		"is sending":              {clientConn{spoke: true, partial: true, since: ago(time.Hour)}, 0},
-		"is being closed":         {clientConn{evicted: true, since: ago(time.Hour)}, 0},
+		"waits for an answer":     {clientConn{spoke: true, answering: true, since: ago(time.Hour)}, -1},
+		"waits, and broke a rule": {clientConn{fault: &http1.Error{}, answering: true, since: ago(time.Hour)}, -1},
+		"is sending":              {clientConn{spoke: true, partial: true, since: ago(time.Hour)}, -1},
+		"is being closed":         {clientConn{evicted: true, since: ago(time.Hour)}, -1},
 	} {
 		if got := c.conn.spare(now); got != c.want {
 			t.Errorf("%s: %d, want %d", name, got, c.want)
@@ -536,3 +536,39 @@
 		t.Error("the idle connection used last was passed over")
 	}
 }
+
+// Clients that ask once and keep their connections are told that these end, once they keep enough; what is kept
+// beyond gives way when the table is full, however young it is.
+func TestClientsThatKeepTheirConnections(t *testing.T) {
+	l, _ := serve(t, ListenerConfig{MaxConns: 4, Enough: 2, Idle: patience, First: patience, Slow: patience, MaxHeld: 1 << 20})
+	ask := func() (conn net.Conn, closing bool) {
+		conn, err := net.Dial("tcp", l.net.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { conn.Close() })
+		conn.SetDeadline(time.Now().Add(patience))
+		fmt.Fprint(conn, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+		p := http1.Parser{Response: true}
+		for buf := make([]byte, 1); ; {
+			if _, err := conn.Read(buf); err != nil {
+				t.Fatal(err)
+			}
+			p.Feed(buf)
+			if m, err := p.Next(); m != nil || err != nil {
+				return conn, err == nil && m.Close
+			}
+		}
+	}
+	for i := range 12 {
+		conn, closing := ask()
+		if closing != (i >= 2) {
+			t.Fatalf("client %d: told that its connection ends: %t", i, closing)
+		}
+		if closing {
+			if _, err := conn.Read(make([]byte, 1)); err != io.EOF {
+				t.Fatalf("client %d: %v", i, err)
+			}
+		}
+	}
+}
