Close at once after a last answer; set no keep-alive probes for clients

Checked: each such connection cost four socket options, a half close, a deadline and a second wake-up. Change: lingering is kept for what may have unread bytes behind it, that is after an error; the listener sets no probes.

--- a/cmd/saffronquay/main.go
+++ b/cmd/saffronquay/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"log"
 	"net"
@@ -135,7 +136,9 @@
 		watcher = p.watch(engine)
 		engine.Watch, engine.Fetch = watcher.Begin, watcher.Begin
 	}
-	socket, err := net.Listen("tcp", p.listen)
+	// Clients are let go by their idle time; probes by the system would only cost four calls for each.
+	accepting := net.ListenConfig{KeepAlive: -1}
+	socket, err := accepting.Listen(context.Background(), "tcp", p.listen)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
--- a/internal/transport/listener.go
+++ b/internal/transport/listener.go
@@ -429,7 +429,8 @@
 		c.queue = nil
 		c.answering, over = false, c.ended
 		if c.fault == nil {
-			c.fault = &http1.Error{}
+			// Nothing lies unread, and one who was told that the connection ends sends nothing more.
+			c.fault, over = &http1.Error{}, true
 		}
 	})
 	close(c.told)
