Give up connections that are overtaken; a part lost on its way is no silence of its server

At fault: scheduler.go wait() took the age of the oldest overdue part for the server's own silence, so that one part lost on its way left the whole server out until its time was up, and admission refused; pool.strand waited for forty times the usual time (1.1 s here, against an aim of 0.63 s) before it gave a silent connection up. Change: an overdue part counts as silence only while nothing sent after it was due has been served; a connection is given up once three calls that left after its hush were answered elsewhere, whatever the time.

--- a/evidence_test.go
+++ b/evidence_test.go
@@ -253,3 +253,24 @@
 		t.Errorf("%d keys are kept", n)
 	}
 }
+
+// A part that is never answered makes its server look silent only until a part sent after it was due is served:
+// guards servers against being left out for what was lost on one connection.
+func TestAPartLostOnItsWayIsNotItsServersSilence(t *testing.T) {
+	sc := newScript(t, oneCell())
+	sc.step(0, fleetOf(map[ServerID]string{"a1": "a"}))
+	r := sc.s.servers["a1"]
+	lost := of[Send](sc.step(ms, sc.ask(100, 10*ms)...))
+	if len(lost) != 1 {
+		t.Fatal(sc.got)
+	}
+	sc.step(200 * ms)
+	if w := sc.s.wait(r); w < 200*ms {
+		t.Errorf("an overdue part, and yet a wait of %v", w)
+	}
+	s := of[Send](sc.step(ms, sc.ask(200, 10*ms)...))
+	sc.step(10*ms, served(s[0], 0, 10*ms))
+	if w := sc.s.wait(r); w > 100*ms {
+		t.Errorf("a later part was served, and yet a wait of %v", w)
+	}
+}
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -44,8 +44,7 @@
 	address string
 	conns   []*serverConn
 	started int64
-	closed  bool  // draining or gone: nothing new
-	lately  int64 // when the latest call left that it is known to have answered
+	closed  bool // draining or gone: nothing new
 }
 
 type serverConn struct {
@@ -64,6 +63,7 @@
 	heardAt  int64
 	openedAt int64
 	upAt     int64
+	passed   int // calls that left after it fell silent and were answered elsewhere
 	sentAt   map[broker.AttemptID]int64
 	stalled  int64 // when the last bytes of an unfinished answer came; 0: there is none
 }
@@ -169,13 +169,10 @@
 	stall = 250_000
 )
 
-// hush is how long a connection with calls out may say nothing before further calls take another one, and lull
-// how long before it is held to be silent, in microseconds. Both go by what calls usually take: days differ in
-// scale, and servers stand still for a while.
+// hush is how long a connection with calls out may say nothing before further calls take another one, in
+// microseconds. It goes by what calls usually take: days differ in scale, and servers stand still for a while.
 func (p *pool) hush() int64 { return p.times(8, 30_000) }
 
-func (p *pool) lull() int64 { return p.times(40, 200_000) }
-
 func (p *pool) times(n float64, least int64) int64 {
 	if p.typical == 0 {
 		return silence
@@ -197,13 +194,25 @@
 	return max(oldest, c.heardAt, c.upAt)
 }
 
-// strand ends a connection that has fallen silent while its server goes on answering: on another connection it
-// has answered a call that left well after this one fell silent. Guards against links that are cut without a
-// word, on which calls would wait until their time is up. What was out there may have run, and says nothing of
-// the server. Where one connection carries one call, a long call looks the same, so nothing is concluded.
+// overtaken is how many calls have to overtake a silent connection before it is given up: one may be served by
+// another core while a long one is in work.
+const overtaken = 3
+
+// overtakes takes note that a server has answered a call which left at a time.
+func (p *pool) overtakes(s *server, sent int64) {
+	for _, c := range s.conns {
+		if since := c.waits(); since > 0 && sent > since+p.hush() {
+			c.passed++
+		}
+	}
+}
+
+// strand ends a connection that has fallen silent while its server goes on answering: on others it has answered
+// calls that left well after this one fell silent. Guards against links that are cut without a word, on which
+// calls would wait until their time is up. What was out there may have run, and says nothing of the server. Where
+// one connection carries one call, a long call looks the same, so nothing is concluded.
 func (p *pool) strand(now int64, c *serverConn) {
-	since := c.waits()
-	if p.dialect.Streams() < 2 || since == 0 || now-since < p.lull() || c.server.lately < since+p.hush() {
+	if p.dialect.Streams() < 2 || c.passed < overtaken {
 		return
 	}
 	for _, id := range sortedKeys(c.calls) {
@@ -458,7 +467,7 @@
 	if c.dead {
 		return
 	}
-	c.heardAt = now
+	c.heardAt, c.passed = now, 0
 	replies, err := c.session.Feed(b)
 	for _, r := range replies {
 		c.usedAt = now
@@ -495,7 +504,7 @@
 		return
 	}
 	if sent := c.sentAt[r.Attempt]; r.Outcome == yw.Served {
-		c.server.lately = max(c.server.lately, sent)
+		p.overtakes(c.server, sent)
 		if took := float64(now - sent); p.typical == 0 {
 			p.typical = took
 		} else {
--- a/scheduler.go
+++ b/scheduler.go
@@ -271,11 +271,12 @@
 }
 
 // wait predicts how long a new part waits at a server before its own work: the backlog at the server's pace;
-// not less than the age of its oldest overdue part (silence, whatever the cause).
+// not less than the age of its oldest overdue part (silence, whatever the cause), unless one sent when that
+// was overdue was served: then that part is lost on its way, and the server is not silent.
 func (s *Scheduler) wait(r *replica) float64 {
 	w := s.backlog(r) * s.paceOf(r)
 	for _, a := range r.attempts {
-		if age := float64(s.now - a.sent); age > a.due {
+		if age := float64(s.now - a.sent); age > a.due && a.sent+int64(a.due) >= r.latest {
 			w = max(w, age)
 		}
 	}
@@ -927,6 +928,7 @@
 // partServed takes in a part's answer and what it shows of its server.
 func (s *Scheduler) partServed(p *part, a *attempt, latency float64) {
 	r := a.to
+	r.latest = max(r.latest, a.sent)
 	s.judge(p, r, 0)
 	if a.idle >= s.held || s.now >= s.heldAt+2*s.aim {
 		s.held, s.heldAt = a.idle, s.now
--- a/state.go
+++ b/state.go
@@ -22,6 +22,7 @@
 	failing   evidence   // how attempts came out
 	byClass   []evidence // the same, by class
 	struck    bool       // most attempts failed when last looked at
+	latest    int64      // when the latest part left that it has served
 	usedAt    int64      // when anything last came back over its connections
 	callAt    int64      // when a call last left for it
 	callParts int        // parts that left then
@@ -360,7 +361,7 @@
 		return
 	}
 	r.failing, r.byClass = evidence{}, make([]evidence, len(r.byClass))
-	r.pace, r.paceT, r.foreign, r.foreignT, r.usedAt, r.struck = 0, 0, 0, 0, 0, false
+	r.pace, r.paceT, r.foreign, r.foreignT, r.usedAt, r.latest, r.struck = 0, 0, 0, 0, 0, 0, false
 }
 
 // sweep forgets now and then the keys and ended queries that count no more, whether or not anything is turned
