Say when to come back in the listener's own 503; answer what has come in before ending

Change: that 503 says when to come back where the settings permit it; a connection with requests waiting is not ended. Tests: TestHeldBytesAreBounded and TestScarceAnswersWhatHasComeIn, both seen to fail with their lines taken back.

--- a/cmd/saffronquay/main.go
+++ b/cmd/saffronquay/main.go
@@ -144,6 +144,9 @@
 	}
 	bounds := transport.ListenerConfig{MaxConns: clientConns, Enough: p.sockets / 4, Idle: 15 * time.Second,
 		First: 2500 * time.Millisecond, Slow: 2500 * time.Millisecond, MaxHeld: int64(p.memoryMB) << 20 / 8}
+	if set.Module.Limits.RetryAfter {
+		bounds.RetryAfter = time.Duration(set.Module.Limits.MaxRetryAfter) * time.Microsecond
+	}
 	if p.vrrp != nil {
 		bounds.MaxConns /= 2 // the virtual address has a listener of its own
 		bounds.Enough /= 2
--- a/internal/transport/listener.go
+++ b/internal/transport/listener.go
@@ -5,6 +5,7 @@
 	"io"
 	"log"
 	"net"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -31,6 +32,8 @@
 	Idle, First, Slow time.Duration
 	// MaxHeld bounds the bytes of unfinished requests, over all connections.
 	MaxHeld int64
+	// RetryAfter is when one who is turned away for that may come back; 0: clients are not told.
+	RetryAfter time.Duration
 }
 
 const (
@@ -117,11 +120,11 @@
 
 // scarce tells that clients keep as many connections as they may. Guards against clients that ask once and keep
 // their connection: what they hold is missing to those who have yet to ask. Saying so in the answer, unlike
-// closing later, can't cross a request.
-func (l *Listener) scarce() bool {
+// closing later, can't cross a request; one that has come in already is answered first.
+func (l *Listener) scarce(c *clientConn) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.kept() > l.cfg.Enough
+	return len(c.queue) == 0 && l.kept() > l.cfg.Enough
 }
 
 // kept counts the connections that have asked and may ask again.
@@ -407,7 +410,12 @@
 		m, fault := c.next()
 		switch {
 		case fault != nil:
-			c.write(c.l.front.Fault(fault.Status, fault.Text), true)
+			r := c.l.front.Fault(fault.Status, fault.Text)
+			if after := c.l.cfg.RetryAfter; fault.Status == 503 && after > 0 {
+				seconds := int64((after + time.Second - 1) / time.Second)
+				r.Fields = append(r.Fields, [2]string{"Retry-After", strconv.FormatInt(seconds, 10)})
+			}
+			c.write(r, true)
 			c.finish(true)
 			return
 		case m == nil:
@@ -496,7 +504,7 @@
 			}
 		}
 	}
-	last = m.Close || c.l.leaving.Load() || c.l.scarce()
+	last = m.Close || c.l.leaving.Load() || c.l.scarce(c)
 	if m.Method == "HEAD" {
 		resp.Body = nil
 	}
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"log"
 	"net"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -411,7 +412,8 @@
 
 // Unfinished requests hold so many bytes in all; one more is told that it may try again.
 func TestHeldBytesAreBounded(t *testing.T) {
-	l, _ := serve(t, ListenerConfig{MaxConns: 8, Enough: 8, Idle: patience, First: patience, Slow: patience, MaxHeld: 10_000})
+	l, _ := serve(t, ListenerConfig{MaxConns: 8, Enough: 8, Idle: patience, First: patience, Slow: patience, MaxHeld: 10_000,
+		RetryAfter: 500 * time.Millisecond})
 	half := "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 60000\r\n\r\n" + string(make([]byte, 6000))
 	var conns []net.Conn
 	for range 2 {
@@ -430,7 +432,7 @@
 		}
 	}
 	got, err := io.ReadAll(conns[1])
-	if err != nil || len(got) < 12 || string(got[9:12]) != "503" {
+	if err != nil || len(got) < 12 || string(got[9:12]) != "503" || !strings.Contains(string(got), "\r\nRetry-After: 1\r\n") {
 		t.Errorf("%q, %v", got, err)
 	}
 	conns[0].Close()
@@ -577,3 +579,19 @@
 		}
 	}
 }
+
+// A connection is not ended over a request that has come in already.
+func TestScarceAnswersWhatHasComeIn(t *testing.T) {
+	l, _ := serve(t, ListenerConfig{MaxConns: 4, Idle: patience, First: patience, Slow: patience, MaxHeld: 1 << 20})
+	conn, err := net.Dial("tcp", l.net.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(patience))
+	fmt.Fprint(conn, strings.Repeat("GET / HTTP/1.1\r\nHost: x\r\n\r\n", 3))
+	got, err := io.ReadAll(conn)
+	if n := strings.Count(string(got), "HTTP/1.1 200"); err != nil || n != 3 {
+		t.Errorf("%d answers, %v", n, err)
+	}
+}
