Take the passed socket, hand it over on SIGTERM, and answer status at the door

Cause: run() always opened a socket of its own, while the platform holds it and passes descriptor 3. Now: the inherited listener is taken; it accepts once discovery's whole list is in; SIGTERM closes this process's copy only. Ruled out: that making a listener of the descriptor turns the shared description to blocking for the old process (the runtime does that only for descriptors it made non-blocking itself). Tests: scenarios door and replace in both dialects, every split of a call, TestHandOver.

--- /dev/null
+++ b/cmd/saffronquay/gatherer.go
@@ -0,0 +1,226 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"log"
+	"net"
+	"os"
+	"runtime/debug"
+	"time"
+
+	yw "yarrowwalk"
+	"yarrowwalk/internal/broker"
+	"yarrowwalk/internal/operations"
+	"yarrowwalk/internal/transport"
+)
+
+// gatherer is the program's parts, joined.
+type gatherer struct {
+	plan
+	log      *log.Logger
+	clock    transport.Clock
+	engine   *transport.Engine
+	watcher  *transport.Watcher // nil: the list of servers is fixed
+	listener *transport.Listener
+	virtual  *service        // nil: no virtual address
+	door     *transport.Door // nil: off
+	duty     *operations.Duty
+	served   chan error // the listener's end
+}
+
+func run(logger *log.Logger, term, hup <-chan os.Signal) error {
+	p, err := load(logger)
+	if err != nil {
+		return fmt.Errorf("configuration: %w", err)
+	}
+	debug.SetMemoryLimit(int64(p.memoryMB) << 20 * 3 / 4)
+	g := &gatherer{plan: p, log: logger, clock: transport.NewClock(), duty: &operations.Duty{}, served: make(chan error, 1)}
+	if err := g.begin(); err != nil {
+		return err
+	}
+	for running := true; running; {
+		select {
+		case err := <-g.served:
+			return fmt.Errorf("accept: %w", err)
+		case <-hup:
+			g.again()
+		case <-term:
+			running = false
+		}
+	}
+	g.end(hup)
+	return nil
+}
+
+func (g *gatherer) begin() error {
+	door := "off"
+	if g.operator != "" {
+		l, err := net.Listen("tcp", g.operator)
+		if err != nil {
+			return fmt.Errorf("operator: %w", err)
+		}
+		g.door = transport.NewDoor(l, g.duty, g.log)
+		go g.door.Serve()
+		door = l.Addr().String()
+	}
+	if err := g.compose(); err != nil {
+		return err
+	}
+	socket, err := g.socket()
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	bounds := g.bounds()
+	g.listener = transport.NewListener(socket, bounds, g.engine, g.front, g.log)
+	go g.engine.Run()
+	g.follow()
+	if g.vrrp != nil {
+		g.virtual = &service{address: g.vrrp.Service, log: g.log, open: func(l net.Listener) *transport.Listener {
+			return transport.NewListener(l, bounds, g.engine, g.front, g.log)
+		}}
+		if err := g.virtual.begin(g.clock, *g.vrrp); err != nil {
+			return err
+		}
+	}
+	go func() { g.served <- g.listener.Serve() }()
+	g.duty.Begin()
+	g.log.Printf("level=info event=start name=%s listen=%s operator=%s servers=%d", g.name, socket.Addr(), door,
+		len(g.fleet.Servers))
+	return nil
+}
+
+// compose makes the module, the core round it and their engine.
+func (g *gatherer) compose() error {
+	set := g.settings
+	module, err := yw.New(set.Module, g.seed)
+	if err != nil {
+		return fmt.Errorf("configuration: settings: %w", err)
+	}
+	core := broker.New(broker.Terms{Period: set.Module.Period, Shards: set.Module.Shards, MaxOpen: set.MaxOpen,
+		PartsPerCall: g.partsPerCall, RetryAfter: set.Module.Limits.RetryAfter,
+		MaxRetryAfter: set.Module.Limits.MaxRetryAfter, AnswerGrace: set.Module.Period,
+		Classes: set.Module.Classes, Tenants: g.budgets}, module)
+	g.engine = transport.NewEngine(g.clock, core, transport.PoolConfig{ConnectTimeout: set.ConnectTimeout,
+		IdleClose: set.IdleClose, MaxConns: g.serverConns()}, g.dialect, g.log)
+	g.engine.Fleet(g.fleet, g.addresses)
+	if g.watch != nil {
+		g.watcher = g.watch(g.engine)
+		g.engine.Watch, g.engine.Fetch = g.watcher.Begin, g.watcher.Begin
+	}
+	return nil
+}
+
+func (g *gatherer) serverConns() int { return min(192, g.sockets/3) }
+
+// bounds is what one listener may hold. Clients must never take the descriptors that servers, discovery and
+// operators need.
+func (g *gatherer) bounds() transport.ListenerConfig {
+	b := transport.ListenerConfig{MaxConns: g.sockets - g.serverConns() - ownSockets, Enough: g.sockets / 4,
+		Idle: 15 * time.Second, First: 2500 * time.Millisecond, Slow: 2500 * time.Millisecond,
+		MaxHeld: int64(g.memoryMB) << 20 / 8}
+	if g.operator != "" {
+		b.MaxConns -= transport.DoorSockets
+	}
+	if l := g.settings.Module.Limits; l.RetryAfter {
+		b.RetryAfter = time.Duration(l.MaxRetryAfter) * time.Microsecond
+	}
+	if g.vrrp != nil {
+		b.MaxConns /= 2 // the virtual address has a listener of its own
+		b.Enough /= 2
+	}
+	return b
+}
+
+// socket is the clients' listening socket: the one that was passed, of which this process has a copy, or a new one.
+func (g *gatherer) socket() (net.Listener, error) {
+	if g.passed > 0 {
+		file := os.NewFile(uintptr(g.passed), "clients")
+		if file == nil {
+			return nil, fmt.Errorf("descriptor %d is not open", g.passed)
+		}
+		defer file.Close() // FileListener has made a copy of its own
+		return net.FileListener(file)
+	}
+	// Clients are let go by their idle time; probes by the system would only cost four calls for each.
+	accepting := net.ListenConfig{KeepAlive: -1}
+	return accepting.Listen(context.Background(), "tcp", g.listen)
+}
+
+// follow begins to follow discovery. A successor first has the whole list, or has waited for it: until then the
+// process that it replaces serves, with a list that is up to date.
+func (g *gatherer) follow() {
+	if g.watcher == nil {
+		return
+	}
+	if g.passed == 0 {
+		go g.watcher.Run()
+		return
+	}
+	g.watcher.Afresh()
+	go g.watcher.Run()
+	t := time.NewTimer(firstList)
+	defer t.Stop()
+	select {
+	case <-g.watcher.Heard():
+	case <-t.C:
+		g.log.Printf("level=warn event=start list=given waited=%s", firstList)
+	}
+}
+
+// again reads the file once more; one that can't be used changes nothing.
+func (g *gatherer) again() {
+	if err := g.reload(g.engine, g.watcher); err != nil {
+		g.log.Printf("level=error event=reload kept=old error=%q", err)
+	}
+}
+
+// end leaves: it goes on serving until nothing is held and nothing comes in any more or, with a passed socket, until
+// the last connection has ended.
+func (g *gatherer) end(hup <-chan os.Signal) {
+	g.duty.Leave(g.passed > 0)
+	still := g.listener.Quiet
+	if g.virtual != nil {
+		g.virtual.leave()
+		still = func(since int64) bool { return g.listener.Quiet(since) && g.virtual.quiet(since) }
+	}
+	if g.passed > 0 {
+		g.listener.HandOver()
+		still = func(int64) bool {
+			return g.listener.Empty() && (g.virtual == nil || g.virtual.quiet(g.clock.Now()+1))
+		}
+	} else {
+		g.listener.Leave()
+	}
+	g.log.Printf("level=info event=leaving held=%d", g.engine.Held())
+	since := g.clock.Now()
+	tick := time.NewTicker(50 * time.Millisecond)
+	defer tick.Stop()
+	for served := false; ; {
+		select {
+		case <-hup: // it may still move the watch: what is held has to end well
+			g.again()
+			continue
+		case <-g.served: // what it accepted last is among the connections now
+			served = true
+			continue
+		case <-tick.C:
+		}
+		now := g.clock.Now()
+		if (served || g.passed == 0 && now-since >= quiet) && still(now-quiet) && g.engine.Held() == 0 {
+			break
+		}
+	}
+	g.listener.Close()
+	if g.virtual != nil {
+		g.virtual.close()
+	}
+	if g.watcher != nil {
+		g.watcher.Stop()
+	}
+	g.engine.Stop()
+	if g.door != nil {
+		g.door.Close()
+	}
+	g.log.Printf("level=info event=stopped")
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -14,6 +14,7 @@
 // Node is the whole configuration of one gatherer on the platform.
 type Node struct {
 	Name, Listen, Discovery string
+	Operator                string // where operators call; empty: no door
 	Seed                    uint64
 	Sockets, MemoryMB       int
 	Known                   []yw.Server // the list of workers as last held
@@ -64,13 +65,14 @@
 		return r.str(key, "")
 	}
 	n := Node{Name: either("LB_NAME", "name"), Listen: either("LB_LISTEN", "listen"),
-		Discovery: either("LB_DISCOVERY", "discovery"),
-		Sockets:   r.object("limits").count("sockets", 1024), MemoryMB: r.object("limits").count("memory_mb", 192)}
+		Discovery: either("LB_DISCOVERY", "discovery"), Operator: either("LB_OPERATOR", "operator"),
+		Sockets: r.object("limits").count("sockets", 1024), MemoryMB: r.object("limits").count("memory_mb", 192)}
 	for key, addr := range map[string]string{"listen": n.Listen, "discovery": n.Discovery} {
 		if _, _, err := net.SplitHostPort(addr); err != nil {
 			r.fault(key, "%q is not host:port", addr)
 		}
 	}
+	r.optionalHostPort("operator", n.Operator)
 	r.limits(n.Sockets, n.MemoryMB)
 	if n.Seed, err = strconv.ParseUint(r.str("seed", "0"), 16, 64); err != nil {
 		r.fault("seed", "want hex digits, not %q", r.str("seed", ""))
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -49,6 +49,7 @@
 	for _, c := range []struct{ from, to, names string }{
 		{`"127.0.0.1:8080"`, `"nowhere"`, "listen"},
 		{`"127.0.0.1:8500"`, `7`, "discovery"},
+		{`"name":"n3"`, `"operator":"9600"`, "operator"},
 		{`8c1f30d27a5be964`, `xyz`, "seed"},
 		{`"sockets":1024`, `"sockets":3`, "limits.sockets"},
 		{`"memory_mb":192`, `"memory_mb":"much"`, "limits.memory_mb"},
@@ -119,3 +120,19 @@
 		}
 	}
 }
+
+// The second address and the passed socket are named in the environment; a fault names the variable.
+func TestProcessAndOperator(t *testing.T) {
+	env := func(v string) func(string) string { return func(string) string { return v } }
+	if p, err := LoadProcess(env("3")); err != nil || p.PassedSocket != 3 {
+		t.Errorf("%+v %v", p, err)
+	}
+	if p, err := LoadProcess(env("")); err != nil || p.PassedSocket != 0 {
+		t.Errorf("%+v %v", p, err)
+	}
+	for _, bad := range []string{"2", "-1", "x", "3 "} {
+		if _, err := LoadProcess(env(bad)); err == nil || !strings.Contains(err.Error(), "LB_PASSED_SOCKET") {
+			t.Errorf("%q: %v", bad, err)
+		}
+	}
+}
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -17,6 +17,7 @@
 // Operator is what an operator's file sets up: a gatherer that speaks the search API, away from the platform.
 type Operator struct {
 	Name, Listen      string
+	Operator          string // where operators call; empty: no door
 	Seed              uint64
 	Sockets, MemoryMB int
 	Settings          Settings
@@ -62,11 +63,12 @@
 	}
 	r.require("listen", "settings", "indices", "servers")
 	o := Operator{Name: r.str("name", "saffronquay"), Listen: r.str("listen", ""),
-		TenantHeader: r.str("tenant_header", "X-Tenant"), Settings: readSettings(r.object("settings")),
+		Operator: r.str("operator", ""), TenantHeader: r.str("tenant_header", "X-Tenant"), Settings: readSettings(r.object("settings")),
 		Sockets: r.object("limits").count("sockets", 1024), MemoryMB: r.object("limits").count("memory_mb", 192),
 		Budgets: map[string]broker.Budget{}, Indices: map[string]opensearch.Index{},
 		Addresses: map[yw.ServerID]string{}}
 	r.hostPort("listen", o.Listen)
+	r.optionalHostPort("operator", o.Operator)
 	if o.Seed, err = strconv.ParseUint(r.str("seed", "0"), 16, 64); err != nil {
 		r.fault("seed", "want hex digits, not %q", r.str("seed", ""))
 	}
@@ -140,6 +142,12 @@
 	}
 }
 
+func (r reader) optionalHostPort(key, value string) {
+	if value != "" {
+		r.hostPort(key, value)
+	}
+}
+
 // tenants reads the contracts: each tenant's share, and the budget of its further attempts.
 func (o *Operator) tenants(r reader) {
 	list := r.array("tenants")
--- /dev/null
+++ b/internal/config/process.go
@@ -0,0 +1,22 @@
+package config
+
+import (
+	"fmt"
+	"strconv"
+)
+
+// Process is what the environment tells of this process beside its configuration.
+type Process struct {
+	PassedSocket int // descriptor of the clients' listening socket, which another holds; 0: none
+}
+
+// LoadProcess reads it.
+func LoadProcess(getenv func(string) string) (p Process, err error) {
+	const variable = "LB_PASSED_SOCKET"
+	if text := getenv(variable); text != "" {
+		if p.PassedSocket, err = strconv.Atoi(text); err != nil || p.PassedSocket < 3 {
+			return p, fmt.Errorf("%s: want the number of a descriptor from 3 on, not %.40q", variable, text)
+		}
+	}
+	return p, nil
+}
--- a/internal/loopback/opensearch_test.go
+++ b/internal/loopback/opensearch_test.go
@@ -33,7 +33,7 @@
 		indices = append(indices, map[string]any{"name": class, "class": class, "field": "taxpayer",
 			"part_work_us": 1000, "ranges": ranges})
 	}
-	writeJSON(t, w, map[string]any{"listen": "127.0.0.1:0", "settings": json.RawMessage(settings),
+	writeJSON(t, w, map[string]any{"listen": "127.0.0.1:0", "operator": "127.0.0.1:0", "settings": json.RawMessage(settings),
 		"tenants": []any{map[string]any{"name": "desk", "quota_per_s": 100}}, "indices": indices, "servers": servers})
 }
 
--- a/internal/loopback/platform_test.go
+++ b/internal/loopback/platform_test.go
@@ -31,7 +31,7 @@
 }
 
 func writePlatform(t *testing.T, w *world, discovery string) {
-	writeJSON(t, w, map[string]any{"name": "n0", "listen": "127.0.0.1:0", "discovery": discovery,
+	writeJSON(t, w, map[string]any{"name": "n0", "listen": "127.0.0.1:0", "operator": "127.0.0.1:0", "discovery": discovery,
 		"seed": "8c1f30d27a5be964", "limits": map[string]any{"sockets": 256, "memory_mb": 192},
 		"known":    map[string]any{"generation": 41, "reset": true, "instances": entries(w, nil)},
 		"settings": json.RawMessage(settings)})
@@ -70,12 +70,12 @@
 		fmt.Fprintf(conn, "%x\r\n%s\n\r\n", len(line)+1, line)
 	}
 	go func() {
-		for open := true; open; { // one gatherer, one watch at a time
+		for { // a gatherer has one watch at a time; where two run, one of them is told of a change
 			conn, err := l.Accept()
 			if err != nil {
 				return
 			}
-			open = func() bool {
+			go func() {
 				defer conn.Close()
 				r := bufio.NewReader(conn)
 				m, err := readMessage(conn, r, false)
@@ -86,7 +86,7 @@
 					m, err = readMessage(conn, r, false)
 				}
 				if err != nil {
-					return true
+					return
 				}
 				if want := fmt.Sprintf("/catalog/members?watch=1&from=%d", generation); m.Target != want {
 					t.Errorf("discovery was asked for %s, want %s", m.Target, want)
@@ -95,16 +95,15 @@
 				for change := range lists {
 					name, state, _ := strings.Cut(change, " ")
 					if name == "break" {
-						return true
+						return
 					}
 					generation++
 					i := slices.IndexFunc(w.servers, func(s *standIn) bool { return s.name == name })
 					chunk(conn, false, []map[string]any{entry(w.servers[i], state)})
 				}
-				return false
+				l.Close()
 			}()
 		}
-		l.Close()
 	}()
 	return l.Addr().String()
 }
--- a/internal/loopback/scenario_test.go
+++ b/internal/loopback/scenario_test.go
@@ -2,6 +2,11 @@
 // a text of one step a line; the same text runs in each dialect and has to come out the same.
 //
 //	only DIALECT                      the scenario is not for the other one
+//	passed                            as the first step: clients' socket is held by the test and passed on
+//	replace                           the program is started once more, beside the one that runs; what follows is
+//	                                  about the new one, and "old" means the other
+//	call WORDS... = ANSWER            an operator calls; the answer begins like this
+//	callers N TEXT                    so many operators connect, send so much, and stay
 //	server NAME|* BEHAVIOUR           how a stand-in server treats calls from here on; hold keeps the answers
 //	                                  back until the next one
 //	fleet NAME STATE                  discovery tells of a server
@@ -13,20 +18,21 @@
 //	conceal Q SHARD                   a request that can be read in two ways, with a whole one in its body
 //	flood Q SHARD N                   so many requests at once on one connection
 //	close Q                           the client goes away
-//	stop                              SIGTERM to the program
+//	stop [old]                        SIGTERM to the program
 //	reload bad | reload NAME...       SIGHUP, with a file that can't be used or one by which these servers are gone;
 //	                                  discovery is then at another address, where versions begin anew
 //	wait shard S received|dropped N   until servers have seen so much
 //	wait told N                       until the program has heard of discovery's version N
 //	expect Q OUTCOME                  the one final answer of a query
 //	expect shard S received N         how many calls for a shard servers have seen in all
-//	expect ready|leaving|exit         the program's health, or its orderly end
+//	expect ready|leaving|exit [old]   the program's health, or its orderly end
 package loopback
 
 import (
 	"bufio"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"os/exec"
@@ -82,8 +88,10 @@
 	d       dialect
 	servers []*standIn
 	address string
-	cmd     *exec.Cmd
-	exited  chan error
+	process
+	old     process  // the one that was replaced
+	env     []string // of the program
+	socket  *os.File // passed to the program; nil where it opens its own
 	clients map[string]*client
 	lists   chan string // changes that discovery has to tell
 	file    string      // the program's configuration
@@ -95,6 +103,13 @@
 	told     map[int]int // by version of the list
 }
 
+// process is one start of the program.
+type process struct {
+	cmd    *exec.Cmd
+	door   string // where operators call
+	exited chan error
+}
+
 type client struct {
 	conn net.Conn
 	r    *bufio.Reader
@@ -184,17 +199,28 @@
 
 var told = regexp.MustCompile(`event=fleet generation=(\d+)`)
 
-var started = regexp.MustCompile(`event=start .*listen=(\S+)`)
+var started = regexp.MustCompile(`event=start .*listen=(\S+) operator=(\S+)`)
 
-func newWorld(t *testing.T, d dialect) *world {
+func newWorld(t *testing.T, d dialect, passed bool) *world {
 	w := prepare(t, d)
+	if passed {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close()
+		if w.socket, err = l.(*net.TCPListener).File(); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { w.socket.Close() })
+	}
 	w.start(d.config(t, w))
 	return w
 }
 
 // prepare makes a world whose stand-ins listen and whose program is not started.
 func prepare(t *testing.T, d dialect) *world {
-	w := &world{t: t, d: d, clients: map[string]*client{}, exited: make(chan error, 1), lists: make(chan string, 8),
+	w := &world{t: t, d: d, clients: map[string]*client{}, lists: make(chan string, 8),
 		received: map[int]int{}, dropped: map[int]int{}, told: map[int]int{}}
 	w.changed = sync.NewCond(&w.mu)
 	for i := range 4 {
@@ -208,21 +234,26 @@
 // start starts the program and waits until it listens.
 func (w *world) start(env []string) {
 	t := w.t
-	w.cmd = exec.Command(program)
-	w.cmd.Env = append(os.Environ(), env...)
-	errs, err := w.cmd.StderrPipe()
+	w.env = env
+	cmd, exited := exec.Command(program), make(chan error, 1)
+	cmd.Env = append(append(os.Environ(), "LB_OPERATOR="), env...)
+	if w.socket != nil {
+		cmd.ExtraFiles = []*os.File{w.socket}
+		cmd.Env = append(cmd.Env, "LB_PASSED_SOCKET=3")
+	}
+	errs, err := cmd.StderrPipe()
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := w.cmd.Start(); err != nil {
+	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
-	addresses, ended := make(chan string, 1), make(chan struct{})
+	addresses, ended := make(chan []string, 1), make(chan struct{})
 	go func() {
 		defer close(ended)
 		for lines := bufio.NewScanner(errs); lines.Scan(); {
 			if m := started.FindStringSubmatch(lines.Text()); m != nil {
-				addresses <- m[1]
+				addresses <- m
 			}
 			if strings.Contains(lines.Text(), "event=leaving") {
 				w.count(w.told, leaving)
@@ -242,10 +273,11 @@
 			}
 		}
 	}()
-	go func() { <-ended; w.exited <- w.cmd.Wait() }()
-	t.Cleanup(func() { w.cmd.Process.Kill(); <-ended })
+	go func() { <-ended; exited <- cmd.Wait() }()
+	t.Cleanup(func() { cmd.Process.Kill(); <-ended })
 	select {
-	case w.address = <-addresses:
+	case m := <-addresses:
+		w.address, w.process = m[1], process{cmd, m[2], exited}
 	case <-ended:
 		t.Fatal("the program ended at its start")
 	case <-time.After(patience):
@@ -253,8 +285,35 @@
 	}
 }
 
-func (w *world) dial() net.Conn {
-	conn, err := net.DialTimeout("tcp", w.address, patience)
+// which is the process that a step means.
+func (w *world) which(f []string, i int) process {
+	if len(f) > i && f[i] == "old" {
+		return w.old
+	}
+	return w.process
+}
+
+// call has an operator call, byte by byte, and returns the answer.
+func (w *world) call(words string) string {
+	conn := w.dialTo(w.door)
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(patience))
+	for _, b := range []byte(words + "\n") {
+		if _, err := conn.Write([]byte{b}); err != nil {
+			break // a line that is too long is answered before its end
+		}
+	}
+	answer, err := io.ReadAll(conn)
+	if err != nil && len(answer) == 0 {
+		return err.Error()
+	}
+	return string(answer)
+}
+
+func (w *world) dial() net.Conn { return w.dialTo(w.address) }
+
+func (w *world) dialTo(address string) net.Conn {
+	conn, err := net.DialTimeout("tcp", address, patience)
 	if err != nil {
 		w.t.Fatal(err)
 	}
@@ -346,7 +405,7 @@
 
 // play runs a scenario and returns what its queries came to.
 func play(t *testing.T, d dialect, text string) []string {
-	w := newWorld(t, d)
+	w := newWorld(t, d, strings.Contains(text, "\npassed\n"))
 	var seen []string
 	for i, line := range strings.Split(text, "\n") {
 		line, _, _ = strings.Cut(line, "#")
@@ -370,7 +429,19 @@
 		return n
 	}
 	switch verb := f[0]; verb {
-	case "only":
+	case "only", "passed":
+	case "replace":
+		w.old = w.process
+		w.start(w.env)
+	case "call":
+		words, want, _ := strings.Cut(strings.Join(f[1:], " "), " = ")
+		if got := w.call(words); !strings.HasPrefix(got, want) {
+			return fmt.Errorf("got %q", got)
+		}
+	case "callers":
+		for range num(1) {
+			fmt.Fprint(w.dialTo(w.door), strings.Join(f[2:], " "))
+		}
 	case "server":
 		for _, s := range w.servers {
 			if f[1] == "*" || f[1] == s.name {
@@ -416,10 +487,13 @@
 		w.clients[f[1]].conn.Close()
 	case "stop":
 		// A signal takes its time: what follows is about a program that has heard it.
-		if err := w.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		w.mu.Lock()
+		before := w.told[leaving]
+		w.mu.Unlock()
+		if err := w.which(f, 1).cmd.Process.Signal(syscall.SIGTERM); err != nil {
 			return err
 		}
-		if !w.await(w.told, leaving, 1) {
+		if !w.await(w.told, leaving, before+1) {
 			return fmt.Errorf("the program did not hear it")
 		}
 	case "reload":
@@ -460,7 +534,7 @@
 			got, want = w.health(), f[1]
 		case "exit":
 			select {
-			case err := <-w.exited:
+			case err := <-w.which(f, 2).exited:
 				got, want = fmt.Sprint(err), fmt.Sprint(error(nil))
 			case <-time.After(patience):
 				got = "still running"
--- /dev/null
+++ b/internal/operations/call.go
@@ -0,0 +1,70 @@
+// Package operations is the operators' door as a state machine that is fed bytes, how the program stands. It opens
+// no socket.
+package operations
+
+import (
+	"bytes"
+	"fmt"
+)
+
+// Desk is what the door's calls reach. Its methods answer at once, under any load.
+type Desk interface {
+	// Status tells whether this process takes clients, and in a word how it stands.
+	Status() (takes bool, word string)
+}
+
+// MaxCall bounds a call's line, without its end.
+const MaxCall = 64
+
+// Call is one connection's one call.
+type Call struct {
+	line []byte
+	done bool
+}
+
+// Feed takes in bytes and returns the answer once the call is whole or can't become one; what follows the line
+// is of no interest.
+func (c *Call) Feed(b []byte, d Desk) (answer []byte, done bool) {
+	if c.done {
+		return nil, true
+	}
+	i := bytes.IndexByte(b, '\n')
+	if i >= 0 {
+		b = b[:i]
+	}
+	if len(c.line)+len(b) > MaxCall+1 { // one more for a carriage return
+		c.done = true
+		return no("a call has %d bytes at most", MaxCall), true
+	}
+	c.line = append(c.line, b...)
+	if i < 0 {
+		return nil, false
+	}
+	c.done = true
+	return perform(string(bytes.TrimSuffix(c.line, []byte{'\r'})), d), true
+}
+
+// Ended says that no more bytes come. A line without its end is not carried out: it may be half a call.
+func (c *Call) Ended() []byte {
+	if c.done {
+		return nil
+	}
+	c.done = true
+	return no("the call has no end")
+}
+
+func perform(call string, d Desk) []byte {
+	switch call {
+	case "status":
+		takes, word := d.Status()
+		if !takes {
+			return no("%s", word)
+		}
+		return []byte("YES " + word + "\n")
+	case "":
+		return no("empty call; there is status")
+	}
+	return no("unknown call %q; there is status", call)
+}
+
+func no(format string, args ...any) []byte { return fmt.Appendf(nil, "NO "+format+"\n", args...) }
--- /dev/null
+++ b/internal/operations/call_test.go
@@ -0,0 +1,78 @@
+package operations
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+)
+
+var calls = []struct{ line, answer string }{
+	{"status\n", "YES active\n"},
+	{"status\r\n", "YES active\n"},
+	{"status\nstatus\n", "YES active\n"},
+	{"\n", "NO empty call"},
+	{" status\n", "NO unknown call"},
+	{"Status\n", "NO unknown call"},
+	{"GET /_health HTTP/1.1\r\nHost: x\r\n\r\n", "NO unknown call"},
+	{strings.Repeat("x", MaxCall) + "\n", "NO unknown call"},
+	{strings.Repeat("x", MaxCall+2), "NO a call has"},
+	{"stat", "NO the call has no end"},
+	{"", "NO the call has no end"},
+}
+
+func feed(pieces ...string) []byte {
+	d := &Duty{}
+	d.Begin()
+	var c Call
+	for _, p := range pieces {
+		if answer, done := c.Feed([]byte(p), d); done {
+			return answer
+		}
+	}
+	return c.Ended()
+}
+
+// A call is the same however its bytes come in: guards against callers that write in pieces.
+func TestEverySplit(t *testing.T) {
+	for _, c := range calls {
+		whole := feed(c.line)
+		if !strings.HasPrefix(string(whole), c.answer) {
+			t.Errorf("%q: %q", c.line, whole)
+		}
+		for i := range c.line {
+			if got := feed(c.line[:i], c.line[i:]); !bytes.Equal(got, whole) {
+				t.Errorf("%q split at %d: %q, whole %q", c.line, i, got, whole)
+			}
+		}
+		if got := feed(strings.Split(c.line, "")...); !bytes.Equal(got, whole) {
+			t.Errorf("%q byte by byte: %q, whole %q", c.line, got, whole)
+		}
+	}
+}
+
+// Whatever is sent, the answer is one line that says yes or no, and nothing is kept beyond a call's length.
+func FuzzCall(f *testing.F) {
+	for _, c := range calls {
+		f.Add([]byte(c.line), 1)
+	}
+	f.Fuzz(func(t *testing.T, b []byte, size int) {
+		d := &Duty{}
+		var c Call
+		var answer []byte
+		for done := false; len(b) > 0 && !done; {
+			n := min(max(size, 1), len(b))
+			answer, done = c.Feed(b[:n], d)
+			b = b[n:]
+			if len(c.line) > MaxCall+1 {
+				t.Fatalf("%d bytes kept", len(c.line))
+			}
+		}
+		if answer == nil {
+			answer = c.Ended()
+		}
+		text := string(answer)
+		if !strings.HasPrefix(text, "YES ") && !strings.HasPrefix(text, "NO ") || strings.Count(text, "\n") != 1 {
+			t.Errorf("%q", text)
+		}
+	})
+}
--- a/internal/transport/discovery.go
+++ b/internal/transport/discovery.go
@@ -24,6 +24,8 @@
 	stop       chan struct{}
 	begin      chan struct{}
 	done       chan struct{}
+	heard      chan struct{} // closed with the first list
+	told       bool          // it is; Run's goroutine owns it
 
 	mu      sync.Mutex
 	address string
@@ -44,9 +46,16 @@
 func NewWatcher(address string, generation int64, asked bool, tell func(yw.FleetChanged, map[yw.ServerID]string),
 	logger *log.Logger) *Watcher {
 	return &Watcher{address: address, generation: generation, asked: asked, tell: tell, log: logger,
-		stop: make(chan struct{}), done: make(chan struct{}), begin: make(chan struct{}, 1), moved: make(chan struct{})}
+		stop: make(chan struct{}), done: make(chan struct{}), heard: make(chan struct{}), begin: make(chan struct{}, 1),
+		moved: make(chan struct{})}
 }
 
+// Afresh has the whole list asked for first, as at a new address. Call it before Run.
+func (w *Watcher) Afresh() { w.fresh = true }
+
+// Heard is closed once a list has been told.
+func (w *Watcher) Heard() <-chan struct{} { return w.heard }
+
 // Begin asks for the watch, where it waits to be asked.
 func (w *Watcher) Begin() {
 	select {
@@ -258,5 +267,9 @@
 		kind = yw.FleetFull
 	}
 	w.tell(yw.FleetChanged{Kind: kind, Servers: l.Servers}, l.Addresses)
+	if !w.told {
+		w.told = true
+		close(w.heard)
+	}
 	w.log.Printf("level=info event=fleet generation=%d whole=%t entries=%d", l.Generation, l.Whole, len(l.Servers))
 }
--- a/internal/transport/listener.go
+++ b/internal/transport/listener.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"yarrowwalk/internal/broker"
@@ -45,8 +46,14 @@
 	faultGrace  = 1500 * time.Millisecond
 	linger      = time.Second
 	lingerBytes = 1 << 20
-	idleEnough  = 2 * time.Second        // then a connection may be closed where room is wanted
-	silentLong  = 300 * time.Millisecond // clients that mean to ask do so at once
+	idleEnough  = 2 * time.Second // then a connection may be closed where room is wanted
+	// Once its connections are to go, a listener first lets answers end them. From restAfter on it closes those that
+	// have been idle for restIdle, from restLast on all that are idle.
+	restAfter  = time.Second
+	restIdle   = 500 * time.Millisecond
+	restLast   = 1500 * time.Millisecond
+	restTick   = 50 * time.Millisecond
+	silentLong = 300 * time.Millisecond // clients that mean to ask do so at once
 )
 
 // Listener accepts clients' connections and answers their requests.
@@ -63,15 +70,18 @@
 	freed   chan struct{}
 	wg      sync.WaitGroup
 
+	over chan struct{} // closed by Close
+
 	mu     sync.Mutex
 	closed bool
 	conns  map[*clientConn]bool
+	rest   chan struct{} // closed when idle connections may stay again; nil while they may
 }
 
 // NewListener makes a listener on an open socket; Serve runs it.
 func NewListener(l net.Listener, cfg ListenerConfig, e *Engine, f Front, logger *log.Logger) *Listener {
 	return &Listener{cfg: cfg, engine: e, front: f, log: logger, net: l, freed: make(chan struct{}, 1),
-		conns: map[*clientConn]bool{}}
+		conns: map[*clientConn]bool{}, over: make(chan struct{})}
 }
 
 // Serve accepts connections until Close. Errors of accept, such as a full table of descriptors, back off.
@@ -206,6 +216,86 @@
 // Leave makes the listener not ready; it goes on accepting and answering.
 func (l *Listener) Leave() { l.leaving.Store(true) }
 
+// HandOver stops accepting and ends each connection with its answer, or once it has been idle for a while. The
+// socket may be another process's too: closing it here is all that happens to it.
+func (l *Listener) HandOver() {
+	l.leaving.Store(true)
+	l.net.Close()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.wind()
+}
+
+// wind begins to end idle connections.
+func (l *Listener) wind() {
+	if l.rest != nil || l.closed {
+		return
+	}
+	l.rest = make(chan struct{})
+	l.wg.Add(1)
+	go l.unwind(l.rest)
+}
+
+func (l *Listener) unwind(stop <-chan struct{}) {
+	defer l.wg.Done()
+	began := time.Now()
+	tick := time.NewTicker(restTick)
+	defer tick.Stop()
+	for {
+		select {
+		case now := <-tick.C:
+			if age := now.Sub(began); age >= restAfter {
+				l.endIdle(now, age >= restLast)
+			}
+		case <-stop:
+			return
+		case <-l.over:
+			return
+		}
+	}
+}
+
+// endIdle closes connections without a request arriving or in hand. Guards requests that have come in and that the
+// reader has not got to: closing over them would reset the connection under its client.
+func (l *Listener) endIdle(now time.Time, all bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.conns {
+		if c.partial || c.answering || len(c.queue) > 0 || c.fault != nil || !all && now.Sub(c.since) < restIdle ||
+			unread(c.net) {
+			continue
+		}
+		c.evicted = true
+		c.net.Close()
+	}
+}
+
+// unread tells that bytes wait on a connection.
+func unread(conn net.Conn) bool {
+	raw, ok := conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	rc, err := raw.SyscallConn()
+	if err != nil {
+		return false
+	}
+	n := 0
+	if rc.Control(func(fd uintptr) {
+		n, _, _ = syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	}) != nil {
+		return false
+	}
+	return n > 0
+}
+
+// Empty tells that no client's connection is open.
+func (l *Listener) Empty() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.conns) == 0
+}
+
 // Drain stops accepting and closes each connection once it is idle.
 func (l *Listener) Drain() {
 	l.leaving.Store(true)
@@ -226,7 +316,10 @@
 func (l *Listener) Close() {
 	l.net.Close()
 	l.mu.Lock()
-	l.closed = true
+	if !l.closed {
+		l.closed = true
+		close(l.over)
+	}
 	for c := range l.conns {
 		c.net.Close()
 	}
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -595,3 +595,66 @@
 		t.Errorf("%d answers, %v", n, err)
 	}
 }
+
+// A listener that is handed over lets a request finish that is arriving, and ends what is idle; the socket itself
+// stays open for the other process that holds it. Guards clients against resets while the program is replaced.
+func TestHandOver(t *testing.T) {
+	l, _ := serve(t, ListenerConfig{MaxConns: 8, Enough: 8, Idle: patience, First: patience, Slow: patience, MaxHeld: 1 << 20})
+	file, err := l.net.(*net.TCPListener).File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer file.Close()
+	other, err := net.FileListener(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer other.Close()
+	dial := func(text string) net.Conn {
+		conn, err := net.Dial("tcp", l.net.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { conn.Close() })
+		conn.SetDeadline(time.Now().Add(patience))
+		fmt.Fprint(conn, text)
+		return conn
+	}
+	idle, half := dial("GET / HTTP/1.1\r\nHost: x\r\n\r\n"), dial("GET / HTTP/1.1\r\n")
+	answer := make([]byte, 512)
+	if n, err := idle.Read(answer); err != nil || strings.Contains(string(answer[:n]), "Connection: close") {
+		t.Fatalf("before: %q %v", answer[:n], err)
+	}
+	for !l.partial(1) {
+		time.Sleep(time.Millisecond)
+	}
+	l.HandOver()
+	if n, err := idle.Read(answer); err != io.EOF {
+		t.Errorf("the idle one got %q %v, want its end", answer[:n], err)
+	}
+	fmt.Fprint(half, "Host: x\r\n\r\n")
+	if got, err := io.ReadAll(half); err != nil || !strings.Contains(string(got), "200 OK") || !strings.Contains(string(got), "Connection: close") {
+		t.Errorf("the one arriving got %q %v", got, err)
+	}
+	for !l.Empty() {
+		time.Sleep(time.Millisecond)
+	}
+	dial("")
+	if conn, err := other.Accept(); err != nil {
+		t.Errorf("the other process's copy: %v", err)
+	} else {
+		conn.Close()
+	}
+}
+
+// partial tells that so many connections have a request arriving.
+func (l *Listener) partial(n int) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.conns {
+		if c.partial {
+			n--
+		}
+	}
+	return n <= 0
+}
