Drain on standby and go back to work on active

Now: standby makes each listener not ready; answers end connections, idle ones are closed from 1 s on, all by 1.5 s, none with bytes unread. Listener.Drain, which closed idle connections at once, is gone: VRRP uses HandOver. Tests: scenario drain in both dialects (SIGHUP and SIGTERM on standby included), TestDuty, VRRP's address on standby.

--- a/cmd/saffronquay/gatherer.go
+++ b/cmd/saffronquay/gatherer.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"runtime/debug"
+	"sync"
 	"time"
 
 	yw "yarrowwalk"
@@ -18,15 +19,19 @@
 // gatherer is the program's parts, joined.
 type gatherer struct {
 	plan
-	log      *log.Logger
-	clock    transport.Clock
-	engine   *transport.Engine
-	watcher  *transport.Watcher // nil: the list of servers is fixed
-	listener *transport.Listener
-	virtual  *service        // nil: no virtual address
-	door     *transport.Door // nil: off
-	duty     *operations.Duty
-	served   chan error // the listener's end
+	log     *log.Logger
+	clock   transport.Clock
+	engine  *transport.Engine
+	watcher *transport.Watcher // nil: the list of servers is fixed
+	virtual *service           // nil: no virtual address
+	door    *transport.Door    // nil: off
+	duty    *operations.Duty
+	served  chan error    // the listener's end
+	turn    chan struct{} // the duty has changed
+
+	mu        sync.Mutex // of the two that a standby touches
+	listener  *transport.Listener
+	onStandby bool
 }
 
 func run(logger *log.Logger, term, hup <-chan os.Signal) error {
@@ -35,7 +40,9 @@
 		return fmt.Errorf("configuration: %w", err)
 	}
 	debug.SetMemoryLimit(int64(p.memoryMB) << 20 * 3 / 4)
-	g := &gatherer{plan: p, log: logger, clock: transport.NewClock(), duty: &operations.Duty{}, served: make(chan error, 1)}
+	g := &gatherer{plan: p, log: logger, clock: transport.NewClock(), served: make(chan error, 1),
+		turn: make(chan struct{}, 1)}
+	g.duty = operations.NewDuty(g.stand)
 	if err := g.begin(); err != nil {
 		return err
 	}
@@ -45,6 +52,12 @@
 			return fmt.Errorf("accept: %w", err)
 		case <-hup:
 			g.again()
+		case <-g.turn:
+			if g.virtual != nil {
+				if err := g.virtual.compete(!g.standsBy()); err != nil {
+					g.log.Printf("level=error event=vrrp error=%q", err)
+				}
+			}
 		case <-term:
 			running = false
 		}
@@ -72,14 +85,18 @@
 		return fmt.Errorf("listen: %w", err)
 	}
 	bounds := g.bounds()
+	g.mu.Lock()
 	g.listener = transport.NewListener(socket, bounds, g.engine, g.front, g.log)
+	g.listener.Standby(g.onStandby)
+	g.mu.Unlock()
 	go g.engine.Run()
 	g.follow()
 	if g.vrrp != nil {
-		g.virtual = &service{address: g.vrrp.Service, log: g.log, open: func(l net.Listener) *transport.Listener {
-			return transport.NewListener(l, bounds, g.engine, g.front, g.log)
-		}}
-		if err := g.virtual.begin(g.clock, *g.vrrp); err != nil {
+		g.virtual = &service{address: g.vrrp.Service, log: g.log, clock: g.clock, config: *g.vrrp,
+			open: func(l net.Listener) *transport.Listener {
+				return transport.NewListener(l, bounds, g.engine, g.front, g.log)
+			}}
+		if err := g.virtual.compete(!g.standsBy()); err != nil {
 			return err
 		}
 	}
@@ -90,6 +107,27 @@
 	return nil
 }
 
+// stand carries an operator's word out; the main goroutine looks after the virtual address.
+func (g *gatherer) stand(standby bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.onStandby = standby
+	if g.listener != nil {
+		g.listener.Standby(standby)
+	}
+	g.log.Printf("level=info event=duty standby=%t", standby)
+	select {
+	case g.turn <- struct{}{}:
+	default:
+	}
+}
+
+func (g *gatherer) standsBy() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.onStandby
+}
+
 // compose makes the module, the core round it and their engine.
 func (g *gatherer) compose() error {
 	set := g.settings
--- a/cmd/saffronquay/service.go
+++ b/cmd/saffronquay/service.go
@@ -16,9 +16,11 @@
 type service struct {
 	address string
 	open    func(net.Listener) *transport.Listener
+	clock   transport.Clock
+	config  config.VRRP
 	log     *log.Logger
-	router  *transport.Redundancy
-	stop    chan struct{} // ends the present time as Active; the router's goroutine owns it
+	router  *transport.Redundancy // nil: on standby, or leaving
+	stop    chan struct{}         // ends the present time as Active; the router's goroutine owns it
 
 	mu        sync.Mutex
 	listeners []*transport.Listener // the present one, and drained ones that may still have answers to give
@@ -29,12 +31,20 @@
 	mostDrained = 4 // then the oldest is closed
 )
 
-func (s *service) begin(clock transport.Clock, v config.VRRP) error {
-	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(v.Listen))
+// compete takes part in the election, or gives the virtual address up and takes no part.
+func (s *service) compete(on bool) error {
+	if on == (s.router != nil) {
+		return nil
+	}
+	if !on {
+		s.leave()
+		return nil
+	}
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(s.config.Listen))
 	if err != nil {
 		return fmt.Errorf("vrrp: listen: %w", err)
 	}
-	s.router = transport.NewRedundancy(clock, v.Router, conn, v.Peers, s.become, s.log)
+	s.router = transport.NewRedundancy(s.clock, s.config.Router, conn, s.config.Peers, s.become, s.log)
 	go s.router.Run()
 	return nil
 }
@@ -82,7 +92,7 @@
 	s.log.Printf("level=info event=vrrp_service address=%s", s.address)
 	go func() {
 		<-stop
-		l.Drain()
+		l.HandOver()
 	}()
 	if err := l.Serve(); err != nil {
 		s.log.Printf("level=error event=vrrp_service error=%q", err)
@@ -103,7 +113,11 @@
 
 // leave gives the virtual address up, first of all: a peer takes over while this one still answers.
 func (s *service) leave() {
+	if s.router == nil {
+		return
+	}
 	s.router.Stop()
+	s.router = nil
 	s.become(vrrp.Initialize)
 }
 
--- a/internal/loopback/scenario_test.go
+++ b/internal/loopback/scenario_test.go
@@ -24,6 +24,7 @@
 //	wait shard S received|dropped N   until servers have seen so much
 //	wait told N                       until the program has heard of discovery's version N
 //	expect Q OUTCOME                  the one final answer of a query
+//	expect Q ended                    its connection, once it has its answer
 //	expect shard S received N         how many calls for a shard servers have seen in all
 //	expect ready|leaving|exit [old]   the program's health, or its orderly end
 package loopback
@@ -190,6 +191,7 @@
 	leaving  = -1
 	reloaded = -2
 	keptOld  = -3
+	active   = -4 // as a router
 )
 
 const (
@@ -255,6 +257,9 @@
 			if m := started.FindStringSubmatch(lines.Text()); m != nil {
 				addresses <- m
 			}
+			if strings.Contains(lines.Text(), "level=info event=vrrp_service address") {
+				w.count(w.told, active)
+			}
 			if strings.Contains(lines.Text(), "event=leaving") {
 				w.count(w.told, leaving)
 			}
@@ -540,6 +545,14 @@
 				got = "still running"
 			}
 		default:
+			if want == "ended" {
+				c := w.clients[f[1]]
+				c.conn.SetReadDeadline(time.Now().Add(patience))
+				if b, err := c.r.ReadByte(); err != io.EOF {
+					return fmt.Errorf("got %q %v", b, err)
+				}
+				return nil
+			}
 			select {
 			case got = <-w.clients[f[1]].got:
 				*seen = append(*seen, f[1]+" "+got)
--- a/internal/loopback/vrrp_test.go
+++ b/internal/loopback/vrrp_test.go
@@ -75,7 +75,20 @@
 	if got := served(); got != "answered 0,2" {
 		t.Fatalf("at first: %s", got)
 	}
-	first := worlds["first"]
+	// On standby the address is given up, and with active the better one takes it back.
+	first, second := worlds["first"], worlds["second"]
+	for i, call := range []string{"standby", "active", "standby", "active"} {
+		if got := first.call(call); !strings.HasPrefix(got, "YES") {
+			t.Fatalf("%s: %s", call, got)
+		}
+		w := []*world{second, first}[i%2]
+		if !w.await(w.told, active, i/2+1+(i%2)) {
+			t.Fatalf("%s: the other state never came", call)
+		}
+		if got := served(); got != "answered 0,2" {
+			t.Errorf("after %s: %s", call, got)
+		}
+	}
 	if err := first.cmd.Process.Signal(syscall.SIGTERM); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/opensearch/front.go
+++ b/internal/opensearch/front.go
@@ -89,7 +89,7 @@
 	if path, _, _ := strings.Cut(m.Target, "?"); path == "/_health" {
 		r := http1.Response{Status: 200, Type: "application/json; charset=UTF-8", Body: []byte(`{"status":"green"}`)}
 		if !ready {
-			r = f.fail(&fault{503, "node_not_connected_exception", "shutting down"})
+			r = f.fail(&fault{503, "node_not_connected_exception", "draining"})
 		}
 		return broker.Ask{}, nil, &r
 	}
--- a/internal/operations/call.go
+++ b/internal/operations/call.go
@@ -11,6 +11,9 @@
 type Desk interface {
 	// Status tells whether this process takes clients, and in a word how it stands.
 	Status() (takes bool, word string)
+	// Standby drains the program, Active puts it back to work; an error says why not.
+	Standby() error
+	Active() error
 }
 
 // MaxCall bounds a call's line, without its end.
@@ -61,10 +64,21 @@
 			return no("%s", word)
 		}
 		return []byte("YES " + word + "\n")
+	case "standby":
+		return did(d.Standby(), call)
+	case "active":
+		return did(d.Active(), call)
 	case "":
-		return no("empty call; there is status")
+		return no("empty call; there are status, standby and active")
 	}
-	return no("unknown call %q; there is status", call)
+	return no("unknown call %q; there are status, standby and active", call)
+}
+
+func did(err error, call string) []byte {
+	if err != nil {
+		return no("%v", err)
+	}
+	return []byte("YES " + call + "\n")
 }
 
 func no(format string, args ...any) []byte { return fmt.Appendf(nil, "NO "+format+"\n", args...) }
--- a/internal/operations/call_test.go
+++ b/internal/operations/call_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"slices"
 	"strings"
 	"testing"
 )
@@ -21,7 +22,7 @@
 }
 
 func feed(pieces ...string) []byte {
-	d := &Duty{}
+	d := NewDuty(func(bool) {})
 	d.Begin()
 	var c Call
 	for _, p := range pieces {
@@ -56,7 +57,7 @@
 		f.Add([]byte(c.line), 1)
 	}
 	f.Fuzz(func(t *testing.T, b []byte, size int) {
-		d := &Duty{}
+		d := NewDuty(func(bool) {})
 		var c Call
 		var answer []byte
 		for done := false; len(b) > 0 && !done; {
@@ -76,3 +77,36 @@
 		}
 	})
 }
+
+// Repeats change nothing, and what SIGTERM has begun no operator ends.
+func TestDuty(t *testing.T) {
+	var turns []bool
+	d := NewDuty(func(standby bool) { turns = append(turns, standby) })
+	ask := func(line, want string) {
+		t.Helper()
+		var c Call
+		if got, _ := c.Feed([]byte(line+"\n"), d); !strings.HasPrefix(string(got), want) {
+			t.Errorf("%s: %q, want %q", line, got, want)
+		}
+	}
+	ask("status", "NO starting")
+	d.Begin()
+	for range 2 {
+		ask("standby", "YES")
+		ask("status", "YES standby")
+	}
+	for range 2 {
+		ask("active", "YES")
+		ask("status", "YES active")
+	}
+	ask("standby", "YES")
+	d.Leave(false)
+	ask("status", "YES leaving")
+	ask("active", "NO leaving")
+	ask("standby", "YES")
+	d.Leave(true)
+	ask("status", "NO leaving")
+	if !slices.Equal(turns, []bool{true, false, true}) {
+		t.Errorf("turns %v", turns)
+	}
+}
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -40,7 +40,7 @@
 			return none, nil, plain(405, "want GET")
 		}
 		if !ready {
-			return none, nil, plain(503, "shutting down")
+			return none, nil, plain(503, "draining")
 		}
 		return none, nil, plain(200, "ready")
 	}
--- a/internal/transport/listener.go
+++ b/internal/transport/listener.go
@@ -64,6 +64,7 @@
 	log     *log.Logger
 	net     net.Listener
 	leaving atomic.Bool
+	standby atomic.Bool
 	last    atomic.Int64 // when a query last came in
 	busy    atomic.Int64 // connections with a request being read, decided or answered
 	held    atomic.Int64 // bytes of unfinished requests
@@ -296,19 +297,23 @@
 	return len(l.conns) == 0
 }
 
-// Drain stops accepting and closes each connection once it is idle.
-func (l *Listener) Drain() {
-	l.leaving.Store(true)
-	l.net.Close()
+// Standby drains, or ends the drain: it goes on accepting and answering, but is not ready, and connections end with
+// their answer or once they have been idle for a while.
+func (l *Listener) Standby(on bool) {
+	l.standby.Store(on)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for c := range l.conns {
-		if !c.partial && !c.answering {
-			c.net.Close()
-		}
+	if on {
+		l.wind()
+	} else if l.rest != nil {
+		close(l.rest)
+		l.rest = nil
 	}
 }
 
+// ready tells that new clients are welcome.
+func (l *Listener) ready() bool { return !l.leaving.Load() && !l.standby.Load() }
+
 // Quiet tells that no request is in hand and that none has come in since a time, in microseconds.
 func (l *Listener) Quiet(since int64) bool { return l.busy.Load() == 0 && l.last.Load() < since }
 
@@ -565,7 +570,7 @@
 	now := c.l.engine.clock.Now()
 	bad := c.bad
 	var late <-chan time.Time
-	ask, word, resp := c.l.front.Open(m, now, !c.l.leaving.Load())
+	ask, word, resp := c.l.front.Open(m, now, c.l.ready())
 	if resp == nil {
 		c.l.last.Store(now)
 		t := c.l.engine.Open(ask)
@@ -597,7 +602,7 @@
 			}
 		}
 	}
-	last = m.Close || c.l.leaving.Load() || c.l.scarce(c)
+	last = m.Close || !c.l.ready() || c.l.scarce(c)
 	if m.Method == "HEAD" {
 		resp.Body = nil
 	}
