--- a/api.go
+++ b/api.go
@@ -207,14 +207,19 @@
 // AlarmRang says that an alarm set by SetAlarm is due.
 type AlarmRang struct{ Mark int64 }
 
-func (Query) isEvent()        {}
-func (Part) isEvent()         {}
-func (ClientLeft) isEvent()   {}
-func (AttemptEnded) isEvent() {}
-func (ProbeEnded) isEvent()   {}
-func (FleetChanged) isEvent() {}
-func (PeerSaid) isEvent()     {}
-func (AlarmRang) isEvent()    {}
+// SettingsChanged puts other settings in force, of the same layout (Shards, Cells, Reach) and valid. A query that is
+// open keeps the class that it came with.
+type SettingsChanged struct{ Settings Settings }
+
+func (Query) isEvent()           {}
+func (Part) isEvent()            {}
+func (ClientLeft) isEvent()      {}
+func (AttemptEnded) isEvent()    {}
+func (ProbeEnded) isEvent()      {}
+func (FleetChanged) isEvent()    {}
+func (PeerSaid) isEvent()        {}
+func (AlarmRang) isEvent()       {}
+func (SettingsChanged) isEvent() {}
 
 // Action is something that the front node has to do: one of the types below, in the order given.
 type Action interface{ isAction() }
--- a/cmd/saffronquay/gatherer.go
+++ b/cmd/saffronquay/gatherer.go
@@ -51,7 +51,7 @@
 		case err := <-g.served:
 			return fmt.Errorf("accept: %w", err)
 		case <-hup:
-			g.again()
+			g.retune()
 		case <-g.turn:
 			if g.virtual != nil {
 				if err := g.virtual.compete(!g.standsBy()); err != nil {
@@ -92,10 +92,8 @@
 	go g.engine.Run()
 	g.follow()
 	if g.vrrp != nil {
-		g.virtual = &service{address: g.vrrp.Service, log: g.log, clock: g.clock, config: *g.vrrp,
-			open: func(l net.Listener) *transport.Listener {
-				return transport.NewListener(l, bounds, g.engine, g.front, g.log)
-			}}
+		g.virtual = &service{clock: g.clock, config: *g.vrrp, engine: g.engine, log: g.log}
+		g.virtual.reconfigure(bounds, g.front)
 		if err := g.virtual.compete(!g.standsBy()); err != nil {
 			return err
 		}
@@ -130,17 +128,11 @@
 
 // compose makes the module, the core round it and their engine.
 func (g *gatherer) compose() error {
-	set := g.settings
-	module, err := yw.New(set.Module, g.seed)
+	module, err := yw.New(g.settings.Module, g.seed)
 	if err != nil {
 		return fmt.Errorf("configuration: settings: %w", err)
 	}
-	core := broker.New(broker.Terms{Period: set.Module.Period, Shards: set.Module.Shards, MaxOpen: set.MaxOpen,
-		PartsPerCall: g.partsPerCall, RetryAfter: set.Module.Limits.RetryAfter,
-		MaxRetryAfter: set.Module.Limits.MaxRetryAfter, AnswerGrace: set.Module.Period,
-		Classes: set.Module.Classes, Tenants: g.budgets}, module)
-	g.engine = transport.NewEngine(g.clock, core, transport.PoolConfig{ConnectTimeout: set.ConnectTimeout,
-		IdleClose: set.IdleClose, MaxConns: g.serverConns()}, g.dialect, g.log)
+	g.engine = transport.NewEngine(g.clock, broker.New(g.terms(), module), g.pool(), g.dialect, g.log)
 	g.engine.Fleet(g.fleet, g.addresses)
 	if g.watch != nil {
 		g.watcher = g.watch(g.engine)
@@ -149,6 +141,20 @@
 	return nil
 }
 
+// terms is what the core holds to, by the settings in force.
+func (g *gatherer) terms() broker.Terms {
+	set := g.settings
+	return broker.Terms{Period: set.Module.Period, Shards: set.Module.Shards, MaxOpen: set.MaxOpen,
+		PartsPerCall: g.partsPerCall, RetryAfter: set.Module.Limits.RetryAfter,
+		MaxRetryAfter: set.Module.Limits.MaxRetryAfter, AnswerGrace: set.Module.Period,
+		Classes: set.Module.Classes, Tenants: g.budgets}
+}
+
+func (g *gatherer) pool() transport.PoolConfig {
+	return transport.PoolConfig{ConnectTimeout: g.settings.ConnectTimeout, IdleClose: g.settings.IdleClose,
+		MaxConns: g.serverConns()}
+}
+
 func (g *gatherer) serverConns() int { return min(192, g.sockets/3) }
 
 // bounds is what one listener may hold. Clients must never take the descriptors that servers, discovery and
@@ -206,11 +212,32 @@
 	}
 }
 
-// again reads the file once more; one that can't be used changes nothing.
-func (g *gatherer) again() {
-	if err := g.reload(g.engine, g.watcher); err != nil {
+// retune reads the file once more and, where all of it can be used, puts it in force. Addresses to listen at, the name
+// and VRRP stay as they were at the start.
+func (g *gatherer) retune() {
+	now, err := g.again()
+	if err != nil {
 		g.log.Printf("level=error event=reload kept=old error=%q", err)
+		return
+	}
+	if now.listen != g.listen || now.operator != g.operator {
+		g.log.Printf("level=warn event=reload note=%q", "listen and operator take a restart")
+	}
+	now.name, now.listen, now.operator, now.vrrp, now.passed, now.seed = g.name, g.listen, g.operator, g.vrrp, g.passed, g.seed
+	g.plan = now
+	debug.SetMemoryLimit(int64(g.memoryMB) << 20 * 3 / 4)
+	g.engine.Reconfigure(g.terms(), g.settings.Module, g.pool(), g.dialect)
+	g.listener.Reconfigure(g.bounds(), g.front)
+	if g.virtual != nil {
+		g.virtual.reconfigure(g.bounds(), g.front)
 	}
+	if g.watcher != nil {
+		g.watcher.Move(g.discovery)
+	} else {
+		g.engine.Fleet(g.fleet, g.addresses)
+	}
+	g.log.Printf("level=info event=reload classes=%d discovery=%s servers=%d", len(g.settings.Module.Classes), g.discovery,
+		len(g.fleet.Servers))
 }
 
 // end leaves: it goes on serving until nothing is held and nothing comes in any more or, with a passed socket, until
@@ -237,7 +264,7 @@
 	for served := false; ; {
 		select {
 		case <-hup: // it may still move the watch: what is held has to end well
-			g.again()
+			g.retune()
 			continue
 		case <-g.served: // what it accepted last is among the connections now
 			served = true
--- a/cmd/saffronquay/main.go
+++ b/cmd/saffronquay/main.go
@@ -51,7 +51,8 @@
 	vrrp              *config.VRRP                               // nil: off
 	operator          string                                     // where operators call; empty: no door
 	passed            int                                        // descriptor of the clients' socket; 0: it is opened here
-	reload            func(*transport.Engine, *transport.Watcher) error
+	discovery         string
+	again             func() (plan, error) // reads the file once more
 }
 
 func load(logger *log.Logger) (plan, error) {
@@ -76,23 +77,22 @@
 	if err != nil {
 		return plan{}, err
 	}
+	return gathering(node, logger), nil
+}
+
+func gathering(node config.Node, logger *log.Logger) plan {
 	return plan{name: node.Name, listen: node.Listen, operator: node.Operator, seed: node.Seed, sockets: node.Sockets,
 		memoryMB: node.MemoryMB, settings: node.Settings, front: platform.Front{Margin: margin},
 		dialect:      platform.Workers{PerConn: node.Settings.StreamsPerConn},
-		partsPerCall: max(1, node.Settings.Module.PartsPerCall),
-		fleet:        yw.FleetChanged{Kind: yw.FleetCached, Servers: node.Known}, addresses: node.Addresses,
+		partsPerCall: max(1, node.Settings.Module.PartsPerCall), discovery: node.Discovery,
+		fleet: yw.FleetChanged{Kind: yw.FleetCached, Servers: node.Known}, addresses: node.Addresses,
 		watch: func(e *transport.Engine) *transport.Watcher {
 			return transport.NewWatcher(node.Discovery, node.Generation, node.Settings.Module.AskMembership, e.Fleet, logger)
 		},
-		reload: func(_ *transport.Engine, w *transport.Watcher) error {
-			again, err := config.Reload(os.Getenv, os.ReadFile)
-			if err != nil {
-				return err
-			}
-			w.Move(again.Discovery)
-			logger.Printf("level=info event=reload discovery=%s", again.Discovery)
-			return nil
-		}}, nil
+		again: func() (plan, error) {
+			now, err := config.Reload(os.Getenv, os.ReadFile, node)
+			return gathering(now, logger), err
+		}}
 }
 
 func searching(op config.Operator, logger *log.Logger) plan {
@@ -107,13 +107,8 @@
 	return plan{name: op.Name, listen: op.Listen, operator: op.Operator, seed: op.Seed, sockets: op.Sockets, memoryMB: op.MemoryMB,
 		settings: op.Settings, budgets: op.Budgets, front: front, dialect: opensearch.Servers{}, partsPerCall: 1,
 		fleet: yw.FleetChanged{Kind: yw.FleetFull, Servers: op.Servers}, addresses: op.Addresses, vrrp: op.VRRP,
-		reload: func(e *transport.Engine, _ *transport.Watcher) error {
-			again, _, err := config.LoadOperator(os.Getenv, os.ReadFile)
-			if err != nil {
-				return err
-			}
-			e.Fleet(yw.FleetChanged{Kind: yw.FleetFull, Servers: again.Servers}, again.Addresses)
-			logger.Printf("level=info event=reload servers=%d", len(again.Servers))
-			return nil
+		again: func() (plan, error) {
+			now, err := config.ReloadOperator(os.Getenv, os.ReadFile, op)
+			return searching(now, logger), err
 		}}
 }
--- a/cmd/saffronquay/service.go
+++ b/cmd/saffronquay/service.go
@@ -14,15 +14,16 @@
 
 // service listens at the virtual address while this gatherer is the Active router.
 type service struct {
-	address string
-	open    func(net.Listener) *transport.Listener
-	clock   transport.Clock
-	config  config.VRRP
-	log     *log.Logger
-	router  *transport.Redundancy // nil: on standby, or leaving
-	stop    chan struct{}         // ends the present time as Active; the router's goroutine owns it
+	clock  transport.Clock
+	config config.VRRP
+	engine *transport.Engine
+	log    *log.Logger
+	router *transport.Redundancy // nil: on standby, or leaving; the main goroutine owns it
+	stop   chan struct{}         // ends the present time as Active; the router's goroutine owns it
 
 	mu        sync.Mutex
+	bounds    transport.ListenerConfig
+	front     transport.Front
 	listeners []*transport.Listener // the present one, and drained ones that may still have answers to give
 }
 
@@ -64,12 +65,12 @@
 // serve listens until stop. The address may still be held for a moment by the router that was Active before.
 func (s *service) serve(stop <-chan struct{}) {
 	for {
-		socket, err := net.Listen("tcp", s.address)
+		socket, err := net.Listen("tcp", s.config.Service)
 		if err == nil {
 			s.run(socket, stop)
 			return
 		}
-		s.log.Printf("level=warn event=vrrp_service address=%s error=%q", s.address, err)
+		s.log.Printf("level=warn event=vrrp_service address=%s error=%q", s.config.Service, err)
 		t := time.NewTimer(listenAgain)
 		select {
 		case <-t.C:
@@ -81,15 +82,15 @@
 }
 
 func (s *service) run(socket net.Listener, stop <-chan struct{}) {
-	l := s.open(socket)
 	s.mu.Lock()
+	l := transport.NewListener(socket, s.bounds, s.engine, s.front, s.log)
 	s.listeners = append(s.listeners, l)
 	if len(s.listeners) > mostDrained {
 		s.listeners[0].Close()
 		s.listeners = s.listeners[1:]
 	}
 	s.mu.Unlock()
-	s.log.Printf("level=info event=vrrp_service address=%s", s.address)
+	s.log.Printf("level=info event=vrrp_service address=%s", s.config.Service)
 	go func() {
 		<-stop
 		l.HandOver()
@@ -99,6 +100,16 @@
 	}
 }
 
+// reconfigure puts other bounds and another front in force.
+func (s *service) reconfigure(bounds transport.ListenerConfig, front transport.Front) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.bounds, s.front = bounds, front
+	for _, l := range s.listeners {
+		l.Reconfigure(bounds, front)
+	}
+}
+
 // quiet tells that no listener has a request in hand, nor has had one since a time.
 func (s *service) quiet(since int64) bool {
 	s.mu.Lock()
--- a/evidence_test.go
+++ b/evidence_test.go
@@ -66,7 +66,7 @@
 		sc.step(ms, AttemptEnded{Part: s.Part, Server: s.Server, Outcome: out, Latency: 10 * ms}, ClientLeft{Query: id})
 	}
 	r := sc.s.servers["a1"]
-	if bad, good := sc.s.risk(0, r), sc.s.risk(1, r); bad < 0.5 || good > 0.35 {
+	if bad, good := sc.s.risk("q", r), sc.s.risk("other", r); bad < 0.5 || good > 0.35 {
 		t.Errorf("risk %v for the class that fails, %v for the other", bad, good)
 	}
 }
@@ -83,7 +83,7 @@
 		}
 		sc.s.judge(p, r, failed)
 	}
-	if got := sc.s.risk(0, r); got < 0.08 || got > 0.4 {
+	if got := sc.s.risk("q", r); got < 0.08 || got > 0.4 {
 		t.Errorf("risk %v of a server that loses a fifth", got)
 	}
 	sc.step(ms, FleetChanged{Kind: FleetDelta, Servers: []Server{{ID: "a1", Zone: "a", Health: Ready, StartedAt: sc.now}}})
@@ -218,7 +218,7 @@
 			t.Fatalf("want one failure, got %v", got)
 		}
 	}
-	if p := sc.s.risk(0, sc.s.servers["a1"]); p > 0.01 {
+	if p := sc.s.risk("q", sc.s.servers["a1"]); p > 0.01 {
 		t.Errorf("risk %v", p)
 	}
 }
@@ -274,3 +274,59 @@
 		t.Errorf("a later part was served, and yet a wait of %v", w)
 	}
 }
+
+// Settings change while queries are open. Guards queries that are open against rules of a class they did not come with,
+// what was learnt against classes that change places, and the memory against classes that come and go.
+func TestSettingsChange(t *testing.T) {
+	cfg := plain()
+	cfg.Limits.MaxTries = 3
+	other := cfg.Classes[0]
+	other.Name = "other"
+	cfg.Classes = append(cfg.Classes, other)
+	sc := newScript(t, cfg, "a", "b")
+	open := of[Send](sc.step(ms, sc.ask(100, 10*ms)...))[0]
+	sc.s.left(&query{class: sc.s.classes["other"], came: sc.now - 100*ms, Query: Query{Deadline: sc.now + 1e9}})
+	sc.s.servers["a"].ofClass(sc.s.classes["other"]).note(sc.now, 1000*ms, 1)
+	now := cfg
+	now.Limits.MaxTries = 2
+	strict := cfg.Classes[0]
+	strict.Effect = AtMostOnce
+	now.Classes = []Class{{Name: "new", Aim: 500 * ms, HardLimit: 9000 * ms, Worth: 1, Need: 1, Floor: 1}, other, strict}
+	sc.step(ms, SettingsChanged{Settings: now})
+	if k := sc.s.kind(&other); k.leftAt == 0 || sc.s.servers["a"].byClass["other"].tries == 0 {
+		t.Error("what was learnt of a class that stays is gone")
+	}
+	// The open one may be repeated as when it came, but no more often than now.
+	fail := func(s Send, n int) []Action {
+		return sc.step(ms, AttemptEnded{Part: s.Part, Attempt: n, Server: s.Server, Outcome: Errored, Latency: ms})
+	}
+	again := of[Send](fail(open, 0))
+	if len(again) != 1 {
+		t.Fatalf("want one more attempt of the open one, got %v", sc.got)
+	}
+	if got := fail(again[0], 1); len(of[Send](got)) != 0 || len(of[Refuse](got)) != 1 {
+		t.Errorf("want a refusal after two attempts, got %v", got)
+	}
+	// One that comes now is under the stricter effect.
+	if got := fail(of[Send](sc.step(ms, sc.ask(200, 10*ms)...))[0], 0); len(of[Send](got)) != 0 || len(of[Fail](got)) != 1 {
+		t.Errorf("want a failure after one attempt, got %v", got)
+	}
+	// A class that vanishes is forgotten once its last query has gone.
+	sc.step(ms, append(sc.ask(300, 10*ms), SettingsChanged{Settings: Settings{Aggregators: 1, Period: 5 * ms, Shards: 2, Cells: 2,
+		Reach: 2, Classes: []Class{other}, Limits: now.Limits, Rules: now.Rules}})...)
+	sc.s.sweptAt = 0
+	if sc.step(ms); sc.s.kinds["q"] == nil {
+		t.Error("a class with an open query was forgotten")
+	}
+	sc.step(ms, ClientLeft{Query: 300})
+	sc.s.sweptAt = 0
+	sc.step(ms)
+	if len(sc.s.kinds) != 1 || len(sc.s.servers["a"].byClass)+len(sc.s.servers["b"].byClass) > 2 {
+		t.Errorf("kept: %v", sc.s.kinds)
+	}
+	for _, r := range sc.s.servers {
+		if r.byClass["q"] != nil {
+			t.Error("a server keeps what was learnt of a class that is gone")
+		}
+	}
+}
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -177,16 +177,37 @@
 
 // New makes a core round a module.
 func New(terms Terms, module Module) *Core {
-	c := &Core{terms: terms, module: module, classes: map[string]*yw.Class{}, queries: map[yw.ID]*query{},
-		labels: map[string]bool{}, parts: map[yw.ID]*part{}, attempts: map[AttemptID]*attempt{}, calls: map[yw.ServerID]int{},
-		budgets: map[string]*ration{}}
+	c := &Core{module: module, queries: map[yw.ID]*query{},
+		labels: map[string]bool{}, parts: map[yw.ID]*part{}, attempts: map[AttemptID]*attempt{}, calls: map[yw.ServerID]int{}}
+	c.hold(terms)
+	return c
+}
+
+// hold makes terms those that are held to. Open queries keep the class they came with; tenants that stay keep what
+// their budgets have left.
+func (c *Core) hold(terms Terms) {
+	terms.Classes = slices.Clone(terms.Classes)
+	c.terms, c.classes = terms, map[string]*yw.Class{}
 	for i := range terms.Classes {
 		c.classes[terms.Classes[i].Name] = &terms.Classes[i]
 	}
+	known := c.budgets
+	c.budgets = map[string]*ration{}
 	for name, b := range terms.Tenants {
-		c.budgets[name] = &ration{Budget: b}
+		r := known[name]
+		if r == nil {
+			r = &ration{}
+		}
+		r.Budget = b
+		c.budgets[name] = r
 	}
-	return c
+}
+
+// Reconfigure puts other terms in force, and the settings that go with them at the module, at one point in the order
+// of events.
+func (c *Core) Reconfigure(terms Terms, settings yw.Settings) {
+	c.hold(terms)
+	c.events = append(c.events, yw.SettingsChanged{Settings: settings})
 }
 
 func (c *Core) nextID() int64 {
--- a/internal/broker/broker_test.go
+++ b/internal/broker/broker_test.go
@@ -280,3 +280,41 @@
 		t.Errorf("%d ids are kept", len(c.labels))
 	}
 }
+
+// Settings change for what comes afterwards, at one point in the module's events; what is open keeps its class, and
+// budgets keep what they have spent.
+func TestReconfigure(t *testing.T) {
+	old := terms()
+	old.Tenants = map[string]Budget{"t": {Free: 1, Window: 1000}, "gone": {Free: 1, Window: 1000}}
+	c, m := begin(t, old, "free", 0)
+	act[Call](c, m, 100, yw.Send{Part: 3, Server: "s"}, yw.Send{Part: 3, Server: "s"})
+	now := terms()
+	now.Classes = []yw.Class{{Name: "free", Need: 1, Floor: 1, Effect: yw.AtMostOnce}}
+	now.MaxOpen = 2
+	now.Tenants = map[string]Budget{"t": {Free: 2, Window: 1000}}
+	if _, f, err := c.Open(105, ask("once", 1)); f != nil || err != nil {
+		t.Fatal(f, err)
+	}
+	c.Reconfigure(now, yw.Settings{Period: 7})
+	if _, _, err := c.Open(106, ask("once", 2)); !errors.Is(err, ErrMalformed) {
+		t.Errorf("a query of a class that is gone: %v", err)
+	}
+	if _, f, err := c.Open(106, ask("free", 2)); f == nil || err != nil {
+		t.Errorf("with as much open as may be now: %v %v", f, err)
+	}
+	// The one that is open may be refused although a part may have run: so it was when it came.
+	got := act[Final](c, m, 110, yw.Refuse{Query: 1}, yw.Send{Part: 3, Server: "s"})
+	if len(got) != 1 || got[0].Verdict != Refused {
+		t.Errorf("%+v", got)
+	}
+	var order []string
+	for _, e := range m.seen {
+		order = append(order, fmt.Sprintf("%T", e))
+	}
+	if got := strings.Join(order[len(order)-3:], " "); got != "yarrowwalk.Query yarrowwalk.Part yarrowwalk.SettingsChanged" {
+		t.Errorf("the module saw %s", got)
+	}
+	if r := c.budgets["t"]; len(c.budgets) != 1 || len(r.extras) != 1 || r.Free != 2 {
+		t.Errorf("budgets %+v", c.budgets)
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -5,8 +5,11 @@
 import (
 	"fmt"
 	"net"
+	"slices"
 	"strconv"
 
+	"github.com/valyala/fastjson"
+
 	yw "yarrowwalk"
 	"yarrowwalk/internal/platform"
 )
@@ -21,6 +24,7 @@
 	Addresses               map[yw.ServerID]string
 	Generation              int64
 	Settings                Settings
+	keys                    []string // of the file and of the objects in it
 }
 
 // Load reads the platform's configuration by the variables that an environment gives. readFile reads a file.
@@ -40,16 +44,40 @@
 	return n, nil
 }
 
-// Reload reads the file once more while the program runs. What it says of discovery prevails then over
-// LB_DISCOVERY, which only names the address at the start: guards against a variable that pins the program to an
-// address that is being given up.
-func Reload(getenv func(string) string, readFile func(string) ([]byte, error)) (Node, error) {
-	return Load(func(name string) string {
+// Reload reads the file once more while the program runs, and judges it whole. What it says of discovery prevails then
+// over LB_DISCOVERY, which only names the address at the start: guards against a variable that pins the program to an
+// address that is being given up. The file is written by a machine: guards against one that is damaged, which lacks a key
+// that the file in force has.
+func Reload(getenv func(string) string, readFile func(string) ([]byte, error), inForce Node) (Node, error) {
+	n, err := Load(func(name string) string {
 		if name == "LB_DISCOVERY" {
 			return ""
 		}
 		return getenv(name)
 	}, readFile)
+	if err != nil {
+		return Node{}, err
+	}
+	for _, key := range inForce.keys {
+		if !slices.Contains(n.keys, key) {
+			return Node{}, fmt.Errorf("LB_CONFIG: %s: missing, unlike in the file in force", key)
+		}
+	}
+	if err := inForce.Settings.checkLayout(n.Settings); err != nil {
+		return Node{}, fmt.Errorf("LB_CONFIG: %w", err)
+	}
+	return n, nil
+}
+
+// keysOf lists the keys of an object and of the objects in it.
+func keysOf(path string, o *fastjson.Object) (keys []string) {
+	o.Visit(func(key []byte, v *fastjson.Value) {
+		keys = append(keys, path+string(key))
+		if v.Type() == fastjson.TypeObject {
+			keys = append(keys, keysOf(path+string(key)+".", v.GetObject())...)
+		}
+	})
+	return keys
 }
 
 func parseNode(text []byte, getenv func(string) string) (Node, error) {
@@ -84,6 +112,7 @@
 	if *r.err != nil {
 		return Node{}, *r.err
 	}
+	n.keys = keysOf("", r.v.GetObject())
 	n.Addresses = map[yw.ServerID]string{}
 	if r.has("known") {
 		list, err := platform.ParseList(r.v.Get("known").MarshalTo(nil))
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -136,3 +136,61 @@
 		}
 	}
 }
+
+// A file that is read again is judged whole: what is damaged, lacks a key or gives a time or number that makes no sense is
+// turned down by the name of the key, and so is what can't change while the program runs.
+func TestReload(t *testing.T) {
+	whole := strings.Replace(valid, `"may_cancel":true`, `"may_cancel":true,"most_tries":4`, 1)
+	read := func(text string) (Node, error) {
+		inForce, err := Load(func(string) string { return "f" }, func(string) ([]byte, error) { return []byte(whole), nil })
+		if err == nil {
+			t.Fatal("an address that is none was taken")
+		}
+		env := func(name string) string {
+			return map[string]string{"LB_CONFIG": "f", "LB_DISCOVERY": "127.0.0.1:1"}[name]
+		}
+		if inForce, err = Load(env, func(string) ([]byte, error) { return []byte(whole), nil }); err != nil {
+			t.Fatal(err)
+		}
+		return Reload(env, func(string) ([]byte, error) { return []byte(text), nil }, inForce)
+	}
+	if n, err := read(strings.Replace(whole, `"name":"c"`, `"name":"d"`, 1)); err != nil || n.Settings.Module.Classes[0].Name != "d" ||
+		n.Discovery != "127.0.0.1:8500" {
+		t.Errorf("%+v %v", n, err)
+	}
+	for i := range whole { // cut off anywhere
+		if _, err := read(whole[:i]); err == nil {
+			t.Fatalf("taken when cut off after %d bytes", i)
+		}
+	}
+	for _, c := range []struct{ from, to, names string }{
+		{`"most_tries":4`, `"most_tries":0`, "settings.permissions.most_tries"},
+		{`"hard_limit_us":2000`, `"hard_limit_us":0`, "settings.classes[0].hard_limit_us"},
+		{`"hard_limit_us":2000,`, ``, "settings.classes[0].hard_limit_us"},
+		{`"aim_us":1000`, `"aim_us":-1`, "settings.classes[0].aim_us"},
+		{`,"most_tries":4`, ``, "settings.permissions.most_tries"},
+		{`"rules":{"grace_to_answer_us":20000}`, `"rules":{}`, "settings.rules.grace_to_answer_us"},
+		{`"discovery":"127.0.0.1:8500",`, ``, "discovery"},
+		{`"name":"n3",`, ``, "name"},
+		{`"seed":"8c1f30d27a5be964",`, ``, "seed"},
+		{`"zone":"a","period_us"`, `"period_us"`, "settings.zone"},
+		{`"balancers":3`, `"balancers":0`, "settings"},
+		{`"shards":12`, `"shards":13`, "settings.family_info.shards"},
+		{`"reach":4`, `"reach":3`, "settings.family_info.reach"},
+	} {
+		text := strings.Replace(whole, c.from, c.to, 1)
+		if text == whole {
+			t.Fatalf("%q is not in the text", c.from)
+		}
+		if _, err := read(text); err == nil || !strings.Contains(err.Error(), c.names) {
+			t.Errorf("%s -> %s: %v", c.from, c.to, err)
+		}
+	}
+	twice := strings.Replace(whole, `"classes":[`, `"classes":[{"name":"c","aim_us":1000,"hard_limit_us":2000,"effect":"free","worth":1.0},`, 1)
+	for _, key := range []string{"class_fetch", "class_partial", "floor_by_class", "whole_at"} {
+		twice = strings.Replace(twice, `"`+key+`":[`, `"`+key+`":[0,`, 1)
+	}
+	if _, err := read(twice); err == nil || !strings.Contains(err.Error(), "twice") {
+		t.Errorf("a class named twice: %v", err)
+	}
+}
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -55,6 +55,18 @@
 	return o, true, nil
 }
 
+// ReloadOperator reads the file once more while the program runs, and judges it whole.
+func ReloadOperator(getenv func(string) string, readFile func(string) ([]byte, error), inForce Operator) (Operator, error) {
+	o, _, err := LoadOperator(getenv, readFile)
+	if err != nil {
+		return Operator{}, err
+	}
+	if err := inForce.Settings.checkLayout(o.Settings); err != nil {
+		return Operator{}, fmt.Errorf("SAFFRONQUAY_OPERATOR_FILE: %w", err)
+	}
+	return o, nil
+}
+
 // ParseOperator reads an operator's file.
 func ParseOperator(text []byte) (Operator, error) {
 	r, err := newReader(text)
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -82,8 +82,13 @@
 	return s
 }
 
-// checkServing refuses what the program, unlike the simulator's adapter, can't do.
+// checkServing refuses what the program, unlike the simulator's adapter, can't do, and what makes no sense.
 func (s Settings) checkServing(r reader) {
+	above := func(key string, v int64) {
+		if v <= 0 {
+			r.fault(key, "want a number above nought, not %d", v)
+		}
+	}
 	for i, c := range s.Module.Classes {
 		if c.Fetch > 0 {
 			r.fault("family_info.class_fetch", "class %q has a second step, which is not served on sockets", c.Name)
@@ -91,14 +96,35 @@
 		if s.Module.Classes[i].Name == "" {
 			r.fault(fmt.Sprintf("classes[%d].name", i), "missing")
 		}
+		above(fmt.Sprintf("classes[%d].hard_limit_us", i), c.HardLimit)
+		above(fmt.Sprintf("classes[%d].aim_us", i), c.Aim)
 	}
-	for key, v := range map[string]int64{"connect_timeout_us": s.ConnectTimeout, "idle_close_us": s.IdleClose,
-		"streams_per_conn": int64(s.StreamsPerConn)} {
-		if v <= 0 {
-			r.fault("permissions."+key, "want a number above nought, not %d", v)
-		}
+	if r.object("permissions").has("most_tries") {
+		above("permissions.most_tries", int64(s.Module.Limits.MaxTries))
 	}
+	above("permissions.connect_timeout_us", s.ConnectTimeout)
+	above("permissions.idle_close_us", s.IdleClose)
+	above("permissions.streams_per_conn", int64(s.StreamsPerConn))
 	if s.MaxOpen < 0 {
 		r.fault("permissions.max_open", "want nought or more, not %d", s.MaxOpen)
 	}
+	if err := s.Module.Validate(); err != nil {
+		r.fault("", "%v", err)
+	}
+}
+
+// checkLayout refuses what can't change while the program runs: where the shards are.
+func (s Settings) checkLayout(now Settings) error {
+	a, b := s.Module, now.Module
+	switch {
+	case a.Shards != b.Shards:
+		return fmt.Errorf("settings.family_info.shards: %d now, %d needs a restart", a.Shards, b.Shards)
+	case a.Cells != b.Cells:
+		return fmt.Errorf("settings.family_info.positions: %d now, %d needs a restart", a.Cells, b.Cells)
+	case a.Reach != b.Reach:
+		return fmt.Errorf("settings.family_info.reach: %d now, %d needs a restart", a.Reach, b.Reach)
+	case a.AskMembership != b.AskMembership:
+		return fmt.Errorf("settings.membership_mode: another one needs a restart")
+	}
+	return nil
 }
--- a/internal/loopback/opensearch_test.go
+++ b/internal/loopback/opensearch_test.go
@@ -29,11 +29,11 @@
 		}
 		ranges = append(ranges, map[string]any{"from": 100 * i, "to": 100 * (i + 1), "shard": i})
 	}
-	for _, class := range []string{"safe", "once"} {
-		indices = append(indices, map[string]any{"name": class, "class": class, "field": "taxpayer",
+	for _, class := range w.classes {
+		indices = append(indices, map[string]any{"name": class.name, "class": class.name, "field": "taxpayer",
 			"part_work_us": 1000, "ranges": ranges})
 	}
-	writeJSON(t, w, map[string]any{"listen": "127.0.0.1:0", "operator": "127.0.0.1:0", "settings": json.RawMessage(settings),
+	writeJSON(t, w, map[string]any{"listen": "127.0.0.1:0", "operator": "127.0.0.1:0", "settings": w.settings(),
 		"tenants": []any{map[string]any{"name": "desk", "quota_per_s": 100}}, "indices": indices, "servers": servers})
 }
 
@@ -91,6 +91,8 @@
 			return "refused as " + a.Error.Type
 		}
 		return refused(m)
+	case 404: // of an index that is gone with its class
+		return "malformed 400"
 	case 400, 408, 413, 431, 501, 505:
 		return fmt.Sprint("malformed ", m.Status)
 	case 500:
--- a/internal/loopback/platform_test.go
+++ b/internal/loopback/platform_test.go
@@ -34,7 +34,7 @@
 	writeJSON(t, w, map[string]any{"name": "n0", "listen": "127.0.0.1:0", "operator": "127.0.0.1:0", "discovery": discovery,
 		"seed": "8c1f30d27a5be964", "limits": map[string]any{"sockets": 256, "memory_mb": 192},
 		"known":    map[string]any{"generation": 41, "reset": true, "instances": entries(w, nil)},
-		"settings": json.RawMessage(settings)})
+		"settings": w.settings()})
 }
 
 func entries(w *world, gone []string) []map[string]any {
--- a/internal/loopback/scenario_test.go
+++ b/internal/loopback/scenario_test.go
@@ -21,6 +21,8 @@
 //	stop [old]                        SIGTERM to the program
 //	reload bad | reload NAME...       SIGHUP, with a file that can't be used or one by which these servers are gone;
 //	                                  discovery is then at another address, where versions begin anew
+//	retune TRIES NAME:EFFECT[:LIMIT]...  SIGHUP, with these classes and most attempts; a faulty file where a deadline or
+//	                                  the attempts are not above nought
 //	wait shard S received|dropped N   until servers have seen so much
 //	wait told N                       until the program has heard of discovery's version N
 //	expect Q OUTCOME                  the one final answer of a query
@@ -96,6 +98,8 @@
 	clients map[string]*client
 	lists   chan string // changes that discovery has to tell
 	file    string      // the program's configuration
+	classes []class     // in it
+	tries   int
 
 	mu       sync.Mutex
 	changed  *sync.Cond
@@ -195,10 +199,12 @@
 )
 
 const (
-	badFile   = `{"listen":"127.0.0.1:1","discovery":"127.0.0.1:1","indices":[],"servers":[],"settings":7}`
-	faultyKey = "settings: want object"
+	badFile = `{"listen":"127.0.0.1:1","discovery":"127.0.0.1:1","indices":[],"servers":[],"settings":7}`
 )
 
+// faultyKey is how the log names the fault of each bad file here.
+var faultyKey = regexp.MustCompile(`settings: want object|classes\[\d\]\.hard_limit_us: |permissions\.most_tries: `)
+
 var told = regexp.MustCompile(`event=fleet generation=(\d+)`)
 
 var started = regexp.MustCompile(`event=start .*listen=(\S+) operator=(\S+)`)
@@ -222,7 +228,7 @@
 
 // prepare makes a world whose stand-ins listen and whose program is not started.
 func prepare(t *testing.T, d dialect) *world {
-	w := &world{t: t, d: d, clients: map[string]*client{}, lists: make(chan string, 8),
+	w := &world{t: t, d: d, classes: usual, tries: usualTries, clients: map[string]*client{}, lists: make(chan string, 8),
 		received: map[int]int{}, dropped: map[int]int{}, told: map[int]int{}}
 	w.changed = sync.NewCond(&w.mu)
 	for i := range 4 {
@@ -263,7 +269,7 @@
 			if strings.Contains(lines.Text(), "event=leaving") {
 				w.count(w.told, leaving)
 			}
-			if strings.Contains(lines.Text(), "event=reload kept=old") && strings.Contains(lines.Text(), faultyKey) {
+			if strings.Contains(lines.Text(), "event=reload kept=old") && faultyKey.MatchString(lines.Text()) {
 				w.count(w.told, keptOld)
 			} else if strings.Contains(lines.Text(), "event=reload") {
 				w.count(w.told, reloaded)
@@ -298,6 +304,20 @@
 	return w.process
 }
 
+// hup sends SIGHUP and waits until the program has heard it.
+func (w *world) hup(heard int) error {
+	w.mu.Lock()
+	before := w.told[heard]
+	w.mu.Unlock()
+	if err := w.cmd.Process.Signal(syscall.SIGHUP); err != nil {
+		return err
+	}
+	if !w.await(w.told, heard, before+1) {
+		return fmt.Errorf("the program did not hear it")
+	}
+	return nil
+}
+
 // call has an operator call, byte by byte, and returns the answer.
 func (w *world) call(words string) string {
 	conn := w.dialTo(w.door)
@@ -501,6 +521,24 @@
 		if !w.await(w.told, leaving, before+1) {
 			return fmt.Errorf("the program did not hear it")
 		}
+	case "retune":
+		before, tries, heard := w.classes, w.tries, reloaded
+		w.classes, w.tries = nil, num(1)
+		for _, text := range f[2:] {
+			c := class{limit: 4_000_000}
+			fields := strings.Split(text, ":")
+			if c.name, c.effect = fields[0], fields[1]; len(fields) > 2 {
+				c.limit, _ = strconv.Atoi(fields[2])
+			}
+			if w.classes = append(w.classes, c); c.limit <= 0 || w.tries <= 0 {
+				heard = keptOld
+			}
+		}
+		w.d.rewrite(w.t, w, nil)
+		if heard == keptOld {
+			w.classes, w.tries = before, tries
+		}
+		return w.hup(heard)
 	case "reload":
 		heard, gone := reloaded, f[1:]
 		if f[1] == "bad" {
@@ -511,15 +549,7 @@
 		} else {
 			w.d.rewrite(w.t, w, gone)
 		}
-		w.mu.Lock()
-		before := w.told[heard]
-		w.mu.Unlock()
-		if err := w.cmd.Process.Signal(syscall.SIGHUP); err != nil {
-			return err
-		}
-		if !w.await(w.told, heard, before+1) {
-			return fmt.Errorf("the program did not hear it")
-		}
+		return w.hup(heard)
 	case "wait":
 		if f[1] == "told" {
 			f = []string{"wait", "shard", f[2], "told", "1"}
@@ -597,18 +627,36 @@
 	}
 }
 
+// class is one class of the settings.
+type class struct {
+	name, effect string
+	limit        int // microseconds
+}
+
+// The classes and the most attempts that a program starts with.
+var usual = []class{{"safe", "free", 4_000_000}, {"once", "single_shot", 4_000_000}}
+
+const usualTries = 2
+
 // settings are those of both dialects: four shards in four cells, each held by two.
-const settings = `{"me":0,"balancers":1,"zone":"a","period_us":5000,"membership_mode":"push","areas":["a"],
- "classes":[
-  {"name":"safe","aim_us":2000000,"hard_limit_us":4000000,"worth":1,"late_worth":0.5,"effect":"free"},
-  {"name":"once","aim_us":2000000,"hard_limit_us":4000000,"worth":1,"late_worth":0.5,"effect":"single_shot"}],
- "family_info":{"class_fetch":[0,0],"class_partial":[0.9,0.9],"floor_by_class":[1,1],"whole_at":[1,1],
+func (w *world) settings() json.RawMessage {
+	var classes []string
+	for _, c := range w.classes {
+		classes = append(classes, fmt.Sprintf(`{"name":%q,"aim_us":2000000,"hard_limit_us":%d,"worth":1,"late_worth":0.5,"effect":%q,
+   "repeat_window_us":5000000}`, c.name, c.limit, c.effect))
+	}
+	each := func(v string) string { return strings.Repeat(v+",", len(classes)-1) + v }
+	return fmt.Appendf(nil, `{"me":0,"balancers":1,"zone":"a","period_us":5000,"membership_mode":"push","areas":["a"],
+ "classes":[%s],
+ "family_info":{"class_fetch":[%s],"class_partial":[%s],"floor_by_class":[%s],"whole_at":[%[4]s],
   "overhead_us":0,"parts_a_call":1,"positions":4,"reach":2,"shards":4},
  "permissions":{"max_open":12,"connect_timeout_us":250000,"idle_close_us":15000000,"streams_per_conn":32,
-  "may_cancel":true,"most_tries":2,"second_copies":true,"retry_after":true,"max_retry_after_us":500000},
+  "may_cancel":true,"most_tries":%[5]d,"second_copies":true,"retry_after":true,"max_retry_after_us":500000},
  "parties":[{"name":"desk","quota_per_s":100}],"over_share_worth":0.1,"prices":{"cross_zone":0},
  "rules":{"cold_share":0.2,"fall_multiple":2.5,"fall_us":1500000,"grace_to_answer_us":20000,
-  "stop_sending_within_us":250000,"warm_within_us":14000000,"ask_within_us":10000000}}`
+  "stop_sending_within_us":250000,"warm_within_us":14000000,"ask_within_us":10000000}}`,
+		strings.Join(classes, ","), each("0"), each("0.9"), each("1"), w.tries)
+}
 
 func writeJSON(t *testing.T, w *world, v any) {
 	b, err := json.Marshal(v)
--- a/internal/transport/engine.go
+++ b/internal/transport/engine.go
@@ -177,6 +177,14 @@
 	})
 }
 
+// Reconfigure puts other settings in force, in core, module and pool at once.
+func (e *Engine) Reconfigure(terms broker.Terms, settings yw.Settings, cfg PoolConfig, d broker.Dialect) {
+	e.post(func(int64) {
+		e.core.Reconfigure(terms, settings)
+		e.pool.cfg, e.pool.dialect = cfg, d
+	})
+}
+
 // Held is the number of queries without their final answer.
 func (e *Engine) Held() int {
 	n := make(chan int, 1)
--- a/internal/transport/listener.go
+++ b/internal/transport/listener.go
@@ -58,9 +58,8 @@
 
 // Listener accepts clients' connections and answers their requests.
 type Listener struct {
-	cfg     ListenerConfig
+	terms   atomic.Pointer[terms]
 	engine  *Engine
-	front   Front
 	log     *log.Logger
 	net     net.Listener
 	leaving atomic.Bool
@@ -81,10 +80,21 @@
 
 // NewListener makes a listener on an open socket; Serve runs it.
 func NewListener(l net.Listener, cfg ListenerConfig, e *Engine, f Front, logger *log.Logger) *Listener {
-	return &Listener{cfg: cfg, engine: e, front: f, log: logger, net: l, freed: make(chan struct{}, 1),
+	made := &Listener{engine: e, log: logger, net: l, freed: make(chan struct{}, 1),
 		conns: map[*clientConn]bool{}, over: make(chan struct{})}
+	made.Reconfigure(cfg, f)
+	return made
 }
 
+// terms are what a listener works by.
+type terms struct {
+	ListenerConfig
+	front Front
+}
+
+// Reconfigure puts other bounds and another front in force, for requests that are taken from now on.
+func (l *Listener) Reconfigure(cfg ListenerConfig, f Front) { l.terms.Store(&terms{cfg, f}) }
+
 // Serve accepts connections until Close. Errors of accept, such as a full table of descriptors, back off.
 func (l *Listener) Serve() error {
 	const most = time.Second
@@ -126,7 +136,7 @@
 func (l *Listener) crowded() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return len(l.conns) >= l.cfg.MaxConns*3/4 || l.kept() >= l.cfg.Enough
+	return len(l.conns) >= l.terms.Load().MaxConns*3/4 || l.kept() >= l.terms.Load().Enough
 }
 
 // scarce tells that clients keep as many connections as they may. Guards against clients that ask once and keep
@@ -135,7 +145,7 @@
 func (l *Listener) scarce(c *clientConn) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return len(c.queue) == 0 && l.kept() > l.cfg.Enough
+	return len(c.queue) == 0 && l.kept() > l.terms.Load().Enough
 }
 
 // kept counts the connections that have asked and may ask again.
@@ -156,7 +166,7 @@
 		conn.Close()
 		return true
 	}
-	if len(l.conns) >= l.cfg.MaxConns {
+	if len(l.conns) >= l.terms.Load().MaxConns {
 		return false
 	}
 	c := &clientConn{l: l, net: conn, accepted: time.Now(), since: time.Now(), gone: make(chan struct{}),
@@ -372,7 +382,7 @@
 		c.since = time.Now()
 	}
 	if !busy && c.fault == nil {
-		c.net.SetReadDeadline(c.since.Add(c.l.cfg.Idle))
+		c.net.SetReadDeadline(c.since.Add(c.l.terms.Load().Idle))
 	}
 }
 
@@ -397,14 +407,14 @@
 		}
 	}
 	buf := make([]byte, clientChunk)
-	c.net.SetReadDeadline(c.accepted.Add(c.l.cfg.First))
+	c.net.SetReadDeadline(c.accepted.Add(c.l.terms.Load().First))
 	for {
 		n, err := c.net.Read(buf)
 		if n > 0 {
 			p.Feed(buf[:n])
 			batch, perr := whole(&p)
 			now := int64(p.Held())
-			if c.l.held.Add(now-held) > c.l.cfg.MaxHeld && perr == nil && now > 0 {
+			if c.l.held.Add(now-held) > c.l.terms.Load().MaxHeld && perr == nil && now > 0 {
 				// What was not read to its end has not run: trying again is harmless.
 				perr = &http1.Error{Status: 503, Text: "too much is coming in at once"}
 			}
@@ -449,7 +459,7 @@
 		}
 		now := time.Now()
 		if partial && (!c.partial || len(batch) > 0) && c.spoke {
-			c.net.SetReadDeadline(now.Add(c.l.cfg.Slow))
+			c.net.SetReadDeadline(now.Add(c.l.terms.Load().Slow))
 		}
 		c.partial = partial
 		c.queue = append(c.queue, batch...)
@@ -508,8 +518,8 @@
 		m, fault := c.next()
 		switch {
 		case fault != nil:
-			r := c.l.front.Fault(fault.Status, fault.Text)
-			if after := c.l.cfg.RetryAfter; fault.Status == 503 && after > 0 {
+			r := c.l.terms.Load().front.Fault(fault.Status, fault.Text)
+			if after := c.l.terms.Load().RetryAfter; fault.Status == 503 && after > 0 {
 				seconds := int64((after + time.Second - 1) / time.Second)
 				r.Fields = append(r.Fields, [2]string{"Retry-After", strconv.FormatInt(seconds, 10)})
 			}
@@ -570,7 +580,7 @@
 	now := c.l.engine.clock.Now()
 	bad := c.bad
 	var late <-chan time.Time
-	ask, word, resp := c.l.front.Open(m, now, c.l.ready())
+	ask, word, resp := c.l.terms.Load().front.Open(m, now, c.l.ready())
 	if resp == nil {
 		c.l.last.Store(now)
 		t := c.l.engine.Open(ask)
@@ -584,7 +594,7 @@
 				if errors.Is(err, broker.ErrTaken) {
 					status = 409
 				}
-				r := c.l.front.Fault(status, err.Error())
+				r := c.l.terms.Load().front.Fault(status, err.Error())
 				resp = &r
 			case <-bad:
 				bad = nil
--- a/scheduler.go
+++ b/scheduler.go
@@ -88,6 +88,8 @@
 		if key, ok := strings.CutPrefix(e.Text, badKey); ok {
 			s.condemn(key)
 		}
+	case SettingsChanged:
+		s.adopt(e.Settings)
 	case AlarmRang:
 		if e.Mark == s.mark {
 			s.alarmAt = 0
@@ -115,7 +117,7 @@
 		r := s.servers[v.ID]
 		if r == nil {
 			r = &replica{Server: Server{ID: v.ID, Cell: v.Cell, Health: Ready},
-				byClass: make([]evidence, len(s.cfg.Classes))}
+				byClass: map[string]*evidence{}}
 			s.servers[v.ID] = r
 			s.place(r)
 		} else if r.Cell != v.Cell {
@@ -197,7 +199,7 @@
 
 // ruleCost is what a part counts under the cold rule: not less than its class's mean.
 func (s *Scheduler) ruleCost(p *part) float64 {
-	return max(s.cost(p), s.classLen[s.classIndex(p.q.class)]) + float64(s.cfg.CallOverhead)
+	return max(s.cost(p), s.kind(p.q.class).work) + float64(s.cfg.CallOverhead)
 }
 
 // report resets a server's backlog to what it says of itself. Departure: what this aggregator has out there
@@ -288,7 +290,7 @@
 // errors, refused connections, full queues, silence and lost answers; by class against a server that fails
 // one class only; by zone against trouble between this aggregator and a zone's servers, before each of them
 // is tried. Harm: a zone where many servers died is shunned as a whole for an aim or two.
-func (s *Scheduler) risk(class int, r *replica) float64 {
+func (s *Scheduler) risk(class string, r *replica) float64 {
 	z := s.zones[r.Zone]
 	p := z.rate(s.now, 4*s.aim, 0)
 	p = r.failing.rate(s.now, s.span, p)
@@ -296,14 +298,14 @@
 }
 
 // shun is the delay that the risk of failure at a server is worth: a failed attempt loses half an aim.
-func (s *Scheduler) shun(class int, r *replica) float64 {
+func (s *Scheduler) shun(class string, r *replica) float64 {
 	p := s.risk(class, r)
 	return min(p/(1-p+1e-9)*failureCost, worstFall) * float64(s.aim)
 }
 
 // predict is the latency expected of a part at a server.
 func (s *Scheduler) predict(p *part, r *replica) float64 {
-	return s.wait(r) + s.shun(s.classIndex(p.q.class), r) + (s.cost(p)+s.callCost(r))*s.paceOf(r)/s.warmth(r)
+	return s.wait(r) + s.shun(p.q.class.Name, r) + (s.cost(p)+s.callCost(r))*s.paceOf(r)/s.warmth(r)
 }
 
 // callCost is what a part adds beside its own work: the first of a call pays for it, later ones in the same
@@ -318,7 +320,7 @@
 // judge takes in how an attempt came out, 1 for a failure, as evidence of its server.
 func (s *Scheduler) judge(p *part, r *replica, failed float64) {
 	s.zones[r.Zone].note(s.now, 4*s.aim, failed)
-	r.byClass[s.classIndex(p.q.class)].note(s.now, s.span, failed)
+	r.ofClass(p.q.class).note(s.now, s.span, failed)
 	r.failing.note(s.now, s.span, failed)
 	if rate := r.failing.rate(s.now, s.span, 0); !r.struck && rate > 2.0/3 || r.struck && rate < 0.5 {
 		r.struck = !r.struck
@@ -358,8 +360,8 @@
 	c := s.cost(p)
 	s.meanCost = drift(s.meanCost, c)
 	if e.Work > 0 {
-		i := s.classIndex(q.class)
-		s.classLen[i] = drift(s.classLen[i], c)
+		k := s.kind(q.class)
+		k.work = drift(k.work, c)
 	}
 }
 
@@ -431,7 +433,7 @@
 	var waits []float64
 	for _, p := range q.parts {
 		if r, t := s.pick(p); r != nil { // what failures left is no work ahead
-			waits = append(waits, t-s.shun(s.classIndex(q.class), r))
+			waits = append(waits, t-s.shun(q.class.Name, r))
 		}
 	}
 	slices.Sort(waits)
@@ -476,25 +478,25 @@
 	if s.now >= q.Deadline-2*s.cfg.Period {
 		return
 	}
-	i := s.classIndex(q.class)
+	k := s.kind(q.class)
 	w := s.patienceOf(q.class)
 	next := w + paceWeight*(float64(s.now-q.came)-w)
 	if aim := float64(q.class.Aim); w >= aim/2 && next < aim/2 {
 		s.do(Note{Text: "clients of class " + q.class.Name + " leave early"})
 	}
-	s.patience[i], s.leftAt[i] = next, s.now
-	s.leavers[i].note(s.now, 4*q.class.Aim, 1)
+	k.patience, k.leftAt = next, s.now
+	k.leavers.note(s.now, 4*q.class.Aim, 1)
 	s.learn(q, false)
 }
 
 // patienceOf is how long clients of a class are expected to wait, the aim at most, as far as they do leave.
 func (s *Scheduler) patienceOf(c *Class) float64 {
-	i, aim := s.classIndex(c), float64(c.Aim)
-	if s.leftAt[i] == 0 {
+	k, aim := s.kind(c), float64(c.Aim)
+	if k.leftAt == 0 {
 		return aim
 	}
-	counts := min(1, leaving*s.leavers[i].rate(s.now, 4*c.Aim, 0)) * fade(s.now-s.leftAt[i], 4*c.Aim)
-	return min(aim, aim+(s.patience[i]-aim)*counts)
+	counts := min(1, leaving*k.leavers.rate(s.now, 4*c.Aim, 0)) * fade(s.now-k.leftAt, 4*c.Aim)
+	return min(aim, aim+(k.patience-aim)*counts)
 }
 
 // wanted is the time after which an answer earns nothing.
@@ -522,7 +524,7 @@
 
 func (s *Scheduler) answer(q *query) {
 	whole := q.whole() && (!q.second || q.first)
-	s.leavers[s.classIndex(q.class)].note(s.now, 4*q.class.Aim, 0)
+	s.kind(q.class).leavers.note(s.now, 4*q.class.Aim, 0)
 	s.learn(q, whole && s.now <= q.aimOf())
 	s.do(Answer{Query: q.ID, Whole: whole})
 	if q.class.Fetch > 0 && !q.second {
@@ -696,7 +698,7 @@
 // Guards against overload of the fleet or of a few shards' holders, where answers in part are allowed. Harm:
 // an answer lacks parts that a prediction was too high for.
 func (s *Scheduler) inTime(p *part, r *replica, predicted float64) bool {
-	return predicted-s.shun(s.classIndex(p.q.class), r) <= float64(s.goal(p.q)-s.now)
+	return predicted-s.shun(p.q.class.Name, r) <= float64(s.goal(p.q)-s.now)
 }
 
 // sendFor sends a part, where a replica still has room for it and, beyond its first attempt, budget.
--- a/state.go
+++ b/state.go
@@ -14,20 +14,20 @@
 type replica struct {
 	Server
 	listed    bool
-	own       float64    // predicted cost of this aggregator's parts out there
-	foreign   float64    // what a report showed beyond them
-	foreignT  int64      // when it did
-	pace      float64    // observed latency over predicted; 0 before the first sample
-	paceT     int64      // when it was last observed
-	failing   evidence   // how attempts came out
-	byClass   []evidence // the same, by class
-	struck    bool       // most attempts failed when last looked at
-	latest    int64      // when the latest part left that it has served
-	usedAt    int64      // when anything last came back over its connections
-	callAt    int64      // when a call last left for it
-	callParts int        // parts that left then
-	attempts  []*attempt // out, oldest first
-	sends     []coldSend // work sent within the window of the cold rule
+	own       float64              // predicted cost of this aggregator's parts out there
+	foreign   float64              // what a report showed beyond them
+	foreignT  int64                // when it did
+	pace      float64              // observed latency over predicted; 0 before the first sample
+	paceT     int64                // when it was last observed
+	failing   evidence             // how attempts came out
+	byClass   map[string]*evidence // the same, by class
+	struck    bool                 // most attempts failed when last looked at
+	latest    int64                // when the latest part left that it has served
+	usedAt    int64                // when anything last came back over its connections
+	callAt    int64                // when a call last left for it
+	callParts int                  // parts that left then
+	attempts  []*attempt           // out, oldest first
+	sends     []coldSend           // work sent within the window of the cold rule
 }
 
 // evidence is a decaying count of attempts and of those among them that failed.
@@ -36,6 +36,14 @@
 	at           int64
 }
 
+// kind is what is known of the queries of one class, by its name: definitions of it may change.
+type kind struct {
+	patience float64  // how long clients were seen to wait
+	leftAt   int64    // when one was last seen to leave early
+	leavers  evidence // how many do
+	work     float64  // mean cost hint of a part
+}
+
 type keyMark struct {
 	bad bool
 	at  int64
@@ -89,6 +97,7 @@
 type Scheduler struct {
 	cfg       Settings
 	classes   map[string]*Class
+	kinds     map[string]*kind // those of classes, and of vanished ones that still have queries
 	rng       *rand.Rand
 	now       int64
 	started   int64
@@ -126,13 +135,9 @@
 	tenants   map[string]*tenant // those with a share, by name
 	asked     float64            // decaying count of queries
 	askedAt   int64
-	meanCost  float64    // mean predicted cost of a part
-	crowd     evidence   // mean of what reports showed beyond own parts
-	patience  []float64  // how long clients were seen to wait, by class
-	leftAt    []int64    // when one was last seen to leave early
-	leavers   []evidence // how many do, by class
-	classLen  []float64  // mean cost hint of a part by class
-	served    float64    // decaying sum of work served by warm servers
+	meanCost  float64  // mean predicted cost of a part
+	crowd     evidence // mean of what reports showed beyond own parts
+	served    float64  // decaying sum of work served by warm servers
 	servedAt  int64
 	alarmAt   int64
 	mark      int64
@@ -142,39 +147,52 @@
 
 // New makes the scheduler of one aggregator from its settings and the seed of its random choices.
 func New(cfg Settings, seed uint64) (*Scheduler, error) {
-	if err := cfg.validate(); err != nil {
+	if err := cfg.Validate(); err != nil {
 		return nil, err
 	}
-	s := &Scheduler{cfg: cfg, classes: map[string]*Class{},
-		rng:     rand.New(rand.NewPCG(seed, uint64(cfg.Self))),
+	s := &Scheduler{rng: rand.New(rand.NewPCG(seed, uint64(cfg.Self))),
 		servers: map[ServerID]*replica{}, cells: make([][]*replica, cfg.Cells), queries: map[ID]*query{},
-		zones: map[string]*evidence{}, keys: map[string]keyMark{},
+		zones: map[string]*evidence{}, keys: map[string]keyMark{}, kinds: map[string]*kind{},
 		groups: map[int64]*query{}, ended: map[string]int64{}, parts: map[ID]*part{},
-		average:  make([]float64, cfg.Shards),
-		patience: make([]float64, len(cfg.Classes)),
-		leftAt:   make([]int64, len(cfg.Classes)),
-		leavers:  make([]evidence, len(cfg.Classes)),
-		classLen: make([]float64, len(cfg.Classes)), started: -1}
-	s.tenants = map[string]*tenant{}
+		average: make([]float64, cfg.Shards), started: -1}
+	s.adopt(cfg)
+	s.slack = s.slackTop
+	return s, nil
+}
+
+// adopt puts settings in force. What was learnt of classes and tenants that stay is kept.
+func (s *Scheduler) adopt(cfg Settings) {
+	open := 1.0
+	if s.slackTop > 0 {
+		open = s.slackNow() / s.slackTop
+	}
+	cfg.Classes, cfg.Tenants = slices.Clone(cfg.Classes), slices.Clone(cfg.Tenants)
+	s.cfg, s.classes = cfg, map[string]*Class{}
+	s.aim, s.longest, s.bestWorth = cfg.Classes[0].Aim, 0, 0
+	least := math.Inf(1)
+	for i := range cfg.Classes {
+		c := &cfg.Classes[i]
+		s.aim = max(1, min(s.aim, c.Aim))
+		s.longest = max(s.longest, c.HardLimit)
+		s.bestWorth = max(s.bestWorth, c.Worth, 1e-9)
+		least = min(least, max(c.Worth, 1e-9))
+		s.classes[c.Name] = c
+	}
+	s.slackTop = slackMost * s.bestWorth / least
+	s.slack, s.slackAt = open*s.slackTop, s.now
 	sum := 0.0
 	for _, k := range cfg.Tenants {
 		sum += k.Quota
 	}
+	known := s.tenants
+	s.tenants = map[string]*tenant{}
 	for _, k := range cfg.Tenants {
-		s.tenants[k.Name] = &tenant{part: k.Quota / max(sum, 1e-9)}
-	}
-	s.aim = s.cfg.Classes[0].Aim
-	least := math.Inf(1)
-	for i := range s.cfg.Classes {
-		s.aim = max(1, min(s.aim, s.cfg.Classes[i].Aim))
-		s.longest = max(s.longest, s.cfg.Classes[i].HardLimit)
-		s.bestWorth = max(s.bestWorth, s.cfg.Classes[i].Worth, 1e-9)
-		least = min(least, max(s.cfg.Classes[i].Worth, 1e-9))
-		s.classes[s.cfg.Classes[i].Name] = &s.cfg.Classes[i]
+		t := &tenant{part: k.Quota / max(sum, 1e-9)}
+		if old := known[k.Name]; old != nil {
+			t.asked = old.asked
+		}
+		s.tenants[k.Name] = t
 	}
-	s.slackTop = slackMost * s.bestWorth / least
-	s.slack = s.slackTop
-	return s, nil
 }
 
 func (s *Scheduler) do(a Action) { s.out = append(s.out, a) }
@@ -191,8 +209,22 @@
 	slices.SortFunc(s.cells[r.Cell], func(a, b *replica) int { return cmp.Compare(a.ID, b.ID) })
 }
 
-func (s *Scheduler) classIndex(c *Class) int {
-	return slices.IndexFunc(s.cfg.Classes, func(k Class) bool { return k.Name == c.Name })
+func (s *Scheduler) kind(c *Class) *kind {
+	k := s.kinds[c.Name]
+	if k == nil {
+		k = &kind{}
+		s.kinds[c.Name] = k
+	}
+	return k
+}
+
+func (r *replica) ofClass(c *Class) *evidence {
+	e := r.byClass[c.Name]
+	if e == nil {
+		e = &evidence{}
+		r.byClass[c.Name] = e
+	}
+	return e
 }
 
 // fade is what is left of 1 after so long, halved every span.
@@ -253,8 +285,11 @@
 	e.fails, e.tries, e.at = e.fails*k+failed, e.tries*k+1, now
 }
 
-// rate is the share that fails, where the prior counts for as much as one attempt.
+// rate is the share that fails, where the prior counts for as much as one attempt; without evidence it is the prior.
 func (e *evidence) rate(now, span int64, prior float64) float64 {
+	if e == nil {
+		return prior
+	}
 	k := fade(now-e.at, span)
 	return (e.fails*k + prior) / (e.tries*k + 1)
 }
@@ -360,7 +395,7 @@
 	if started <= r.StartedAt {
 		return
 	}
-	r.failing, r.byClass = evidence{}, make([]evidence, len(r.byClass))
+	r.failing, r.byClass = evidence{}, map[string]*evidence{}
 	r.pace, r.paceT, r.foreign, r.foreignT, r.usedAt, r.latest, r.struck = 0, 0, 0, 0, 0, 0, false
 }
 
@@ -373,4 +408,16 @@
 	s.sweptAt = s.now
 	maps.DeleteFunc(s.keys, func(_ string, k keyMark) bool { return !s.recent(k.at) })
 	maps.DeleteFunc(s.ended, func(_ string, at int64) bool { return s.now >= at+s.longest })
+	s.forgetClasses()
+}
+
+// forgetClasses drops what was learnt of classes that have vanished, once their last query has gone.
+func (s *Scheduler) forgetClasses() {
+	gone := func(name string) bool {
+		return s.classes[name] == nil && !slices.ContainsFunc(s.live, func(q *query) bool { return q.class.Name == name })
+	}
+	maps.DeleteFunc(s.kinds, func(name string, _ *kind) bool { return gone(name) })
+	for _, r := range s.servers {
+		maps.DeleteFunc(r.byClass, func(name string, _ *evidence) bool { return gone(name) })
+	}
 }
--- a/validate.go
+++ b/validate.go
@@ -5,8 +5,8 @@
 	"fmt"
 )
 
-// validate tells what makes no sense in the settings.
-func (c Settings) validate() error {
+// Validate tells what makes no sense in the settings.
+func (c Settings) Validate() error {
 	switch {
 	case c.Aggregators < 1 || c.Self < 0 || c.Self >= c.Aggregators:
 		return fmt.Errorf("aggregator %d of %d makes no sense", c.Self, c.Aggregators)
@@ -34,13 +34,17 @@
 		r.FallWindow < 0 || r.AskWithin < 0 || r.FreeExtras < 0 || r.ExtraRatio < 0 || r.ExtraWindow < 0 {
 		return errors.New("a figure of the rules is negative")
 	}
+	named := map[string]bool{}
 	for _, k := range c.Classes {
 		switch {
+		case named[k.Name]:
+			return fmt.Errorf("class %q is there twice", k.Name)
 		case k.Aim < 0 || k.HardLimit <= 0 || k.RepeatWindow < 0 || k.AimStretch < 0:
 			return fmt.Errorf("class %q has a time that makes no sense", k.Name)
 		case k.Need < 0 || k.Need > 1 || k.Floor < 0 || k.Floor > 1 || k.Fetch < 0 || k.Worth < 0:
 			return fmt.Errorf("class %q has a share, worth or number of parts that makes no sense", k.Name)
 		}
+		named[k.Name] = true
 	}
 	return nil
 }
