Count how requests end and show the figures at the operators' door

Cause: stats was not built. Now: operations.Figures, each count raised by its one owner (docs/DECISIONS.md); the module tells listed and avoided servers. Ruled out: that relayed is wanted by class (one count for the process reads as true). Tests: scenario figures in both dialects, TestFigures, TestRelayedWhole (a frame cut off does not count), TestRotation.

--- a/cmd/saffronquay/gatherer.go
+++ b/cmd/saffronquay/gatherer.go
@@ -26,6 +26,7 @@
 	virtual *service           // nil: no virtual address
 	door    *transport.Door    // nil: off
 	duty    *operations.Duty
+	figures *operations.Figures
 	served  chan error    // the listener's end
 	turn    chan struct{} // the duty has changed
 
@@ -42,7 +43,7 @@
 	debug.SetMemoryLimit(int64(p.memoryMB) << 20 * 3 / 4)
 	g := &gatherer{plan: p, log: logger, clock: transport.NewClock(), served: make(chan error, 1),
 		turn: make(chan struct{}, 1)}
-	g.duty = operations.NewDuty(g.stand)
+	g.duty, g.figures = operations.NewDuty(g.stand), operations.NewFigures()
 	if err := g.begin(); err != nil {
 		return err
 	}
@@ -73,7 +74,10 @@
 		if err != nil {
 			return fmt.Errorf("operator: %w", err)
 		}
-		g.door = transport.NewDoor(l, g.duty, g.log)
+		g.door = transport.NewDoor(l, struct {
+			*operations.Duty
+			*operations.Figures
+		}{g.duty, g.figures}, g.log)
 		go g.door.Serve()
 		door = l.Addr().String()
 	}
@@ -132,7 +136,7 @@
 	if err != nil {
 		return fmt.Errorf("configuration: settings: %w", err)
 	}
-	g.engine = transport.NewEngine(g.clock, broker.New(g.terms(), module), g.pool(), g.dialect, g.log)
+	g.engine = transport.NewEngine(g.clock, broker.New(g.terms(), module), g.pool(), g.dialect, g.figures, g.log)
 	g.engine.Fleet(g.fleet, g.addresses)
 	if g.watch != nil {
 		g.watcher = g.watch(g.engine)
@@ -144,6 +148,9 @@
 // terms is what the core holds to, by the settings in force.
 func (g *gatherer) terms() broker.Terms {
 	set := g.settings
+	for _, c := range set.Module.Classes {
+		g.figures.Know(c.Name)
+	}
 	return broker.Terms{Period: set.Module.Period, Shards: set.Module.Shards, MaxOpen: set.MaxOpen,
 		PartsPerCall: g.partsPerCall, RetryAfter: set.Module.Limits.RetryAfter,
 		MaxRetryAfter: set.Module.Limits.MaxRetryAfter, AnswerGrace: set.Module.Period,
@@ -217,6 +224,7 @@
 func (g *gatherer) retune() {
 	now, err := g.again()
 	if err != nil {
+		g.figures.CfgFaulty.Add(1)
 		g.log.Printf("level=error event=reload kept=old error=%q", err)
 		return
 	}
@@ -236,6 +244,7 @@
 	} else {
 		g.engine.Fleet(g.fleet, g.addresses)
 	}
+	g.figures.CfgTaken.Add(1)
 	g.log.Printf("level=info event=reload classes=%d discovery=%s servers=%d", len(g.settings.Module.Classes), g.discovery,
 		len(g.fleet.Servers))
 }
--- a/evidence_test.go
+++ b/evidence_test.go
@@ -330,3 +330,28 @@
 		}
 	}
 }
+
+// What operators are told of the list: how long it is, and how much of it is avoided and why.
+func TestRotation(t *testing.T) {
+	sc := newScript(t, plain(), "fine", "drains", "silent", "gone")
+	want := func(listed, out int) {
+		t.Helper()
+		if l, o := sc.s.Rotation(); l != listed || o != out {
+			t.Errorf("%d listed, %d avoided; want %d, %d", l, o, listed, out)
+		}
+	}
+	want(4, 0)
+	sc.step(ms, FleetChanged{Kind: FleetDelta, Servers: []Server{{ID: "drains", Health: Draining, Cell: 1}, {ID: "gone", Health: Gone, Cell: 1}}})
+	want(3, 1)
+	r := sc.s.servers["silent"]
+	r.attempts = append(r.attempts, &attempt{to: r, sent: sc.now, due: 10 * ms})
+	sc.step(900 * ms)
+	want(3, 1)
+	sc.step(200 * ms)
+	want(3, 2)
+	r.attempts = nil
+	for range 5 {
+		sc.s.judge(&part{q: &query{class: sc.s.classes["q"]}}, sc.s.servers["fine"], 1)
+	}
+	want(3, 2)
+}
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -16,6 +16,8 @@
 // Module is the decision module, as the core drives it.
 type Module interface {
 	Step(now int64, events []yw.Event) []yw.Action
+	// Rotation counts the servers in the list, and those of them that are avoided now.
+	Rotation() (listed, out int)
 }
 
 // Budget rations the further attempts of one tenant: within any Window at most Free plus Ratio times the
@@ -218,6 +220,9 @@
 // Held is the number of queries that still wait for their final answer.
 func (c *Core) Held() int { return len(c.queries) }
 
+// Rotation counts the servers in the list, and those of them that the module avoids now.
+func (c *Core) Rotation() (listed, out int) { return c.module.Rotation() }
+
 // ErrMalformed marks an Ask that no module could decide on.
 var ErrMalformed = errors.New("malformed query")
 
--- a/internal/broker/broker_test.go
+++ b/internal/broker/broker_test.go
@@ -23,6 +23,8 @@
 	return a
 }
 
+func (*script) Rotation() (listed, out int) { return 0, 0 }
+
 func (s *script) outcomes() string {
 	var out []string
 	for _, e := range s.seen {
--- a/internal/loopback/scenario_test.go
+++ b/internal/loopback/scenario_test.go
@@ -28,6 +28,7 @@
 //	expect Q OUTCOME                  the one final answer of a query
 //	expect Q ended                    its connection, once it has its answer
 //	expect shard S received N         how many calls for a shard servers have seen in all
+//	expect figure NAME N              what the program counts, once it has
 //	expect ready|leaving|exit [old]   the program's health, or its orderly end
 package loopback
 
@@ -565,6 +566,13 @@
 			w.mu.Lock()
 			got, want = strconv.Itoa(w.received[num(2)]), f[4]
 			w.mu.Unlock()
+		case "figure":
+			want = fmt.Sprintf("\nsvc.%s:%s|", f[2], f[3])
+			for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+				if got = "\n" + w.call("stats"); strings.Contains(got, want) && strings.HasSuffix(got, "\nEND\n") {
+					return nil
+				}
+			}
 		case "ready", "leaving":
 			got, want = w.health(), f[1]
 		case "exit":
--- a/internal/opensearch/front.go
+++ b/internal/opensearch/front.go
@@ -116,10 +116,26 @@
 	}, nil
 }
 
+// searched is the index that a path names.
+func searched(path string) (name string, ok bool) {
+	name, ok = strings.CutSuffix(strings.TrimPrefix(path, "/"), "/_search")
+	return name, ok && !strings.Contains(name, "/")
+}
+
+// Class is the class that a request for the broker is of.
+func (f Front) Class(m *http1.Message) string {
+	path, _, _ := strings.Cut(m.Target, "?")
+	name, ok := searched(path)
+	if text, err := url.PathUnescape(name); ok && err == nil {
+		return f.Indices[text].Class
+	}
+	return ""
+}
+
 func (f Front) open(m *http1.Message, now int64) (a broker.Ask, s search, err error) {
 	path, params, _ := strings.Cut(m.Target, "?")
-	name, ok := strings.CutSuffix(strings.TrimPrefix(path, "/"), "/_search")
-	if !ok || strings.Contains(name, "/") {
+	name, ok := searched(path)
+	if !ok {
 		return a, s, &fault{400, "illegal_argument_exception", "no handler found for uri [" + path + "] and method [" + m.Method + "]"}
 	}
 	if m.Method != "POST" && m.Method != "GET" {
--- a/internal/operations/call.go
+++ b/internal/operations/call.go
@@ -14,6 +14,8 @@
 	// Standby drains the program, Active puts it back to work; an error says why not.
 	Standby() error
 	Active() error
+	// Stats appends the figures, a line each.
+	Stats(dst []byte) []byte
 }
 
 // MaxCall bounds a call's line, without its end.
@@ -64,14 +66,16 @@
 			return no("%s", word)
 		}
 		return []byte("YES " + word + "\n")
+	case "stats":
+		return append(d.Stats(nil), "END\n"...)
 	case "standby":
 		return did(d.Standby(), call)
 	case "active":
 		return did(d.Active(), call)
 	case "":
-		return no("empty call; there are status, standby and active")
+		return no("empty call; there are status, stats, standby and active")
 	}
-	return no("unknown call %q; there are status, standby and active", call)
+	return no("unknown call %q; there are status, stats, standby and active", call)
 }
 
 func did(err error, call string) []byte {
--- a/internal/operations/call_test.go
+++ b/internal/operations/call_test.go
@@ -7,6 +7,14 @@
 	"testing"
 )
 
+// desk is a program that has only its duty and figures.
+type desk struct {
+	*Duty
+	*Figures
+}
+
+func newDesk(apply func(bool)) desk { return desk{NewDuty(apply), NewFigures()} }
+
 var calls = []struct{ line, answer string }{
 	{"status\n", "YES active\n"},
 	{"status\r\n", "YES active\n"},
@@ -22,7 +30,7 @@
 }
 
 func feed(pieces ...string) []byte {
-	d := NewDuty(func(bool) {})
+	d := newDesk(func(bool) {})
 	d.Begin()
 	var c Call
 	for _, p := range pieces {
@@ -57,7 +65,7 @@
 		f.Add([]byte(c.line), 1)
 	}
 	f.Fuzz(func(t *testing.T, b []byte, size int) {
-		d := NewDuty(func(bool) {})
+		d := newDesk(func(bool) {})
 		var c Call
 		var answer []byte
 		for done := false; len(b) > 0 && !done; {
@@ -81,7 +89,7 @@
 // Repeats change nothing, and what SIGTERM has begun no operator ends.
 func TestDuty(t *testing.T) {
 	var turns []bool
-	d := NewDuty(func(standby bool) { turns = append(turns, standby) })
+	d := newDesk(func(standby bool) { turns = append(turns, standby) })
 	ask := func(line, want string) {
 		t.Helper()
 		var c Call
@@ -110,3 +118,41 @@
 		t.Errorf("turns %v", turns)
 	}
 }
+
+// Counts show from the start, stay when their class vanishes, and made-up classes take no room.
+func TestFigures(t *testing.T) {
+	d := newDesk(func(bool) {})
+	d.Know("b|1", "a")
+	for _, status := range []int{200, 200, 429, 503, 400, 502, 504} {
+		d.Ended("a", status)
+	}
+	d.Know("c")
+	d.Ended("nobody", 200)
+	d.Relayed.Add(5)
+	d.Open.Add(2)
+	d.Listed.Store(9)
+	d.Out.Store(1)
+	d.CfgTaken.Add(1)
+	var c Call
+	got, _ := c.Feed([]byte("stats\n"), d)
+	want := `svc.operations.a.fulfilled:2|c
+svc.operations.a.throttled:2|c
+svc.operations.a.faulted:3|c
+svc.operations.b_1.fulfilled:0|c
+svc.operations.b_1.throttled:0|c
+svc.operations.b_1.faulted:0|c
+svc.operations.c.fulfilled:0|c
+svc.operations.c.throttled:0|c
+svc.operations.c.faulted:0|c
+svc.relayed:5|c
+svc.open_requests:2|g
+svc.registry_entries:9|g
+svc.out_of_rotation:1|g
+svc.cfg_accepted:1|c
+svc.cfg_invalid:0|c
+END
+`
+	if string(got) != want {
+		t.Errorf("%s", got)
+	}
+}
--- /dev/null
+++ b/internal/operations/figures.go
@@ -0,0 +1,88 @@
+package operations
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+)
+
+// Figures are what the program counts about itself, from its start. Any goroutine may raise and read them.
+type Figures struct {
+	Relayed             atomic.Int64 // attempts written whole to servers
+	Open                atomic.Int64 // requests taken and not yet ended
+	Listed, Out         atomic.Int64 // servers in the list, and those of them that are avoided now
+	CfgTaken, CfgFaulty atomic.Int64 // files at SIGHUP
+
+	mu      sync.RWMutex
+	classes map[string]*ends
+}
+
+// ends counts how one class's requests ended.
+type ends struct{ fulfilled, throttled, faulted atomic.Int64 }
+
+// NewFigures makes figures that are all nought.
+func NewFigures() *Figures { return &Figures{classes: map[string]*ends{}} }
+
+// Know shows these classes from now on. Those that have vanished from the settings keep their counts.
+func (f *Figures) Know(classes ...string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, name := range classes {
+		if f.classes[name] == nil {
+			f.classes[name] = &ends{}
+		}
+	}
+}
+
+// Ended counts the end of a request by its answer's status. Requests of classes that were never known count nowhere:
+// guards the memory against clients that make names up.
+func (f *Figures) Ended(class string, status int) {
+	f.mu.RLock()
+	e := f.classes[class]
+	f.mu.RUnlock()
+	switch {
+	case e == nil:
+	case status == 200:
+		e.fulfilled.Add(1)
+	case status == 429 || status == 503:
+		e.throttled.Add(1)
+	default:
+		e.faulted.Add(1)
+	}
+}
+
+// Stats appends the figures, a line each, in the form of statsd.
+func (f *Figures) Stats(dst []byte) []byte {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	for _, name := range slices.Sorted(maps.Keys(f.classes)) {
+		e := f.classes[name]
+		for _, c := range []struct {
+			name string
+			n    *atomic.Int64
+		}{{"fulfilled", &e.fulfilled}, {"throttled", &e.throttled}, {"faulted", &e.faulted}} {
+			dst = fmt.Appendf(dst, "svc.operations.%s.%s:%d|c\n", plain(name), c.name, c.n.Load())
+		}
+	}
+	for _, c := range []struct {
+		name, kind string
+		n          *atomic.Int64
+	}{{"relayed", "c", &f.Relayed}, {"open_requests", "g", &f.Open}, {"registry_entries", "g", &f.Listed},
+		{"out_of_rotation", "g", &f.Out}, {"cfg_accepted", "c", &f.CfgTaken}, {"cfg_invalid", "c", &f.CfgFaulty}} {
+		dst = fmt.Appendf(dst, "svc.%s:%d|%s\n", c.name, c.n.Load(), c.kind)
+	}
+	return dst
+}
+
+// plain keeps what has a meaning in the form out of a name.
+func plain(name string) string {
+	return strings.Map(func(r rune) rune {
+		if r <= ' ' || r == ':' || r == '|' || r == '@' || r == 0x7f {
+			return '_'
+		}
+		return r
+	}, name)
+}
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -58,6 +58,14 @@
 	return ask, func(final broker.Final, _ int64) http1.Response { return answer(final) }, nil
 }
 
+// Class is the class that a request for the broker names.
+func (Front) Class(m *http1.Message) string {
+	if !strings.HasPrefix(m.Target, "/api/") {
+		return ""
+	}
+	return m.Header.Get("Request-Class")
+}
+
 func (f Front) ask(m *http1.Message, key string, now int64) (broker.Ask, error) {
 	a := broker.Ask{Label: m.Header.Get("Request-Id"), Unique: true, Class: m.Header.Get("Request-Class"),
 		Tenant: m.Header.Get("Tenant"), Key: key}
--- a/internal/transport/engine.go
+++ b/internal/transport/engine.go
@@ -11,6 +11,7 @@
 
 	yw "yarrowwalk"
 	"yarrowwalk/internal/broker"
+	"yarrowwalk/internal/operations"
 )
 
 func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K { return slices.Sorted(maps.Keys(m)) }
@@ -37,6 +38,7 @@
 	waiting map[yw.ID]func(broker.Final)
 	log     *log.Logger
 	sweepAt int64
+	figures *operations.Figures
 	// Watch and Fetch, where set, carry out what the module asks of discovery; they must not block.
 	Watch, Fetch func()
 }
@@ -47,10 +49,12 @@
 )
 
 // NewEngine makes an engine; Run starts it.
-func NewEngine(clock Clock, core *broker.Core, cfg PoolConfig, d broker.Dialect, logger *log.Logger) *Engine {
+func NewEngine(clock Clock, core *broker.Core, cfg PoolConfig, d broker.Dialect, figures *operations.Figures,
+	logger *log.Logger) *Engine {
 	e := &Engine{clock: clock, core: core, inbox: make(chan func(int64), inboxSize), stop: make(chan struct{}),
-		stopped: make(chan struct{}), waiting: map[yw.ID]func(broker.Final){}, log: logger}
+		stopped: make(chan struct{}), waiting: map[yw.ID]func(broker.Final){}, figures: figures, log: logger}
 	e.pool = newPool(cfg, d, e.post)
+	e.pool.figures = figures
 	e.pool.ended, e.pool.over = core.Ended, e.stopped
 	return e
 }
@@ -90,6 +94,9 @@
 		if now >= e.sweepAt {
 			e.sweepAt = now + sweepEvery
 			e.pool.sweep(now)
+			listed, out := e.core.Rotation()
+			e.figures.Listed.Store(int64(listed))
+			e.figures.Out.Store(int64(out))
 		}
 		at := e.sweepAt
 		if next, ok := e.core.Next(); ok {
--- a/internal/transport/listener.go
+++ b/internal/transport/listener.go
@@ -19,6 +19,8 @@
 type Front interface {
 	// Open turns a request into a query and the way to word its end, or into a response at once.
 	Open(m *http1.Message, now int64, ready bool) (broker.Ask, func(broker.Final, int64) http1.Response, *http1.Response)
+	// Class is the class of a request that the broker has to decide, as far as its head tells; empty for others.
+	Class(m *http1.Message) string
 	// Fault words the answer to a request that could not be read or decided on.
 	Fault(status int, text string) http1.Response
 }
@@ -399,7 +401,9 @@
 		}
 	}()
 	var p http1.Parser
+	var head, last *http1.Message // that came in last, and whole
 	p.Headed = func(m *http1.Message) {
+		head = m
 		// Nothing else is being written then: clients that wait for this have no request before it open.
 		if m.Header.Get("Expect") == "100-continue" && !c.isAnswering() {
 			c.net.SetWriteDeadline(time.Now().Add(writeTimeout))
@@ -413,12 +417,18 @@
 		if n > 0 {
 			p.Feed(buf[:n])
 			batch, perr := whole(&p)
+			if n := len(batch); n > 0 {
+				last = batch[n-1]
+			}
 			now := int64(p.Held())
 			if c.l.held.Add(now-held) > c.l.terms.Load().MaxHeld && perr == nil && now > 0 {
 				// What was not read to its end has not run: trying again is harmless.
 				perr = &http1.Error{Status: 503, Text: "too much is coming in at once"}
 			}
 			held = now
+			if head != last {
+				c.lost(perr, head)
+			}
 			if c.take(batch, perr, !p.Idle()) {
 				c.pass()
 				return
@@ -427,7 +437,11 @@
 		if err != nil {
 			var timeout net.Error
 			if !p.Idle() && errors.As(err, &timeout) && timeout.Timeout() {
-				c.take(nil, &http1.Error{Status: 408, Text: "the request took too long to come in"}, false)
+				slow := &http1.Error{Status: 408, Text: "the request took too long to come in"}
+				if head != last {
+					c.lost(slow, head)
+				}
+				c.take(nil, slow, false)
 				c.pass()
 			}
 			return
@@ -435,6 +449,18 @@
 	}
 }
 
+// lost counts requests that end with a fault instead of an answer of their own.
+func (c *clientConn) lost(fault error, ms ...*http1.Message) {
+	if fault == nil {
+		return
+	}
+	e := &http1.Error{Status: 400}
+	errors.As(fault, &e)
+	for _, m := range ms {
+		c.l.engine.figures.Ended(c.l.terms.Load().front.Class(m), e.Status)
+	}
+}
+
 // whole returns the messages that are complete.
 func whole(p *http1.Parser) (batch []*http1.Message, err error) {
 	for {
@@ -455,7 +481,9 @@
 			return
 		}
 		if fault == nil && len(c.queue)+len(batch) > pipeline {
-			fault, batch = &http1.Error{Status: 400, Text: "too many requests ahead of their answers"}, nil
+			fault = &http1.Error{Status: 400, Text: "too many requests ahead of their answers"}
+			c.lost(fault, batch...)
+			batch = nil
 		}
 		now := time.Now()
 		if partial && (!c.partial || len(batch) > 0) && c.spoke {
@@ -504,7 +532,9 @@
 		case len(c.queue) > 0 && (c.fault == nil || time.Since(c.faultAt) < faultGrace):
 			m, c.queue = c.queue[0], c.queue[1:]
 		case c.fault != nil:
-			fault, c.queue = c.fault, nil
+			fault = c.fault
+			c.lost(fault, c.queue...)
+			c.queue = nil
 		default:
 			c.queue, c.answering = nil, false
 		}
@@ -580,7 +610,13 @@
 	now := c.l.engine.clock.Now()
 	bad := c.bad
 	var late <-chan time.Time
-	ask, word, resp := c.l.terms.Load().front.Open(m, now, c.l.ready())
+	front, figures := c.l.terms.Load().front, c.l.engine.figures
+	class := front.Class(m)
+	if class != "" {
+		figures.Open.Add(1)
+		defer figures.Open.Add(-1)
+	}
+	ask, word, resp := front.Open(m, now, c.l.ready())
 	if resp == nil {
 		c.l.last.Store(now)
 		t := c.l.engine.Open(ask)
@@ -594,7 +630,7 @@
 				if errors.Is(err, broker.ErrTaken) {
 					status = 409
 				}
-				r := c.l.terms.Load().front.Fault(status, err.Error())
+				r := front.Fault(status, err.Error())
 				resp = &r
 			case <-bad:
 				bad = nil
@@ -603,6 +639,7 @@
 				late = timer.C
 			case <-late: // the client broke the rules while it waited, and is owed an answer to that
 				c.l.engine.Left(t)
+				c.lost(&http1.Error{Status: 400}, m)
 				return false, true
 			case <-c.gone:
 				c.l.engine.Left(t)
@@ -612,6 +649,7 @@
 			}
 		}
 	}
+	figures.Ended(class, resp.Status)
 	last = m.Close || !c.l.ready() || c.l.scarce(c)
 	if m.Method == "HEAD" {
 		resp.Body = nil
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -8,6 +8,7 @@
 
 	yw "yarrowwalk"
 	"yarrowwalk/internal/broker"
+	"yarrowwalk/internal/operations"
 )
 
 // PoolConfig bounds the connections to servers. Times are microseconds.
@@ -33,6 +34,7 @@
 	ended   func(now int64, id broker.AttemptID, o yw.Outcome, value []byte, report *yw.LoadReport)
 	servers map[yw.ServerID]*server
 	out     map[broker.AttemptID]*serverConn
+	figures *operations.Figures
 	over    <-chan struct{} // closed when nothing that is posted runs any more
 	conns   int
 	hurt    int64   // when a connection was last lost with calls out on it; 0: never
@@ -58,7 +60,7 @@
 	calls    map[broker.AttemptID]int64 // out, with the number of the write that carries each
 	wrote    int64                      // writes handed over
 	done     *atomic.Int64              // writes completed
-	writes   chan []byte
+	writes   chan frame
 	usedAt   int64
 	heardAt  int64
 	openedAt int64
@@ -68,9 +70,15 @@
 	stalled  int64 // when the last bytes of an unfinished answer came; 0: there is none
 }
 
+// frame is bytes that leave in one go, and how many attempts they carry.
+type frame struct {
+	bytes    []byte
+	attempts int
+}
+
 func newPool(cfg PoolConfig, d broker.Dialect, post func(func(int64)) bool) *pool {
 	return &pool{cfg: cfg, dialect: d, post: post, servers: map[yw.ServerID]*server{},
-		out: map[broker.AttemptID]*serverConn{}}
+		out: map[broker.AttemptID]*serverConn{}, figures: operations.NewFigures()}
 }
 
 func (p *pool) serverOf(id yw.ServerID) *server {
@@ -290,7 +298,7 @@
 func (p *pool) write(now int64, c *serverConn, call broker.Call) {
 	b := c.session.Call(nil, call, now)
 	select {
-	case c.writes <- b:
+	case c.writes <- frame{b, len(call.Attempts)}:
 		c.wrote++
 		c.usedAt = now
 		for _, a := range call.Attempts {
@@ -330,7 +338,7 @@
 	}
 	if len(b) > 0 {
 		select {
-		case c.writes <- b:
+		case c.writes <- frame{bytes: b}:
 			c.wrote++
 		default:
 			p.fail(now, c, false)
@@ -358,7 +366,7 @@
 	}
 	c := &serverConn{server: s, session: p.dialect.Session(s.address), calls: map[broker.AttemptID]int64{},
 		sentAt: map[broker.AttemptID]int64{}, done: &atomic.Int64{},
-		writes: make(chan []byte, 4*p.dialect.Streams()+16), usedAt: now, openedAt: now}
+		writes: make(chan frame, 4*p.dialect.Streams()+16), usedAt: now, openedAt: now}
 	s.conns = append(s.conns, c)
 	p.conns++
 	address, timeout := s.address, time.Duration(p.cfg.ConnectTimeout)*time.Microsecond
@@ -419,12 +427,13 @@
 		defer close(written)
 		for {
 			select {
-			case b := <-c.writes:
+			case f := <-c.writes:
 				conn.SetWriteDeadline(time.Now().Add(writeTimeout))
-				if _, err := conn.Write(b); err != nil {
+				if _, err := conn.Write(f.bytes); err != nil {
 					conn.Close()
 					return
 				}
+				p.figures.Relayed.Add(int64(f.attempts))
 				c.done.Add(1)
 			case <-stop:
 				return
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -13,6 +13,7 @@
 	yw "yarrowwalk"
 	"yarrowwalk/internal/broker"
 	"yarrowwalk/internal/http1"
+	"yarrowwalk/internal/operations"
 	"yarrowwalk/internal/platform"
 )
 
@@ -55,7 +56,7 @@
 	t.Cleanup(func() { far.Close() })
 	s := b.servers["s"]
 	c := &serverConn{server: s, session: b.dialect.Session(""), net: near, up: true, calls: map[broker.AttemptID]int64{},
-		sentAt: map[broker.AttemptID]int64{}, done: new(atomic.Int64), writes: make(chan []byte, 1)}
+		sentAt: map[broker.AttemptID]int64{}, done: new(atomic.Int64), writes: make(chan frame, 1)}
 	s.conns, b.conns = []*serverConn{c}, 1
 	return c
 }
@@ -206,6 +207,8 @@
 
 func (module) Step(int64, []yw.Event) []yw.Action { return nil }
 
+func (module) Rotation() (listed, out int) { return 3, 1 }
+
 // echo is a front whose requests are answered at once, or, under /held, wait for ever.
 type echo struct{}
 
@@ -216,6 +219,8 @@
 	return broker.Ask{}, nil, &http1.Response{Status: 200, Body: []byte("ok")}
 }
 
+func (echo) Class(m *http1.Message) string { return strings.TrimPrefix(m.Target, "/") }
+
 func (echo) Fault(status int, text string) http1.Response {
 	return http1.Response{Status: status, Body: []byte(text)}
 }
@@ -223,7 +228,7 @@
 func serve(t *testing.T, cfg ListenerConfig) (*Listener, *Engine) {
 	core := broker.New(broker.Terms{Period: 1000, Shards: 1, Classes: []yw.Class{{Name: "c"}}}, module{})
 	quiet := log.New(io.Discard, "", 0)
-	e := NewEngine(NewClock(), core, PoolConfig{MaxConns: 1, IdleClose: 1 << 40}, platform.Workers{PerConn: 1}, quiet)
+	e := NewEngine(NewClock(), core, PoolConfig{MaxConns: 1, IdleClose: 1 << 40}, platform.Workers{PerConn: 1}, operations.NewFigures(), quiet)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -658,3 +663,27 @@
 	}
 	return n <= 0
 }
+
+// An attempt counts as relayed once its call's last byte has left, and not where the server goes before that.
+func TestRelayedWhole(t *testing.T) {
+	b := newBench()
+	b.fleet(0, yw.Ready, 0, "127.0.0.1:1")
+	near, far := net.Pipe()
+	c := &serverConn{server: b.servers["s"], session: b.dialect.Session(""), net: near, up: true,
+		calls: map[broker.AttemptID]int64{}, sentAt: map[broker.AttemptID]int64{}, done: new(atomic.Int64), writes: make(chan frame, 4)}
+	b.servers["s"].conns, b.conns = []*serverConn{c}, 1
+	ended := make(chan struct{})
+	go func() { b.serve(c, near); close(ended) }()
+	b.call(0, callOf(1))
+	head := make([]byte, 4)
+	io.ReadFull(far, head)
+	io.ReadFull(far, make([]byte, head[3]))
+	b.call(0, callOf(2))
+	io.ReadFull(far, head[:3])
+	far.Close()
+	b.next(t, 1)
+	<-ended
+	if n := b.figures.Relayed.Load(); n != 1 || b.ends[1] != yw.Broken && b.ends[1] != yw.Stranded || b.ends[2] != yw.Unreachable {
+		t.Errorf("relayed %d, ends %v", n, b.ends)
+	}
+}
--- a/scheduler.go
+++ b/scheduler.go
@@ -187,6 +187,21 @@
 	return work <= share
 }
 
+// Rotation tells how many servers are in the list, and how many of those are avoided now: not ready, failing
+// most of the time, or silent for longer than answers may take.
+func (s *Scheduler) Rotation() (listed, out int) {
+	for _, r := range s.servers {
+		if !r.listed {
+			continue
+		}
+		listed++
+		if r.Health != Ready || r.struck || s.silentFor(r) > float64(s.aim) {
+			out++
+		}
+	}
+	return listed, out
+}
+
 // ---- Prediction
 
 // cost predicts the work of a part: its hint, or the served latency of its shard.
@@ -276,13 +291,17 @@
 // not less than the age of its oldest overdue part (silence, whatever the cause), unless one sent when that
 // was overdue was served: then that part is lost on its way, and the server is not silent.
 func (s *Scheduler) wait(r *replica) float64 {
-	w := s.backlog(r) * s.paceOf(r)
+	return max(s.backlog(r)*s.paceOf(r), s.silentFor(r))
+}
+
+func (s *Scheduler) silentFor(r *replica) float64 {
+	silent := 0.0
 	for _, a := range r.attempts {
 		if age := float64(s.now - a.sent); age > a.due && a.sent+int64(a.due) >= r.latest {
-			w = max(w, age)
+			silent = max(silent, age)
 		}
 	}
-	return w
+	return silent
 }
 
 // risk is the share of a class's attempts at a server that is expected to fail: what its attempts of that
