--- a/api.go
+++ b/api.go
@@ -211,6 +211,16 @@
 // open keeps the class that it came with.
 type SettingsChanged struct{ Settings Settings }
 
+// Learned is what a process hands to the one that takes its place.
+type Learned struct {
+	Admission float64          // how far admission is open, 0 to 1
+	Suspects  map[string]int64 // keys that bring down servers, and when that was found
+}
+
+// Recalled brings what the process before this one had learnt. That one may still be sending: for one window the free
+// part of the budget counts as spent.
+type Recalled struct{ Learned }
+
 func (Query) isEvent()           {}
 func (Part) isEvent()            {}
 func (ClientLeft) isEvent()      {}
@@ -220,6 +230,7 @@
 func (PeerSaid) isEvent()        {}
 func (AlarmRang) isEvent()       {}
 func (SettingsChanged) isEvent() {}
+func (Recalled) isEvent()        {}
 
 // Action is something that the front node has to do: one of the types below, in the order given.
 type Action interface{ isAction() }
--- a/cmd/saffronquay/gatherer.go
+++ b/cmd/saffronquay/gatherer.go
@@ -1,18 +1,22 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"log"
 	"net"
 	"os"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"time"
 
 	yw "yarrowwalk"
 	"yarrowwalk/internal/broker"
+	"yarrowwalk/internal/handover"
 	"yarrowwalk/internal/operations"
+	"yarrowwalk/internal/platform"
 	"yarrowwalk/internal/transport"
 )
 
@@ -27,8 +31,11 @@
 	door    *transport.Door    // nil: off
 	duty    *operations.Duty
 	figures *operations.Figures
-	served  chan error    // the listener's end
-	turn    chan struct{} // the duty has changed
+	beside  *transport.Beside     // nil: no socket is passed, so nobody replaces this process or is replaced by it
+	met     chan []handover.State // what other processes of this gatherer told
+	others  int                   // descriptors that they hold
+	served  chan error            // the listener's end
+	turn    chan struct{}         // the duty has changed
 
 	mu        sync.Mutex // of the two that a standby touches
 	listener  *transport.Listener
@@ -42,7 +49,7 @@
 	}
 	debug.SetMemoryLimit(int64(p.memoryMB) << 20 * 3 / 4)
 	g := &gatherer{plan: p, log: logger, clock: transport.NewClock(), served: make(chan error, 1),
-		turn: make(chan struct{}, 1)}
+		turn: make(chan struct{}, 1), met: make(chan []handover.State, 1)}
 	g.duty, g.figures = operations.NewDuty(g.stand), operations.NewFigures()
 	if err := g.begin(); err != nil {
 		return err
@@ -53,6 +60,8 @@
 			return fmt.Errorf("accept: %w", err)
 		case <-hup:
 			g.retune()
+		case others := <-g.met:
+			g.share(others)
 		case <-g.turn:
 			if g.virtual != nil {
 				if err := g.virtual.compete(!g.standsBy()); err != nil {
@@ -88,12 +97,16 @@
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
+	g.succeed()
 	bounds := g.bounds()
 	g.mu.Lock()
 	g.listener = transport.NewListener(socket, bounds, g.engine, g.front, g.log)
 	g.listener.Standby(g.onStandby)
 	g.mu.Unlock()
 	go g.engine.Run()
+	if g.beside != nil {
+		go g.beside.Run()
+	}
 	g.follow()
 	if g.vrrp != nil {
 		g.virtual = &service{clock: g.clock, config: *g.vrrp, engine: g.engine, log: g.log}
@@ -162,12 +175,15 @@
 		MaxConns: g.serverConns()}
 }
 
-func (g *gatherer) serverConns() int { return min(192, g.sockets/3) }
+// sockets is how many descriptors this process may hold: what the other one of this gatherer holds is missing here.
+func (g *gatherer) sockets() int { return max(g.plan.sockets-g.others, 3*ownSockets) }
+
+func (g *gatherer) serverConns() int { return min(192, g.sockets()/3) }
 
 // bounds is what one listener may hold. Clients must never take the descriptors that servers, discovery and
 // operators need.
 func (g *gatherer) bounds() transport.ListenerConfig {
-	b := transport.ListenerConfig{MaxConns: g.sockets - g.serverConns() - ownSockets, Enough: g.sockets / 4,
+	b := transport.ListenerConfig{MaxConns: g.sockets() - g.serverConns() - ownSockets, Enough: g.sockets() / 4,
 		Idle: 15 * time.Second, First: 2500 * time.Millisecond, Slow: 2500 * time.Millisecond,
 		MaxHeld: int64(g.memoryMB) << 20 / 8}
 	if g.operator != "" {
@@ -198,6 +214,66 @@
 	return accepting.Listen(context.Background(), "tcp", g.listen)
 }
 
+// succeed takes over what the process that this one replaces has told, where there is one, and tells in turn.
+func (g *gatherer) succeed() {
+	if g.passed == 0 || g.shared == "" {
+		return
+	}
+	g.beside = transport.NewBeside(g.shared, g.name, g.clock, g.standing, func(others []handover.State) {
+		select {
+		case g.met <- others:
+		default: // the main goroutine has not got to the last ones; there is word again soon
+		}
+	}, g.log)
+	others := g.beside.Others()
+	if len(others) == 0 {
+		return
+	}
+	from := slices.MaxFunc(others, func(a, b handover.State) int { return cmp.Compare(a.At, b.At) })
+	g.engine.Succeed(from)
+	if list, err := platform.ParseList(from.List); err == nil && g.watcher != nil && from.Discovery == g.discovery {
+		g.engine.Fleet(yw.FleetChanged{Kind: yw.FleetCached, Servers: list.Servers}, list.Addresses)
+	}
+	g.share(others)
+	g.log.Printf("level=info event=succeeds open=%d sockets=%d generation=%d", from.Open, from.Sockets, from.Generation)
+}
+
+// standing is how this process stands.
+func (g *gatherer) standing() (handover.State, bool) {
+	s, ok := g.engine.Standing()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !ok || g.listener == nil {
+		return s, false
+	}
+	s.Sockets += g.listener.Conns() + ownSockets + transport.DoorSockets
+	if g.watcher != nil {
+		s.List, s.Generation, s.Discovery = g.watcher.Held()
+	}
+	return s, true
+}
+
+// share has rules and limits count what the other processes of this gatherer hold.
+func (g *gatherer) share(others []handover.State) {
+	held := 0
+	for _, o := range others {
+		held += o.Sockets
+	}
+	if held == 0 && g.others == 0 {
+		return
+	}
+	g.others = held
+	limit := int64(g.memoryMB) << 20 * 3 / 4
+	if held > 0 {
+		limit /= 2
+	}
+	debug.SetMemoryLimit(limit)
+	g.engine.Beside(others, g.serverConns())
+	if g.listener != nil {
+		g.listener.Reconfigure(g.bounds(), g.front)
+	}
+}
+
 // follow begins to follow discovery. A successor first has the whole list, or has waited for it: until then the
 // process that it replaces serves, with a list that is up to date.
 func (g *gatherer) follow() {
@@ -231,7 +307,8 @@
 	if now.listen != g.listen || now.operator != g.operator {
 		g.log.Printf("level=warn event=reload note=%q", "listen and operator take a restart")
 	}
-	now.name, now.listen, now.operator, now.vrrp, now.passed, now.seed = g.name, g.listen, g.operator, g.vrrp, g.passed, g.seed
+	now.name, now.listen, now.operator, now.vrrp, now.passed, now.shared, now.seed = g.name, g.listen, g.operator, g.vrrp,
+		g.passed, g.shared, g.seed
 	g.plan = now
 	debug.SetMemoryLimit(int64(g.memoryMB) << 20 * 3 / 4)
 	g.engine.Reconfigure(g.terms(), g.settings.Module, g.pool(), g.dialect)
@@ -261,7 +338,7 @@
 	if g.passed > 0 {
 		g.listener.HandOver()
 		still = func(int64) bool {
-			return g.listener.Empty() && (g.virtual == nil || g.virtual.quiet(g.clock.Now()+1))
+			return g.listener.Conns() == 0 && (g.virtual == nil || g.virtual.quiet(g.clock.Now()+1))
 		}
 	} else {
 		g.listener.Leave()
@@ -275,6 +352,9 @@
 		case <-hup: // it may still move the watch: what is held has to end well
 			g.retune()
 			continue
+		case others := <-g.met:
+			g.share(others)
+			continue
 		case <-g.served: // what it accepted last is among the connections now
 			served = true
 			continue
@@ -285,6 +365,9 @@
 			break
 		}
 	}
+	if g.beside != nil {
+		g.beside.Stop()
+	}
 	g.listener.Close()
 	if g.virtual != nil {
 		g.virtual.close()
--- a/cmd/saffronquay/main.go
+++ b/cmd/saffronquay/main.go
@@ -51,6 +51,7 @@
 	vrrp              *config.VRRP                               // nil: off
 	operator          string                                     // where operators call; empty: no door
 	passed            int                                        // descriptor of the clients' socket; 0: it is opened here
+	shared            string                                     // directory shared with a process that is replaced
 	discovery         string
 	again             func() (plan, error) // reads the file once more
 }
@@ -61,7 +62,7 @@
 		return plan{}, err
 	}
 	p, err := loadFile(logger)
-	p.passed = process.PassedSocket
+	p.passed, p.shared = process.PassedSocket, process.Shared
 	return p, err
 }
 
--- a/evidence_test.go
+++ b/evidence_test.go
@@ -355,3 +355,40 @@
 	}
 	want(3, 2)
 }
+
+// What a process hands on: keys that bring down servers stay condemned, admission stays as strict, and the budget's free
+// part is not spent twice.
+func TestRecalled(t *testing.T) {
+	before := newScript(t, plain(), "a")
+	before.s.condemn("bad")
+	before.s.learn(&query{class: &before.s.cfg.Classes[0], admitted: true}, false)
+	l := before.s.Learned()
+	if l.Admission < 0.7 || l.Admission > 0.8 || l.Suspects["bad"] != before.now {
+		t.Fatalf("%+v", l)
+	}
+	l.Suspects["old"], l.Suspects["ahead"] = before.now-1e9, before.now+1e9
+	cfg := plain()
+	cfg.Rules.Budgeted, cfg.Rules.FreeExtras, cfg.Rules.ExtraWindow = true, 5, 100*ms
+	sc := newScript(t, cfg, "a")
+	sc.step(ms, Recalled{l})
+	if got := sc.s.slackNow() / sc.s.slackTop; got < 0.7 || got > 0.8 {
+		t.Errorf("admission %v", got)
+	}
+	es := sc.ask(100, 10*ms)
+	q := es[0].(Query)
+	q.Key = "bad"
+	es[0] = q
+	if got := of[Refuse](sc.step(ms, es...)); len(got) != 1 {
+		t.Errorf("a condemned key's query: %v", sc.got)
+	}
+	if len(sc.s.keys) != 1 {
+		t.Errorf("keys %v", sc.s.keys)
+	}
+	if sc.s.budget() != 0 {
+		t.Errorf("budget %v within the first window", sc.s.budget())
+	}
+	sc.step(200 * ms)
+	if sc.s.budget() != 5 {
+		t.Errorf("budget %v after it", sc.s.budget())
+	}
+}
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -7,6 +7,7 @@
 	"cmp"
 	"errors"
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 
@@ -18,6 +19,8 @@
 	Step(now int64, events []yw.Event) []yw.Action
 	// Rotation counts the servers in the list, and those of them that are avoided now.
 	Rotation() (listed, out int)
+	// Learned is what a process in this one's place should know.
+	Learned() yw.Learned
 }
 
 // Budget rations the further attempts of one tenant: within any Window at most Free plus Ratio times the
@@ -164,7 +167,8 @@
 	classes  map[string]*yw.Class
 	lastID   int64 // ids stay below 2^52, which one gatherer can't use up
 	queries  map[yw.ID]*query
-	labels   map[string]bool // of the open queries whose label must be theirs alone
+	labels   map[string]int64 // of the open queries whose label must be theirs alone, with their deadlines
+	beside   Standing         // of the other process of this gatherer, while there is one
 	parts    map[yw.ID]*part
 	attempts map[AttemptID]*attempt
 	open     int // queries and parts held
@@ -180,7 +184,7 @@
 // New makes a core round a module.
 func New(terms Terms, module Module) *Core {
 	c := &Core{module: module, queries: map[yw.ID]*query{},
-		labels: map[string]bool{}, parts: map[yw.ID]*part{}, attempts: map[AttemptID]*attempt{}, calls: map[yw.ServerID]int{}}
+		labels: map[string]int64{}, parts: map[yw.ID]*part{}, attempts: map[AttemptID]*attempt{}, calls: map[yw.ServerID]int{}}
 	c.hold(terms)
 	return c
 }
@@ -223,6 +227,30 @@
 // Rotation counts the servers in the list, and those of them that the module avoids now.
 func (c *Core) Rotation() (listed, out int) { return c.module.Rotation() }
 
+// Standing is how much a process of a gatherer holds.
+type Standing struct {
+	Open   int              // queries and parts
+	Labels map[string]int64 // of open queries whose label must be theirs alone, with their deadlines
+}
+
+// Standing is how much this process holds.
+func (c *Core) Standing() Standing { return Standing{Open: c.open, Labels: maps.Clone(c.labels)} }
+
+// Beside says how much the other process of this gatherer holds: rules and limits count both.
+func (c *Core) Beside(other Standing) { c.beside = other }
+
+// Learned is what a process in this one's place should know.
+func (c *Core) Learned() yw.Learned { return c.module.Learned() }
+
+// Succeed begins with what the process before this one had learnt. It may still spend its budgets: both keep to them if
+// the free part counts as spent here for one window.
+func (c *Core) Succeed(now int64, l yw.Learned) {
+	for _, r := range c.budgets {
+		r.freeFrom = now + r.Window
+	}
+	c.events = append(c.events, yw.Recalled{Learned: l})
+}
+
 // ErrMalformed marks an Ask that no module could decide on.
 var ErrMalformed = errors.New("malformed query")
 
@@ -234,7 +262,7 @@
 	mostWork    = 86_400_000_000 // microseconds of one part: a day
 )
 
-func (c *Core) check(a Ask) error {
+func (c *Core) check(now int64, a Ask) error {
 	if c.classes[a.Class] == nil {
 		return fmt.Errorf("%w: unknown class %q", ErrMalformed, a.Class)
 	}
@@ -260,7 +288,7 @@
 		return fmt.Errorf("%w: its weights add up to %g", ErrMalformed, sum)
 	}
 	// Guards the first query: what servers answer for one would otherwise count for the other.
-	if a.Unique && c.labels[a.Label] {
+	if _, taken := c.labels[a.Label]; a.Unique && (taken || c.beside.Labels[a.Label] > now) {
 		return fmt.Errorf("%w: %q", ErrTaken, a.Label)
 	}
 	return nil
@@ -269,10 +297,10 @@
 // Open takes a query. Its final answer comes as an effect, unless it is malformed or, with as much open as
 // may be, ended on the spot: then the Final is returned and the module never hears of it.
 func (c *Core) Open(now int64, a Ask) (yw.ID, *Final, error) {
-	if err := c.check(a); err != nil {
+	if err := c.check(now, a); err != nil {
 		return 0, nil, err
 	}
-	if c.terms.MaxOpen > 0 && c.open >= c.terms.MaxOpen {
+	if c.terms.MaxOpen > 0 && c.open+c.beside.Open >= c.terms.MaxOpen {
 		return 0, &Final{Verdict: Refused, RetryAfter: c.advice(0), Shards: len(a.Parts)}, nil
 	}
 	q := &query{id: yw.ID(c.nextID()), ask: a, class: c.classes[a.Class]}
@@ -292,7 +320,7 @@
 	}
 	c.queries[q.id] = q
 	if a.Unique {
-		c.labels[a.Label] = true
+		c.labels[a.Label] = a.Deadline
 	}
 	c.open += 1 + len(q.parts)
 	if r := c.budgets[a.Tenant]; r != nil {
@@ -562,6 +590,7 @@
 type ration struct {
 	Budget
 	taken, extras []int64
+	freeFrom      int64 // when Free may be spent
 }
 
 func (r *ration) take(now int64, parts int) {
@@ -574,7 +603,11 @@
 	old := func(at int64) bool { return at <= now-r.Window }
 	r.taken = slices.DeleteFunc(r.taken, old)
 	r.extras = slices.DeleteFunc(r.extras, old)
-	if float64(len(r.extras)+1) > r.Free+r.Ratio*float64(len(r.taken)) {
+	free := r.Free
+	if now < r.freeFrom {
+		free = 0
+	}
+	if float64(len(r.extras)+1) > free+r.Ratio*float64(len(r.taken)) {
 		return false
 	}
 	r.extras = append(r.extras, now)
--- a/internal/broker/broker_test.go
+++ b/internal/broker/broker_test.go
@@ -25,6 +25,8 @@
 
 func (*script) Rotation() (listed, out int) { return 0, 0 }
 
+func (*script) Learned() yw.Learned { return yw.Learned{Admission: 0.5} }
+
 func (s *script) outcomes() string {
 	var out []string
 	for _, e := range s.seen {
@@ -320,3 +322,45 @@
 		t.Errorf("budgets %+v", c.budgets)
 	}
 }
+
+// Two processes of one gatherer are one to ids, to what may be open, and to budgets.
+func TestBeside(t *testing.T) {
+	now := terms()
+	now.Tenants = map[string]Budget{"t": {Free: 1, Ratio: 1, Window: 1000}}
+	m := &script{}
+	c := New(now, m)
+	c.Succeed(100, yw.Learned{Admission: 0.5})
+	c.Beside(Standing{Open: 4, Labels: map[string]int64{"theirs": 200}})
+	a := ask("free", 0)
+	a.Label, a.Unique = "theirs", true
+	if _, _, err := c.Open(199, a); !errors.Is(err, ErrTaken) {
+		t.Errorf("an id that is open in the other: %v", err)
+	}
+	if id, f, err := c.Open(200, a); id != 1 || f != nil || err != nil { // its deadline there has passed
+		t.Errorf("%v %v %v", id, f, err)
+	}
+	if s := c.Standing(); s.Open != 2 || s.Labels["theirs"] != 1000 {
+		t.Errorf("%+v", s)
+	}
+	if _, f, _ := c.Open(200, ask("free", 1)); f == nil || f.Verdict != Refused {
+		t.Errorf("with 6 open in both: %+v", f)
+	}
+	c.Beside(Standing{})
+	if _, f, err := c.Open(200, ask("free", 1)); f != nil || err != nil {
+		t.Errorf("with the other gone: %+v %v", f, err)
+	}
+	// Two parts were taken, so two further attempts may leave, and with the free one three; that one may be spent by the
+	// other process until the window is over.
+	act[Call](c, m, 210, yw.Send{Part: 3, Server: "s"}, yw.Send{Part: 3, Server: "s"}, yw.Send{Part: 3, Server: "s"})
+	if got := len(act[Call](c, m, 300, yw.Send{Part: 3, Server: "s"})); got != 0 {
+		t.Errorf("%d calls beyond what both may spend", got)
+	}
+	if first, ok := m.seen[0].(yw.Recalled); !ok || first.Admission != 0.5 {
+		t.Errorf("the module first saw %#v", m.seen[0])
+	}
+	r := c.budgets["t"]
+	r.taken, r.extras = nil, nil
+	if r.spend(1099) || !r.spend(1100) {
+		t.Error("the free part may be spent from the window's end on, and not before")
+	}
+}
--- a/internal/config/process.go
+++ b/internal/config/process.go
@@ -7,7 +7,8 @@
 
 // Process is what the environment tells of this process beside its configuration.
 type Process struct {
-	PassedSocket int // descriptor of the clients' listening socket, which another holds; 0: none
+	Shared       string // directory that this process shares with the one that it replaces; empty: none
+	PassedSocket int    // descriptor of the clients' listening socket, which another holds; 0: none
 }
 
 // LoadProcess reads it.
@@ -18,5 +19,6 @@
 			return p, fmt.Errorf("%s: want the number of a descriptor from 3 on, not %.40q", variable, text)
 		}
 	}
+	p.Shared = getenv("TMPDIR")
 	return p, nil
 }
--- a/internal/loopback/scenario_test.go
+++ b/internal/loopback/scenario_test.go
@@ -5,6 +5,10 @@
 //	passed                            as the first step: clients' socket is held by the test and passed on
 //	replace                           the program is started once more, beside the one that runs; what follows is
 //	                                  about the new one, and "old" means the other
+//	junk                              what can't be read lies where the two tell each other how they stand
+//	wait handed N                     until a process has told of N open queries
+//	wait open N                       until a process has told of N open queries and parts
+//	twin Q P                          a client sends what P has sent, under the same id
 //	call WORDS... = ANSWER            an operator calls; the answer begins like this
 //	callers N TEXT                    so many operators connect, send so much, and stay
 //	server NAME|* BEHAVIOUR           how a stand-in server treats calls from here on; hold keeps the answers
@@ -26,6 +30,7 @@
 //	wait shard S received|dropped N   until servers have seen so much
 //	wait told N                       until the program has heard of discovery's version N
 //	expect Q OUTCOME                  the one final answer of a query
+//	expect Q closing                  its answer, which has come, ended the connection
 //	expect Q ended                    its connection, once it has its answer
 //	expect shard S received N         how many calls for a shard servers have seen in all
 //	expect figure NAME N              what the program counts, once it has
@@ -49,6 +54,7 @@
 	"testing"
 	"time"
 
+	"yarrowwalk/internal/handover"
 	"yarrowwalk/internal/http1"
 )
 
@@ -101,6 +107,8 @@
 	file    string      // the program's configuration
 	classes []class     // in it
 	tries   int
+	shared  string            // directory of the two processes
+	sent    map[string][]byte // by client
 
 	mu       sync.Mutex
 	changed  *sync.Cond
@@ -117,9 +125,10 @@
 }
 
 type client struct {
-	conn net.Conn
-	r    *bufio.Reader
-	got  chan string
+	conn    net.Conn
+	r       *bufio.Reader
+	got     chan string
+	closing bool // by its last answer
 }
 
 func (w *world) count(of map[int]int, shard int) {
@@ -229,7 +238,7 @@
 
 // prepare makes a world whose stand-ins listen and whose program is not started.
 func prepare(t *testing.T, d dialect) *world {
-	w := &world{t: t, d: d, classes: usual, tries: usualTries, clients: map[string]*client{}, lists: make(chan string, 8),
+	w := &world{t: t, d: d, classes: usual, tries: usualTries, shared: t.TempDir(), sent: map[string][]byte{}, clients: map[string]*client{}, lists: make(chan string, 8),
 		received: map[int]int{}, dropped: map[int]int{}, told: map[int]int{}}
 	w.changed = sync.NewCond(&w.mu)
 	for i := range 4 {
@@ -245,7 +254,7 @@
 	t := w.t
 	w.env = env
 	cmd, exited := exec.Command(program), make(chan error, 1)
-	cmd.Env = append(append(os.Environ(), "LB_OPERATOR="), env...)
+	cmd.Env = append(append(os.Environ(), "LB_OPERATOR=", "TMPDIR="+w.shared), env...)
 	if w.socket != nil {
 		cmd.ExtraFiles = []*os.File{w.socket}
 		cmd.Env = append(cmd.Env, "LB_PASSED_SOCKET=3")
@@ -305,6 +314,25 @@
 	return w.process
 }
 
+// handed tells that some process has told of so much.
+func (w *world) handed(what string, n int) bool {
+	files, err := filepath.Glob(filepath.Join(w.shared, "*.handover"))
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	for _, file := range files {
+		text, err := os.ReadFile(file)
+		if err != nil {
+			continue // it was taken back just now
+		}
+		s, err := handover.Parse(text)
+		if err == nil && (what == "open" && s.Open == n || what == "handed" && len(s.Labels) == n) {
+			return true
+		}
+	}
+	return false
+}
+
 // hup sends SIGHUP and waits until the program has heard it.
 func (w *world) hup(heard int) error {
 	w.mu.Lock()
@@ -349,6 +377,7 @@
 
 // send writes a request on its client's connection and reads the answer in the background.
 func (w *world) send(name string, request []byte) {
+	w.sent[name] = request
 	c := w.clients[name]
 	if c == nil {
 		conn := w.dial()
@@ -364,6 +393,7 @@
 			c.got <- "no answer: " + err.Error()
 			return
 		}
+		c.closing = m.Close
 		c.got <- w.d.outcome(m)
 	}()
 }
@@ -459,6 +489,15 @@
 	case "replace":
 		w.old = w.process
 		w.start(w.env)
+	case "junk":
+		for name, text := range map[string]string{"1": "", "2": "{\"v\":1", "3": "{\"v\":2}", "4": "\x00",
+			"5": `{"v":1,"name":"n0","at":-1,"sockets":-5,"open":1e300,"labels":7}`} {
+			if err := os.WriteFile(filepath.Join(w.shared, "saffronquay-"+name+".handover"), []byte(text), 0o600); err != nil {
+				return err
+			}
+		}
+	case "twin":
+		w.send(f[1], w.sent[f[2]])
 	case "call":
 		words, want, _ := strings.Cut(strings.Join(f[1:], " "), " = ")
 		if got := w.call(words); !strings.HasPrefix(got, want) {
@@ -552,6 +591,14 @@
 		}
 		return w.hup(heard)
 	case "wait":
+		if f[1] == "handed" || f[1] == "open" {
+			for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+				if w.handed(f[1], num(2)) {
+					return nil
+				}
+			}
+			return fmt.Errorf("it never came to that")
+		}
 		if f[1] == "told" {
 			f = []string{"wait", "shard", f[2], "told", "1"}
 		}
@@ -583,6 +630,12 @@
 				got = "still running"
 			}
 		default:
+			if want == "closing" {
+				if !w.clients[f[1]].closing {
+					return fmt.Errorf("its answer keeps the connection")
+				}
+				return nil
+			}
 			if want == "ended" {
 				c := w.clients[f[1]]
 				c.conn.SetReadDeadline(time.Now().Add(patience))
--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -4,6 +4,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"strconv"
 
 	"github.com/valyala/fastjson"
 
@@ -19,6 +21,49 @@
 	Addresses map[yw.ServerID]string
 }
 
+// Merge takes in news of the list.
+func (l *List) Merge(news List) {
+	if news.Whole {
+		*l = List{Whole: true, Addresses: map[yw.ServerID]string{}}
+	}
+	l.Generation = news.Generation
+	for _, v := range news.Servers {
+		l.Servers = slices.DeleteFunc(l.Servers, func(o yw.Server) bool { return o.ID == v.ID })
+		if v.Health == yw.Gone {
+			delete(l.Addresses, v.ID)
+			continue
+		}
+		l.Servers = append(l.Servers, v)
+		if a := news.Addresses[v.ID]; a != "" {
+			l.Addresses[v.ID] = a
+		}
+	}
+}
+
+// Append writes a list as one of discovery's objects, which ParseList reads.
+func (l List) Append(dst []byte) []byte {
+	var a fastjson.Arena
+	o, items := a.NewObject(), a.NewArray()
+	for i, v := range l.Servers {
+		e := a.NewObject()
+		e.Set("instanceId", a.NewString(string(v.ID)))
+		e.Set("hostPort", a.NewString(l.Addresses[v.ID]))
+		e.Set("zone", a.NewString(v.Zone))
+		e.Set("cell", a.NewNumberInt(v.Cell))
+		for word, health := range lifecycles {
+			if health == v.Health {
+				e.Set("lifecycle", a.NewString(word))
+			}
+		}
+		e.Set("startedAtMs", a.NewNumberString(strconv.FormatInt(v.StartedAt/1000, 10)))
+		items.SetArrayItem(i, e)
+	}
+	o.Set("generation", a.NewNumberString(strconv.FormatInt(l.Generation, 10)))
+	o.Set("reset", a.NewTrue())
+	o.Set("instances", items)
+	return o.MarshalTo(dst)
+}
+
 var lifecycles = map[string]yw.Health{"SERVING": yw.Ready, "DRAINING": yw.Draining, "DELETED": yw.Gone}
 
 // ParseList reads one object of discovery's.
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"fmt"
+	"reflect"
 	"strings"
 	"testing"
 
@@ -196,3 +197,25 @@
 		}
 	}
 }
+
+// A list that has taken in news reads the same on the other side of a handover.
+func TestListMerge(t *testing.T) {
+	read := func(text string) List {
+		l, err := ParseList([]byte(text))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return l
+	}
+	const one = `{"instanceId":"a","hostPort":"127.0.0.1:1","zone":"z","cell":3,"lifecycle":"%s","startedAtMs":5}`
+	const two = `{"instanceId":"b","hostPort":"127.0.0.1:2","zone":"z","cell":1,"lifecycle":"SERVING"}`
+	var l List
+	l.Merge(read(`{"generation":1,"reset":true,"instances":[` + fmt.Sprintf(one, "SERVING") + `,` + two + `]}`))
+	l.Merge(read(`{"generation":2,"reset":false,"instances":[` + fmt.Sprintf(one, "DRAINING") + `]}`))
+	l.Merge(read(`{"generation":3,"reset":false,"instances":[{"instanceId":"b","lifecycle":"DELETED"}]}`))
+	got := read(string(l.Append(nil)))
+	want := read(`{"generation":3,"reset":true,"instances":[` + fmt.Sprintf(one, "DRAINING") + `]}`)
+	if !reflect.DeepEqual(got, want) {
+		t.Errorf("%+v, want %+v", got, want)
+	}
+}
--- /dev/null
+++ b/internal/transport/beside.go
@@ -0,0 +1,127 @@
+package transport
+
+import (
+	"fmt"
+	"io"
+	"log"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"yarrowwalk/internal/handover"
+)
+
+const (
+	besideAlone  = 250 * time.Millisecond // between two writings
+	besideEvery  = 100 * time.Millisecond // the same, while there is another process
+	besidePrefix = "saffronquay-"
+	besideSuffix = ".handover"
+	forgotten    = time.Minute // then what a process left behind is removed
+	mostBeside   = 8           // states that are read at a time
+)
+
+// Beside tells the other process of this gatherer, where there is one, how this one stands, and learns how that one does:
+// by a file of each in a directory of theirs, written whole and renamed.
+type Beside struct {
+	dir, name, path string
+	clock           Clock
+	snapshot        func() (handover.State, bool)
+	met             func([]handover.State)
+	log             *log.Logger
+	stop, done      chan struct{}
+}
+
+// NewBeside makes one in a directory that outlives a process. snapshot gives this process's state, where it has one; met
+// is handed what the others told last, again and again. Run runs it.
+func NewBeside(dir, name string, clock Clock, snapshot func() (handover.State, bool), met func([]handover.State),
+	logger *log.Logger) *Beside {
+	own := fmt.Sprintf("%s%d-%d%s", besidePrefix, os.Getpid(), time.Now().UnixNano(), besideSuffix)
+	return &Beside{dir: dir, name: name, path: filepath.Join(dir, own), clock: clock, snapshot: snapshot, met: met,
+		log: logger, stop: make(chan struct{}), done: make(chan struct{})}
+}
+
+// Run goes on until Stop.
+func (b *Beside) Run() {
+	defer close(b.done)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	failed := false
+	for {
+		select {
+		case <-timer.C:
+		case <-b.stop:
+			os.Remove(b.path) // one that stays behind grows stale
+			return
+		}
+		if s, ok := b.snapshot(); ok {
+			err := b.write(s)
+			if err != nil && !failed {
+				b.log.Printf("level=warn event=handover error=%q", err)
+			}
+			failed = err != nil
+		}
+		others := b.Others()
+		b.met(others)
+		if timer.Reset(besideAlone); len(others) > 0 {
+			timer.Reset(besideEvery)
+		}
+	}
+}
+
+// Stop ends Run and takes this process's state back.
+func (b *Beside) Stop() {
+	close(b.stop)
+	<-b.done
+}
+
+func (b *Beside) write(s handover.State) error {
+	s.Name, s.At = b.name, b.clock.Now()
+	part := b.path + ".part"
+	if err := os.WriteFile(part, s.Append(nil), 0o600); err != nil {
+		return fmt.Errorf("write: %w", err)
+	}
+	if err := os.Rename(part, b.path); err != nil {
+		return fmt.Errorf("rename: %w", err)
+	}
+	return nil
+}
+
+// Others is what the other processes of this gatherer told last. What is broken, of another version or too old counts
+// for nothing.
+func (b *Beside) Others() []handover.State {
+	paths, err := filepath.Glob(filepath.Join(b.dir, besidePrefix+"*"))
+	if err != nil {
+		return nil
+	}
+	var others []handover.State
+	for _, path := range paths {
+		if path == b.path || len(others) == mostBeside {
+			continue
+		}
+		if info, err := os.Stat(path); err != nil || time.Since(info.ModTime()) > forgotten {
+			os.Remove(path)
+			continue
+		}
+		if !strings.HasSuffix(path, besideSuffix) {
+			continue
+		}
+		text, err := read(path)
+		if err != nil {
+			continue // it was taken back just now
+		}
+		if s, err := handover.Parse(text); err == nil && s.Name == b.name && s.Fresh(b.clock.Now()) {
+			others = append(others, s)
+		}
+	}
+	return others
+}
+
+func read(path string) ([]byte, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	return io.ReadAll(io.LimitReader(f, handover.MaxSize+1))
+}
--- /dev/null
+++ b/internal/transport/beside_test.go
@@ -0,0 +1,63 @@
+package transport
+
+import (
+	"io"
+	"log"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"yarrowwalk/internal/handover"
+)
+
+// Two processes hear of each other while both run, and of nothing else: guards a start against what a process that is
+// gone, another gatherer or another version has left behind.
+func TestBesideEachOther(t *testing.T) {
+	dir, clock, quiet := t.TempDir(), NewClock(), log.New(io.Discard, "", 0)
+	leave := func(name string, s handover.State) {
+		if err := os.WriteFile(filepath.Join(dir, besidePrefix+name), s.Append(nil), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	leave("1"+besideSuffix, handover.State{Name: "n0", At: clock.Now() - handover.Stale})
+	leave("2"+besideSuffix, handover.State{Name: "n1", At: clock.Now() + handover.Stale/2})
+	leave("3"+besideSuffix+".part", handover.State{Name: "n0", At: clock.Now()})
+	leave("4"+besideSuffix, handover.State{Name: "n0", At: clock.Now()})
+	old := time.Now().Add(-2 * forgotten)
+	if err := os.Chtimes(filepath.Join(dir, besidePrefix+"4"+besideSuffix), old, old); err != nil {
+		t.Fatal(err)
+	}
+	begin := func(open int) (*Beside, chan []handover.State) {
+		met := make(chan []handover.State, 1000)
+		b := NewBeside(dir, "n0", clock, func() (handover.State, bool) { return handover.State{Open: open}, true },
+			func(others []handover.State) { met <- others }, quiet)
+		go b.Run()
+		return b, met
+	}
+	until := func(met chan []handover.State, want int) {
+		t.Helper()
+		for end := time.After(patience); ; {
+			select {
+			case others := <-met:
+				if want < 0 && len(others) == 0 || len(others) == 1 && others[0].Open == want {
+					return
+				}
+			case <-end:
+				t.Fatal("it was never heard of")
+			}
+		}
+	}
+	a, metA := begin(1)
+	until(metA, -1)
+	b, metB := begin(2)
+	until(metA, 2)
+	until(metB, 1)
+	a.Stop()
+	until(metB, -1)
+	b.Stop()
+	left, err := filepath.Glob(filepath.Join(dir, "*"))
+	if err != nil || len(left) != 3 {
+		t.Errorf("left behind: %v %v", left, err)
+	}
+}
--- a/internal/transport/discovery.go
+++ b/internal/transport/discovery.go
@@ -28,6 +28,8 @@
 	told       bool          // it is; Run's goroutine owns it
 
 	mu      sync.Mutex
+	held    platform.List // as it was told last, and by whom
+	heldBy  string
 	address string
 	moved   chan struct{} // closed, and replaced, when the address changes
 }
@@ -53,6 +55,16 @@
 // Afresh has the whole list asked for first, as at a new address. Call it before Run.
 func (w *Watcher) Afresh() { w.fresh = true }
 
+// Held is the whole list as it was told last, in discovery's form, and by which address; nil where none was.
+func (w *Watcher) Held() (list []byte, generation int64, by string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.held.Whole {
+		return nil, 0, ""
+	}
+	return w.held.Append(nil), w.held.Generation, w.heldBy
+}
+
 // Heard is closed once a list has been told.
 func (w *Watcher) Heard() <-chan struct{} { return w.heard }
 
@@ -180,7 +192,7 @@
 			if i < 0 {
 				break
 			}
-			fault = w.object(bytes.TrimSpace(line[:i]))
+			fault = w.object(bytes.TrimSpace(line[:i]), address)
 			line = line[i+1:]
 		}
 		if len(line) > maxLine {
@@ -239,7 +251,7 @@
 				return err
 			}
 			l.Whole = true // by what was asked for
-			w.take(l)
+			w.take(l, address)
 			return nil
 		case rerr != nil:
 			return fmt.Errorf("whole list: %w", rerr)
@@ -248,7 +260,7 @@
 }
 
 // object takes in one line of a watch; an empty one is a sign of life.
-func (w *Watcher) object(line []byte) error {
+func (w *Watcher) object(line []byte, from string) error {
 	if len(line) == 0 {
 		return nil
 	}
@@ -256,12 +268,17 @@
 	if err != nil {
 		return err
 	}
-	w.take(l)
+	w.take(l, from)
 	return nil
 }
 
-func (w *Watcher) take(l platform.List) {
+func (w *Watcher) take(l platform.List, from string) {
 	w.generation = l.Generation
+	w.mu.Lock()
+	if w.heldBy = from; l.Whole || w.held.Whole {
+		w.held.Merge(l)
+	}
+	w.mu.Unlock()
 	kind := yw.FleetDelta
 	if l.Whole {
 		kind = yw.FleetFull
--- a/internal/transport/engine.go
+++ b/internal/transport/engine.go
@@ -11,6 +11,7 @@
 
 	yw "yarrowwalk"
 	"yarrowwalk/internal/broker"
+	"yarrowwalk/internal/handover"
 	"yarrowwalk/internal/operations"
 )
 
@@ -46,6 +47,8 @@
 const (
 	inboxSize  = 1024
 	sweepEvery = 50_000 // microseconds
+	// standingWait bounds how long the engine's word on its state is waited for.
+	standingWait = 500 * time.Millisecond
 )
 
 // NewEngine makes an engine; Run starts it.
@@ -192,6 +195,46 @@
 	})
 }
 
+// Standing is how this process stands, for the one that takes its place; ok is false where the engine has ended, or is so
+// late that nobody should go by its word.
+func (e *Engine) Standing() (s handover.State, ok bool) {
+	got := make(chan handover.State, 1)
+	go e.post(func(int64) {
+		held, learned := e.core.Standing(), e.core.Learned()
+		got <- handover.State{Sockets: e.pool.conns, Open: held.Open, Labels: held.Labels, Admission: learned.Admission,
+			Suspects: learned.Suspects}
+	})
+	t := time.NewTimer(standingWait)
+	defer t.Stop()
+	select {
+	case s = <-got:
+		return s, true
+	case <-t.C:
+	case <-e.stopped:
+	}
+	return s, false
+}
+
+// Beside says how the other processes of this gatherer stand, and leaves this one so many connections to servers.
+func (e *Engine) Beside(others []handover.State, conns int) {
+	held := broker.Standing{Labels: map[string]int64{}}
+	for _, o := range others {
+		held.Open += o.Open
+		maps.Copy(held.Labels, o.Labels)
+	}
+	e.post(func(int64) {
+		e.core.Beside(held)
+		e.pool.cfg.MaxConns = conns
+	})
+}
+
+// Succeed begins with what the process before this one had learnt.
+func (e *Engine) Succeed(from handover.State) {
+	e.post(func(now int64) {
+		e.core.Succeed(now, yw.Learned{Admission: from.Admission, Suspects: from.Suspects})
+	})
+}
+
 // Held is the number of queries without their final answer.
 func (e *Engine) Held() int {
 	n := make(chan int, 1)
--- a/internal/transport/listener.go
+++ b/internal/transport/listener.go
@@ -302,11 +302,11 @@
 	return n > 0
 }
 
-// Empty tells that no client's connection is open.
-func (l *Listener) Empty() bool {
+// Conns is how many clients' connections are open.
+func (l *Listener) Conns() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return len(l.conns) == 0
+	return len(l.conns)
 }
 
 // Standby drains, or ends the drain: it goes on accepting and answering, but is not ready, and connections end with
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -207,6 +207,8 @@
 
 func (module) Step(int64, []yw.Event) []yw.Action { return nil }
 
+func (module) Learned() yw.Learned { return yw.Learned{} }
+
 func (module) Rotation() (listed, out int) { return 3, 1 }
 
 // echo is a front whose requests are answered at once, or, under /held, wait for ever.
@@ -641,7 +643,7 @@
 	if got, err := io.ReadAll(half); err != nil || !strings.Contains(string(got), "200 OK") || !strings.Contains(string(got), "Connection: close") {
 		t.Errorf("the one arriving got %q %v", got, err)
 	}
-	for !l.Empty() {
+	for l.Conns() > 0 {
 		time.Sleep(time.Millisecond)
 	}
 	dial("")
@@ -652,6 +654,28 @@
 	}
 }
 
+// What ends idle connections on standby ends with it, and begins anew with the next.
+func TestStandbyIsUndone(t *testing.T) {
+	l, _ := serve(t, ListenerConfig{MaxConns: 8, Enough: 8, Idle: patience, First: patience, Slow: patience, MaxHeld: 1 << 20})
+	for range 2 {
+		l.Standby(true)
+		l.Standby(true)
+		rest := l.rest
+		if rest == nil || l.ready() {
+			t.Fatal("it does not drain")
+		}
+		l.Standby(false)
+		select {
+		case <-rest:
+		default:
+			t.Error("connections are still being ended")
+		}
+		if !l.ready() {
+			t.Error("it is not ready again")
+		}
+	}
+}
+
 // partial tells that so many connections have a request arriving.
 func (l *Listener) partial(n int) bool {
 	l.mu.Lock()
--- a/scheduler.go
+++ b/scheduler.go
@@ -90,6 +90,8 @@
 		}
 	case SettingsChanged:
 		s.adopt(e.Settings)
+	case Recalled:
+		s.recall(e.Learned)
 	case AlarmRang:
 		if e.Mark == s.mark {
 			s.alarmAt = 0
@@ -669,7 +671,11 @@
 	for len(s.extras) > 0 && s.extras[0] < since {
 		s.extras = s.extras[1:]
 	}
-	return math.Floor(r.FreeExtras+r.ExtraRatio*float64(len(s.taken))) - float64(len(s.extras))
+	free := r.FreeExtras
+	if s.now < s.freeFrom {
+		free = 0
+	}
+	return math.Floor(free+r.ExtraRatio*float64(len(s.taken))) - float64(len(s.extras))
 }
 
 // dispatch sends every part that waits, the heavy ones first.
--- a/state.go
+++ b/state.go
@@ -118,6 +118,7 @@
 	parts     map[ID]*part
 	taken     []int64 // when requests came in, within the budget's window
 	extras    []int64 // when further attempts left, within the budget's window
+	freeFrom  int64   // when the budget's free part may be spent
 	aim       int64   // the shortest aim of a class: the scale of time here
 	stale     int64   // the shortest idle time after which a connection was found broken
 	staleAt   int64   // when that was last seen
@@ -195,6 +196,28 @@
 	}
 }
 
+// Learned is what the process that takes this one's place should know.
+func (s *Scheduler) Learned() Learned {
+	l := Learned{Admission: s.slackNow() / s.slackTop, Suspects: map[string]int64{}}
+	for key, k := range s.keys {
+		if k.bad && s.recent(k.at) {
+			l.Suspects[key] = k.at
+		}
+	}
+	return l
+}
+
+func (s *Scheduler) recall(l Learned) {
+	s.slack, s.slackAt = min(max(l.Admission*s.slackTop, slackLeast), s.slackTop), s.now
+	for key, at := range l.Suspects {
+		if at <= s.now && s.recent(at) {
+			s.keys[key] = keyMark{bad: true, at: at}
+			s.plagueAt = max(s.plagueAt, at)
+		}
+	}
+	s.freeFrom = s.now + s.cfg.Rules.ExtraWindow
+}
+
 func (s *Scheduler) do(a Action) { s.out = append(s.out, a) }
 
 // tookOne counts a request for the budget of further attempts.
