Hand a standby on to the successor; health stays yes while it takes the clients

Seen in the code: a successor began active whatever the operators had asked for, and on connections that it still had the old process answered 503 to /_health although the gatherer takes clients. Ruled out: taking an old standby for a present one (a state older than a second counts for nothing).

--- a/cmd/saffronquay/gatherer.go
+++ b/cmd/saffronquay/gatherer.go
@@ -235,7 +235,12 @@
 		g.engine.Fleet(yw.FleetChanged{Kind: yw.FleetCached, Servers: list.Servers}, list.Addresses)
 	}
 	g.share(others)
-	g.log.Printf("level=info event=succeeds open=%d sockets=%d generation=%d", from.Open, from.Sockets, from.Generation)
+	if from.Standby {
+		if err := g.duty.Standby(); err != nil {
+			g.log.Printf("level=error event=duty error=%q", err)
+		}
+	}
+	g.log.Printf("level=info event=succeeds standby=%t open=%d sockets=%d generation=%d", from.Standby, from.Open, from.Sockets, from.Generation)
 }
 
 // standing is how this process stands.
@@ -246,6 +251,7 @@
 	if !ok || g.listener == nil {
 		return s, false
 	}
+	s.Standby = g.onStandby
 	s.Sockets += g.listener.Conns() + ownSockets + transport.DoorSockets
 	if g.watcher != nil {
 		s.List, s.Generation, s.Discovery = g.watcher.Held()
@@ -336,7 +342,7 @@
 		still = func(since int64) bool { return g.listener.Quiet(since) && g.virtual.quiet(since) }
 	}
 	if g.passed > 0 {
-		g.listener.HandOver()
+		g.listener.HandOver(g.others > 0)
 		still = func(int64) bool {
 			return g.listener.Conns() == 0 && (g.virtual == nil || g.virtual.quiet(g.clock.Now()+1))
 		}
--- a/cmd/saffronquay/service.go
+++ b/cmd/saffronquay/service.go
@@ -93,7 +93,7 @@
 	s.log.Printf("level=info event=vrrp_service address=%s", s.config.Service)
 	go func() {
 		<-stop
-		l.HandOver()
+		l.HandOver(false)
 	}()
 	if err := l.Serve(); err != nil {
 		s.log.Printf("level=error event=vrrp_service error=%q", err)
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -13,8 +13,9 @@
 
 // State is what one process tells. Times are Unix microseconds.
 type State struct {
-	Name       string           // of the gatherer
-	At         int64            // when it was written
+	Name       string // of the gatherer
+	At         int64  // when it was written
+	Standby    bool
 	Sockets    int              // descriptors held
 	Open       int              // queries and parts held
 	Labels     map[string]int64 // open queries whose label must be theirs alone, with their deadlines
@@ -51,6 +52,9 @@
 	o.Set("v", count(version))
 	o.Set("name", a.NewString(s.Name))
 	o.Set("at", count(s.At))
+	if s.Standby {
+		o.Set("standby", a.NewTrue())
+	}
 	o.Set("sockets", count(int64(s.Sockets)))
 	o.Set("open", count(int64(s.Open)))
 	o.Set("labels", times(s.Labels, len(s.Labels)))
@@ -109,7 +113,7 @@
 	}
 	s := State{At: count("at"), Sockets: int(min(count("sockets"), math.MaxInt32)), Open: int(min(count("open"), math.MaxInt32)),
 		Labels: times("labels"), Admission: min(max(number("admission"), 0), 1), Suspects: times("suspects"),
-		Generation: count("generation")}
+		Generation: count("generation"), Standby: v.GetBool("standby")}
 	if x := get("name", fastjson.TypeString); x != nil {
 		s.Name = string(x.GetStringBytes())
 	}
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -7,7 +7,7 @@
 	"testing"
 )
 
-var whole = State{Name: "n0", At: 1_790_000_000_123_456, Sockets: 120, Open: 14, Labels: map[string]int64{"a\"b": 1_790_000_001_000_000},
+var whole = State{Name: "n0", At: 1_790_000_000_123_456, Standby: true, Sockets: 120, Open: 14, Labels: map[string]int64{"a\"b": 1_790_000_001_000_000},
 	Admission: 0.75, Suspects: map[string]int64{"k1": 1_790_000_000_000_000}, Discovery: "127.0.0.1:8500", Generation: 43,
 	List: []byte(`{"generation":43,"instances":[]}`)}
 
--- a/internal/loopback/scenario_test.go
+++ b/internal/loopback/scenario_test.go
@@ -8,6 +8,7 @@
 //	junk                              what can't be read lies where the two tell each other how they stand
 //	wait handed N                     until a process has told of N open queries
 //	wait open N                       until a process has told of N open queries and parts
+//	wait standby 1|0                  until a process has told that it is on standby, or not
 //	twin Q P                          a client sends what P has sent, under the same id
 //	call WORDS... = ANSWER            an operator calls; the answer begins like this
 //	callers N TEXT                    so many operators connect, send so much, and stay
@@ -326,7 +327,7 @@
 			continue // it was taken back just now
 		}
 		s, err := handover.Parse(text)
-		if err == nil && (what == "open" && s.Open == n || what == "handed" && len(s.Labels) == n) {
+		if err == nil && (what == "open" && s.Open == n || what == "standby" && s.Standby == (n == 1) || what == "handed" && len(s.Labels) == n) {
 			return true
 		}
 	}
@@ -591,7 +592,7 @@
 		}
 		return w.hup(heard)
 	case "wait":
-		if f[1] == "handed" || f[1] == "open" {
+		if f[1] == "handed" || f[1] == "open" || f[1] == "standby" {
 			for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
 				if w.handed(f[1], num(2)) {
 					return nil
--- a/internal/transport/listener.go
+++ b/internal/transport/listener.go
@@ -66,6 +66,7 @@
 	net     net.Listener
 	leaving atomic.Bool
 	standby atomic.Bool
+	relief  atomic.Bool  // another process takes the clients
 	last    atomic.Int64 // when a query last came in
 	busy    atomic.Int64 // connections with a request being read, decided or answered
 	held    atomic.Int64 // bytes of unfinished requests
@@ -230,8 +231,10 @@
 func (l *Listener) Leave() { l.leaving.Store(true) }
 
 // HandOver stops accepting and ends each connection with its answer, or once it has been idle for a while. The
-// socket may be another process's too: closing it here is all that happens to it.
-func (l *Listener) HandOver() {
+// socket may be another process's too: closing it here is all that happens to it. With relief that process takes
+// clients, so that this is no time to tell them to stay away.
+func (l *Listener) HandOver(relief bool) {
+	l.relief.Store(relief)
 	l.leaving.Store(true)
 	l.net.Close()
 	l.mu.Lock()
@@ -323,8 +326,9 @@
 	}
 }
 
-// ready tells that new clients are welcome.
-func (l *Listener) ready() bool { return !l.leaving.Load() && !l.standby.Load() }
+// stays tells that connections may go on after an answer, ready that new clients are welcome.
+func (l *Listener) stays() bool { return !l.leaving.Load() && !l.standby.Load() }
+func (l *Listener) ready() bool { return l.stays() || l.relief.Load() && !l.standby.Load() }
 
 // Quiet tells that no request is in hand and that none has come in since a time, in microseconds.
 func (l *Listener) Quiet(since int64) bool { return l.busy.Load() == 0 && l.last.Load() < since }
@@ -650,7 +654,7 @@
 		}
 	}
 	figures.Ended(class, resp.Status)
-	last = m.Close || !c.l.ready() || c.l.scarce(c)
+	last = m.Close || !c.l.stays() || c.l.scarce(c)
 	if m.Method == "HEAD" {
 		resp.Body = nil
 	}
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -635,7 +635,10 @@
 	for !l.partial(1) {
 		time.Sleep(time.Millisecond)
 	}
-	l.HandOver()
+	l.HandOver(true)
+	if !l.ready() || l.stays() {
+		t.Error("a successor takes the clients, so they are welcome")
+	}
 	if n, err := idle.Read(answer); err != io.EOF {
 		t.Errorf("the idle one got %q %v, want its end", answer[:n], err)
 	}
