Give new connections time on standby; succeed the youngest of several processes

Seen in the code: from 1.5 s after standby a connection that had just come in could be closed before its first request; and where a process still left, its later word would have been taken instead of its successor's. Checked: the test of each fails without its change. Tests: TestStandbyServesWhatComes, TestYoungest.

--- a/cmd/saffronquay/gatherer.go
+++ b/cmd/saffronquay/gatherer.go
@@ -1,14 +1,12 @@
 package main
 
 import (
-	"cmp"
 	"context"
 	"fmt"
 	"log"
 	"net"
 	"os"
 	"runtime/debug"
-	"slices"
 	"sync"
 	"time"
 
@@ -226,10 +224,10 @@
 		}
 	}, g.log)
 	others := g.beside.Others()
-	if len(others) == 0 {
+	from, ok := handover.Youngest(others)
+	if !ok {
 		return
 	}
-	from := slices.MaxFunc(others, func(a, b handover.State) int { return cmp.Compare(a.At, b.At) })
 	g.engine.Succeed(from)
 	if list, err := platform.ParseList(from.List); err == nil && g.watcher != nil && from.Discovery == g.discovery {
 		g.engine.Fleet(yw.FleetChanged{Kind: yw.FleetCached, Servers: list.Servers}, list.Addresses)
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -3,6 +3,7 @@
 package handover
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"math"
@@ -14,6 +15,7 @@
 // State is what one process tells. Times are Unix microseconds.
 type State struct {
 	Name       string // of the gatherer
+	Since      int64  // when the process began
 	At         int64  // when it was written
 	Standby    bool
 	Sockets    int              // descriptors held
@@ -51,6 +53,7 @@
 	}
 	o.Set("v", count(version))
 	o.Set("name", a.NewString(s.Name))
+	o.Set("since", count(s.Since))
 	o.Set("at", count(s.At))
 	if s.Standby {
 		o.Set("standby", a.NewTrue())
@@ -111,7 +114,7 @@
 		fault = fmt.Errorf("handover: %s: out of range", key)
 		return 0
 	}
-	s := State{At: count("at"), Sockets: int(min(count("sockets"), math.MaxInt32)), Open: int(min(count("open"), math.MaxInt32)),
+	s := State{Since: count("since"), At: count("at"), Sockets: int(min(count("sockets"), math.MaxInt32)), Open: int(min(count("open"), math.MaxInt32)),
 		Labels: times("labels"), Admission: min(max(number("admission"), 0), 1), Suspects: times("suspects"),
 		Generation: count("generation"), Standby: v.GetBool("standby")}
 	if x := get("name", fastjson.TypeString); x != nil {
@@ -130,3 +133,11 @@
 
 // Fresh tells that a state was written so lately that its process lives.
 func (s State) Fresh(now int64) bool { return s.At > now-Stale && s.At < now+Stale }
+
+// Youngest is the state of the process to succeed: where several run, the older ones leave already.
+func Youngest(states []State) (State, bool) {
+	if len(states) == 0 {
+		return State{}, false
+	}
+	return slices.MaxFunc(states, func(a, b State) int { return cmp.Compare(a.Since, b.Since) }), true
+}
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -7,7 +7,7 @@
 	"testing"
 )
 
-var whole = State{Name: "n0", At: 1_790_000_000_123_456, Standby: true, Sockets: 120, Open: 14, Labels: map[string]int64{"a\"b": 1_790_000_001_000_000},
+var whole = State{Name: "n0", Since: 1_780_000_000_000_000, At: 1_790_000_000_123_456, Standby: true, Sockets: 120, Open: 14, Labels: map[string]int64{"a\"b": 1_790_000_001_000_000},
 	Admission: 0.75, Suspects: map[string]int64{"k1": 1_790_000_000_000_000}, Discovery: "127.0.0.1:8500", Generation: 43,
 	List: []byte(`{"generation":43,"instances":[]}`)}
 
@@ -57,3 +57,14 @@
 		}
 	})
 }
+
+// A process that still leaves writes later than the one that has replaced it; that one's word counts.
+func TestYoungest(t *testing.T) {
+	s, ok := Youngest([]State{{Since: 5, At: 30}, {Since: 20, At: 25, Standby: true}, {Since: 1, At: 31}})
+	if !ok || !s.Standby {
+		t.Errorf("%+v %t", s, ok)
+	}
+	if _, ok := Youngest(nil); ok {
+		t.Error("there is none")
+	}
+}
--- a/internal/transport/beside.go
+++ b/internal/transport/beside.go
@@ -76,7 +76,7 @@
 }
 
 func (b *Beside) write(s handover.State) error {
-	s.Name, s.At = b.name, b.clock.Now()
+	s.Name, s.Since, s.At = b.name, b.clock.start.UnixMicro(), b.clock.Now()
 	part := b.path + ".part"
 	if err := os.WriteFile(part, s.Append(nil), 0o600); err != nil {
 		return fmt.Errorf("write: %w", err)
--- a/internal/transport/listener.go
+++ b/internal/transport/listener.go
@@ -272,13 +272,14 @@
 }
 
 // endIdle closes connections without a request arriving or in hand. Guards requests that have come in and that the
-// reader has not got to: closing over them would reset the connection under its client.
+// reader has not got to: closing over them would reset the connection under its client; and new connections, whose first
+// request is on its way.
 func (l *Listener) endIdle(now time.Time, all bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for c := range l.conns {
-		if c.partial || c.answering || len(c.queue) > 0 || c.fault != nil || !all && now.Sub(c.since) < restIdle ||
-			unread(c.net) {
+		if c.partial || c.answering || len(c.queue) > 0 || c.fault != nil || unread(c.net) ||
+			(!all || !c.spoke) && now.Sub(c.since) < restIdle {
 			continue
 		}
 		c.evicted = true
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -714,3 +714,26 @@
 		t.Errorf("relayed %d, ends %v", n, b.ends)
 	}
 }
+
+// On standby a connection that has just come in has time for its first request, however late it comes.
+func TestStandbyServesWhatComes(t *testing.T) {
+	l, _ := serve(t, ListenerConfig{MaxConns: 8, Enough: 8, Idle: patience, First: patience, Slow: patience, MaxHeld: 1 << 20})
+	l.Standby(true)
+	conn, err := net.Dial("tcp", l.net.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	for l.Conns() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	now := time.Now()
+	for range 2 {
+		l.endIdle(now, true)
+	}
+	fmt.Fprint(conn, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+	conn.SetDeadline(time.Now().Add(patience))
+	if got, err := io.ReadAll(conn); err != nil || !strings.Contains(string(got), "200 OK") || !strings.Contains(string(got), "Connection: close") {
+		t.Errorf("%q %v", got, err)
+	}
+}
