Let a successor wait for VRRP's address instead of ending

Seen: with a passed socket and VRRP the successor ended at its start (vrrp: listen: address already in use), since the process that it replaces holds the router's UDP address until SIGTERM. At fault: begin() took any error of compete for final. Now: where another process was heard of, it goes on as no router and tries again with each word of that one. Also: FuzzCall knows that stats is answered with figures; the fuzzer had found that its assertion did not. Ruled out: the virtual address's TCP listener (it tried again already). Tests: TestVirtualAddressIsHandedOn fails without the change ('the program ended at its start').

--- a/cmd/saffronquay/gatherer.go
+++ b/cmd/saffronquay/gatherer.go
@@ -31,6 +31,7 @@
 	figures *operations.Figures
 	beside  *transport.Beside     // nil: no socket is passed, so nobody replaces this process or is replaced by it
 	met     chan []handover.State // what other processes of this gatherer told
+	waits   bool                  // it could not take part in VRRP's election
 	others  int                   // descriptors that they hold
 	served  chan error            // the listener's end
 	turn    chan struct{}         // the duty has changed
@@ -59,13 +60,11 @@
 		case <-hup:
 			g.retune()
 		case others := <-g.met:
-			g.share(others)
-		case <-g.turn:
-			if g.virtual != nil {
-				if err := g.virtual.compete(!g.standsBy()); err != nil {
-					g.log.Printf("level=error event=vrrp error=%q", err)
-				}
+			if g.share(others); g.waits {
+				g.compete()
 			}
+		case <-g.turn:
+			g.compete()
 		case <-term:
 			running = false
 		}
@@ -109,7 +108,7 @@
 	if g.vrrp != nil {
 		g.virtual = &service{clock: g.clock, config: *g.vrrp, engine: g.engine, log: g.log}
 		g.virtual.reconfigure(bounds, g.front)
-		if err := g.virtual.compete(!g.standsBy()); err != nil {
+		if err := g.compete(); err != nil && g.others == 0 {
 			return err
 		}
 	}
@@ -120,6 +119,20 @@
 	return nil
 }
 
+// compete takes part in VRRP's election, or on standby does not. Guards a successor against ending because the process
+// that it replaces still holds the router's address: it tries again whenever it hears of that one, or of its end.
+func (g *gatherer) compete() error {
+	if g.virtual == nil {
+		return nil
+	}
+	err := g.virtual.compete(!g.standsBy())
+	if err != nil && !g.waits {
+		g.log.Printf("level=error event=vrrp error=%q", err)
+	}
+	g.waits = err != nil
+	return err
+}
+
 // stand carries an operator's word out; the main goroutine looks after the virtual address.
 func (g *gatherer) stand(standby bool) {
 	g.mu.Lock()
--- a/internal/loopback/vrrp_test.go
+++ b/internal/loopback/vrrp_test.go
@@ -99,3 +99,28 @@
 		t.Errorf("after the first has ended: %s", got)
 	}
 }
+
+// A process that replaces another gets the virtual address once that one has given it up, and does not end because it
+// is still held.
+func TestVirtualAddressIsHandedOn(t *testing.T) {
+	t.Parallel()
+	port := freePort(t)
+	w := prepare(t, openSearchDialect{})
+	w.pass()
+	w.start(withVRRP(t, w.d.config(t, w), map[string]any{"vrid": 8, "priority": 200, "interval_ms": 100,
+		"listen": fmt.Sprintf("127.0.0.14:%d", port), "service": fmt.Sprintf("127.0.0.15:%d", port),
+		"peers": []any{map[string]any{"address": fmt.Sprintf("127.0.0.16:%d", port)}}}))
+	if !w.await(w.told, active, 1) {
+		t.Fatal("the virtual address was never served")
+	}
+	seen := []string{}
+	for _, step := range []string{"wait handed 0", "replace", "call status = YES", "stop old", "expect exit old",
+		"send a safe 2", "expect a answered 2"} {
+		if err := w.step(strings.Fields(step), &seen); err != nil {
+			t.Fatalf("%s: %v", step, err)
+		}
+	}
+	if !w.await(w.told, active, 2) {
+		t.Error("the virtual address was never served again")
+	}
+}
--- a/internal/operations/call_test.go
+++ b/internal/operations/call_test.go
@@ -59,11 +59,12 @@
 	}
 }
 
-// Whatever is sent, the answer is one line that says yes or no, and nothing is kept beyond a call's length.
+// Whatever is sent, the answer is one line that says yes or no, or the figures, and nothing is kept beyond a call's length.
 func FuzzCall(f *testing.F) {
 	for _, c := range calls {
 		f.Add([]byte(c.line), 1)
 	}
+	f.Add([]byte("stats\n0"), 9)
 	f.Fuzz(func(t *testing.T, b []byte, size int) {
 		d := newDesk(func(bool) {})
 		var c Call
@@ -80,6 +81,9 @@
 			answer = c.Ended()
 		}
 		text := string(answer)
+		if strings.HasSuffix(text, "\nEND\n") {
+			return // the figures
+		}
 		if !strings.HasPrefix(text, "YES ") && !strings.HasPrefix(text, "NO ") || strings.Count(text, "\n") != 1 {
 			t.Errorf("%q", text)
 		}
