--- a/api.go
+++ b/api.go
@@ -123,7 +123,7 @@
 // Outcome is the end of one attempt or probe.
 type Outcome int
 
-// The outcomes. Only Rejected, Unreachable and NotSent prove that the attempt never ran.
+// The outcomes. Only Rejected, Unreachable, NotSent and Misplaced prove that the attempt never ran.
 const (
 	Served Outcome = iota
 	Errored
@@ -134,6 +134,9 @@
 	Cancelled
 	NotSent
 	Stranded // its connection was given up for another reason: that says nothing of the server
+	// Misplaced: the server holds the shard no longer, by a table that is newer than the one here. It never ran, and says
+	// nothing of the server; the part does not go there again until the table changes.
+	Misplaced
 )
 
 // Event is something that an aggregator has seen: one of the types below.
@@ -221,6 +224,21 @@
 // part of the budget counts as spent.
 type Recalled struct{ Learned }
 
+// Holders tells which servers hold a shard; none for one that is not there. It never changes once it is given.
+type Holders interface{ Of(shard int) []ServerID }
+
+// HoldersChanged puts a table of holders in force, in the place of the settings' Shards, Cells and Reach or of another table.
+type HoldersChanged struct{ Holders Holders }
+
+// Replanned says that a part is to be read from other shards, under the table in force: it is over, and the parts named, whose
+// weights add up to its own, stand in its place. Nothing of it is out.
+type Replanned struct {
+	Part ID
+	Into []Part
+}
+
+func (HoldersChanged) isEvent()  {}
+func (Replanned) isEvent()       {}
 func (Query) isEvent()           {}
 func (Part) isEvent()            {}
 func (ClientLeft) isEvent()      {}
--- a/scheduler.go
+++ b/scheduler.go
@@ -55,9 +55,7 @@
 
 func (s *Scheduler) open() {
 	s.started, s.servedAt = s.now, s.now
-	for i := range s.average {
-		s.average[i] = float64(s.cfg.Classes[0].Aim)
-	}
+	s.unseen = float64(s.cfg.Classes[0].Aim)
 	if s.cfg.AskMembership {
 		s.do(Watch{})
 	}
@@ -92,6 +90,10 @@
 		s.adopt(e.Settings)
 	case Recalled:
 		s.recall(e.Learned)
+	case HoldersChanged:
+		s.table, s.tableN = e.Holders, s.tableN+1
+	case Replanned:
+		s.replan(e)
 	case AlarmRang:
 		if e.Mark == s.mark {
 			s.alarmAt = 0
@@ -138,9 +140,17 @@
 	}
 }
 
-// holders lists the servers that hold a shard and may be sent to.
+// holders lists the servers that hold a shard, by the table where there is one, and may be sent to.
 func (s *Scheduler) holders(shard int) []*replica {
 	var hs []*replica
+	if s.table != nil {
+		for _, id := range s.table.Of(shard) {
+			if r := s.servers[id]; r != nil && r.Health == Ready {
+				hs = append(hs, r)
+			}
+		}
+		return hs
+	}
 	for j := 0; j < min(s.cfg.Reach, s.cfg.Cells); j++ {
 		for _, r := range s.cells[(shard+j)%s.cfg.Cells] {
 			if r.Health == Ready {
@@ -211,7 +221,7 @@
 	if p.Work > 0 {
 		return float64(p.Work)
 	}
-	return s.average[p.Shard]
+	return s.averageOf(p.Shard)
 }
 
 // ruleCost is what a part counts under the cold rule: not less than its class's mean.
@@ -372,7 +382,7 @@
 
 func (s *Scheduler) arrivePart(e Part) {
 	q := s.groups[e.Group]
-	if q == nil || q.done || e.Shard < 0 || e.Shard >= s.cfg.Shards {
+	if q == nil || q.done || s.table == nil && (e.Shard < 0 || e.Shard >= s.cfg.Shards) {
 		return
 	}
 	p := &part{Part: e, q: q}
@@ -386,6 +396,21 @@
 	}
 }
 
+// replan puts other parts in the place of one whose shard is no longer in force.
+func (s *Scheduler) replan(e Replanned) {
+	p := s.parts[e.Part]
+	if p == nil || p.q.done {
+		return
+	}
+	p.q.parts = slices.DeleteFunc(p.q.parts, func(o *part) bool { return o == p })
+	if p.out() == 0 {
+		delete(s.parts, p.ID)
+	}
+	for _, n := range e.Into {
+		s.arrivePart(n)
+	}
+}
+
 // review ends every query that can be answered, that earns nothing any more, or whose time is up.
 func (s *Scheduler) review() {
 	for _, q := range slices.Clone(s.live) {
@@ -838,12 +863,15 @@
 	return d
 }
 
+// misplaced tells that an attempt found its server without the shard, under the table in force.
+func (s *Scheduler) misplaced(a *attempt) bool { return a.lost > 0 && a.lost == s.tableN }
+
 // pick finds the replica with the smallest predicted backlog, at random among equals, and what it predicts.
 func (s *Scheduler) pick(p *part) (*replica, float64) {
 	var best *replica
 	ties, least, latency := 0, 0.0, 0.0
 	for _, r := range s.holders(p.Shard) {
-		if slices.ContainsFunc(p.attempts, func(a *attempt) bool { return !a.ended && a.to == r }) ||
+		if slices.ContainsFunc(p.attempts, func(a *attempt) bool { return a.to == r && (!a.ended || s.misplaced(a)) }) ||
 			!s.coldRoom(r, s.ruleCost(p)) {
 			continue
 		}
@@ -924,7 +952,7 @@
 	}
 	a := p.attempts[e.Attempt]
 	a.ended = true
-	a.ran = e.Outcome != Rejected && e.Outcome != Unreachable && e.Outcome != NotSent
+	a.ran = e.Outcome != Rejected && e.Outcome != Unreachable && e.Outcome != NotSent && e.Outcome != Misplaced
 	r := a.to
 	r.attempts = slices.DeleteFunc(r.attempts, func(o *attempt) bool { return o == a })
 	if r.own -= a.cost; len(r.attempts) == 0 {
@@ -935,6 +963,8 @@
 	switch {
 	case e.Outcome == Served:
 		s.partServed(p, a, float64(e.Latency))
+	case e.Outcome == Misplaced:
+		a.lost = s.tableN
 	case s.cut(a, e.Outcome), e.Outcome == Stranded:
 	case e.Outcome == Broken && !p.q.done:
 		a.broke = s.zones[r.Zone].rate(s.now, 4*s.aim, 0) <= 0.5 // else the path is to blame
@@ -962,7 +992,7 @@
 	}
 	s.observe(r, latency/a.ahead*s.warmth(r))
 	s.usual += averaging * (latency/max(a.due, 1) - s.usual)
-	s.average[p.Shard] += averaging * (latency - s.average[p.Shard])
+	s.average[p.Shard] = s.averageOf(p.Shard) + averaging*(latency-s.averageOf(p.Shard))
 	if s.warmth(r) >= 1 {
 		s.decayServed()
 		s.served += a.cost
--- a/state.go
+++ b/state.go
@@ -91,6 +91,7 @@
 	ended bool
 	ran   bool // may have run
 	broke bool // its connection broke while it was out
+	lost  int  // the table under which its server was found without the shard; 0: none
 }
 
 // Scheduler makes the decisions of one aggregator. It is not safe for concurrent use.
@@ -130,7 +131,10 @@
 	slack     float64            // admission lets in what is predicted within so many times what the aim leaves
 	slackAt   int64              // when it last changed
 	pace      float64            // the median of the servers' paces
-	average   []float64          // served latency by shard
+	average   map[int]float64    // served latency by shard, of those seen
+	unseen    float64            // what stands in for the others
+	table     Holders            // who holds which shard; nil: by the settings' formula
+	tableN    int                // how many tables there were
 	usual     float64            // mean of served latency over what was predicted at the send
 	vain      evidence           // how second copies came out; in vain when another answer was first or none came
 	tenants   map[string]*tenant // those with a share, by name
@@ -155,7 +159,7 @@
 		servers: map[ServerID]*replica{}, cells: make([][]*replica, cfg.Cells), queries: map[ID]*query{},
 		zones: map[string]*evidence{}, keys: map[string]keyMark{}, kinds: map[string]*kind{},
 		groups: map[int64]*query{}, ended: map[string]int64{}, parts: map[ID]*part{},
-		average: make([]float64, cfg.Shards), started: -1}
+		average: map[int]float64{}, started: -1}
 	s.adopt(cfg)
 	s.slack = s.slackTop
 	return s, nil
@@ -348,6 +352,13 @@
 	return mean + averaging*(sample-mean)
 }
 
+func (s *Scheduler) averageOf(shard int) float64 {
+	if a, ok := s.average[shard]; ok {
+		return a
+	}
+	return s.unseen
+}
+
 func (s *Scheduler) decayServed() {
 	if s.now > s.servedAt {
 		s.served *= math.Exp(-float64(s.now-s.servedAt) / max(1, float64(s.cfg.Rules.WarmWithin)))
@@ -432,6 +443,9 @@
 	maps.DeleteFunc(s.keys, func(_ string, k keyMark) bool { return !s.recent(k.at) })
 	maps.DeleteFunc(s.ended, func(_ string, at int64) bool { return s.now >= at+s.longest })
 	s.forgetClasses()
+	if s.table != nil {
+		maps.DeleteFunc(s.average, func(shard int, _ float64) bool { return s.table.Of(shard) == nil })
+	}
 }
 
 // forgetClasses drops what was learnt of classes that have vanished, once their last query has gone.
