Follow a list at an address in one place, apart from what the list says

Need: a layout directory is to be watched as discovery is: whole list, resumed watch, signs of life, moves, pauses.

--- /dev/null
+++ b/internal/transport/follow.go
@@ -0,0 +1,250 @@
+package transport
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"log"
+	"net"
+	"sync"
+	"time"
+
+	"yarrowwalk/internal/http1"
+)
+
+const (
+	dialPatience  = time.Second     // the agent is on this machine: it answers at once or not at all
+	listPatience  = time.Second     // for a whole list, between two of its pieces
+	watchSilence  = 5 * time.Second // an empty line comes every 2 s; then the watch is taken for broken
+	watchPauseMin = 100 * time.Millisecond
+	watchPauseMax = 2 * time.Second
+)
+
+// source is what a follower follows: a whole list, and a watch of what changes in it, a line each.
+type source interface {
+	wholePath() string
+	watchPath() string
+	// whole and line take in what an address has told; after an error the connection is of no use.
+	whole(body []byte, from string) error
+	line(text []byte, from string) error
+	// ended is told how a watch ended.
+	ended(error)
+}
+
+// follower keeps a watch open at one address at a time, whole lists first where they are wanted. It owns the connection;
+// what is told goes to its source, on Run's goroutine.
+type follower struct {
+	source source
+	log    *log.Logger
+	most   int           // bytes of a whole list or a line
+	fresh  bool          // the whole list comes first; Run's goroutine owns it
+	asked  bool          // failures end it until begin: the module asks for the watch
+	begin  chan struct{} // where asked
+	stop   chan struct{}
+	done   chan struct{}
+
+	mu      sync.Mutex
+	address string
+	moved   chan struct{} // closed, and replaced, when the address changes
+}
+
+func newFollower(address string, most int, s source, logger *log.Logger) follower {
+	return follower{source: s, log: logger, most: most, address: address, begin: make(chan struct{}, 1),
+		stop: make(chan struct{}), done: make(chan struct{}), moved: make(chan struct{})}
+}
+
+// Move goes over to another address at once; what is held stays until that one has told its own.
+func (f *follower) Move(address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if address == f.address {
+		return
+	}
+	f.address = address
+	close(f.moved)
+	f.moved = make(chan struct{})
+}
+
+// target is where to watch, and what is closed when that no longer holds.
+func (f *follower) target() (string, <-chan struct{}) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.address, f.moved
+}
+
+// Run follows until Stop.
+func (f *follower) Run() {
+	defer close(f.done)
+	pause := watchPauseMin
+	last, _ := f.target()
+	for waits := f.asked; ; {
+		if waits {
+			select {
+			case <-f.begin:
+			case <-f.stop:
+				return
+			}
+		}
+		address, moved := f.target()
+		if address != last {
+			last, f.fresh, pause = address, true, watchPauseMin
+		}
+		heard, err := f.watch(address, moved)
+		select {
+		case <-f.stop:
+			return
+		case <-moved: // not a failure: the next address is asked at once
+			waits = false
+			f.log.Printf("level=info event=watch_moved from=%s", address)
+			continue
+		default:
+		}
+		f.source.ended(err)
+		if waits = f.asked; waits {
+			continue
+		}
+		if heard {
+			pause = watchPauseMin
+		}
+		t := time.NewTimer(pause)
+		select {
+		case <-t.C:
+		case <-moved:
+			t.Stop()
+		case <-f.stop:
+			t.Stop()
+			return
+		}
+		pause = min(2*pause, watchPauseMax)
+	}
+}
+
+// Stop ends Run and waits for its end.
+func (f *follower) Stop() {
+	close(f.stop)
+	<-f.done
+}
+
+// watch holds one watch open until it ends, falls silent or has to move; heard tells that something came.
+func (f *follower) watch(address string, moved <-chan struct{}) (heard bool, err error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		select {
+		case <-f.stop:
+		case <-moved:
+		case <-ctx.Done():
+		}
+		cancel()
+	}()
+	conn, err := dialPeer(ctx, address)
+	if err != nil {
+		return false, err
+	}
+	defer conn.Close()
+	defer context.AfterFunc(ctx, func() { conn.Close() })()
+	// Versions of another address need not continue those heard before: guards against changes that are
+	// counted from a list which was never told. The whole list comes first there.
+	if f.fresh {
+		if err := f.whole(conn, address); err != nil {
+			return false, err
+		}
+		f.fresh, heard = false, true
+	}
+	if err := ask(conn, f.source.watchPath(), address); err != nil {
+		return heard, err
+	}
+	return f.lines(conn, address, heard)
+}
+
+// lines takes in a watch's answer, line by line, until it ends.
+func (f *follower) lines(conn net.Conn, address string, heard bool) (bool, error) {
+	p := http1.Parser{Response: true, Limit: f.most}
+	var line []byte
+	var fault error
+	status := 0
+	p.Headed = func(m *http1.Message) { status = m.Status }
+	p.Stream = func(b []byte) {
+		line = append(line, b...)
+		for fault == nil {
+			i := bytes.IndexByte(line, '\n')
+			if i < 0 {
+				break
+			}
+			if text := bytes.TrimSpace(line[:i]); len(text) > 0 && status == 200 { // an empty one is a sign of life
+				fault = f.source.line(text, address)
+			}
+			line = line[i+1:]
+		}
+		if len(line) > f.most {
+			fault = fmt.Errorf("an object over %d bytes", f.most)
+		}
+	}
+	buf := make([]byte, readChunk)
+	for {
+		conn.SetReadDeadline(time.Now().Add(watchSilence))
+		n, rerr := conn.Read(buf)
+		p.Feed(buf[:n])
+		m, perr := p.Next()
+		switch {
+		case perr != nil:
+			return heard, perr
+		case status != 0 && status != 200:
+			return heard, fmt.Errorf("status %d", status)
+		case fault != nil:
+			return heard, fault
+		case m != nil:
+			return true, fmt.Errorf("the watch was ended")
+		case rerr != nil:
+			return heard, fmt.Errorf("read: %w", rerr)
+		}
+		heard = true
+	}
+}
+
+func dialPeer(ctx context.Context, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: dialPatience}
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("connect: %w", err)
+	}
+	return conn, nil
+}
+
+func ask(conn net.Conn, target, host string) error {
+	conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if _, err := conn.Write(http1.AppendRequest(nil, "GET", target, host, nil, nil)); err != nil {
+		return fmt.Errorf("ask: %w", err)
+	}
+	return nil
+}
+
+// whole asks for the whole list and takes it in.
+func (f *follower) whole(conn net.Conn, address string) error {
+	if err := ask(conn, f.source.wholePath(), address); err != nil {
+		return err
+	}
+	p := http1.Parser{Response: true, Limit: f.most}
+	buf := make([]byte, readChunk)
+	end := time.Now().Add(4 * listPatience) // a peer that trickles is no better than a silent one
+	for {
+		by := time.Now().Add(listPatience)
+		if by.After(end) {
+			by = end
+		}
+		conn.SetReadDeadline(by)
+		n, rerr := conn.Read(buf)
+		p.Feed(buf[:n])
+		m, err := p.Next()
+		switch {
+		case err != nil:
+			return fmt.Errorf("whole list: %w", err)
+		case m != nil && m.Status != 200:
+			return fmt.Errorf("whole list: status %d", m.Status)
+		case m != nil:
+			return f.source.whole(m.Body, address)
+		case rerr != nil:
+			return fmt.Errorf("whole list: %w", rerr)
+		}
+	}
+}
