Plan parts anew under a newer layout; find what is due in the core without a walk

Need: a part whose range has split, merged or moved has to be read elsewhere inside its query's time; and expire, guard, Next and Cancel walked every open attempt or query. Change: the core holds the layout in force, plans single parts anew (never one that may have run of a class that must not run twice, and only under a later epoch), and credits no answer of a server that holds the span no longer. Ends and deadlines stand in heaps; a part knows what is out of it. Search sessions send and check X-Layout-Part; a 421 is Misplaced from a server that is ahead, Rejected from one that is not. A range without a holder that may be sent to is refused at once.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -4,7 +4,6 @@
 package broker
 
 import (
-	"cmp"
 	"errors"
 	"fmt"
 	"maps"
@@ -12,6 +11,7 @@
 	"slices"
 
 	yw "yarrowwalk"
+	"yarrowwalk/internal/layout"
 )
 
 // Module is the decision module, as the core drives it.
@@ -50,7 +50,8 @@
 	Class, Tenant, Key string
 	Deadline           int64
 	Parts              []AskPart
-	Text               []byte // what every part carries
+	Text               []byte        // what every part carries
+	Want               []layout.Span // where parts have spans: what is asked for of them; empty: all
 }
 
 // AskPart is one part of an Ask.
@@ -59,6 +60,7 @@
 	Weight float64
 	Work   int64
 	Key    string
+	Span   layout.Span // of the shard, under a layout; else empty
 }
 
 // AttemptID names one attempt between the core and the drivers.
@@ -78,7 +80,9 @@
 	ID    AttemptID
 	Label string
 	Shard int
-	Due   int64 // when the gatherer stops waiting
+	Epoch int64       // of the layout by which the server was chosen; 0: there is none
+	Span  layout.Span // exactly what is asked for of the shard, under a layout
+	Due   int64       // when the gatherer stops waiting
 	Text  []byte
 }
 
@@ -94,6 +98,9 @@
 // Fetch asks for the whole list once.
 type Fetch struct{}
 
+// Refresh asks for the whole layout: a server has one that is newer.
+type Refresh struct{}
+
 // Note is a line for the log.
 type Note struct{ Text string }
 
@@ -127,6 +134,7 @@
 func (Call) isEffect()      {}
 func (Drop) isEffect()      {}
 func (CloseIdle) isEffect() {}
+func (Refresh) isEffect()   {}
 func (Watch) isEffect()     {}
 func (Fetch) isEffect()     {}
 func (Note) isEffect()      {}
@@ -136,6 +144,7 @@
 	id    yw.ID
 	ask   Ask
 	class *yw.Class
+	group int64
 	parts []*part
 	over  bool
 }
@@ -145,10 +154,11 @@
 	q      *query
 	ask    AskPart
 	tries  int
-	out    int
+	out    []*attempt
 	mayRun bool // some attempt may have run
 	value  []byte
 	in     bool
+	epoch  int64 // of the layout under which it was planned
 }
 
 type attempt struct {
@@ -156,36 +166,45 @@
 	p      *part
 	n      int
 	server yw.ServerID
+	epoch  int64 // of the layout at its send
 	sent   int64
 	due    int64
 }
 
 // Core holds every open query and attempt of one gatherer.
 type Core struct {
-	terms    Terms
-	module   Module
-	classes  map[string]*yw.Class
-	lastID   int64 // ids stay below 2^52, which one gatherer can't use up
-	queries  map[yw.ID]*query
-	labels   map[string]int64 // of the open queries whose label must be theirs alone, with their deadlines
-	beside   Standing         // of the other process of this gatherer, while there is one
-	parts    map[yw.ID]*part
-	attempts map[AttemptID]*attempt
-	open     int // queries and parts held
-	alarms   []yw.SetAlarm
-	events   []yw.Event
-	effects  []Effect
-	calls    map[yw.ServerID]int // index of the call that still takes parts, within a step
-	budgets  map[string]*ration
-	stepped  int64
-	began    bool
+	terms     Terms
+	module    Module
+	classes   map[string]*yw.Class
+	lastID    int64 // ids stay below 2^52, which one gatherer can't use up
+	queries   map[yw.ID]*query
+	labels    map[string]int64 // of the open queries whose label must be theirs alone, with their deadlines
+	beside    Standing         // of the other process of this gatherer, while there is one
+	parts     map[yw.ID]*part
+	attempts  map[AttemptID]*attempt
+	due       agenda[*attempt] // by their ends
+	late      agenda[*query]   // by their deadlines and the grace
+	open      int              // queries and parts held
+	alarms    []yw.SetAlarm
+	events    []yw.Event
+	effects   []Effect
+	calls     map[yw.ServerID]int // index of the call that still takes parts, within a step
+	budgets   map[string]*ration
+	stepped   int64
+	began     bool
+	routes    *layout.Layout // nil: the settings' formula says where shards are
+	byShard   map[int]map[yw.ID]*part
+	behind    bool // a server has a newer layout
+	replanned int64
 }
 
 // New makes a core round a module.
 func New(terms Terms, module Module) *Core {
 	c := &Core{module: module, queries: map[yw.ID]*query{},
-		labels: map[string]int64{}, parts: map[yw.ID]*part{}, attempts: map[AttemptID]*attempt{}, calls: map[yw.ServerID]int{}}
+		labels: map[string]int64{}, parts: map[yw.ID]*part{}, byShard: map[int]map[yw.ID]*part{}, attempts: map[AttemptID]*attempt{}, calls: map[yw.ServerID]int{}}
 	c.hold(terms)
+	c.due.alive = func(a *attempt) bool { return c.attempts[a.id] == a }
+	c.late.alive = func(q *query) bool { return !q.over }
 	return c
 }
 
@@ -269,19 +288,24 @@
 	if len(a.Parts) == 0 {
 		return fmt.Errorf("%w: it has no parts", ErrMalformed)
 	}
-	seen, sum := map[int]bool{}, 0.0
+	type place struct {
+		shard int
+		from  int64
+	}
+	seen, sum := make(map[place]bool, len(a.Parts)), 0.0
 	for _, p := range a.Parts {
+		at := place{p.Shard, p.Span.From}
 		switch {
-		case p.Shard < 0 || p.Shard >= c.terms.Shards:
+		case c.routes == nil && (p.Shard < 0 || p.Shard >= c.terms.Shards):
 			return fmt.Errorf("%w: there is no shard %d", ErrMalformed, p.Shard)
-		case seen[p.Shard]:
+		case seen[at]:
 			return fmt.Errorf("%w: shard %d is named twice", ErrMalformed, p.Shard)
 		case !(p.Weight >= 0 && p.Weight <= 1):
 			return fmt.Errorf("%w: shard %d has a weight out of range", ErrMalformed, p.Shard)
 		case p.Work < 0 || p.Work > mostWork:
 			return fmt.Errorf("%w: shard %d has work out of range", ErrMalformed, p.Shard)
 		}
-		seen[p.Shard] = true
+		seen[at] = true
 		sum += p.Weight
 	}
 	if math.Abs(sum-1) > weightSlack {
@@ -297,28 +321,27 @@
 // Open takes a query. Its final answer comes as an effect, unless it is malformed or, with as much open as
 // may be, ended on the spot: then the Final is returned and the module never hears of it.
 func (c *Core) Open(now int64, a Ask) (yw.ID, *Final, error) {
+	a.Parts = c.settle(a)
 	if err := c.check(now, a); err != nil {
 		return 0, nil, err
 	}
 	if c.terms.MaxOpen > 0 && c.open+c.beside.Open >= c.terms.MaxOpen {
 		return 0, &Final{Verdict: Refused, RetryAfter: c.advice(0), Shards: len(a.Parts)}, nil
 	}
-	q := &query{id: yw.ID(c.nextID()), ask: a, class: c.classes[a.Class]}
-	group := c.nextID()
+	q := &query{id: yw.ID(c.nextID()), ask: a, class: c.classes[a.Class], group: c.nextID()}
 	var work int64
 	for _, p := range a.Parts {
 		work += p.Work
 	}
-	c.events = append(c.events, yw.Query{ID: q.id, Group: group, Class: a.Class, Tenant: a.Tenant,
+	c.events = append(c.events, yw.Query{ID: q.id, Group: q.group, Class: a.Class, Tenant: a.Tenant,
 		Deadline: a.Deadline, Work: work, Key: a.Key})
 	for _, ap := range a.Parts {
-		p := &part{id: yw.ID(c.nextID()), q: q, ask: ap}
+		p := c.hand(q, ap)
 		q.parts = append(q.parts, p)
-		c.parts[p.id] = p
-		c.events = append(c.events, yw.Part{ID: p.id, Group: group, Shard: ap.Shard, Weight: ap.Weight,
-			Work: ap.Work, Key: ap.Key})
+		c.events = append(c.events, p.event())
 	}
 	c.queries[q.id] = q
+	c.late.add(a.Deadline+c.terms.AnswerGrace, int64(q.id), q, len(c.queries))
 	if a.Unique {
 		c.labels[a.Label] = a.Deadline
 	}
@@ -349,18 +372,20 @@
 	}
 	delete(c.attempts, id)
 	p := a.p
-	p.out--
-	if o != yw.Rejected && o != yw.Unreachable && o != yw.NotSent {
+	p.out = slices.DeleteFunc(p.out, func(o *attempt) bool { return o == a })
+	o, value = c.credit(a, o, value)
+	if o != yw.Rejected && o != yw.Unreachable && o != yw.NotSent && o != yw.Misplaced {
 		p.mayRun = true
 	}
 	if o == yw.Served && !p.in && !p.q.over {
 		p.in, p.value = true, value
 	}
-	if p.out == 0 && p.q.over {
-		delete(c.parts, p.id)
+	if len(p.out) == 0 && p.q.over {
+		c.forget(p)
 	}
 	c.events = append(c.events, yw.AttemptEnded{Part: p.id, Attempt: a.n, Server: a.server, Outcome: o,
 		Latency: now - a.sent, Report: report})
+	c.renew(now, p)
 }
 
 // Next is when Step wants to be called next; ok is false while nothing is awaited.
@@ -372,11 +397,11 @@
 	for _, a := range c.alarms {
 		at = min(at, max(a.At, c.stepped+c.terms.Period))
 	}
-	for _, a := range c.attempts {
-		at = min(at, a.due)
+	if due, ok := c.due.next(); ok {
+		at = min(at, due)
 	}
-	for _, q := range c.queries {
-		at = min(at, q.ask.Deadline+c.terms.AnswerGrace)
+	if late, ok := c.late.next(); ok {
+		at = min(at, late)
 	}
 	return at, at != math.MaxInt64 || !c.began
 }
@@ -384,7 +409,6 @@
 // Step lets time pass: overdue attempts time out, the deadline guard looks after queries that the module has
 // forgotten, and the module is stepped where there is an event and its period allows.
 func (c *Core) Step(now int64) []Effect {
-	c.effects = nil
 	c.expire(now)
 	if now >= c.stepped+c.terms.Period {
 		c.ring(now)
@@ -398,20 +422,19 @@
 		}
 	}
 	c.guard(now)
-	return c.effects
+	if c.behind {
+		c.behind = false
+		c.do(Refresh{})
+	}
+	effects := c.effects
+	c.effects = nil
+	return effects
 }
 
 func (c *Core) do(e Effect) { c.effects = append(c.effects, e) }
 
 func (c *Core) expire(now int64) {
-	var due []*attempt
-	for _, a := range c.attempts {
-		if a.due <= now {
-			due = append(due, a)
-		}
-	}
-	slices.SortFunc(due, func(a, b *attempt) int { return cmp.Compare(a.id, b.id) })
-	for _, a := range due {
+	for _, a := range c.due.take(now) {
 		c.do(Drop{Attempt: a.id})
 		c.Ended(now, a.id, yw.TimedOut, nil, nil)
 	}
@@ -432,14 +455,7 @@
 // guard fails the queries whose time ran out without the module's word. Guards the rule that no query is
 // lost against a module that loses sight of one; the module always comes first, by AnswerGrace.
 func (c *Core) guard(now int64) {
-	var late []*query
-	for _, q := range c.queries {
-		if now >= q.ask.Deadline+c.terms.AnswerGrace {
-			late = append(late, q)
-		}
-	}
-	slices.SortFunc(late, func(a, b *query) int { return cmp.Compare(a.id, b.id) })
-	for _, q := range late {
+	for _, q := range c.late.take(now) {
 		c.do(Note{Text: "deadline guard: the module left a query unanswered"})
 		c.finish(q, Final{Verdict: Failed, Overdue: true})
 		c.events = append(c.events, yw.ClientLeft{Query: q.id})
@@ -451,11 +467,9 @@
 	case yw.Send:
 		c.send(now, a)
 	case yw.Cancel:
-		for _, t := range c.attempts {
-			if t.p.id == a.Part && t.n == a.Attempt {
-				c.do(Drop{Attempt: t.id})
-				c.Ended(now, t.id, yw.Cancelled, nil, nil)
-				break
+		if p := c.parts[a.Part]; p != nil {
+			if i := slices.IndexFunc(p.out, func(t *attempt) bool { return t.n == a.Attempt }); i >= 0 {
+				c.withdraw(now, p.out[i])
 			}
 		}
 	case yw.Answer:
@@ -492,17 +506,19 @@
 	if s.Timeout != 0 {
 		due = min(due, now+s.Timeout)
 	}
-	a := &attempt{id: AttemptID(c.nextID()), p: p, n: p.tries, server: s.Server, sent: now, due: due}
+	a := &attempt{id: AttemptID(c.nextID()), p: p, n: p.tries, server: s.Server, epoch: c.epoch(), sent: now, due: due}
 	p.tries++
-	p.out++
+	p.out = append(p.out, a)
 	c.attempts[a.id] = a
+	c.due.add(due, int64(a.id), a, len(c.attempts))
 	// A part that is in, or whose query is over, must not leave again; nor may one whose tenant's budget is
 	// spent. Not sent proves that it never ran.
 	if r := c.budgets[p.q.ask.Tenant]; p.in || p.q.over || due <= now || a.n > 0 && r != nil && !r.spend(now) {
 		c.Ended(now, a.id, yw.NotSent, nil, nil)
 		return
 	}
-	out := Attempt{ID: a.id, Label: p.q.ask.Label, Shard: p.ask.Shard, Due: due, Text: p.q.ask.Text}
+	out := Attempt{ID: a.id, Label: p.q.ask.Label, Shard: p.ask.Shard, Epoch: a.epoch, Span: p.ask.Span, Due: due,
+		Text: p.q.ask.Text}
 	if i, ok := c.calls[s.Server]; ok {
 		call := c.effects[i].(Call)
 		if len(call.Attempts) < c.terms.PartsPerCall {
@@ -546,7 +562,7 @@
 	overdue := now >= q.ask.Deadline-2*c.terms.Period
 	if q.class.Effect == yw.AtMostOnce {
 		for _, p := range q.parts {
-			if p.mayRun || p.out > 0 {
+			if p.mayRun || len(p.out) > 0 {
 				c.finish(q, Final{Verdict: Failed, Overdue: overdue})
 				return
 			}
@@ -580,8 +596,8 @@
 	}
 	c.open -= 1 + len(q.parts)
 	for _, p := range q.parts {
-		if p.out == 0 {
-			delete(c.parts, p.id)
+		if len(p.out) == 0 {
+			c.forget(p)
 		}
 	}
 }
--- /dev/null
+++ b/internal/broker/layout.go
@@ -0,0 +1,169 @@
+package broker
+
+import (
+	"cmp"
+	"slices"
+
+	yw "yarrowwalk"
+	"yarrowwalk/internal/layout"
+)
+
+// Layout puts a layout in force. Parts whose shard is no longer in force are planned anew, each by itself: at once where
+// nothing of them is out, else when that has ended. The cost is that of the open parts of the shards that changed.
+func (c *Core) Layout(now int64, u layout.Update) {
+	c.routes = u.Layout
+	c.events = append(c.events, yw.HoldersChanged{Holders: u.Layout})
+	var touched []*part
+	if len(u.Changed) <= len(c.byShard) {
+		for _, shard := range u.Changed {
+			touched = gather(touched, c.byShard[shard])
+		}
+	} else {
+		for _, parts := range c.byShard {
+			touched = gather(touched, parts)
+		}
+	}
+	slices.SortFunc(touched, func(a, b *part) int { return cmp.Compare(a.id, b.id) })
+	for _, p := range touched {
+		c.renew(now, p)
+	}
+}
+
+func gather(dst []*part, parts map[yw.ID]*part) []*part {
+	for _, p := range parts {
+		dst = append(dst, p)
+	}
+	return dst
+}
+
+// epoch is that of the layout in force; 0: there is none.
+func (c *Core) epoch() int64 {
+	if c.routes == nil {
+		return 0
+	}
+	return c.routes.Epoch()
+}
+
+// hand makes a part of a query.
+func (c *Core) hand(q *query, ap AskPart) *part {
+	p := &part{id: yw.ID(c.nextID()), q: q, ask: ap, epoch: c.epoch()}
+	c.parts[p.id] = p
+	if c.routes != nil {
+		if c.byShard[ap.Shard] == nil {
+			c.byShard[ap.Shard] = map[yw.ID]*part{}
+		}
+		c.byShard[ap.Shard][p.id] = p
+	}
+	return p
+}
+
+func (p *part) event() yw.Part {
+	return yw.Part{ID: p.id, Group: p.q.group, Shard: p.ask.Shard, Weight: p.ask.Weight, Work: p.ask.Work, Key: p.ask.Key}
+}
+
+// forget drops a part of which nothing is out.
+func (c *Core) forget(p *part) {
+	delete(c.parts, p.id)
+	if of := c.byShard[p.ask.Shard]; of != nil {
+		if delete(of, p.id); len(of) == 0 {
+			delete(c.byShard, p.ask.Shard)
+		}
+	}
+}
+
+// placed tells that a part's span lies within its shard, in force.
+func (c *Core) placed(p AskPart) bool {
+	span, ok := c.routes.InForce(p.Shard)
+	return ok && p.Span.From >= span.From && p.Span.To <= span.To
+}
+
+// pieces is what a part comes to under the layout in force: exactly its span, less what its query does not ask for.
+func (c *Core) pieces(p AskPart, want []layout.Span) []AskPart {
+	cover := c.routes.Cover(nil, p.Span)
+	if len(want) > 0 {
+		cover = slices.DeleteFunc(cover, func(x layout.Piece) bool {
+			return !slices.ContainsFunc(want, func(w layout.Span) bool { return !w.Meet(x.Span).Empty() })
+		})
+	}
+	out := make([]AskPart, 0, len(cover))
+	for _, x := range cover {
+		n := p
+		n.Shard, n.Span = x.Shard, x.Span
+		n.Weight, n.Work = p.Weight/float64(len(cover)), p.Work/int64(len(cover))
+		out = append(out, n)
+	}
+	return out
+}
+
+// settle plans those parts of a new query anew that were planned under a layout which is no longer in force.
+func (c *Core) settle(a Ask) []AskPart {
+	if c.routes == nil || !slices.ContainsFunc(a.Parts, func(p AskPart) bool { return !c.placed(p) }) {
+		return a.Parts
+	}
+	var out []AskPart
+	for _, p := range a.Parts {
+		if c.placed(p) {
+			out = append(out, p)
+		} else {
+			out = append(out, c.pieces(p, a.Want)...)
+		}
+	}
+	return out
+}
+
+// renew plans a part anew where its shard is no longer in force. Guards three rules: what is in stays in; what may have run
+// is never sent elsewhere for a class that must not run twice; and a part is planned anew only under a later epoch, so that
+// no server's word can send it in circles.
+func (c *Core) renew(now int64, p *part) {
+	if c.routes == nil || p.in || p.q.over || c.parts[p.id] != p || c.placed(p.ask) {
+		return
+	}
+	once := p.q.class.Effect == yw.AtMostOnce
+	if len(p.out) > 0 {
+		if once || c.routes.Of(p.ask.Shard) != nil {
+			return // the old side may still answer, or nothing else may
+		}
+		for len(p.out) > 0 { // each end leads back here
+			c.withdraw(now, p.out[0])
+		}
+		return
+	}
+	if once && p.mayRun || c.routes.Epoch() <= p.epoch {
+		return
+	}
+	var into []*part
+	var parts []yw.Part
+	for _, ap := range c.pieces(p.ask, p.q.ask.Want) {
+		n := c.hand(p.q, ap)
+		into, parts = append(into, n), append(parts, n.event())
+	}
+	at := slices.Index(p.q.parts, p)
+	p.q.parts = slices.Replace(p.q.parts, at, at+1, into...)
+	c.open += len(into) - 1
+	c.forget(p)
+	c.events = append(c.events, yw.Replanned{Part: p.id, Into: parts})
+	c.replanned++
+}
+
+// withdraw gives an attempt up.
+func (c *Core) withdraw(now int64, a *attempt) {
+	c.do(Drop{Attempt: a.id})
+	c.Ended(now, a.id, yw.Cancelled, nil, nil)
+}
+
+// credit judges an outcome by the layout in force: what a server gives for a span that it holds no longer is a failed attempt
+// that may have run, and a server with a newer layout has this one asked for.
+func (c *Core) credit(a *attempt, o yw.Outcome, value []byte) (yw.Outcome, []byte) {
+	switch {
+	case c.routes == nil:
+	case o == yw.Misplaced && a.epoch >= c.routes.Epoch():
+		c.behind = true
+	case o == yw.Served && !c.routes.Answers(a.server, a.p.ask.Shard, a.p.ask.Span):
+		c.do(Note{Text: "an answer of " + string(a.server) + " for range " + a.p.ask.Span.String() + ", which it holds no longer"})
+		return yw.Errored, nil
+	}
+	return o, value
+}
+
+// Replanned is how many parts were planned anew, since the start.
+func (c *Core) Replanned() int64 { return c.replanned }
--- a/internal/layout/keeper.go
+++ b/internal/layout/keeper.go
@@ -79,6 +79,11 @@
 		return nil, err
 	}
 	if k.now != nil {
+		if a, b := k.now.Domain(), l.Domain(); b.From > a.From || b.To < a.To {
+			j := &judge{epoch: d.Epoch}
+			j.fault(ErrInvalid, b.String(), "it covers less than the %s in force", a)
+			return nil, j.err()
+		}
 		if err := k.sameShards(l); err != nil {
 			return nil, err
 		}
--- a/internal/opensearch/front.go
+++ b/internal/opensearch/front.go
@@ -19,6 +19,7 @@
 
 	"yarrowwalk/internal/broker"
 	"yarrowwalk/internal/http1"
+	"yarrowwalk/internal/layout"
 )
 
 // Index is one index that may be searched.
@@ -27,6 +28,8 @@
 	Field       string // whose ranges tell the shards
 	PartWork    int64  // hint of the work of a part, in microseconds; 0 when there is none
 	Ranges      []Range
+	Placed      bool  // the layout says where the ranges are, not Ranges
+	over        spans // of a placed index: the layout's domain
 }
 
 // Range says which shard holds a span of the field's values.
@@ -36,6 +39,9 @@
 }
 
 func (ix Index) domain() spans {
+	if ix.Placed {
+		return ix.over
+	}
 	var out spans
 	for _, r := range ix.Ranges {
 		out = append(out, r.Span)
@@ -62,6 +68,7 @@
 	TenantHeader string           // which header field names the tenant
 	Longest      map[string]int64 // by class: how long a query may take, in microseconds
 	Margin       int64            // taken off each client's time
+	Layout       *layout.Current  // where the ranges of placed indices are; nil: there are none
 }
 
 func (f Front) fail(e *fault) http1.Response {
@@ -148,6 +155,11 @@
 	if !ok {
 		return a, s, &fault{404, "index_not_found_exception", "no such index [" + name + "]"}
 	}
+	var l *layout.Layout
+	if ix.Placed {
+		l = f.Layout.Load()
+		ix.over = spans{l.Domain()}
+	}
 	tenant := m.Header.Get(f.TenantHeader)
 	if len(f.Tenants) > 0 && !f.Tenants[tenant] {
 		return a, s, &fault{403, "security_exception", "no contract for tenant [" + tenant + "]"}
@@ -169,15 +181,31 @@
 	a.Deadline = now + wait - min(f.Margin, wait/4)
 	held := intersect(s.want, ix.domain())
 	a.Key = fmt.Sprint(name, held)
-	shards := ix.shards(held)
-	for _, shard := range shards {
-		a.Parts = append(a.Parts, broker.AskPart{Shard: shard, Weight: 1 / float64(len(shards)), Work: ix.PartWork,
-			Key: fmt.Sprint(a.Key, "#", shard)})
+	if ix.Placed {
+		a.Want = held
+		a.Parts = placed(l.Plan(nil, held))
+	} else {
+		for _, shard := range ix.shards(held) {
+			a.Parts = append(a.Parts, broker.AskPart{Shard: shard})
+		}
+	}
+	for i := range a.Parts {
+		p := &a.Parts[i]
+		p.Weight, p.Work, p.Key = 1/float64(len(a.Parts)), ix.PartWork, a.Key+"#"+strconv.Itoa(p.Shard)
 	}
 	a.Text = append([]byte(name+"\n"), s.upstream()...)
 	return a, s, nil
 }
 
+// placed makes parts of a plan.
+func placed(plan []layout.Piece) []broker.AskPart {
+	parts := make([]broker.AskPart, len(plan))
+	for i, x := range plan {
+		parts[i] = broker.AskPart{Shard: x.Shard, Span: x.Span}
+	}
+	return parts
+}
+
 // params reads the parameters of the address; they overrule the body, as OpenSearch has it.
 func (s *search) params(text string) error {
 	values, err := url.ParseQuery(text)
--- a/internal/opensearch/opensearch_test.go
+++ b/internal/opensearch/opensearch_test.go
@@ -12,7 +12,7 @@
 
 var front = Front{TenantHeader: "X-Tenant", Tenants: map[string]bool{"desk": true}, Longest: map[string]int64{"c": 5_000_000},
 	Indices: map[string]Index{"ix": {Name: "ix", Class: "c", Field: "taxpayer", PartWork: 7, Ranges: []Range{
-		{Span{0, 100}, 0}, {Span{100, 200}, 1}, {Span{200, 300}, 2}, {Span{300, 400}, 0}}}}}
+		{Span{From: 0, To: 100}, 0}, {Span{From: 100, To: 200}, 1}, {Span{From: 200, To: 300}, 2}, {Span{From: 300, To: 400}, 0}}}}}
 
 func open(target, tenant, body string) (broker.Ask, func(broker.Final, int64) http1.Response, *http1.Response) {
 	var p http1.Parser
--- a/internal/opensearch/ranges.go
+++ b/internal/opensearch/ranges.go
@@ -4,16 +4,18 @@
 	"cmp"
 	"math"
 	"slices"
+
+	"yarrowwalk/internal/layout"
 )
 
 // Span is a run of whole numbers, From up to but without To.
-type Span struct{ From, To int64 }
+type Span = layout.Span
 
 // spans is a set of whole numbers as disjoint spans in order: whatever order, overlap or repetition a search
 // names its ranges in, the same set comes out.
 type spans []Span
 
-var everything = spans{{math.MinInt64, math.MaxInt64}}
+var everything = spans{{From: math.MinInt64, To: math.MaxInt64}}
 
 func union(sets ...spans) spans {
 	var all spans
@@ -32,14 +34,18 @@
 	return out
 }
 
+// intersect goes through both sets once, in order.
 func intersect(a, b spans) spans {
 	var out spans
-	for _, x := range a {
-		for _, y := range b {
-			if s := (Span{max(x.From, y.From), min(x.To, y.To)}); s.From < s.To {
-				out = append(out, s)
-			}
+	for i, j := 0, 0; i < len(a) && j < len(b); {
+		if s := a[i].Meet(b[j]); !s.Empty() {
+			out = append(out, s)
+		}
+		if a[i].To < b[j].To {
+			i++
+		} else {
+			j++
 		}
 	}
-	return union(out)
+	return out
 }
--- a/internal/opensearch/search.go
+++ b/internal/opensearch/search.go
@@ -284,7 +284,7 @@
 		if err != nil {
 			return nil, err
 		}
-		point := spans{{n, n + 1}}
+		point := spans{{From: n, To: n + 1}}
 		if len(intersect(point, ix.domain())) == 0 {
 			return nil, parsing("unknown range on [%s]: [%s] holds nothing at [%d]", ix.Field, ix.Name, n)
 		}
--- a/internal/opensearch/servers.go
+++ b/internal/opensearch/servers.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"strconv"
 	"strings"
 
 	"github.com/valyala/fastjson"
@@ -11,11 +12,15 @@
 	yw "yarrowwalk"
 	"yarrowwalk/internal/broker"
 	"yarrowwalk/internal/http1"
+	"yarrowwalk/internal/layout"
 )
 
 // maxAnswer bounds a server's answer.
 const maxAnswer = 1 << 20
 
+// misdirected is the status by which a server says that it does not hold what it was asked for (RFC 9110, 15.5.20).
+const misdirected = 421
+
 // Servers is the search API towards servers: one search at a time on a connection.
 type Servers struct{}
 
@@ -31,12 +36,13 @@
 	host   string
 	parser http1.Parser
 	out    broker.AttemptID // 0: none
+	place  layout.Place     // what it asks for, under a layout; else its epoch is 0
 }
 
 // Call writes the search for one part, kept to its shard.
 func (s *session) Call(dst []byte, c broker.Call, now int64) []byte {
 	a := c.Attempts[0]
-	s.out = a.ID
+	s.out, s.place = a.ID, layout.Place{Shard: a.Shard, Span: a.Span, Epoch: a.Epoch}
 	index, body, _ := bytes.Cut(a.Text, []byte{'\n'})
 	target := fmt.Sprintf("/%s/_search?preference=_shards:%d&timeout=%dms&allow_partial_search_results=false", index,
 		a.Shard, max(1, (a.Due-now)/1000))
@@ -44,6 +50,9 @@
 	if a.Label != "" {
 		fields = append(fields, [2]string{"X-Opaque-Id", a.Label})
 	}
+	if a.Epoch > 0 {
+		fields = append(fields, [2]string{layout.PlaceField, s.place.String()})
+	}
 	return http1.AppendRequest(dst, "POST", target, s.host, fields, body)
 }
 
@@ -81,10 +90,36 @@
 func (s *session) take(m *http1.Message) []broker.Reply {
 	r := broker.Reply{Attempt: s.out}
 	s.out = 0
-	r.Outcome, r.Value = judge(m)
+	if r.Outcome, r.Value = judge(m); s.place.Epoch > 0 {
+		r.Outcome, r.Value = s.placed(m, r.Outcome, r.Value)
+	}
 	return []broker.Reply{r}
 }
 
+// placed judges an answer to a part that asked for a place. Guards against a server that has lost it or never held it: a 421
+// proves that nothing ran, and says by its epoch which side is late; any other answer counts only where it names the same
+// shard and span again.
+func (s *session) placed(m *http1.Message, o yw.Outcome, value []byte) (yw.Outcome, []byte) {
+	if m.Status == misdirected {
+		epoch, err := strconv.ParseInt(m.Header.Get(layout.EpochField), 10, 64)
+		switch {
+		case err != nil:
+			return yw.Errored, nil
+		case epoch > s.place.Epoch:
+			return yw.Misplaced, nil
+		}
+		return yw.Rejected, nil
+	}
+	if o != yw.Served {
+		return o, nil
+	}
+	in, err := layout.ParsePlace(m.Header.Get(layout.PlaceField))
+	if in.Epoch = s.place.Epoch; err != nil || in != s.place {
+		return yw.Errored, nil
+	}
+	return o, value
+}
+
 // Partial tells that bytes of an unfinished answer are held.
 func (s *session) Partial() bool { return !s.parser.Idle() }
 
--- a/scheduler.go
+++ b/scheduler.go
@@ -396,21 +396,6 @@
 	}
 }
 
-// replan puts other parts in the place of one whose shard is no longer in force.
-func (s *Scheduler) replan(e Replanned) {
-	p := s.parts[e.Part]
-	if p == nil || p.q.done {
-		return
-	}
-	p.q.parts = slices.DeleteFunc(p.q.parts, func(o *part) bool { return o == p })
-	if p.out() == 0 {
-		delete(s.parts, p.ID)
-	}
-	for _, n := range e.Into {
-		s.arrivePart(n)
-	}
-}
-
 // review ends every query that can be answered, that earns nothing any more, or whose time is up.
 func (s *Scheduler) review() {
 	for _, q := range slices.Clone(s.live) {
@@ -564,7 +549,7 @@
 	if len(q.parts) == 0 {
 		return !q.second
 	}
-	w := q.weight(func(p *part) bool { return p.served || p.out() > 0 || s.mayTry(p) })
+	w := q.weight(func(p *part) bool { return p.served || p.out() > 0 || s.mayTry(p) && s.hasHolder(p) })
 	return w < min(q.class.Floor, q.class.Need)-0.0001
 }
 
@@ -863,16 +848,12 @@
 	return d
 }
 
-// misplaced tells that an attempt found its server without the shard, under the table in force.
-func (s *Scheduler) misplaced(a *attempt) bool { return a.lost > 0 && a.lost == s.tableN }
-
 // pick finds the replica with the smallest predicted backlog, at random among equals, and what it predicts.
 func (s *Scheduler) pick(p *part) (*replica, float64) {
 	var best *replica
 	ties, least, latency := 0, 0.0, 0.0
 	for _, r := range s.holders(p.Shard) {
-		if slices.ContainsFunc(p.attempts, func(a *attempt) bool { return a.to == r && (!a.ended || s.misplaced(a)) }) ||
-			!s.coldRoom(r, s.ruleCost(p)) {
+		if s.barred(p, r) || !s.coldRoom(r, s.ruleCost(p)) {
 			continue
 		}
 		t := s.predict(p, r)
@@ -952,7 +933,7 @@
 	}
 	a := p.attempts[e.Attempt]
 	a.ended = true
-	a.ran = e.Outcome != Rejected && e.Outcome != Unreachable && e.Outcome != NotSent && e.Outcome != Misplaced
+	a.ran = mayRun(e.Outcome)
 	r := a.to
 	r.attempts = slices.DeleteFunc(r.attempts, func(o *attempt) bool { return o == a })
 	if r.own -= a.cost; len(r.attempts) == 0 {
--- a/state.go
+++ b/state.go
@@ -302,6 +302,42 @@
 	return n
 }
 
+// hasHolder tells that a table names a holder of a part's shard that may be sent to. Guards a range all of whose holders drain
+// against queries that wait for nothing; where there is no table the list may be late, and is waited for.
+func (s *Scheduler) hasHolder(p *part) bool {
+	return s.table == nil || slices.ContainsFunc(s.table.Of(p.Shard), func(id ServerID) bool {
+		r := s.servers[id]
+		return r != nil && r.Health == Ready
+	})
+}
+
+// mayRun tells whether an attempt that came out so may have run.
+func mayRun(o Outcome) bool {
+	return o != Rejected && o != Unreachable && o != NotSent && o != Misplaced
+}
+
+// barred tells that a part is out at a server, or was found not to be there under the table in force.
+func (s *Scheduler) barred(p *part, r *replica) bool {
+	return slices.ContainsFunc(p.attempts, func(a *attempt) bool {
+		return a.to == r && (!a.ended || a.lost > 0 && a.lost == s.tableN)
+	})
+}
+
+// replan puts other parts in the place of one whose shard is no longer in force.
+func (s *Scheduler) replan(e Replanned) {
+	p := s.parts[e.Part]
+	if p == nil || p.q.done {
+		return
+	}
+	p.q.parts = slices.DeleteFunc(p.q.parts, func(o *part) bool { return o == p })
+	if p.out() == 0 {
+		delete(s.parts, p.ID)
+	}
+	for _, n := range e.Into {
+		s.arrivePart(n)
+	}
+}
+
 func (p *part) mayHaveRun() bool {
 	return slices.ContainsFunc(p.attempts, func(a *attempt) bool { return !a.ended || a.ran })
 }
