Follow a layout directory, and set the layout up in the operator's file

Need: layouts have to come from somewhere: the operator's file, at start and SIGHUP, and a directory that is watched. Change: transport.Routes owns the layout in force and judges what both say; config reads the key layout; servers may be marked draining; the door answers layout, stats shows svc.layout.*; SIGHUP turns down a file that would leave a range without a listed holder.

--- a/cmd/saffronquay/gatherer.go
+++ b/cmd/saffronquay/gatherer.go
@@ -25,6 +25,7 @@
 	clock   transport.Clock
 	engine  *transport.Engine
 	watcher *transport.Watcher // nil: the list of servers is fixed
+	routes  *transport.Routes  // nil: no layout
 	virtual *service           // nil: no virtual address
 	door    *transport.Door    // nil: off
 	duty    *operations.Duty
@@ -50,6 +51,9 @@
 	g := &gatherer{plan: p, log: logger, clock: transport.NewClock(), served: make(chan error, 1),
 		turn: make(chan struct{}, 1), met: make(chan []handover.State, 1)}
 	g.duty, g.figures = operations.NewDuty(g.stand), operations.NewFigures()
+	if g.layout != nil {
+		g.figures.Routes = &operations.LayoutFigures{}
+	}
 	if err := g.begin(); err != nil {
 		return err
 	}
@@ -74,22 +78,19 @@
 }
 
 func (g *gatherer) begin() error {
+	if err := g.compose(); err != nil {
+		return err
+	}
 	door := "off"
 	if g.operator != "" {
 		l, err := net.Listen("tcp", g.operator)
 		if err != nil {
 			return fmt.Errorf("operator: %w", err)
 		}
-		g.door = transport.NewDoor(l, struct {
-			*operations.Duty
-			*operations.Figures
-		}{g.duty, g.figures}, g.log)
+		g.door = transport.NewDoor(l, desk{g.duty, g.figures, g.routes}, g.log)
 		go g.door.Serve()
 		door = l.Addr().String()
 	}
-	if err := g.compose(); err != nil {
-		return err
-	}
 	socket, err := g.socket()
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
@@ -105,6 +106,7 @@
 		go g.beside.Run()
 	}
 	g.follow()
+	g.followLayout()
 	if g.vrrp != nil {
 		g.virtual = &service{clock: g.clock, config: *g.vrrp, engine: g.engine, log: g.log}
 		g.virtual.reconfigure(bounds, g.front)
@@ -166,9 +168,60 @@
 		g.watcher = g.watch(g.engine)
 		g.engine.Watch, g.engine.Fetch = g.watcher.Begin, g.watcher.Begin
 	}
+	if g.layout != nil {
+		cfg := transport.RoutesConfig{Directory: g.layout.Directory, Stall: g.layout.Stall}
+		g.routes, err = transport.NewRoutes(cfg, g.layout.Whole, g.serverIDs(), g.clock, g.place, g.engine.Layout,
+			g.figures.Routes, g.log)
+		if err != nil {
+			return fmt.Errorf("configuration: %w", err)
+		}
+		g.engine.Refresh = g.routes.Refresh
+	}
 	return nil
 }
 
+// desk is what the operators' door reaches.
+type desk struct {
+	*operations.Duty
+	*operations.Figures
+	routes *transport.Routes
+}
+
+// Layout appends how the layout stands; nil where there is none.
+func (d desk) Layout(dst []byte) []byte {
+	if d.routes == nil {
+		return nil
+	}
+	return d.routes.Layout(dst)
+}
+
+func (p plan) serverIDs() []yw.ServerID {
+	ids := make([]yw.ServerID, len(p.fleet.Servers))
+	for i, s := range p.fleet.Servers {
+		ids[i] = s.ID
+	}
+	return ids
+}
+
+// followLayout begins to follow the layout. The directory's own word is waited for, a second at most: until it is in, the file's
+// layout may be old, and servers turn away what it misplaces.
+func (g *gatherer) followLayout() {
+	if g.routes == nil {
+		return
+	}
+	go g.routes.Run()
+	if g.layout.Directory == "" {
+		return
+	}
+	t := time.NewTimer(firstList)
+	defer t.Stop()
+	select {
+	case <-g.routes.Heard():
+	case <-t.C:
+		g.log.Printf("level=warn event=start layout=given waited=%s", firstList)
+	}
+}
+
 // terms is what the core holds to, by the settings in force.
 func (g *gatherer) terms() broker.Terms {
 	set := g.settings
@@ -321,6 +374,13 @@
 		g.log.Printf("level=error event=reload kept=old error=%q", err)
 		return
 	}
+	if g.routes != nil {
+		if err := g.routes.File(now.layout.Whole, now.serverIDs(), false); err != nil {
+			g.figures.CfgFaulty.Add(1)
+			g.log.Printf("level=error event=reload kept=old error=%q", err)
+			return
+		}
+	}
 	if now.listen != g.listen || now.operator != g.operator {
 		g.log.Printf("level=warn event=reload note=%q", "listen and operator take a restart")
 	}
@@ -336,13 +396,28 @@
 	if g.watcher != nil {
 		g.watcher.Move(g.discovery)
 	} else {
-		g.engine.Fleet(g.fleet, g.addresses)
+		g.settle()
 	}
 	g.figures.CfgTaken.Add(1)
 	g.log.Printf("level=info event=reload classes=%d discovery=%s servers=%d", len(g.settings.Module.Classes), g.discovery,
 		len(g.fleet.Servers))
 }
 
+// settle has the file's servers and layout in force. New servers come before the layout that names them, and those that are
+// gone leave after the one that no longer does, so that no range is without holders in between.
+func (g *gatherer) settle() {
+	if g.routes != nil {
+		g.engine.Fleet(yw.FleetChanged{Kind: yw.FleetDelta, Servers: g.fleet.Servers}, g.addresses)
+		if err := g.routes.File(g.layout.Whole, g.serverIDs(), true); err != nil { // the directory has just said otherwise
+			g.log.Printf("level=error event=reload layout=kept error=%q", err)
+		}
+		if g.layout.Directory != "" {
+			g.routes.Move(g.layout.Directory)
+		}
+	}
+	g.engine.Fleet(g.fleet, g.addresses)
+}
+
 // end leaves: it goes on serving until nothing is held and nothing comes in any more or, with a passed socket, until
 // the last connection has ended.
 func (g *gatherer) end(hup <-chan os.Signal) {
@@ -392,6 +467,9 @@
 	if g.watcher != nil {
 		g.watcher.Stop()
 	}
+	if g.routes != nil {
+		g.routes.Stop()
+	}
 	g.engine.Stop()
 	if g.door != nil {
 		g.door.Close()
--- a/cmd/saffronquay/main.go
+++ b/cmd/saffronquay/main.go
@@ -12,6 +12,7 @@
 	yw "yarrowwalk"
 	"yarrowwalk/internal/broker"
 	"yarrowwalk/internal/config"
+	"yarrowwalk/internal/layout"
 	"yarrowwalk/internal/opensearch"
 	"yarrowwalk/internal/platform"
 	"yarrowwalk/internal/transport"
@@ -53,6 +54,8 @@
 	passed            int                                        // descriptor of the clients' socket; 0: it is opened here
 	shared            string                                     // directory shared with a process that is replaced
 	discovery         string
+	layout            *config.Layout       // nil: shards are where the settings say, for good
+	place             *layout.Current      // what the front plans by, where there is a layout
 	again             func() (plan, error) // reads the file once more
 }
 
@@ -72,7 +75,7 @@
 		return plan{}, err
 	}
 	if ok {
-		return searching(op, logger), nil
+		return searching(op, &layout.Current{}, logger), nil
 	}
 	node, err := config.Load(os.Getenv, os.ReadFile)
 	if err != nil {
@@ -96,9 +99,9 @@
 		}}
 }
 
-func searching(op config.Operator, logger *log.Logger) plan {
+func searching(op config.Operator, place *layout.Current, logger *log.Logger) plan {
 	front := opensearch.Front{Indices: op.Indices, TenantHeader: op.TenantHeader, Tenants: map[string]bool{},
-		Longest: map[string]int64{}, Margin: margin}
+		Longest: map[string]int64{}, Margin: margin, Layout: place}
 	for _, t := range op.Settings.Module.Tenants {
 		front.Tenants[t.Name] = true
 	}
@@ -107,9 +110,9 @@
 	}
 	return plan{name: op.Name, listen: op.Listen, operator: op.Operator, seed: op.Seed, sockets: op.Sockets, memoryMB: op.MemoryMB,
 		settings: op.Settings, budgets: op.Budgets, front: front, dialect: opensearch.Servers{}, partsPerCall: 1,
-		fleet: yw.FleetChanged{Kind: yw.FleetFull, Servers: op.Servers}, addresses: op.Addresses, vrrp: op.VRRP,
+		fleet: yw.FleetChanged{Kind: yw.FleetFull, Servers: op.Servers}, addresses: op.Addresses, vrrp: op.VRRP, layout: op.Layout, place: place,
 		again: func() (plan, error) {
 			now, err := config.ReloadOperator(os.Getenv, os.ReadFile, op)
-			return searching(now, logger), err
+			return searching(now, place, logger), err
 		}}
 }
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -173,29 +173,29 @@
 
 // Core holds every open query and attempt of one gatherer.
 type Core struct {
-	terms     Terms
-	module    Module
-	classes   map[string]*yw.Class
-	lastID    int64 // ids stay below 2^52, which one gatherer can't use up
-	queries   map[yw.ID]*query
-	labels    map[string]int64 // of the open queries whose label must be theirs alone, with their deadlines
-	beside    Standing         // of the other process of this gatherer, while there is one
-	parts     map[yw.ID]*part
-	attempts  map[AttemptID]*attempt
-	due       agenda[*attempt] // by their ends
-	late      agenda[*query]   // by their deadlines and the grace
-	open      int              // queries and parts held
-	alarms    []yw.SetAlarm
-	events    []yw.Event
-	effects   []Effect
-	calls     map[yw.ServerID]int // index of the call that still takes parts, within a step
-	budgets   map[string]*ration
-	stepped   int64
-	began     bool
-	routes    *layout.Layout // nil: the settings' formula says where shards are
-	byShard   map[int]map[yw.ID]*part
-	behind    bool // a server has a newer layout
-	replanned int64
+	terms                Terms
+	module               Module
+	classes              map[string]*yw.Class
+	lastID               int64 // ids stay below 2^52, which one gatherer can't use up
+	queries              map[yw.ID]*query
+	labels               map[string]int64 // of the open queries whose label must be theirs alone, with their deadlines
+	beside               Standing         // of the other process of this gatherer, while there is one
+	parts                map[yw.ID]*part
+	attempts             map[AttemptID]*attempt
+	due                  agenda[*attempt] // by their ends
+	late                 agenda[*query]   // by their deadlines and the grace
+	open                 int              // queries and parts held
+	alarms               []yw.SetAlarm
+	events               []yw.Event
+	effects              []Effect
+	calls                map[yw.ServerID]int // index of the call that still takes parts, within a step
+	budgets              map[string]*ration
+	stepped              int64
+	began                bool
+	routes               *layout.Layout // nil: the settings' formula says where shards are
+	byShard              map[int]map[yw.ID]*part
+	behind               bool  // a server has a newer layout
+	replanned, misplaced int64 // since the start
 }
 
 // New makes a core round a module.
--- a/internal/broker/layout.go
+++ b/internal/broker/layout.go
@@ -154,6 +154,9 @@
 // credit judges an outcome by the layout in force: what a server gives for a span that it holds no longer is a failed attempt
 // that may have run, and a server with a newer layout has this one asked for.
 func (c *Core) credit(a *attempt, o yw.Outcome, value []byte) (yw.Outcome, []byte) {
+	if o == yw.Misplaced {
+		c.misplaced++
+	}
 	switch {
 	case c.routes == nil:
 	case o == yw.Misplaced && a.epoch >= c.routes.Epoch():
@@ -165,5 +168,5 @@
 	return o, value
 }
 
-// Replanned is how many parts were planned anew, since the start.
-func (c *Core) Replanned() int64 { return c.replanned }
+// Replanned is how many parts were planned anew, and how many attempts found their range gone, since the start.
+func (c *Core) Replanned() (parts, misplaced int64) { return c.replanned, c.misplaced }
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -5,11 +5,13 @@
 	"net"
 	"net/netip"
 	"strconv"
+	"time"
 
 	"github.com/valyala/fastjson"
 
 	yw "yarrowwalk"
 	"yarrowwalk/internal/broker"
+	"yarrowwalk/internal/layout"
 	"yarrowwalk/internal/opensearch"
 	"yarrowwalk/internal/vrrp"
 )
@@ -26,7 +28,15 @@
 	Indices           map[string]opensearch.Index
 	Servers           []yw.Server
 	Addresses         map[yw.ServerID]string
-	VRRP              *VRRP // nil: off
+	VRRP              *VRRP   // nil: off
+	Layout            *Layout // nil: settings and indices say where shards are, for good
+}
+
+// Layout sets up ranges that split, merge and move.
+type Layout struct {
+	Whole     layout.Doc    // as last known
+	Directory string        // host:port that tells what changes; empty: the file alone does
+	Stall     time.Duration // a change that stays in one state for longer is reported
 }
 
 // VRRP sets up a virtual router that this gatherer takes part in.
@@ -64,6 +74,10 @@
 	if err := inForce.Settings.checkLayout(o.Settings); err != nil {
 		return Operator{}, fmt.Errorf("SAFFRONQUAY_OPERATOR_FILE: %w", err)
 	}
+	if (inForce.Layout == nil) != (o.Layout == nil) ||
+		o.Layout != nil && (inForce.Layout.Directory == "") != (o.Layout.Directory == "") {
+		return Operator{}, fmt.Errorf("SAFFRONQUAY_OPERATOR_FILE: layout: to begin or end it, or its directory, needs a restart")
+	}
 	return o, nil
 }
 
@@ -87,11 +101,14 @@
 	r.limits(o.Sockets, o.MemoryMB)
 	o.Settings.checkServing(r.object("settings"))
 	o.tenants(r)
+	placed := r.has("layout")
 	for _, x := range r.array("indices") {
-		o.index(x)
+		o.index(x, placed)
 	}
 	for _, x := range r.array("servers") {
-		x.require("id", "address", "cell")
+		if x.require("id", "address"); !placed {
+			x.require("cell")
+		}
 		id := yw.ServerID(x.str("id", ""))
 		if _, twice := o.Addresses[id]; twice {
 			x.fault("id", "%q is named twice", id)
@@ -102,7 +119,14 @@
 		}
 		o.Addresses[id] = x.str("address", "")
 		x.hostPort("address", o.Addresses[id])
-		o.Servers = append(o.Servers, yw.Server{ID: id, Zone: x.str("zone", ""), Cell: cell, Health: yw.Ready})
+		health := yw.Ready
+		if x.boolean("draining") {
+			health = yw.Draining
+		}
+		o.Servers = append(o.Servers, yw.Server{ID: id, Zone: x.str("zone", ""), Cell: cell, Health: health})
+	}
+	if placed {
+		o.layout(r.object("layout"))
 	}
 	if r.has("vrrp") {
 		o.VRRP = readVRRP(r.object("vrrp"))
@@ -110,6 +134,26 @@
 	return o, *r.err
 }
 
+// layout reads where the ranges are, as last known, and who tells of changes.
+func (o *Operator) layout(r reader) {
+	r.require("whole")
+	o.Layout = &Layout{Directory: r.str("directory", ""), Stall: time.Duration(r.integer("stall_ms", 60_000)) * time.Millisecond}
+	r.optionalHostPort("directory", o.Layout.Directory)
+	if o.Layout.Stall <= 0 {
+		r.fault("stall_ms", "want a time above nought")
+	}
+	if r.get("whole", fastjson.TypeObject) == nil {
+		return
+	}
+	var err error
+	if o.Layout.Whole, err = layout.ParseDoc(r.v.Get("whole").MarshalTo(nil)); err == nil {
+		_, err = layout.Make(o.Layout.Whole, func(id yw.ServerID) bool { return o.Addresses[id] != "" })
+	}
+	if err != nil {
+		r.fault("whole", "%v", err)
+	}
+}
+
 func readVRRP(r reader) *VRRP {
 	r.require("vrid", "priority", "listen", "peers", "service")
 	v := &VRRP{Service: r.str("service", "")}
@@ -182,10 +226,14 @@
 	}
 }
 
-func (o *Operator) index(x reader) {
-	x.require("name", "class", "field", "ranges")
+func (o *Operator) index(x reader, placed bool) {
+	if x.require("name", "class", "field"); !placed {
+		x.require("ranges")
+	} else if x.has("ranges") {
+		x.fault("ranges", "the layout says where they are")
+	}
 	ix := opensearch.Index{Name: x.str("name", ""), Class: x.str("class", ""), Field: x.str("field", ""),
-		PartWork: x.integer("part_work_us", 0)}
+		PartWork: x.integer("part_work_us", 0), Placed: placed}
 	known := false
 	for _, c := range o.Settings.Module.Classes {
 		known = known || c.Name == ix.Class
--- a/internal/operations/call.go
+++ b/internal/operations/call.go
@@ -16,6 +16,8 @@
 	Active() error
 	// Stats appends the figures, a line each.
 	Stats(dst []byte) []byte
+	// Layout appends how the layout of ranges stands, a line each; nil where there is none.
+	Layout(dst []byte) []byte
 }
 
 // MaxCall bounds a call's line, without its end.
@@ -68,14 +70,20 @@
 		return []byte("YES " + word + "\n")
 	case "stats":
 		return append(d.Stats(nil), "END\n"...)
+	case "layout":
+		text := d.Layout(nil)
+		if text == nil {
+			return no("no layout is set up")
+		}
+		return append(text, "END\n"...)
 	case "standby":
 		return did(d.Standby(), call)
 	case "active":
 		return did(d.Active(), call)
 	case "":
-		return no("empty call; there are status, stats, standby and active")
+		return no("empty call; there are status, stats, layout, standby and active")
 	}
-	return no("unknown call %q; there are status, stats, standby and active", call)
+	return no("unknown call %q; there are status, stats, layout, standby and active", call)
 }
 
 func did(err error, call string) []byte {
--- a/internal/operations/call_test.go
+++ b/internal/operations/call_test.go
@@ -13,6 +13,8 @@
 	*Figures
 }
 
+func (desk) Layout(dst []byte) []byte { return nil }
+
 func newDesk(apply func(bool)) desk { return desk{NewDuty(apply), NewFigures()} }
 
 var calls = []struct{ line, answer string }{
@@ -25,6 +27,7 @@
 	{"GET /_health HTTP/1.1\r\nHost: x\r\n\r\n", "NO unknown call"},
 	{strings.Repeat("x", MaxCall) + "\n", "NO unknown call"},
 	{strings.Repeat("x", MaxCall+2), "NO a call has"},
+	{"layout\n", "NO no layout is set up"},
 	{"stat", "NO the call has no end"},
 	{"", "NO the call has no end"},
 }
--- a/internal/operations/figures.go
+++ b/internal/operations/figures.go
@@ -16,10 +16,20 @@
 	Listed, Out         atomic.Int64 // servers in the list, and those of them that are avoided now
 	CfgTaken, CfgFaulty atomic.Int64 // files at SIGHUP
 
+	// Routes is nil where no layout is set up.
+	Routes *LayoutFigures
+
 	mu      sync.RWMutex
 	classes map[string]*ends
 }
 
+// LayoutFigures are what the program counts about the layout of ranges.
+type LayoutFigures struct {
+	Epoch, Ranges, Changes, Stalled atomic.Int64 // as they stand
+	Taken, Refused                  atomic.Int64 // layouts and steps put in force, and turned down
+	Replanned, Misplaced            atomic.Int64 // parts planned anew; attempts that found their range gone
+}
+
 // ends counts how one class's requests ended.
 type ends struct{ fulfilled, throttled, faulted atomic.Int64 }
 
@@ -54,6 +64,11 @@
 	}
 }
 
+type figure struct {
+	name, kind string
+	n          *atomic.Int64
+}
+
 // Stats appends the figures, a line each, in the form of statsd.
 func (f *Figures) Stats(dst []byte) []byte {
 	f.mu.RLock()
@@ -67,13 +82,17 @@
 			dst = fmt.Appendf(dst, "svc.operations.%s.%s:%d|c\n", plain(name), c.name, c.n.Load())
 		}
 	}
-	for _, c := range []struct {
-		name, kind string
-		n          *atomic.Int64
-	}{{"relayed", "c", &f.Relayed}, {"open_requests", "g", &f.Open}, {"registry_entries", "g", &f.Listed},
+	for _, c := range []figure{{"relayed", "c", &f.Relayed}, {"open_requests", "g", &f.Open}, {"registry_entries", "g", &f.Listed},
 		{"out_of_rotation", "g", &f.Out}, {"cfg_accepted", "c", &f.CfgTaken}, {"cfg_invalid", "c", &f.CfgFaulty}} {
 		dst = fmt.Appendf(dst, "svc.%s:%d|%s\n", c.name, c.n.Load(), c.kind)
 	}
+	if l := f.Routes; l != nil {
+		for _, c := range []figure{{"epoch", "g", &l.Epoch}, {"ranges", "g", &l.Ranges}, {"changes", "g", &l.Changes},
+			{"stalled", "g", &l.Stalled}, {"taken", "c", &l.Taken}, {"refused", "c", &l.Refused},
+			{"replanned", "c", &l.Replanned}, {"misplaced", "c", &l.Misplaced}} {
+			dst = fmt.Appendf(dst, "svc.layout.%s:%d|%s\n", c.name, c.n.Load(), c.kind)
+		}
+	}
 	return dst
 }
 
--- a/internal/transport/engine.go
+++ b/internal/transport/engine.go
@@ -12,6 +12,7 @@
 	yw "yarrowwalk"
 	"yarrowwalk/internal/broker"
 	"yarrowwalk/internal/handover"
+	"yarrowwalk/internal/layout"
 	"yarrowwalk/internal/operations"
 )
 
@@ -42,6 +43,8 @@
 	figures *operations.Figures
 	// Watch and Fetch, where set, carry out what the module asks of discovery; they must not block.
 	Watch, Fetch func()
+	// Refresh, where set, has the whole layout asked for; it must not block.
+	Refresh func()
 }
 
 const (
@@ -100,6 +103,11 @@
 			listed, out := e.core.Rotation()
 			e.figures.Listed.Store(int64(listed))
 			e.figures.Out.Store(int64(out))
+			if l := e.figures.Routes; l != nil {
+				replanned, misplaced := e.core.Replanned()
+				l.Replanned.Store(replanned)
+				l.Misplaced.Store(misplaced)
+			}
 		}
 		at := e.sweepAt
 		if next, ok := e.core.Next(); ok {
@@ -137,6 +145,10 @@
 			if e.Fetch != nil {
 				e.Fetch()
 			}
+		case broker.Refresh:
+			if e.Refresh != nil {
+				e.Refresh()
+			}
 		case broker.Note:
 			e.log.Printf("level=info event=note text=%q", x.Text)
 		}
@@ -187,6 +199,11 @@
 	})
 }
 
+// Layout puts a layout in force. Layouts are handed over in the order of their epochs.
+func (e *Engine) Layout(u layout.Update) {
+	e.post(func(now int64) { e.core.Layout(now, u) })
+}
+
 // Reconfigure puts other settings in force, in core, module and pool at once.
 func (e *Engine) Reconfigure(terms broker.Terms, settings yw.Settings, cfg PoolConfig, d broker.Dialect) {
 	e.post(func(int64) {
--- /dev/null
+++ b/internal/transport/routes.go
@@ -0,0 +1,289 @@
+package transport
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log"
+	"net/url"
+	"slices"
+	"sync"
+	"time"
+
+	yw "yarrowwalk"
+	"yarrowwalk/internal/layout"
+	"yarrowwalk/internal/operations"
+)
+
+const (
+	maxLayout    = 8 << 20 // bytes of a whole layout: some 50,000 ranges
+	refreshPause = 250 * time.Millisecond
+	stallLook    = time.Second // between two looks for changes that stall
+	repeatAfter  = time.Minute // then the same fault of a directory is logged again
+)
+
+// RoutesConfig is where layouts come from.
+type RoutesConfig struct {
+	Directory string        // host:port; empty: the operator's file alone
+	Stall     time.Duration // a change that stays in one state for longer is reported
+}
+
+// Routes owns the layout in force: it takes in what file and directory say, judged by its keeper, and hands each new layout
+// to the engine and to the fronts, in one order. Times are the clock's.
+type Routes struct {
+	follower
+	cfg     RoutesConfig
+	clock   Clock
+	tell    func(layout.Update)
+	figures *operations.LayoutFigures
+	wanted  chan struct{} // a server has a newer layout
+	heard   chan struct{} // closed with the directory's first word that agrees with what is in force
+	over    sync.WaitGroup
+
+	current *layout.Current // what fronts plan by
+
+	held    sync.Mutex // of what follows
+	keeper  layout.Keeper
+	told    bool
+	fault   string // of the directory, as it was logged last
+	faultAt time.Time
+}
+
+// NewRoutes makes the owner of a layout, with the one that is known at the start and the servers that may hold ranges.
+func NewRoutes(cfg RoutesConfig, first layout.Doc, servers []yw.ServerID, clock Clock, current *layout.Current,
+	tell func(layout.Update), figures *operations.LayoutFigures, logger *log.Logger) (*Routes, error) {
+	r := &Routes{cfg: cfg, clock: clock, current: current, tell: tell, figures: figures, wanted: make(chan struct{}, 1), heard: make(chan struct{})}
+	r.follower = newFollower(cfg.Directory, maxLayout, r, logger)
+	r.fresh = true
+	if err := r.keeper.Servers(servers); err != nil {
+		return nil, err
+	}
+	return r, r.File(first, servers, true)
+}
+
+// Run follows the directory, where there is one, and looks for changes that stall, until Stop.
+func (r *Routes) Run() {
+	if r.cfg.Directory != "" {
+		r.over.Add(1)
+		go func() {
+			defer r.over.Done()
+			r.refreshing()
+		}()
+		go r.follower.Run()
+	} else {
+		close(r.done)
+	}
+	t := time.NewTicker(stallLook)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+			r.look()
+		case <-r.stop:
+			return
+		}
+	}
+}
+
+// Stop ends Run.
+func (r *Routes) Stop() {
+	r.follower.Stop()
+	r.over.Wait()
+}
+
+// Heard is closed once the directory has told a layout that can be followed.
+func (r *Routes) Heard() <-chan struct{} { return r.heard }
+
+// Refresh has the whole layout asked for at once. It never blocks.
+func (r *Routes) Refresh() {
+	select {
+	case r.wanted <- struct{}{}:
+	default:
+	}
+}
+
+// refreshing asks for whole layouts beside the watch, which may be late.
+func (r *Routes) refreshing() {
+	for {
+		select {
+		case <-r.wanted:
+		case <-r.stop:
+			return
+		}
+		if err := r.refresh(); err != nil {
+			r.fails("refresh", err)
+		}
+		t := time.NewTimer(refreshPause)
+		select {
+		case <-t.C:
+		case <-r.stop:
+			t.Stop()
+			return
+		}
+	}
+}
+
+func (r *Routes) refresh() error {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		select {
+		case <-r.stop:
+		case <-ctx.Done():
+		}
+		cancel()
+	}()
+	address, _ := r.target()
+	conn, err := dialPeer(ctx, address)
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	defer context.AfterFunc(ctx, func() { conn.Close() })()
+	return r.follower.whole(conn, address)
+}
+
+// File takes in what the operator's file says, whole or not at all: the servers that may hold ranges, and a layout. What a
+// directory has told prevails over an older layout in the file.
+func (r *Routes) File(d layout.Doc, servers []yw.ServerID, commit bool) error {
+	r.held.Lock()
+	defer r.held.Unlock()
+	trial := r.keeper
+	if err := trial.Servers(servers); err != nil {
+		return fmt.Errorf("layout: %w", err)
+	}
+	var u *layout.Update
+	if now := trial.Current(); now == nil || r.cfg.Directory == "" || d.History != now.History() || d.Epoch >= now.Epoch() {
+		var err error
+		if u, err = trial.Whole(d, r.clock.Now()); err != nil {
+			return fmt.Errorf("layout: %w", err)
+		}
+	}
+	if commit {
+		r.keeper = trial
+		r.put(u, "file")
+	}
+	return nil
+}
+
+// put has an update in force. The lock is held, so updates come in one order everywhere.
+func (r *Routes) put(u *layout.Update, from string) {
+	if u == nil {
+		return
+	}
+	r.tell(*u)
+	r.current.Store(u.Layout)
+	r.figures.Epoch.Store(u.Layout.Epoch())
+	r.figures.Ranges.Store(int64(u.Layout.Len()))
+	r.figures.Changes.Store(int64(len(u.Layout.Changes())))
+	r.figures.Taken.Add(1)
+	r.log.Printf("level=info event=layout epoch=%d ranges=%d changed=%d changes=%d from=%s", u.Layout.Epoch(), u.Layout.Len(),
+		len(u.Changed), len(u.Layout.Changes()), from)
+}
+
+func (r *Routes) wholePath() string { return "/layout" }
+
+func (r *Routes) watchPath() string {
+	l := r.current.Load()
+	return fmt.Sprintf("/layout?watch=1&history=%s&from=%d", url.QueryEscape(l.History()), l.Epoch())
+}
+
+func (r *Routes) whole(body []byte, from string) error {
+	d, err := layout.ParseDoc(body)
+	if err != nil {
+		return err
+	}
+	r.held.Lock()
+	defer r.held.Unlock()
+	u, err := r.keeper.Whole(d, r.clock.Now())
+	if err != nil {
+		return err
+	}
+	r.agrees()
+	r.put(u, from)
+	return nil
+}
+
+// line takes in a step. One that does not follow what is in force has the whole list asked for: something was missed.
+func (r *Routes) line(text []byte, from string) error {
+	s, err := layout.ParseStep(text)
+	if err != nil {
+		return err
+	}
+	r.held.Lock()
+	defer r.held.Unlock()
+	u, err := r.keeper.Step(s, r.clock.Now())
+	if err != nil {
+		return err
+	}
+	r.put(u, from)
+	return nil
+}
+
+func (r *Routes) agrees() {
+	r.fault = ""
+	if !r.told {
+		r.told = true
+		close(r.heard)
+	}
+}
+
+// ended is told how a watch ended. Whatever it was, the whole list comes first on the next one: what is missed is in it.
+func (r *Routes) ended(err error) {
+	r.fresh = true
+	r.fails("watch", err)
+}
+
+// fails reports a fault of the directory; what is in force stays. The same one is not told again and again.
+func (r *Routes) fails(what string, err error) {
+	r.held.Lock()
+	defer r.held.Unlock()
+	reason := "unreachable"
+	for kind, name := range map[error]string{layout.ErrHistory: "history", layout.ErrEpoch: "epoch", layout.ErrInvalid: "invalid",
+		layout.ErrState: "state"} {
+		if errors.Is(err, kind) {
+			reason = name
+		}
+	}
+	if reason != "unreachable" {
+		r.figures.Refused.Add(1)
+	}
+	if text := err.Error(); text != r.fault || time.Since(r.faultAt) > repeatAfter {
+		r.fault, r.faultAt = text, time.Now()
+		r.log.Printf("level=warn event=layout_kept epoch=%d while=%s reason=%s error=%q", r.current.Load().Epoch(), what, reason, text)
+	}
+}
+
+// look reports changes that stall; queries never wait for them.
+func (r *Routes) look() {
+	r.held.Lock()
+	defer r.held.Unlock()
+	now := r.clock.Now()
+	all, fresh := r.keeper.Stalled(now, r.cfg.Stall.Microseconds())
+	r.figures.Stalled.Store(int64(len(all)))
+	for _, s := range fresh {
+		r.log.Printf("level=warn event=layout_stalled change=%q kind=%s state=%s for=%s", s.ID, s.Kind, s.State,
+			time.Duration(now-s.Since)*time.Microsecond)
+	}
+}
+
+// Layout appends how the layout stands, for operators.
+func (r *Routes) Layout(dst []byte) []byte {
+	r.held.Lock()
+	defer r.held.Unlock()
+	l := r.keeper.Current()
+	dst = fmt.Appendf(dst, "history %s epoch %d ranges %d\n", l.History(), l.Epoch(), l.Len())
+	all, _ := r.keeper.Stalled(r.clock.Now(), r.cfg.Stall.Microseconds())
+	for _, c := range l.Changes() {
+		stalled := ""
+		if slices.ContainsFunc(all, func(s layout.Stall) bool { return s.ID == c.ID }) {
+			stalled = " stalled"
+		}
+		dst = fmt.Appendf(dst, "change %s %s %s %s%s\n", c.ID, c.Kind, layout.Span{From: c.From[0].From, To: c.From[len(c.From)-1].To},
+			c.State, stalled)
+	}
+	if r.fault != "" {
+		dst = fmt.Appendf(dst, "directory %q\n", r.fault)
+	}
+	return dst
+}
