Prove splits, merges and moves under running queries on stand-in servers and a stand-in directory

Need: the layout has to hold over the real program, with servers that are cut, killed or lag and a directory that lies. Change: internal/standin has search servers by row and range, a layout directory with faults, a cluster that fences before it tells, and a ledger of its own; TestProof plays queries through two gatherers meanwhile. An attempt that found its range gone counts against no limit and goes to each holder once until they change (holders carry the epoch they date from): before, epochs of other ranges freed the same holders again and used the attempts up.

--- a/api.go
+++ b/api.go
@@ -135,7 +135,7 @@
 	NotSent
 	Stranded // its connection was given up for another reason: that says nothing of the server
 	// Misplaced: the server holds the shard no longer, by a table that is newer than the one here. It never ran, and says
-	// nothing of the server; the part does not go there again until the table changes.
+	// nothing of the server; the part does not go there again until its holders change.
 	Misplaced
 )
 
@@ -224,8 +224,12 @@
 // part of the budget counts as spent.
 type Recalled struct{ Learned }
 
-// Holders tells which servers hold a shard; none for one that is not there. It never changes once it is given.
-type Holders interface{ Of(shard int) []ServerID }
+// Holders tells which servers hold a shard, and a number that is another whenever those of a shard are others. A shard that is
+// not there has none. It never changes once it is given.
+type Holders interface {
+	Of(shard int) []ServerID
+	Since(shard int) int64
+}
 
 // HoldersChanged puts a table of holders in force, in the place of the settings' Shards, Cells and Reach or of another table.
 type HoldersChanged struct{ Holders Holders }
--- a/internal/layout/judge.go
+++ b/internal/layout/judge.go
@@ -72,7 +72,7 @@
 	if err := j.err(); err != nil {
 		return nil, err
 	}
-	return build(d), nil
+	return build(d, nil), nil
 }
 
 func byKey(a, b Range) int { return cmp.Compare(a.From, b.From) }
--- a/internal/layout/keeper.go
+++ b/internal/layout/keeper.go
@@ -96,6 +96,9 @@
 		}
 		return nil, nil
 	}
+	if k.now != nil {
+		l.date(k.now)
+	}
 	return k.take(l, at), nil
 }
 
--- a/internal/layout/layout.go
+++ b/internal/layout/layout.go
@@ -74,14 +74,15 @@
 
 // Layout is a judged layout. It never changes.
 type Layout struct {
-	doc Doc
-	at  map[int]int    // place of a shard in force among the ranges
-	old map[int]*Range // old sides that are not yet retired, by shard; a move's is the set of servers it leaves
+	doc   Doc
+	at    map[int]int    // place of a shard in force among the ranges
+	since map[int]int64  // the epoch from which a shard's holders are as they are; absent: since before the first layout
+	old   map[int]*Range // old sides that are not yet retired, by shard; a move's is the set of servers it leaves
 }
 
 // build indexes a document that has been judged.
-func build(d Doc) *Layout {
-	l := &Layout{doc: d, at: make(map[int]int, len(d.Ranges)), old: map[int]*Range{}}
+func build(d Doc, since map[int]int64) *Layout {
+	l := &Layout{doc: d, since: since, at: make(map[int]int, len(d.Ranges)), old: map[int]*Range{}}
 	for i := range d.Ranges {
 		l.at[d.Ranges[i].Shard] = i
 	}
@@ -133,6 +134,9 @@
 	return nil
 }
 
+// Since is the epoch from which a shard's holders are as they are, as far as it was heard.
+func (l *Layout) Since(shard int) int64 { return l.since[shard] }
+
 // Answers tells whether what a server gives for a span of a shard counts now: it holds it, or it is an old side that is
 // not yet retired. Guards against a holder that has missed its own loss.
 func (l *Layout) Answers(server yw.ServerID, shard int, span Span) bool {
--- /dev/null
+++ b/internal/layout/program_test.go
@@ -0,0 +1,296 @@
+package layout_test
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	yw "yarrowwalk"
+	"yarrowwalk/internal/layout"
+	"yarrowwalk/internal/standin"
+)
+
+const patience = 20 * time.Second // for what has to happen; no verdict hangs on how soon it does
+
+var binary = sync.OnceValues(func() (string, error) {
+	dir, err := os.MkdirTemp("", "saffronquay-layout")
+	if err != nil {
+		return "", err
+	}
+	path := filepath.Join(dir, "saffronquay")
+	if out, err := exec.Command("go", "build", "-o", path, "yarrowwalk/cmd/saffronquay").CombinedOutput(); err != nil {
+		return "", fmt.Errorf("%w: %s", err, out)
+	}
+	return path, nil
+})
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	if path, err := binary(); err == nil {
+		os.RemoveAll(filepath.Dir(path))
+	}
+	os.Exit(code)
+}
+
+// gatherer is one start of the program, with an agent of the directory of its own.
+type gatherer struct {
+	t       *testing.T
+	agent   *standin.Agent
+	file    string
+	env     []string
+	socket  *os.File
+	cmd     *exec.Cmd
+	address string
+	door    string
+	exited  chan struct{}
+
+	mu   sync.Mutex
+	log  []string
+	news chan struct{} // closed, and replaced, with each line
+}
+
+var started = regexp.MustCompile(`event=start .*listen=(\S+) operator=(\S+)`)
+
+// newCluster makes n servers and ranges of equal width over the keys from 0, a row each, held by reach servers.
+func newCluster(t *testing.T, servers, ranges, reach int, keys int64, cfg standin.ServerConfig) *standin.Cluster {
+	t.Helper()
+	doc := layout.Doc{History: "h1", Epoch: 1}
+	var ids []yw.ServerID
+	for i := range servers {
+		ids = append(ids, yw.ServerID(fmt.Sprintf("s%02d", i)))
+	}
+	for i := range ranges {
+		r := layout.Range{Shard: i, Span: layout.Span{From: keys * int64(i) / int64(ranges), To: keys * int64(i+1) / int64(ranges)}}
+		for j := range reach {
+			r.Holders = append(r.Holders, ids[(i+j)%servers])
+		}
+		doc.Ranges = append(doc.Ranges, r)
+	}
+	var rows []standin.Row
+	for k := range keys {
+		rows = append(rows, standin.Row{Key: k, ID: fmt.Sprintf("row-%d", k)})
+	}
+	if cfg.Field, cfg.Once = "taxpayer", map[string]bool{"filings": true}; cfg.Cores == 0 {
+		cfg.Cores, cfg.Queue, cfg.Work = 4, 1000, 300*time.Microsecond
+	}
+	c, err := standin.NewCluster(ids, cfg, doc, rows)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.Close)
+	return c
+}
+
+// config is an operator's file for a cluster; without a directory the file alone tells.
+func config(t *testing.T, c *standin.Cluster, whole layout.Doc, directory string, draining ...yw.ServerID) []byte {
+	t.Helper()
+	var servers []any
+	for _, s := range c.Servers {
+		servers = append(servers, map[string]any{"id": s.ID(), "address": s.Address(), "zone": "a",
+			"draining": slices.Contains(draining, s.ID())})
+	}
+	l := map[string]any{"whole": whole, "stall_ms": 300}
+	if directory != "" {
+		l["directory"] = directory
+	}
+	text, err := json.Marshal(map[string]any{"name": "g", "listen": "127.0.0.1:0", "operator": "127.0.0.1:0", "seed": "7",
+		"servers": servers, "layout": l,
+		"indices": []any{map[string]any{"name": "invoices", "class": "read", "field": "taxpayer", "part_work_us": 500},
+			map[string]any{"name": "filings", "class": "once", "field": "taxpayer", "part_work_us": 500}},
+		"settings": json.RawMessage(`{"me":0,"balancers":1,"zone":"a","period_us":2000,
+ "classes":[{"name":"read","aim_us":4000000,"hard_limit_us":6000000,"worth":1,"late_worth":0.1,"effect":"free"},
+  {"name":"once","aim_us":4000000,"hard_limit_us":6000000,"worth":1,"late_worth":0.1,"effect":"single_shot"}],
+ "family_info":{"class_fetch":[0,0],"class_partial":[0.9,0.9],"floor_by_class":[1,1],"whole_at":[1,1],"positions":1,"reach":1,"shards":1,"parts_a_call":1},
+ "permissions":{"max_open":5000,"connect_timeout_us":250000,"idle_close_us":15000000,"streams_per_conn":32,"may_cancel":true,
+  "most_tries":4,"second_copies":true,"retry_after":true,"max_retry_after_us":500000},
+ "rules":{"grace_to_answer_us":20000,"warm_within_us":1000000}}`)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return text
+}
+
+// start starts a gatherer that follows the cluster's directory by an agent of its own.
+func start(t *testing.T, c *standin.Cluster) *gatherer {
+	t.Helper()
+	agent, err := c.Directory.Agent()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(agent.Close)
+	g := &gatherer{t: t, agent: agent, file: filepath.Join(t.TempDir(), "operator.json")}
+	g.write(config(t, c, c.Directory.Now().Doc(), agent.Address()))
+	g.run()
+	return g
+}
+
+func (g *gatherer) write(text []byte) {
+	if err := os.WriteFile(g.file, text, 0o600); err != nil {
+		g.t.Fatal(err)
+	}
+}
+
+// run starts the program, once more where it ran already.
+func (g *gatherer) run() {
+	path, err := binary()
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	g.news, g.exited = make(chan struct{}), make(chan struct{})
+	g.cmd = exec.Command(path)
+	g.cmd.Env = append(append(os.Environ(), "SAFFRONQUAY_OPERATOR_FILE="+g.file, "LB_OPERATOR="), g.env...)
+	if g.socket != nil {
+		g.cmd.ExtraFiles = []*os.File{g.socket}
+	}
+	errs, err := g.cmd.StderrPipe()
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	if err := g.cmd.Start(); err != nil {
+		g.t.Fatal(err)
+	}
+	cmd, exited := g.cmd, g.exited
+	up := make(chan []string, 1)
+	go func() {
+		defer close(exited)
+		for lines := bufio.NewScanner(errs); lines.Scan(); {
+			text := lines.Text()
+			if m := started.FindStringSubmatch(text); m != nil {
+				up <- m
+			}
+			if strings.Contains(text, "panic") || strings.Contains(text, "DATA RACE") || strings.Contains(text, "deadline guard") {
+				g.t.Errorf("the program said: %s", text)
+			}
+			g.mu.Lock()
+			g.log = append(g.log, text)
+			close(g.news)
+			g.news = make(chan struct{})
+			g.mu.Unlock()
+		}
+		cmd.Wait()
+	}()
+	g.t.Cleanup(func() { cmd.Process.Kill(); <-exited })
+	select {
+	case m := <-up:
+		g.address, g.door = m[1], m[2]
+	case <-exited:
+		g.t.Fatalf("the program ended at its start: %s", strings.Join(g.log, "\n"))
+	case <-time.After(patience):
+		g.t.Fatal("the program did not start")
+	}
+}
+
+// says waits until a line of the log, from the given number on, holds all of some words, and returns its number.
+func (g *gatherer) says(from int, words ...string) int {
+	g.t.Helper()
+	end := time.After(patience)
+	for {
+		g.mu.Lock()
+		log, news := g.log, g.news
+		g.mu.Unlock()
+		for i := from; i < len(log); i++ {
+			if !slices.ContainsFunc(words, func(w string) bool { return !strings.Contains(log[i], w) }) {
+				return i
+			}
+		}
+		select {
+		case <-news:
+		case <-end:
+			g.t.Fatalf("the program never said %q", words)
+		}
+	}
+}
+
+// at waits until the gatherer has an epoch in force.
+func (g *gatherer) at(epoch int64) { g.says(0, "event=layout ", fmt.Sprintf("epoch=%d ", epoch)) }
+
+func (g *gatherer) signal(s syscall.Signal) {
+	if err := g.cmd.Process.Signal(s); err != nil {
+		g.t.Fatal(err)
+	}
+}
+
+func (g *gatherer) call(words string) string {
+	conn, err := net.Dial("tcp", g.door)
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(patience))
+	fmt.Fprintln(conn, words)
+	answer, _ := io.ReadAll(conn)
+	return string(answer)
+}
+
+// outcome is a query's one final answer.
+type outcome struct {
+	status int
+	ids    []string
+	total  int
+	text   string
+}
+
+var client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}, Timeout: patience}
+
+// ask sends a search for the keys in any of some spans.
+func (g *gatherer) ask(index, id string, want []layout.Span) outcome {
+	var should []string
+	for _, w := range want {
+		should = append(should, fmt.Sprintf(`{"range":{"taxpayer":{"gte":%d,"lt":%d}}}`, w.From, w.To))
+	}
+	body := fmt.Sprintf(`{"size":5000,"query":{"bool":{"should":[%s]}}}`, strings.Join(should, ","))
+	req, err := http.NewRequest("POST", "http://"+g.address+"/"+index+"/_search", strings.NewReader(body))
+	if err != nil {
+		g.t.Error(err)
+		return outcome{}
+	}
+	req.Header.Set("X-Opaque-Id", id)
+	resp, err := client.Do(req)
+	if err != nil {
+		return outcome{text: err.Error()}
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return outcome{text: err.Error()}
+	}
+	o := outcome{status: resp.StatusCode, text: string(text)}
+	var a struct {
+		TimedOut bool                            `json:"timed_out"`
+		Shards   struct{ Total, Successful int } `json:"_shards"`
+		Hits     struct {
+			Total struct{ Value int }
+			Hits  []struct {
+				ID string `json:"_id"`
+			}
+		}
+	}
+	if err := json.Unmarshal(text, &a); err != nil || o.status == 200 && (a.TimedOut || a.Shards.Successful != a.Shards.Total) {
+		return outcome{text: "not whole: " + o.text}
+	}
+	for _, h := range a.Hits.Hits {
+		o.ids = append(o.ids, h.ID)
+	}
+	slices.Sort(o.ids)
+	o.total = a.Hits.Total.Value
+	return o
+}
+
+// equals tells that an answer is what one store would give.
+func (o outcome) equals(c *standin.Cluster, want []layout.Span) bool {
+	ids := c.Single(want)
+	return o.status == 200 && slices.Equal(o.ids, ids) && o.total == len(ids)
+}
--- /dev/null
+++ b/internal/layout/proof_test.go
@@ -0,0 +1,191 @@
+package layout_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"yarrowwalk/internal/layout"
+	"yarrowwalk/internal/standin"
+)
+
+// tally counts what queries came to.
+type tally struct{ queries, whole, refused, failed, wrong, broke atomic.Int64 }
+
+const clients = 24
+
+// load has clients ask both gatherers until so many queries are through.
+func load(t *testing.T, c *standin.Cluster, gs []*gatherer, name string, queries int64, seed uint64, sum *tally) {
+	var wg sync.WaitGroup
+	for i := range clients {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			rng := rand.New(rand.NewPCG(seed, uint64(i)))
+			for n := sum.queries.Add(1); n <= queries; n = sum.queries.Add(1) {
+				one(t, c, gs[rng.IntN(len(gs))], fmt.Sprintf("%s-%d", name, n), rng, sum)
+			}
+		}()
+	}
+	wg.Wait()
+	sum.queries.Store(queries)
+}
+
+// one asks once and judges the answer.
+func one(t *testing.T, c *standin.Cluster, g *gatherer, id string, rng *rand.Rand, sum *tally) {
+	index, n, width := "invoices", 1+rng.IntN(4), int64(80)
+	if rng.IntN(10) < 3 {
+		index, n, width = "filings", 1+rng.IntN(2), 4
+	}
+	var want []layout.Span
+	for range n {
+		from := rng.Int64N(int64(len(c.All)) - width)
+		want = append(want, layout.Span{From: from, To: from + 1 + rng.Int64N(width)})
+	}
+	switch o := g.ask(index, id, want); {
+	case o.status == 200 && o.equals(c, want):
+		sum.whole.Add(1)
+	case o.status == 429 && c.Ledger.Ran(id):
+		sum.wrong.Add(1)
+		t.Errorf("%s was refused, and yet it ran", id)
+	case o.status == 429:
+		sum.refused.Add(1)
+	case o.status == 500:
+		sum.failed.Add(1)
+	default:
+		sum.wrong.Add(1)
+		t.Errorf("%s %v: %d %.300s; one store gives %d rows", id, want, o.status, o.text, len(c.Single(want)))
+	}
+}
+
+// churn goes through changes of all kinds, some of which are aborted before or after the cut over, until stop.
+func churn(t *testing.T, c *standin.Cluster, stop <-chan struct{}, seed uint64, pause time.Duration, changes *atomic.Int64) *sync.WaitGroup {
+	var wg sync.WaitGroup
+	for i := range 4 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			rng := rand.New(rand.NewPCG(seed, uint64(i)))
+			rest := func() bool {
+				select {
+				case <-stop:
+					return false
+				case <-time.After(pause):
+					return true
+				}
+			}
+			for n := 0; rest(); n++ {
+				step, ok := c.Random(rng, fmt.Sprintf("c%d-%d", i, n), 3)
+				if !ok || c.Do(step) != nil { // another changer was first
+					continue
+				}
+				last := []layout.Deed{layout.Copy, layout.BothUp, layout.Cut, layout.Retire}
+				if rng.IntN(4) == 0 {
+					last = append(last[:1+rng.IntN(3)], layout.Abort)
+				}
+				for _, deed := range last {
+					if !rest() {
+						return
+					}
+					if err := c.Do(layout.Step{Change: step.Change, Do: deed}); err != nil {
+						if deed != layout.Abort {
+							t.Errorf("%s %s: %v", step.Change, deed, err)
+						} else if err := c.Do(layout.Step{Change: step.Change, Do: layout.Retire}); err != nil {
+							t.Errorf("%s can't be aborted, and not be retired: %v", step.Change, err)
+						}
+					}
+				}
+				changes.Add(1)
+			}
+		}()
+	}
+	return &wg
+}
+
+// trouble gives servers and the directory's agents a fault each for a moment, again and again; kills too where asked.
+func trouble(c *standin.Cluster, gs []*gatherer, stop <-chan struct{}, seed uint64, kills bool) {
+	rng := rand.New(rand.NewPCG(seed, 99))
+	faults := []standin.Fault{standin.CutUnread, standin.CutHalf, standin.CutRan, standin.Refuses, standin.Mislabels, standin.Lags}
+	ills := []standin.Ill{standin.Down, standin.Mute, standin.Garbles, standin.Skips, standin.Backs, standin.Other, standin.Trickle}
+	for n := 0; ; n++ {
+		s, a := c.Servers[rng.IntN(len(c.Servers))], gs[rng.IntN(len(gs))].agent
+		a.Set(ills[rng.IntN(len(ills))], time.Duration(rng.IntN(200))*time.Millisecond)
+		if kills {
+			s.Kill()
+		} else if n%2 == 0 {
+			s.Set(faults[rng.IntN(len(faults))])
+		}
+		ended := false
+		select {
+		case <-stop:
+			ended = true
+		case <-time.After(time.Duration(20+rng.IntN(60)) * time.Millisecond):
+		}
+		s.Set(standin.None)
+		if kills {
+			s.Start()
+		}
+		a.Set(standin.Well, time.Duration(rng.IntN(100))*time.Millisecond)
+		if ended {
+			return
+		}
+		select {
+		case <-stop:
+			return
+		case <-time.After(150 * time.Millisecond):
+		}
+	}
+}
+
+// TestProof is the proof: queries over the real program while ranges split, merge and move under faults.
+// SAFFRONQUAY_PROOF_QUERIES sets how many.
+func TestProof(t *testing.T) {
+	queries := int64(10_000)
+	if text := os.Getenv("SAFFRONQUAY_PROOF_QUERIES"); text != "" {
+		queries, _ = strconv.ParseInt(text, 10, 64)
+	}
+	c := newCluster(t, 12, 40, 3, 4000, standin.ServerConfig{})
+	gs := []*gatherer{start(t, c), start(t, c)}
+	phase := func(name string, queries int64, kills bool) (*tally, int64) {
+		var sum tally
+		var changes atomic.Int64
+		stop, calm := make(chan struct{}), make(chan struct{})
+		go func() { defer close(calm); trouble(c, gs, stop, 5, kills) }()
+		changing := churn(t, c, stop, uint64(len(name)), 15*time.Millisecond, &changes)
+		for {
+			before := sum.queries.Load()
+			load(t, c, gs, name, before+queries, uint64(len(name)), &sum)
+			if kills || changes.Load() >= 200 || t.Failed() {
+				break
+			}
+			queries = 1000 // until there were changes enough
+		}
+		close(stop)
+		changing.Wait()
+		<-calm
+		return &sum, changes.Load()
+	}
+	killed, _ := phase("killed", queries/5, true)
+	t.Logf("with servers killed: queries=%d whole=%d refused=%d failed=%d", killed.queries.Load(), killed.whole.Load(),
+		killed.refused.Load(), killed.failed.Load())
+	sum, changes := phase("proof", queries, false)
+	runs, twice, astray := c.Ledger.Counts()
+	wrong := sum.wrong.Load() + killed.wrong.Load()
+	if twice != 0 || astray != 0 || wrong != 0 {
+		t.Errorf("run_twice=%d astray=%d wrong=%d", twice, astray, wrong)
+	}
+	if lost := sum.refused.Load() + sum.failed.Load(); lost*100 >= sum.queries.Load() {
+		t.Errorf("%d of %d refused or failed", lost, sum.queries.Load())
+	}
+	for i, g := range gs {
+		t.Logf("gatherer %d: %s", i, g.call("stats"))
+	}
+	t.Logf("parts run=%d at a server that did not hold them=%d", runs, astray)
+	fmt.Printf("proof: queries=%d changes=%d whole=%d refused=%d failed=%d run_twice=%d wrong=%d\n", sum.queries.Load(), changes,
+		sum.whole.Load(), sum.refused.Load(), sum.failed.Load(), twice, wrong)
+}
--- a/internal/layout/step.go
+++ b/internal/layout/step.go
@@ -59,11 +59,25 @@
 		return nil, err
 	}
 	if s.Do != Cut && s.Do != Abort { // what is in force stays: the index of shards can be shared
-		n := build(Doc{Changes: next.Changes})
+		n := build(Doc{Changes: next.Changes}, l.since)
 		n.doc, n.at = next, l.at
 		return n, nil
 	}
-	return build(next), nil
+	n := build(next, nil)
+	n.date(l)
+	return n, nil
+}
+
+// date finds since when each shard's holders are as they are, given the layout before. It costs O(n).
+func (l *Layout) date(before *Layout) {
+	l.since = make(map[int]int64, len(before.since)+2)
+	for shard, i := range l.at {
+		if j, ok := before.at[shard]; !ok || !before.doc.Ranges[j].equal(l.doc.Ranges[i]) {
+			l.since[shard] = l.doc.Epoch
+		} else if at, ok := before.since[shard]; ok {
+			l.since[shard] = at
+		}
+	}
 }
 
 func (l *Layout) announce(j *judge, next *Doc, s Step) {
--- /dev/null
+++ b/internal/standin/server.go
@@ -0,0 +1,307 @@
+package standin
+
+import (
+	"fmt"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/valyala/fastjson"
+
+	yw "yarrowwalk"
+	"yarrowwalk/internal/layout"
+)
+
+// Fault is how a server treats searches, until it is told otherwise.
+type Fault string
+
+// The faults. The three cuts end the connection without an answer.
+const (
+	None      Fault = ""
+	CutUnread Fault = "cut-unread" // before the search is read
+	CutHalf   Fault = "cut-half"   // with half of its body read
+	CutRan    Fault = "cut-ran"    // after it ran
+	Silent    Fault = "silent"     // says nothing, runs nothing, until the caller goes
+	Refuses   Fault = "refuses"    // turned away, as with a full queue
+	Zombie    Fault = "zombie"     // goes on answering for what it has lost
+	Mislabels Fault = "mislabels"  // answers under another span than was asked for
+	Lags      Fault = "lags"       // denies what it holds, by an old epoch
+)
+
+// ServerConfig is what a server is made of.
+type ServerConfig struct {
+	ID    yw.ServerID
+	Field string          // the key's name in queries
+	Once  map[string]bool // indices whose parts may run once
+	Cores int             // parts in work at a time
+	Queue int             // parts that wait; beyond that they are turned away
+	Work  time.Duration   // of a part
+	Each  time.Duration   // and of each row that it gives
+}
+
+// hold is what a server has of one shard.
+type hold struct {
+	span   layout.Span
+	rows   []Row
+	active bool // answers; else it is a copy that is not yet, or no longer, in force
+}
+
+// Server is a stand-in search server. It speaks the search API, and the place fields of package layout.
+type Server struct {
+	cfg    ServerConfig
+	ledger *Ledger
+	truth  func(yw.ServerID, layout.Place) bool
+	cores  chan struct{}
+
+	mu      sync.Mutex
+	address string
+	http    *http.Server
+	holds   map[int]*hold
+	epoch   int64
+	fault   Fault
+	waiting int
+	busy    time.Duration // worked, in all
+	parts   int           // run, in all
+}
+
+func newServer(cfg ServerConfig, ledger *Ledger, truth func(yw.ServerID, layout.Place) bool) (*Server, error) {
+	s := &Server{cfg: cfg, ledger: ledger, truth: truth, cores: make(chan struct{}, cfg.Cores), holds: map[int]*hold{},
+		address: "127.0.0.1:0"}
+	return s, s.Start()
+}
+
+// Start listens, at the same address as before where there was one.
+func (s *Server) Start() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l, err := net.Listen("tcp", s.address)
+	if err != nil {
+		return fmt.Errorf("stand-in %s: %w", s.cfg.ID, err)
+	}
+	s.address = l.Addr().String()
+	s.http = &http.Server{Handler: s, ReadHeaderTimeout: 5 * time.Second, ErrorLog: log.New(io.Discard, "", 0)}
+	go s.http.Serve(l)
+	return nil
+}
+
+// Kill ends it as a process that dies: connections are reset. What it holds is there when it starts again.
+func (s *Server) Kill() {
+	s.mu.Lock()
+	h := s.http
+	s.mu.Unlock()
+	h.Close()
+}
+
+// Address is where it listens.
+func (s *Server) Address() string { return s.address }
+
+// Set gives it a fault.
+func (s *Server) Set(f Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fault = f
+}
+
+// Worked is how many parts it has run, and for how long.
+func (s *Server) Worked() (parts int, busy time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.parts, s.busy
+}
+
+// store has it keep rows of a span, without answering for them yet; what it keeps already stays as it is.
+func (s *Server) store(shard int, span layout.Span, rows []Row) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.holds[shard] == nil {
+		s.holds[shard] = &hold{span: span, rows: rows}
+	}
+}
+
+// fence changes whether it answers for a shard from an epoch on; nothing of the shard begins to run after a fence.
+func (s *Server) fence(shard int, active bool, epoch int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.epoch = max(s.epoch, epoch)
+	if h := s.holds[shard]; h != nil {
+		h.active = active
+	}
+}
+
+// drop has it forget a shard.
+func (s *Server) drop(shard int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.holds, shard)
+}
+
+// ServeHTTP answers one search.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	fault := s.fault
+	s.mu.Unlock()
+	switch fault {
+	case CutUnread:
+		cut(w)
+		return
+	case CutHalf:
+		io.ReadFull(r.Body, make([]byte, max(1, r.ContentLength/2)))
+		cut(w)
+		return
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, 1<<20))
+	index, ok := strings.CutSuffix(strings.Trim(r.URL.Path, "/"), "/_search")
+	if err != nil || !ok {
+		answer(w, http.StatusBadRequest, `{"error":{"type":"illegal_argument_exception","reason":"want a search"},"status":400}`)
+		return
+	}
+	place, err := layout.ParsePlace(r.Header.Get(layout.PlaceField))
+	if err != nil {
+		answer(w, http.StatusBadRequest, `{"error":{"type":"illegal_argument_exception","reason":"want a place"},"status":400}`)
+		return
+	}
+	switch fault {
+	case Silent:
+		<-r.Context().Done()
+		return
+	case Refuses:
+		turnAway(w)
+		return
+	case Lags:
+		s.deny(w, place.Epoch-1)
+		return
+	}
+	rows, epoch, ran := s.run(r, index, place, fault == Zombie)
+	switch {
+	case ran == full:
+		turnAway(w)
+	case ran == gone:
+		s.deny(w, epoch)
+	case fault == CutRan:
+		cut(w)
+	default:
+		place.Epoch = epoch
+		if fault == Mislabels {
+			place.To++
+		}
+		w.Header().Set(layout.PlaceField, place.String())
+		answer(w, http.StatusOK, s.search(body, rows, place.Span))
+	}
+}
+
+type verdict int
+
+const (
+	done verdict = iota
+	full
+	gone
+)
+
+// run waits for a core and works. Whether it still holds the place is judged when it begins.
+func (s *Server) run(r *http.Request, index string, place layout.Place, zombie bool) ([]Row, int64, verdict) {
+	if epoch, ok := s.holding(place, zombie); !ok {
+		return nil, epoch, gone
+	}
+	s.mu.Lock()
+	if s.waiting >= s.cfg.Cores+s.cfg.Queue {
+		s.mu.Unlock()
+		return nil, 0, full
+	}
+	s.waiting++
+	s.mu.Unlock()
+	defer func() { s.mu.Lock(); s.waiting--; s.mu.Unlock() }()
+	select {
+	case s.cores <- struct{}{}:
+	case <-r.Context().Done():
+		return nil, 0, full
+	}
+	defer func() { <-s.cores }()
+	s.mu.Lock()
+	h := s.holds[place.Shard]
+	if epoch := s.epoch; h == nil || !h.active && !zombie || !within(place.Span, h.span) {
+		s.mu.Unlock()
+		return nil, epoch, gone
+	}
+	s.ledger.note(r.Header.Get("X-Opaque-Id"), s.cfg.Once[index], place.Span, s.truth(s.cfg.ID, place))
+	rows, epoch := h.rows, s.epoch
+	took := s.cfg.Work + time.Duration(len(rows))*s.cfg.Each
+	s.parts++
+	s.busy += took
+	s.mu.Unlock()
+	time.Sleep(took)
+	return rows, epoch, done
+}
+
+func (s *Server) holding(place layout.Place, zombie bool) (int64, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	h := s.holds[place.Shard]
+	return s.epoch, h != nil && (h.active || zombie) && within(place.Span, h.span)
+}
+
+func within(a, b layout.Span) bool { return a.From >= b.From && a.To <= b.To }
+
+func (s *Server) deny(w http.ResponseWriter, epoch int64) {
+	w.Header().Set(layout.EpochField, strconv.FormatInt(epoch, 10))
+	answer(w, http.StatusMisdirectedRequest, `{"error":{"type":"shard_not_held_exception","reason":"not held here"},"status":421}`)
+}
+
+func turnAway(w http.ResponseWriter) {
+	answer(w, http.StatusTooManyRequests, `{"error":{"type":"rejected_execution_exception","reason":"queue is full"},"status":429}`)
+}
+
+func answer(w http.ResponseWriter, status int, body string) {
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(status)
+	io.WriteString(w, body)
+}
+
+// search gives the rows of exactly a span that answer to a query.
+func (s *Server) search(body []byte, rows []Row, span layout.Span) string {
+	v, err := fastjson.ParseBytes(body)
+	if err != nil {
+		v = fastjson.MustParse("{}")
+	}
+	first, _ := slices.BinarySearchFunc(rows, span.From, func(r Row, key int64) int {
+		if r.Key < key {
+			return -1
+		}
+		return 1
+	})
+	var hits []string
+	total := 0
+	for _, r := range rows[first:] {
+		if r.Key >= span.To {
+			break
+		}
+		if matches(v.Get("query"), s.cfg.Field, r.Key) {
+			if total++; total <= v.GetInt("size") {
+				hits = append(hits, fmt.Sprintf(`{"_index":"i","_id":%q,"_score":1.0,"_source":{%q:%d}}`, r.ID, s.cfg.Field, r.Key))
+			}
+		}
+	}
+	return fmt.Sprintf(`{"took":1,"timed_out":false,"_shards":{"total":1,"successful":1,"skipped":0,"failed":0},"hits":{"total":`+
+		`{"value":%d,"relation":"eq"},"max_score":1.0,"hits":[%s]}}`, total, strings.Join(hits, ","))
+}
+
+// cut resets the connection.
+func cut(w http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		tcp.SetLinger(0)
+	}
+	conn.Close()
+}
+
+// ID is its id.
+func (s *Server) ID() yw.ServerID { return s.cfg.ID }
--- a/scheduler.go
+++ b/scheduler.go
@@ -91,7 +91,7 @@
 	case Recalled:
 		s.recall(e.Learned)
 	case HoldersChanged:
-		s.table, s.tableN = e.Holders, s.tableN+1
+		s.table = e.Holders
 	case Replanned:
 		s.replan(e)
 	case AlarmRang:
@@ -649,7 +649,7 @@
 // mayTry tells whether the rules allow one more attempt of a part while none, or where second copies are
 // allowed one, is out.
 func (s *Scheduler) mayTry(p *part) bool {
-	if p.served || p.q.done || len(p.attempts) >= max(1, s.cfg.Limits.MaxTries) {
+	if p.served || p.q.done || p.tries() >= max(1, s.cfg.Limits.MaxTries) {
 		return false
 	}
 	if n := p.out(); n > 1 || n == 1 && !s.cfg.Limits.SecondCopies {
@@ -822,7 +822,7 @@
 	a := p.attempts[len(p.attempts)-1]
 	r, t := s.pick(p)
 	t *= s.doubt()
-	if r == nil || s.budget() < 1 || len(p.attempts) >= s.cfg.Limits.MaxTries ||
+	if r == nil || s.budget() < 1 || p.tries() >= s.cfg.Limits.MaxTries ||
 		t >= float64(s.now-a.sent)/s.giveUpLoss() || t > float64(s.goal(p.q)-s.now) {
 		return
 	}
@@ -876,7 +876,9 @@
 
 func (s *Scheduler) send(p *part, r *replica) {
 	a := &attempt{n: len(p.attempts), copy: p.out() > 0, to: r, sent: s.now, due: s.predict(p, r)}
-	a.cost = s.cost(p) + s.callCost(r)
+	if a.cost = s.cost(p) + s.callCost(r); s.table != nil {
+		a.since = s.table.Since(p.Shard)
+	}
 	a.ahead = s.backlog(r) + a.cost
 	if r.callAt != s.now {
 		r.callAt, r.callParts = s.now, 0
@@ -945,7 +947,7 @@
 	case e.Outcome == Served:
 		s.partServed(p, a, float64(e.Latency))
 	case e.Outcome == Misplaced:
-		a.lost = s.tableN
+		a.lost = true
 	case s.cut(a, e.Outcome), e.Outcome == Stranded:
 	case e.Outcome == Broken && !p.q.done:
 		a.broke = s.zones[r.Zone].rate(s.now, 4*s.aim, 0) <= 0.5 // else the path is to blame
--- a/state.go
+++ b/state.go
@@ -89,9 +89,10 @@
 	due   float64 // latency predicted at the send
 	idle  int64   // how long the connection had been idle at the send
 	ended bool
-	ran   bool // may have run
-	broke bool // its connection broke while it was out
-	lost  int  // the table under which its server was found without the shard; 0: none
+	ran   bool  // may have run
+	broke bool  // its connection broke while it was out
+	since int64 // of the shard's holders at the send, by the table
+	lost  bool  // its server was found without the shard
 }
 
 // Scheduler makes the decisions of one aggregator. It is not safe for concurrent use.
@@ -134,7 +135,6 @@
 	average   map[int]float64    // served latency by shard, of those seen
 	unseen    float64            // what stands in for the others
 	table     Holders            // who holds which shard; nil: by the settings' formula
-	tableN    int                // how many tables there were
 	usual     float64            // mean of served latency over what was predicted at the send
 	vain      evidence           // how second copies came out; in vain when another answer was first or none came
 	tenants   map[string]*tenant // those with a share, by name
@@ -319,7 +319,7 @@
 // barred tells that a part is out at a server, or was found not to be there under the table in force.
 func (s *Scheduler) barred(p *part, r *replica) bool {
 	return slices.ContainsFunc(p.attempts, func(a *attempt) bool {
-		return a.to == r && (!a.ended || a.lost > 0 && a.lost == s.tableN)
+		return a.to == r && (!a.ended || a.lost && s.table != nil && a.since == s.table.Since(p.Shard))
 	})
 }
 
@@ -338,6 +338,18 @@
 	}
 }
 
+// tries counts the attempts that count against the limit: one that found its server without the shard asked nothing of it, and
+// goes to each holder once.
+func (p *part) tries() int {
+	n := 0
+	for _, a := range p.attempts {
+		if !a.lost {
+			n++
+		}
+	}
+	return n
+}
+
 func (p *part) mayHaveRun() bool {
 	return slices.ContainsFunc(p.attempts, func(a *attempt) bool { return !a.ended || a.ran })
 }
