Bring about the hard cases of changing layouts, over the program and in virtual time

Need: the claims (never twice, whole or not at all, each key once) want tests that cause the failures. Change: scenes over the program with stand-ins (filing in flight with cuts, changes upon changes, aborts across the cut over, zombies, liars, 3 s apart, a directory that leaves and lies, SIGHUP and replacement in mid-move, all holders draining, stalls); a property test that plays core and module against servers ahead of the gatherer, with a ledger; two seeded bugs that the ledger finds; rapid properties of any history of changes; fuzz targets.

--- /dev/null
+++ b/internal/broker/layout_test.go
@@ -0,0 +1,469 @@
+package broker
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	yw "yarrowwalk"
+	"yarrowwalk/internal/layout"
+)
+
+// fataler is a test, a benchmark or a property.
+type fataler interface{ Fatal(...any) }
+
+func span(from, to int64) layout.Span { return layout.Span{From: from, To: to} }
+
+// ranged makes a layout of ranges of ten keys, each held by s0 and s1.
+func ranged(t fataler, n int) *layout.Layout {
+	d := layout.Doc{History: "h", Epoch: 1}
+	for i := range n {
+		d.Ranges = append(d.Ranges, layout.Range{Span: span(int64(10*i), int64(10*i+10)), Shard: i, Holders: []yw.ServerID{"s0", "s1"}})
+	}
+	l, err := layout.Make(d, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
+// change takes a layout through a split at its middle, a merge with the next range or a move, up to a deed.
+func change(t testing.TB, l *layout.Layout, kind layout.Kind, shard int, until layout.Deed, holders ...yw.ServerID) []*layout.Layout {
+	d := l.Doc()
+	i := slices.IndexFunc(d.Ranges, func(r layout.Range) bool { return r.Shard == shard })
+	r := d.Ranges[i]
+	s := layout.Step{History: "h", Change: "x", Do: layout.Announce, Kind: kind, From: []int{shard}}
+	switch mid := (r.From + r.To) / 2; kind {
+	case layout.Move:
+		s.To = []layout.Range{{Span: r.Span, Shard: shard, Holders: holders}}
+	case layout.Split:
+		s.To = []layout.Range{{Span: span(r.From, mid), Shard: d.NextShard, Holders: holders}, {Span: span(mid, r.To), Shard: d.NextShard + 1, Holders: holders}}
+	case layout.Merge:
+		s.From = append(s.From, d.Ranges[i+1].Shard)
+		s.To = []layout.Range{{Span: span(r.From, d.Ranges[i+1].To), Shard: d.NextShard, Holders: holders}}
+	}
+	var out []*layout.Layout
+	for _, do := range []layout.Deed{layout.Announce, layout.Copy, layout.BothUp, layout.Cut, layout.Retire} {
+		s.Do, s.Epoch = do, l.Epoch()+1
+		next, err := l.Step(s, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if l, out = next, append(out, next); do == until {
+			break
+		}
+	}
+	return out
+}
+
+// placed opens a query for keys under a layout at a core that holds another one, or the same.
+func placed(t *testing.T, class string, planned, inForce *layout.Layout, want ...layout.Span) (*Core, *script, *query) {
+	t.Helper()
+	m := &script{}
+	set := terms()
+	set.MaxOpen = 0
+	c := New(set, m)
+	c.Layout(50, layout.Update{Layout: inForce})
+	a := Ask{Label: "q", Class: class, Deadline: 1000, Want: want}
+	plan := planned.Plan(nil, want)
+	for _, p := range plan {
+		a.Parts = append(a.Parts, AskPart{Shard: p.Shard, Span: p.Span, Weight: 1 / float64(len(plan)), Work: 100})
+	}
+	id, _, err := c.Open(100, a)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c, m, c.queries[id]
+}
+
+func (q *query) places() (out []string) {
+	for _, p := range q.parts {
+		out = append(out, fmt.Sprintf("%d:%s", p.ask.Shard, p.ask.Span))
+	}
+	return out
+}
+
+func update(c *Core, l *layout.Layout) layout.Update {
+	return layout.Update{Layout: l, Changed: layout.Diff(c.routes, l)}
+}
+
+// A key's range may split, or merge, between the planning of its parts and their arrival at the core, or later.
+func TestPlannedAnew(t *testing.T) {
+	l := ranged(t, 3)
+	split, merged := change(t, l, layout.Split, 1, layout.Cut, "s2"), change(t, l, layout.Merge, 0, layout.Cut, "s2")
+	for _, c := range []struct {
+		name   string
+		then   []*layout.Layout
+		want   []layout.Span
+		places string
+	}{
+		{"split", split, []layout.Span{span(5, 25)}, "[0:0-10 3:10-15 4:15-20 2:20-30]"},
+		{"split, only one half asked for", split, []layout.Span{span(16, 18)}, "[4:15-20]"},
+		{"merge", merged, []layout.Span{span(5, 25)}, "[3:0-10 3:10-20 2:20-30]"},
+		{"copying only", split[:2], []layout.Span{span(5, 25)}, "[0:0-10 1:10-20 2:20-30]"},
+	} {
+		last := c.then[len(c.then)-1]
+		_, _, before := placed(t, "free", l, last, c.want...)
+		core, m, after := placed(t, "free", l, l, c.want...)
+		core.Layout(110, update(core, last))
+		act[Call](core, m, 120)
+		for when, q := range map[string]*query{"before": before, "after": after} {
+			if got := fmt.Sprint(q.places()); got != c.places {
+				t.Errorf("%s, told %s it was opened: %s, want %s", c.name, when, got, c.places)
+			}
+			weight := 0.0
+			for _, p := range q.parts {
+				weight += p.ask.Weight
+			}
+			if weight < 0.999 || weight > 1.001 {
+				t.Errorf("%s: the weights add up to %g", c.name, weight)
+			}
+		}
+	}
+}
+
+// What is in stays in, what is out at an old side may come in until that is retired, and what may have run of a class that must
+// not run twice goes nowhere else.
+func TestOutWhenItsRangeSplits(t *testing.T) {
+	l := ranged(t, 1)
+	steps := change(t, l, layout.Split, 0, layout.Retire, "s2")
+	cut, retired := steps[3], steps[4]
+	for _, c := range []struct {
+		name, class string
+		outcome     yw.Outcome
+		when        *layout.Layout // in force when the outcome comes
+		places      string
+	}{
+		{"an answer of the old side", "free", yw.Served, cut, "[0:0-10]"},
+		{"misplaced", "free", yw.Misplaced, cut, "[1:0-5 2:5-10]"},
+		{"misplaced once", "once", yw.Misplaced, cut, "[1:0-5 2:5-10]"},
+		{"cut before its frame", "once", yw.Unreachable, cut, "[1:0-5 2:5-10]"},
+		{"cut after its frame", "once", yw.Broken, cut, "[0:0-10]"},
+		{"timed out", "once", yw.TimedOut, retired, "[0:0-10]"},
+		{"cut after its frame, may be repeated", "free", yw.Broken, cut, "[1:0-5 2:5-10]"},
+		{"served by one that holds it no longer", "once", yw.Served, retired, "[0:0-10]"},
+	} {
+		core, m, q := placed(t, c.class, l, l, span(0, 10))
+		calls := act[Call](core, m, 110, yw.Send{Part: q.parts[0].id, Server: "s0"})
+		core.Layout(120, update(core, cut))
+		if c.when == retired {
+			core.Layout(121, update(core, retired))
+		}
+		core.Ended(130, calls[0].Attempts[0].ID, c.outcome, []byte("v"), nil)
+		act[Call](core, m, 140)
+		if got := fmt.Sprint(q.places()); got != c.places {
+			t.Errorf("%s: %s, want %s", c.name, got, c.places)
+		}
+		if in := q.parts[0].in; in != (c.outcome == yw.Served && c.when == cut) {
+			t.Errorf("%s: in %t", c.name, in)
+		}
+	}
+	core, m, q := placed(t, "free", l, l, span(0, 10)) // a silent server: its old side goes, and nothing else would end it
+	act[Call](core, m, 110, yw.Send{Part: q.parts[0].id, Server: "s0"}, yw.Send{Part: q.parts[0].id, Server: "s1"})
+	core.Layout(120, update(core, cut))
+	core.Layout(121, update(core, retired))
+	if drops := act[Drop](core, m, 130); len(drops) != 2 || fmt.Sprint(q.places()) != "[1:0-5 2:5-10]" {
+		t.Errorf("retired under it: %v %v", drops, q.places())
+	}
+}
+
+// A server's word can't send a part in circles: without a later epoch it is not planned anew, and the directory is asked.
+func TestMisplacedAndNothingNew(t *testing.T) {
+	l := ranged(t, 1)
+	core, m, q := placed(t, "free", l, l, span(0, 10))
+	for n := range 3 {
+		now := int64(110 + 20*n)
+		calls := act[Call](core, m, now, yw.Send{Part: q.parts[0].id, Server: "s0"})
+		core.Ended(now+5, calls[0].Attempts[0].ID, yw.Misplaced, nil, nil)
+		if asked := act[Refresh](core, m, now+10); len(asked) != 1 || len(q.parts) != 1 || core.replanned != 0 {
+			t.Fatalf("%d: asked %d times, %v", n, len(asked), q.places())
+		}
+	}
+}
+
+// world plays the module and the core in virtual time against servers that are ahead of what the gatherer was told.
+type world struct {
+	rng      *rand.Rand
+	core     *Core
+	now      int64
+	truth    *layout.Layout
+	untold   []*layout.Layout
+	coming   []arrival
+	ran      map[yw.ID][]layout.Span // of queries that must not run twice
+	asked    map[string]Ask
+	ended    map[yw.ID]bool
+	ids      map[yw.ID]Ask
+	problem  string
+	answered int
+	// careless has the driver say that what was cut after it ran never ran: a bug that the ledger has to find.
+	careless bool
+}
+
+type arrival struct {
+	at      int64
+	attempt AttemptID
+	outcome yw.Outcome
+	value   []byte
+}
+
+func (w *world) fault(format string, args ...any) {
+	if w.problem == "" {
+		w.problem = fmt.Sprintf("at %d: ", w.now) + fmt.Sprintf(format, args...)
+	}
+}
+
+// newWorld makes one. lax has the module believe that everything may be repeated: another bug that the ledger has to find.
+func newWorld(t fataler, seed uint64, lax bool) *world {
+	w := &world{rng: rand.New(rand.NewPCG(seed, 1)), ran: map[yw.ID][]layout.Span{}, ended: map[yw.ID]bool{}, ids: map[yw.ID]Ask{}}
+	classes := []yw.Class{{Name: "free", Aim: 40_000, HardLimit: 60_000, Worth: 1, LateWorth: 0.1, Need: 1, Floor: 1},
+		{Name: "once", Aim: 40_000, HardLimit: 60_000, Worth: 1, LateWorth: 0.1, Need: 1, Floor: 1, Effect: yw.AtMostOnce}}
+	set := yw.Settings{Aggregators: 1, Period: 100, Classes: slices.Clone(classes), Shards: 1, Cells: 1, Reach: 1,
+		Limits: yw.Limits{MaxTries: 4, SecondCopies: true, MayCancel: true, RetryAfter: true, MaxRetryAfter: 500}}
+	if lax {
+		set.Classes[1].Effect = yw.Repeatable
+	}
+	module, err := yw.New(set, seed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.core = New(Terms{Period: 100, Shards: 1, PartsPerCall: 1, RetryAfter: true, MaxRetryAfter: 500, AnswerGrace: 100, Classes: classes}, module)
+	var fleet []yw.Server
+	for i := range 5 {
+		fleet = append(fleet, yw.Server{ID: yw.ServerID(fmt.Sprint("s", i)), Health: yw.Ready})
+	}
+	w.core.Fleet(yw.FleetChanged{Kind: yw.FleetFull, Servers: fleet})
+	w.truth = ranged(t, 6)
+	w.core.Layout(0, layout.Update{Layout: w.truth})
+	return w
+}
+
+// alter takes the truth on by one step; the gatherer is told some time.
+func (w *world) alter(n int) {
+	d := w.truth.Doc()
+	s := layout.Step{History: "h", Epoch: d.Epoch + 1, Change: fmt.Sprint("c", n), Do: layout.Announce}
+	holders := []yw.ServerID{yw.ServerID(fmt.Sprint("s", w.rng.IntN(5)))}
+	at := w.rng.IntN(len(d.Ranges))
+	r := d.Ranges[at]
+	s.From = []int{r.Shard}
+	if len(d.Changes) > 0 && w.rng.IntN(3) > 0 {
+		c := d.Changes[w.rng.IntN(len(d.Changes))]
+		s.Change, s.From = c.ID, nil
+		s.Do = map[layout.State]layout.Deed{layout.Announced: layout.Copy, layout.Copying: layout.BothUp, layout.Ready: layout.Cut, layout.CutOver: layout.Retire}[c.State]
+		if w.rng.IntN(6) == 0 {
+			s.Do = layout.Abort
+		}
+	} else if mid := (r.From + r.To) / 2; w.rng.IntN(2) == 0 && mid > r.From {
+		s.Kind, s.To = layout.Split, []layout.Range{{Span: span(r.From, mid), Shard: d.NextShard, Holders: holders}, {Span: span(mid, r.To), Shard: d.NextShard + 1, Holders: holders}}
+	} else if at+1 < len(d.Ranges) && w.rng.IntN(2) == 0 {
+		s.Kind, s.From = layout.Merge, append(s.From, d.Ranges[at+1].Shard)
+		s.To = []layout.Range{{Span: span(r.From, d.Ranges[at+1].To), Shard: d.NextShard, Holders: holders}}
+	} else {
+		s.Kind, s.To = layout.Move, []layout.Range{{Span: r.Span, Shard: r.Shard, Holders: holders}}
+	}
+	if next, err := w.truth.Step(s, nil); err == nil {
+		w.truth, w.untold = next, append(w.untold, next)
+	}
+}
+
+// tell has the gatherer hear of some epochs, perhaps of several as one whole list.
+func (w *world) tell() {
+	if len(w.untold) == 0 {
+		return
+	}
+	n := 1 + w.rng.IntN(len(w.untold))
+	l := w.untold[n-1]
+	w.untold = w.untold[n:]
+	w.core.Layout(w.now, update(w.core, l))
+}
+
+func (w *world) ask() {
+	a := Ask{Label: fmt.Sprint("q", w.now), Class: []string{"free", "once"}[w.rng.IntN(2)], Deadline: w.now + 30_000 + w.rng.Int64N(30_000)}
+	from := w.rng.Int64N(55)
+	a.Want = []layout.Span{span(from, from+1+w.rng.Int64N(60-from))}
+	plan := w.core.routes.Plan(nil, a.Want)
+	for _, p := range plan {
+		a.Parts = append(a.Parts, AskPart{Shard: p.Shard, Span: p.Span, Weight: 1 / float64(len(plan)), Work: 500})
+	}
+	id, f, err := w.core.Open(w.now, a)
+	if err != nil || f != nil {
+		w.fault("%v %v", f, err)
+		return
+	}
+	w.ids[id] = a
+}
+
+// serve plays a server that knows the truth: what it holds it runs, and what then comes back may be lost or late.
+func (w *world) serve(server yw.ServerID, a Attempt) {
+	p := w.core.attempts[a.ID].p
+	at := w.now + 100 + w.rng.Int64N(6_000)
+	got := arrival{at, a.ID, yw.Served, []byte(a.Span.String())}
+	inForce, ok := w.truth.InForce(a.Shard)
+	switch {
+	case w.rng.IntN(10) == 0:
+		got.outcome = yw.Unreachable
+	case !ok || a.Span.From < inForce.From || a.Span.To > inForce.To || !slices.Contains(w.truth.Of(a.Shard), server):
+		if got.outcome = yw.Rejected; w.truth.Epoch() > a.Epoch {
+			got.outcome = yw.Misplaced
+		}
+	default:
+		if p.q.class.Effect == yw.AtMostOnce {
+			for _, other := range w.ran[p.q.id] {
+				if !other.Meet(a.Span).Empty() {
+					w.fault("query %d ran %s after %s", p.q.id, a.Span, other)
+				}
+			}
+			w.ran[p.q.id] = append(w.ran[p.q.id], a.Span)
+		}
+		switch w.rng.IntN(12) {
+		case 0:
+			if got.outcome = yw.Broken; w.careless {
+				got.outcome = yw.Unreachable
+			}
+		case 1:
+			got.outcome = yw.Errored
+		case 2:
+			return // silence
+		}
+	}
+	w.coming = append(w.coming, got)
+}
+
+func (w *world) end(f Final) {
+	a := w.ids[f.Query]
+	if w.ended[f.Query] || w.now > a.Deadline+200 {
+		w.fault("query %d ended twice or late", f.Query)
+	}
+	w.ended[f.Query] = true
+	if f.Verdict == Refused && len(w.ran[f.Query]) > 0 {
+		w.fault("query %d was refused, and yet it ran", f.Query)
+	}
+	if f.Verdict != Answered {
+		return
+	}
+	w.answered++
+	seen := map[int64]int{}
+	for _, v := range f.Values {
+		var s layout.Span
+		fmt.Sscanf(string(v.Data), "%d-%d", &s.From, &s.To)
+		for k := s.From; k < s.To; k++ {
+			seen[k]++
+		}
+	}
+	for k := a.Want[0].From; k < a.Want[0].To; k++ {
+		if seen[k] != 1 || !f.Whole {
+			w.fault("query %d: key %d is %d times in an answer (whole %t)", f.Query, k, seen[k], f.Whole)
+		}
+	}
+}
+
+// play lets time pass until every query has ended, and returns what went wrong.
+func (w *world) play() string {
+	for n := range 1100 {
+		w.now += 100
+		if n < 400 {
+			if w.rng.IntN(4) == 0 {
+				w.ask()
+			}
+			if w.rng.IntN(3) == 0 {
+				w.alter(n)
+			}
+		}
+		if w.rng.IntN(8) == 0 || n > 400 {
+			w.tell()
+		}
+		due := w.coming
+		w.coming = nil
+		for _, a := range due {
+			if a.at > w.now {
+				w.coming = append(w.coming, a)
+			} else {
+				w.core.Ended(w.now, a.attempt, a.outcome, a.value, nil)
+			}
+		}
+		for _, e := range w.core.Step(w.now) {
+			switch e := e.(type) {
+			case Call:
+				for _, a := range e.Attempts {
+					if w.core.attempts[a.ID] != nil {
+						w.serve(e.Server, a)
+					}
+				}
+			case Final:
+				w.end(e)
+			}
+		}
+	}
+	for id := range w.ids {
+		if !w.ended[id] {
+			w.fault("query %d has no end", id)
+		}
+	}
+	if c := w.core; len(c.queries)+len(c.parts)+len(c.attempts)+len(c.byShard)+c.open > 0 {
+		w.fault("something is left: %d queries, %d parts, %d attempts, %d shards, %d open", len(c.queries), len(c.parts), len(c.attempts), len(c.byShard), c.open)
+	}
+	return w.problem
+}
+
+// Whatever the history of changes, the gatherer's lateness and the losses: one end in time for each query, answers that hold
+// each key once, nothing run twice that must not, no refusal of what ran, and nothing left behind.
+func TestAnyChangesUnderQueries(t *testing.T) {
+	asked, answered := 0, 0
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t, rapid.Uint64().Draw(t, "seed"), false)
+		if p := w.play(); p != "" {
+			t.Fatal(p)
+		}
+		asked, answered = asked+len(w.ids), answered+w.answered
+	})
+	if t.Logf("%d of %d queries answered", answered, asked); answered*3 < asked {
+		t.Errorf("%d of %d queries answered: the property says little", answered, asked)
+	}
+}
+
+// The ledger finds what it is there for: a driver that calls what ran never run, and a module that repeats everything.
+func TestSeededBugsAreFound(t *testing.T) {
+	for name, bug := range map[string]func(seed uint64) *world{
+		"careless driver": func(seed uint64) *world { w := newWorld(t, seed, false); w.careless = true; return w },
+		"lax module":      func(seed uint64) *world { return newWorld(t, seed, true) },
+	} {
+		found := ""
+		for seed := uint64(0); seed < 20 && found == ""; seed++ {
+			found = bug(seed).play()
+		}
+		if found == "" {
+			t.Errorf("%s: not found", name)
+		} else {
+			t.Logf("%s: %s", name, found)
+		}
+	}
+}
+
+// BenchmarkInForceOf10000 puts a layout of 10,000 ranges in force, all of them changed, with 2,000 parts open, as one step of
+// the engine does.
+func BenchmarkInForceOf10000(b *testing.B) {
+	l := ranged(b, 10_000)
+	c := New(terms(), &script{})
+	c.terms.MaxOpen = 0
+	c.Layout(0, layout.Update{Layout: l})
+	for i := range 250 {
+		a := Ask{Label: fmt.Sprint(i), Class: "free", Deadline: 1 << 50}
+		for j := range 8 {
+			a.Parts = append(a.Parts, AskPart{Shard: 8*i + j, Span: span(int64(80*i+10*j), int64(80*i+10*j+10)), Weight: 1.0 / 8})
+		}
+		if _, _, err := c.Open(0, a); err != nil {
+			b.Fatal(err)
+		}
+	}
+	all := make([]int, 10_000)
+	for i := range all {
+		all[i] = i
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		c.Layout(1, layout.Update{Layout: l, Changed: all})
+		c.events = c.events[:0]
+	}
+}
--- /dev/null
+++ b/internal/layout/scenes_test.go
@@ -0,0 +1,450 @@
+package layout_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	yw "yarrowwalk"
+	"yarrowwalk/internal/layout"
+	"yarrowwalk/internal/standin"
+)
+
+// scene is a small cluster (servers s00 to s04, ranges of 100 keys, one holder each) and gatherers that follow it.
+type scene struct {
+	t  *testing.T
+	c  *standin.Cluster
+	gs []*gatherer
+}
+
+func newScene(t *testing.T, gatherers int) *scene {
+	s := &scene{t: t, c: newCluster(t, 5, 4, 1, 400, standin.ServerConfig{})}
+	for range gatherers {
+		s.gs = append(s.gs, start(t, s.c))
+	}
+	return s
+}
+
+func keys(from, to int64) []layout.Span { return []layout.Span{{From: from, To: to}} }
+
+func part(from, to int64, shard int, holder yw.ServerID) layout.Range {
+	return layout.Range{Span: layout.Span{From: from, To: to}, Shard: shard, Holders: []yw.ServerID{holder}}
+}
+
+// do takes steps, each written "CHANGE DEED".
+func (s *scene) do(steps ...string) {
+	s.t.Helper()
+	for _, text := range steps {
+		change, deed, _ := strings.Cut(text, " ")
+		if err := s.c.Do(layout.Step{Change: change, Do: layout.Deed(deed)}); err != nil {
+			s.t.Fatalf("%s: %v", text, err)
+		}
+	}
+}
+
+func (s *scene) announce(change string, kind layout.Kind, from []int, to ...layout.Range) {
+	s.t.Helper()
+	if err := s.c.Do(layout.Step{Change: change, Do: layout.Announce, Kind: kind, From: from, To: to}); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+// told waits until every gatherer has the newest epoch.
+func (s *scene) told() {
+	for _, g := range s.gs {
+		g.at(s.c.Directory.Now().Epoch())
+	}
+}
+
+// right asks every gatherer for everything, and compares.
+func (s *scene) right(when string) {
+	s.t.Helper()
+	for i, g := range s.gs {
+		for _, index := range []string{"invoices", "filings"} {
+			if o := g.ask(index, fmt.Sprint(index, i, when), keys(0, 400)); !o.equals(s.c, keys(0, 400)) {
+				s.t.Errorf("%s: gatherer %d, %s: %d, %d rows: %.200s", when, i, index, o.status, len(o.ids), o.text)
+			}
+		}
+	}
+}
+
+// later sends a query and gives its answer when it has come.
+func (s *scene) later(g *gatherer, index, id string, want []layout.Span) <-chan outcome {
+	got := make(chan outcome, 1)
+	go func() { got <- g.ask(index, id, want) }()
+	return got
+}
+
+func (s *scene) clean(astray int) {
+	s.t.Helper()
+	if _, twice, away := s.c.Ledger.Counts(); twice != 0 || away != astray {
+		s.t.Errorf("run twice %d, at a server that did not hold it %d, want 0 and %d", twice, away, astray)
+	}
+}
+
+// A filing part is out at the old holder when its range moves, and its connection is cut: before anything of it was sent it may
+// move, after that nobody can know.
+func TestFilingInFlightWhenItsRangeMoves(t *testing.T) {
+	for _, c := range []struct {
+		fault  standin.Fault
+		status int
+		ran    bool
+	}{{standin.CutUnread, 500, false}, {standin.CutHalf, 500, false}, {standin.None, 200, true}} {
+		t.Run("cut "+string(c.fault), func(t *testing.T) {
+			t.Parallel()
+			s := newScene(t, 1)
+			s.announce("m", layout.Move, []int{0}, part(0, 100, 0, "s04"))
+			s.do("m copy", "m ready")
+			old := s.c.Server("s00")
+			old.Set(standin.Holds)
+			got := s.later(s.gs[0], "filings", "f", keys(10, 20))
+			<-old.Held()
+			s.do("m cutover")
+			s.told()
+			old.Set(c.fault) // it is fenced by now: a search that was not cut is denied, and moves
+			if o := <-got; o.status != c.status || s.c.Ledger.Ran("f") != c.ran {
+				t.Errorf("%d, ran %t: %.200s", o.status, s.c.Ledger.Ran("f"), o.text)
+			}
+			old.Set(standin.None)
+			s.right("after")
+			s.clean(0)
+		})
+	}
+	t.Run("cut after it ran", func(t *testing.T) {
+		t.Parallel()
+		s := newScene(t, 1)
+		s.announce("m", layout.Move, []int{0}, part(0, 100, 0, "s04"))
+		s.do("m copy", "m ready")
+		s.c.Server("s00").Set(standin.CutRan)
+		o := s.gs[0].ask("filings", "f", keys(10, 20))
+		s.do("m cutover", "m retire")
+		if o.status != 500 || !s.c.Ledger.Ran("f") {
+			t.Errorf("%d %.200s", o.status, o.text)
+		}
+		s.clean(0)
+	})
+	t.Run("no connection", func(t *testing.T) {
+		t.Parallel()
+		s := newScene(t, 1)
+		s.announce("m", layout.Move, []int{0}, part(0, 100, 0, "s04"))
+		s.do("m copy", "m ready", "m cutover") // the gatherer's own copy of the news is late
+		s.gs[0].agent.Set(standin.Down, 0)
+		s.c.Server("s00").Kill()
+		got := s.later(s.gs[0], "filings", "f", keys(10, 20))
+		s.gs[0].agent.Set(standin.Well, 0)
+		if o := <-got; !o.equals(s.c, keys(10, 20)) {
+			t.Errorf("%d %.200s", o.status, o.text)
+		}
+		s.clean(0)
+	})
+}
+
+// Changes upon changes, with servers that die where that must not matter; answers are right after every step.
+func TestChangesUponChanges(t *testing.T) {
+	for name, play := range map[string]func(*scene){
+		"split of a split before the first is retired": func(s *scene) {
+			s.announce("x", layout.Split, []int{0}, part(0, 50, 4, "s03"), part(50, 100, 5, "s04"))
+			s.do("x copy", "x ready", "x cutover")
+			s.announce("y", layout.Split, []int{4}, part(0, 10, 6, "s01"), part(10, 50, 7, "s02"))
+			s.do("y copy", "y ready", "y cutover")
+			s.right("both cut over")
+			s.do("x retire", "y retire")
+		},
+		"merge of halves whose holders differ": func(s *scene) {
+			s.announce("x", layout.Merge, []int{0, 1}, part(0, 200, 4, "s04"))
+			s.do("x copy", "x ready", "x cutover")
+			s.right("cut over")
+			s.do("x retire")
+		},
+		"move whose target dies while copying": func(s *scene) {
+			s.announce("x", layout.Move, []int{0}, part(0, 100, 0, "s04"))
+			s.do("x copy")
+			s.c.Server("s04").Kill()
+			s.right("the target is dead")
+			s.do("x abort")
+		},
+		"move whose source dies after the cut over": func(s *scene) {
+			s.announce("x", layout.Move, []int{0}, part(0, 100, 0, "s04"))
+			s.do("x copy", "x ready", "x cutover")
+			s.c.Server("s00").Kill()
+			s.right("the source is dead")
+			s.do("x retire")
+		},
+		"abort after the cut over": func(s *scene) {
+			s.announce("x", layout.Split, []int{0}, part(0, 50, 4, "s03"), part(50, 100, 5, "s04"))
+			s.do("x copy", "x ready", "x cutover")
+			s.right("cut over")
+			s.do("x abort")
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newScene(t, 1)
+			play(s)
+			s.right("at the end, perhaps not yet told")
+			s.told()
+			s.right("at the end")
+			s.clean(0)
+		})
+	}
+}
+
+// Parts are out at the new side when the change is aborted: the directory's abort crosses what the gatherer has just put in force.
+func TestAbortCrossesCutOver(t *testing.T) {
+	s := newScene(t, 1)
+	s.announce("x", layout.Split, []int{0}, part(0, 50, 4, "s03"), part(50, 100, 5, "s04"))
+	s.do("x copy", "x ready", "x cutover")
+	s.told()
+	s.c.Server("s03").Set(standin.Holds)
+	read, file := s.later(s.gs[0], "invoices", "r", keys(0, 100)), s.later(s.gs[0], "filings", "f", keys(20, 30))
+	<-s.c.Server("s03").Held()
+	<-s.c.Server("s03").Held()
+	s.do("x abort")
+	s.c.Server("s03").Set(standin.None) // fenced: it denies both
+	if o := <-read; !o.equals(s.c, keys(0, 100)) {
+		t.Errorf("read: %d %.200s", o.status, o.text)
+	}
+	if o := <-file; !o.equals(s.c, keys(20, 30)) {
+		t.Errorf("filing: %d %.200s", o.status, o.text)
+	}
+	s.clean(0)
+}
+
+// A holder that has lost its range still answers for it: that is never merged. The ledger sees what ran there.
+func TestHolderThatHasLostItsRange(t *testing.T) {
+	s := newScene(t, 1)
+	s.announce("m", layout.Move, []int{0}, part(0, 100, 0, "s04"))
+	s.do("m copy", "m ready")
+	old := s.c.Server("s00")
+	old.Set(standin.Holds)
+	read, file := s.later(s.gs[0], "invoices", "r", keys(10, 20)), s.later(s.gs[0], "filings", "f", keys(10, 20))
+	<-old.Held()
+	<-old.Held()
+	s.do("m cutover", "m retire")
+	s.told()
+	old.Set(standin.Zombie)
+	if o := <-read; !o.equals(s.c, keys(10, 20)) { // from the new holder
+		t.Errorf("read: %d %.200s", o.status, o.text)
+	}
+	if o := <-file; o.status != 500 { // it may have run, and nobody can say with what end
+		t.Errorf("filing: %d %.200s", o.status, o.text)
+	}
+	s.gs[0].says(0, "event=note", "an answer of s00 for range 0-100, which it holds no longer")
+	s.right("the zombie is passed by")
+	s.clean(2)
+}
+
+// A server answers under another range than it was asked for, or denies what it holds by an old epoch: neither is merged.
+func TestServersThatLie(t *testing.T) {
+	s := newScene(t, 1)
+	s.c.Server("s00").Set(standin.Mislabels)
+	if o := s.gs[0].ask("invoices", "r", keys(10, 20)); o.status == 200 {
+		t.Errorf("merged: %.200s", o.text)
+	}
+	if o := s.gs[0].ask("filings", "f", keys(10, 20)); o.status != 500 {
+		t.Errorf("it may have run: %d", o.status)
+	}
+	s.c.Server("s00").Set(standin.Lags)
+	if o := s.gs[0].ask("filings", "g", keys(10, 20)); o.status != 429 || s.c.Ledger.Ran("g") {
+		t.Errorf("it never ran: %d", o.status)
+	}
+	s.clean(0)
+}
+
+// One gatherer is told of a cut over three seconds before the other, whose queries wait for the news inside their time.
+func TestToldThreeSecondsApart(t *testing.T) {
+	s := newScene(t, 2)
+	s.announce("x", layout.Split, []int{0}, part(0, 50, 4, "s03"), part(50, 100, 5, "s04"))
+	s.do("x copy", "x ready")
+	s.told()
+	const lag = 3 * time.Second
+	s.gs[1].agent.Set(standin.Well, lag)
+	began := time.Now()
+	s.do("x cutover", "x retire")
+	late := []<-chan outcome{s.later(s.gs[1], "invoices", "r1", keys(0, 400)), s.later(s.gs[1], "filings", "f1", keys(30, 70))}
+	s.gs[0].at(s.c.Directory.Now().Epoch())
+	for i, want := range [][]layout.Span{keys(0, 400), keys(30, 70)} {
+		if o := s.gs[0].ask([]string{"invoices", "filings"}[i], fmt.Sprint("g0-", i), want); !o.equals(s.c, want) {
+			t.Errorf("the one that is told: %d %.200s", o.status, o.text)
+		}
+		if o := <-late[i]; !o.equals(s.c, want) || time.Since(began) < lag/2 {
+			t.Errorf("the other after %s: %d %.200s", time.Since(began), o.status, o.text)
+		}
+	}
+	s.clean(0)
+}
+
+// What the directory says that does not go on with what is in force is not followed, and reported; once it is well again the
+// gatherer catches up.
+func TestDirectoryThatLeavesAndLies(t *testing.T) {
+	s := newScene(t, 1)
+	g := s.gs[0]
+	for i, c := range []struct {
+		ill  standin.Ill
+		says string
+	}{{standin.Down, "reason=unreachable"}, {standin.Backs, "reason=epoch"}, {standin.Other, "reason=history"}, {standin.Garbles, "reason=invalid"},
+		{standin.Skips, "reason=epoch"}, {standin.Trickle, ""}} {
+		for end := time.Now().Add(patience); g.agent.Watches() == 0 && time.Now().Before(end); {
+			time.Sleep(time.Millisecond) // a line is told only to who watches
+		}
+		g.mu.Lock()
+		before := len(g.log)
+		g.mu.Unlock()
+		g.agent.Set(c.ill, 0)
+		change := fmt.Sprint("x", i)
+		s.announce(change, layout.Move, []int{0}, part(0, 100, 0, []yw.ServerID{"s04", "s00"}[i%2]))
+		s.do(change+" copy", change+" ready", change+" cutover", change+" retire")
+		if c.says != "" {
+			g.says(before, "event=layout_kept", c.says)
+		}
+		g.agent.Set(standin.Well, 0)
+		s.right(string(c.ill) + ", perhaps not yet told")
+		s.told()
+		s.right(string(c.ill))
+	}
+	if got := g.call("layout"); !strings.HasPrefix(got, fmt.Sprintf("history h1 epoch %d ranges 4", s.c.Directory.Now().Epoch())) {
+		t.Errorf("the door says %q", got)
+	}
+	s.clean(0)
+}
+
+// SIGHUP and a replaced process in the middle of a move.
+func TestReloadAndReplaceInTheMiddleOfAMove(t *testing.T) {
+	s := &scene{t: t, c: newCluster(t, 5, 4, 1, 400, standin.ServerConfig{})}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	agent, err := s.c.Directory.Agent()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer agent.Close()
+	g := &gatherer{t: t, agent: agent, file: t.TempDir() + "/operator.json", env: []string{"LB_PASSED_SOCKET=3", "TMPDIR=" + t.TempDir()}}
+	if g.socket, err = l.(*net.TCPListener).File(); err != nil {
+		t.Fatal(err)
+	}
+	first := s.c.Directory.Now().Doc()
+	file := config(t, s.c, first, agent.Address())
+	g.write(file)
+	g.run()
+	s.gs = []*gatherer{g}
+	s.announce("m", layout.Move, []int{0}, part(0, 100, 0, "s04"))
+	s.do("m copy", "m ready")
+	s.told()
+	g.signal(syscall.SIGHUP) // the file's own layout is older by now
+	g.says(0, "event=reload classes=")
+	s.right("reloaded")
+	g.write([]byte(strings.Replace(string(file), `"id":"s00"`, `"id":"other"`, 1)))
+	g.signal(syscall.SIGHUP)
+	g.says(0, "event=reload kept=old", "range 0-100", `\"s00\" is not in the list`)
+	g.write(file)
+	s.do("m cutover")
+	old := g.cmd.Process
+	oldExit := g.exited
+	g.run() // the successor
+	s.right("two processes")
+	old.Signal(syscall.SIGTERM)
+	s.right("the old one leaves")
+	select {
+	case <-oldExit:
+	case <-time.After(patience):
+		t.Fatal("the old process did not end")
+	}
+	s.do("m retire")
+	s.told()
+	s.right("replaced")
+	s.clean(0)
+}
+
+// Without a directory the file alone says where ranges are; one that goes back, or says two things of one epoch, is turned down.
+func TestFileAlone(t *testing.T) {
+	c := newCluster(t, 5, 4, 1, 400, standin.ServerConfig{})
+	doc := c.Directory.Now().Doc()
+	g := &gatherer{t: t, file: t.TempDir() + "/operator.json"}
+	g.write(config(t, c, doc, ""))
+	g.run()
+	s := &scene{t: t, c: c, gs: []*gatherer{g}}
+	s.right("at the start")
+	s.announce("m", layout.Move, []int{0}, part(0, 100, 0, "s04"))
+	s.do("m copy", "m ready", "m cutover", "m retire")
+	moved := s.c.Directory.Now().Doc()
+	g.write(config(t, c, moved, ""))
+	g.signal(syscall.SIGHUP)
+	g.at(moved.Epoch)
+	s.right("moved")
+	other := moved
+	other.Ranges = slices.Clone(moved.Ranges)
+	other.Ranges[3].Holders = []yw.ServerID{"s00"}
+	gap := moved
+	gap.Epoch, gap.Ranges = 90, moved.Ranges[1:]
+	for _, bad := range []struct {
+		doc  layout.Doc
+		says string
+	}{{doc, "epoch 1: it goes back"}, {other, "it says something else"}, {gap, "it covers less"}} {
+		g.write(config(t, c, bad.doc, ""))
+		g.signal(syscall.SIGHUP)
+		g.says(0, "event=reload kept=old", bad.says)
+	}
+	s.right("kept")
+}
+
+// A range all of whose holders drain: its queries are refused at once, saying when to come back; others are served.
+func TestRangeAllOfWhoseHoldersDrain(t *testing.T) {
+	c := newCluster(t, 5, 4, 1, 400, standin.ServerConfig{})
+	doc := c.Directory.Now().Doc()
+	g := &gatherer{t: t, file: t.TempDir() + "/operator.json"}
+	g.write(config(t, c, doc, "", "s01"))
+	g.run()
+	began := time.Now()
+	resp, err := http.Post("http://"+g.address+"/filings/_search", "application/json", strings.NewReader(`{"query":{"term":{"taxpayer":150}}}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	if resp.StatusCode != 429 || resp.Header.Get("Retry-After") == "" || time.Since(began) > 3*time.Second {
+		t.Errorf("%d %v after %s", resp.StatusCode, resp.Header, time.Since(began))
+	}
+	if o := g.ask("filings", "f", keys(200, 300)); !o.equals(c, keys(200, 300)) {
+		t.Errorf("another range: %d %.200s", o.status, o.text)
+	}
+	g.write(config(t, c, doc, ""))
+	g.signal(syscall.SIGHUP)
+	g.says(0, "event=reload classes=")
+	if o := g.ask("filings", "h", keys(100, 200)); !o.equals(c, keys(100, 200)) {
+		t.Errorf("back: %d %.200s", o.status, o.text)
+	}
+}
+
+// A change that stalls is reported once and waited for by nobody.
+func TestStall(t *testing.T) {
+	s := newScene(t, 1)
+	s.announce("m", layout.Move, []int{0}, part(0, 100, 0, "s04"))
+	s.do("m copy")
+	s.gs[0].says(0, "event=layout_stalled", `change="m"`, "state=copying")
+	s.right("stalled")
+	if got := s.gs[0].call("stats"); !strings.Contains(got, "svc.layout.stalled:1|g") || !strings.Contains(got, "svc.layout.changes:1|g") {
+		t.Errorf("stats: %s", got)
+	}
+	if got := s.gs[0].call("layout"); !strings.Contains(got, "change m move 0-100 copying stalled") {
+		t.Errorf("the door says %q", got)
+	}
+	text, err := json.Marshal(layout.Step{Change: "m", Do: layout.Abort})
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.Post("http://"+s.gs[0].agent.Address()+"/layout", "application/json", strings.NewReader(string(text)))
+	if err != nil || resp.StatusCode != 200 {
+		t.Fatal(resp, err)
+	}
+	resp.Body.Close()
+	s.told()
+	s.right("aborted")
+}
--- a/internal/standin/directory.go
+++ b/internal/standin/directory.go
@@ -93,10 +93,11 @@
 	http    *http.Server
 	address string
 
-	mu  sync.Mutex
-	lag time.Duration
-	ill Ill
-	hit chan struct{} // closed, and replaced, when the fault changes
+	mu      sync.Mutex
+	lag     time.Duration
+	ill     Ill
+	hit     chan struct{} // closed, and replaced, when the fault changes
+	watches int           // open now
 }
 
 // Agent begins one.
@@ -126,6 +127,19 @@
 	a.hit = make(chan struct{})
 }
 
+// Watches is how many watches are open.
+func (a *Agent) Watches() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.watches
+}
+
+func (a *Agent) watching(n int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.watches += n
+}
+
 func (a *Agent) how() (Ill, time.Duration, <-chan struct{}) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -200,6 +214,8 @@
 	out := http.NewResponseController(w)
 	w.WriteHeader(http.StatusOK)
 	out.Flush()
+	a.watching(1)
+	defer a.watching(-1)
 	for next := int(from - first.Epoch()); ; {
 		ill, lag, _ := a.how()
 		n, changed, wait := a.d.seen(lag)
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -28,6 +28,7 @@
 	CutHalf   Fault = "cut-half"   // with half of its body read
 	CutRan    Fault = "cut-ran"    // after it ran
 	Silent    Fault = "silent"     // says nothing, runs nothing, until the caller goes
+	Holds     Fault = "holds"      // waits for another fault, and goes on with that one
 	Refuses   Fault = "refuses"    // turned away, as with a full queue
 	Zombie    Fault = "zombie"     // goes on answering for what it has lost
 	Mislabels Fault = "mislabels"  // answers under another span than was asked for
@@ -65,6 +66,8 @@
 	holds   map[int]*hold
 	epoch   int64
 	fault   Fault
+	other   chan struct{} // closed, and replaced, with each fault
+	held    chan struct{} // gets one for each search that begins to wait
 	waiting int
 	busy    time.Duration // worked, in all
 	parts   int           // run, in all
@@ -72,7 +75,7 @@
 
 func newServer(cfg ServerConfig, ledger *Ledger, truth func(yw.ServerID, layout.Place) bool) (*Server, error) {
 	s := &Server{cfg: cfg, ledger: ledger, truth: truth, cores: make(chan struct{}, cfg.Cores), holds: map[int]*hold{},
-		address: "127.0.0.1:0"}
+		address: "127.0.0.1:0", other: make(chan struct{}), held: make(chan struct{}, 1024)}
 	return s, s.Start()
 }
 
@@ -106,6 +109,31 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.fault = f
+	close(s.other)
+	s.other = make(chan struct{})
+}
+
+// Held gets one for each search that a server which Holds has begun to hold.
+func (s *Server) Held() <-chan struct{} { return s.held }
+
+// doing is the fault that a search meets, once nothing holds it back.
+func (s *Server) doing(gone <-chan struct{}) Fault {
+	for waits := false; ; waits = true {
+		s.mu.Lock()
+		f, other := s.fault, s.other
+		s.mu.Unlock()
+		if f != Holds {
+			return f
+		}
+		if !waits {
+			s.held <- struct{}{}
+		}
+		select {
+		case <-other:
+		case <-gone:
+			return Silent
+		}
+	}
 }
 
 // Worked is how many parts it has run, and for how long.
@@ -143,9 +171,7 @@
 
 // ServeHTTP answers one search.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	s.mu.Lock()
-	fault := s.fault
-	s.mu.Unlock()
+	fault := s.doing(r.Context().Done())
 	switch fault {
 	case CutUnread:
 		cut(w)
