--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -166,7 +166,9 @@
 func (s *Server) drop(shard int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.holds, shard)
+	if s.fault != Holds && s.fault != Zombie { // it may be to answer for what it has lost
+		delete(s.holds, shard)
+	}
 }
 
 // ServeHTTP answers one search.
