An example of a layout to try out: deploy/layout.json and saffronquay-standin

Change: cmd/saffronquay-standin plays the servers and the directory that an operator's file names; steps come by curl, data first. Plans search the ends alone, in doubling steps; parts of a shard hang on one another instead of in a map each. Benchmarks and a measuring test.

--- /dev/null
+++ b/cmd/saffronquay-standin/main.go
@@ -0,0 +1,76 @@
+// Command saffronquay-standin plays what an operator's file with a layout points at, on loopback: its search servers, with a row
+// for each key, and its layout directory. It is for trying the program out; see docs/LAYOUT.md.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	yw "yarrowwalk"
+	"yarrowwalk/internal/config"
+	"yarrowwalk/internal/standin"
+)
+
+func main() {
+	file := flag.String("file", "deploy/layout.json", "the operator's file")
+	work := flag.Duration("work", 5*time.Millisecond, "work of a part")
+	keys := flag.Int64("rows", 100_000, "most keys that get a row, from the domain's first on")
+	flag.Parse()
+	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
+	if err := play(*file, *work, *keys, log); err != nil {
+		log.Error("exit", "error", err)
+		os.Exit(1)
+	}
+}
+
+func play(file string, work time.Duration, keys int64, log *slog.Logger) error {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return err
+	}
+	op, err := config.ParseOperator(text)
+	switch {
+	case err != nil:
+		return fmt.Errorf("%s: %w", file, err)
+	case op.Layout == nil || op.Layout.Directory == "":
+		return fmt.Errorf("%s: layout.directory: missing", file)
+	}
+	cfg := standin.ServerConfig{Once: map[string]bool{}, Cores: 2, Queue: 100, Work: work}
+	for name, ix := range op.Indices {
+		cfg.Field = ix.Field
+		for _, c := range op.Settings.Module.Classes {
+			cfg.Once[name] = cfg.Once[name] || c.Name == ix.Class && c.Effect == yw.AtMostOnce
+		}
+	}
+	var ids []yw.ServerID
+	for _, s := range op.Servers {
+		ids = append(ids, s.ID)
+	}
+	first, last := op.Layout.Whole.Ranges[0].From, op.Layout.Whole.Ranges[len(op.Layout.Whole.Ranges)-1].To
+	var rows []standin.Row
+	for k := first; k < min(last, first+keys); k++ {
+		rows = append(rows, standin.Row{Key: k, ID: fmt.Sprint("row-", k)})
+	}
+	c, err := standin.NewCluster(ids, op.Addresses, cfg, op.Layout.Whole, rows)
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	agent, err := c.Directory.Agent(op.Layout.Directory)
+	if err != nil {
+		return err
+	}
+	defer agent.Close()
+	log.Info("start", "servers", len(ids), "directory", agent.Address(), "rows", len(rows))
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, os.Interrupt, syscall.SIGTERM)
+	<-stop
+	runs, twice, astray := c.Ledger.Counts()
+	log.Info("ledger", "parts_run", runs, "run_twice", twice, "run_where_not_held", astray)
+	return nil
+}
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -150,15 +150,16 @@
 }
 
 type part struct {
-	id     yw.ID
-	q      *query
-	ask    AskPart
-	tries  int
-	out    []*attempt
-	mayRun bool // some attempt may have run
-	value  []byte
-	in     bool
-	epoch  int64 // of the layout under which it was planned
+	id            yw.ID
+	q             *query
+	ask           AskPart
+	tries         int
+	out           []*attempt
+	mayRun        bool // some attempt may have run
+	value         []byte
+	in            bool
+	epoch         int64 // of the layout under which it was planned
+	before, after *part // of the same shard, under a layout
 }
 
 type attempt struct {
@@ -193,15 +194,15 @@
 	stepped              int64
 	began                bool
 	routes               *layout.Layout // nil: the settings' formula says where shards are
-	byShard              map[int]map[yw.ID]*part
-	behind               bool  // a server has a newer layout
-	replanned, misplaced int64 // since the start
+	byShard              map[int]*part  // the first of a shard's parts, under a layout; the others hang on it
+	behind               bool           // a server has a newer layout
+	replanned, misplaced int64          // since the start
 }
 
 // New makes a core round a module.
 func New(terms Terms, module Module) *Core {
 	c := &Core{module: module, queries: map[yw.ID]*query{},
-		labels: map[string]int64{}, parts: map[yw.ID]*part{}, byShard: map[int]map[yw.ID]*part{}, attempts: map[AttemptID]*attempt{}, calls: map[yw.ServerID]int{}}
+		labels: map[string]int64{}, parts: map[yw.ID]*part{}, byShard: map[int]*part{}, attempts: map[AttemptID]*attempt{}, calls: map[yw.ServerID]int{}}
 	c.hold(terms)
 	c.due.alive = func(a *attempt) bool { return c.attempts[a.id] == a }
 	c.late.alive = func(q *query) bool { return !q.over }
--- a/internal/broker/layout.go
+++ b/internal/broker/layout.go
@@ -16,11 +16,11 @@
 	var touched []*part
 	if len(u.Changed) <= len(c.byShard) {
 		for _, shard := range u.Changed {
-			touched = gather(touched, c.byShard[shard])
+			touched = c.byShard[shard].gather(touched)
 		}
 	} else {
-		for _, parts := range c.byShard {
-			touched = gather(touched, parts)
+		for _, p := range c.byShard {
+			touched = p.gather(touched)
 		}
 	}
 	slices.SortFunc(touched, func(a, b *part) int { return cmp.Compare(a.id, b.id) })
@@ -29,8 +29,9 @@
 	}
 }
 
-func gather(dst []*part, parts map[yw.ID]*part) []*part {
-	for _, p := range parts {
+// gather appends a part and those that hang on it.
+func (p *part) gather(dst []*part) []*part {
+	for ; p != nil; p = p.after {
 		dst = append(dst, p)
 	}
 	return dst
@@ -49,10 +50,10 @@
 	p := &part{id: yw.ID(c.nextID()), q: q, ask: ap, epoch: c.epoch()}
 	c.parts[p.id] = p
 	if c.routes != nil {
-		if c.byShard[ap.Shard] == nil {
-			c.byShard[ap.Shard] = map[yw.ID]*part{}
+		if p.after = c.byShard[ap.Shard]; p.after != nil {
+			p.after.before = p
 		}
-		c.byShard[ap.Shard][p.id] = p
+		c.byShard[ap.Shard] = p
 	}
 	return p
 }
@@ -63,12 +64,23 @@
 
 // forget drops a part of which nothing is out.
 func (c *Core) forget(p *part) {
+	if c.parts[p.id] != p {
+		return
+	}
 	delete(c.parts, p.id)
-	if of := c.byShard[p.ask.Shard]; of != nil {
-		if delete(of, p.id); len(of) == 0 {
-			delete(c.byShard, p.ask.Shard)
-		}
+	if p.after != nil {
+		p.after.before = p.before
 	}
+	switch {
+	case p.before != nil:
+		p.before.after = p.after
+	case c.byShard[p.ask.Shard] != p: // it came before there was a layout
+	case p.after != nil:
+		c.byShard[p.ask.Shard] = p.after
+	default:
+		delete(c.byShard, p.ask.Shard)
+	}
+	p.before, p.after = nil, nil
 }
 
 // placed tells that a part's span lies within its shard, in force.
--- a/internal/broker/layout_test.go
+++ b/internal/broker/layout_test.go
@@ -467,3 +467,73 @@
 		c.events = c.events[:0]
 	}
 }
+
+// BenchmarkQuery is one query of 8 parts through core and module, of 10,000 ranges on 1,000 servers by a layout, or of 12 shards
+// on 12 servers by the formula.
+func BenchmarkQuery(b *testing.B) {
+	for _, c := range []struct {
+		name            string
+		servers, ranges int
+	}{{"formula", 12, 0}, {"layout-12", 12, 12}, {"layout-10000", 1000, 10_000}} {
+		b.Run(c.name, func(b *testing.B) { benchmarkQuery(b, c.servers, c.ranges) })
+	}
+}
+
+func benchmarkQuery(b *testing.B, servers, ranges int) {
+	set := yw.Settings{Aggregators: 1, Period: 100, Shards: 12, Cells: 12, Reach: 3,
+		Classes: []yw.Class{{Name: "free", Aim: 2_500_000, HardLimit: 5_000_000, Worth: 1, LateWorth: 0.1, Need: 1, Floor: 1}},
+		Limits:  yw.Limits{MaxTries: 4, SecondCopies: true, MayCancel: true}, Rules: yw.Rules{WarmWithin: 14_000_000}}
+	module, err := yw.New(set, 1)
+	if err != nil {
+		b.Fatal(err)
+	}
+	core := New(Terms{Period: 100, Shards: 12, PartsPerCall: 1, AnswerGrace: 100, Classes: set.Classes}, module)
+	fleet := yw.FleetChanged{Kind: yw.FleetFull}
+	for i := range servers {
+		fleet.Servers = append(fleet.Servers, yw.Server{ID: yw.ServerID(fmt.Sprint("s", i)), Cell: i % 12, Health: yw.Ready})
+	}
+	core.Fleet(fleet)
+	shards := 12
+	var routes *layout.Layout
+	if ranges > 0 {
+		d := layout.Doc{History: "h", Epoch: 1}
+		for i := range ranges {
+			r := layout.Range{Span: span(int64(10*i), int64(10*i+10)), Shard: i}
+			for j := range 3 {
+				r.Holders = append(r.Holders, fleet.Servers[(i+j)%servers].ID)
+			}
+			d.Ranges = append(d.Ranges, r)
+		}
+		if routes, err = layout.Make(d, nil); err != nil {
+			b.Fatal(err)
+		}
+		core.Layout(0, layout.Update{Layout: routes})
+		shards = ranges
+	}
+	now := int64(0)
+	b.ReportAllocs()
+	for n := 0; b.Loop(); n++ {
+		a := Ask{Class: "free", Deadline: now + 5_000_000}
+		for j := range 8 {
+			p := AskPart{Shard: (n*8 + j) % shards, Weight: 1.0 / 8, Work: 1000}
+			if routes != nil {
+				p.Span, _ = routes.InForce(p.Shard)
+			}
+			a.Parts = append(a.Parts, p)
+		}
+		now += 100
+		if _, _, err := core.Open(now, a); err != nil {
+			b.Fatal(err)
+		}
+		for ended := false; !ended; now += 100 {
+			for _, e := range core.Step(now) {
+				switch e := e.(type) {
+				case Call:
+					core.Ended(now+50, e.Attempts[0].ID, yw.Served, nil, nil)
+				case Final:
+					ended = true
+				}
+			}
+		}
+	}
+}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -121,6 +121,39 @@
 	}
 }
 
+// A layout in the operator's file is judged with the rest, and takes the ranges' and cells' place.
+func TestOperatorLayout(t *testing.T) {
+	text, err := os.ReadFile("../../deploy/layout.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	o, err := ParseOperator(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if o.Layout == nil || o.Layout.Directory != "127.0.0.1:9700" || len(o.Layout.Whole.Ranges) != 4 || !o.Indices["invoices"].Placed {
+		t.Errorf("%+v", o.Layout)
+	}
+	for _, c := range []struct{ from, to, names string }{
+		{`"from": 25000`, `"from": 26000`, "layout.whole: epoch 1: range 26000-50000: gap"},
+		{`"ledger-3",`, `"ledger-9",`, `"ledger-9" is not in the list`},
+		{`"whole": {`, `"hole": {`, "layout.whole: missing"},
+		{`"epoch": 1`, `"epoch": 1, "odd": 2`, "layout.whole"},
+		{`"stall_ms": 60000`, `"stall_ms": 0`, "layout.stall_ms"},
+		{`"127.0.0.1:9700"`, `"here"`, "layout.directory"},
+		{`"field": "taxpayer"`, `"field": "taxpayer", "ranges": []`, "indices[0].ranges: the layout says"},
+		{`"zone": "villa-maria"`, `"zone": "villa-maria", "draining": 1`, "servers[2].draining"},
+	} {
+		changed := strings.Replace(string(text), c.from, c.to, 1)
+		if changed == string(text) {
+			t.Fatalf("%q is not in the file", c.from)
+		}
+		if _, err := ParseOperator([]byte(changed)); err == nil || !strings.Contains(err.Error(), c.names) {
+			t.Errorf("%s: got %v, want %s named", c.to, err, c.names)
+		}
+	}
+}
+
 // The second address and the passed socket are named in the environment; a fault names the variable.
 func TestProcessAndOperator(t *testing.T) {
 	env := func(v string) func(string) string { return func(string) string { return v } }
--- a/internal/layout/layout.go
+++ b/internal/layout/layout.go
@@ -75,6 +75,7 @@
 // Layout is a judged layout. It never changes.
 type Layout struct {
 	doc   Doc
+	ends  []int64        // of the ranges in force, for searching
 	at    map[int]int    // place of a shard in force among the ranges
 	since map[int]int64  // the epoch from which a shard's holders are as they are; absent: since before the first layout
 	old   map[int]*Range // old sides that are not yet retired, by shard; a move's is the set of servers it leaves
@@ -83,8 +84,9 @@
 // build indexes a document that has been judged.
 func build(d Doc, since map[int]int64) *Layout {
 	l := &Layout{doc: d, since: since, at: make(map[int]int, len(d.Ranges)), old: map[int]*Range{}}
+	l.ends = make([]int64, len(d.Ranges))
 	for i := range d.Ranges {
-		l.at[d.Ranges[i].Shard] = i
+		l.at[d.Ranges[i].Shard], l.ends[i] = i, d.Ranges[i].To
 	}
 	for i := range d.Changes {
 		if c := &d.Changes[i]; c.State == CutOver {
@@ -156,15 +158,21 @@
 	Span
 }
 
-// first is the place of the first range that ends behind a key.
-func (l *Layout) first(from int64) int {
-	i, _ := slices.BinarySearchFunc(l.doc.Ranges, from, func(r Range, key int64) int {
-		if r.To <= key {
-			return -1
+// first is the place of the first range, from a place on, that ends behind a key. It looks in steps that double, so what lies near
+// is found soon.
+func (l *Layout) first(key int64, from int) int {
+	lo, hi := from, from
+	for n := 1; hi < len(l.ends) && l.ends[hi] <= key; n *= 2 {
+		lo, hi = hi+1, min(hi+n, len(l.ends))
+	}
+	for lo < hi {
+		if mid := (lo + hi) / 2; l.ends[mid] <= key {
+			lo = mid + 1
+		} else {
+			hi = mid
 		}
-		return 1
-	})
-	return i
+	}
+	return lo
 }
 
 // Plan appends one piece, its whole span, for each range that holds some of a set, once each and in order of the key. The
@@ -172,7 +180,7 @@
 func (l *Layout) Plan(dst []Piece, want []Span) []Piece {
 	next := 0 // ranges before this one are in the plan already
 	for _, w := range want {
-		for i := max(l.first(w.From), next); i < len(l.doc.Ranges) && l.doc.Ranges[i].From < w.To && !w.Empty(); i++ {
+		for i := l.first(w.From, next); i < len(l.doc.Ranges) && l.doc.Ranges[i].From < w.To && !w.Empty(); i++ {
 			r := &l.doc.Ranges[i]
 			dst = append(dst, Piece{r.Shard, r.Span})
 			next = i + 1
@@ -183,7 +191,7 @@
 
 // Cover appends the pieces whose spans make up a span exactly, as far as it lies in the domain.
 func (l *Layout) Cover(dst []Piece, span Span) []Piece {
-	for i := l.first(span.From); i < len(l.doc.Ranges) && l.doc.Ranges[i].From < span.To && !span.Empty(); i++ {
+	for i := l.first(span.From, 0); i < len(l.doc.Ranges) && l.doc.Ranges[i].From < span.To && !span.Empty(); i++ {
 		r := &l.doc.Ranges[i]
 		dst = append(dst, Piece{r.Shard, r.Span.Meet(span)})
 	}
--- /dev/null
+++ b/internal/layout/measure_test.go
@@ -0,0 +1,142 @@
+package layout_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	yw "yarrowwalk"
+	"yarrowwalk/internal/layout"
+	"yarrowwalk/internal/standin"
+)
+
+// TestMeasure takes the figures of docs/LAYOUT.md; it judges nothing. SAFFRONQUAY_MEASURE=1 runs it.
+func TestMeasure(t *testing.T) {
+	if os.Getenv("SAFFRONQUAY_MEASURE") == "" {
+		t.Skip("SAFFRONQUAY_MEASURE is not set")
+	}
+	t.Run("latency", measureLatency)
+	t.Run("hot", measureHot)
+}
+
+// measureLatency has paced clients ask the same queries twice, without changes and during them.
+func measureLatency(t *testing.T) {
+	for _, changing := range []bool{false, true, false, true} {
+		c := newCluster(t, 12, 40, 3, 4000, standin.ServerConfig{Cores: 4, Queue: 1000, Work: 2 * time.Millisecond})
+		gs := []*gatherer{start(t, c)}
+		var changes atomic.Int64
+		stop := make(chan struct{})
+		var wg *sync.WaitGroup
+		if changing {
+			wg = churn(t, c, stop, 3, 100*time.Millisecond, &changes)
+		}
+		took := paced(c, gs[0], 300, 10*time.Second)
+		close(stop)
+		if wg != nil {
+			wg.Wait()
+		}
+		t.Logf("changes=%d queries=%d p50=%s p99=%s", changes.Load(), len(took), took[len(took)/2], took[len(took)*99/100])
+	}
+}
+
+// paced asks so many queries a second for so long, whatever comes back, and gives their times in order.
+func paced(c *standin.Cluster, g *gatherer, rate int, long time.Duration) []time.Duration {
+	var mu sync.Mutex
+	var took []time.Duration
+	var wg sync.WaitGroup
+	rng := rand.New(rand.NewPCG(1, 1))
+	began := time.Now()
+	for n := 0; time.Since(began) < long; n++ {
+		time.Sleep(time.Until(began.Add(time.Duration(n) * time.Second / time.Duration(rate))))
+		var want []layout.Span
+		for range 1 + rng.IntN(4) {
+			from := rng.Int64N(int64(len(c.All)) - 80)
+			want = append(want, layout.Span{From: from, To: from + 80})
+		}
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			at := time.Now()
+			if o := g.ask("invoices", fmt.Sprint("m", n), want); o.status == 200 {
+				mu.Lock()
+				took = append(took, time.Since(at))
+				mu.Unlock()
+			}
+		}()
+	}
+	wg.Wait()
+	slices.Sort(took)
+	return took
+}
+
+// measureHot loads one range of six servers with four times the rest, before and after it is split in four over other servers.
+func measureHot(t *testing.T) {
+	c := newCluster(t, 6, 6, 2, 600, standin.ServerConfig{Cores: 2, Queue: 200, Work: time.Millisecond, Each: 30 * time.Microsecond})
+	g := start(t, c)
+	for _, when := range []string{"before", "after"} {
+		if when == "after" {
+			var to []layout.Range
+			for i, hs := range [][]yw.ServerID{{"s00", "s01"}, {"s02", "s03"}, {"s04", "s05"}, {"s03", "s04"}} {
+				to = append(to, layout.Range{Span: layout.Span{From: int64(25 * i), To: int64(25 * (i + 1))}, Shard: 6 + i, Holders: hs})
+			}
+			step := layout.Step{Change: "hot", Do: layout.Announce, Kind: layout.Split, From: []int{0}, To: to}
+			for _, do := range []layout.Deed{layout.Announce, layout.Copy, layout.BothUp, layout.Cut, layout.Retire} {
+				if step.Do = do; do != layout.Announce {
+					step = layout.Step{Change: "hot", Do: do}
+				}
+				if err := c.Do(step); err != nil {
+					t.Fatal(err)
+				}
+			}
+			g.at(c.Directory.Now().Epoch())
+		}
+		busy := map[yw.ServerID]time.Duration{}
+		for _, s := range c.Servers {
+			_, busy[s.ID()] = s.Worked()
+		}
+		took, refused := hot(g, 400, 8*time.Second)
+		most, all := time.Duration(0), time.Duration(0)
+		for _, s := range c.Servers {
+			_, now := s.Worked()
+			most, all = max(most, now-busy[s.ID()]), all+now-busy[s.ID()]
+		}
+		t.Logf("%s the split: busiest holder %.0f%% of its cores, mean %.0f%%; queries=%d refused or failed=%d p50=%s p99=%s", when,
+			float64(most)/float64(16*time.Second)*100, float64(all)/float64(6*16*time.Second)*100, len(took), refused, took[len(took)/2], took[len(took)*99/100])
+	}
+}
+
+// hot asks for one key each time, four of five within the first range.
+func hot(g *gatherer, rate int, long time.Duration) (took []time.Duration, refused int) {
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	rng := rand.New(rand.NewPCG(2, 2))
+	began := time.Now()
+	for n := 0; time.Since(began) < long; n++ {
+		time.Sleep(time.Until(began.Add(time.Duration(n) * time.Second / time.Duration(rate))))
+		key := rng.Int64N(100)
+		if rng.IntN(5) == 0 {
+			key = 100 + rng.Int64N(500)
+		}
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			at := time.Now()
+			o := g.ask("invoices", fmt.Sprint("h", n), keys(key, key+1))
+			mu.Lock()
+			defer mu.Unlock()
+			if o.status == 200 {
+				took = append(took, time.Since(at))
+			} else {
+				refused++
+			}
+		}()
+	}
+	wg.Wait()
+	slices.Sort(took)
+	return took, refused
+}
--- a/internal/layout/program_test.go
+++ b/internal/layout/program_test.go
@@ -97,7 +97,7 @@
 	if cfg.Field, cfg.Once = "taxpayer", map[string]bool{"filings": true}; cfg.Cores == 0 {
 		cfg.Cores, cfg.Queue, cfg.Work = 4, 1000, 300*time.Microsecond
 	}
-	c, err := standin.NewCluster(ids, cfg, doc, rows)
+	c, err := standin.NewCluster(ids, nil, cfg, doc, rows)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -137,7 +137,7 @@
 // start starts a gatherer that follows the cluster's directory by an agent of its own.
 func start(t *testing.T, c *standin.Cluster) *gatherer {
 	t.Helper()
-	agent, err := c.Directory.Agent()
+	agent, err := c.Directory.Agent("")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/layout/scenes_test.go
+++ b/internal/layout/scenes_test.go
@@ -322,7 +322,7 @@
 		t.Fatal(err)
 	}
 	defer l.Close()
-	agent, err := s.c.Directory.Agent()
+	agent, err := s.c.Directory.Agent("")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/layout/step.go
+++ b/internal/layout/step.go
@@ -60,7 +60,7 @@
 	}
 	if s.Do != Cut && s.Do != Abort { // what is in force stays: the index of shards can be shared
 		n := build(Doc{Changes: next.Changes}, l.since)
-		n.doc, n.at = next, l.at
+		n.doc, n.at, n.ends = next, l.at, l.ends
 		return n, nil
 	}
 	n := build(next, nil)
--- a/internal/standin/cluster.go
+++ b/internal/standin/cluster.go
@@ -22,11 +22,14 @@
 	byID  map[yw.ServerID]*Server
 }
 
-// NewCluster makes servers of one kind that hold the ranges of a layout's document over rows.
-func NewCluster(ids []yw.ServerID, cfg ServerConfig, doc layout.Doc, rows []Row) (*Cluster, error) {
+// NewCluster makes servers of one kind that hold the ranges of a layout's document over rows; without addresses they listen
+// anywhere on loopback.
+func NewCluster(ids []yw.ServerID, addresses map[yw.ServerID]string, cfg ServerConfig, doc layout.Doc, rows []Row) (*Cluster, error) {
 	c := &Cluster{Ledger: &Ledger{}, All: rows, truth: map[yw.ServerID]map[int]layout.Span{}, byID: map[yw.ServerID]*Server{}}
 	for _, id := range ids {
-		cfg.ID = id
+		if cfg.ID = id; addresses != nil {
+			cfg.Address = addresses[id]
+		}
 		s, err := newServer(cfg, c.Ledger, c.holds)
 		if err != nil {
 			c.Close()
@@ -40,6 +43,7 @@
 		c.Close()
 		return nil, err
 	}
+	c.Directory.do = c.Do
 	for _, r := range doc.Ranges {
 		c.fill(r)
 		c.allow(r, true, doc.Epoch)
--- a/internal/standin/directory.go
+++ b/internal/standin/directory.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -18,6 +19,7 @@
 // Directory is a stand-in layout directory: one line of epochs, told through agents.
 type Directory struct {
 	known func(yw.ServerID) bool
+	do    func(layout.Step) error // an operator's step, with what it does to the data
 
 	mu      sync.Mutex
 	layouts []*layout.Layout // from the first epoch on
@@ -100,9 +102,9 @@
 	watches int           // open now
 }
 
-// Agent begins one.
-func (d *Directory) Agent() (*Agent, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+// Agent begins one, at an address or, where that is empty, anywhere on loopback.
+func (d *Directory) Agent(address string) (*Agent, error) {
+	l, err := net.Listen("tcp", cmp.Or(address, "127.0.0.1:0"))
 	if err != nil {
 		return nil, fmt.Errorf("stand-in directory: %w", err)
 	}
@@ -194,7 +196,7 @@
 		s, err = layout.ParseStep(text)
 	}
 	if err == nil {
-		_, err = a.d.Step(s)
+		err = a.d.do(s)
 	}
 	if err != nil {
 		answer(w, http.StatusConflict, err.Error()+"\n")
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"log"
@@ -37,13 +38,14 @@
 
 // ServerConfig is what a server is made of.
 type ServerConfig struct {
-	ID    yw.ServerID
-	Field string          // the key's name in queries
-	Once  map[string]bool // indices whose parts may run once
-	Cores int             // parts in work at a time
-	Queue int             // parts that wait; beyond that they are turned away
-	Work  time.Duration   // of a part
-	Each  time.Duration   // and of each row that it gives
+	ID      yw.ServerID
+	Address string          // host:port to listen at; empty: any of loopback's
+	Field   string          // the key's name in queries
+	Once    map[string]bool // indices whose parts may run once
+	Cores   int             // parts in work at a time
+	Queue   int             // parts that wait; beyond that they are turned away
+	Work    time.Duration   // of a part
+	Each    time.Duration   // and of each row that it gives
 }
 
 // hold is what a server has of one shard.
@@ -75,7 +77,7 @@
 
 func newServer(cfg ServerConfig, ledger *Ledger, truth func(yw.ServerID, layout.Place) bool) (*Server, error) {
 	s := &Server{cfg: cfg, ledger: ledger, truth: truth, cores: make(chan struct{}, cfg.Cores), holds: map[int]*hold{},
-		address: "127.0.0.1:0", other: make(chan struct{}), held: make(chan struct{}, 1024)}
+		address: cmp.Or(cfg.Address, "127.0.0.1:0"), other: make(chan struct{}), held: make(chan struct{}, 1024)}
 	return s, s.Start()
 }
 
