--- a/internal/layout/layout_test.go
+++ b/internal/layout/layout_test.go
@@ -269,8 +269,8 @@
 		layouts, steps := history(t)
 		used := map[int]Span{}
 		for _, l := range layouts {
-			if _, err := Make(l.Doc(), known); err != nil {
-				t.Fatalf("a layout that came by steps is not sound: %v", err)
+			if _, err := Make(l.Doc(), known); err != nil || !sound(l.Doc()) {
+				t.Fatalf("a layout that came by steps is not sound: %v %+v", err, l.Doc())
 			}
 			for _, r := range l.Doc().Ranges {
 				if was, ok := used[r.Shard]; ok && was != r.Span {
@@ -328,6 +328,66 @@
 	})
 }
 
+// sound says by brute force what judging has to find: each key in one range, each range with listed holders and a shard of its own.
+func sound(d Doc) bool {
+	if len(d.Ranges) == 0 {
+		return false
+	}
+	lo, hi, held, shards := int64(1<<40), int64(-1<<40), map[int64]int{}, map[int]bool{}
+	for _, r := range d.Ranges {
+		lo, hi = min(lo, r.From), max(hi, r.To)
+		for k := r.From; k < r.To; k++ {
+			held[k]++
+		}
+		if r.From >= r.To || len(r.Holders) == 0 || shards[r.Shard] || r.Shard < 0 {
+			return false
+		}
+		for i, h := range r.Holders {
+			if !known(h) || slices.Contains(r.Holders[:i], h) {
+				return false
+			}
+		}
+		shards[r.Shard] = true
+	}
+	for k := lo; k < hi; k++ {
+		if held[k] != 1 {
+			return false
+		}
+	}
+	return true
+}
+
+// Judging takes what is sound and nothing else.
+func TestJudgingAnything(t *testing.T) {
+	took := 0
+	rapid.Check(t, func(t *rapid.T) {
+		d := Doc{History: "h", Epoch: 1}
+		at := int64(0)
+		for i := range rapid.IntRange(0, 4).Draw(t, "ranges") {
+			r := rng(at, at+rapid.Int64Range(1, 9).Draw(t, "width"), i)
+			for range rapid.SampledFrom([]int{1, 1, 1, 2, 0}).Draw(t, "holders") {
+				r.Holders = append(r.Holders, rapid.SampledFrom([]yw.ServerID{"a", "b", "c", "d", "a", "b", "c", "d", "z"}).Draw(t, "holder"))
+			}
+			if rapid.IntRange(0, 19).Draw(t, "spoil") == 0 {
+				r.From += rapid.Int64Range(-3, 3).Draw(t, "by")
+				r.Shard -= rapid.IntRange(0, 1).Draw(t, "shard")
+			}
+			d.Ranges, at = append(d.Ranges, r), r.To
+		}
+		d.Ranges = rapid.Permutation(d.Ranges).Draw(t, "order")
+		_, err := Make(d, known)
+		if (err == nil) != sound(d) {
+			t.Fatalf("%+v: sound %t, judged %v", d, sound(d), err)
+		}
+		if err == nil {
+			took++
+		}
+	})
+	if took == 0 {
+		t.Error("nothing was sound")
+	}
+}
+
 func FuzzParse(f *testing.F) {
 	text, _ := json.Marshal(doc())
 	f.Add(text)
--- a/internal/layout/scenes_test.go
+++ b/internal/layout/scenes_test.go
@@ -288,7 +288,7 @@
 	for i, c := range []struct {
 		ill  standin.Ill
 		says string
-	}{{standin.Down, "reason=unreachable"}, {standin.Backs, "reason=epoch"}, {standin.Other, "reason=history"}, {standin.Garbles, "reason=invalid"},
+	}{{standin.Down, "reason=unreachable"}, {standin.Mute, "reason=unreachable"}, {standin.Backs, "reason=epoch"}, {standin.Other, "reason=history"}, {standin.Garbles, "reason=invalid"},
 		{standin.Skips, "reason=epoch"}, {standin.Trickle, ""}} {
 		for end := time.Now().Add(patience); g.agent.Watches() == 0 && time.Now().Before(end); {
 			time.Sleep(time.Millisecond) // a line is told only to who watches
@@ -308,6 +308,10 @@
 		s.told()
 		s.right(string(c.ill))
 	}
+	wholes, resumed := g.agent.Asked()
+	if t.Logf("whole layouts %d, watches resumed %d", wholes, resumed); resumed == 0 {
+		t.Error("no watch went on from its epoch")
+	}
 	if got := g.call("layout"); !strings.HasPrefix(got, fmt.Sprintf("history h1 epoch %d ranges 4", s.c.Directory.Now().Epoch())) {
 		t.Errorf("the door says %q", got)
 	}
--- a/internal/standin/directory.go
+++ b/internal/standin/directory.go
@@ -100,6 +100,8 @@
 	ill     Ill
 	hit     chan struct{} // closed, and replaced, when the fault changes
 	watches int           // open now
+	wholes  int           // whole layouts told
+	resumed int           // watches that began behind the first epoch
 }
 
 // Agent begins one, at an address or, where that is empty, anywhere on loopback.
@@ -136,6 +138,21 @@
 	return a.watches
 }
 
+func (a *Agent) resume(from int64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if from > a.d.layout(0).Epoch() {
+		a.resumed++
+	}
+}
+
+// Asked is how many whole layouts were asked for, and how many watches went on from a later epoch than the first.
+func (a *Agent) Asked() (wholes, resumed int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.wholes, a.resumed
+}
+
 func (a *Agent) watching(n int) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -169,6 +186,9 @@
 		if ill == Backs {
 			n = 1
 		}
+		a.mu.Lock()
+		a.wholes++
+		a.mu.Unlock()
 		doc := a.d.layout(n - 1).Doc()
 		if ill == Other {
 			doc.History = "another"
@@ -209,7 +229,12 @@
 func (a *Agent) watch(w http.ResponseWriter, r *http.Request, hit <-chan struct{}) {
 	from, err := strconv.ParseInt(r.URL.Query().Get("from"), 10, 64)
 	first := a.d.layout(0)
-	if err != nil || r.URL.Query().Get("history") != first.History() || from < first.Epoch() {
+	ill, lag, _ := a.how()
+	n, _, _ := a.d.seen(lag)
+	if ill == Backs {
+		n = 1
+	}
+	if ill == Other || err != nil || r.URL.Query().Get("history") != first.History() || from < first.Epoch() || from > first.Epoch()+int64(n)-1 {
 		answer(w, http.StatusGone, "begin with the whole layout\n")
 		return
 	}
@@ -218,6 +243,7 @@
 	out.Flush()
 	a.watching(1)
 	defer a.watching(-1)
+	a.resume(from)
 	for next := int(from - first.Epoch()); ; {
 		ill, lag, _ := a.how()
 		n, changed, wait := a.d.seen(lag)
@@ -230,6 +256,7 @@
 				text = []byte(`{"epoch":"next"`)
 			case Skips:
 				a.Set(Well, lag)
+				ill = Well
 				continue // the watch goes on as if nothing were missing
 			case Trickle:
 				trickle(w, append(text, '\n'))
--- a/internal/transport/follow.go
+++ b/internal/transport/follow.go
@@ -31,6 +31,11 @@
 	ended(error)
 }
 
+// statusError is an answer that is not the list that was asked for.
+type statusError int
+
+func (s statusError) Error() string { return fmt.Sprintf("status %d", int(s)) }
+
 // follower keeps a watch open at one address at a time, whole lists first where they are wanted. It owns the connection;
 // what is told goes to its source, on Run's goroutine.
 type follower struct {
@@ -190,7 +195,7 @@
 		case perr != nil:
 			return heard, perr
 		case status != 0 && status != 200:
-			return heard, fmt.Errorf("status %d", status)
+			return heard, statusError(status)
 		case fault != nil:
 			return heard, fault
 		case m != nil:
@@ -240,7 +245,7 @@
 		case err != nil:
 			return fmt.Errorf("whole list: %w", err)
 		case m != nil && m.Status != 200:
-			return fmt.Errorf("whole list: status %d", m.Status)
+			return fmt.Errorf("whole list: %w", statusError(m.Status))
 		case m != nil:
 			return f.source.whole(m.Body, address)
 		case rerr != nil:
--- a/internal/transport/routes.go
+++ b/internal/transport/routes.go
@@ -228,24 +228,37 @@
 	}
 }
 
-// ended is told how a watch ended. Whatever it was, the whole list comes first on the next one: what is missed is in it.
+// ended is told how a watch ended. One that was lost goes on from the epoch in force; one that said what does not follow, or can't
+// go on from there, begins with the whole list.
 func (r *Routes) ended(err error) {
-	r.fresh = true
+	var status statusError
+	if errors.As(err, &status) || reasonOf(err) != unreachable {
+		r.fresh = true
+	}
 	r.fails("watch", err)
 }
 
+const unreachable = "unreachable"
+
+// reasonOf names the kind of a directory's fault.
+func reasonOf(err error) string {
+	for _, k := range []struct {
+		kind error
+		name string
+	}{{layout.ErrHistory, "history"}, {layout.ErrEpoch, "epoch"}, {layout.ErrInvalid, "invalid"}, {layout.ErrState, "state"}} {
+		if errors.Is(err, k.kind) {
+			return k.name
+		}
+	}
+	return unreachable
+}
+
 // fails reports a fault of the directory; what is in force stays. The same one is not told again and again.
 func (r *Routes) fails(what string, err error) {
 	r.held.Lock()
 	defer r.held.Unlock()
-	reason := "unreachable"
-	for kind, name := range map[error]string{layout.ErrHistory: "history", layout.ErrEpoch: "epoch", layout.ErrInvalid: "invalid",
-		layout.ErrState: "state"} {
-		if errors.Is(err, kind) {
-			reason = name
-		}
-	}
-	if reason != "unreachable" {
+	reason := reasonOf(err)
+	if reason != unreachable {
 		r.figures.Refused.Add(1)
 	}
 	if text := err.Error(); text != r.fault || time.Since(r.faultAt) > repeatAfter {
