Merge hits by a total order, with search_after, exact totals and _count

Need: hits were sorted by score alone, ties as the holders gave them, so a page from another holder could be another page; sort, search_after, track_total_hits other than true and _count were refused; each part's text was read twice. Change: internal/merge plans, judges and merges (k-way, tie-break by _id); the session reads a part once and hands it on; a part that is not as asked is a failed attempt; completeness is judged in one place and stated with share and missing ranges; the stand-in sorts.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -12,6 +12,7 @@
 
 	yw "yarrowwalk"
 	"yarrowwalk/internal/layout"
+	"yarrowwalk/internal/merge"
 )
 
 // Module is the decision module, as the core drives it.
@@ -51,6 +52,7 @@
 	Deadline           int64
 	Parts              []AskPart
 	Text               []byte        // what every part carries
+	Plan               any           // what the dialect's session reads answers by; the core only hands it on
 	Want               []layout.Span // where parts have spans: what is asked for of them; empty: all
 }
 
@@ -84,6 +86,7 @@
 	Span  layout.Span // exactly what is asked for of the shard, under a layout
 	Due   int64       // when the gatherer stops waiting
 	Text  []byte
+	Plan  any
 }
 
 // Drop gives up an attempt; what still comes back for it is nobody's.
@@ -122,13 +125,16 @@
 	RetryAfter int64 // with Refused; 0: no advice
 	Overdue    bool  // ended by the deadline guard, or with its time up
 	Values     []Value
-	Shards     int // parts asked for
+	Share      float64       // of the parts asked for, by weight, that is in; 1 where nothing is missing
+	Missing    []merge.Piece // what is not in, where an answer is given in part
+	Shards     int           // parts asked for
 }
 
 // Value is what a server gave for one part.
 type Value struct {
 	Shard int
 	Data  []byte
+	Part  any
 }
 
 func (Call) isEffect()      {}
@@ -157,8 +163,8 @@
 	out           []*attempt
 	mayRun        bool // some attempt may have run
 	value         []byte
+	part          any // the same, read
 	in            bool
-	epoch         int64 // of the layout under which it was planned
 	before, after *part // of the same shard, under a layout
 }
 
@@ -367,6 +373,12 @@
 // Ended reports how an attempt ended. What is reported for one that has ended before, such as an answer that
 // came after its time-out, is dropped: each attempt has one outcome.
 func (c *Core) Ended(now int64, id AttemptID, o yw.Outcome, value []byte, report *yw.LoadReport) {
+	c.Came(now, Reply{Attempt: id, Outcome: o, Value: value, Report: report})
+}
+
+// Came is Ended with all that a session has read.
+func (c *Core) Came(now int64, r Reply) {
+	id, o := r.Attempt, r.Outcome
 	a := c.attempts[id]
 	if a == nil {
 		return
@@ -374,18 +386,18 @@
 	delete(c.attempts, id)
 	p := a.p
 	p.out = slices.DeleteFunc(p.out, func(o *attempt) bool { return o == a })
-	o, value = c.credit(a, o, value)
+	o = c.credit(a, o)
 	if o != yw.Rejected && o != yw.Unreachable && o != yw.NotSent && o != yw.Misplaced {
 		p.mayRun = true
 	}
 	if o == yw.Served && !p.in && !p.q.over {
-		p.in, p.value = true, value
+		p.in, p.value, p.part = true, r.Value, r.Part
 	}
 	if len(p.out) == 0 && p.q.over {
 		c.forget(p)
 	}
 	c.events = append(c.events, yw.AttemptEnded{Part: p.id, Attempt: a.n, Server: a.server, Outcome: o,
-		Latency: now - a.sent, Report: report})
+		Latency: now - a.sent, Report: r.Report})
 	c.renew(now, p)
 }
 
@@ -519,7 +531,7 @@
 		return
 	}
 	out := Attempt{ID: a.id, Label: p.q.ask.Label, Shard: p.ask.Shard, Epoch: a.epoch, Span: p.ask.Span, Due: due,
-		Text: p.q.ask.Text}
+		Text: p.q.ask.Text, Plan: p.q.ask.Plan}
 	if i, ok := c.calls[s.Server]; ok {
 		call := c.effects[i].(Call)
 		if len(call.Attempts) < c.terms.PartsPerCall {
@@ -540,20 +552,19 @@
 		return
 	}
 	f := Final{Verdict: Answered}
-	weight, all := 0.0, true
+	pieces := make([]merge.Piece, 0, len(q.parts))
 	for _, p := range q.parts {
 		if p.in {
-			weight += p.ask.Weight
-			f.Values = append(f.Values, Value{Shard: p.ask.Shard, Data: p.value})
+			f.Values = append(f.Values, Value{Shard: p.ask.Shard, Data: p.value, Part: p.part})
 		}
-		all = all && p.in
+		pieces = append(pieces, merge.Piece{Weight: p.ask.Weight, Shard: p.ask.Shard, From: p.ask.Span.From, To: p.ask.Span.To, In: p.in})
 	}
-	const rounding = 0.0001
-	if len(f.Values) == 0 || !all && weight < q.class.Floor-rounding {
+	extent := merge.Completeness{Need: q.class.Need, Floor: q.class.Floor}.Judge(pieces)
+	if !extent.Give {
 		c.finish(q, Final{Verdict: Failed})
 		return
 	}
-	f.Whole = a.Whole && (all || weight >= q.class.Need-rounding)
+	f.Whole, f.Share, f.Missing = a.Whole && extent.Whole, extent.Share, extent.Missing
 	c.finish(q, f)
 }
 
--- a/internal/broker/dialect.go
+++ b/internal/broker/dialect.go
@@ -38,5 +38,6 @@
 	Attempt AttemptID
 	Outcome yw.Outcome
 	Value   []byte
+	Part    any // the same, as the session has read it for the query's front; nil where it reads nothing
 	Report  *yw.LoadReport
 }
--- a/internal/broker/layout.go
+++ b/internal/broker/layout.go
@@ -47,7 +47,7 @@
 
 // hand makes a part of a query.
 func (c *Core) hand(q *query, ap AskPart) *part {
-	p := &part{id: yw.ID(c.nextID()), q: q, ask: ap, epoch: c.epoch()}
+	p := &part{id: yw.ID(c.nextID()), q: q, ask: ap}
 	c.parts[p.id] = p
 	if c.routes != nil {
 		if p.after = c.byShard[ap.Shard]; p.after != nil {
@@ -124,8 +124,8 @@
 }
 
 // renew plans a part anew where its shard is no longer in force. Guards three rules: what is in stays in; what may have run
-// is never sent elsewhere for a class that must not run twice; and a part is planned anew only under a later epoch, so that
-// no server's word can send it in circles.
+// is never sent elsewhere for a class that must not run twice; and what is planned lies in force, so that only a later epoch,
+// and no server's word, can have it planned anew.
 func (c *Core) renew(now int64, p *part) {
 	if c.routes == nil || p.in || p.q.over || c.parts[p.id] != p || c.placed(p.ask) {
 		return
@@ -140,7 +140,7 @@
 		}
 		return
 	}
-	if once && p.mayRun || c.routes.Epoch() <= p.epoch {
+	if once && p.mayRun {
 		return
 	}
 	var into []*part
@@ -165,7 +165,7 @@
 
 // credit judges an outcome by the layout in force: what a server gives for a span that it holds no longer is a failed attempt
 // that may have run, and a server with a newer layout has this one asked for.
-func (c *Core) credit(a *attempt, o yw.Outcome, value []byte) (yw.Outcome, []byte) {
+func (c *Core) credit(a *attempt, o yw.Outcome) yw.Outcome {
 	if o == yw.Misplaced {
 		c.misplaced++
 	}
@@ -175,9 +175,9 @@
 		c.behind = true
 	case o == yw.Served && !c.routes.Answers(a.server, a.p.ask.Shard, a.p.ask.Span):
 		c.do(Note{Text: "an answer of " + string(a.server) + " for range " + a.p.ask.Span.String() + ", which it holds no longer"})
-		return yw.Errored, nil
+		return yw.Errored
 	}
-	return o, value
+	return o
 }
 
 // Replanned is how many parts were planned anew, and how many attempts found their range gone, since the start.
--- /dev/null
+++ b/internal/merge/part.go
@@ -0,0 +1,134 @@
+package merge
+
+import (
+	"errors"
+	"fmt"
+	"math"
+
+	"github.com/valyala/fastjson"
+)
+
+// Part is what one part of a query gave, read and judged by itself.
+type Part struct {
+	body   []byte  // the object that has "hits"
+	values []Value // of each hit, one after the other
+	hits   int
+	kinds  []Kind
+	total  int64
+	gte    bool
+	top    float64 // the best score
+	scored bool
+}
+
+// ErrPart marks what a server must not give: the attempt has failed, and no page may come of it.
+var ErrPart = errors.New("not what was asked for")
+
+func wrong(format string, args ...any) error {
+	return fmt.Errorf("%w: %s", ErrPart, fmt.Sprintf(format, args...))
+}
+
+// Read judges a part's hits, which body holds as a JSON object with the key hits, already read as h. It keeps body. Guards the page
+// against a part that has more hits than asked for, is not in the order asked for, lies before the page's beginning, or has
+// sort values that are none: any of these is a failed attempt.
+func (p *Plan) Read(h *fastjson.Value, body []byte) (*Part, error) {
+	part := &Part{body: body, kinds: make([]Kind, len(p.Keys)), top: math.Inf(-1)}
+	list := h.Get("hits")
+	if list == nil || list.Type() != fastjson.TypeArray {
+		return nil, wrong("no list of hits")
+	}
+	hits := list.GetArray()
+	if len(hits) > p.Window() {
+		return nil, wrong("%d hits, where %d were asked for", len(hits), p.Window())
+	}
+	if err := p.readTotal(part, h, len(hits)); err != nil {
+		return nil, err
+	}
+	part.hits, part.values = len(hits), make([]Value, 0, len(hits)*len(p.Keys))
+	for i, x := range hits {
+		var err error
+		if part.values, err = p.sortValues(part.values, x); err != nil {
+			return nil, err
+		}
+		now := part.at(i, len(p.Keys))
+		if err := p.kinds(part.kinds, now); err != nil {
+			return nil, wrong("%v", err)
+		}
+		if i > 0 && p.compare(part.at(i-1, len(p.Keys)), now) >= 0 {
+			return nil, wrong("hit %d does not come after the one before it", i)
+		}
+		if sv := x.Get("_score"); sv != nil && sv.Type() == fastjson.TypeNumber {
+			part.top, part.scored = max(part.top, sv.GetFloat64()), true
+		}
+	}
+	if part.hits > 0 && p.After != nil {
+		if err := p.kinds(append([]Kind(nil), part.kinds...), p.After); err == nil && p.compare(part.at(0, len(p.Keys)), p.After) <= 0 {
+			return nil, wrong("a hit that stands before the page")
+		}
+	}
+	return part, nil
+}
+
+// sortValues appends those of one hit. Where a server gives none, score and id speak for themselves.
+func (p *Plan) sortValues(dst []Value, x *fastjson.Value) ([]Value, error) {
+	given := x.Get("sort")
+	if given != nil {
+		list := given.GetArray()
+		if len(list) != len(p.Keys) {
+			return nil, wrong("%d sort values, where %d were asked for", len(list), len(p.Keys))
+		}
+		for i, s := range list {
+			v, err := parseValue(s)
+			if err != nil {
+				return nil, wrong("sort value of [%s]: %v", p.Keys[i].Field, err)
+			}
+			dst = append(dst, v)
+		}
+		return dst, nil
+	}
+	for _, k := range p.Keys {
+		s := x.Get(k.Field)
+		if k.Field != Score && k.Field != ID || s == nil {
+			return nil, wrong("no sort value of [%s]", k.Field)
+		}
+		v, err := parseValue(s)
+		if err != nil {
+			return nil, wrong("[%s]: %v", k.Field, err)
+		}
+		dst = append(dst, v)
+	}
+	return dst, nil
+}
+
+func (part *Part) at(i, keys int) []Value { return part.values[i*keys : (i+1)*keys] }
+
+// readTotal reads hits.total, which older servers give as a bare number.
+func (p *Plan) readTotal(part *Part, h *fastjson.Value, hits int) error {
+	if p.Limit == Uncounted {
+		return nil
+	}
+	t := h.Get("total")
+	if t != nil && t.Type() == fastjson.TypeObject {
+		switch string(t.GetStringBytes("relation")) {
+		case "eq":
+		case "gte":
+			part.gte = true
+		default:
+			return wrong("a total without its relation")
+		}
+		t = t.Get("value")
+	}
+	if t == nil || t.Type() != fastjson.TypeNumber {
+		return wrong("no total")
+	}
+	n, err := t.Int64()
+	switch {
+	case err != nil || n < 0:
+		return wrong("total: want a whole number from nought, not %s", t)
+	case part.gte && (p.Limit == Exact || n < p.Limit):
+		return wrong("a total that is not counted as far as asked")
+	case !part.gte && n < int64(hits):
+		return wrong("a total of %d, with %d hits", n, hits)
+	}
+	part.total = n
+	return nil
+}
--- a/internal/opensearch/front.go
+++ b/internal/opensearch/front.go
@@ -4,8 +4,6 @@
 package opensearch
 
 import (
-	"bytes"
-	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -15,8 +13,6 @@
 	"strconv"
 	"strings"
 
-	"github.com/valyala/fastjson"
-
 	"yarrowwalk/internal/broker"
 	"yarrowwalk/internal/http1"
 	"yarrowwalk/internal/layout"
@@ -101,6 +97,7 @@
 		return broker.Ask{}, nil, &r
 	}
 	ask, s, err := f.open(m, now)
+	ask.Plan = s.plan
 	opaque := m.Header.Get("X-Opaque-Id")
 	finish := func(r http1.Response) http1.Response {
 		if opaque != "" {
@@ -123,16 +120,18 @@
 	}, nil
 }
 
-// searched is the index that a path names.
-func searched(path string) (name string, ok bool) {
-	name, ok = strings.CutSuffix(strings.TrimPrefix(path, "/"), "/_search")
-	return name, ok && !strings.Contains(name, "/")
+// searched is the index that a path names, and whether its hits are only to be counted.
+func searched(path string) (name string, count, ok bool) {
+	if name, ok = strings.CutSuffix(strings.TrimPrefix(path, "/"), "/_search"); !ok {
+		name, count = strings.CutSuffix(strings.TrimPrefix(path, "/"), "/_count")
+	}
+	return name, count, (ok || count) && !strings.Contains(name, "/")
 }
 
 // Class is the class that a request for the broker is of.
 func (f Front) Class(m *http1.Message) string {
 	path, _, _ := strings.Cut(m.Target, "?")
-	name, ok := searched(path)
+	name, _, ok := searched(path)
 	if text, err := url.PathUnescape(name); ok && err == nil {
 		return f.Indices[text].Class
 	}
@@ -141,7 +140,7 @@
 
 func (f Front) open(m *http1.Message, now int64) (a broker.Ask, s search, err error) {
 	path, params, _ := strings.Cut(m.Target, "?")
-	name, ok := searched(path)
+	name, count, ok := searched(path)
 	if !ok {
 		return a, s, &fault{400, "illegal_argument_exception", "no handler found for uri [" + path + "] and method [" + m.Method + "]"}
 	}
@@ -164,12 +163,15 @@
 	if len(f.Tenants) > 0 && !f.Tenants[tenant] {
 		return a, s, &fault{403, "security_exception", "no contract for tenant [" + tenant + "]"}
 	}
-	if s, err = parseSearch(m.Body, ix); err != nil {
+	if s, err = parseSearch(m.Body, ix, count); err != nil {
 		return a, s, err
 	}
 	if err = s.params(params); err != nil {
 		return a, s, err
 	}
+	if err = s.settle(); err != nil {
+		return a, s, err
+	}
 	if s.from > maxWindow || s.size > maxWindow || s.from+s.size > maxWindow {
 		return a, s, illegal("result window is too large: from + size must be %d at most", maxWindow)
 	}
@@ -261,58 +263,3 @@
 	}
 	return f.fail(&fault{500, "search_phase_execution_exception", "shards failed; parts of it may have run"})
 }
-
-// respond merges what the shards gave.
-func (s search) respond(final broker.Final, took int64) http1.Response {
-	type hit struct {
-		score float64
-		text  []byte
-	}
-	var hits []hit
-	total, top, scored := int64(0), math.Inf(-1), false
-	relation := "eq"
-	for _, v := range final.Values {
-		h, err := fastjson.ParseBytes(v.Data)
-		if err != nil { // a session hands on what it has parsed
-			return Front{}.fail(&fault{500, "search_phase_execution_exception", "a shard's hits can't be read"})
-		}
-		total += hitCount(h)
-		if string(h.GetStringBytes("total", "relation")) == "gte" {
-			relation = "gte"
-		}
-		for _, x := range h.GetArray("hits") {
-			score := math.Inf(-1)
-			if sv := x.Get("_score"); sv != nil && sv.Type() == fastjson.TypeNumber {
-				score = sv.GetFloat64()
-				top, scored = max(top, score), true
-			}
-			hits = append(hits, hit{score, x.MarshalTo(nil)})
-		}
-	}
-	slices.SortStableFunc(hits, func(a, b hit) int { return cmp.Compare(b.score, a.score) })
-	hits = hits[min(s.from, len(hits)):]
-	hits = hits[:min(s.size, len(hits))]
-	best := []byte("null")
-	if scored {
-		best = strconv.AppendFloat(nil, top, 'g', -1, 64)
-	}
-	in := len(final.Values)
-	b := fmt.Appendf(nil, `{"took":%d,"timed_out":%t,"_shards":{"total":%d,"successful":%d,"skipped":0,"failed":%d},`,
-		took/1000, !final.Whole, final.Shards, in, final.Shards-in)
-	b = fmt.Appendf(b, `"hits":{"total":{"value":%d,"relation":"%s"},"max_score":%s,"hits":[`, total, relation, best)
-	for i, h := range hits {
-		if i > 0 {
-			b = append(b, ',')
-		}
-		b = append(b, bytes.TrimSpace(h.text)...)
-	}
-	return http1.Response{Status: 200, Type: "application/json; charset=UTF-8", Body: append(b, "]}}"...)}
-}
-
-// hitCount reads hits.total, which older servers give as a bare number.
-func hitCount(hits *fastjson.Value) int64 {
-	if n := hits.GetInt64("total", "value"); n != 0 {
-		return n
-	}
-	return hits.GetInt64("total")
-}
--- a/internal/opensearch/opensearch_test.go
+++ b/internal/opensearch/opensearch_test.go
@@ -6,8 +6,10 @@
 	"strings"
 	"testing"
 
+	yw "yarrowwalk"
 	"yarrowwalk/internal/broker"
 	"yarrowwalk/internal/http1"
+	"yarrowwalk/internal/merge"
 )
 
 var front = Front{TenantHeader: "X-Tenant", Tenants: map[string]bool{"desk": true}, Longest: map[string]int64{"c": 5_000_000},
@@ -102,7 +104,16 @@
 		{"/ix/_search", "desk", `{"timeout":"soon"}`, 400, "illegal_argument_exception", "[timeout]"},
 		{"/ix/_search?scroll=1m", "desk", "", 400, "illegal_argument_exception", "[scroll]"},
 		{"/other/_search", "desk", "", 404, "index_not_found_exception", "[other]"},
-		{"/ix/_count", "desk", "", 400, "illegal_argument_exception", "/ix/_count"},
+		{"/ix/_delete", "desk", "", 400, "illegal_argument_exception", "/ix/_delete"},
+		{"/ix/_count", "desk", `{"size":3}`, 400, "parsing_exception", "[size]"},
+		{"/ix/_search", "desk", `{"sort":[{"a":{"order":"up"}}]}`, 400, "parsing_exception", "[\"up\"]"},
+		{"/ix/_search", "desk", `{"sort":[{"a":{"mode":"max"}}]}`, 400, "parsing_exception", "[mode]"},
+		{"/ix/_search", "desk", `{"sort":["a",{"a":"desc"}]}`, 400, "parsing_exception", "[a] twice"},
+		{"/ix/_search", "desk", `{"sort":"_doc"}`, 400, "parsing_exception", "[_doc]"},
+		{"/ix/_search", "desk", `{"sort":"a","search_after":[1,2,3]}`, 400, "illegal_argument_exception", "has 3 value(s) but sort has 2"},
+		{"/ix/_search", "desk", `{"sort":"a","search_after":[1],"from":1}`, 400, "illegal_argument_exception", "`from`"},
+		{"/ix/_search", "desk", `{"sort":"a","search_after":[{}]}`, 400, "parsing_exception", "[search_after]"},
+		{"/ix/_search", "desk", `{"track_total_hits":"many"}`, 400, "parsing_exception", "[track_total_hits]"},
 		{"/ix/_search", "nobody", "", 403, "security_exception", "[nobody]"},
 	} {
 		_, _, resp := open(c.target, c.tenant, c.body)
@@ -138,20 +149,57 @@
 	}
 }
 
+// given reads what a server gave, as the session does.
+func given(t *testing.T, ask broker.Ask, shard, total int, hits ...string) broker.Value {
+	t.Helper()
+	body := fmt.Appendf(nil, `{"took":1,"timed_out":false,"_shards":{"total":1,"successful":1,"failed":0},"hits":{"total":{"value":%d,"relation":"eq"},"hits":[%s]}}`,
+		total, strings.Join(hits, ","))
+	o, part := judge(&http1.Message{Status: 200, Body: body}, ask.Plan.(*merge.Plan))
+	if o != yw.Served {
+		t.Fatalf("%s: %d", body, o)
+	}
+	return broker.Value{Shard: shard, Part: part}
+}
+
 func TestMerge(t *testing.T) {
-	hits := func(total int, scored ...string) []byte {
-		return fmt.Appendf(nil, `{"total":{"value":%d,"relation":"eq"},"max_score":9,"hits":[%s]}`, total, strings.Join(scored, ","))
-	}
-	_, word, _ := open("/ix/_search", "desk", `{"from":1,"size":2}`)
-	r := word(broker.Final{Verdict: broker.Answered, Whole: true, Shards: 3, Values: []broker.Value{
-		{Shard: 0, Data: hits(7, `{"_id":"a","_score":3}`, `{"_id":"b","_score":1}`)},
-		{Shard: 1, Data: hits(0)},
-		{Shard: 2, Data: hits(2, `{"_id":"c","_score":2}`, `{"_id":"d","_score":null}`)}}}, 42_000)
+	ask, word, _ := open("/ix/_search", "desk", `{"from":1,"size":2}`)
+	values := []broker.Value{given(t, ask, 0, 7, `{"_id":"a","_score":3}`, `{"_id":"b","_score":1}`), given(t, ask, 1, 0),
+		given(t, ask, 2, 2, `{"_id":"c","_score":2}`, `{"_id":"d","_score":null}`)}
+	r := word(broker.Final{Verdict: broker.Answered, Whole: true, Shards: 3, Share: 1, Values: values}, 42_000)
 	want := `{"took":41,"timed_out":false,"_shards":{"total":3,"successful":3,"skipped":0,"failed":0},` +
 		`"hits":{"total":{"value":9,"relation":"eq"},"max_score":3,"hits":[{"_id":"c","_score":2},{"_id":"b","_score":1}]}}`
 	if string(r.Body) != want {
 		t.Errorf("got %s", r.Body)
 	}
+	r = word(broker.Final{Verdict: broker.Answered, Shards: 3, Share: 0.75, Values: values[:2],
+		Missing: []merge.Piece{{Shard: 2, From: 5, To: 9, Weight: 0.25}}}, 42_000)
+	for _, want := range []string{`"timed_out":true`, `"failed":1,"failures":[{"shard":2,`, `"completeness":{"whole":false,"share":0.75,"missing":[{"shard":2,"from":5,"to":9}]}`} {
+		if !strings.Contains(string(r.Body), want) {
+			t.Errorf("%s is not in %s", want, r.Body)
+		}
+	}
+	ask, word, _ = open("/ix/_count", "desk", `{"query":{"match_all":{}}}`)
+	if got := word(broker.Final{Verdict: broker.Answered, Whole: true, Shards: 2, Share: 1, Values: []broker.Value{
+		given(t, ask, 0, 9007199254740993), given(t, ask, 1, 1)}}, 0); !strings.HasPrefix(string(got.Body), `{"count":9007199254740994,"_shards"`) {
+		t.Errorf("got %s", got.Body)
+	}
+}
+
+// Servers are asked for the whole order, with its tie-break, and for as many hits as the page may need.
+func TestAsked(t *testing.T) {
+	for body, want := range map[string]string{
+		``: `{"from":0,"size":10,"track_total_hits":true,"sort":[{"_score":{"order":"desc"}},{"_id":{"order":"asc"}}],"track_scores":true}`,
+		`{"size":5,"sort":[{"due":{"order":"desc","missing":"_first","unmapped_type":"long"}},"_id"],"search_after":[9007199254740993,"x"],"track_total_hits":false}`: `{"from":0,"size":5,"track_total_hits":false,` +
+			`"sort":[{"due":{"order":"desc","missing":"_first","unmapped_type":"long"}},{"_id":{"order":"asc"}}],"search_after":[9007199254740993,"x"]}`,
+		`{"size":0,"track_total_hits":100}`: `{"from":0,"size":0,"track_total_hits":100}`,
+	} {
+		ask, _, resp := open("/ix/_search", "desk", body)
+		if resp != nil {
+			t.Errorf("%s: %s", body, resp.Body)
+		} else if got := strings.TrimPrefix(string(ask.Text), "ix\n"); got != want {
+			t.Errorf("%s: got %s", body, got)
+		}
+	}
 }
 
 // Clients of this API repeat a 429, and many libraries a 502, 503 or 504: what may have run is none of these.
@@ -168,43 +216,45 @@
 	}
 }
 
+var anyHits, _ = merge.NewPlan(nil, 0, 10, nil, merge.Exact)
+
 func serverSays(text string, pieces int) string {
 	s := Servers{}.Session("h:1")
-	s.Call(nil, broker.Call{Attempts: []broker.Attempt{{ID: 5, Text: []byte("ix\n{}")}}}, 0)
+	s.Call(nil, broker.Call{Attempts: []broker.Attempt{{ID: 5, Text: []byte("ix\n{}"), Plan: anyHits}}}, 0)
 	out := ""
 	for i := range pieces {
 		replies, err := s.Feed([]byte(text[i*len(text)/pieces : (i+1)*len(text)/pieces]))
 		for _, r := range replies {
-			out += fmt.Sprintf("%d:%d:%s ", r.Attempt, r.Outcome, r.Value)
+			out += fmt.Sprintf("%d:%d:%t ", r.Attempt, r.Outcome, r.Part != nil)
 		}
 		if err != nil {
 			return out + "closed"
 		}
 	}
 	for _, r := range s.Closed() {
-		out += fmt.Sprintf("%d:%d:%s at the end", r.Attempt, r.Outcome, r.Value)
+		out += fmt.Sprintf("%d:%d:%t at the end", r.Attempt, r.Outcome, r.Part != nil)
 	}
 	return out
 }
 
 // A success status proves nothing.
 func TestJudge(t *testing.T) {
-	const ok = `"took":1,"timed_out":false,"_shards":{"total":1,"successful":1,"failed":0},"hits":{"hits":[]}`
+	const ok = `"took":1,"timed_out":false,"_shards":{"total":1,"successful":1,"failed":0},"hits":{"total":{"value":0,"relation":"eq"},"hits":[]}`
 	for _, c := range []struct {
 		status     int
 		body, want string
 	}{
-		{200, "{" + ok + "}", `5:0:{"hits":[]} `},
-		{200, `{"error":{"type":"x"},` + ok + `}`, "5:1: "},
-		{200, "{" + strings.Replace(ok, "false", "true", 1) + "}", "5:1: "},
-		{200, "{" + strings.Replace(ok, `"failed":0`, `"failed":1`, 1) + "}", "5:1: "},
-		{200, "{" + strings.Replace(ok, `"successful":1`, `"successful":0`, 1) + "}", "5:1: "},
-		{200, "{" + strings.Replace(ok, `{"hits":[]}`, `null`, 1) + "}", "5:1: "},
-		{200, "<html>", "5:1: "},
-		{500, "{" + ok + "}", "5:1: "},
-		{503, `{"error":{"type":"cluster_block_exception"},"status":503}`, "5:1: "},
-		{429, `{"error":{"type":"rejected_execution_exception"},"status":429}`, "5:2: "},
-		{429, `{"error":{"type":"circuit_breaking_exception"},"status":429}`, "5:1: "},
+		{200, "{" + ok + "}", "5:0:true "},
+		{200, `{"error":{"type":"x"},` + ok + `}`, "5:1:false "},
+		{200, "{" + strings.Replace(ok, "false", "true", 1) + "}", "5:1:false "},
+		{200, "{" + strings.Replace(ok, `"failed":0`, `"failed":1`, 1) + "}", "5:1:false "},
+		{200, "{" + strings.Replace(ok, `"successful":1`, `"successful":0`, 1) + "}", "5:1:false "},
+		{200, "{" + strings.Replace(ok, `{"total":{"value":0,"relation":"eq"},"hits":[]}`, `null`, 1) + "}", "5:1:false "},
+		{200, "<html>", "5:1:false "},
+		{500, "{" + ok + "}", "5:1:false "},
+		{503, `{"error":{"type":"cluster_block_exception"},"status":503}`, "5:1:false "},
+		{429, `{"error":{"type":"rejected_execution_exception"},"status":429}`, "5:2:false "},
+		{429, `{"error":{"type":"circuit_breaking_exception"},"status":429}`, "5:1:false "},
 	} {
 		text := fmt.Sprintf("HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n%s", c.status, len(c.body), c.body)
 		for _, pieces := range []int{1, 2, len(text)} {
@@ -213,7 +263,7 @@
 			}
 		}
 	}
-	if got := serverSays("HTTP/1.1 200 OK\r\n\r\n{"+ok+"}", 3); got != `5:0:{"hits":[]} at the end` {
+	if got := serverSays("HTTP/1.1 200 OK\r\n\r\n{"+ok+"}", 3); got != "5:0:true at the end" {
 		t.Errorf("up to the end: %q", got)
 	}
 	if got := serverSays("HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n{", 1); got != "" {
--- a/internal/opensearch/search.go
+++ b/internal/opensearch/search.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/valyala/fastjson"
+
+	"yarrowwalk/internal/merge"
 )
 
 // fault is a search that is refused before the broker hears of it.
@@ -38,12 +40,20 @@
 	from, size int
 	timeout    time.Duration // 0: the class's
 	want       spans
+	count      bool // hits are only counted
+	keys       []sortKey
+	after      []merge.Value
+	limit      int64 // of the total
+	plan       *merge.Plan
 }
 
 // parseSearch reads a search's body. Clauses that are not supported are refused by name, never passed over:
 // an answer to another question than was asked looks like a right one.
-func parseSearch(body []byte, ix Index) (search, error) {
-	s := search{size: 10, want: everything}
+func parseSearch(body []byte, ix Index, count bool) (search, error) {
+	s := search{size: 10, want: everything, count: count, limit: merge.Exact}
+	if count {
+		s.size = 0
+	}
 	if len(strings.TrimSpace(string(body))) == 0 {
 		return s, nil
 	}
@@ -56,6 +66,9 @@
 		return s, parsing("the body is not an object")
 	}
 	err = visit(o, func(key string, v *fastjson.Value) error {
+		if count && key != "query" {
+			return parsing("unsupported clause [%s] in a count", key)
+		}
 		switch key {
 		case "query":
 			s.query = v
@@ -71,10 +84,16 @@
 			s.source = v
 			return nil
 		case "track_total_hits":
-			if v.Type() == fastjson.TypeTrue {
-				return nil
+			return s.track(v)
+		case "sort":
+			s.keys, err = sortKeys(v, ix)
+			return err
+		case "search_after":
+			s.after, err = merge.ParseValues(v)
+			if err != nil {
+				return parsing("[search_after]: %v", err)
 			}
-			return parsing("unsupported value for [track_total_hits]: hits are always counted whole")
+			return nil
 		}
 		return parsing("unsupported clause [%s] in the search", key)
 	})
@@ -292,15 +311,3 @@
 	}
 	return out, nil
 }
-
-// upstream is the body that goes to servers: each gives as many hits as the whole answer may need.
-func (s search) upstream() []byte {
-	b := fmt.Appendf(nil, `{"from":0,"size":%d,"track_total_hits":true`, s.from+s.size)
-	if s.query != nil {
-		b = s.query.MarshalTo(append(b, `,"query":`...))
-	}
-	if s.source != nil {
-		b = s.source.MarshalTo(append(b, `,"_source":`...))
-	}
-	return append(b, '}')
-}
--- a/internal/opensearch/servers.go
+++ b/internal/opensearch/servers.go
@@ -13,6 +13,7 @@
 	"yarrowwalk/internal/broker"
 	"yarrowwalk/internal/http1"
 	"yarrowwalk/internal/layout"
+	"yarrowwalk/internal/merge"
 )
 
 // maxAnswer bounds a server's answer.
@@ -36,12 +37,14 @@
 	host   string
 	parser http1.Parser
 	out    broker.AttemptID // 0: none
+	plan   *merge.Plan      // by which its answer is read
 	place  layout.Place     // what it asks for, under a layout; else its epoch is 0
 }
 
 // Call writes the search for one part, kept to its shard.
 func (s *session) Call(dst []byte, c broker.Call, now int64) []byte {
 	a := c.Attempts[0]
+	s.plan, _ = a.Plan.(*merge.Plan)
 	s.out, s.place = a.ID, layout.Place{Shard: a.Shard, Span: a.Span, Epoch: a.Epoch}
 	index, body, _ := bytes.Cut(a.Text, []byte{'\n'})
 	target := fmt.Sprintf("/%s/_search?preference=_shards:%d&timeout=%dms&allow_partial_search_results=false", index,
@@ -90,8 +93,10 @@
 func (s *session) take(m *http1.Message) []broker.Reply {
 	r := broker.Reply{Attempt: s.out}
 	s.out = 0
-	if r.Outcome, r.Value = judge(m); s.place.Epoch > 0 {
-		r.Outcome, r.Value = s.placed(m, r.Outcome, r.Value)
+	if r.Outcome, r.Part = judge(m, s.plan); s.place.Epoch > 0 {
+		if r.Outcome = s.placed(m, r.Outcome); r.Outcome != yw.Served {
+			r.Part = nil
+		}
 	}
 	return []broker.Reply{r}
 }
@@ -99,25 +104,25 @@
 // placed judges an answer to a part that asked for a place. Guards against a server that has lost it or never held it: a 421
 // proves that nothing ran, and says by its epoch which side is late; any other answer counts only where it names the same
 // shard and span again.
-func (s *session) placed(m *http1.Message, o yw.Outcome, value []byte) (yw.Outcome, []byte) {
+func (s *session) placed(m *http1.Message, o yw.Outcome) yw.Outcome {
 	if m.Status == misdirected {
 		epoch, err := strconv.ParseInt(m.Header.Get(layout.EpochField), 10, 64)
 		switch {
 		case err != nil:
-			return yw.Errored, nil
+			return yw.Errored
 		case epoch > s.place.Epoch:
-			return yw.Misplaced, nil
+			return yw.Misplaced
 		}
-		return yw.Rejected, nil
+		return yw.Rejected
 	}
 	if o != yw.Served {
-		return o, nil
+		return o
 	}
 	in, err := layout.ParsePlace(m.Header.Get(layout.PlaceField))
 	if in.Epoch = s.place.Epoch; err != nil || in != s.place {
-		return yw.Errored, nil
+		return yw.Errored
 	}
-	return o, value
+	return o
 }
 
 // Partial tells that bytes of an unfinished answer are held.
@@ -132,9 +137,11 @@
 }
 
 // judge tells how a search came out. A success status proves nothing: guards against errors, time-outs and
-// failed shards inside a well-formed 200, which must never pass for a served part.
-func judge(m *http1.Message) (yw.Outcome, []byte) {
-	v, err := fastjson.ParseBytes(m.Body)
+// failed shards inside a well-formed 200, and against hits that are not as asked, none of which may pass for a served part.
+func judge(m *http1.Message, plan *merge.Plan) (yw.Outcome, any) {
+	parser := parsers.Get()
+	defer parsers.Put(parser)
+	v, err := parser.ParseBytes(m.Body)
 	if err != nil {
 		return yw.Errored, nil
 	}
@@ -150,5 +157,15 @@
 		hits.Get("hits") == nil, hits.Get("hits").Type() != fastjson.TypeArray:
 		return yw.Errored, nil
 	}
-	return yw.Served, hits.MarshalTo(nil)
+	if plan == nil {
+		return yw.Errored, nil // nobody could merge it
+	}
+	part, err := plan.Read(hits, m.Body)
+	if err != nil {
+		return yw.Errored, nil
+	}
+	return yw.Served, part
 }
+
+// parsers are shared, since a parsed answer is dropped before the next one is read.
+var parsers fastjson.ParserPool
--- /dev/null
+++ b/internal/opensearch/sort.go
@@ -0,0 +1,188 @@
+package opensearch
+
+import (
+	"errors"
+	"fmt"
+	"strconv"
+
+	"github.com/valyala/fastjson"
+
+	"yarrowwalk/internal/merge"
+)
+
+// sortKey is one key of the order, as the client gave it.
+type sortKey struct {
+	merge.Key
+	missing  *fastjson.Value // nil: last
+	unmapped string
+}
+
+// maxKeys bounds the keys of an order.
+const maxKeys = 16
+
+// sortKeys reads [sort]: a key or a list of them, each a field or an object of one field. What is not supported is refused by name.
+func sortKeys(v *fastjson.Value, ix Index) ([]sortKey, error) {
+	list := []*fastjson.Value{v}
+	if v.Type() == fastjson.TypeArray {
+		list = v.GetArray()
+	}
+	if len(list) > maxKeys {
+		return nil, parsing("[sort] has %d keys, %d at most", len(list), maxKeys)
+	}
+	var keys []sortKey
+	for _, x := range list {
+		k, err := sortKeyOf(x)
+		if err != nil {
+			return nil, err
+		}
+		for _, other := range keys {
+			if other.Field == k.Field {
+				return nil, parsing("[sort] names [%s] twice", k.Field)
+			}
+		}
+		keys = append(keys, k)
+	}
+	return keys, nil
+}
+
+func sortKeyOf(x *fastjson.Value) (sortKey, error) {
+	var k sortKey
+	field := func(name string) error {
+		if k.Field = name; name == "" || name == "_doc" || name == "_shard_doc" || name == "_script" || name == "_geo_distance" {
+			return parsing("unsupported sort on [%s]", name)
+		}
+		k.Desc = name == merge.Score // as OpenSearch has it
+		return nil
+	}
+	if x.Type() == fastjson.TypeString {
+		return k, field(string(x.GetStringBytes()))
+	}
+	o, err := x.Object()
+	if err != nil || o.Len() != 1 {
+		return k, parsing("[sort] wants fields, or objects of one field")
+	}
+	err = visit(o, func(name string, v *fastjson.Value) error {
+		if err := field(name); err != nil {
+			return err
+		}
+		if v.Type() == fastjson.TypeString {
+			return k.order(v)
+		}
+		options, err := v.Object()
+		if err != nil {
+			return parsing("[sort] on [%s] wants an order or an object", name)
+		}
+		return visit(options, func(option string, v *fastjson.Value) error {
+			switch option {
+			case "order":
+				return k.order(v)
+			case "missing":
+				k.missing, k.MissingFirst = v, string(v.GetStringBytes()) == "_first"
+				return nil
+			case "unmapped_type":
+				k.unmapped = string(v.GetStringBytes())
+				return nil
+			}
+			return parsing("unsupported option [%s] of the sort on [%s]", option, name)
+		})
+	})
+	return k, err
+}
+
+func (k *sortKey) order(v *fastjson.Value) error {
+	switch text := string(v.GetStringBytes()); text {
+	case "asc", "desc":
+		k.Desc = text == "desc"
+		return nil
+	default:
+		return parsing("unknown order [%s] of the sort on [%s]: want asc or desc", v, k.Field)
+	}
+}
+
+// track reads [track_total_hits].
+func (s *search) track(v *fastjson.Value) error {
+	switch v.Type() {
+	case fastjson.TypeTrue:
+		s.limit = merge.Exact
+	case fastjson.TypeFalse:
+		s.limit = merge.Uncounted
+	default:
+		n, err := v.Int64()
+		if err != nil || n < 0 || n > 1<<31-1 {
+			return parsing("unsupported value [%s] for [track_total_hits]: want true, false or a whole number", v)
+		}
+		s.limit = n
+	}
+	return nil
+}
+
+// settle makes the plan of the merge, once body and parameters are read.
+func (s *search) settle() error {
+	var keys []merge.Key
+	for _, k := range s.keys {
+		keys = append(keys, k.Key)
+	}
+	var err error
+	if s.plan, err = merge.NewPlan(keys, s.from, s.size, s.after, s.limit); errors.Is(err, merge.ErrPlan) {
+		return illegal("%v", err)
+	}
+	return err
+}
+
+// upstream is the body that goes to servers: each gives, in the whole order with its tie-break, as many hits as the page may need.
+func (s search) upstream() []byte {
+	b := fmt.Appendf(nil, `{"from":0,"size":%d`, s.plan.Window())
+	switch s.limit {
+	case merge.Exact:
+		b = append(b, `,"track_total_hits":true`...)
+	case merge.Uncounted:
+		b = append(b, `,"track_total_hits":false`...)
+	default:
+		b = fmt.Appendf(b, `,"track_total_hits":%d`, s.limit)
+	}
+	if s.plan.Window() > 0 {
+		b = s.order(b)
+	}
+	if s.query != nil {
+		b = s.query.MarshalTo(append(b, `,"query":`...))
+	}
+	if s.source != nil {
+		b = s.source.MarshalTo(append(b, `,"_source":`...))
+	}
+	return append(b, '}')
+}
+
+// order writes the sort clause.
+func (s search) order(b []byte) []byte {
+	b = append(b, `,"sort":[`...)
+	scored := false
+	for i, k := range s.plan.Keys {
+		if i > 0 {
+			b = append(b, ',')
+		}
+		order := "asc"
+		if k.Desc {
+			order = "desc"
+		}
+		scored = scored || k.Field == merge.Score
+		b = fmt.Appendf(b, `{%s:{"order":"%s"`, quote(k.Field), order)
+		if i < len(s.keys) && s.keys[i].missing != nil {
+			b = s.keys[i].missing.MarshalTo(append(b, `,"missing":`...))
+		}
+		if i < len(s.keys) && s.keys[i].unmapped != "" {
+			b = fmt.Appendf(b, `,"unmapped_type":%s`, quote(s.keys[i].unmapped))
+		}
+		b = append(b, "}}"...)
+	}
+	b = append(b, ']')
+	if scored {
+		b = append(b, `,"track_scores":true`...)
+	}
+	if s.after != nil {
+		b = merge.AppendValues(append(b, `,"search_after":`...), s.after)
+	}
+	return b
+}
+
+// took is in whole milliseconds, as the API has it.
+func took(us int64) string { return strconv.FormatInt(us/1000, 10) }
--- a/internal/standin/query.go
+++ b/internal/standin/query.go
@@ -9,8 +9,10 @@
 
 // Row is one document, by the key that ranges are of.
 type Row struct {
-	Key int64
-	ID  string
+	Key    int64
+	ID     string
+	Score  float64        // whatever is asked for
+	Fields map[string]any // int64, float64 or string
 }
 
 // matches tells whether a row's key answers to a query, as far as stand-ins speak it; other leaves match all.
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -2,9 +2,11 @@
 
 import (
 	"cmp"
+	"encoding/json"
 	"fmt"
 	"io"
 	"log"
+	"maps"
 	"net"
 	"net/http"
 	"slices"
@@ -221,7 +223,7 @@
 			place.To++
 		}
 		w.Header().Set(layout.PlaceField, place.String())
-		answer(w, http.StatusOK, s.search(body, rows, place.Span))
+		answer(w, http.StatusOK, Search(s.cfg.Field, body, rows, place.Span))
 	}
 }
 
@@ -293,8 +295,8 @@
 	io.WriteString(w, body)
 }
 
-// search gives the rows of exactly a span that answer to a query.
-func (s *Server) search(body []byte, rows []Row, span layout.Span) string {
+// Search is what a server that holds rows, in order of the key, answers to a search kept to exactly a span.
+func Search(field string, body []byte, rows []Row, span layout.Span) string {
 	v, err := fastjson.ParseBytes(body)
 	if err != nil {
 		v = fastjson.MustParse("{}")
@@ -305,20 +307,48 @@
 		}
 		return 1
 	})
-	var hits []string
-	total := 0
+	var found []Row
 	for _, r := range rows[first:] {
 		if r.Key >= span.To {
 			break
 		}
-		if matches(v.Get("query"), s.cfg.Field, r.Key) {
-			if total++; total <= v.GetInt("size") {
-				hits = append(hits, fmt.Sprintf(`{"_index":"i","_id":%q,"_score":1.0,"_source":{%q:%d}}`, r.ID, s.cfg.Field, r.Key))
-			}
+		if matches(v.Get("query"), field, r.Key) {
+			found = append(found, r)
 		}
 	}
-	return fmt.Sprintf(`{"took":1,"timed_out":false,"_shards":{"total":1,"successful":1,"skipped":0,"failed":0},"hits":{"total":`+
-		`{"value":%d,"relation":"eq"},"max_score":1.0,"hits":[%s]}}`, total, strings.Join(hits, ","))
+	o := orderOf(v.Get("sort"))
+	shown, sorted := o.page(found, field, valuesOf(v.Get("search_after")), v.GetInt("size"))
+	type hit struct {
+		Index  string         `json:"_index"`
+		ID     string         `json:"_id"`
+		Score  float64        `json:"_score"`
+		Source map[string]any `json:"_source"`
+		Sort   []any          `json:"sort,omitempty"`
+	}
+	hits := make([]hit, len(shown))
+	for i, r := range shown {
+		source := map[string]any{field: r.Key}
+		maps.Copy(source, r.Fields)
+		hits[i] = hit{"i", r.ID, r.Score, source, sorted[i]}
+	}
+	text, err := json.Marshal(hits)
+	if err != nil { // rows hold nothing that has no form
+		return ""
+	}
+	return fmt.Sprintf(`{"took":1,"timed_out":false,"_shards":{"total":1,"successful":1,"skipped":0,"failed":0},"hits":{%s"max_score":null,"hits":%s}}`,
+		total(v.Get("track_total_hits"), len(found)), text)
+}
+
+// total is the count of hits, as far as it was asked for.
+func total(limit *fastjson.Value, found int) string {
+	relation := "eq"
+	switch {
+	case limit != nil && limit.Type() == fastjson.TypeFalse:
+		return ""
+	case limit != nil && limit.Type() == fastjson.TypeNumber && found > limit.GetInt():
+		found, relation = limit.GetInt(), "gte"
+	}
+	return fmt.Sprintf(`"total":{"value":%d,"relation":%q},`, found, relation)
 }
 
 // cut resets the connection.
--- a/internal/transport/engine.go
+++ b/internal/transport/engine.go
@@ -61,7 +61,7 @@
 		stopped: make(chan struct{}), waiting: map[yw.ID]func(broker.Final){}, figures: figures, log: logger}
 	e.pool = newPool(cfg, d, e.post)
 	e.pool.figures = figures
-	e.pool.ended, e.pool.over = core.Ended, e.stopped
+	e.pool.ended, e.pool.over = core.Came, e.stopped
 	return e
 }
 
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -31,7 +31,7 @@
 	cfg     PoolConfig
 	dialect broker.Dialect
 	post    func(func(now int64)) bool // false: nobody runs it any more
-	ended   func(now int64, id broker.AttemptID, o yw.Outcome, value []byte, report *yw.LoadReport)
+	ended   func(now int64, r broker.Reply)
 	servers map[yw.ServerID]*server
 	out     map[broker.AttemptID]*serverConn
 	figures *operations.Figures
@@ -291,7 +291,7 @@
 
 func (p *pool) refuse(now int64, call broker.Call) {
 	for _, a := range call.Attempts {
-		p.ended(now, a.ID, yw.Unreachable, nil, nil)
+		p.ended(now, broker.Reply{Attempt: a.ID, Outcome: yw.Unreachable})
 	}
 }
 
@@ -523,7 +523,7 @@
 	delete(c.calls, r.Attempt)
 	delete(c.sentAt, r.Attempt)
 	delete(p.out, r.Attempt)
-	p.ended(now, r.Attempt, r.Outcome, r.Value, r.Report)
+	p.ended(now, r)
 }
 
 // fail ends a connection. What was not written whole has never run; the rest may have. Only once the writer
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -30,7 +30,7 @@
 	b := &bench{posted: make(chan func(int64), 64), ends: map[broker.AttemptID]yw.Outcome{}}
 	b.pool = newPool(PoolConfig{ConnectTimeout: 1_000_000, IdleClose: 9_000_000, MaxConns: 4}, platform.Workers{PerConn: 2},
 		func(f func(int64)) bool { b.posted <- f; return true })
-	b.ended = func(_ int64, id broker.AttemptID, o yw.Outcome, _ []byte, _ *yw.LoadReport) { b.ends[id] = o }
+	b.ended = func(_ int64, r broker.Reply) { b.ends[r.Attempt] = r.Outcome }
 	return b
 }
 
