Merge aggregations: exact sums, sketches, buckets with bounds, sub-aggregations

Need: aggs were refused by name. Change: sum, min, max, avg, value_count, stats, extended_stats, cardinality, percentiles, terms (error bound, rest count), histogram, date_histogram, range, filter(s), composite, with sub-aggregations; sums are exact expansions rounded once, so neither split nor order matters; servers are asked for what can be merged (a mean as stats); bounds on depth, buckets and sketches; the stand-in aggregates by itself, by big.Float and maps. fastjson reads some floats a bit off the nearest, so numbers are read by strconv.

--- a/internal/layout/program_test.go
+++ b/internal/layout/program_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"os"
@@ -256,6 +257,9 @@
 	status int
 	ids    []string
 	total  int
+	sum    float64
+	by     int // documents in all buckets
+	sorted bool
 	text   string
 }
 
@@ -267,7 +271,8 @@
 	for _, w := range want {
 		should = append(should, fmt.Sprintf(`{"range":{"taxpayer":{"gte":%d,"lt":%d}}}`, w.From, w.To))
 	}
-	body := fmt.Sprintf(`{"size":5000,"query":{"bool":{"should":[%s]}}}`, strings.Join(should, ","))
+	body := fmt.Sprintf(`{"size":5000,"sort":[{"taxpayer":"desc"}],"query":{"bool":{"should":[%s]}},
+ "aggs":{"sum":{"sum":{"field":"taxpayer"}},"by":{"histogram":{"field":"taxpayer","interval":50,"min_doc_count":1}}}}`, strings.Join(should, ","))
 	req, err := http.NewRequest("POST", "http://"+g.address+"/"+index+"/_search", strings.NewReader(body))
 	if err != nil {
 		g.t.Error(err)
@@ -290,15 +295,31 @@
 		Hits     struct {
 			Total struct{ Value int }
 			Hits  []struct {
-				ID string `json:"_id"`
+				ID   string `json:"_id"`
+				Sort []any
+			}
+		}
+		Aggregations struct {
+			Sum struct{ Value float64 }
+			By  struct {
+				Buckets []struct {
+					Count int `json:"doc_count"`
+				}
 			}
 		}
 	}
 	if err := json.Unmarshal(text, &a); err != nil || o.status == 200 && (a.TimedOut || a.Shards.Successful != a.Shards.Total) {
 		return outcome{text: "not whole: " + o.text}
 	}
+	o.sorted, o.sum = true, a.Aggregations.Sum.Value
+	for _, b := range a.Aggregations.By.Buckets {
+		o.by += b.Count
+	}
+	last := math.Inf(1)
 	for _, h := range a.Hits.Hits {
-		o.ids = append(o.ids, h.ID)
+		key, _ := h.Sort[0].(float64)
+		o.sorted = o.sorted && key < last
+		o.ids, last = append(o.ids, h.ID), key
 	}
 	slices.Sort(o.ids)
 	o.total = a.Hits.Total.Value
@@ -308,5 +329,11 @@
 // equals tells that an answer is what one store would give.
 func (o outcome) equals(c *standin.Cluster, want []layout.Span) bool {
 	ids := c.Single(want)
-	return o.status == 200 && slices.Equal(o.ids, ids) && o.total == len(ids)
+	sum := 0.0
+	for _, r := range c.All {
+		if slices.ContainsFunc(want, func(w layout.Span) bool { return r.Key >= w.From && r.Key < w.To }) {
+			sum += float64(r.Key)
+		}
+	}
+	return o.status == 200 && slices.Equal(o.ids, ids) && o.total == len(ids) && o.sum == sum && o.by == len(ids) && o.sorted
 }
--- /dev/null
+++ b/internal/merge/agg_ask.go
@@ -0,0 +1,128 @@
+package merge
+
+import "strconv"
+
+// AppendAggs writes the clause that servers get: what can't be merged as it stands is asked for in a form that can.
+func AppendAggs(dst []byte, aggs []*Agg) []byte {
+	dst = append(dst, '{')
+	for i, a := range aggs {
+		if i > 0 {
+			dst = append(dst, ',')
+		}
+		dst = append(appendString(dst, a.Name), ":{"...)
+		dst = a.ask(dst)
+		if len(a.Subs) > 0 {
+			dst = AppendAggs(append(dst, `,"aggs":`...), a.Subs)
+		}
+		dst = append(dst, '}')
+	}
+	return append(dst, '}')
+}
+
+func (a *Agg) ask(dst []byte) []byte {
+	kind := a.Kind
+	if kind == "avg" {
+		kind = "stats" // a mean without its count can't be merged
+	}
+	dst = append(appendString(dst, kind), ':')
+	if a.Kind == "filter" {
+		return a.filters[0].query.MarshalTo(dst)
+	}
+	dst = append(dst, '{')
+	if a.Field != "" {
+		dst = appendString(append(dst, `"field":`...), a.Field)
+	}
+	switch a.Kind {
+	case "terms":
+		dst = strconv.AppendInt(append(dst, `,"size":`...), int64(a.shardSize), 10)
+		if a.byKey {
+			dst = append(appendString(append(dst, `,"order":{"_key":`...), direction(a.desc)), '}')
+		}
+	case "histogram":
+		dst = appendFloat(append(dst, `,"min_doc_count":1,"interval":`...), a.interval)
+		dst = appendFloat(append(dst, `,"offset":`...), a.offset)
+	case "date_histogram":
+		if dst = append(dst, `,"min_doc_count":1`...); a.calendar != "" {
+			dst = appendString(append(dst, `,"calendar_interval":`...), a.calendar)
+		} else {
+			dst = appendString(append(dst, `,"fixed_interval":`...), strconv.FormatInt(int64(a.interval), 10)+"ms")
+		}
+	case "range":
+		dst = a.askRanges(dst)
+	case "filters":
+		dst = append(dst, `"filters":{`...)
+		for i, f := range a.filters {
+			if i > 0 {
+				dst = append(dst, ',')
+			}
+			dst = f.query.MarshalTo(append(appendString(dst, f.name), ':'))
+		}
+		dst = append(dst, '}')
+	case "composite":
+		dst = a.askSources(dst)
+	}
+	return append(dst, '}')
+}
+
+func direction(desc bool) string {
+	if desc {
+		return "desc"
+	}
+	return "asc"
+}
+
+func (a *Agg) askRanges(dst []byte) []byte {
+	dst = append(dst, `,"ranges":[`...)
+	for i, r := range a.ranges {
+		if i > 0 {
+			dst = append(dst, ',')
+		}
+		dst = appendString(append(dst, `{"key":`...), r.key)
+		if r.from != nil {
+			dst = appendFloat(append(dst, `,"from":`...), *r.from)
+		}
+		if r.to != nil {
+			dst = appendFloat(append(dst, `,"to":`...), *r.to)
+		}
+		dst = append(dst, '}')
+	}
+	return append(dst, ']')
+}
+
+func (a *Agg) askSources(dst []byte) []byte {
+	dst = strconv.AppendInt(append(dst, `"size":`...), int64(a.size), 10)
+	dst = append(dst, `,"sources":[`...)
+	for i, s := range a.sources {
+		if i > 0 {
+			dst = append(dst, ',')
+		}
+		dst = append(appendString(append(dst, '{'), s.name), ":{"...)
+		dst = append(appendString(dst, s.kind), `:{"field":`...)
+		dst = appendString(append(appendString(dst, s.field), `,"order":`...), direction(s.desc))
+		if s.kind == "histogram" {
+			dst = appendFloat(append(dst, `,"interval":`...), s.interval)
+		}
+		dst = append(dst, "}}}"...)
+	}
+	dst = append(dst, ']')
+	if a.after == nil {
+		return dst
+	}
+	return append(a.appendKey(append(dst, `,"after":`...), a.after), []byte{}...)
+}
+
+// appendKey writes a composite bucket's key.
+func (a *Agg) appendKey(dst []byte, key []Value) []byte {
+	dst = append(dst, '{')
+	for i, v := range key {
+		if i > 0 {
+			dst = append(dst, ',')
+		}
+		dst = v.append(append(appendString(dst, a.sources[i].name), ':'))
+	}
+	return append(dst, '}')
+}
+
+func appendFloat(dst []byte, f float64) []byte {
+	return strconv.AppendFloat(dst, f, 'g', -1, 64)
+}
--- /dev/null
+++ b/internal/merge/exact.go
@@ -0,0 +1,49 @@
+package merge
+
+import "math"
+
+// exact is a sum of float64s that loses nothing: parts that don't overlap, the smallest first (Shewchuk, "Adaptive Precision
+// Floating-Point Arithmetic", 1997). Its value is the true sum rounded once, so neither the order nor the split of what was added
+// matters. The zero value is nought.
+type exact []float64
+
+func (e *exact) add(x float64) {
+	parts, n := *e, 0
+	for _, y := range parts {
+		if math.Abs(x) < math.Abs(y) {
+			x, y = y, x
+		}
+		hi := x + y
+		if lo := y - (hi - x); lo != 0 {
+			parts[n] = lo
+			n++
+		}
+		x = hi
+	}
+	*e = append(parts[:n], x)
+}
+
+// value rounds half to even over all parts.
+func (e exact) value() float64 {
+	n := len(e)
+	if n == 0 {
+		return 0
+	}
+	n--
+	hi, lo := e[n], 0.0
+	for n > 0 {
+		n--
+		x, y := hi, e[n]
+		hi = x + y
+		if lo = y - (hi - x); lo != 0 {
+			break
+		}
+	}
+	// What is left may decide a tie.
+	if n > 0 && (lo < 0 && e[n-1] < 0 || lo > 0 && e[n-1] > 0) {
+		if y := lo * 2; y == hi+y-hi {
+			hi += y
+		}
+	}
+	return hi
+}
--- a/internal/merge/page.go
+++ b/internal/merge/page.go
@@ -18,11 +18,15 @@
 	total int64
 	gte   bool
 	over  bool // the total has no form
+	aggs  []*node
+	held  int // buckets
 	err   error
 }
 
 // NewState begins a merge.
-func NewState(p *Plan) *State { return &State{plan: p, kinds: make([]Kind, len(p.Keys))} }
+func NewState(p *Plan) *State {
+	return &State{plan: p, kinds: make([]Kind, len(p.Keys)), aggs: blank(p.Aggs)}
+}
 
 // Add takes a part in. Parts may come in any order; each span of the key comes once.
 func (s *State) Add(part *Part) {
@@ -30,6 +34,9 @@
 	if err := s.mix(part.kinds); err != nil && s.err == nil {
 		s.err = err
 	}
+	if err := mergeAll(s.plan.Aggs, s.aggs, part.aggs, &s.held); err != nil && s.err == nil {
+		s.err = err
+	}
 	s.gte = s.gte || part.gte
 	if part.total > math.MaxInt64-s.total {
 		s.over = true
@@ -65,6 +72,7 @@
 	Known  bool // there is a total
 	Top    float64
 	Scored bool
+	Aggs   []byte // the aggregations' ends, without their braces; nil: there are none
 }
 
 // cursor is how far the merge is in one part.
@@ -132,6 +140,13 @@
 			heap.Pop(f)
 		}
 	}
+	if len(s.plan.Aggs) > 0 {
+		w := &writer{left: MaxBuckets}
+		if w.all(s.plan.Aggs, s.aggs); w.first != nil {
+			return Page{}, w.first
+		}
+		page.Aggs = w.b
+	}
 	return page, s.texts(&page, chosen)
 }
 
--- a/internal/merge/part.go
+++ b/internal/merge/part.go
@@ -18,6 +18,7 @@
 	gte    bool
 	top    float64 // the best score
 	scored bool
+	aggs   []*node
 }
 
 // ErrPart marks what a server must not give: the attempt has failed, and no page may come of it.
@@ -27,10 +28,11 @@
 	return fmt.Errorf("%w: %s", ErrPart, fmt.Sprintf(format, args...))
 }
 
-// Read judges a part's hits, which body holds as a JSON object with the key hits, already read as h. It keeps body. Guards the page
+// Read judges a part's answer, which body holds as a JSON object with the key hits, already read as v. It keeps body. Guards the page
 // against a part that has more hits than asked for, is not in the order asked for, lies before the page's beginning, or has
 // sort values that are none: any of these is a failed attempt.
-func (p *Plan) Read(h *fastjson.Value, body []byte) (*Part, error) {
+func (p *Plan) Read(v *fastjson.Value, body []byte) (*Part, error) {
+	h := v.Get("hits")
 	part := &Part{body: body, kinds: make([]Kind, len(p.Keys)), top: math.Inf(-1)}
 	list := h.Get("hits")
 	if list == nil || list.Type() != fastjson.TypeArray {
@@ -56,8 +58,8 @@
 		if i > 0 && p.compare(part.at(i-1, len(p.Keys)), now) >= 0 {
 			return nil, wrong("hit %d does not come after the one before it", i)
 		}
-		if sv := x.Get("_score"); sv != nil && sv.Type() == fastjson.TypeNumber {
-			part.top, part.scored = max(part.top, sv.GetFloat64()), true
+		if score, err := parseFloat(x.Get("_score")); err == nil {
+			part.top, part.scored = max(part.top, score), true
 		}
 	}
 	if part.hits > 0 && p.After != nil {
@@ -65,6 +67,12 @@
 			return nil, wrong("a hit that stands before the page")
 		}
 	}
+	if len(p.Aggs) > 0 {
+		var err error
+		if part.aggs, err = new(reader).all(p.Aggs, v.Get("aggregations")); err != nil {
+			return nil, err
+		}
+	}
 	return part, nil
 }
 
--- a/internal/merge/plan.go
+++ b/internal/merge/plan.go
@@ -30,8 +30,9 @@
 	From, Size int
 	After      []Value // of the last hit of the page before; nil: the first page
 	Limit      int64   // Exact, Uncounted, or how far hits are counted
-	Asked      int     // keys that the client gave; 0: by score, and hits show no sort values
-	loose      bool    // After names no tie-break: all hits that tie with it stand before it
+	Aggs       []*Agg
+	Asked      int  // keys that the client gave; 0: by score, and hits show no sort values
+	loose      bool // After names no tie-break: all hits that tie with it stand before it
 }
 
 // ErrPlan marks a plan that makes no sense.
--- a/internal/merge/proof_test.go
+++ b/internal/merge/proof_test.go
@@ -85,7 +85,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return p.Read(v.Get("hits"), []byte(text))
+	return p.Read(v, []byte(text))
 }
 
 // parts asks the stores of each span.
--- a/internal/merge/value.go
+++ b/internal/merge/value.go
@@ -64,16 +64,25 @@
 		if i, err := v.Int64(); err == nil {
 			return Int(i), nil
 		}
-		text := v.MarshalTo(nil)
-		f, err := strconv.ParseFloat(string(text), 64)
-		if err != nil || math.IsNaN(f) || math.IsInf(f, 0) { // fastjson lets NaN and Inf pass for numbers
-			return Value{}, fmt.Errorf("%w, not %.40s", errValue, text)
-		}
-		return Float(f), nil
+		f, err := parseFloat(v)
+		return Float(f), err
 	}
 	return Value{}, fmt.Errorf("%w, not %s", errValue, v.Type())
 }
 
+// parseFloat reads a number to the nearest float64, which fastjson's own reading misses by a bit now and then.
+func parseFloat(v *fastjson.Value) (float64, error) {
+	if v == nil || v.Type() != fastjson.TypeNumber {
+		return 0, errValue
+	}
+	text := v.MarshalTo(nil)
+	f, err := strconv.ParseFloat(string(text), 64)
+	if err != nil || math.IsNaN(f) || math.IsInf(f, 0) { // fastjson lets NaN and Inf pass for numbers
+		return 0, fmt.Errorf("%w, not %.40s", errValue, text)
+	}
+	return f, nil
+}
+
 // compare orders two values of one kind, neither of them missing.
 func (a Value) compare(b Value) int {
 	switch {
--- a/internal/opensearch/respond.go
+++ b/internal/opensearch/respond.go
@@ -26,6 +26,8 @@
 	switch {
 	case errors.As(err, &mixed):
 		return Front{}.fail(&fault{400, "illegal_argument_exception", mixed.Error()})
+	case errors.Is(err, merge.ErrBuckets):
+		return Front{}.fail(&fault{400, "too_many_buckets_exception", err.Error()})
 	case err != nil:
 		return Front{}.fail(&fault{500, "search_phase_execution_exception", err.Error()})
 	}
@@ -39,6 +41,9 @@
 	if !s.count {
 		b = s.hits(b, page)
 	}
+	if page.Aggs != nil {
+		b = append(append(append(b, `,"aggregations":{`...), page.Aggs...), '}')
+	}
 	return http1.Response{Status: 200, Type: "application/json; charset=UTF-8", Body: append(b, '}')}
 }
 
--- a/internal/opensearch/search.go
+++ b/internal/opensearch/search.go
@@ -44,6 +44,7 @@
 	keys       []sortKey
 	after      []merge.Value
 	limit      int64 // of the total
+	aggs       []*merge.Agg
 	plan       *merge.Plan
 }
 
@@ -88,6 +89,14 @@
 		case "sort":
 			s.keys, err = sortKeys(v, ix)
 			return err
+		case "aggs", "aggregations":
+			if s.aggs != nil {
+				return parsing("both [aggs] and [aggregations]")
+			}
+			if s.aggs, err = merge.ParseAggs(v); err != nil {
+				return parsing("%v", err)
+			}
+			return nil
 		case "search_after":
 			s.after, err = merge.ParseValues(v)
 			if err != nil {
--- a/internal/opensearch/servers.go
+++ b/internal/opensearch/servers.go
@@ -160,7 +160,7 @@
 	if plan == nil {
 		return yw.Errored, nil // nobody could merge it
 	}
-	part, err := plan.Read(hits, m.Body)
+	part, err := plan.Read(v, m.Body)
 	if err != nil {
 		return yw.Errored, nil
 	}
--- a/internal/opensearch/sort.go
+++ b/internal/opensearch/sort.go
@@ -125,8 +125,11 @@
 	var err error
 	if s.plan, err = merge.NewPlan(keys, s.from, s.size, s.after, s.limit); errors.Is(err, merge.ErrPlan) {
 		return illegal("%v", err)
+	} else if err != nil {
+		return err
 	}
-	return err
+	s.plan.Aggs = s.aggs
+	return nil
 }
 
 // upstream is the body that goes to servers: each gives, in the whole order with its tie-break, as many hits as the page may need.
@@ -149,6 +152,9 @@
 	if s.source != nil {
 		b = s.source.MarshalTo(append(b, `,"_source":`...))
 	}
+	if len(s.aggs) > 0 {
+		b = merge.AppendAggs(append(b, `,"aggs":`...), s.aggs)
+	}
 	return append(b, '}')
 }
 
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -335,12 +335,20 @@
 	if err != nil { // rows hold nothing that has no form
 		return ""
 	}
-	return fmt.Sprintf(`{"took":1,"timed_out":false,"_shards":{"total":1,"successful":1,"skipped":0,"failed":0},"hits":{%s"max_score":null,"hits":%s}}`,
-		total(v.Get("track_total_hits"), len(found)), text)
+	aggs := ""
+	if clause := v.Get("aggs"); clause != nil {
+		text, err := json.Marshal(Aggregate(clause, found, field, true))
+		if err != nil {
+			return ""
+		}
+		aggs = `,"aggregations":` + string(text)
+	}
+	return fmt.Sprintf(`{"took":1,"timed_out":false,"_shards":{"total":1,"successful":1,"skipped":0,"failed":0},"hits":{%s"max_score":null,"hits":%s}%s}`,
+		counted(v.Get("track_total_hits"), len(found)), text, aggs)
 }
 
-// total is the count of hits, as far as it was asked for.
-func total(limit *fastjson.Value, found int) string {
+// counted is the count of hits, as far as it was asked for.
+func counted(limit *fastjson.Value, found int) string {
 	relation := "eq"
 	switch {
 	case limit != nil && limit.Type() == fastjson.TypeFalse:
