Partial answers in protobuf beside JSON, with the same results

Need: JSON is dear to read and gives figures that are not exact beside; a binary form had to exist, versioned.

--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -136,6 +136,7 @@
 	}
 	for _, c := range []struct{ from, to, names string }{
 		{`"from": 25000`, `"from": 26000`, "layout.whole: epoch 1: range 26000-50000: gap"},
+		{`"field": "taxpayer"`, `"field": "taxpayer", "partials": "xml"`, "indices[0].partials"},
 		{`"ledger-3",`, `"ledger-9",`, `holder "ledger-3" is not in the list`},
 		{`"whole": {`, `"hole": {`, "layout.whole: missing"},
 		{`"epoch": 1`, `"epoch": 1, "odd": 2`, "layout.whole"},
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -234,6 +234,13 @@
 	}
 	ix := opensearch.Index{Name: x.str("name", ""), Class: x.str("class", ""), Field: x.str("field", ""),
 		PartWork: x.integer("part_work_us", 0), Placed: placed}
+	switch form := x.str("partials", "json"); form {
+	case "json":
+	case "protobuf":
+		ix.Binary = true
+	default:
+		x.fault("partials", "want json or protobuf, not %q", form)
+	}
 	known := false
 	for _, c := range o.Settings.Module.Classes {
 		known = known || c.Name == ix.Class
--- a/internal/layout/program_test.go
+++ b/internal/layout/program_test.go
@@ -121,7 +121,7 @@
 	text, err := json.Marshal(map[string]any{"name": "g", "listen": "127.0.0.1:0", "operator": "127.0.0.1:0", "seed": "7",
 		"servers": servers, "layout": l,
 		"indices": []any{map[string]any{"name": "invoices", "class": "read", "field": "taxpayer", "part_work_us": 500},
-			map[string]any{"name": "filings", "class": "once", "field": "taxpayer", "part_work_us": 500}},
+			map[string]any{"name": "filings", "partials": "protobuf", "class": "once", "field": "taxpayer", "part_work_us": 500}},
 		"settings": json.RawMessage(`{"me":0,"balancers":1,"zone":"a","period_us":2000,
  "classes":[{"name":"read","aim_us":4000000,"hard_limit_us":6000000,"worth":1,"late_worth":0.1,"effect":"free"},
   {"name":"once","aim_us":4000000,"hard_limit_us":6000000,"worth":1,"late_worth":0.1,"effect":"single_shot"}],
--- a/internal/merge/agg_read.go
+++ b/internal/merge/agg_read.go
@@ -150,11 +150,18 @@
 }
 
 func (r *reader) cardinality(a *Agg, n *node, v *fastjson.Value) error {
+	raw, err := base64.StdEncoding.DecodeString(string(v.GetStringBytes("sketch")))
+	if err != nil {
+		return wrong("[%s] has no sketch: %v", a.Name, err)
+	}
+	return r.sketch(a, n, raw)
+}
+
+func (r *reader) sketch(a *Agg, n *node, raw []byte) error {
 	if r.sketches++; r.sketches > maxSketches {
 		return wrong("more than %d sketches", maxSketches)
 	}
-	raw, err := base64.StdEncoding.DecodeString(string(v.GetStringBytes("sketch")))
-	if err != nil || len(raw) == 0 {
+	if len(raw) == 0 {
 		return wrong("[%s] has no sketch", a.Name)
 	}
 	n.sketch = hyperloglog.New14()
@@ -212,7 +219,13 @@
 			return err
 		}
 	}
-	return a.listBounds(n, v)
+	if a.Kind == "terms" {
+		var err error
+		if n.other, err = wholeAt(a, v, "sum_other_doc_count"); err != nil {
+			return err
+		}
+	}
+	return a.listBounds(n)
 }
 
 // keyOf reads a bucket's key.
@@ -236,24 +249,40 @@
 		return nil, wrong("[%s] has a bucket without its key", a.Name)
 	}
 	key, err := parseValue(v)
-	switch {
-	case err != nil || key.Kind == Missing:
+	if err != nil {
 		return nil, wrong("[%s] has a key that is no value", a.Name)
-	case a.Kind == "range" && !slices.ContainsFunc(a.ranges, func(r aggRange) bool { return r.key == key.s }),
-		(a.Kind == "histogram" || a.Kind == "date_histogram") && key.Kind != Number:
-		return nil, wrong("[%s] has a bucket that was not asked for", a.Name)
 	}
-	return []Value{key}, nil
+	return []Value{key}, a.checkKey([]Value{key})
 }
 
-func (r *reader) bucket(a *Agg, n *node, key []Value, x *fastjson.Value) error {
-	if r.buckets++; r.buckets > MaxBuckets {
-		return wrong("more than %d buckets", MaxBuckets)
+// checkKey turns down a bucket that was not asked for.
+func (a *Agg) checkKey(key []Value) error {
+	want := 1
+	switch a.Kind {
+	case "composite":
+		want = len(a.sources)
+	case "filter":
+		want = 0
 	}
-	name := string(AppendValues(nil, key))
-	if n.buckets[name] != nil {
-		return wrong("[%s] has bucket %s twice", a.Name, name)
+	if len(key) != want || slices.ContainsFunc(key, func(v Value) bool { return v.Kind == Missing }) {
+		return wrong("[%s] has a key that is no value", a.Name)
 	}
+	asked := true
+	switch a.Kind {
+	case "range":
+		asked = slices.ContainsFunc(a.ranges, func(r aggRange) bool { return r.key == key[0].s })
+	case "filters":
+		asked = slices.ContainsFunc(a.filters, func(f filter) bool { return f.name == key[0].s })
+	case "histogram", "date_histogram":
+		asked = key[0].Kind == Number
+	}
+	if !asked {
+		return wrong("[%s] has a bucket that was not asked for", a.Name)
+	}
+	return nil
+}
+
+func (r *reader) bucket(a *Agg, n *node, key []Value, x *fastjson.Value) error {
 	b := &bucket{key: key}
 	var err error
 	if b.count, err = wholeAt(a, x, "doc_count"); err != nil {
@@ -262,21 +291,29 @@
 	if b.subs, err = r.all(a.Subs, x); err != nil {
 		return err
 	}
+	return r.put(a, n, b)
+}
+
+func (r *reader) put(a *Agg, n *node, b *bucket) error {
+	if r.buckets++; r.buckets > MaxBuckets {
+		return wrong("more than %d buckets", MaxBuckets)
+	}
+	name := string(AppendValues(nil, b.key))
+	if n.buckets[name] != nil {
+		return wrong("[%s] has bucket %s twice", a.Name, name)
+	}
 	n.buckets[name] = b
 	return nil
 }
 
 // listBounds takes in what a part left out of its list of terms.
-func (a *Agg) listBounds(n *node, v *fastjson.Value) (err error) {
+func (a *Agg) listBounds(n *node) error {
 	switch {
 	case a.Kind == "terms" && len(n.buckets) > a.shardSize, a.Kind == "composite" && len(n.buckets) > a.size:
 		return wrong("[%s] has %d buckets, more than asked for", a.Name, len(n.buckets))
 	case a.Kind != "terms":
 		return nil
 	}
-	if n.other, err = wholeAt(a, v, "sum_other_doc_count"); err != nil {
-		return err
-	}
 	if n.other > 0 && !a.byKey {
 		least := int64(math.MaxInt64)
 		for _, b := range n.buckets {
--- a/internal/merge/agg_test.go
+++ b/internal/merge/agg_test.go
@@ -84,22 +84,33 @@
 		for _, clause := range clauses {
 			queries++
 			p := aggPlan(t, clause)
-			var in []*Part
+			var in, binary []*Part
 			for i := range len(cuts) - 1 {
 				part, err := read(p, standin.Search("key", aggBody(p), rows, layout.Span{From: cuts[i], To: cuts[i+1]}))
 				if err != nil {
 					t.Fatalf("%s: %v", aggBody(p), err)
 				}
 				in = append(in, part)
+				other, err := p.ReadBinary(standin.Binary("key", aggBody(p), rows, layout.Span{From: cuts[i], To: cuts[i+1]}))
+				if err != nil {
+					t.Fatalf("%s: binary: %v", aggBody(p), err)
+				}
+				binary = append(binary, other)
 			}
 			spec := fastjson.MustParse("{" + strings.ReplaceAll(clause, `{"to":2},{"from":2,"to":4}`, `{"key":"*-2","to":2},{"key":"2-4","from":2,"to":4}`) + "}")
 			single, err := json.Marshal(standin.Aggregate(spec, rows, "key", false))
 			if err != nil {
 				t.Fatal(err)
 			}
-			for range 3 {
+			for n := range 4 {
 				orders++
-				rng.Shuffle(len(in), func(i, j int) { in[i], in[j] = in[j], in[i] })
+				if n == 2 { // some in one form, some in the other
+					in[0] = binary[0]
+				} else if n == 3 {
+					in = binary
+				} else {
+					rng.Shuffle(len(in), func(i, j int) { in[i], in[j], binary[i], binary[j] = in[j], in[i], binary[j], binary[i] })
+				}
 				page, err := merged(p, in)
 				got := append(append([]byte{'{'}, page.Aggs...), '}')
 				if err != nil || !reflect.DeepEqual(tidy(got), tidy(single)) {
--- a/internal/merge/page.go
+++ b/internal/merge/page.go
@@ -159,6 +159,12 @@
 	}
 	var parser fastjson.Parser
 	for part, places := range byPart {
+		if part.texts != nil {
+			for _, i := range places {
+				page.Hits[i] = s.sorted(part, chosen[i].at)
+			}
+			continue
+		}
 		v, err := parser.ParseBytes(part.body)
 		if err != nil { // it was read once
 			return wrong("%v", err)
@@ -180,16 +186,22 @@
 	return nil
 }
 
+// sorted is a hit's text from the binary form, with its sort values where the client asked for them.
+func (s *State) sorted(part *Part, i int) []byte {
+	text := part.texts[i]
+	if s.plan.Asked == 0 {
+		return text
+	}
+	b := append(make([]byte, 0, len(text)+64), text[:len(text)-1]...)
+	if len(text) > 2 {
+		b = append(b, ',')
+	}
+	return append(AppendValues(append(b, `"sort":`...), part.at(i, len(s.plan.Keys))), '}')
+}
+
 // show gives a hit the sort values that its server left to be read off it.
 func (s *State) show(x *fastjson.Value, values []Value) {
-	var b []byte
-	for i, v := range values {
-		if b = append(b, ','); i == 0 {
-			b[0] = '['
-		}
-		b = v.append(b)
-	}
-	x.Set("sort", fastjson.MustParseBytes(append(b, ']')))
+	x.Set("sort", fastjson.MustParseBytes(AppendValues(nil, values)))
 }
 
 // Completeness is what of a query is in. Weights add up to 1.
--- a/internal/merge/part.go
+++ b/internal/merge/part.go
@@ -10,8 +10,9 @@
 
 // Part is what one part of a query gave, read and judged by itself.
 type Part struct {
-	body   []byte  // the object that has "hits"
-	values []Value // of each hit, one after the other
+	body   []byte   // the object that has "hits", or the binary form
+	texts  [][]byte // of the hits, without sort values; nil: they are read from body
+	values []Value  // of each hit, one after the other
 	hits   int
 	kinds  []Kind
 	total  int64
@@ -33,7 +34,6 @@
 // sort values that are none: any of these is a failed attempt.
 func (p *Plan) Read(v *fastjson.Value, body []byte) (*Part, error) {
 	h := v.Get("hits")
-	part := &Part{body: body, kinds: make([]Kind, len(p.Keys)), top: math.Inf(-1)}
 	list := h.Get("hits")
 	if list == nil || list.Type() != fastjson.TypeArray {
 		return nil, wrong("no list of hits")
@@ -42,31 +42,22 @@
 	if len(hits) > p.Window() {
 		return nil, wrong("%d hits, where %d were asked for", len(hits), p.Window())
 	}
+	part := p.newPart(body, len(hits))
 	if err := p.readTotal(part, h, len(hits)); err != nil {
 		return nil, err
 	}
-	part.hits, part.values = len(hits), make([]Value, 0, len(hits)*len(p.Keys))
 	for i, x := range hits {
 		var err error
 		if part.values, err = p.sortValues(part.values, x); err != nil {
 			return nil, err
 		}
-		now := part.at(i, len(p.Keys))
-		if err := p.kinds(part.kinds, now); err != nil {
-			return nil, wrong("%v", err)
-		}
-		if i > 0 && p.compare(part.at(i-1, len(p.Keys)), now) >= 0 {
-			return nil, wrong("hit %d does not come after the one before it", i)
+		if err := p.judge(part, i); err != nil {
+			return nil, err
 		}
 		if score, err := parseFloat(x.Get("_score")); err == nil {
 			part.top, part.scored = max(part.top, score), true
 		}
 	}
-	if part.hits > 0 && p.After != nil {
-		if err := p.kinds(append([]Kind(nil), part.kinds...), p.After); err == nil && p.compare(part.at(0, len(p.Keys)), p.After) <= 0 {
-			return nil, wrong("a hit that stands before the page")
-		}
-	}
 	if len(p.Aggs) > 0 {
 		var err error
 		if part.aggs, err = new(reader).all(p.Aggs, v.Get("aggregations")); err != nil {
@@ -76,6 +67,27 @@
 	return part, nil
 }
 
+func (p *Plan) newPart(body []byte, hits int) *Part {
+	return &Part{body: body, hits: hits, kinds: make([]Kind, len(p.Keys)), top: math.Inf(-1), values: make([]Value, 0, hits*len(p.Keys))}
+}
+
+// judge judges the hit whose values came in last, against the one before it and against where the page begins.
+func (p *Plan) judge(part *Part, i int) error {
+	now := part.at(i, len(p.Keys))
+	if err := p.kinds(part.kinds, now); err != nil {
+		return wrong("%v", err)
+	}
+	if i > 0 && p.compare(part.at(i-1, len(p.Keys)), now) >= 0 {
+		return wrong("hit %d does not come after the one before it", i)
+	}
+	if i == 0 && p.After != nil {
+		if err := p.kinds(append([]Kind(nil), part.kinds...), p.After); err == nil && p.compare(now, p.After) <= 0 {
+			return wrong("a hit that stands before the page")
+		}
+	}
+	return nil
+}
+
 // sortValues appends those of one hit. Where a server gives none, score and id speak for themselves.
 func (p *Plan) sortValues(dst []Value, x *fastjson.Value) ([]Value, error) {
 	given := x.Get("sort")
@@ -114,12 +126,12 @@
 	if p.Limit == Uncounted {
 		return nil
 	}
-	t := h.Get("total")
+	t, gte := h.Get("total"), false
 	if t != nil && t.Type() == fastjson.TypeObject {
 		switch string(t.GetStringBytes("relation")) {
 		case "eq":
 		case "gte":
-			part.gte = true
+			gte = true
 		default:
 			return wrong("a total without its relation")
 		}
@@ -129,14 +141,22 @@
 		return wrong("no total")
 	}
 	n, err := t.Int64()
-	switch {
-	case err != nil || n < 0:
+	if err != nil {
 		return wrong("total: want a whole number from nought, not %s", t)
-	case part.gte && (p.Limit == Exact || n < p.Limit):
+	}
+	return p.total(part, n, gte, hits)
+}
+
+// total takes in how many hits a part has.
+func (p *Plan) total(part *Part, n int64, gte bool, hits int) error {
+	switch {
+	case n < 0:
+		return wrong("total: want a whole number from nought, not %d", n)
+	case gte && (p.Limit == Exact || n < p.Limit):
 		return wrong("a total that is not counted as far as asked")
-	case !part.gte && n < int64(hits):
+	case !gte && n < int64(hits):
 		return wrong("a total of %d, with %d hits", n, hits)
 	}
-	part.total = n
+	part.total, part.gte = n, gte
 	return nil
 }
--- a/internal/merge/proof_test.go
+++ b/internal/merge/proof_test.go
@@ -101,6 +101,19 @@
 	return out
 }
 
+// partsBinary is the same in the binary form.
+func partsBinary(t *testing.T, p *Plan, rows []standin.Row, cuts []int64) (out []*Part) {
+	t.Helper()
+	for i := range len(cuts) - 1 {
+		part, err := p.ReadBinary(standin.Binary("key", body(p), rows, layout.Span{From: cuts[i], To: cuts[i+1]}))
+		if err != nil {
+			t.Fatalf("%s: %v", body(p), err)
+		}
+		out = append(out, part)
+	}
+	return out
+}
+
 func merged(p *Plan, parts []*Part) (Page, error) {
 	s := NewState(p)
 	for _, x := range parts {
@@ -182,8 +195,12 @@
 			in := parts(t, p, rows, cuts)
 			want := single(p, rows)
 			first, _ := merged(p, in)
-			for range 3 {
+			binary := partsBinary(t, p, rows, cuts)
+			for n := range 4 {
 				orders++
+				if n == 3 {
+					in = binary
+				}
 				rng.Shuffle(len(in), func(i, j int) { in[i], in[j] = in[j], in[i] })
 				if page, err := merged(p, in); err != nil || page.beside() != want || page.text() != first.text() {
 					mismatches++
@@ -317,6 +334,26 @@
 	}
 }
 
+func FuzzReadBinary(f *testing.F) {
+	p := aggPlan(f, clauses[9])
+	rows := []standin.Row{{Key: 1, ID: "a", Fields: map[string]any{"desk": "x", "small": 1.5, "due": 0.1}}}
+	f.Add(standin.Binary("key", aggBody(p), rows, layout.Span{From: 0, To: 9}))
+	f.Add([]byte{8, 1})
+	f.Fuzz(func(t *testing.T, text []byte) {
+		x, err := p.ReadBinary(text)
+		if err != nil {
+			return
+		}
+		s := NewState(p)
+		s.Add(x)
+		if page, err := s.Page(); err == nil {
+			if _, err := fastjson.ParseBytes(append(append([]byte{'{'}, page.Aggs...), '}')); err != nil {
+				t.Errorf("an answer that is no JSON: %v", err)
+			}
+		}
+	})
+}
+
 func FuzzRead(f *testing.F) {
 	p, err := NewPlan([]Key{{Field: "due", Desc: true}}, 0, 5, nil, Exact)
 	if err != nil {
--- a/internal/opensearch/front.go
+++ b/internal/opensearch/front.go
@@ -24,6 +24,7 @@
 	Field       string // whose ranges tell the shards
 	PartWork    int64  // hint of the work of a part, in microseconds; 0 when there is none
 	Ranges      []Range
+	Binary      bool  // servers are asked for partial answers in the binary form
 	Placed      bool  // the layout says where the ranges are, not Ranges
 	over        spans // of a placed index: the layout's domain
 }
@@ -97,7 +98,10 @@
 		return broker.Ask{}, nil, &r
 	}
 	ask, s, err := f.open(m, now)
-	ask.Plan = s.plan
+	if s.plan != nil {
+		s.plan.Binary = s.binary
+		ask.Plan = s.plan
+	}
 	opaque := m.Header.Get("X-Opaque-Id")
 	finish := func(r http1.Response) http1.Response {
 		if opaque != "" {
@@ -166,6 +170,7 @@
 	if s, err = parseSearch(m.Body, ix, count); err != nil {
 		return a, s, err
 	}
+	s.binary = ix.Binary
 	if err = s.params(params); err != nil {
 		return a, s, err
 	}
--- a/internal/opensearch/search.go
+++ b/internal/opensearch/search.go
@@ -41,6 +41,7 @@
 	timeout    time.Duration // 0: the class's
 	want       spans
 	count      bool // hits are only counted
+	binary     bool // partial answers may come in the binary form
 	keys       []sortKey
 	after      []merge.Value
 	limit      int64 // of the total
--- a/internal/opensearch/servers.go
+++ b/internal/opensearch/servers.go
@@ -50,6 +50,9 @@
 	target := fmt.Sprintf("/%s/_search?preference=_shards:%d&timeout=%dms&allow_partial_search_results=false", index,
 		a.Shard, max(1, (a.Due-now)/1000))
 	fields := [][2]string{{"Content-Type", "application/json"}}
+	if s.plan != nil && s.plan.Binary {
+		fields = append(fields, [2]string{"Accept", merge.BinaryType + ", application/json"})
+	}
 	if a.Label != "" {
 		fields = append(fields, [2]string{"X-Opaque-Id", a.Label})
 	}
@@ -139,6 +142,13 @@
 // judge tells how a search came out. A success status proves nothing: guards against errors, time-outs and
 // failed shards inside a well-formed 200, and against hits that are not as asked, none of which may pass for a served part.
 func judge(m *http1.Message, plan *merge.Plan) (yw.Outcome, any) {
+	if plan != nil && plan.Binary && m.Status == 200 && binary(m.Header.Get("Content-Type")) {
+		part, err := plan.ReadBinary(m.Body)
+		if err != nil {
+			return yw.Errored, nil
+		}
+		return yw.Served, part
+	}
 	parser := parsers.Get()
 	defer parsers.Put(parser)
 	v, err := parser.ParseBytes(m.Body)
@@ -167,5 +177,12 @@
 	return yw.Served, part
 }
 
+// binary tells the binary form by its media type.
+func binary(mediaType string) bool {
+	name, _, _ := strings.Cut(merge.BinaryType, ";")
+	is, _, _ := strings.Cut(mediaType, ";")
+	return strings.TrimSpace(is) == name
+}
+
 // parsers are shared, since a parsed answer is dropped before the next one is read.
 var parsers fastjson.ParserPool
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -50,6 +50,9 @@
 	Each    time.Duration   // and of each row that it gives
 }
 
+// partialType is the media type of the binary form.
+const partialType = "application/x-saffronquay-partial"
+
 // hold is what a server has of one shard.
 type hold struct {
 	span   layout.Span
@@ -223,6 +226,11 @@
 			place.To++
 		}
 		w.Header().Set(layout.PlaceField, place.String())
+		if strings.HasPrefix(r.Header.Get("Accept"), partialType) {
+			w.Header().Set("Content-Type", partialType)
+			answer(w, http.StatusOK, string(Binary(s.cfg.Field, body, rows, place.Span)))
+			return
+		}
 		answer(w, http.StatusOK, Search(s.cfg.Field, body, rows, place.Span))
 	}
 }
@@ -289,7 +297,9 @@
 }
 
 func answer(w http.ResponseWriter, status int, body string) {
-	w.Header().Set("Content-Type", "application/json")
+	if w.Header().Get("Content-Type") == "" {
+		w.Header().Set("Content-Type", "application/json")
+	}
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(status)
 	io.WriteString(w, body)
