--- /dev/null
+++ b/internal/merge/bench_test.go
@@ -0,0 +1,173 @@
+package merge
+
+import (
+	"bytes"
+	"cmp"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"runtime"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/valyala/fastjson"
+)
+
+// before is how the front merged until issue 10: each part read and written out by its session, read once more at the end, every
+// hit written out, and all sorted.
+func before(texts [][]byte, from, size int) [][]byte {
+	type hit struct {
+		score float64
+		text  []byte
+	}
+	var given [][]byte
+	for _, t := range texts {
+		v, _ := fastjson.ParseBytes(t)
+		given = append(given, v.Get("hits").MarshalTo(nil))
+	}
+	var hits []hit
+	for _, g := range given {
+		h, _ := fastjson.ParseBytes(g)
+		for _, x := range h.GetArray("hits") {
+			score := math.Inf(-1)
+			if sv := x.Get("_score"); sv != nil && sv.Type() == fastjson.TypeNumber {
+				score = sv.GetFloat64()
+			}
+			hits = append(hits, hit{score, x.MarshalTo(nil)})
+		}
+	}
+	slices.SortStableFunc(hits, func(a, b hit) int { return cmp.Compare(b.score, a.score) })
+	var out [][]byte
+	for _, h := range hits[min(from, len(hits)):min(from+size, len(hits))] {
+		out = append(out, bytes.TrimSpace(h.text))
+	}
+	return out
+}
+
+// answers are what n servers give for a page of so many hits each, in the order asked for.
+func answers(n, hits int) (texts [][]byte) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	for i := range n {
+		scores := make([]float64, hits)
+		for j := range scores {
+			scores[j] = rng.Float64()
+		}
+		slices.SortFunc(scores, func(a, b float64) int { return cmp.Compare(b, a) })
+		var b strings.Builder
+		for j, s := range scores {
+			if j > 0 {
+				b.WriteByte(',')
+			}
+			fmt.Fprintf(&b, `{"_index":"invoices","_id":"%d-%d","_score":%g,"_source":{"taxpayer":%d,"due":"2026-12-20","text":"factura de servicios"},"sort":[%g,"%d-%d"]}`, i, j, s, j, s, i, j)
+		}
+		texts = append(texts, fmt.Appendf(nil, `{"took":1,"timed_out":false,"_shards":{"total":1,"successful":1,"failed":0},"hits":{"total":{"value":%d,"relation":"eq"},"hits":[%s]}}`, hits, b.String()))
+	}
+	return texts
+}
+
+// BenchmarkFirstPage is 200 parts of 100 hits each up to the first page of 100.
+func BenchmarkFirstPage(b *testing.B) {
+	texts := answers(200, 100)
+	p, err := NewPlan(nil, 0, 100, nil, Exact)
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Run("before", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			if got := before(texts, 0, 100); len(got) != 100 {
+				b.Fatal(len(got))
+			}
+		}
+	})
+	b.Run("now", func(b *testing.B) {
+		b.ReportAllocs()
+		var pool fastjson.ParserPool
+		for b.Loop() {
+			s := NewState(p)
+			for _, t := range texts {
+				parser := pool.Get()
+				v, err := parser.ParseBytes(t)
+				if err != nil {
+					b.Fatal(err)
+				}
+				part, err := p.Read(v, t)
+				if err != nil {
+					b.Fatal(err)
+				}
+				pool.Put(parser)
+				s.Add(part)
+			}
+			if page, err := s.Page(); err != nil || len(page.Hits) != 100 {
+				b.Fatal(err)
+			}
+		}
+	})
+}
+
+// BenchmarkTerms is a terms aggregation of 200 parts with 1,000 buckets each.
+func BenchmarkTerms(b *testing.B) {
+	p := aggPlan(b, `"a":{"terms":{"field":"x","size":1000,"shard_size":1000},"aggs":{"s":{"sum":{"field":"y"}}}}`)
+	var texts []string
+	for i := range 200 {
+		var t strings.Builder
+		for j := range 1000 {
+			fmt.Fprintf(&t, `,{"key":%d,"doc_count":%d,"s":{"value":%d.25}}`, j*7+i%5, 1000-j, j)
+		}
+		texts = append(texts, `{"hits":{"total":0,"hits":[]},"aggregations":{"a":{"sum_other_doc_count":0,"buckets":[`+t.String()[1:]+`]}}}`)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		s := NewState(p)
+		for _, t := range texts {
+			part, err := read(p, t)
+			if err != nil {
+				b.Fatal(err)
+			}
+			s.Add(part)
+		}
+		if _, err := s.Page(); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// 30 MB of hits stay within what they are plus a bounded share: texts are kept, trees are not.
+func TestMemory(t *testing.T) {
+	texts := answers(300, 600) // some 32 MB
+	size := 0
+	for _, x := range texts {
+		size += len(x)
+	}
+	p, err := NewPlan(nil, 0, 600, nil, Exact)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	var parser fastjson.Parser
+	s := NewState(p)
+	for _, x := range texts {
+		v, err := parser.ParseBytes(x)
+		if err != nil {
+			t.Fatal(err)
+		}
+		part, err := p.Read(v, x)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.Add(part)
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	page, err := s.Page()
+	if err != nil || len(page.Hits) != 600 {
+		t.Fatal(err)
+	}
+	t.Logf("%d MB of hits, %d MB held beside them", size>>20, (after.HeapAlloc-before.HeapAlloc)>>20)
+	if size < 30<<20 || after.HeapAlloc-before.HeapAlloc > uint64(size) {
+		t.Errorf("%d bytes beside %d of hits", after.HeapAlloc-before.HeapAlloc, size)
+	}
+}
--- a/internal/merge/part.go
+++ b/internal/merge/part.go
@@ -19,6 +19,7 @@
 	gte    bool
 	top    float64 // the best score
 	scored bool
+	ids    arena
 	aggs   []*node
 }
 
@@ -48,13 +49,17 @@
 	}
 	for i, x := range hits {
 		var err error
-		if part.values, err = p.sortValues(part.values, x); err != nil {
+		if part.values, err = p.sortValues(part, x); err != nil {
 			return nil, err
 		}
 		if err := p.judge(part, i); err != nil {
 			return nil, err
 		}
-		if score, err := parseFloat(x.Get("_score")); err == nil {
+		if p.Keys[0].Field == Score { // the best one comes first or last, and is read already
+			if v := part.at(i, len(p.Keys))[0]; v.Kind == Number {
+				part.top, part.scored = max(part.top, v.float()), true
+			}
+		} else if score, err := parseFloat(x.Get("_score")); err == nil {
 			part.top, part.scored = max(part.top, score), true
 		}
 	}
@@ -89,7 +94,8 @@
 }
 
 // sortValues appends those of one hit. Where a server gives none, score and id speak for themselves.
-func (p *Plan) sortValues(dst []Value, x *fastjson.Value) ([]Value, error) {
+func (p *Plan) sortValues(part *Part, x *fastjson.Value) ([]Value, error) {
+	dst := part.values
 	given := x.Get("sort")
 	if given != nil {
 		list := given.GetArray()
@@ -97,7 +103,7 @@
 			return nil, wrong("%d sort values, where %d were asked for", len(list), len(p.Keys))
 		}
 		for i, s := range list {
-			v, err := parseValue(s)
+			v, err := readValue(s, &part.ids)
 			if err != nil {
 				return nil, wrong("sort value of [%s]: %v", p.Keys[i].Field, err)
 			}
@@ -110,7 +116,7 @@
 		if k.Field != Score && k.Field != ID || s == nil {
 			return nil, wrong("no sort value of [%s]", k.Field)
 		}
-		v, err := parseValue(s)
+		v, err := readValue(s, &part.ids)
 		if err != nil {
 			return nil, wrong("[%s]: %v", k.Field, err)
 		}
--- a/internal/merge/value.go
+++ b/internal/merge/value.go
@@ -1,12 +1,14 @@
 package merge
 
 import (
+	"bytes"
 	"cmp"
 	"errors"
 	"fmt"
 	"math"
 	"math/big"
 	"strconv"
+	"unsafe"
 
 	"github.com/valyala/fastjson"
 )
@@ -50,22 +52,24 @@
 var errValue = errors.New("want a number, a string, true, false or null")
 
 // parseValue reads a sort value. Numbers that no float64 holds as they stand, and are not whole, are rounded as JSON's readers do.
-func parseValue(v *fastjson.Value) (Value, error) {
+func parseValue(v *fastjson.Value) (Value, error) { return readValue(v, nil) }
+
+// readValue is parseValue with a place for keywords; nil: each has its own.
+func readValue(v *fastjson.Value, a *arena) (Value, error) {
 	switch v.Type() {
 	case fastjson.TypeNull:
 		return Value{}, nil
 	case fastjson.TypeString:
+		if a != nil {
+			return String(a.string(v.GetStringBytes())), nil
+		}
 		return String(string(v.GetStringBytes())), nil
 	case fastjson.TypeTrue:
 		return Value{Kind: Flag, i: 1}, nil
 	case fastjson.TypeFalse:
 		return Value{Kind: Flag}, nil
 	case fastjson.TypeNumber:
-		if i, err := v.Int64(); err == nil {
-			return Int(i), nil
-		}
-		f, err := parseFloat(v)
-		return Float(f), err
+		return readNumber(v)
 	}
 	return Value{}, fmt.Errorf("%w, not %s", errValue, v.Type())
 }
@@ -75,14 +79,31 @@
 	if v == nil || v.Type() != fastjson.TypeNumber {
 		return 0, errValue
 	}
-	text := v.MarshalTo(nil)
-	f, err := strconv.ParseFloat(string(text), 64)
+	var buf [40]byte
+	return floatOf(v.MarshalTo(buf[:0]))
+}
+
+func floatOf(text []byte) (float64, error) {
+	f, err := strconv.ParseFloat(unsafe.String(unsafe.SliceData(text), len(text)), 64)
 	if err != nil || math.IsNaN(f) || math.IsInf(f, 0) { // fastjson lets NaN and Inf pass for numbers
-		return 0, fmt.Errorf("%w, not %.40s", errValue, text)
+		return 0, fmt.Errorf("%w, not %.40s", errValue, bytes.Clone(text))
 	}
 	return f, nil
 }
 
+// readNumber keeps whole numbers exact.
+func readNumber(v *fastjson.Value) (Value, error) {
+	var buf [40]byte
+	text := v.MarshalTo(buf[:0])
+	if bytes.IndexAny(text, ".eE") < 0 {
+		if i, err := strconv.ParseInt(unsafe.String(unsafe.SliceData(text), len(text)), 10, 64); err == nil {
+			return Int(i), nil
+		}
+	}
+	f, err := floatOf(text)
+	return Float(f), err
+}
+
 // compare orders two values of one kind, neither of them missing.
 func (a Value) compare(b Value) int {
 	switch {
@@ -106,6 +127,13 @@
 	return new(big.Float).SetFloat64(f).Cmp(new(big.Float).SetInt64(i))
 }
 
+func (a Value) float() float64 {
+	if a.whole {
+		return float64(a.i)
+	}
+	return a.f
+}
+
 // append writes a value as JSON.
 func (a Value) append(dst []byte) []byte {
 	switch {
