Points in time: cursors that keep pages stable over writes, splits, moves and restarts

Need: pages of search_after shifted with every write between them, and no cursor existed. Change: internal/cursor makes sealed tokens, bounded in number, size and age for each tenant; the search front opens, uses, keeps alive and closes them; parts carry X-As-Of, which servers have to name again, 410 where that state is gone; the stand-in keeps what was written and taken away. Result: 400 documents come once each over seven pages with writes, a split, a server killed, the gatherer started anew and a move between them; forged, closed and forgotten ones end with 404 by name.

--- a/cmd/saffronquay/main.go
+++ b/cmd/saffronquay/main.go
@@ -3,6 +3,9 @@
 package main
 
 import (
+	"bytes"
+	"crypto/rand"
+	"encoding/binary"
 	"log"
 	"os"
 	"os/signal"
@@ -12,6 +15,7 @@
 	yw "yarrowwalk"
 	"yarrowwalk/internal/broker"
 	"yarrowwalk/internal/config"
+	"yarrowwalk/internal/cursor"
 	"yarrowwalk/internal/layout"
 	"yarrowwalk/internal/opensearch"
 	"yarrowwalk/internal/platform"
@@ -75,7 +79,7 @@
 		return plan{}, err
 	}
 	if ok {
-		return searching(op, &layout.Current{}, logger), nil
+		return searching(op, &standing{}, logger), nil
 	}
 	node, err := config.Load(os.Getenv, os.ReadFile)
 	if err != nil {
@@ -99,9 +103,10 @@
 		}}
 }
 
-func searching(op config.Operator, place *layout.Current, logger *log.Logger) plan {
+func searching(op config.Operator, held *standing, logger *log.Logger) plan {
 	front := opensearch.Front{Indices: op.Indices, TenantHeader: op.TenantHeader, Tenants: map[string]bool{},
-		Longest: map[string]int64{}, Margin: margin, Layout: place}
+		Longest: map[string]int64{}, Margin: margin, Layout: &held.place,
+		Cursors: held.of(op.Cursors), Nonce: nonce}
 	for _, t := range op.Settings.Module.Tenants {
 		front.Tenants[t.Name] = true
 	}
@@ -110,9 +115,44 @@
 	}
 	return plan{name: op.Name, listen: op.Listen, operator: op.Operator, seed: op.Seed, sockets: op.Sockets, memoryMB: op.MemoryMB,
 		settings: op.Settings, budgets: op.Budgets, front: front, dialect: opensearch.Servers{}, partsPerCall: 1,
-		fleet: yw.FleetChanged{Kind: yw.FleetFull, Servers: op.Servers}, addresses: op.Addresses, vrrp: op.VRRP, layout: op.Layout, place: place,
+		fleet: yw.FleetChanged{Kind: yw.FleetFull, Servers: op.Servers}, addresses: op.Addresses, vrrp: op.VRRP, layout: op.Layout, place: &held.place,
 		again: func() (plan, error) {
 			now, err := config.ReloadOperator(os.Getenv, os.ReadFile, op)
-			return searching(now, place, logger), err
+			return searching(now, held, logger), err
 		}}
 }
+
+// standing is what the search front holds for as long as the process runs, whatever file is in force.
+type standing struct {
+	place   layout.Current
+	key     []byte // of cursors, where no file gave one
+	cursors *cursor.Keeper
+	by      config.Cursors
+}
+
+// of is the keeper of points in time by a file's settings; one whose settings stay keeps its cursors. Nil where there are none.
+func (s *standing) of(c *config.Cursors) *cursor.Keeper {
+	if c == nil {
+		return nil
+	}
+	if s.key == nil {
+		s.key = make([]byte, 32)
+		rand.Read(s.key) // it never fails
+	}
+	if s.cursors == nil || s.by.Most != c.Most || s.by.MaxKeep != c.MaxKeep || s.by.MaxAge != c.MaxAge || !bytes.Equal(s.by.Key, c.Key) {
+		key := c.Key
+		if key == nil {
+			key = s.key
+		}
+		s.by = *c
+		s.cursors = cursor.NewKeeper(cursor.Config{Key: key, Most: c.Most, MaxKeep: c.MaxKeep.Microseconds(), MaxAge: c.MaxAge.Microseconds()})
+	}
+	return s.cursors
+}
+
+// nonce tells cursors apart.
+func nonce() uint64 {
+	var b [8]byte
+	rand.Read(b[:]) // it never fails
+	return binary.BigEndian.Uint64(b[:])
+}
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"encoding/hex"
 	"fmt"
 	"net"
 	"net/netip"
@@ -28,8 +29,16 @@
 	Indices           map[string]opensearch.Index
 	Servers           []yw.Server
 	Addresses         map[yw.ServerID]string
-	VRRP              *VRRP   // nil: off
-	Layout            *Layout // nil: settings and indices say where shards are, for good
+	VRRP              *VRRP    // nil: off
+	Cursors           *Cursors // nil: there are no points in time
+	Layout            *Layout  // nil: settings and indices say where shards are, for good
+}
+
+// Cursors sets up points in time.
+type Cursors struct {
+	Key             []byte // nil: each process has its own
+	Most            int    // open at a time, of one tenant
+	MaxKeep, MaxAge time.Duration
 }
 
 // Layout sets up ranges that split, merge and move.
@@ -128,12 +137,33 @@
 	if placed {
 		o.layout(r.object("layout"))
 	}
+	if r.has("cursors") {
+		o.cursors(r.object("cursors"))
+	}
 	if r.has("vrrp") {
 		o.VRRP = readVRRP(r.object("vrrp"))
 	}
 	return o, *r.err
 }
 
+// cursors reads the bounds of points in time, and the key that seals their tokens.
+func (o *Operator) cursors(r reader) {
+	o.Cursors = &Cursors{Most: r.count("most", 100), MaxKeep: time.Duration(r.integer("max_keep_ms", 300_000)) * time.Millisecond,
+		MaxAge: time.Duration(r.integer("max_age_ms", 3_600_000)) * time.Millisecond}
+	if o.Cursors.Most < 1 || o.Cursors.Most > 10_000 {
+		r.fault("most", "want 1 to 10000, not %d", o.Cursors.Most)
+	}
+	if o.Cursors.MaxKeep <= 0 || o.Cursors.MaxAge < o.Cursors.MaxKeep {
+		r.fault("max_age_ms", "want at least max_keep_ms, and both above nought")
+	}
+	if text := r.str("key", ""); text != "" {
+		var err error
+		if o.Cursors.Key, err = hex.DecodeString(text); err != nil || len(o.Cursors.Key) < 16 {
+			r.fault("key", "want 32 hex digits or more")
+		}
+	}
+}
+
 // layout reads where the ranges are, as last known, and who tells of changes.
 func (o *Operator) layout(r reader) {
 	r.require("whole")
--- /dev/null
+++ b/internal/cursor/cursor_test.go
@@ -0,0 +1,127 @@
+package cursor
+
+import (
+	"errors"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+const second = 1_000_000
+
+func keeper() *Keeper {
+	return NewKeeper(Config{Key: []byte("k"), Most: 3, MaxKeep: 60 * second, MaxAge: 100 * second})
+}
+
+func TestLife(t *testing.T) {
+	k := keeper()
+	token, err := k.Open(5*second, "lagos", "invoices", 10*second, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		name, tenant, token string
+		now, keep           int64
+		want                error
+	}{
+		{"in time", "lagos", token, 14 * second, 0, nil},
+		{"another tenant", "ferrer", token, 6 * second, 0, ErrInvalid},
+		{"made up", "lagos", "AAAA", 6 * second, 0, ErrInvalid},
+		{"damaged", "lagos", token[:len(token)-1] + "x", 6 * second, 0, ErrInvalid},
+		{"longer than may be", "lagos", token, 6 * second, 61 * second, ErrKeep},
+		{"kept alive", "lagos", token, 14 * second, 50 * second, nil},
+		{"later, by the old token", "lagos", token, 63 * second, 60 * second, nil},
+		{"over its age", "lagos", token, 105 * second, 0, ErrOver},
+	} {
+		got, _, err := k.Use(c.now, c.tenant, c.token, c.keep)
+		if !errors.Is(err, c.want) || err == nil && (got.At != 5*second || got.Index != "invoices") {
+			t.Errorf("%s: %+v %v", c.name, got, err)
+		}
+	}
+	if _, err := k.Open(0, "lagos", "i", 61*second, 1); !errors.Is(err, ErrKeep) {
+		t.Error(err)
+	}
+}
+
+// A tenant has so many and no more; those that are over make room, those that are closed too once their time is over.
+func TestBounds(t *testing.T) {
+	k := keeper()
+	var tokens []string
+	for n := range uint64(3) {
+		token, err := k.Open(0, "lagos", "i", 10*second, n)
+		if err != nil {
+			t.Fatal(err)
+		}
+		tokens = append(tokens, token)
+	}
+	if _, err := k.Open(0, "lagos", "i", second, 9); !errors.Is(err, ErrTooMany) {
+		t.Errorf("a fourth: %v", err)
+	}
+	if _, err := k.Open(0, "ferrer", "i", second, 9); err != nil {
+		t.Errorf("another tenant's first: %v", err)
+	}
+	if open, err := k.Close(second, "lagos", tokens[0]); !open || err != nil {
+		t.Error(open, err)
+	}
+	if _, _, err := k.Use(second, "lagos", tokens[0], 0); !errors.Is(err, ErrOver) {
+		t.Errorf("closed: %v", err)
+	}
+	if open, _ := k.Close(second, "ferrer", tokens[1]); open {
+		t.Error("closed by another tenant")
+	}
+	if _, err := k.Open(11*second, "lagos", "i", second, 10); err != nil {
+		t.Errorf("two are over: %v", err)
+	}
+	if n := k.Held(11 * second); n != 1 {
+		t.Errorf("%d held", n)
+	}
+	if k.Held(200 * second); len(k.tenants) != 0 {
+		t.Errorf("left behind: %v", k.tenants)
+	}
+}
+
+// A process with the same key knows the token of another, one with another key does not.
+func TestOtherProcess(t *testing.T) {
+	token, err := keeper().Open(0, "lagos", "i", second, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err := keeper().Use(1, "lagos", token, 0); err != nil {
+		t.Error(err)
+	}
+	other := NewKeeper(Config{Key: []byte("other"), Most: 3, MaxKeep: second, MaxAge: second})
+	if _, _, err := other.Use(1, "lagos", token, 0); !errors.Is(err, ErrInvalid) {
+		t.Error(err)
+	}
+}
+
+// No token that differs in any byte is taken.
+func TestForgery(t *testing.T) {
+	k := keeper()
+	token, err := k.Open(0, "lagos", "invoices", 10*second, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		b := []byte(token)
+		i := rapid.IntRange(0, len(b)-1).Draw(t, "at")
+		b[i] = rapid.SampledFrom([]byte("ABCDEFabcdef0123456789-_!")).Draw(t, "byte")
+		if string(b) == token {
+			return
+		}
+		if _, _, err := k.Use(1, "lagos", string(b), 0); !errors.Is(err, ErrInvalid) {
+			t.Fatalf("%s: %v", b, err)
+		}
+	})
+}
+
+func FuzzUse(f *testing.F) {
+	k := keeper()
+	token, _ := k.Open(0, "lagos", "invoices", 10*second, 1)
+	f.Add(token)
+	f.Fuzz(func(t *testing.T, text string) {
+		if _, _, err := k.Use(1, "lagos", text, 0); err == nil && text != token {
+			t.Errorf("%q was taken", text)
+		}
+	})
+}
--- a/internal/layout/program_test.go
+++ b/internal/layout/program_test.go
@@ -119,7 +119,7 @@
 		l["directory"] = directory
 	}
 	text, err := json.Marshal(map[string]any{"name": "g", "listen": "127.0.0.1:0", "operator": "127.0.0.1:0", "seed": "7",
-		"servers": servers, "layout": l,
+		"servers": servers, "layout": l, "cursors": map[string]any{"key": "000102030405060708090a0b0c0d0e0f"},
 		"indices": []any{map[string]any{"name": "invoices", "class": "read", "field": "taxpayer", "part_work_us": 500},
 			map[string]any{"name": "filings", "partials": "protobuf", "class": "once", "field": "taxpayer", "part_work_us": 500}},
 		"settings": json.RawMessage(`{"me":0,"balancers":1,"zone":"a","period_us":2000,
--- a/internal/layout/search_test.go
+++ b/internal/layout/search_test.go
@@ -5,10 +5,16 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/valyala/fastjson"
+
+	yw "yarrowwalk"
+	"yarrowwalk/internal/layout"
 	"yarrowwalk/internal/standin"
 )
 
@@ -74,3 +80,92 @@
 		t.Errorf("stats: %s", got)
 	}
 }
+
+// Pages of a point in time go on over writes, a split, a move, a server that dies and a gatherer that is started anew: what stood at
+// its opening comes once, and nothing else. Where a server no longer holds that state, and after its end, the answer says so.
+func TestPointInTime(t *testing.T) {
+	s := &scene{t: t, c: newCluster(t, 5, 4, 2, 400, standin.ServerConfig{})}
+	s.gs = []*gatherer{start(t, s.c)}
+	g := s.gs[0]
+	var stood []string
+	for _, r := range s.c.All {
+		stood = append(stood, r.ID)
+	}
+	_, _, text := g.post("/invoices/_search/point_in_time?keep_alive=1m", "")
+	id := fastjson.MustParse(text).GetStringBytes("pit_id")
+	if len(id) == 0 {
+		t.Fatal(text)
+	}
+	write := func() { // everything with an even key goes, as many others come
+		var add []standin.Row
+		for k := int64(0); k < 400; k += 3 {
+			add = append(add, standin.Row{Key: k, ID: fmt.Sprintf("new-%d-%d", k, time.Now().UnixNano())})
+		}
+		s.c.Write(time.Now().UnixMicro(), add, func(r standin.Row) bool { return r.Key%2 == 0 })
+	}
+	between := []func(){write,
+		func() {
+			s.announce("x", layout.Split, []int{0}, layout.Range{Span: layout.Span{From: 0, To: 30}, Shard: 4, Holders: []yw.ServerID{"s03"}},
+				layout.Range{Span: layout.Span{From: 30, To: 100}, Shard: 5, Holders: []yw.ServerID{"s04", "s02"}})
+			s.do("x copy", "x ready", "x cutover")
+		},
+		func() { s.c.Server("s01").Kill(); s.do("x retire") },
+		func() {
+			g.signal(syscall.SIGTERM)
+			<-g.exited
+			g.run()
+		},
+		func() {
+			s.announce("m", layout.Move, []int{3}, layout.Range{Span: layout.Span{From: 300, To: 400}, Shard: 3, Holders: []yw.ServerID{"s02", "s00"}})
+			s.do("m copy", "m ready", "m cutover", "m retire")
+		}, write}
+	var got []string
+	after := ""
+	for page := 0; ; page++ {
+		status, _, text := g.post("/_search", fmt.Sprintf(`{"size":60,"sort":[{"taxpayer":"desc"}],"pit":{"id":%q,"keep_alive":"2m"}%s}`, id, after))
+		v, err := fastjson.Parse(text)
+		if err != nil || status != 200 || v.GetInt("hits", "total", "value") != 400 {
+			t.Fatalf("page %d: %d %.300s", page, status, text)
+		}
+		hits := v.GetArray("hits", "hits")
+		if len(hits) == 0 {
+			break
+		}
+		for _, h := range hits {
+			got = append(got, string(h.GetStringBytes("_id")))
+		}
+		id = v.GetStringBytes("pit_id")
+		after = `,"search_after":` + hits[len(hits)-1].Get("sort").String()
+		between[page%len(between)]()
+	}
+	slices.Sort(got)
+	slices.Sort(stood)
+	if !slices.Equal(got, stood) {
+		t.Errorf("%d documents over all pages, %d stood at the opening", len(got), len(stood))
+	}
+	ask := func(id string) (int, string) {
+		status, _, text := g.post("/_search", fmt.Sprintf(`{"pit":{"id":%q}}`, id))
+		return status, text
+	}
+	for _, srv := range s.c.Servers {
+		srv.Forget(time.Now().UnixMicro())
+	}
+	if status, text := ask(string(id)); status != 404 || !strings.Contains(text, "no longer holds what stood then") {
+		t.Errorf("forgotten: %d %s", status, text)
+	}
+	if status, text := ask(string(id[:len(id)-2]) + "xx"); status != 404 || !strings.Contains(text, "no cursor") {
+		t.Errorf("forged: %d %s", status, text)
+	}
+	req, err := http.NewRequest("DELETE", "http://"+g.address+"/_search/point_in_time", strings.NewReader(fmt.Sprintf(`{"pit_id":[%q]}`, id)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := client.Do(req)
+	if err != nil || resp.StatusCode != 200 {
+		t.Fatal(resp, err)
+	}
+	resp.Body.Close()
+	if status, text := ask(string(id)); status != 404 || !strings.Contains(text, "the cursor is over") {
+		t.Errorf("closed: %d %s", status, text)
+	}
+}
--- a/internal/merge/part.go
+++ b/internal/merge/part.go
@@ -20,9 +20,16 @@
 	top    float64 // the best score
 	scored bool
 	ids    arena
+	gone   bool
 	aggs   []*node
 }
 
+// GonePart is what a server gives that holds the state of a query's time no longer.
+func GonePart() *Part { return &Part{gone: true} }
+
+// Gone tells such a part.
+func (part *Part) Gone() bool { return part.gone }
+
 // ErrPart marks what a server must not give: the attempt has failed, and no page may come of it.
 var ErrPart = errors.New("not what was asked for")
 
--- a/internal/merge/plan.go
+++ b/internal/merge/plan.go
@@ -31,9 +31,10 @@
 	After      []Value // of the last hit of the page before; nil: the first page
 	Limit      int64   // Exact, Uncounted, or how far hits are counted
 	Aggs       []*Agg
-	Binary     bool // servers may answer in the binary form
-	Asked      int  // keys that the client gave; 0: by score, and hits show no sort values
-	loose      bool // After names no tie-break: all hits that tie with it stand before it
+	AsOf       int64 // the time whose state is asked for, in Unix microseconds; 0: as things are
+	Binary     bool  // servers may answer in the binary form
+	Asked      int   // keys that the client gave; 0: by score, and hits show no sort values
+	loose      bool  // After names no tie-break: all hits that tie with it stand before it
 }
 
 // ErrPlan marks a plan that makes no sense.
--- a/internal/opensearch/front.go
+++ b/internal/opensearch/front.go
@@ -14,6 +14,7 @@
 	"strings"
 
 	"yarrowwalk/internal/broker"
+	"yarrowwalk/internal/cursor"
 	"yarrowwalk/internal/http1"
 	"yarrowwalk/internal/layout"
 )
@@ -65,6 +66,8 @@
 	TenantHeader string           // which header field names the tenant
 	Longest      map[string]int64 // by class: how long a query may take, in microseconds
 	Margin       int64            // taken off each client's time
+	Cursors      *cursor.Keeper   // of points in time; nil: there are none
+	Nonce        func() uint64    // a random number that is not drawn twice
 	Layout       *layout.Current  // where the ranges of placed indices are; nil: there are none
 }
 
@@ -97,9 +100,17 @@
 		}
 		return broker.Ask{}, nil, &r
 	}
-	ask, s, err := f.open(m, now)
+	direct, err := f.points(m, now)
+	if direct != nil {
+		return broker.Ask{}, nil, direct
+	}
+	var ask broker.Ask
+	var s search
+	if err == nil {
+		ask, s, err = f.open(m, now)
+	}
 	if s.plan != nil {
-		s.plan.Binary = s.binary
+		s.plan.Binary, s.plan.AsOf = s.binary, s.asOf
 		ask.Plan = s.plan
 	}
 	opaque := m.Header.Get("X-Opaque-Id")
@@ -136,6 +147,11 @@
 func (f Front) Class(m *http1.Message) string {
 	path, _, _ := strings.Cut(m.Target, "?")
 	name, _, ok := searched(path)
+	if path == "/_search" && f.Cursors != nil {
+		if p, err := pitOf(m.Body); err == nil && p != nil {
+			return f.Indices[f.Cursors.Peek(p.id)].Class
+		}
+	}
 	if text, err := url.PathUnescape(name); ok && err == nil {
 		return f.Indices[text].Class
 	}
@@ -145,15 +161,34 @@
 func (f Front) open(m *http1.Message, now int64) (a broker.Ask, s search, err error) {
 	path, params, _ := strings.Cut(m.Target, "?")
 	name, count, ok := searched(path)
-	if !ok {
+	if !ok && !(path == "/_search" && f.Cursors != nil) {
 		return a, s, &fault{400, "illegal_argument_exception", "no handler found for uri [" + path + "] and method [" + m.Method + "]"}
 	}
 	if m.Method != "POST" && m.Method != "GET" {
 		return a, s, &fault{405, "illegal_argument_exception", "incorrect HTTP method for [" + path + "]: want POST or GET"}
 	}
+	tenant, err := f.tenant(m)
+	if err != nil {
+		return a, s, err
+	}
 	if name, err = url.PathUnescape(name); err != nil {
 		return a, s, illegal("the path can't be read: %v", err)
 	}
+	var at cursor.Cursor
+	token := ""
+	if path == "/_search" {
+		p, err := pitOf(m.Body)
+		switch {
+		case err != nil:
+			return a, s, err
+		case p == nil:
+			return a, s, illegal("a search without an index wants [pit]")
+		}
+		if at, token, err = f.Cursors.Use(now, tenant, p.id, p.keep.Microseconds()); err != nil {
+			return a, s, pointFault(err)
+		}
+		name = at.Index
+	}
 	ix, ok := f.Indices[name]
 	if !ok {
 		return a, s, &fault{404, "index_not_found_exception", "no such index [" + name + "]"}
@@ -163,13 +198,10 @@
 		l = f.Layout.Load()
 		ix.over = spans{l.Domain()}
 	}
-	tenant := m.Header.Get(f.TenantHeader)
-	if len(f.Tenants) > 0 && !f.Tenants[tenant] {
-		return a, s, &fault{403, "security_exception", "no contract for tenant [" + tenant + "]"}
-	}
-	if s, err = parseSearch(m.Body, ix, count); err != nil {
+	if s, err = parseSearch(m.Body, ix, count, token != ""); err != nil {
 		return a, s, err
 	}
+	s.asOf, s.token = at.At, token
 	s.binary = ix.Binary
 	if err = s.params(params); err != nil {
 		return a, s, err
@@ -204,6 +236,15 @@
 	return a, s, nil
 }
 
+// tenant is whose request it is, where tenants are told apart.
+func (f Front) tenant(m *http1.Message) (string, error) {
+	tenant := m.Header.Get(f.TenantHeader)
+	if len(f.Tenants) > 0 && !f.Tenants[tenant] {
+		return "", &fault{403, "security_exception", "no contract for tenant [" + tenant + "]"}
+	}
+	return tenant, nil
+}
+
 // placed makes parts of a plan.
 func placed(plan []layout.Piece) []broker.AskPart {
 	parts := make([]broker.AskPart, len(plan))
--- a/internal/opensearch/respond.go
+++ b/internal/opensearch/respond.go
@@ -19,6 +19,9 @@
 		if !ok { // a session reads every answer that it hands on
 			return Front{}.fail(&fault{500, "search_phase_execution_exception", "a part was not read"})
 		}
+		if part.Gone() {
+			return Front{}.fail(&fault{404, "search_context_missing_exception", "point in time: a server no longer holds what stood then"})
+		}
 		state.Add(part)
 	}
 	page, err := state.Page()
@@ -41,6 +44,9 @@
 	if !s.count {
 		b = s.hits(b, page)
 	}
+	if s.token != "" {
+		b = append(append(b, `,"pit_id":`...), quote(s.token)...)
+	}
 	if page.Aggs != nil {
 		b = append(append(append(b, `,"aggregations":{`...), page.Aggs...), '}')
 	}
--- a/internal/opensearch/search.go
+++ b/internal/opensearch/search.go
@@ -40,8 +40,10 @@
 	from, size int
 	timeout    time.Duration // 0: the class's
 	want       spans
-	count      bool // hits are only counted
-	binary     bool // partial answers may come in the binary form
+	count      bool   // hits are only counted
+	asOf       int64  // Unix microseconds; 0: as things are
+	token      string // of the point in time, from now on
+	binary     bool   // partial answers may come in the binary form
 	keys       []sortKey
 	after      []merge.Value
 	limit      int64 // of the total
@@ -51,7 +53,7 @@
 
 // parseSearch reads a search's body. Clauses that are not supported are refused by name, never passed over:
 // an answer to another question than was asked looks like a right one.
-func parseSearch(body []byte, ix Index, count bool) (search, error) {
+func parseSearch(body []byte, ix Index, count, inPoint bool) (search, error) {
 	s := search{size: 10, want: everything, count: count, limit: merge.Exact}
 	if count {
 		s.size = 0
@@ -90,6 +92,11 @@
 		case "sort":
 			s.keys, err = sortKeys(v, ix)
 			return err
+		case "pit":
+			if inPoint {
+				return nil // it was read before
+			}
+			return parsing("[pit] goes with a search that names no index")
 		case "aggs", "aggregations":
 			if s.aggs != nil {
 				return parsing("both [aggs] and [aggregations]")
--- a/internal/opensearch/servers.go
+++ b/internal/opensearch/servers.go
@@ -19,6 +19,13 @@
 // maxAnswer bounds a server's answer.
 const maxAnswer = 1 << 20
 
+// asOfField has the time whose state a part asks for, and its answer shows, in Unix microseconds; gone is the status of a server that
+// holds that state no longer.
+const (
+	asOfField = "X-As-Of"
+	gone      = 410
+)
+
 // misdirected is the status by which a server says that it does not hold what it was asked for (RFC 9110, 15.5.20).
 const misdirected = 421
 
@@ -50,6 +57,9 @@
 	target := fmt.Sprintf("/%s/_search?preference=_shards:%d&timeout=%dms&allow_partial_search_results=false", index,
 		a.Shard, max(1, (a.Due-now)/1000))
 	fields := [][2]string{{"Content-Type", "application/json"}}
+	if s.plan != nil && s.plan.AsOf > 0 {
+		fields = append(fields, [2]string{asOfField, strconv.FormatInt(s.plan.AsOf, 10)})
+	}
 	if s.plan != nil && s.plan.Binary {
 		fields = append(fields, [2]string{"Accept", merge.BinaryType + ", application/json"})
 	}
@@ -142,6 +152,14 @@
 // judge tells how a search came out. A success status proves nothing: guards against errors, time-outs and
 // failed shards inside a well-formed 200, and against hits that are not as asked, none of which may pass for a served part.
 func judge(m *http1.Message, plan *merge.Plan) (yw.Outcome, any) {
+	if plan != nil && plan.AsOf > 0 { // guards a page against a server that knows nothing of points in time
+		if m.Header.Get(asOfField) != strconv.FormatInt(plan.AsOf, 10) {
+			return yw.Errored, nil
+		}
+		if m.Status == gone {
+			return yw.Served, merge.GonePart()
+		}
+	}
 	if plan != nil && plan.Binary && m.Status == 200 && binary(m.Header.Get("Content-Type")) {
 		part, err := plan.ReadBinary(m.Body)
 		if err != nil {
--- a/internal/standin/cluster.go
+++ b/internal/standin/cluster.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -70,15 +71,40 @@
 
 // fill copies the rows of a range to its holders. Rows never change, so any source gives the same.
 func (c *Cluster) fill(r layout.Range) {
-	var rows []Row
-	for _, x := range c.All {
-		if x.Key >= r.From && x.Key < r.To {
+	rows := between(c.All, r.Span)
+	for _, h := range r.Holders {
+		c.byID[h].store(r.Shard, r.Span, rows)
+	}
+}
+
+// between are the rows of a span.
+func between(all []Row, span layout.Span) (rows []Row) {
+	for _, x := range all {
+		if x.Key >= span.From && x.Key < span.To {
 			rows = append(rows, x)
 		}
 	}
-	for _, h := range r.Holders {
-		s := c.byID[h]
-		s.store(r.Shard, r.Span, rows)
+	return rows
+}
+
+// Write puts rows in and takes others away, at a time, at every holder. What was there stays for those who ask as of before.
+func (c *Cluster) Write(at int64, add []Row, gone func(Row) bool) {
+	c.doing.Lock()
+	defer c.doing.Unlock()
+	all := slices.Clone(c.All)
+	for i := range all {
+		if all[i].Until == 0 && gone(all[i]) {
+			all[i].Until = at
+		}
+	}
+	for _, r := range add {
+		r.From = at
+		all = append(all, r)
+	}
+	slices.SortStableFunc(all, func(a, b Row) int { return cmp.Compare(a.Key, b.Key) })
+	c.All = all
+	for _, s := range c.Servers {
+		s.write(all)
 	}
 }
 
--- a/internal/standin/query.go
+++ b/internal/standin/query.go
@@ -13,6 +13,8 @@
 	ID     string
 	Score  float64        // whatever is asked for
 	Fields map[string]any // int64, float64 or string
+	From   int64          // when it was written, in Unix microseconds; 0: long ago
+	Until  int64          // when it was taken away; 0: it stands
 }
 
 // matches tells whether a row's key answers to a query, as far as stand-ins speak it; other leaves match all.
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -53,6 +53,41 @@
 // partialType is the media type of the binary form.
 const partialType = "application/x-saffronquay-partial"
 
+// asOfField has the time whose state is asked for, in Unix microseconds.
+const asOfField = "X-As-Of"
+
+// standing are the rows that stood at a time; 0: now.
+func standing(rows []Row, asOf int64) (out []Row) {
+	for _, r := range rows {
+		if asOf == 0 && r.Until == 0 || asOf > 0 && r.From <= asOf && (r.Until == 0 || r.Until > asOf) {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// Forget has it hold no state from before a time.
+func (s *Server) Forget(before int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.oldest = before
+}
+
+func (s *Server) since() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.oldest
+}
+
+// write replaces the rows of what it holds.
+func (s *Server) write(all []Row) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, h := range s.holds {
+		h.rows = between(all, h.span)
+	}
+}
+
 // hold is what a server has of one shard.
 type hold struct {
 	span   layout.Span
@@ -76,6 +111,7 @@
 	other   chan struct{} // closed, and replaced, with each fault
 	held    chan struct{} // gets one for each search that begins to wait
 	waiting int
+	oldest  int64         // the state from before is gone
 	busy    time.Duration // worked, in all
 	parts   int           // run, in all
 }
@@ -212,6 +248,7 @@
 		s.deny(w, place.Epoch-1)
 		return
 	}
+	asOf, _ := strconv.ParseInt(r.Header.Get(asOfField), 10, 64)
 	rows, epoch, ran := s.run(r, index, place, fault == Zombie)
 	switch {
 	case ran == full:
@@ -221,17 +258,26 @@
 	case fault == CutRan:
 		cut(w)
 	default:
+		asked := place.Span
 		place.Epoch = epoch
 		if fault == Mislabels {
 			place.To++
 		}
 		w.Header().Set(layout.PlaceField, place.String())
+		if asOf > 0 {
+			w.Header().Set(asOfField, r.Header.Get(asOfField))
+			if asOf < s.since() {
+				answer(w, http.StatusGone, `{"error":{"type":"state_gone_exception","reason":"too long ago"},"status":410}`)
+				return
+			}
+		}
+		rows = standing(rows, asOf)
 		if strings.HasPrefix(r.Header.Get("Accept"), partialType) {
 			w.Header().Set("Content-Type", partialType)
-			answer(w, http.StatusOK, string(Binary(s.cfg.Field, body, rows, place.Span)))
+			answer(w, http.StatusOK, string(Binary(s.cfg.Field, body, rows, asked)))
 			return
 		}
-		answer(w, http.StatusOK, Search(s.cfg.Field, body, rows, place.Span))
+		answer(w, http.StatusOK, Search(s.cfg.Field, body, rows, asked))
 	}
 }
 
