Answers in part, holders that differ and figures of cursors, over the program

Need: the issue's hard cases wanted tests over the program: a class with a least share under 1, holders that differ by a late write, too many buckets. Change: svc.cursors.open; the stand-in may lack writes from a time on and then turns parts of later points in time away. Result: share 0.75 and the missing range are stated and never marked whole; eight pages of a point in time are right while one of two holders lacks the write.

--- a/cmd/saffronquay/gatherer.go
+++ b/cmd/saffronquay/gatherer.go
@@ -54,6 +54,9 @@
 	if g.layout != nil {
 		g.figures.Routes = &operations.LayoutFigures{}
 	}
+	if g.cursors != nil && g.cursors.Load() != nil {
+		g.figures.Cursors = func() int { return g.cursors.Load().Held(g.clock.Now()) }
+	}
 	if err := g.begin(); err != nil {
 		return err
 	}
@@ -384,6 +387,7 @@
 	if now.listen != g.listen || now.operator != g.operator {
 		g.log.Printf("level=warn event=reload note=%q", "listen and operator take a restart")
 	}
+	now.cursors = g.cursors
 	now.name, now.listen, now.operator, now.vrrp, now.passed, now.shared, now.seed = g.name, g.listen, g.operator, g.vrrp,
 		g.passed, g.shared, g.seed
 	g.plan = now
--- a/cmd/saffronquay/main.go
+++ b/cmd/saffronquay/main.go
@@ -9,6 +9,7 @@
 	"log"
 	"os"
 	"os/signal"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -58,9 +59,10 @@
 	passed            int                                        // descriptor of the clients' socket; 0: it is opened here
 	shared            string                                     // directory shared with a process that is replaced
 	discovery         string
-	layout            *config.Layout       // nil: shards are where the settings say, for good
-	place             *layout.Current      // what the front plans by, where there is a layout
-	again             func() (plan, error) // reads the file once more
+	layout            *config.Layout                 // nil: shards are where the settings say, for good
+	cursors           *atomic.Pointer[cursor.Keeper] // of points in time; nil: there are none
+	place             *layout.Current                // what the front plans by, where there is a layout
+	again             func() (plan, error)           // reads the file once more
 }
 
 func load(logger *log.Logger) (plan, error) {
@@ -104,9 +106,10 @@
 }
 
 func searching(op config.Operator, held *standing, logger *log.Logger) plan {
+	keeper := held.of(op.Cursors)
 	front := opensearch.Front{Indices: op.Indices, TenantHeader: op.TenantHeader, Tenants: map[string]bool{},
 		Longest: map[string]int64{}, Margin: margin, Layout: &held.place,
-		Cursors: held.of(op.Cursors), Nonce: nonce}
+		Cursors: keeper, Nonce: nonce}
 	for _, t := range op.Settings.Module.Tenants {
 		front.Tenants[t.Name] = true
 	}
@@ -115,7 +118,7 @@
 	}
 	return plan{name: op.Name, listen: op.Listen, operator: op.Operator, seed: op.Seed, sockets: op.Sockets, memoryMB: op.MemoryMB,
 		settings: op.Settings, budgets: op.Budgets, front: front, dialect: opensearch.Servers{}, partsPerCall: 1,
-		fleet: yw.FleetChanged{Kind: yw.FleetFull, Servers: op.Servers}, addresses: op.Addresses, vrrp: op.VRRP, layout: op.Layout, place: &held.place,
+		fleet: yw.FleetChanged{Kind: yw.FleetFull, Servers: op.Servers}, addresses: op.Addresses, vrrp: op.VRRP, layout: op.Layout, place: &held.place, cursors: &held.cursors,
 		again: func() (plan, error) {
 			now, err := config.ReloadOperator(os.Getenv, os.ReadFile, op)
 			return searching(now, held, logger), err
@@ -126,7 +129,7 @@
 type standing struct {
 	place   layout.Current
 	key     []byte // of cursors, where no file gave one
-	cursors *cursor.Keeper
+	cursors atomic.Pointer[cursor.Keeper]
 	by      config.Cursors
 }
 
@@ -139,15 +142,15 @@
 		s.key = make([]byte, 32)
 		rand.Read(s.key) // it never fails
 	}
-	if s.cursors == nil || s.by.Most != c.Most || s.by.MaxKeep != c.MaxKeep || s.by.MaxAge != c.MaxAge || !bytes.Equal(s.by.Key, c.Key) {
+	if s.cursors.Load() == nil || s.by.Most != c.Most || s.by.MaxKeep != c.MaxKeep || s.by.MaxAge != c.MaxAge || !bytes.Equal(s.by.Key, c.Key) {
 		key := c.Key
 		if key == nil {
 			key = s.key
 		}
 		s.by = *c
-		s.cursors = cursor.NewKeeper(cursor.Config{Key: key, Most: c.Most, MaxKeep: c.MaxKeep.Microseconds(), MaxAge: c.MaxAge.Microseconds()})
+		s.cursors.Store(cursor.NewKeeper(cursor.Config{Key: key, Most: c.Most, MaxKeep: c.MaxKeep.Microseconds(), MaxAge: c.MaxAge.Microseconds()}))
 	}
-	return s.cursors
+	return s.cursors.Load()
 }
 
 // nonce tells cursors apart.
--- a/internal/layout/search_test.go
+++ b/internal/layout/search_test.go
@@ -169,3 +169,49 @@
 		t.Errorf("closed: %d %s", status, text)
 	}
 }
+
+// Two holders of one range differ by a late write: as of a time after it, the one that lacks it turns the part away, and the other
+// answers.
+func TestHoldersThatDiffer(t *testing.T) {
+	s := &scene{t: t, c: newCluster(t, 5, 4, 2, 400, standin.ServerConfig{})}
+	g := start(t, s.c)
+	at := time.Now().UnixMicro()
+	s.c.Server("s00").Miss(at)
+	s.c.Write(at, []standin.Row{{Key: 7, ID: "late"}}, func(r standin.Row) bool { return r.Key == 8 })
+	_, _, text := g.post("/invoices/_search/point_in_time?keep_alive=1m", "")
+	id := fastjson.MustParse(text).GetStringBytes("pit_id")
+	for range 8 {
+		status, _, text := g.post("/_search", fmt.Sprintf(`{"query":{"range":{"taxpayer":{"gte":5,"lt":10}}},"sort":"taxpayer","pit":{"id":%q}}`, id))
+		var ids []string
+		for _, h := range fastjson.MustParse(text).GetArray("hits", "hits") {
+			ids = append(ids, string(h.GetStringBytes("_id")))
+		}
+		if status != 200 || fmt.Sprint(ids) != "[row-5 row-6 late row-7 row-9]" {
+			t.Fatalf("%d %v %.200s", status, ids, text)
+		}
+	}
+	if got := g.call("stats"); !strings.Contains(got, "svc.cursors.open:1|g") {
+		t.Errorf("stats: %s", got)
+	}
+}
+
+// A class whose least share is under 1 is answered in part, with the exact share and what is missing, and never marked whole; a
+// class that needs all is not.
+func TestAnswersInPart(t *testing.T) {
+	s := &scene{t: t, c: newCluster(t, 5, 4, 1, 400, standin.ServerConfig{})}
+	g := &gatherer{t: t, file: t.TempDir() + "/operator.json"}
+	file := string(config(t, s.c, s.c.Directory.Now().Doc(), ""))
+	g.write([]byte(strings.Replace(strings.Replace(file, `"floor_by_class":[1,1]`, `"floor_by_class":[0.5,1]`, 1), `"aim_us":4000000`, `"aim_us":1000000`, 1)))
+	g.run()
+	s.c.Server("s01").Set(standin.Silent)
+	status, _, text := g.post("/invoices/_search", `{"size":0,"timeout":"1500ms","aggs":{"n":{"value_count":{"field":"taxpayer"}}}}`)
+	for _, want := range []string{`"timed_out":true`, `"_shards":{"total":4,"successful":3,"skipped":0,"failed":1,"failures":[{"shard":1,`,
+		`"completeness":{"whole":false,"share":0.75,"missing":[{"shard":1,"from":100,"to":200}]}`, `"total":{"value":300,"relation":"eq"}`, `"n":{"value":300}`} {
+		if status != 200 || !strings.Contains(text, want) {
+			t.Errorf("%d: %s is not in %s", status, want, text)
+		}
+	}
+	if status, _, text := g.post("/filings/_search", `{"timeout":"1500ms"}`); status != 500 || strings.Contains(text, "hits") {
+		t.Errorf("%d %s", status, text)
+	}
+}
--- a/internal/merge/agg_test.go
+++ b/internal/merge/agg_test.go
@@ -252,6 +252,14 @@
 			t.Errorf("%s: %v, want %q", c.aggs, err, c.want)
 		}
 	}
+	var many strings.Builder
+	for i := range MaxBuckets + 1 {
+		fmt.Fprintf(&many, `,{"key":%d,"doc_count":1}`, i)
+	}
+	p := aggPlan(t, `"a":{"histogram":{"field":"x","interval":1,"min_doc_count":1}}`)
+	if _, err := read(p, `{"hits":{"total":0,"hits":[]},"aggregations":{"a":{"buckets":[`+many.String()[1:]+`]}}}`); !errors.Is(err, ErrPart) || !strings.Contains(err.Error(), "more than 65535 buckets") {
+		t.Errorf("too many: %v", err)
+	}
 	for _, c := range []struct{ clause, a, b, want string }{
 		{`"a":{"terms":{"field":"x"}}`, `{"buckets":[{"key":1,"doc_count":1}],"sum_other_doc_count":0}`, `{"buckets":[{"key":"x","doc_count":1}],"sum_other_doc_count":0}`, "field [a]: it has both number and keyword"},
 		{`"a":{"histogram":{"field":"x","interval":0.001}}`, `{"buckets":[{"key":0,"doc_count":1}]}`, `{"buckets":[{"key":1000000,"doc_count":1}]}`, "too many buckets"},
--- a/internal/opensearch/opensearch_test.go
+++ b/internal/opensearch/opensearch_test.go
@@ -274,6 +274,7 @@
 
 func FuzzSearch(f *testing.F) {
 	f.Add(`{"query":` + anyOf(between(200, 250), between(0, 50)) + `,"size":3}`)
+	f.Add(`{"sort":[{"due":{"order":"desc","missing":"_first"}},"_score"],"search_after":[1.5,null,"x"],"aggs":{"a":{"avg":{"field":"x"}}}}`)
 	f.Add(`{"query":{"bool":{"must":{"terms":{"taxpayer":[1,"2"]}}}}}`)
 	f.Fuzz(func(t *testing.T, body string) {
 		if len(body) > 4096 {
--- a/internal/operations/figures.go
+++ b/internal/operations/figures.go
@@ -16,6 +16,8 @@
 	Listed, Out         atomic.Int64 // servers in the list, and those of them that are avoided now
 	CfgTaken, CfgFaulty atomic.Int64 // files at SIGHUP
 
+	// Cursors, where set, counts the open points in time. Set it before the figures are read.
+	Cursors func() int
 	// Routes is nil where no layout is set up.
 	Routes *LayoutFigures
 
@@ -86,6 +88,9 @@
 		{"out_of_rotation", "g", &f.Out}, {"cfg_accepted", "c", &f.CfgTaken}, {"cfg_invalid", "c", &f.CfgFaulty}} {
 		dst = fmt.Appendf(dst, "svc.%s:%d|%s\n", c.name, c.n.Load(), c.kind)
 	}
+	if f.Cursors != nil {
+		dst = fmt.Appendf(dst, "svc.cursors.open:%d|g\n", f.Cursors())
+	}
 	if l := f.Routes; l != nil {
 		for _, c := range []figure{{"epoch", "g", &l.Epoch}, {"ranges", "g", &l.Ranges}, {"changes", "g", &l.Changes},
 			{"stalled", "g", &l.Stalled}, {"taken", "c", &l.Taken}, {"refused", "c", &l.Refused},
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -73,6 +73,19 @@
 	s.oldest = before
 }
 
+// Miss has it lack all writes from a time on; 0: none.
+func (s *Server) Miss(from int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.behind = from
+}
+
+func (s *Server) lacks(asOf int64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.behind > 0 && asOf >= s.behind
+}
+
 func (s *Server) since() int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -84,7 +97,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, h := range s.holds {
-		h.rows = between(all, h.span)
+		if s.behind == 0 {
+			h.rows = between(all, h.span)
+		}
 	}
 }
 
@@ -112,6 +127,7 @@
 	held    chan struct{} // gets one for each search that begins to wait
 	waiting int
 	oldest  int64         // the state from before is gone
+	behind  int64         // it has no writes from then on; 0: it has all
 	busy    time.Duration // worked, in all
 	parts   int           // run, in all
 }
@@ -266,6 +282,10 @@
 		w.Header().Set(layout.PlaceField, place.String())
 		if asOf > 0 {
 			w.Header().Set(asOfField, r.Header.Get(asOfField))
+			if s.lacks(asOf) { // it can't tell what stood then, yet
+				turnAway(w)
+				return
+			}
 			if asOf < s.since() {
 				answer(w, http.StatusGone, `{"error":{"type":"state_gone_exception","reason":"too long ago"},"status":410}`)
 				return
