Bound what parts of open queries hold together

Need: each part's answer was bounded (1 MiB), their sum was not: 200 parts could take more than the memory limit. Change: in the search front's set-up a quarter of the memory may be held by parts; a query whose part would go beyond fails at once. The platform has no such bound, its answers are small.

--- a/cmd/saffronquay/gatherer.go
+++ b/cmd/saffronquay/gatherer.go
@@ -231,7 +231,11 @@
 	for _, c := range set.Module.Classes {
 		g.figures.Know(c.Name)
 	}
-	return broker.Terms{Period: set.Module.Period, Shards: set.Module.Shards, MaxOpen: set.MaxOpen,
+	held := int64(0)
+	if g.watch == nil { // searches: their answers are of any size
+		held = int64(g.memoryMB) << 20 / 4
+	}
+	return broker.Terms{MaxHeld: held, Period: set.Module.Period, Shards: set.Module.Shards, MaxOpen: set.MaxOpen,
 		PartsPerCall: g.partsPerCall, RetryAfter: set.Module.Limits.RetryAfter,
 		MaxRetryAfter: set.Module.Limits.MaxRetryAfter, AnswerGrace: set.Module.Period,
 		Classes: set.Module.Classes, Tenants: g.budgets}
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -35,7 +35,8 @@
 type Terms struct {
 	Period        int64 // the least time between two steps of the module
 	Shards        int
-	MaxOpen       int // queries and parts held at a time; 0: no bound
+	MaxOpen       int   // queries and parts held at a time; 0: no bound
+	MaxHeld       int64 // bytes of parts held for open queries; 0: no bound
 	PartsPerCall  int
 	RetryAfter    bool // refusals may tell when to come back
 	MaxRetryAfter int64
@@ -164,6 +165,7 @@
 	mayRun        bool // some attempt may have run
 	value         []byte
 	part          any // the same, read
+	size          int64
 	in            bool
 	before, after *part // of the same shard, under a layout
 }
@@ -192,6 +194,7 @@
 	due                  agenda[*attempt] // by their ends
 	late                 agenda[*query]   // by their deadlines and the grace
 	open                 int              // queries and parts held
+	held                 int64            // bytes of parts that are in, of open queries
 	alarms               []yw.SetAlarm
 	events               []yw.Event
 	effects              []Effect
@@ -390,14 +393,24 @@
 	if o != yw.Rejected && o != yw.Unreachable && o != yw.NotSent && o != yw.Misplaced {
 		p.mayRun = true
 	}
+	full := false
 	if o == yw.Served && !p.in && !p.q.over {
-		p.in, p.value, p.part = true, r.Value, r.Part
+		if full = c.terms.MaxHeld > 0 && c.held+int64(r.Size) > c.terms.MaxHeld; !full {
+			p.in, p.value, p.part, p.size = true, r.Value, r.Part, int64(r.Size)
+			c.held += p.size
+		}
 	}
 	if len(p.out) == 0 && p.q.over {
 		c.forget(p)
 	}
 	c.events = append(c.events, yw.AttemptEnded{Part: p.id, Attempt: a.n, Server: a.server, Outcome: o,
 		Latency: now - a.sent, Report: r.Report})
+	if full { // guards the memory against answers that nobody bounded together
+		c.do(Note{Text: "a query fails: its parts and those of others are more than may be held"})
+		c.finish(p.q, Final{Verdict: Failed})
+		c.events = append(c.events, yw.ClientLeft{Query: p.q.id})
+		return
+	}
 	c.renew(now, p)
 }
 
@@ -608,6 +621,8 @@
 	}
 	c.open -= 1 + len(q.parts)
 	for _, p := range q.parts {
+		c.held -= p.size
+		p.size = 0
 		if len(p.out) == 0 {
 			c.forget(p)
 		}
--- a/internal/broker/dialect.go
+++ b/internal/broker/dialect.go
@@ -38,6 +38,7 @@
 	Attempt AttemptID
 	Outcome yw.Outcome
 	Value   []byte
+	Size    int // bytes that Value and Part keep
 	Part    any // the same, as the session has read it for the query's front; nil where it reads nothing
 	Report  *yw.LoadReport
 }
--- a/internal/broker/layout_test.go
+++ b/internal/broker/layout_test.go
@@ -184,6 +184,32 @@
 	}
 }
 
+// Parts that are more than may be held together fail their query at once, and what is held is given back with it.
+func TestHeldParts(t *testing.T) {
+	l := ranged(t, 3)
+	core, m, q := placed(t, "free", l, l, span(0, 30))
+	core.terms.MaxHeld = 100
+	var sends []yw.Action
+	for _, p := range q.parts {
+		sends = append(sends, yw.Send{Part: p.id, Server: "s0"})
+	}
+	var ids []AttemptID
+	for _, call := range act[Call](core, m, 110, sends...) {
+		for _, a := range call.Attempts {
+			ids = append(ids, a.ID)
+		}
+	}
+	core.Came(120, Reply{Attempt: ids[0], Outcome: yw.Served, Size: 60})
+	core.Came(121, Reply{Attempt: ids[1], Outcome: yw.Served, Size: 40})
+	if core.held != 100 || len(core.queries) != 1 {
+		t.Fatalf("%d held", core.held)
+	}
+	core.Came(122, Reply{Attempt: ids[2], Outcome: yw.Served, Size: 1})
+	if got := act[Final](core, m, 130); len(got) != 1 || got[0].Verdict != Failed || core.held != 0 || len(core.parts) != 0 {
+		t.Errorf("%+v, %d held", got, core.held)
+	}
+}
+
 // world plays the module and the core in virtual time against servers that are ahead of what the gatherer was told.
 type world struct {
 	rng      *rand.Rand
--- a/internal/layout/measure_test.go
+++ b/internal/layout/measure_test.go
@@ -22,6 +22,7 @@
 	}
 	t.Run("latency", measureLatency)
 	t.Run("hot", measureHot)
+	t.Run("late", measureLate)
 }
 
 // measureLatency has paced clients ask the same queries twice, without changes and during them.
@@ -140,3 +141,21 @@
 	slices.Sort(took)
 	return took, refused
 }
+
+// measureLate takes the time to the first page of 8 parts, with all servers well and with one that answers nothing.
+func measureLate(t *testing.T) {
+	c := newCluster(t, 8, 8, 2, 800, standin.ServerConfig{Cores: 4, Queue: 100, Work: 2 * time.Millisecond})
+	g := start(t, c)
+	for _, fault := range []standin.Fault{standin.None, standin.Silent} {
+		c.Servers[3].Set(fault)
+		var took []time.Duration
+		for n := range 40 {
+			at := time.Now()
+			if o := g.ask("invoices", fmt.Sprint("l", n), keys(0, 800)); o.status == 200 {
+				took = append(took, time.Since(at))
+			}
+		}
+		slices.Sort(took)
+		t.Logf("one server %q: %d of 40 answered, p50=%s, the longest %s", fault, len(took), took[len(took)/2], took[len(took)-1])
+	}
+}
--- a/internal/opensearch/servers.go
+++ b/internal/opensearch/servers.go
@@ -106,6 +106,7 @@
 func (s *session) take(m *http1.Message) []broker.Reply {
 	r := broker.Reply{Attempt: s.out}
 	s.out = 0
+	r.Size = len(m.Body)
 	if r.Outcome, r.Part = judge(m, s.plan); s.place.Epoch > 0 {
 		if r.Outcome = s.placed(m, r.Outcome); r.Outcome != yw.Served {
 			r.Part = nil
