--- a/internal/broker/dialect.go
+++ b/internal/broker/dialect.go
@@ -38,7 +38,10 @@
 	Attempt AttemptID
 	Outcome yw.Outcome
 	Value   []byte
-	Size    int // bytes that Value and Part keep
-	Part    any // the same, as the session has read it for the query's front; nil where it reads nothing
-	Report  *yw.LoadReport
+	// Read, where set, reads and judges the answer, and gives the reply that counts. It may take long and touches nothing of
+	// its session's: the pool runs it off the engine's goroutine.
+	Read   func() Reply
+	Size   int // bytes that Value and Part keep
+	Part   any // the same, as the session has read it for the query's front; nil where it reads nothing
+	Report *yw.LoadReport
 }
--- a/internal/layout/search_test.go
+++ b/internal/layout/search_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"slices"
 	"strings"
@@ -32,6 +33,16 @@
 	return resp.StatusCode, resp.Header, string(text)
 }
 
+// figure waits until a figure is shown.
+func (g *gatherer) figure(line string) {
+	g.t.Helper()
+	for end := time.Now().Add(patience); !strings.Contains(g.call("stats"), line); {
+		if time.Now().After(end) {
+			g.t.Fatalf("never %s: %s", line, g.call("stats"))
+		}
+	}
+}
+
 // Each search of a multi-search ends by itself: one is served, one is unknown, one can't be read, one is out of time while its
 // server is silent, one is refused where all that could serve it turn it away.
 func TestMultiSearch(t *testing.T) {
@@ -76,6 +87,15 @@
 	if status, _, text := s.gs[0].post("/invoices/_count", `{"query":{"range":{"taxpayer":{"gte":5,"lt":95}}}}`); status != 200 || !strings.HasPrefix(text, `{"count":90,`) {
 		t.Errorf("count: %d %s", status, text)
 	}
+	leaving, err := net.Dial("tcp", s.gs[0].address) // one who leaves while its searches are out
+	if err != nil {
+		t.Fatal(err)
+	}
+	two := strings.Repeat("{}\n"+`{"query":{"term":{"taxpayer":150}}}`+"\n", 2)
+	fmt.Fprintf(leaving, "POST /filings/_msearch HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", len(two), two)
+	s.gs[0].figure("svc.open_requests:2|g")
+	leaving.Close()
+	s.gs[0].figure("svc.open_requests:0|g")
 	if got := s.gs[0].call("stats"); !strings.Contains(got, "svc.open_requests:0|g") || !strings.Contains(got, "svc.operations.once.throttled:1|c") {
 		t.Errorf("stats: %s", got)
 	}
--- a/internal/opensearch/opensearch_test.go
+++ b/internal/opensearch/opensearch_test.go
@@ -226,6 +226,7 @@
 	for i := range pieces {
 		replies, err := s.Feed([]byte(text[i*len(text)/pieces : (i+1)*len(text)/pieces]))
 		for _, r := range replies {
+			r = r.Read()
 			out += fmt.Sprintf("%d:%d:%t ", r.Attempt, r.Outcome, r.Part != nil)
 		}
 		if err != nil {
@@ -233,6 +234,7 @@
 		}
 	}
 	for _, r := range s.Closed() {
+		r = r.Read()
 		out += fmt.Sprintf("%d:%d:%t at the end", r.Attempt, r.Outcome, r.Part != nil)
 	}
 	return out
--- a/internal/opensearch/servers.go
+++ b/internal/opensearch/servers.go
@@ -104,27 +104,34 @@
 }
 
 func (s *session) take(m *http1.Message) []broker.Reply {
-	r := broker.Reply{Attempt: s.out}
+	r := broker.Reply{Attempt: s.out, Size: len(m.Body)}
 	s.out = 0
-	r.Size = len(m.Body)
-	if r.Outcome, r.Part = judge(m, s.plan); s.place.Epoch > 0 {
-		if r.Outcome = s.placed(m, r.Outcome); r.Outcome != yw.Served {
+	plan, place := s.plan, s.place
+	r.Read = func() broker.Reply { return reading(r, m, plan, place) }
+	return []broker.Reply{r}
+}
+
+// reading judges an answer to a part.
+func reading(r broker.Reply, m *http1.Message, plan *merge.Plan, place layout.Place) broker.Reply {
+	r.Read = nil
+	if r.Outcome, r.Part = judge(m, plan); place.Epoch > 0 {
+		if r.Outcome = placedAt(place, m, r.Outcome); r.Outcome != yw.Served {
 			r.Part = nil
 		}
 	}
-	return []broker.Reply{r}
+	return r
 }
 
-// placed judges an answer to a part that asked for a place. Guards against a server that has lost it or never held it: a 421
+// placedAt judges an answer to a part that asked for a place. Guards against a server that has lost it or never held it: a 421
 // proves that nothing ran, and says by its epoch which side is late; any other answer counts only where it names the same
 // shard and span again.
-func (s *session) placed(m *http1.Message, o yw.Outcome) yw.Outcome {
+func placedAt(place layout.Place, m *http1.Message, o yw.Outcome) yw.Outcome {
 	if m.Status == misdirected {
 		epoch, err := strconv.ParseInt(m.Header.Get(layout.EpochField), 10, 64)
 		switch {
 		case err != nil:
 			return yw.Errored
-		case epoch > s.place.Epoch:
+		case epoch > place.Epoch:
 			return yw.Misplaced
 		}
 		return yw.Rejected
@@ -133,7 +140,7 @@
 		return o
 	}
 	in, err := layout.ParsePlace(m.Header.Get(layout.PlaceField))
-	if in.Epoch = s.place.Epoch; err != nil || in != s.place {
+	if in.Epoch = place.Epoch; err != nil || in != place {
 		return yw.Errored
 	}
 	return o
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -465,7 +465,7 @@
 	p.post(func(now int64) {
 		if !c.dead {
 			for _, r := range c.session.Closed() {
-				p.end(now, c, r)
+				p.take(now, c, r)
 			}
 			p.fail(now, c, true)
 		}
@@ -480,7 +480,7 @@
 	replies, err := c.session.Feed(b)
 	for _, r := range replies {
 		c.usedAt = now
-		p.end(now, c, r)
+		p.take(now, c, r)
 	}
 	if err != nil {
 		p.spoil(now, c, err)
@@ -508,11 +508,40 @@
 	p.fail(now, c, false)
 }
 
+// take takes an answer in. One that is yet to be read is read beside the engine, which others wait for, and ends its attempt
+// when that is done; whatever becomes of its connection meanwhile, it has come in.
+func (p *pool) take(now int64, c *serverConn, r broker.Reply) {
+	if _, out := c.calls[r.Attempt]; !out || r.Read == nil {
+		p.end(now, c, r)
+		return
+	}
+	sent := c.sentAt[r.Attempt]
+	p.gone(c, r.Attempt)
+	go func() {
+		read := r.Read()
+		p.post(func(now int64) { p.count(now, c, read, sent); p.ended(now, read) })
+	}()
+}
+
+// gone takes an attempt off its connection.
+func (p *pool) gone(c *serverConn, id broker.AttemptID) {
+	delete(c.calls, id)
+	delete(c.sentAt, id)
+	delete(p.out, id)
+}
+
 func (p *pool) end(now int64, c *serverConn, r broker.Reply) {
 	if _, out := c.calls[r.Attempt]; !out {
 		return
 	}
-	if sent := c.sentAt[r.Attempt]; r.Outcome == yw.Served {
+	p.count(now, c, r, c.sentAt[r.Attempt])
+	p.gone(c, r.Attempt)
+	p.ended(now, r)
+}
+
+// count learns from how long a call took.
+func (p *pool) count(now int64, c *serverConn, r broker.Reply, sent int64) {
+	if r.Outcome == yw.Served {
 		p.overtakes(c.server, sent)
 		if took := float64(now - sent); p.typical == 0 {
 			p.typical = took
@@ -520,10 +549,6 @@
 			p.typical += (took - p.typical) / 32
 		}
 	}
-	delete(c.calls, r.Attempt)
-	delete(c.sentAt, r.Attempt)
-	delete(p.out, r.Attempt)
-	p.ended(now, r)
 }
 
 // fail ends a connection. What was not written whole has never run; the rest may have. Only once the writer
