--- a/internal/layout/measure_test.go
+++ b/internal/layout/measure_test.go
@@ -23,6 +23,7 @@
 	t.Run("latency", measureLatency)
 	t.Run("hot", measureHot)
 	t.Run("late", measureLate)
+	t.Run("rate", measureRate)
 }
 
 // measureLatency has paced clients ask the same queries twice, without changes and during them.
@@ -159,3 +160,35 @@
 		t.Logf("one server %q: %d of 40 answered, p50=%s, the longest %s", fault, len(took), took[len(took)/2], took[len(took)-1])
 	}
 }
+
+// measureRate takes how many queries of 8 parts a second the program answers on one core.
+func measureRate(t *testing.T) {
+	c := newCluster(t, 8, 8, 2, 800, standin.ServerConfig{Cores: 16, Queue: 1000, Work: time.Millisecond})
+	agent, err := c.Directory.Agent("")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer agent.Close()
+	g := &gatherer{t: t, agent: agent, file: t.TempDir() + "/operator.json", env: []string{"GOMAXPROCS=1"}}
+	g.write(config(t, c, c.Directory.Now().Doc(), agent.Address()))
+	g.run()
+	var served, other atomic.Int64
+	var wg sync.WaitGroup
+	began := time.Now()
+	for range 24 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for time.Since(began) < 8*time.Second {
+				status, _, _ := g.post("/invoices/_search", `{"size":5}`)
+				if status == 200 {
+					served.Add(1)
+				} else {
+					other.Add(1)
+				}
+			}
+		}()
+	}
+	wg.Wait()
+	t.Logf("queries of 8 parts a second on one core: %.0f, refused or failed %d", float64(served.Load())/8, other.Load())
+}
