Count what a part keeps beside its text against the bound on held parts

Cause: the bound counted the parts' text alone, while 1,000 buckets with a sum each keep 300 KB of a 45 KB text: 200 such parts could pass it and the memory limit. Change: a part says about how much it keeps (sort values, buckets, sketches, centroids), and that counts.

--- a/internal/merge/agg_read.go
+++ b/internal/merge/agg_read.go
@@ -36,8 +36,9 @@
 
 // reader reads one part's aggregations, within bounds.
 type reader struct {
-	buckets  int
-	sketches int
+	buckets   int
+	sketches  int
+	centroids int
 }
 
 const (
@@ -81,6 +82,7 @@
 		err = r.cardinality(a, n, v)
 	case "percentiles":
 		err = n.percentiles(a, v)
+		r.centroids += len(n.centroids)
 	case "filter":
 		n.buckets = map[string]*bucket{}
 		err = r.bucket(a, n, nil, v)
--- a/internal/merge/bench_test.go
+++ b/internal/merge/bench_test.go
@@ -171,3 +171,49 @@
 		t.Errorf("%d bytes beside %d of hits", after.HeapAlloc-before.HeapAlloc, size)
 	}
 }
+
+// What a part says that it keeps is near what it keeps, for hits and for buckets: the bound on held parts goes by it.
+func TestSize(t *testing.T) {
+	var buckets strings.Builder
+	for j := range 1000 {
+		fmt.Fprintf(&buckets, `,{"key":%d,"doc_count":%d,"s":{"value":%d.25}}`, j*7, 1000-j, j)
+	}
+	for name, c := range map[string]struct {
+		plan *Plan
+		text string
+	}{
+		"hits":    {func() *Plan { p, _ := NewPlan(nil, 0, 600, nil, Exact); return p }(), string(answers(1, 600)[0])},
+		"buckets": {aggPlan(t, `"a":{"terms":{"field":"x","size":1000},"aggs":{"s":{"sum":{"field":"y"}}}}`), `{"hits":{"total":0,"hits":[]},"aggregations":{"a":{"sum_other_doc_count":0,"buckets":[` + buckets.String()[1:] + `]}}}`},
+	} {
+		var before, after runtime.MemStats
+		parts := make([]*Part, 100)
+		texts := make([][]byte, len(parts))
+		for i := range texts {
+			texts[i] = []byte(c.text)
+		}
+		var parser fastjson.Parser
+		parser.ParseBytes(texts[0])
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		said := 0
+		for i := range parts {
+			v, err := parser.ParseBytes(texts[i])
+			if err != nil {
+				t.Fatal(err)
+			}
+			if parts[i], err = c.plan.Read(v, texts[i]); err != nil {
+				t.Fatal(name, err)
+			}
+			said += parts[i].Size()
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		kept := int(after.HeapAlloc - before.HeapAlloc)
+		t.Logf("%s: %d KB kept, %d KB said", name, kept>>10, said>>10)
+		if kept > 3*said || said > 3*kept {
+			t.Errorf("%s: %d bytes kept, %d said", name, kept, said)
+		}
+		runtime.KeepAlive(parts)
+		runtime.KeepAlive(texts)
+	}
+}
--- a/internal/merge/binary.go
+++ b/internal/merge/binary.go
@@ -58,7 +58,7 @@
 		}
 	}
 	var err error
-	part.aggs, err = new(reader).allBinary(p.Aggs, m.Aggregations)
+	part.aggs, err = part.read.allBinary(p.Aggs, m.Aggregations)
 	return part, err
 }
 
@@ -135,6 +135,7 @@
 			return nil, wrong("[%s] has a centroid out of range", a.Name)
 		}
 		n.centroids = append(n.centroids, centroid{m.Means[i], w})
+		r.centroids++
 	}
 	if a.Kind == "cardinality" {
 		if err := r.sketch(a, n, m.Sketch); err != nil {
--- a/internal/merge/part.go
+++ b/internal/merge/part.go
@@ -21,12 +21,19 @@
 	scored bool
 	ids    arena
 	gone   bool
+	read   reader // how many buckets, sketches and centroids it has
 	aggs   []*node
 }
 
 // GonePart is what a server gives that holds the state of a query's time no longer.
 func GonePart() *Part { return &Part{gone: true} }
 
+// Size is about how many bytes a part keeps beside its text: a sort value takes 40, a bucket with one figure under it some 350, a
+// sketch up to 16 KiB.
+func (part *Part) Size() int {
+	return 40*len(part.values) + 350*part.read.buckets + 16<<10*part.read.sketches + 16*part.read.centroids
+}
+
 // Gone tells such a part.
 func (part *Part) Gone() bool { return part.gone }
 
@@ -72,7 +79,7 @@
 	}
 	if len(p.Aggs) > 0 {
 		var err error
-		if part.aggs, err = new(reader).all(p.Aggs, v.Get("aggregations")); err != nil {
+		if part.aggs, err = part.read.all(p.Aggs, v.Get("aggregations")); err != nil {
 			return nil, err
 		}
 	}
--- a/internal/opensearch/servers.go
+++ b/internal/opensearch/servers.go
@@ -119,6 +119,9 @@
 			r.Part = nil
 		}
 	}
+	if part, ok := r.Part.(*merge.Part); ok {
+		r.Size += part.Size()
+	}
 	return r
 }
 
