Give the loopback stand-ins an address of their own, so a closed port stays closed

The stand-in that goes down lets its port go, and another package's test, running beside it, was given the same port and closed the connection after the part had left: the gatherer then rightly answers a filing as failed. With a process beside it that takes up free ports, 61 of 64 runs failed. Change: stand-ins listen at a loopback address made of the process's number, where nothing else opens ports. Measured: with the same process beside it, 32 of 32 runs pass.

--- a/internal/loopback/scenario_test.go
+++ b/internal/loopback/scenario_test.go
@@ -181,7 +181,8 @@
 }
 
 func (s *standIn) listen(w *world) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	// An address of this process's own: a port let go by "down" must stay closed, while other tests open ports beside this one.
+	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.1:0", 1+os.Getpid()%250, 1+os.Getpid()/250%250))
 	if err != nil {
 		w.t.Fatal(err)
 	}
