Add an embedded durable store: a log in two copies, group commit, cleaning, recovery

Change: internal/store keeps typed, checksummed records in a segmented append-only log of two copies. One writer syncs together what waits; an index in memory finds the latest record of a key; cleaning writes what is alive in half-empty or damaged segments anew. Owners follow each other by lock and by epoch: an append is acknowledged only after a look at the claim behind the sync. A failed sync seals the segment, and its records go to a new one. Where both copies are gone, the span is told. internal/store/simdisk is a disk in memory that fails, stalls, runs full and crashes.

--- /dev/null
+++ b/internal/store/dir.go
@@ -0,0 +1,140 @@
+package store
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"syscall"
+)
+
+// Dir is the directory that holds one copy. Names are plain; errors wrap fs.ErrExist, fs.ErrNotExist and syscall's.
+type Dir interface {
+	fmt.Stringer                      // its path, for people
+	Create(name string) (File, error) // a new file; fs.ErrExist where there is one
+	Open(name string) (io.ReadSeekCloser, error)
+	Exists(name string) (bool, error)
+	Remove(name string) error
+	List() ([]string, error)
+	Sync() error // makes the names in it last
+	// Lock takes a file for this process, until it is closed or the process ends; ErrOwned where another has it.
+	Lock(name string) (io.Closer, error)
+}
+
+// File is a file that is written from its start on.
+type File interface {
+	io.WriteCloser
+	Sync() error
+}
+
+// osDir is a Dir of the operating system.
+type osDir string
+
+// Directory makes a Dir of a path, and the directory where it is missing.
+func Directory(path string) (Dir, error) {
+	if err := os.MkdirAll(path, 0o700); err != nil {
+		return nil, fmt.Errorf("store: %w", err)
+	}
+	// The directory's own name has to last too.
+	if parent, err := os.Open(filepath.Dir(filepath.Clean(path))); err == nil {
+		parent.Sync() // where its file system can't, it has no need to
+		parent.Close()
+	}
+	return osDir(path), nil
+}
+
+// Existing makes a Dir of a path that tools only read.
+func Existing(path string) Dir { return osDir(path) }
+
+func (d osDir) String() string { return string(d) }
+
+func (d osDir) path(name string) string { return filepath.Join(string(d), name) }
+
+func (d osDir) Create(name string) (File, error) {
+	return os.OpenFile(d.path(name), os.O_CREATE|os.O_EXCL|os.O_WRONLY, 0o600)
+}
+
+func (d osDir) Open(name string) (io.ReadSeekCloser, error) { return os.Open(d.path(name)) }
+
+func (d osDir) Exists(name string) (bool, error) {
+	_, err := os.Stat(d.path(name))
+	if errors.Is(err, fs.ErrNotExist) {
+		return false, nil
+	}
+	return err == nil, err
+}
+
+func (d osDir) Remove(name string) error { return os.Remove(d.path(name)) }
+
+func (d osDir) List() ([]string, error) {
+	entries, err := os.ReadDir(string(d))
+	names := make([]string, 0, len(entries))
+	for _, e := range entries {
+		names = append(names, e.Name())
+	}
+	return names, err
+}
+
+func (d osDir) Sync() error {
+	f, err := os.Open(string(d))
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	return f.Sync()
+}
+
+func (d osDir) Lock(name string) (io.Closer, error) {
+	f, err := os.OpenFile(d.path(name), os.O_RDWR, 0)
+	if err != nil {
+		return nil, err
+	}
+	if err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		f.Close()
+		if errors.Is(err, syscall.EWOULDBLOCK) {
+			return nil, ErrOwned
+		}
+		return nil, err
+	}
+	return f, nil
+}
+
+// readAll is a whole file; nil where it is missing or can't be read, which its other copy makes up for.
+func readAll(d Dir, name string, dst []byte) []byte {
+	f, err := d.Open(name)
+	if err != nil {
+		return nil
+	}
+	defer f.Close()
+	size, err := f.Seek(0, io.SeekEnd)
+	if err != nil || size > mostFile {
+		return nil
+	}
+	if _, err = f.Seek(0, io.SeekStart); err != nil {
+		return nil
+	}
+	if int64(cap(dst)) < size {
+		dst = make([]byte, size)
+	}
+	n, err := io.ReadFull(f, dst[:size])
+	if err != nil && !errors.Is(err, io.ErrUnexpectedEOF) {
+		return dst[:n] // a bad sector: what is behind it is taken from the other copy
+	}
+	return dst[:n]
+}
+
+// readAt reads a piece of a file.
+func readAt(d Dir, name string, off int64, dst []byte) error {
+	f, err := d.Open(name)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	if _, err := f.Seek(off, io.SeekStart); err != nil {
+		return err
+	}
+	_, err = io.ReadFull(f, dst)
+	return err
+}
--- /dev/null
+++ b/internal/store/proof_test.go
@@ -0,0 +1,318 @@
+package store_test
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"os"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"yarrowwalk/internal/broker"
+	"yarrowwalk/internal/once"
+	"yarrowwalk/internal/store"
+	"yarrowwalk/internal/store/simdisk"
+)
+
+// tally is what a proof counts.
+type tally struct{ cuts, flips, crashes, lost, invented, resent atomic.Int64 }
+
+// world is two disks, what was acknowledged on them, and what clients and servers saw.
+type world struct {
+	plan  *simdisk.Plan
+	disks [2]*simdisk.Disk
+	now   int64
+	rng   *rand.Rand
+	sum   *tally
+
+	acked  map[string]string         // the latest that was acknowledged; "" where it was taken back
+	maybe  map[string]map[string]int // submitted since, and not acknowledged, by the step
+	ever   map[string]map[string]int
+	sent   map[string]int    // frames that left, by client's key
+	told   map[string]string // answers whose record was acknowledged
+	worded map[string]string // answers that were handed to the ledger
+	steps  int
+}
+
+func newWorld(seed uint64, sum *tally) *world {
+	w := &world{plan: &simdisk.Plan{}, rng: rand.New(rand.NewPCG(seed, 7)), sum: sum, acked: map[string]string{}, maybe: map[string]map[string]int{},
+		ever: map[string]map[string]int{}, sent: map[string]int{}, told: map[string]string{}, worded: map[string]string{}}
+	w.disks = [2]*simdisk.Disk{simdisk.New("a", w.plan), simdisk.New("b", w.plan)}
+	return w
+}
+
+const keep = 1_000_000_000
+
+func dirs(d [2]*simdisk.Disk) [2]store.Dir { return [2]store.Dir{d[0], d[1]} }
+
+func (w *world) options() store.Options {
+	return store.Options{ID: 99, Now: func() int64 { return atomic.LoadInt64(&w.now) }, Keep: keep, SegmentSize: 1 << 10, Serial: true}
+}
+
+func (w *world) open() (*store.Store, error) { return store.Open(dirs(w.disks), w.options(), false) }
+
+// write appends some records together and waits for the ends.
+func (w *world) write(s *store.Store, n int) {
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	for range n {
+		key, value := fmt.Sprintf("key-%d", w.rng.IntN(12)), fmt.Sprintf("value-%d-%x", w.steps, w.rng.Uint64())
+		w.steps++
+		step := w.steps
+		r := store.Record{Kind: store.Cursor, Key: key, Value: []byte(value), Until: 0}
+		if w.rng.IntN(6) == 0 {
+			r.Gone, r.Value, value = true, nil, ""
+		}
+		mu.Lock()
+		for _, m := range []map[string]map[string]int{w.maybe, w.ever} {
+			if m[key] == nil {
+				m[key] = map[string]int{}
+			}
+			m[key][value] = step
+		}
+		mu.Unlock()
+		wg.Add(1)
+		if err := s.Append(r, func(err error) {
+			if err == nil {
+				mu.Lock()
+				w.acked[key] = value
+				maps.DeleteFunc(w.maybe[key], func(_ string, of int) bool { return of <= step })
+				mu.Unlock()
+			}
+			wg.Done()
+		}); err != nil {
+			wg.Done()
+		}
+	}
+	wg.Wait()
+}
+
+// file has a client file something, or retry what it filed.
+func (w *world) file(l *once.Ledger, client int, ends bool) {
+	key := fmt.Sprintf("client-%d", client)
+	e, v := l.Begin(key, "label", uint64(client))
+	switch {
+	case v.Standing == once.Over && string(v.Answer.Body) != w.worded[key]:
+		w.sum.invented.Add(1)
+	case v.Standing != once.Over && v.Standing != once.Unknown && v.Standing != once.Failing && w.told[key] != "":
+		w.sum.lost.Add(1)
+	}
+	if e == nil {
+		return
+	}
+	done := make(chan error, 1)
+	err := e.Intend([]broker.Intended{{Shard: client, Server: "s"}}, 1, func(err error) { done <- err })
+	if err == nil {
+		err = <-done
+	}
+	if err != nil {
+		e.Release()
+		return
+	}
+	if w.sent[key]++; w.sent[key] > 1 {
+		w.sum.resent.Add(1)
+	}
+	if !ends {
+		e.Abandon()
+		return
+	}
+	w.worded[key] = fmt.Sprintf("answer-%s-%d", key, w.steps)
+	e.End(once.Answer{Status: 200, Body: []byte(w.worded[key])}, func(err error) { done <- err })
+	if err := <-done; err == nil {
+		w.told[key] = w.worded[key]
+	}
+}
+
+// work is a gatherer's life of some steps: appends, filings, cleaning, and starts in between. It ends early where the disk crashes.
+func (w *world) work(rounds int) {
+	s, err := w.open()
+	for i := range rounds {
+		if err != nil {
+			return
+		}
+		l := once.New(s, once.Config{Keep: keep, MaxBody: 1 << 10})
+		for range 3 {
+			atomic.AddInt64(&w.now, 1000)
+			w.write(s, 1+w.rng.IntN(4))
+			w.file(l, w.rng.IntN(10), w.rng.IntN(3) > 0)
+		}
+		if s.Clean(); i%3 == 2 {
+			s.Close()
+			s, err = w.open()
+		}
+	}
+	if err == nil {
+		s.Close()
+	}
+}
+
+// judge opens what is on some disks and holds it against what was acknowledged. unknown says that lost spans may be told of.
+func (w *world) judge(disks [2]*simdisk.Disk, unknown bool) (again [2]*simdisk.Disk, ok bool) {
+	s, err := store.Open(dirs(disks), w.options(), false)
+	if err != nil {
+		w.sum.lost.Add(1)
+		return disks, false
+	}
+	defer s.Close()
+	ok = true
+	fault := func(n *atomic.Int64) { n.Add(1); ok = false }
+	if len(s.Unknown()) > 0 && !unknown {
+		fault(&w.sum.lost)
+	}
+	for key, want := range w.acked {
+		r, there, err := s.Get(store.Cursor, key)
+		got := ""
+		if there {
+			got = string(r.Value)
+		}
+		switch {
+		case err != nil:
+			fault(&w.sum.lost)
+		case got == want || w.maybe[key][got] > 0:
+		case w.ever[key][got] > 0:
+			fault(&w.sum.lost)
+		default:
+			fault(&w.sum.invented)
+		}
+	}
+	s.Each(store.Cursor, func(r store.Record) {
+		if w.ever[r.Key][string(r.Value)] == 0 {
+			fault(&w.sum.invented)
+		}
+	})
+	l := once.New(s, once.Config{Keep: keep, MaxBody: 1 << 10})
+	for client := range 10 {
+		key := fmt.Sprintf("client-%d", client)
+		e, v := l.Begin(key, "label", uint64(client))
+		switch {
+		case v.Standing == once.Fresh && w.sent[key] > 0:
+			fault(&w.sum.resent)
+		case v.Standing == once.Over && string(v.Answer.Body) != w.worded[key]:
+			fault(&w.sum.invented)
+		case v.Standing != once.Over && v.Standing != once.Unknown && w.told[key] != "":
+			fault(&w.sum.lost)
+		}
+		if e != nil {
+			e.Release()
+		}
+	}
+	s.Scrub()
+	s.Clean()
+	return disks, ok
+}
+
+func (w *world) copies() [2]*simdisk.Disk {
+	plan := &simdisk.Plan{}
+	return [2]*simdisk.Disk{w.disks[0].Clone(plan), w.disks[1].Clone(plan)}
+}
+
+// each runs jobs on all cores.
+func each(n int, job func(i int)) {
+	var next atomic.Int64
+	var wg sync.WaitGroup
+	for range runtime.GOMAXPROCS(0) {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for i := int(next.Add(1)) - 1; i < n; i = int(next.Add(1)) - 1 {
+				job(i)
+			}
+		}()
+	}
+	wg.Wait()
+}
+
+// damage plays every cut and every flip of every file of a store of several segments.
+func damage(t *testing.T, w *world) {
+	type spot struct {
+		disk, at int
+		name     string
+	}
+	var spots []spot
+	for d := range w.disks {
+		for _, name := range w.disks[d].Files() {
+			for at := range w.disks[d].Read(name) {
+				spots = append(spots, spot{d, at, name})
+			}
+		}
+	}
+	each(2*len(spots), func(i int) {
+		x, disks := spots[i/2], w.copies()
+		data := disks[x.disk].Read(x.name)
+		if i%2 == 0 {
+			w.sum.cuts.Add(1)
+			data = data[:x.at]
+		} else {
+			w.sum.flips.Add(1)
+			data[x.at] ^= 1 << (x.at % 8)
+		}
+		disks[x.disk].Put(x.name, data)
+		disks, ok := w.judge(disks, false)
+		if !ok {
+			t.Errorf("%s/%s at %d, %d: not as it was", w.disks[x.disk], x.name, x.at, i%2)
+		}
+		if i%29 == 0 { // what was damaged has been written anew: the other copy may go as a whole
+			for _, name := range disks[1-x.disk].Files() {
+				disks[1-x.disk].Put(name, nil)
+			}
+			if _, ok := w.judge(disks, false); !ok {
+				t.Errorf("%s/%s at %d, then the other copy gone: not as it was", w.disks[x.disk], x.name, x.at)
+			}
+		}
+	})
+}
+
+// crash plays a crash at every call of the disk, three times in a row, each followed by a start that goes on.
+func crash(t *testing.T, sum *tally, seed uint64, rounds, every int) {
+	whole := newWorld(seed, sum)
+	whole.work(rounds)
+	calls := whole.plan.Calls()
+	each(calls/every, func(i int) {
+		w := newWorld(seed, sum)
+		at := i*every + 1
+		for again := range 3 {
+			w.plan.CrashAt(at)
+			w.work(rounds)
+			sum.crashes.Add(1)
+			plan := &simdisk.Plan{}
+			w.plan = plan
+			for d := range w.disks {
+				w.disks[d] = w.disks[d].Crash(plan, w.rng)
+			}
+			if _, ok := w.judge(w.copies(), true); !ok {
+				t.Errorf("seed %d, crash at call %d, the %d. time: not as it was", seed, at, again+1)
+				return
+			}
+			at = 1 + w.rng.IntN(calls)
+		}
+	})
+}
+
+// The long form plays a bigger store and more seeds: SAFFRONQUAY_LONG=1.
+func TestProof(t *testing.T) {
+	sum, rounds, seeds, every := &tally{}, 9, uint64(2), 1
+	if os.Getenv("SAFFRONQUAY_LONG") != "" {
+		rounds, seeds = 40, 12
+	} else if raced {
+		rounds, seeds, every = 4, 1, 3
+	}
+	w := newWorld(1, sum)
+	w.work(rounds)
+	if sum.lost.Load()+sum.invented.Load()+sum.resent.Load() > 0 {
+		t.Error("without any fault it is not as it was")
+	}
+	damage(t, w)
+	for seed := range seeds {
+		crash(t, sum, seed+1, rounds, every)
+	}
+	if sum.cuts.Load() == 0 || sum.crashes.Load() < 100 {
+		t.Error("too little was played")
+	}
+	if sum.lost.Load()+sum.invented.Load()+sum.resent.Load() > 0 {
+		t.Fail()
+	}
+	fmt.Printf("proof: cuts=%d flips=%d crashes=%d lost=%d invented=%d resent=%d\n", sum.cuts.Load(), sum.flips.Load(), sum.crashes.Load(),
+		sum.lost.Load(), sum.invented.Load(), sum.resent.Load())
+}
