--- a/api.go
+++ b/api.go
@@ -218,10 +218,20 @@
 type Learned struct {
 	Admission float64          // how far admission is open, 0 to 1
 	Suspects  map[string]int64 // keys that bring down servers, and when that was found
+	Servers   []Known
+}
+
+// Known is what was learnt of one server. It fades from its times on.
+type Known struct {
+	Server       ServerID
+	Pace         float64 // observed latency over predicted
+	PaceAt       int64   // when it was last observed; 0: never
+	Fails, Tries float64 // decaying counts of attempts, and of those that failed
+	At           int64   // when one was last counted
 }
 
 // Recalled brings what the process before this one had learnt. That one may still be sending: for one window the free
-// part of the budget counts as spent.
+// part of the budget counts as spent. What it says of servers counts for those in the list that have not started since.
 type Recalled struct{ Learned }
 
 // Holders tells which servers hold a shard, and a number that is another whenever those of a shard are others. A shard that is
--- /dev/null
+++ b/cmd/saffronquay/durable.go
@@ -0,0 +1,359 @@
+package main
+
+import (
+	"bytes"
+	"crypto/rand"
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log"
+	"log/slog"
+	"strings"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	yw "yarrowwalk"
+	"yarrowwalk/internal/broker"
+	"yarrowwalk/internal/config"
+	"yarrowwalk/internal/cursor"
+	"yarrowwalk/internal/layout"
+	"yarrowwalk/internal/once"
+	"yarrowwalk/internal/operations"
+	"yarrowwalk/internal/store"
+	"yarrowwalk/internal/store/form"
+	"yarrowwalk/internal/transport"
+)
+
+// durable is what of this gatherer outlasts the process: the store, and who keeps what in it.
+type durable struct {
+	cfg    config.Store
+	log    *log.Logger
+	dirs   [2]store.Dir
+	store  *store.Store // nil: it could not be opened, and the file allows to start without
+	ledger *once.Ledger
+	key    []byte      // what seals cursors
+	doc    *layout.Doc // the layout that was in force last
+	memory transport.Memory
+	marks  []cursor.Mark
+
+	stop, done chan struct{}
+	runs       bool
+	ending     sync.Once
+	mu         sync.Mutex
+	tender     *layout.Layout // the layout that is kept already
+	failed     bool
+}
+
+const (
+	wanted     = "wanted" // a file that tells the owner that another process waits
+	lookEvery  = 50 * time.Millisecond
+	rememberIn = time.Second      // how often what was learnt is kept
+	yieldWait  = 10 * time.Second // that open queries have to end once another process waits
+	forgetIn   = 24 * time.Hour   // how long what was learnt is kept
+)
+
+// openDurable opens the store, and waits for the process that has it. Nothing is served before.
+func openDurable(cfg config.Store, logger *log.Logger) (*durable, error) {
+	d := &durable{cfg: cfg, log: logger, stop: make(chan struct{}), done: make(chan struct{})}
+	began := time.Now()
+	err := d.open()
+	if err != nil {
+		for i, dir := range d.dirs {
+			if dir != nil {
+				err = fmt.Errorf("%w; copy %d lies in %s", err, i+1, dir)
+			}
+		}
+		if !cfg.Without {
+			return nil, fmt.Errorf("%w: look at it with 'saffronquay store check %s %s', and see docs/STORE.md", err, cfg.Directories[0], cfg.Directories[1])
+		}
+		logger.Printf("level=error event=store_off classes=\"those that must not run twice are turned away\" error=%q", err)
+		return d, nil
+	}
+	d.ledger = once.New(d.store, once.Config{Keep: cfg.Keep.Microseconds(), MaxBody: cfg.MaxAnswer, Nonce: nonce()})
+	if err := d.recall(); err != nil {
+		d.store.Close()
+		return nil, fmt.Errorf("store: %w", err)
+	}
+	bytes, keys := d.store.Size()
+	logger.Printf("level=info event=store bytes=%d keys=%d unknown=%d took=%s", bytes, keys, len(d.store.Unknown()), time.Since(began).Round(time.Millisecond))
+	return d, nil
+}
+
+func (d *durable) open() (err error) {
+	for i, path := range d.cfg.Directories {
+		if d.dirs[i], err = store.Directory(path); err != nil {
+			return err
+		}
+	}
+	began, batch := time.Now(), 0
+	if d.cfg.Single {
+		batch = 1
+	}
+	opt := store.Options{ID: nonce(), Now: func() int64 { return time.Since(began).Microseconds() }, Keep: d.cfg.Keep.Microseconds(),
+		SegmentSize: d.cfg.SegmentSize, MaxBatch: batch, CleanEvery: time.Second, Log: eventLog(d.log)}
+	for told := false; ; {
+		late := time.Since(began) > d.cfg.Takeover
+		d.store, err = store.Open(d.dirs, opt, late)
+		if !errors.Is(err, store.ErrOwned) {
+			if err == nil && late {
+				d.log.Printf("level=warn event=store_taken_over waited=%s", d.cfg.Takeover)
+			}
+			d.dirs[0].Remove(wanted)
+			return err
+		}
+		if late {
+			return err // another one has taken it over in the same moment
+		}
+		if !told {
+			told = true
+			d.log.Printf("level=info event=store_waits longest=%s", d.cfg.Takeover)
+		}
+		if f, err := d.dirs[0].Create(wanted); err == nil {
+			f.Close()
+		}
+		time.Sleep(lookEvery)
+	}
+}
+
+// recall reads what outlasted the process before.
+func (d *durable) recall() error {
+	if r, ok, err := d.store.Get(store.Sealing, ""); err != nil {
+		return err
+	} else if ok {
+		d.key = r.Value
+	} else {
+		d.key = make([]byte, 32)
+		rand.Read(d.key) // it never fails
+		if err := d.store.Append(store.Record{Kind: store.Sealing, Value: d.key}, nil); err != nil {
+			return err
+		}
+	}
+	if r, ok, err := d.store.Get(store.Layout, ""); err != nil {
+		return err
+	} else if ok {
+		var f form.Layout
+		if err := proto.Unmarshal(r.Value, &f); err == nil {
+			if doc, err := layout.ParseDoc(f.Doc); err == nil {
+				d.doc = &doc
+			}
+		}
+	}
+	if r, ok, err := d.store.Get(store.Learned, ""); err != nil {
+		return err
+	} else if ok {
+		d.memory = remembered(r.Value)
+	}
+	return d.store.Each(store.Cursor, func(r store.Record) {
+		var f form.Cursor
+		if proto.Unmarshal(r.Value, &f) == nil {
+			d.marks = append(d.marks, cursor.Mark{Tenant: f.Tenant, Nonce: f.Nonce, Until: f.Until, Closed: f.Closed})
+		}
+	})
+}
+
+// remembered reads what was learnt; what can't be read is as what was never known.
+func remembered(value []byte) (m transport.Memory) {
+	var f form.Learned
+	if proto.Unmarshal(value, &f) != nil {
+		return m
+	}
+	m.Learned = yw.Learned{Admission: min(max(f.Admission, 0), 1), Suspects: f.Suspects}
+	for _, s := range f.Servers {
+		m.Learned.Servers = append(m.Learned.Servers, yw.Known{Server: yw.ServerID(s.Id), Pace: s.Pace, PaceAt: s.PaceAt, Fails: s.Fails, Tries: s.Tries, At: s.At})
+	}
+	m.Spent = map[string]broker.Spent{}
+	for _, r := range f.Rations {
+		s := broker.Spent{At: r.At}
+		copy(s.Taken[:], r.Taken)
+		copy(s.Extras[:], r.Extras)
+		m.Spent[r.Tenant] = s
+	}
+	return m
+}
+
+func worded(m transport.Memory) ([]byte, error) {
+	f := &form.Learned{Admission: m.Learned.Admission, Suspects: m.Learned.Suspects}
+	for _, s := range m.Learned.Servers {
+		f.Servers = append(f.Servers, &form.Server{Id: string(s.Server), Pace: s.Pace, PaceAt: s.PaceAt, Fails: s.Fails, Tries: s.Tries, At: s.At})
+	}
+	for tenant, s := range m.Spent {
+		f.Rations = append(f.Rations, &form.Ration{Tenant: tenant, At: s.At, Taken: s.Taken[:], Extras: s.Extras[:]})
+	}
+	return proto.Marshal(f)
+}
+
+// latest is the layout to begin with: the file's, or the one that was in force last where that is a later one of the same history.
+func (d *durable) latest(file layout.Doc, servers []yw.ServerID) layout.Doc {
+	if d == nil || d.doc == nil || d.doc.History != file.History || d.doc.Epoch <= file.Epoch {
+		return file
+	}
+	listed := map[yw.ServerID]bool{}
+	for _, id := range servers {
+		listed[id] = true
+	}
+	if _, err := layout.Make(*d.doc, func(id yw.ServerID) bool { return listed[id] }); err != nil {
+		d.log.Printf("level=warn event=store_layout kept=file error=%q", err)
+		return file
+	}
+	return *d.doc
+}
+
+// follow has a keeper of cursors told what stood, and its changes kept.
+func (d *durable) follow(k *cursor.Keeper, now int64) {
+	if d == nil || d.store == nil || k == nil {
+		return
+	}
+	for _, m := range d.marks {
+		k.Restore(now, m)
+	}
+	d.marks = nil
+	k.Tell(func(m cursor.Mark) {
+		value, err := proto.Marshal(&form.Cursor{Tenant: m.Tenant, Nonce: m.Nonce, Until: m.Until, Closed: m.Closed})
+		if err != nil {
+			return
+		}
+		key := binary.BigEndian.AppendUint64([]byte(m.Tenant+"\x00"), m.Nonce)
+		// Until is Unix time, the store's clock is not: a record lasts as long as the cursor does.
+		d.keep(store.Record{Kind: store.Cursor, Key: string(key), Value: value, Until: d.store.Now() + max(1, m.Until-time.Now().UnixMicro())})
+	})
+}
+
+// keep has a record written; nobody waits for it.
+func (d *durable) keep(r store.Record) bool {
+	err := d.store.Append(r, d.note)
+	if err != nil {
+		d.note(err)
+	}
+	return err == nil
+}
+
+// note logs that something could not be kept, once until it can be again.
+func (d *durable) note(err error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if err != nil && !d.failed {
+		d.log.Printf("level=warn event=store_misses error=%q", err)
+	}
+	d.failed = err != nil
+}
+
+// start begins to keep what is learnt.
+func (d *durable) start(engine *transport.Engine, place *layout.Current) {
+	d.runs = true
+	go d.run(engine, place)
+}
+
+// run keeps what is learnt, and yields the store to a process that waits for it, until close.
+func (d *durable) run(engine *transport.Engine, place *layout.Current) {
+	defer close(d.done)
+	look := time.NewTicker(lookEvery)
+	defer look.Stop()
+	kept := time.Now()
+	for {
+		select {
+		case <-d.stop:
+			d.remember(engine, place)
+			return
+		case <-look.C:
+		}
+		if ok, err := d.dirs[0].Exists(wanted); err == nil && ok {
+			d.remember(engine, place)
+			d.yield()
+			return
+		}
+		if time.Since(kept) >= rememberIn {
+			kept = time.Now()
+			d.remember(engine, place)
+		}
+	}
+}
+
+// remember keeps what is known now.
+func (d *durable) remember(engine *transport.Engine, place *layout.Current) {
+	if m, ok := engine.Remember(); ok {
+		if value, err := worded(m); err == nil {
+			d.keep(store.Record{Kind: store.Learned, Value: value, Until: d.store.Now() + forgetIn.Microseconds()})
+		}
+	}
+	l := place.Load()
+	if l == nil || l == d.tender {
+		return
+	}
+	doc, err := json.Marshal(l.Doc())
+	if err != nil {
+		return
+	}
+	if value, err := proto.Marshal(&form.Layout{Doc: doc}); err == nil && d.keep(store.Record{Kind: store.Layout, Value: value}) {
+		d.tender = l
+	}
+}
+
+// yield lets the store go once the open queries that need it have ended. From here on queries of those classes are turned away.
+func (d *durable) yield() {
+	d.ledger.Yield()
+	end := time.NewTimer(yieldWait)
+	defer end.Stop()
+	look := time.NewTicker(lookEvery / 5)
+	defer look.Stop()
+	for d.ledger.Held() > 0 {
+		select {
+		case <-look.C:
+			continue
+		case <-end.C:
+		case <-d.stop:
+		}
+		break
+	}
+	d.store.Close()
+	d.log.Printf("level=info event=store_yielded open=%d", d.ledger.Held())
+}
+
+// close lets the store go, where it is still held.
+func (d *durable) close() {
+	if d == nil || d.store == nil {
+		return
+	}
+	d.ending.Do(func() {
+		if close(d.stop); d.runs {
+			<-d.done
+		}
+		d.store.Close()
+	})
+}
+
+// figures are the store's, for the operators' door.
+func (d *durable) figures() operations.StoreFigures {
+	bytes, keys := d.store.Size()
+	f := d.store.Figures()
+	s := operations.StoreFigures{Bytes: bytes, Keys: int64(keys), Open: int64(d.ledger.Held()), Unknown: int64(len(d.store.Unknown())),
+		Appends: f.Appends.Load(), Syncs: f.Syncs.Load(), Failed: f.Failed.Load(), Cleaned: f.Cleaned.Load()}
+	if d.store.Health() != nil {
+		s.Failing = 1
+	}
+	return s
+}
+
+// eventLog is the program's log for packages that write structured lines.
+func eventLog(l *log.Logger) *slog.Logger {
+	return slog.New(slog.NewTextHandler(lines{l}, &slog.HandlerOptions{ReplaceAttr: func(_ []string, a slog.Attr) slog.Attr {
+		switch a.Key {
+		case slog.TimeKey:
+			return slog.Attr{}
+		case slog.LevelKey:
+			return slog.String(a.Key, strings.ToLower(a.Value.String()))
+		case slog.MessageKey:
+			a.Key = "event"
+		}
+		return a
+	}}))
+}
+
+type lines struct{ l *log.Logger }
+
+func (w lines) Write(b []byte) (int, error) {
+	w.l.Print(string(bytes.TrimRight(b, "\n")))
+	return len(b), nil
+}
--- a/cmd/saffronquay/gatherer.go
+++ b/cmd/saffronquay/gatherer.go
@@ -66,6 +66,10 @@
 			return 0 // a later file has none
 		}
 	}
+	if d := g.durable; d != nil && d.store != nil {
+		g.figures.Store = d.figures
+	}
+	defer g.durable.close()
 	if err := g.begin(); err != nil {
 		return err
 	}
@@ -107,6 +111,9 @@
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
+	if d := g.durable; d != nil && d.store != nil {
+		g.engine.Recall(d.memory)
+	}
 	g.succeed()
 	bounds := g.bounds()
 	g.mu.Lock()
@@ -117,6 +124,9 @@
 	if g.beside != nil {
 		go g.beside.Run()
 	}
+	if d := g.durable; d != nil && d.store != nil {
+		d.start(g.engine, g.place)
+	}
 	g.follow()
 	g.followLayout()
 	if g.vrrp != nil {
@@ -182,7 +192,7 @@
 	}
 	if g.layout != nil {
 		cfg := transport.RoutesConfig{Directory: g.layout.Directory, Stall: g.layout.Stall}
-		g.routes, err = transport.NewRoutes(cfg, g.layout.Whole, g.serverIDs(), g.clock, g.place, g.engine.Layout,
+		g.routes, err = transport.NewRoutes(cfg, g.durable.latest(g.layout.Whole, g.serverIDs()), g.serverIDs(), g.clock, g.place, g.engine.Layout,
 			g.figures.Routes, g.log)
 		if err != nil {
 			return fmt.Errorf("configuration: %w", err)
@@ -489,6 +499,7 @@
 	if g.routes != nil {
 		g.routes.Stop()
 	}
+	g.durable.close()
 	g.engine.Stop()
 	if g.door != nil {
 		g.door.Close()
--- a/cmd/saffronquay/main.go
+++ b/cmd/saffronquay/main.go
@@ -24,6 +24,9 @@
 )
 
 func main() {
+	if len(os.Args) > 1 {
+		os.Exit(command(os.Args[1:], os.Stdout, os.Stderr))
+	}
 	logger := log.New(os.Stderr, "", log.LstdFlags|log.Lmicroseconds|log.LUTC)
 	term, hup := make(chan os.Signal, 1), make(chan os.Signal, 1)
 	signal.Notify(term, syscall.SIGTERM, os.Interrupt)
@@ -64,6 +67,7 @@
 	place             *layout.Current                // what the front plans by, where there is a layout
 	adopt             func()                         // has what this plan made for itself in force; nil: nothing
 	again             func() (plan, error)           // reads the file once more
+	durable           *durable                       // what outlasts the process; nil: nothing
 }
 
 func load(logger *log.Logger) (plan, error) {
@@ -82,7 +86,14 @@
 		return plan{}, err
 	}
 	if ok {
-		return searching(op, &standing{}, logger), nil
+		held := &standing{}
+		if op.Store != nil {
+			if held.durable, err = openDurable(*op.Store, logger); err != nil {
+				return plan{}, err
+			}
+			held.key = held.durable.key
+		}
+		return searching(op, held, logger), nil
 	}
 	node, err := config.Load(os.Getenv, os.ReadFile)
 	if err != nil {
@@ -109,6 +120,9 @@
 func searching(op config.Operator, held *standing, logger *log.Logger) plan {
 	keeper := held.of(op.Cursors)
 	adopt := func() {
+		if keeper != held.cursors.Load() {
+			held.durable.follow(keeper, time.Now().UnixMicro())
+		}
 		if held.cursors.Store(keeper); op.Cursors != nil {
 			held.by = *op.Cursors
 		}
@@ -122,9 +136,16 @@
 	for _, c := range op.Settings.Module.Classes {
 		front.Longest[c.Name] = c.HardLimit
 	}
+	if d := held.durable; d != nil {
+		front.Once = &opensearch.Once{Ledger: d.ledger, Header: op.Store.KeyHeader, Classes: map[string]bool{}, Without: d.store == nil}
+		for _, c := range op.Settings.Module.Classes {
+			front.Once.Classes[c.Name] = c.Effect == yw.AtMostOnce
+		}
+	}
 	return plan{name: op.Name, listen: op.Listen, operator: op.Operator, seed: op.Seed, sockets: op.Sockets, memoryMB: op.MemoryMB,
 		settings: op.Settings, budgets: op.Budgets, front: front, dialect: opensearch.Servers{}, partsPerCall: 1,
 		fleet: yw.FleetChanged{Kind: yw.FleetFull, Servers: op.Servers}, addresses: op.Addresses, vrrp: op.VRRP, layout: op.Layout, place: &held.place, cursors: &held.cursors, adopt: adopt,
+		durable: held.durable,
 		again: func() (plan, error) {
 			now, err := config.ReloadOperator(os.Getenv, os.ReadFile, op)
 			return searching(now, held, logger), err
@@ -137,6 +158,7 @@
 	key     []byte // of cursors, where no file gave one
 	cursors atomic.Pointer[cursor.Keeper]
 	by      config.Cursors
+	durable *durable // nil: nothing outlasts the process
 }
 
 // of is the keeper of points in time by a file's settings; one whose settings stay keeps its cursors. Nil where there are none. It
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -48,6 +48,27 @@
 	Text               []byte        // what every part carries
 	Plan               any           // what the dialect's session reads answers by; the core only hands it on
 	Want               []layout.Span // where parts have spans: what is asked for of them; empty: all
+	Ledger             Ledger        // of a query that must not run twice, where its parts' intents are kept; nil: they are not
+}
+
+// Ledger keeps what of one query is about to leave. Its methods may be called from any goroutine.
+type Ledger interface {
+	// Intend makes it durable that parts are about to leave, and says by done, from another goroutine, when that is so or why it is
+	// not known to be. An error says at once that it is not; done is not called then.
+	Intend(parts []Intended, deadline int64, done func(error)) error
+	// Keeps tells that the query's end is wanted although its client has left.
+	Keeps() bool
+	// Release says that nothing of the query has run, nor will.
+	Release()
+	// Abandon says that nobody will know its end.
+	Abandon()
+}
+
+// Intended is a part that is about to leave.
+type Intended struct {
+	Shard  int
+	Span   layout.Span
+	Server yw.ServerID
 }
 
 // AskPart is one part of an Ask.
@@ -83,6 +104,14 @@
 	Plan  any
 }
 
+// Intend asks for the intents of some parts of one query to be made durable. Intended says how that came out; until then they wait.
+type Intend struct {
+	Ledger   Ledger
+	Deadline int64
+	Parts    []Intended
+	Attempts []AttemptID
+}
+
 // Drop gives up an attempt; what still comes back for it is nobody's.
 type Drop struct{ Attempt AttemptID }
 
@@ -132,6 +161,7 @@
 }
 
 func (Call) isEffect()      {}
+func (Intend) isEffect()    {}
 func (Drop) isEffect()      {}
 func (CloseIdle) isEffect() {}
 func (Refresh) isEffect()   {}
@@ -156,6 +186,7 @@
 	tries         int
 	out           []*attempt
 	mayRun        bool // some attempt may have run
+	intended      bool // that it is about to leave is durable
 	value         []byte
 	part          any // the same, read
 	size          int64
@@ -171,6 +202,7 @@
 	epoch  int64 // of the layout at its send
 	sent   int64
 	due    int64
+	waits  *Attempt // what leaves once its intent is durable; nil: it has left
 }
 
 // Core holds every open query and attempt of one gatherer.
@@ -191,7 +223,8 @@
 	alarms               []yw.SetAlarm
 	events               []yw.Event
 	effects              []Effect
-	calls                map[yw.ServerID]int // index of the call that still takes parts, within a step
+	calls                map[yw.ServerID]int // index of the call that still takes parts, among the effects
+	intents              map[yw.ID]int       // the same, of what is to be made durable, by query
 	budgets              map[string]*ration
 	stepped              int64
 	began                bool
@@ -204,7 +237,7 @@
 // New makes a core round a module.
 func New(terms Terms, module Module) *Core {
 	c := &Core{module: module, queries: map[yw.ID]*query{},
-		labels: map[string]int64{}, parts: map[yw.ID]*part{}, byShard: map[int]*part{}, attempts: map[AttemptID]*attempt{}, calls: map[yw.ServerID]int{}}
+		labels: map[string]int64{}, parts: map[yw.ID]*part{}, byShard: map[int]*part{}, attempts: map[AttemptID]*attempt{}, calls: map[yw.ServerID]int{}, intents: map[yw.ID]int{}}
 	c.hold(terms)
 	c.due.alive = func(a *attempt) bool { return c.attempts[a.id] == a }
 	c.late.alive = func(q *query) bool { return !q.over }
@@ -264,6 +297,27 @@
 // Learned is what a process in this one's place should know.
 func (c *Core) Learned() yw.Learned { return c.module.Learned() }
 
+// Recall begins with what a process had learnt that is gone, and with what its budgets had spent.
+func (c *Core) Recall(now int64, l yw.Learned, spent map[string]Spent) {
+	for name, s := range spent {
+		if r := c.budgets[name]; r != nil {
+			r.restore(now, s)
+		}
+	}
+	c.events = append(c.events, yw.Recalled{Learned: l})
+}
+
+// Spent is what each tenant's budget has spent within its window; those that have spent nothing are missing.
+func (c *Core) Spent(now int64) map[string]Spent {
+	out := map[string]Spent{}
+	for name, r := range c.budgets {
+		if s, any := r.spent(now); any {
+			out[name] = s
+		}
+	}
+	return out
+}
+
 // Succeed begins with what the process before this one had learnt. It may still spend its budgets: both keep to them if
 // the free part counts as spent here for one window.
 func (c *Core) Succeed(now int64, l yw.Learned) {
@@ -410,6 +464,9 @@
 // Next is when Step wants to be called next; ok is false while nothing is awaited.
 func (c *Core) Next() (at int64, ok bool) {
 	at = math.MaxInt64
+	if len(c.effects) > 0 {
+		return c.stepped, true
+	}
 	if len(c.events) > 0 {
 		at = c.stepped + c.terms.Period
 	}
@@ -434,7 +491,6 @@
 		if len(c.events) > 0 {
 			events := c.events
 			c.events, c.stepped, c.began = nil, now, true
-			clear(c.calls)
 			for _, a := range c.module.Step(now, events) {
 				c.carryOut(now, a)
 			}
@@ -447,6 +503,8 @@
 	}
 	effects := c.effects
 	c.effects = nil
+	clear(c.calls)
+	clear(c.intents)
 	return effects
 }
 
@@ -454,9 +512,18 @@
 
 func (c *Core) expire(now int64) {
 	for _, a := range c.due.take(now) {
+		c.giveUp(now, a, yw.TimedOut)
+	}
+}
+
+// giveUp ends an attempt that nobody waits for any more. One that still waits for its intent never left.
+func (c *Core) giveUp(now int64, a *attempt, o yw.Outcome) {
+	if a.waits != nil {
+		o = yw.NotSent
+	} else {
 		c.do(Drop{Attempt: a.id})
-		c.Ended(now, a.id, yw.TimedOut, nil, nil)
 	}
+	c.Ended(now, a.id, o, nil, nil)
 }
 
 func (c *Core) ring(now int64) {
@@ -538,7 +605,16 @@
 	}
 	out := Attempt{ID: a.id, Label: p.q.ask.Label, Shard: p.ask.Shard, Epoch: a.epoch, Span: p.ask.Span, Due: due,
 		Text: p.q.ask.Text, Plan: p.q.ask.Plan}
-	if i, ok := c.calls[s.Server]; ok {
+	if p.q.ask.Ledger != nil && !p.intended {
+		c.intend(a, out)
+		return
+	}
+	c.call(s.Server, out)
+}
+
+// call has an attempt leave, with others to the same server as far as a call takes them.
+func (c *Core) call(server yw.ServerID, out Attempt) {
+	if i, ok := c.calls[server]; ok {
 		call := c.effects[i].(Call)
 		if len(call.Attempts) < c.terms.PartsPerCall {
 			call.Attempts = append(call.Attempts, out)
@@ -546,8 +622,8 @@
 			return
 		}
 	}
-	c.calls[s.Server] = len(c.effects)
-	c.do(Call{Server: s.Server, Attempts: []Attempt{out}})
+	c.calls[server] = len(c.effects)
+	c.do(Call{Server: server, Attempts: []Attempt{out}})
 }
 
 // answer gives what is in. Guards the rule of honest answers a second time: less than the class's least
@@ -580,7 +656,7 @@
 	overdue := now >= q.ask.Deadline-2*c.terms.Period
 	if q.class.Effect == yw.AtMostOnce {
 		for _, p := range q.parts {
-			if p.mayRun || len(p.out) > 0 {
+			if p.mayRun || slices.ContainsFunc(p.out, func(a *attempt) bool { return a.waits == nil }) {
 				c.finish(q, Final{Verdict: Failed, Overdue: overdue})
 				return
 			}
--- a/internal/broker/layout.go
+++ b/internal/broker/layout.go
@@ -159,8 +159,7 @@
 
 // withdraw gives an attempt up.
 func (c *Core) withdraw(now int64, a *attempt) {
-	c.do(Drop{Attempt: a.id})
-	c.Ended(now, a.id, yw.Cancelled, nil, nil)
+	c.giveUp(now, a, yw.Cancelled)
 }
 
 // credit judges an outcome by the layout in force: what a server gives for a span that it holds no longer is a failed attempt
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"strings"
 	"testing"
+	"time"
 
 	yw "yarrowwalk"
 )
@@ -121,6 +122,39 @@
 	}
 }
 
+// The durable store's section is judged with the rest.
+func TestOperatorStore(t *testing.T) {
+	text, err := os.ReadFile("../../deploy/durable.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	o, err := ParseOperator(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s := o.Store; s == nil || s.Directories[1] != "/var/lib/saffronquay/b" || s.Keep != 15*time.Minute || s.KeyHeader != "Idempotency-Key" || s.SegmentSize != 8<<20 {
+		t.Errorf("%+v", o.Store)
+	}
+	for _, c := range []struct{ from, to, names string }{
+		{`"/var/lib/saffronquay/b"`, `"/var/lib/saffronquay/a"`, "store.copy: want another directory"},
+		{`"directory": "/var/lib/saffronquay/a",`, ``, "store.directory: missing"},
+		{`"keep_ms": 900000`, `"keep_ms": 5`, "store.keep_ms"},
+		{`"takeover_ms": 10000`, `"takeover_ms": "1"`, "store.takeover_ms"},
+		{`"Idempotency-Key"`, `"a key"`, "store.key_header"},
+		{`"segment_mb": 8`, `"segment_mb": 0`, "store.segment_mb"},
+		{`"max_answer_kb": 64`, `"max_answer_kb": -1`, "store.max_answer_kb"},
+		{`"without": false`, `"without": 0`, "store.without"},
+	} {
+		changed := strings.Replace(string(text), c.from, c.to, 1)
+		if changed == string(text) {
+			t.Fatalf("%q is not in the file", c.from)
+		}
+		if _, err := ParseOperator([]byte(changed)); err == nil || !strings.Contains(err.Error(), c.names) {
+			t.Errorf("%s: %v", c.to, err)
+		}
+	}
+}
+
 // A layout in the operator's file is judged with the rest, and takes the ranges' and cells' place.
 func TestOperatorLayout(t *testing.T) {
 	text, err := os.ReadFile("../../deploy/layout.json")
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -32,8 +32,23 @@
 	VRRP              *VRRP    // nil: off
 	Cursors           *Cursors // nil: there are no points in time
 	Layout            *Layout  // nil: settings and indices say where shards are, for good
+	Store             *Store   // nil: nothing outlasts the process
 }
 
+// Store sets up the durable store.
+type Store struct {
+	Directories [2]string     // of the two copies
+	Keep        time.Duration // how long a client's key is known
+	Takeover    time.Duration // how long a process waits for the one that it replaces
+	KeyHeader   string        // the header field that names a client's key
+	MaxAnswer   int           // bytes of an answer that are kept
+	SegmentSize int64         // bytes
+	Single      bool          // without group commit: to measure it by
+	Without     bool          // where it can't be opened, the program starts without the classes that need it
+}
+
+func (s *Store) same(o *Store) bool { return s == nil && o == nil || s != nil && o != nil && *s == *o }
+
 // Cursors sets up points in time.
 type Cursors struct {
 	Key             []byte // nil: each process has its own
@@ -87,6 +102,9 @@
 		o.Layout != nil && (inForce.Layout.Directory == "") != (o.Layout.Directory == "") {
 		return Operator{}, fmt.Errorf("SAFFRONQUAY_OPERATOR_FILE: layout: to begin or end it, or its directory, needs a restart")
 	}
+	if !inForce.Store.same(o.Store) {
+		return Operator{}, fmt.Errorf("SAFFRONQUAY_OPERATOR_FILE: store: to change it needs a restart")
+	}
 	return o, nil
 }
 
@@ -143,6 +161,9 @@
 	if r.has("vrrp") {
 		o.VRRP = readVRRP(r.object("vrrp"))
 	}
+	if r.has("store") {
+		o.Store = readStore(r.object("store"))
+	}
 	return o, *r.err
 }
 
--- /dev/null
+++ b/internal/config/store.go
@@ -0,0 +1,42 @@
+package config
+
+import (
+	"net/textproto"
+	"path/filepath"
+	"strings"
+	"time"
+)
+
+// readStore reads where the durable store lies and what bounds it.
+func readStore(r reader) *Store {
+	r.require("directory")
+	s := &Store{Keep: ms(r, "keep_ms", 900_000, 1000, 7*86_400_000), Takeover: ms(r, "takeover_ms", 10_000, 100, 600_000),
+		KeyHeader: textproto.CanonicalMIMEHeaderKey(r.str("key_header", "Idempotency-Key")), MaxAnswer: r.count("max_answer_kb", 64) << 10,
+		SegmentSize: int64(r.integer("segment_mb", 8)) << 20, Single: r.boolean("single"), Without: r.boolean("without")}
+	s.Directories[0] = filepath.Clean(r.str("directory", ""))
+	if s.Directories[1] = filepath.Join(s.Directories[0], "copy"); r.has("copy") {
+		s.Directories[1] = filepath.Clean(r.str("copy", ""))
+	}
+	if s.Directories[0] == s.Directories[1] {
+		r.fault("copy", "want another directory than %q: the second copy is there for when the first one is lost", s.Directories[0])
+	}
+	if s.SegmentSize < 1<<20 || s.SegmentSize > 256<<20 {
+		r.fault("segment_mb", "want 1 to 256, not %d", s.SegmentSize>>20)
+	}
+	if s.MaxAnswer < 0 || s.MaxAnswer > 1<<20 {
+		r.fault("max_answer_kb", "want 0 to 1024, not %d", s.MaxAnswer>>10)
+	}
+	if s.KeyHeader == "" || strings.ContainsAny(s.KeyHeader, " :\r\n\t") {
+		r.fault("key_header", "want the name of a header field, not %q", s.KeyHeader)
+	}
+	return s
+}
+
+// ms reads a time in milliseconds within bounds.
+func ms(r reader, key string, otherwise, least, most int64) time.Duration {
+	n := r.integer(key, otherwise)
+	if n < least || n > most {
+		r.fault(key, "want %d to %d, not %d", least, most, n)
+	}
+	return time.Duration(n) * time.Millisecond
+}
--- a/internal/cursor/cursor.go
+++ b/internal/cursor/cursor.go
@@ -58,6 +58,44 @@
 
 	mu      sync.Mutex
 	tenants map[string]map[uint64]entry // those with cursors that are not over
+	told    func(Mark)                  // nil: nobody
+}
+
+// Mark is how one cursor stands, for those who keep it beyond the process.
+type Mark struct {
+	Tenant string
+	Nonce  uint64
+	Until  int64
+	Closed bool
+}
+
+// Tell has each change told from now on, in order. tell must not block, nor call the keeper.
+func (k *Keeper) Tell(tell func(Mark)) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.told = tell
+}
+
+// Restore takes in how a cursor stood. What is known here already stays; cursors beyond the bound are left out, and count once they
+// are used.
+func (k *Keeper) Restore(now int64, m Mark) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	open := k.tenants[m.Tenant]
+	if _, known := open[m.Nonce]; known || m.Until <= now || len(open) >= closedFor*k.cfg.Most {
+		return
+	}
+	if open == nil {
+		open = map[uint64]entry{}
+		k.tenants[m.Tenant] = open
+	}
+	open[m.Nonce] = entry{until: m.Until, closed: m.Closed}
+}
+
+func (k *Keeper) tell(tenant string, nonce uint64, e entry) {
+	if k.told != nil {
+		k.told(Mark{Tenant: tenant, Nonce: nonce, Until: e.until, Closed: e.closed})
+	}
 }
 
 type entry struct {
@@ -113,6 +151,7 @@
 		}
 	}
 	open[c.Nonce] = entry{until: c.Until}
+	k.tell(c.Tenant, c.Nonce, open[c.Nonce])
 	return nil
 }
 
@@ -165,7 +204,9 @@
 			return false, err
 		}
 	}
-	k.tenants[tenant][c.Nonce] = entry{until: max(c.Until, e.until), closed: true} // no token of it lasts longer
+	e = entry{until: max(c.Until, e.until), closed: true} // no token of it lasts longer
+	k.tenants[tenant][c.Nonce] = e
+	k.tell(tenant, c.Nonce, e)
 	return true, nil
 }
 
--- /dev/null
+++ b/internal/once/kill_test.go
@@ -0,0 +1,349 @@
+package once_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"yarrowwalk/internal/layout"
+	"yarrowwalk/internal/standin"
+)
+
+// Two of five gatherers are killed at once, again and again, while 2,000 filings go through them with clients that retry. Nothing runs
+// twice, and what a client was told once it is told again.
+func TestKilledGatherers(t *testing.T) {
+	c := newCluster(t, time.Millisecond)
+	var gs []*gatherer
+	var ps []*process
+	for range 5 {
+		g := newGatherer(t, c, "")
+		gs, ps = append(gs, g), append(ps, g.start())
+	}
+	const filings, clients = 2000, 16
+	var next, failed, lost, retries atomic.Int64
+	var told sync.Map
+	over := make(chan struct{})
+	var wg sync.WaitGroup
+	for range clients {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for i := next.Add(1) - 1; i < filings; i = next.Add(1) - 1 {
+				key := fmt.Sprint("filing-", i)
+				a, sent := gs[i%5].file(key)
+				retries.Add(int64(sent - 1))
+				switch {
+				case a.status == 200:
+					if !c.Ledger.Ran(key) {
+						t.Errorf("%s is acknowledged and never ran", key)
+					}
+					told.Store(key, a.body)
+				case a.status == 500:
+					failed.Add(1)
+				default:
+					t.Errorf("%s: %+v", key, a)
+				}
+			}
+		}()
+	}
+	go func() { wg.Wait(); close(over) }()
+	rng := rand.New(rand.NewPCG(3, 3))
+	kills := 0
+	for killing := true; killing; {
+		select {
+		case <-over:
+			killing = false
+			continue
+		case <-time.After(time.Duration(60+rng.IntN(100)) * time.Millisecond):
+		}
+		which := rng.Perm(5)[:2]
+		for _, i := range which {
+			ps[i].cmd.Process.Signal(syscall.SIGKILL)
+		}
+		for _, i := range which {
+			<-ps[i].exited
+			ps[i] = gs[i].start()
+			kills++
+		}
+	}
+	// Once more, all of them, and each client asks again.
+	for i, p := range ps {
+		p.kill()
+		ps[i] = gs[i].start()
+	}
+	acked := 0
+	told.Range(func(key, body any) bool {
+		acked++
+		var i int
+		fmt.Sscanf(key.(string), "filing-%d", &i)
+		if a := gs[i%5].send("POST", "/filings/_search", key.(string), key.(string), `{"query":{"range":{"taxpayer":{"gte":5,"lt":25}}}}`); a.status != 200 || a.body != body.(string) || !a.replayed {
+			lost.Add(1)
+			t.Errorf("%s: told %q, and now %+v", key, body, a)
+		}
+		return true
+	})
+	runs, twice, _ := c.Ledger.Counts()
+	if twice != 0 || kills < 10 || acked < filings/2 {
+		t.Errorf("%d parts ran twice, %d kills, %d acknowledged", twice, kills, acked)
+	}
+	t.Logf("filings=%d acknowledged=%d may_have_run=%d retries=%d kills=%d parts_run=%d run_twice=%d lost=%d", filings, acked, failed.Load(),
+		retries.Load(), kills, runs, twice, lost.Load())
+}
+
+// A process takes another one's place: filings go on, and each one has its end.
+func TestStoreIsHandedOver(t *testing.T) {
+	c := newCluster(t, time.Millisecond)
+	g := newGatherer(t, c, "")
+	old := g.start()
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	var filed atomic.Int64
+	for i := range 8 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				key := fmt.Sprintf("h-%d-%d", i, n)
+				if a, _ := g.file(key); a.status != 200 {
+					t.Errorf("%s: %+v", key, a)
+				}
+				filed.Add(1)
+			}
+		}()
+	}
+	for range 3 {
+		for n := filed.Load(); filed.Load() < n+50; {
+			time.Sleep(time.Millisecond)
+		}
+		next := g.start()
+		old.cmd.Process.Signal(syscall.SIGTERM)
+		<-old.exited
+		old = next
+	}
+	close(stop)
+	wg.Wait()
+	if _, twice, _ := c.Ledger.Counts(); twice != 0 {
+		t.Errorf("%d parts ran twice", twice)
+	}
+	if n := strings.Count(g.said(), "event=store_yielded"); n != 3 {
+		t.Errorf("the store was yielded %d times: %s", n, g.said())
+	}
+	if !strings.Contains(old.call(t, "stats"), "svc.store.failing:0|g") {
+		t.Error("no figures of the store")
+	}
+}
+
+// The old process stands still with filings out, another one takes its store, and the old one goes on: with SAFFRONQUAY_LONG=1 after 10 s.
+func TestOldProcessGoesOnLate(t *testing.T) {
+	stall := 1500 * time.Millisecond
+	if os.Getenv("SAFFRONQUAY_LONG") != "" {
+		stall = 10 * time.Second
+	}
+	c := newCluster(t, 20*time.Millisecond)
+	g := newGatherer(t, c, "")
+	old := g.start()
+	var wg sync.WaitGroup
+	ends := make([]answer, 60)
+	for i := range ends {
+		wg.Add(1)
+		go func() { defer wg.Done(); ends[i], _ = g.file(fmt.Sprint("late-", i)) }()
+	}
+	for runs := 0; runs < 10; runs, _, _ = c.Ledger.Counts() {
+		time.Sleep(time.Millisecond)
+	}
+	old.cmd.Process.Signal(syscall.SIGSTOP)
+	began := time.Now()
+	next := g.start()
+	g.says("event=store_taken_over")
+	time.Sleep(max(0, stall-time.Since(began)))
+	old.cmd.Process.Signal(syscall.SIGCONT)
+	old.cmd.Process.Signal(syscall.SIGTERM)
+	wg.Wait()
+	<-old.exited
+	for i := range ends { // whoever is asked now, it is told nothing else, or that it is in doubt
+		if a, _ := g.file(fmt.Sprint("late-", i)); a.status != 200 && a.status != 500 || a.status == 200 && ends[i].status == 200 && a.body != ends[i].body {
+			t.Errorf("late-%d: %+v, then %+v", i, ends[i], a)
+		}
+	}
+	if _, twice, _ := c.Ledger.Counts(); twice != 0 {
+		t.Errorf("%d parts ran twice", twice)
+	}
+	next.kill()
+}
+
+// What else outlasts the process: cursors, and the layout while its directory is away.
+func TestStateIsRecovered(t *testing.T) {
+	c := newCluster(t, time.Millisecond)
+	agent, err := c.Directory.Agent("")
+	if err != nil {
+		t.Fatal(err)
+	}
+	g := newGatherer(t, c, agent.Address())
+	p := g.start()
+	var pits [2]struct {
+		ID string `json:"pit_id"`
+	}
+	for i := range pits {
+		if a := g.send("POST", "/invoices/_search/point_in_time?keep_alive=4m", "", "", ""); json.Unmarshal([]byte(a.body), &pits[i]) != nil || pits[i].ID == "" {
+			t.Fatalf("%+v", a)
+		}
+	}
+	if a := g.send("DELETE", "/_search/point_in_time", "", "", fmt.Sprintf(`{"pit_id":%q}`, pits[1].ID)); !strings.Contains(a.body, `"successful":true`) {
+		t.Fatalf("%+v", a)
+	}
+	for i, do := range []layout.Deed{layout.Announce, layout.Copy} {
+		s := layout.Step{Change: "m", Do: do}
+		if i == 0 {
+			s.Kind, s.From = layout.Move, []int{0}
+			s.To = []layout.Range{{Span: layout.Span{From: 0, To: 10}, Shard: 0, Holders: c.Directory.Now().Doc().Ranges[1].Holders}}
+		}
+		if err := c.Do(s); err != nil {
+			t.Fatal(err)
+		}
+	}
+	g.says("event=layout epoch=3")
+	for end := time.Now().Add(patience); ; time.Sleep(10 * time.Millisecond) { // it is kept once a second
+		if out := dumped(t, g); strings.Contains(out, `"kind":"layout"`) && strings.Count(out, `"kind":"cursor"`) > 2 && strings.Contains(out, `"paceAt"`) || time.Now().After(end) {
+			break
+		}
+		g.send("POST", "/invoices/_search", "", "", `{}`)
+	}
+	time.Sleep(1100 * time.Millisecond)
+	p.kill()
+	agent.Close() // the directory is away at the start
+	p = g.start()
+	if a := p.call(t, "layout"); !strings.Contains(a, "epoch 3 ranges 8") || !strings.Contains(a, "change m move") {
+		t.Errorf("the layout: %s", a)
+	}
+	for i, want := range []int{200, 404} {
+		if a := g.send("POST", "/_search", "", "", fmt.Sprintf(`{"pit":{"id":%q}}`, pits[i].ID)); a.status != want {
+			t.Errorf("cursor %d: %+v", i, a)
+		}
+	}
+	if !strings.Contains(p.call(t, "stats"), "svc.cursors.open:1|g") {
+		t.Error("cursors are not counted")
+	}
+}
+
+func dumped(t *testing.T, g *gatherer) string {
+	t.Helper()
+	out, code := g.run("store", "dump", filepath.Join(g.dir, "store"))
+	if code == 2 {
+		t.Fatal(out)
+	}
+	return out
+}
+
+// A store that can't be opened ends the start with its name and what to do, or has the program start without what needs it.
+func TestStoreCannotBeOpened(t *testing.T) {
+	c := newCluster(t, time.Millisecond)
+	g := newGatherer(t, c, "")
+	p := g.start()
+	if a, _ := g.file("x"); a.status != 200 {
+		t.Fatalf("%+v", a)
+	}
+	p.kill()
+	dir := filepath.Join(g.dir, "store")
+	if out, code := g.run("store", "check", dir); code != 0 || !strings.Contains(out, "damaged=0 unknown=0") {
+		t.Errorf("check: %d %s", code, out)
+	}
+	for _, pattern := range []string{"manifest-*", "copy/manifest-*"} {
+		files, _ := filepath.Glob(filepath.Join(dir, pattern))
+		for _, f := range files {
+			if err := os.WriteFile(f, []byte("noise"), 0o600); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	if out, code := g.run("store", "check", dir); code != 3 || !strings.Contains(out, "no whole manifest") {
+		t.Errorf("check: %d %s", code, out)
+	}
+	if _, up := g.begin(); <-up != nil {
+		t.Error("it started")
+	}
+	if said := g.said(); !strings.Contains(said, dir) || !strings.Contains(said, "store check") {
+		t.Errorf("it said: %s", said)
+	}
+	g.cfg["store"].(map[string]any)["without"] = true
+	g.start()
+	g.says("event=store_off")
+	if a := g.send("POST", "/filings/_search", "y", "y", `{}`); a.status != 503 {
+		t.Errorf("a filing: %+v", a)
+	}
+	if a := g.send("POST", "/invoices/_search", "", "z", `{}`); a.status != 200 {
+		t.Errorf("a search: %+v", a)
+	}
+}
+
+// What the front tells of keys.
+func TestKeys(t *testing.T) {
+	c := newCluster(t, time.Millisecond)
+	g := newGatherer(t, c, "")
+	g.start()
+	body := `{"query":{"range":{"taxpayer":{"gte":5,"lt":25}}}}`
+	first := g.send("POST", "/filings/_search", "k", "k1", body)
+	if again := g.send("POST", "/filings/_search", "k", "k1", body); first.status != 200 || !again.replayed || again.body != first.body {
+		t.Errorf("%+v, then %+v", first, again)
+	}
+	if a := g.send("POST", "/filings/_search", "k", "k1", `{}`); a.status != 422 {
+		t.Errorf("another request under the same key: %+v", a)
+	}
+	if a := g.send("POST", "/filings/_search", strings.Repeat("k", 256), "k2", body); a.status != 400 {
+		t.Errorf("a long key: %+v", a)
+	}
+	if a := g.send("POST", "/filings/_search", "", "k3", body); a.status != 200 {
+		t.Errorf("without a key: %+v", a)
+	}
+	many := "{\"index\":\"filings\"}\n" + body + "\n{\"index\":\"filings\"}\n" + body + "\n"
+	one := g.send("POST", "/_msearch", "m", "m", many)
+	if two := g.send("POST", "/_msearch", "m", "m", many); one.status != 200 || strings.Contains(one.body, "error") ||
+		responses(one.body) != responses(two.body) {
+		t.Errorf("%+v, then %+v", one, two)
+	}
+	// Held by its server while its client goes and comes again: it ends once, and that end is told.
+	for _, s := range c.Servers {
+		s.Set(standin.Holds)
+	}
+	gone := make(chan answer, 1)
+	go func() {
+		impatient := *client
+		impatient.Timeout = 300 * time.Millisecond
+		_, err := impatient.Post("http://"+g.addr+"/filings/_search", "application/json", strings.NewReader(body))
+		gone <- answer{body: fmt.Sprint(err)}
+	}()
+	open := make(chan answer, 1)
+	go func() { open <- g.send("POST", "/filings/_search", "held", "held", body) }()
+	<-c.Servers[0].Held()
+	if a := g.send("POST", "/filings/_search", "held", "held", body); a.status != 409 && a.status != 0 {
+		t.Errorf("while it is open: %+v", a)
+	}
+	<-gone
+	for _, s := range c.Servers {
+		s.Set(standin.None)
+	}
+	a, b := <-open, answer{}
+	if b, _ = g.file("held"); a.status != 200 || b.body != a.body || !b.replayed {
+		t.Errorf("%+v, then %+v", a, b)
+	}
+	if _, twice, _ := c.Ledger.Counts(); twice != 0 {
+		t.Errorf("%d parts ran twice", twice)
+	}
+}
+
+func responses(body string) string {
+	_, rest, _ := strings.Cut(body, `"responses"`)
+	return rest
+}
--- /dev/null
+++ b/internal/once/once.go
@@ -0,0 +1,279 @@
+package once
+
+import (
+	"errors"
+	"fmt"
+	"strconv"
+	"sync"
+
+	"google.golang.org/protobuf/proto"
+
+	"yarrowwalk/internal/broker"
+	"yarrowwalk/internal/store"
+	"yarrowwalk/internal/store/form"
+)
+
+// Config bounds a ledger. Times are microseconds.
+type Config struct {
+	Keep    int64  // how long a key is known, from its query's latest record
+	MaxBody int    // bytes of an answer's body that are kept
+	Nonce   uint64 // tells this process's queries without a key from those of others
+}
+
+// Standing is how a key stands.
+type Standing int
+
+// The standings.
+const (
+	Fresh   Standing = iota // nothing of it was ever sent: it may be
+	Open                    // its first query is still under way
+	Other                   // it came with another request
+	Over                    // it ended: Verdict.Answer was told
+	Doubt                   // parts of it may have run, and no end is known
+	Unknown                 // the record of it may be lost: it may be sent after Verdict.After
+	Failing                 // the log takes nothing now
+	Waits                   // another process is taking the log over
+)
+
+// Verdict is what a query is told at its opening.
+type Verdict struct {
+	Standing Standing
+	Answer   Answer // where it is Over
+	After    int64  // microseconds; where it is Unknown
+}
+
+// Answer is how a query ended, as its client was told.
+type Answer struct {
+	Status    int
+	Type      string
+	Fields    [][2]string
+	Body      []byte
+	Shortened bool // the body was too long to be kept
+}
+
+// ErrOver is why no part of a query leaves any more.
+var ErrOver = errors.New("once: the query is over")
+
+// Ledger holds the open entries. It is safe for concurrent use. Each call costs O(1), and one read of the log where the key is known.
+type Ledger struct {
+	cfg Config
+	log store.Log
+
+	mu      sync.Mutex
+	open    map[string]*Entry
+	unkeyed uint64
+	closing bool
+}
+
+// New makes a ledger over a log.
+func New(log store.Log, cfg Config) *Ledger {
+	return &Ledger{cfg: cfg, log: log, open: map[string]*Entry{}}
+}
+
+// Entry is one query that must not run twice, from its opening to its end. It is a broker.Ledger.
+type Entry struct {
+	l     *Ledger
+	key   string
+	keyed bool
+	print uint64
+	label string
+
+	mu      sync.Mutex
+	parts   []*form.Part // whose intents are in the log or on their way
+	over    bool
+	written bool // some intent was handed to the log
+}
+
+// Begin opens a query. Its key is its client's, made one with whatever else tells it from those of others; with the empty key a query
+// is recorded like any other, and no retry of it is known. print tells requests apart. The entry is nil unless the key is Fresh.
+func (l *Ledger) Begin(key, label string, print uint64) (*Entry, Verdict) {
+	if l.log.Health() != nil {
+		return nil, Verdict{Standing: Failing}
+	}
+	e := &Entry{l: l, key: "k" + key, keyed: key != "", print: print, label: label}
+	l.mu.Lock()
+	if l.closing {
+		l.mu.Unlock()
+		return nil, Verdict{Standing: Waits}
+	}
+	if !e.keyed {
+		l.unkeyed++
+		e.key = "u" + strconv.FormatUint(l.cfg.Nonce, 36) + "-" + strconv.FormatUint(l.unkeyed, 36)
+	}
+	if first := l.open[e.key]; first != nil {
+		l.mu.Unlock()
+		if first.print != print {
+			return nil, Verdict{Standing: Other}
+		}
+		return nil, Verdict{Standing: Open}
+	}
+	l.open[e.key] = e
+	l.mu.Unlock()
+	if !e.keyed {
+		return e, Verdict{}
+	}
+	if v := l.judge(e); v.Standing != Fresh {
+		l.drop(e)
+		return nil, v
+	}
+	return e, Verdict{}
+}
+
+// judge goes by what the log says of an entry's key.
+func (l *Ledger) judge(e *Entry) Verdict {
+	r, ok, err := l.log.Get(store.Once, e.key)
+	if err != nil {
+		return Verdict{Standing: Failing}
+	}
+	if !ok {
+		now := l.log.Now()
+		for _, u := range l.log.Unknown() {
+			if until := u.To + l.cfg.Keep; until > now {
+				return Verdict{Standing: Unknown, After: until - now}
+			}
+		}
+		return Verdict{}
+	}
+	var f form.Once
+	if err := proto.Unmarshal(r.Value, &f); err != nil {
+		return Verdict{Standing: Doubt}
+	}
+	switch {
+	case f.End != nil && f.End.Print != e.print || f.End == nil && f.Intent.GetPrint() != e.print:
+		return Verdict{Standing: Other}
+	case f.End == nil:
+		return Verdict{Standing: Doubt}
+	}
+	a := Answer{Status: int(f.End.Status), Type: f.End.Type, Body: f.End.Body, Shortened: f.End.Shortened}
+	for i := 0; i+1 < len(f.End.Fields); i += 2 {
+		a.Fields = append(a.Fields, [2]string{f.End.Fields[i], f.End.Fields[i+1]})
+	}
+	return Verdict{Standing: Over, Answer: a}
+}
+
+func (l *Ledger) drop(e *Entry) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.open[e.key] == e {
+		delete(l.open, e.key)
+	}
+}
+
+// Held is how many queries are open.
+func (l *Ledger) Held() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.open)
+}
+
+// Yield lets no further query begin: another process waits for the log. The open ones go on.
+func (l *Ledger) Yield() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.closing = true
+}
+
+// Intend makes it durable that parts are about to leave; done says whether it is. No part may leave before, nor after another word
+// than nil.
+func (e *Entry) Intend(parts []broker.Intended, deadline int64, done func(error)) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.over {
+		return ErrOver
+	}
+	for _, p := range parts {
+		e.parts = append(e.parts, &form.Part{Shard: int64(p.Shard), From: p.Span.From, To: p.Span.To, Server: string(p.Server)})
+	}
+	err := e.l.append(e.key, &form.Once{Intent: &form.Intent{Label: e.label, Deadline: deadline, Print: e.print, Parts: e.parts}}, func(err error) {
+		e.mu.Lock()
+		if err == nil && e.over {
+			err = ErrOver
+		}
+		e.mu.Unlock()
+		done(err)
+	})
+	if err != nil {
+		e.parts = e.parts[:len(e.parts)-len(parts)]
+		return err
+	}
+	e.written = true
+	return nil
+}
+
+func (l *Ledger) append(key string, f *form.Once, done func(error)) error {
+	value, err := proto.Marshal(f)
+	if err != nil {
+		return fmt.Errorf("once: %w", err)
+	}
+	return l.log.Append(store.Record{Kind: store.Once, Key: key, Value: value, Until: l.log.Now() + l.cfg.Keep}, done)
+}
+
+// Keeps tells that the query's end is wanted although its client has left: a retry will ask for it.
+func (e *Entry) Keeps() bool { return e.keyed }
+
+// Release ends a query of which nothing was sent, or nothing that has run: its key is as one that was never seen. Guards the
+// client's retry against being told that it may have run. Where the log does not take that, it is told so all the same.
+func (e *Entry) Release() {
+	e.mu.Lock()
+	over, written := e.over, e.written
+	e.over = true
+	e.mu.Unlock()
+	if over {
+		return
+	}
+	if written {
+		// What was handed to the log before is behind this one there; nothing else comes to stand under the key before it does.
+		if err := e.l.log.Append(store.Record{Kind: store.Once, Key: e.key, Gone: true, Until: e.l.log.Now() + e.l.cfg.Keep}, func(error) { e.l.drop(e) }); err == nil {
+			return
+		}
+	}
+	e.l.drop(e)
+}
+
+// Abandon ends a query whose end nobody will know. Where an intent was handed to the log, it is in doubt.
+func (e *Entry) Abandon() {
+	e.mu.Lock()
+	written := e.written
+	if written {
+		e.over = true
+	}
+	e.mu.Unlock()
+	if !written {
+		e.Release()
+		return
+	}
+	e.l.drop(e)
+}
+
+// End records how the query ended; done is told when that is durable, or why it is not known to be. The client may be told in either
+// case: it is the truth, and without a record a retry is told that it may have run. A query of which nothing was to leave needs none.
+func (e *Entry) End(a Answer, done func(error)) {
+	e.mu.Lock()
+	over, written := e.over, e.written
+	e.over = true
+	e.mu.Unlock()
+	if over {
+		done(ErrOver)
+		return
+	}
+	if !written {
+		e.l.drop(e)
+		done(nil)
+		return
+	}
+	end := &form.End{Print: e.print, Status: uint32(a.Status), Type: a.Type, Body: a.Body}
+	for _, f := range a.Fields {
+		end.Fields = append(end.Fields, f[0], f[1])
+	}
+	if len(end.Body) > e.l.cfg.MaxBody {
+		end.Body, end.Shortened = nil, true
+	}
+	err := e.l.append(e.key, &form.Once{End: end}, func(err error) {
+		e.l.drop(e)
+		done(err)
+	})
+	if err != nil {
+		e.l.drop(e)
+		done(err)
+	}
+}
--- /dev/null
+++ b/internal/once/program_test.go
@@ -0,0 +1,274 @@
+package once_test
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	yw "yarrowwalk"
+	"yarrowwalk/internal/layout"
+	"yarrowwalk/internal/standin"
+)
+
+const patience = 20 * time.Second // for what has to happen; no verdict hangs on how soon it does
+
+var binary = sync.OnceValues(func() (string, error) {
+	dir, err := os.MkdirTemp("", "saffronquay-once")
+	if err != nil {
+		return "", err
+	}
+	path := filepath.Join(dir, "saffronquay")
+	if out, err := exec.Command("go", "build", "-o", path, "yarrowwalk/cmd/saffronquay").CombinedOutput(); err != nil {
+		return "", fmt.Errorf("%w: %s", err, out)
+	}
+	return path, nil
+})
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	if path, err := binary(); err == nil {
+		os.RemoveAll(filepath.Dir(path))
+	}
+	os.Exit(code)
+}
+
+// gatherer is a place where the program runs, again and again, with one store and one listening socket that outlast it.
+type gatherer struct {
+	t      *testing.T
+	dir    string
+	socket *os.File
+	addr   string
+	cfg    map[string]any
+
+	mu  sync.Mutex
+	log []string
+}
+
+// process is one life.
+type process struct {
+	cmd    *exec.Cmd
+	door   string
+	exited chan struct{}
+}
+
+func newCluster(t *testing.T, work time.Duration) *standin.Cluster {
+	t.Helper()
+	doc := layout.Doc{History: "h", Epoch: 1}
+	ids := []yw.ServerID{"s0", "s1", "s2", "s3"}
+	for i := range 8 {
+		doc.Ranges = append(doc.Ranges, layout.Range{Shard: i, Span: layout.Span{From: int64(i) * 10, To: int64(i+1) * 10},
+			Holders: []yw.ServerID{ids[i%4], ids[(i+1)%4]}})
+	}
+	var rows []standin.Row
+	for k := range int64(80) {
+		rows = append(rows, standin.Row{Key: k, ID: fmt.Sprint("row-", k)})
+	}
+	c, err := standin.NewCluster(ids, nil, standin.ServerConfig{Field: "taxpayer", Once: map[string]bool{"filings": true}, Cores: 8, Queue: 1000, Work: work}, doc, rows)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.Close)
+	return c
+}
+
+// newGatherer makes the place, with a file that names a cluster's servers. directory may be empty.
+func newGatherer(t *testing.T, c *standin.Cluster, directory string) *gatherer {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	g := &gatherer{t: t, dir: t.TempDir(), addr: l.Addr().String()}
+	if g.socket, err = l.(*net.TCPListener).File(); err != nil {
+		t.Fatal(err)
+	}
+	l.Close()
+	t.Cleanup(func() { g.socket.Close() })
+	var servers []any
+	for _, s := range c.Servers {
+		servers = append(servers, map[string]any{"id": s.ID(), "address": s.Address(), "zone": "a"})
+	}
+	l1 := map[string]any{"whole": c.Directory.Now().Doc()}
+	if directory != "" {
+		l1["directory"] = directory
+	}
+	g.cfg = map[string]any{"name": "g", "listen": "127.0.0.1:0", "operator": "127.0.0.1:0", "seed": "7", "servers": servers, "layout": l1,
+		"cursors": map[string]any{}, "store": map[string]any{"directory": filepath.Join(g.dir, "store"), "takeover_ms": 500},
+		"indices": []any{map[string]any{"name": "invoices", "class": "read", "field": "taxpayer", "part_work_us": 500},
+			map[string]any{"name": "filings", "class": "once", "field": "taxpayer", "part_work_us": 500}},
+		"settings": json.RawMessage(`{"me":0,"balancers":1,"zone":"a","period_us":2000,
+ "classes":[{"name":"read","aim_us":2000000,"hard_limit_us":4000000,"worth":1,"late_worth":0.1,"effect":"free"},
+  {"name":"once","aim_us":2000000,"hard_limit_us":4000000,"worth":1,"late_worth":0.1,"effect":"single_shot"}],
+ "family_info":{"class_fetch":[0,0],"class_partial":[0.9,0.9],"floor_by_class":[1,1],"whole_at":[1,1],"positions":1,"reach":1,"shards":1,"parts_a_call":1},
+ "permissions":{"max_open":5000,"connect_timeout_us":250000,"idle_close_us":15000000,"streams_per_conn":32,"may_cancel":true,
+  "most_tries":4,"second_copies":true,"retry_after":true,"max_retry_after_us":500000},
+ "rules":{"grace_to_answer_us":20000,"warm_within_us":1000000}}`)}
+	return g
+}
+
+var started = regexp.MustCompile(`event=start .*operator=(\S+)`)
+
+// begin starts the program; up tells when it serves, with nil where it ended instead.
+func (g *gatherer) begin() (p *process, up chan *process) {
+	g.t.Helper()
+	path, err := binary()
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	text, err := json.Marshal(g.cfg)
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	file := filepath.Join(g.dir, "operator.json")
+	if err := os.WriteFile(file, text, 0o600); err != nil {
+		g.t.Fatal(err)
+	}
+	p, up = &process{cmd: exec.Command(path), exited: make(chan struct{})}, make(chan *process, 1)
+	p.cmd.Env = append(os.Environ(), "SAFFRONQUAY_OPERATOR_FILE="+file, "LB_OPERATOR=", "LB_PASSED_SOCKET=3", "TMPDIR="+g.dir)
+	p.cmd.ExtraFiles = []*os.File{g.socket}
+	errs, err := p.cmd.StderrPipe()
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	if err := p.cmd.Start(); err != nil {
+		g.t.Fatal(err)
+	}
+	go func() {
+		defer close(p.exited)
+		for lines := bufio.NewScanner(errs); lines.Scan(); {
+			text := lines.Text()
+			if strings.Contains(text, "panic") || strings.Contains(text, "deadline guard") {
+				g.t.Errorf("the program said: %s", text)
+			}
+			g.mu.Lock()
+			g.log = append(g.log, text)
+			g.mu.Unlock()
+			if m := started.FindStringSubmatch(text); m != nil {
+				p.door = m[1]
+				up <- p
+			}
+		}
+		p.cmd.Wait()
+		close(up)
+	}()
+	g.t.Cleanup(func() { p.cmd.Process.Kill(); <-p.exited })
+	return p, up
+}
+
+func (g *gatherer) start() *process {
+	g.t.Helper()
+	p, up := g.begin()
+	select {
+	case q := <-up:
+		if q == nil {
+			g.t.Fatalf("the program ended at its start: %s", g.said())
+		}
+	case <-time.After(patience):
+		g.t.Fatal("the program did not start")
+	}
+	return p
+}
+
+func (g *gatherer) said() string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return strings.Join(g.log, "\n")
+}
+
+// says waits until the program has said something.
+func (g *gatherer) says(words string) {
+	g.t.Helper()
+	for end := time.Now().Add(patience); !strings.Contains(g.said(), words); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			g.t.Fatalf("the program never said %q: %s", words, g.said())
+		}
+	}
+}
+
+func (p *process) kill() {
+	p.cmd.Process.Signal(syscall.SIGKILL)
+	<-p.exited
+}
+
+func (p *process) call(t *testing.T, words string) string {
+	t.Helper()
+	conn, err := net.Dial("tcp", p.door)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(patience))
+	fmt.Fprintln(conn, words)
+	answer, _ := io.ReadAll(conn)
+	return string(answer)
+}
+
+var client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}, Timeout: patience}
+
+type answer struct {
+	status   int
+	body     string
+	replayed bool
+	later    bool // it may be sent again
+}
+
+// send sends one request; an error has status 0.
+func (g *gatherer) send(method, path, key, id, body string) answer {
+	req, err := http.NewRequest(method, "http://"+g.addr+path, strings.NewReader(body))
+	if err != nil {
+		g.t.Error(err)
+		return answer{}
+	}
+	req.GetBody = nil // else net/http repeats by itself what has such a key
+	if key != "" {
+		req.Header.Set("Idempotency-Key", key)
+	}
+	req.Header.Set("X-Opaque-Id", id)
+	resp, err := client.Do(req)
+	if err != nil {
+		return answer{}
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return answer{}
+	}
+	return answer{status: resp.StatusCode, body: string(text), replayed: resp.Header.Get("Idempotent-Replayed") != "",
+		later: resp.StatusCode == 429 || resp.StatusCode == 409}
+}
+
+// file files something over three ranges, under a key, and retries as a client does until it has an end.
+func (g *gatherer) file(key string) (a answer, sent int) {
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		sent++
+		if a = g.send("POST", "/filings/_search", key, key, `{"query":{"range":{"taxpayer":{"gte":5,"lt":25}}}}`); a.status != 0 && !a.later {
+			return a, sent
+		}
+	}
+	g.t.Errorf("%s: no end: %+v", key, a)
+	return a, sent
+}
+
+// run runs a command of the program.
+func (g *gatherer) run(words ...string) (out string, code int) {
+	g.t.Helper()
+	path, err := binary()
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	cmd := exec.Command(path, words...)
+	text, _ := cmd.CombinedOutput()
+	return string(text), cmd.ProcessState.ExitCode()
+}
--- a/internal/opensearch/front.go
+++ b/internal/opensearch/front.go
@@ -69,6 +69,7 @@
 	Cursors      *cursor.Keeper   // of points in time; nil: there are none
 	Nonce        func() uint64    // a random number that is not drawn twice
 	Layout       *layout.Current  // where the ranges of placed indices are; nil: there are none
+	Once         *Once            // keeps what must not run twice; nil: nothing does
 }
 
 func (f Front) fail(e *fault) http1.Response {
@@ -130,8 +131,20 @@
 		r := finish(s.respond(broker.Final{Whole: true}, 0))
 		return ask, nil, &r
 	}
+	entry, resp := f.begin(m, s.index, &ask)
+	if resp != nil {
+		r := finish(*resp)
+		return ask, nil, &r
+	}
+	if entry != nil {
+		ask.Ledger = entry
+	}
 	return ask, func(final broker.Final, at int64) http1.Response {
-		return finish(f.word(s, final, at-now))
+		r := f.word(s, final, at-now)
+		if entry != nil {
+			record(entry, final.Verdict, r)
+		}
+		return finish(r)
 	}, nil
 }
 
@@ -201,7 +214,7 @@
 	if s, err = parseSearch(m.Body, ix, count, token != ""); err != nil {
 		return a, s, err
 	}
-	s.asOf, s.token = at.At, token
+	s.asOf, s.token, s.index = at.At, token, name
 	s.binary = ix.Binary
 	if err = s.params(params); err != nil {
 		return a, s, err
--- a/internal/opensearch/msearch.go
+++ b/internal/opensearch/msearch.go
@@ -24,7 +24,11 @@
 	if !ok || strings.Count(in, "/") > 1 {
 		return nil, nil, nil
 	}
-	parts, err := split(m, strings.TrimPrefix(in, "/"), params)
+	own := []string{"X-Opaque-Id"}
+	if f.Once != nil {
+		own = append(own, f.Once.Header)
+	}
+	parts, err := split(m, strings.TrimPrefix(in, "/"), params, own)
 	if err != nil {
 		e, is := err.(*fault)
 		if !is {
@@ -37,7 +41,8 @@
 	return parts, func(rs []http1.Response, us int64) http1.Response { return joined(rs, us, opaque) }, nil
 }
 
-func split(m *http1.Message, index, params string) ([]*http1.Message, error) {
+// split makes the requests; each has its own of some header fields.
+func split(m *http1.Message, index, params string, own []string) ([]*http1.Message, error) {
 	if m.Method != "POST" && m.Method != "GET" {
 		return nil, &fault{405, "illegal_argument_exception", "incorrect HTTP method for [_msearch]: want POST or GET"}
 	}
@@ -62,8 +67,10 @@
 		for k, v := range m.Header {
 			p.Header[k] = v
 		}
-		if id := m.Header.Get("X-Opaque-Id"); id != "" {
-			p.Header["X-Opaque-Id"] = []string{id + "." + strconv.Itoa(i/2)}
+		for _, field := range own {
+			if id := m.Header.Get(field); id != "" { // each search has its own
+				p.Header[field] = []string{id + "." + strconv.Itoa(i/2)}
+			}
 		}
 		parts = append(parts, &p)
 	}
--- a/internal/opensearch/search.go
+++ b/internal/opensearch/search.go
@@ -49,6 +49,7 @@
 	limit      int64 // of the total
 	aggs       []*merge.Agg
 	plan       *merge.Plan
+	index      string
 }
 
 // parseSearch reads a search's body. Clauses that are not supported are refused by name, never passed over:
--- a/internal/operations/figures.go
+++ b/internal/operations/figures.go
@@ -18,6 +18,8 @@
 
 	// Cursors, where set, counts the open points in time. Set it before the figures are read.
 	Cursors func() int
+	// Store, where set, tells how the durable store stands. Set it before the figures are read.
+	Store func() StoreFigures
 	// Routes is nil where no layout is set up.
 	Routes *LayoutFigures
 
@@ -25,6 +27,12 @@
 	classes map[string]*ends
 }
 
+// StoreFigures are what the durable store counts.
+type StoreFigures struct {
+	Bytes, Keys, Open, Unknown, Failing int64 // as they stand: of a copy; known; queries under way; lost spans; 1 while appends fail
+	Appends, Syncs, Failed, Cleaned     int64 // records and batches written; records not known to be durable; segments written anew
+}
+
 // LayoutFigures are what the program counts about the layout of ranges.
 type LayoutFigures struct {
 	Epoch, Ranges, Changes, Stalled atomic.Int64 // as they stand
@@ -91,6 +99,16 @@
 	if f.Cursors != nil {
 		dst = fmt.Appendf(dst, "svc.cursors.open:%d|g\n", f.Cursors())
 	}
+	if f.Store != nil {
+		s := f.Store()
+		for _, c := range []struct {
+			name, kind string
+			n          int64
+		}{{"bytes", "g", s.Bytes}, {"keys", "g", s.Keys}, {"open", "g", s.Open}, {"unknown", "g", s.Unknown}, {"failing", "g", s.Failing},
+			{"appends", "c", s.Appends}, {"syncs", "c", s.Syncs}, {"failed", "c", s.Failed}, {"cleaned", "c", s.Cleaned}} {
+			dst = fmt.Appendf(dst, "svc.store.%s:%d|%s\n", c.name, c.n, c.kind)
+		}
+	}
 	if l := f.Routes; l != nil {
 		for _, c := range []figure{{"epoch", "g", &l.Epoch}, {"ranges", "g", &l.Ranges}, {"changes", "g", &l.Changes},
 			{"stalled", "g", &l.Stalled}, {"taken", "c", &l.Taken}, {"refused", "c", &l.Refused},
--- a/internal/transport/engine.go
+++ b/internal/transport/engine.go
@@ -128,6 +128,8 @@
 		switch x := x.(type) {
 		case broker.Call:
 			e.pool.call(now, x)
+		case broker.Intend:
+			e.intend(now, x)
 		case broker.Drop:
 			e.pool.drop(now, x.Attempt)
 		case broker.CloseIdle:
@@ -155,6 +157,14 @@
 	}
 }
 
+// intend hands intents to their ledger, which must not block.
+func (e *Engine) intend(now int64, x broker.Intend) {
+	done := func(err error) { e.post(func(now int64) { e.core.Intended(now, x.Attempts, err) }) }
+	if err := x.Ledger.Intend(x.Parts, x.Deadline, done); err != nil {
+		e.core.Intended(now, x.Attempts, err)
+	}
+}
+
 // Ticket is a query that was handed to the engine.
 type Ticket struct {
 	Final chan broker.Final // gets the one final answer
@@ -252,6 +262,32 @@
 	})
 }
 
+// Memory is what a process that comes after this one's end should know. Times are Unix microseconds.
+type Memory struct {
+	Learned yw.Learned
+	Spent   map[string]broker.Spent
+}
+
+// Remember is what is known now; ok is false where the engine has ended, or is late.
+func (e *Engine) Remember() (m Memory, ok bool) {
+	got := make(chan Memory, 1)
+	go e.post(func(now int64) { got <- Memory{e.core.Learned(), e.core.Spent(now)} })
+	t := time.NewTimer(standingWait)
+	defer t.Stop()
+	select {
+	case m = <-got:
+		return m, true
+	case <-t.C:
+	case <-e.stopped:
+	}
+	return m, false
+}
+
+// Recall begins with what a process knew that is gone.
+func (e *Engine) Recall(m Memory) {
+	e.post(func(now int64) { e.core.Recall(now, m.Learned, m.Spent) })
+}
+
 // Held is the number of queries without their final answer.
 func (e *Engine) Held() int {
 	n := make(chan int, 1)
--- a/internal/transport/serve.go
+++ b/internal/transport/serve.go
@@ -14,6 +14,7 @@
 	word  func(broker.Final, int64) http1.Response
 	t     *Ticket
 	resp  *http1.Response
+	once  broker.Ledger // of a query that must not run twice; else nil
 }
 
 // ask opens what a message asks for.
@@ -25,7 +26,7 @@
 	var ask broker.Ask
 	if ask, a.word, a.resp = front.Open(m, now, c.l.ready()); a.resp == nil {
 		c.l.last.Store(now)
-		a.t = c.l.engine.Open(ask)
+		a.t, a.once = c.l.engine.Open(ask), ask.Ledger
 	}
 	return a
 }
@@ -78,7 +79,7 @@
 func (c *clientConn) abandon(rest []*asked) {
 	for _, a := range rest {
 		if a.t != nil {
-			c.l.engine.Left(a.t)
+			c.leave(a)
 		}
 		if a.class != "" {
 			c.l.engine.figures.Open.Add(-1)
@@ -86,6 +87,32 @@
 	}
 }
 
+// leave says that the client waits no longer. A query whose end a retry will ask for goes on, and its end is recorded; its time is
+// bounded by its deadline.
+func (c *clientConn) leave(a *asked) {
+	if a.once == nil {
+		c.l.engine.Left(a.t)
+		return
+	}
+	if !a.once.Keeps() {
+		c.l.engine.Left(a.t)
+		a.once.Abandon()
+		return
+	}
+	c.l.wg.Add(1)
+	go func() {
+		defer c.l.wg.Done()
+		select {
+		case f := <-a.t.Final:
+			a.word(f, c.l.engine.clock.Now())
+		case <-a.t.Err:
+			a.once.Release()
+		case <-c.l.engine.stopped:
+			a.once.Abandon()
+		}
+	}()
+}
+
 // waits is what else a waiting request listens to.
 type waits struct {
 	bad   <-chan struct{} // the client has broken the rules
@@ -115,6 +142,9 @@
 		case f := <-a.t.Final:
 			return a.word(f, c.l.engine.clock.Now()), goesOn
 		case err := <-a.t.Err:
+			if a.once != nil {
+				a.once.Release()
+			}
 			status := 400
 			if errors.Is(err, broker.ErrTaken) {
 				status = 409
@@ -125,12 +155,15 @@
 			w.timer = time.NewTimer(faultGrace)
 			w.late = w.timer.C
 		case <-w.late:
-			c.l.engine.Left(a.t)
+			c.leave(a)
 			return http1.Response{}, broke
 		case <-c.gone:
-			c.l.engine.Left(a.t)
+			c.leave(a)
 			return http1.Response{}, left
 		case <-c.l.engine.stopped:
+			if a.once != nil {
+				a.once.Abandon()
+			}
 			return http1.Response{}, left
 		}
 	}
--- a/state.go
+++ b/state.go
@@ -208,10 +208,35 @@
 			l.Suspects[key] = k.at
 		}
 	}
+	for id, r := range s.servers {
+		if r.listed && (r.paceT > 0 || r.failing.at > 0) {
+			l.Servers = append(l.Servers, Known{Server: id, Pace: r.pace, PaceAt: r.paceT, Fails: r.failing.fails, Tries: r.failing.tries,
+				At: r.failing.at})
+		}
+	}
+	slices.SortFunc(l.Servers, func(a, b Known) int { return cmp.Compare(a.Server, b.Server) })
 	return l
 }
 
+// recallServer takes in what was learnt of a server, unless something was learnt here already. A time that lies ahead, as a clock that
+// was set back leaves it, counts as now.
+func (s *Scheduler) recallServer(k Known) {
+	r := s.servers[k.Server]
+	if r == nil || r.StartedAt > max(k.PaceAt, k.At) || !(k.Fails >= 0 && k.Tries >= k.Fails) || math.IsInf(k.Tries, 0) {
+		return
+	}
+	if r.paceT == 0 && k.PaceAt > r.StartedAt && k.Pace > 0 && !math.IsInf(k.Pace, 0) {
+		r.pace, r.paceT = k.Pace, min(k.PaceAt, s.now)
+	}
+	if r.failing.at == 0 && k.At > r.StartedAt {
+		r.failing = evidence{fails: k.Fails, tries: k.Tries, at: min(k.At, s.now)}
+	}
+}
+
 func (s *Scheduler) recall(l Learned) {
+	for _, k := range l.Servers {
+		s.recallServer(k)
+	}
 	s.slack, s.slackAt = min(max(l.Admission*s.slackTop, slackLeast), s.slackTop), s.now
 	for key, at := range l.Suspects {
 		if at <= s.now && s.recent(at) {
