--- a/cmd/saffronquay/durable.go
+++ b/cmd/saffronquay/durable.go
@@ -7,8 +7,11 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io/fs"
 	"log"
 	"log/slog"
+	"os"
+	"path/filepath"
 	"strings"
 	"sync"
 	"time"
@@ -30,6 +33,7 @@
 // durable is what of this gatherer outlasts the process: the store, and who keeps what in it.
 type durable struct {
 	cfg    config.Store
+	name   string // of the gatherer
 	log    *log.Logger
 	dirs   [2]store.Dir
 	store  *store.Store // nil: it could not be opened, and the file allows to start without
@@ -53,11 +57,14 @@
 	rememberIn = time.Second      // how often what was learnt is kept
 	yieldWait  = 10 * time.Second // that open queries have to end once another process waits
 	forgetIn   = 24 * time.Hour   // how long what was learnt is kept
+	scrubEvery = 10 * time.Second // how often one segment's copies are compared
+	meantIn    = 10 * lookEvery   // a process that waits asks again within that
+	ownerFile  = "owner"          // has the gatherer's name
 )
 
 // openDurable opens the store, and waits for the process that has it. Nothing is served before.
-func openDurable(cfg config.Store, logger *log.Logger) (*durable, error) {
-	d := &durable{cfg: cfg, log: logger, stop: make(chan struct{}), done: make(chan struct{})}
+func openDurable(cfg config.Store, name string, logger *log.Logger) (*durable, error) {
+	d := &durable{cfg: cfg, name: name, log: logger, stop: make(chan struct{}), done: make(chan struct{})}
 	began := time.Now()
 	err := d.open()
 	if err != nil {
@@ -88,12 +95,15 @@
 			return err
 		}
 	}
+	if err := d.isOurs(); err != nil {
+		return err
+	}
 	began, batch := time.Now(), 0
 	if d.cfg.Single {
 		batch = 1
 	}
 	opt := store.Options{ID: nonce(), Now: func() int64 { return time.Since(began).Microseconds() }, Keep: d.cfg.Keep.Microseconds(),
-		SegmentSize: d.cfg.SegmentSize, MaxBatch: batch, CleanEvery: time.Second, Log: eventLog(d.log)}
+		SegmentSize: d.cfg.SegmentSize, MaxBatch: batch, CleanEvery: time.Second, ScrubEvery: scrubEvery, Log: eventLog(d.log)}
 	for told := false; ; {
 		late := time.Since(began) > d.cfg.Takeover
 		d.store, err = store.Open(d.dirs, opt, late)
@@ -118,6 +128,50 @@
 	}
 }
 
+// isOurs tells that the store belongs to this gatherer, and marks a new one. Guards the store of one gatherer against another that
+// is set up with its directories by mistake, and would take it over.
+func (d *durable) isOurs() error {
+	var other string
+	ours := false
+	for i, path := range d.cfg.Directories {
+		file := filepath.Join(path, ownerFile)
+		name, err := os.ReadFile(file)
+		switch {
+		case err == nil && string(name) == d.name:
+			ours = true
+		case err == nil:
+			other = fmt.Sprintf("%s names gatherer %q, and this is %q", file, name, d.name)
+		case !errors.Is(err, fs.ErrNotExist):
+			return fmt.Errorf("store: %w", err)
+		case i == 1 && !ours && other != "": // the copy of another one's
+		default:
+			if err := os.WriteFile(file, []byte(d.name), 0o600); err != nil {
+				return fmt.Errorf("store: %w", err)
+			}
+		}
+	}
+	if other != "" && !ours {
+		return fmt.Errorf("store: it belongs to another gatherer: %s", other)
+	}
+	return nil
+}
+
+// meant tells that a process waits for the store now: it asks again after it was heard once. One that has died does not.
+func (d *durable) meant() bool {
+	if ok, err := d.dirs[0].Exists(wanted); err != nil || !ok {
+		return false
+	}
+	if d.dirs[0].Remove(wanted) != nil {
+		return false
+	}
+	for end := time.Now().Add(meantIn); time.Now().Before(end); time.Sleep(lookEvery / 5) {
+		if ok, err := d.dirs[0].Exists(wanted); err == nil && ok {
+			return true
+		}
+	}
+	return false
+}
+
 // recall reads what outlasted the process before.
 func (d *durable) recall() error {
 	if r, ok, err := d.store.Get(store.Sealing, ""); err != nil {
@@ -259,7 +313,7 @@
 			return
 		case <-look.C:
 		}
-		if ok, err := d.dirs[0].Exists(wanted); err == nil && ok {
+		if d.meant() {
 			d.remember(engine, place)
 			d.yield()
 			return
--- a/cmd/saffronquay/main.go
+++ b/cmd/saffronquay/main.go
@@ -88,7 +88,7 @@
 	if ok {
 		held := &standing{}
 		if op.Store != nil {
-			if held.durable, err = openDurable(*op.Store, logger); err != nil {
+			if held.durable, err = openDurable(*op.Store, op.Name, logger); err != nil {
 				return plan{}, err
 			}
 			held.key = held.durable.key
--- a/evidence_test.go
+++ b/evidence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 )
 
@@ -392,3 +393,42 @@
 		t.Errorf("budget %v after it", sc.s.budget())
 	}
 }
+
+// What was learnt of servers is known again, as old as it is, unless they have started since; a clock that went back makes nothing
+// younger than now, and noise counts for nothing.
+func TestServersRecalled(t *testing.T) {
+	before := newScript(t, plain(), "slow", "bad", "new")
+	r := before.s.servers["slow"]
+	r.pace, r.paceT = 3, before.now
+	before.s.servers["bad"].failing = evidence{fails: 8, tries: 9, at: before.now}
+	before.s.servers["new"].failing = evidence{fails: 8, tries: 9, at: before.now}
+	l := before.s.Learned()
+	if len(l.Servers) != 3 || l.Servers[2].Server != "slow" || l.Servers[2].Pace != 3 {
+		t.Fatalf("%+v", l.Servers)
+	}
+	at := func(age int64) *script {
+		sc := newScript(t, plain(), "slow", "bad", "new")
+		sc.s.servers["new"].StartedAt = before.now + 1
+		sc.now = before.now + age
+		sc.step(0, Recalled{l})
+		return sc
+	}
+	young, old := at(ms), at(100*before.s.span)
+	if got := young.s.paceOf(young.s.servers["slow"]); got < 2.5 {
+		t.Errorf("pace %v", got)
+	}
+	if got := old.s.paceOf(old.s.servers["slow"]); got > 1.5 {
+		t.Errorf("pace %v after a long time", got)
+	}
+	rate := func(sc *script, id ServerID) float64 { return sc.s.servers[id].failing.rate(sc.now, sc.s.span, 0) }
+	if rate(young, "bad") < 0.7 || rate(old, "bad") > 0.1 || rate(young, "new") != 0 {
+		t.Errorf("failing %v, %v after a long time, %v of one that has started since", rate(young, "bad"), rate(old, "bad"), rate(young, "new"))
+	}
+	sc := newScript(t, plain(), "a", "b")
+	sc.step(ms, Recalled{Learned{Admission: 1, Servers: []Known{{Server: "a", Pace: 2, PaceAt: 1 << 60, Fails: 1, Tries: 2, At: 1 << 60},
+		{Server: "b", Pace: math.NaN(), PaceAt: 5, Fails: math.NaN(), Tries: 1, At: 5}, {Server: "gone", Pace: 1, PaceAt: 5}}}})
+	a, b := sc.s.servers["a"], sc.s.servers["b"]
+	if a.paceT > sc.now || a.failing.at > sc.now || b.pace != 0 || b.failing.tries != 0 {
+		t.Errorf("%+v, %+v", a, b)
+	}
+}
--- /dev/null
+++ b/internal/broker/intent_test.go
@@ -0,0 +1,141 @@
+package broker
+
+import (
+	"errors"
+	"testing"
+
+	yw "yarrowwalk"
+)
+
+// book is a ledger that writes down what it is told.
+type book struct{ released, abandoned int }
+
+func (*book) Intend([]Intended, int64, func(error)) error { return nil }
+func (*book) Keeps() bool                                 { return true }
+func (b *book) Release()                                  { b.released++ }
+func (b *book) Abandon()                                  { b.abandoned++ }
+
+func beginOnce(t *testing.T, shards ...int) (*Core, *script) {
+	t.Helper()
+	m := &script{}
+	c := New(terms(), m)
+	a := ask("once", shards...)
+	a.Ledger = &book{}
+	if _, f, err := c.Open(100, a); f != nil || err != nil {
+		t.Fatal(f, err)
+	}
+	return c, m
+}
+
+// sendBoth has the module send both parts of a query, and returns what is to be made durable.
+func sendBoth(t *testing.T, c *Core, m *script) Intend {
+	t.Helper()
+	m.next = []yw.Action{yw.Send{Part: 3, Server: "s"}, yw.Send{Part: 4, Server: "t"}}
+	effects := c.Step(100)
+	x, ok := effects[0].(Intend)
+	if len(effects) != 1 || !ok || len(x.Parts) != 2 || x.Parts[1].Server != "t" || x.Parts[1].Shard != 1 {
+		t.Fatalf("%+v", effects)
+	}
+	return x
+}
+
+// No part leaves before its intent is durable; then it does at once, and its server is not judged by the disk's time.
+func TestPartsWaitForTheirIntents(t *testing.T) {
+	c, m := beginOnce(t, 0, 1)
+	x := sendBoth(t, c, m)
+	if got := act[Call](c, m, 110); len(got) != 0 {
+		t.Fatalf("left before: %v", got)
+	}
+	c.Intended(150, x.Attempts, nil)
+	if at, ok := c.Next(); !ok || at > 150 {
+		t.Errorf("next at %d, with calls to be made", at)
+	}
+	calls := act[Call](c, m, 151)
+	if len(calls) != 2 || calls[0].Server != "s" || calls[1].Attempts[0].Shard != 1 {
+		t.Fatalf("%+v", calls)
+	}
+	c.Ended(200, calls[0].Attempts[0].ID, yw.Unreachable, nil, nil)
+	act[Call](c, m, 210)
+	if got := m.outcomes(); got != "3.0=4@50" {
+		t.Errorf("outcomes %q", got)
+	}
+	// It never ran, and its intent stands already.
+	if again := act[Call](c, m, 220, yw.Send{Part: 3, Server: "u"}); len(again) != 1 || again[0].Server != "u" {
+		t.Errorf("%+v", again)
+	}
+	c.Intended(230, x.Attempts, nil) // told twice
+	if got := act[Call](c, m, 240); len(got) != 0 {
+		t.Errorf("left twice: %v", got)
+	}
+}
+
+// Where the intent can't be kept nothing leaves, and the query is refused: repeating it does no harm.
+func TestIntentsThatFail(t *testing.T) {
+	c, m := beginOnce(t, 0, 1)
+	x := sendBoth(t, c, m)
+	c.Intended(110, x.Attempts, errors.New("disk full"))
+	finals := act[Final](c, m, 120)
+	if len(finals) != 1 || finals[0].Verdict != Refused || finals[0].RetryAfter == 0 || c.Held() != 0 || len(c.attempts) != 0 {
+		t.Errorf("%+v, %d held", finals, c.Held())
+	}
+	act[Final](c, m, 140)
+	if got := m.outcomes(); got != "3.0=7@10 4.0=7@10" {
+		t.Errorf("outcomes %q", got)
+	}
+}
+
+// What waits for its intent when its time is up, or its client leaves, never leaves and never ran.
+func TestGivenUpBeforeTheIntent(t *testing.T) {
+	c, m := beginOnce(t, 0, 1)
+	x := sendBoth(t, c, m)
+	for _, e := range c.Step(1000) {
+		if _, is := e.(Drop); is {
+			t.Error("what never left is dropped")
+		}
+	}
+	c.Intended(1001, x.Attempts, nil)
+	if got := act[Call](c, m, 1002); len(got) != 0 {
+		t.Errorf("left: %v", got)
+	}
+	if got := act[Final](c, m, 1015, yw.Refuse{Query: 1}); len(got) != 1 || got[0].Verdict != Refused {
+		t.Errorf("%+v", got)
+	}
+	c, m = beginOnce(t, 0, 1)
+	x = sendBoth(t, c, m)
+	c.Left(1)
+	c.Intended(120, x.Attempts, nil)
+	if got := act[Call](c, m, 130); len(got) != 0 || len(c.attempts) != 0 || len(c.parts) != 0 {
+		t.Errorf("left: %v", got)
+	}
+}
+
+// What a budget had spent before a crash counts after it, and what was left then counts as spent since.
+func TestBudgetsOutlastACrash(t *testing.T) {
+	budget := map[string]Budget{"t": {Free: 4, Ratio: 0.5, Window: 1000}}
+	before, after := terms(), terms()
+	before.Tenants, after.Tenants = budget, budget
+	a := New(before, &script{})
+	r := a.budgets["t"]
+	r.take(0, 10)
+	for _, at := range []int64{10, 500, 900} {
+		if !r.spend(at) {
+			t.Fatal("the budget is spent")
+		}
+	}
+	spent := a.Spent(950)
+	if s := spent["t"]; s.Taken[9] != 10 || s.Extras[0] != 1 || s.Extras[4] != 1 || s.Extras[9] != 1 {
+		t.Errorf("%+v", spent)
+	}
+	b := New(after, &script{})
+	b.Recall(960, yw.Learned{}, spent)
+	if b.budgets["t"].spend(960) {
+		t.Error("what was left may have been spent")
+	}
+	if b.budgets["t"].spend(1940) {
+		t.Error("within the window of what may have been spent")
+	}
+	if !b.budgets["t"].spend(1960) {
+		t.Error("the window is over")
+	}
+	b.Recall(960, yw.Learned{}, map[string]Spent{"gone": {}, "t": {At: 1 << 60}})
+}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -139,6 +139,7 @@
 		{`"/var/lib/saffronquay/b"`, `"/var/lib/saffronquay/a"`, "store.copy: want another directory"},
 		{`"directory": "/var/lib/saffronquay/a",`, ``, "store.directory: missing"},
 		{`"keep_ms": 900000`, `"keep_ms": 5`, "store.keep_ms"},
+		{`"keep_ms": 900000`, `"keep_ms": 5000`, "store.keep_ms: want at least the hard limit of class"},
 		{`"takeover_ms": 10000`, `"takeover_ms": "1"`, "store.takeover_ms"},
 		{`"Idempotency-Key"`, `"a key"`, "store.key_header"},
 		{`"segment_mb": 8`, `"segment_mb": 0`, "store.segment_mb"},
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -163,6 +163,11 @@
 	}
 	if r.has("store") {
 		o.Store = readStore(r.object("store"))
+		for _, c := range o.Settings.Module.Classes {
+			if c.Effect == yw.AtMostOnce && o.Store.Keep.Microseconds() < c.HardLimit {
+				r.object("store").fault("keep_ms", "want at least the hard limit of class %q", c.Name)
+			}
+		}
 	}
 	return o, *r.err
 }
--- a/internal/once/kill_test.go
+++ b/internal/once/kill_test.go
@@ -288,6 +288,34 @@
 	}
 }
 
+// A gatherer that is set up with another one's directories by mistake does not take its store; a process that asked for it and died
+// does not make its owner yield.
+func TestStoreIsNotTakenByMistake(t *testing.T) {
+	c := newCluster(t, time.Millisecond)
+	g := newGatherer(t, c, "")
+	p := g.start()
+	if err := os.WriteFile(filepath.Join(g.dir, "store", "wanted"), nil, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	other := newGatherer(t, c, "")
+	other.cfg["name"] = "other"
+	other.cfg["store"].(map[string]any)["directory"] = filepath.Join(g.dir, "store")
+	if _, up := other.begin(); <-up != nil || !strings.Contains(other.said(), `names gatherer`) {
+		t.Errorf("it said: %s", other.said())
+	}
+	for end := time.Now().Add(patience); ; time.Sleep(10 * time.Millisecond) {
+		if _, err := os.Stat(filepath.Join(g.dir, "store", "wanted")); err != nil {
+			break // the owner has seen it
+		} else if time.Now().After(end) {
+			t.Fatal("the owner never looked")
+		}
+	}
+	time.Sleep(700 * time.Millisecond)
+	if a := g.send("POST", "/filings/_search", "k", "k", `{}`); a.status != 200 || strings.Contains(g.said(), "store_yielded") {
+		t.Errorf("%+v, %s", a, p.call(t, "stats"))
+	}
+}
+
 // What the front tells of keys.
 func TestKeys(t *testing.T) {
 	c := newCluster(t, time.Millisecond)
--- a/internal/once/model_test.go
+++ b/internal/once/model_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"sync/atomic"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -40,14 +41,14 @@
 	log    func(store.Log) store.Log // between ledger and store; a seeded bug sits there
 	plan   *simdisk.Plan
 	disks  [2]*simdisk.Disk
-	now    int64
+	clock  atomic.Int64
 	p, old *life // old: one whose place was taken, and that goes on
 	ran    map[string]int
 	told   map[int]string
 }
 
 func (w *world) options() store.Options {
-	return store.Options{ID: 5, Now: func() int64 { return w.now }, Keep: keep, SegmentSize: 1 << 10, Serial: true}
+	return store.Options{ID: 5, Now: w.clock.Load, Keep: keep, SegmentSize: 1 << 10, Serial: true}
 }
 
 func (w *world) start(force bool) *life {
@@ -79,7 +80,7 @@
 	if e == nil {
 		return
 	}
-	id, final, err := p.core.Open(p.w.now, broker.Ask{Label: fmt.Sprint("c", client), Class: "once", Deadline: p.w.now + limit, Ledger: e,
+	id, final, err := p.core.Open(p.w.clock.Load(), broker.Ask{Label: fmt.Sprint("c", client), Class: "once", Deadline: p.w.clock.Load() + limit, Ledger: e,
 		Parts: []broker.AskPart{{Shard: 0, Weight: 0.5, Work: 5 * ms}, {Shard: 1, Weight: 0.5, Work: 5 * ms}}})
 	if err != nil || final != nil {
 		e.Release()
@@ -90,7 +91,7 @@
 
 // step steps the core and carries out what it wants. What leaves for a server may run at once.
 func (p *life) step(run func() bool) {
-	p.effects = append(p.effects, p.core.Step(p.w.now)...)
+	p.effects = append(p.effects, p.core.Step(p.w.clock.Load())...)
 	for len(p.effects) > 0 {
 		x := p.effects[0]
 		p.effects = p.effects[1:]
@@ -98,11 +99,11 @@
 		case broker.Intend:
 			got := make(chan error, 1)
 			if err := x.Ledger.Intend(x.Parts, x.Deadline, func(err error) { got <- err }); err != nil {
-				p.core.Intended(p.w.now, x.Attempts, err)
+				p.core.Intended(p.w.clock.Load(), x.Attempts, err)
 				continue
 			}
 			err := <-got
-			p.words = append(p.words, func() { p.core.Intended(p.w.now, x.Attempts, err) })
+			p.words = append(p.words, func() { p.core.Intended(p.w.clock.Load(), x.Attempts, err) })
 		case broker.Call:
 			for _, a := range x.Attempts {
 				if p.calls[a.ID] = a; run() {
@@ -130,7 +131,7 @@
 		e.Release()
 		return
 	}
-	body, kept := fmt.Sprintf("%d of client %d at %d", f.Verdict, client, p.w.now), make(chan error, 1)
+	body, kept := fmt.Sprintf("%d of client %d at %d", f.Verdict, client, p.w.clock.Load()), make(chan error, 1)
 	e.End(once.Answer{Status: 200, Body: []byte(body)}, func(err error) { kept <- err })
 	if err := <-kept; err == nil {
 		p.w.told[client] = body
@@ -150,7 +151,8 @@
 
 // check plays store, ledger, core and module under crashes, take-overs and bad servers.
 func check(t *rapid.T, log func(store.Log) store.Log, fail func(string, ...any)) {
-	w := &world{t: t, log: log, fail: fail, plan: &simdisk.Plan{}, now: 1, ran: map[string]int{}, told: map[int]string{}}
+	w := &world{t: t, log: log, fail: fail, plan: &simdisk.Plan{}, ran: map[string]int{}, told: map[int]string{}}
+	w.clock.Store(1)
 	w.disks = [2]*simdisk.Disk{simdisk.New("a", w.plan), simdisk.New("b", w.plan)}
 	w.p = w.start(false)
 	defer func() {
@@ -168,7 +170,7 @@
 		return w.p
 	}
 	tick := func(t *rapid.T) {
-		w.now += rapid.Int64Range(1, 30).Draw(t, "ms") * ms
+		w.clock.Add(rapid.Int64Range(1, 30).Draw(t, "ms") * ms)
 		pick().step(chance)
 	}
 	t.Repeat(map[string]func(*rapid.T){
@@ -191,7 +193,7 @@
 				} else if !ran && o == yw.Served {
 					o = yw.Rejected
 				}
-				p.core.Ended(w.now, id, o, []byte("v"), nil)
+				p.core.Ended(w.clock.Load(), id, o, []byte("v"), nil)
 				p.step(chance)
 				break
 			}
--- a/internal/store/clean.go
+++ b/internal/store/clean.go
@@ -56,7 +56,7 @@
 	at := refOf(c.segment.id, off)
 	hash := c.j.keyOf(h.kind, h.key)
 	c.j.mu.RLock()
-	points := c.j.index[hash] == at
+	points := c.j.points(hash, at)
 	c.j.mu.RUnlock()
 	switch {
 	case !points:
@@ -82,8 +82,10 @@
 	j.man.segments = rest
 	delete(j.byID, s.id)
 	for _, hash := range c.over {
-		if id, _ := j.index[hash].at(); id == s.id {
-			delete(j.index, hash)
+		if at, ok := j.index.get(hash); ok {
+			if id, _ := at.at(); id == s.id {
+				j.index.drop(hash)
+			}
 		}
 	}
 	j.mu.Unlock()
--- a/internal/store/commit.go
+++ b/internal/store/commit.go
@@ -57,7 +57,7 @@
 	seq := j.seq
 	for _, e := range entries {
 		e.hash = j.keyOf(e.Kind, []byte(e.Key))
-		if e.skip = e.moved != 0 && j.index[e.hash] != e.moved; e.skip {
+		if e.skip = e.moved != 0 && !j.points(e.hash, e.moved); e.skip {
 			continue // something newer stands under its key
 		}
 		seq++
@@ -92,6 +92,12 @@
 	return nil
 }
 
+// points tells whether the index points to a place. The lock is held, or the caller is the one who changes the index.
+func (j *journal) points(hash uint64, at ref) bool {
+	got, ok := j.index.get(hash)
+	return ok && got == at
+}
+
 // settle has the index point to what was acknowledged.
 func (j *journal) settle(entries []*entry) {
 	j.mu.Lock()
@@ -108,7 +114,7 @@
 	hash := j.keyOf(k, []byte(key))
 	for range 8 { // a segment may be cleaned away in between
 		j.mu.RLock()
-		at, ok := j.index[hash]
+		at, ok := j.index.get(hash)
 		id, off := at.at()
 		s := j.byID[id]
 		var name string
--- a/internal/store/log.go
+++ b/internal/store/log.go
@@ -39,7 +39,7 @@
 
 	mu    sync.RWMutex // of what get reads
 	hash  maphash.Seed
-	index map[uint64]ref // by a record's kind and key; the hash is drawn anew by each process, so that nobody can make two meet
+	index table // by a record's kind and key; the hash is drawn anew by each process, so that nobody can make two meet
 	byID  map[uint32]*segment
 }
 
@@ -48,16 +48,12 @@
 func (j *journal) now() int64 { return j.from + max(0, j.opt.Now()-j.begun) }
 
 func (j *journal) keyOf(k Kind, key []byte) uint64 {
-	var h maphash.Hash
-	h.SetSeed(j.hash)
-	h.WriteByte(byte(k))
-	h.Write(key)
-	return h.Sum64()
+	return mix(maphash.Bytes(j.hash, key) + uint64(k))
 }
 
 // open claims the directories and reads what is there. force takes the place of an owner that holds on to its lock.
 func open(dirs [2]Dir, opt Options, force bool) (*journal, error) {
-	j := &journal{opt: opt, dirs: dirs, hash: maphash.MakeSeed(), index: map[uint64]ref{}, byID: map[uint32]*segment{}}
+	j := &journal{opt: opt, dirs: dirs, hash: maphash.MakeSeed(), byID: map[uint32]*segment{}}
 	epoch, err := j.take(force)
 	if err != nil {
 		return nil, err
@@ -236,12 +232,14 @@
 
 // put has the index point to a record. The lock is held, or nobody else has the journal yet.
 func (j *journal) put(s *segment, off, size int64, hash uint64, until int64) {
-	if old, ok := j.index[hash]; ok {
-		if id, _ := old.at(); j.byID[id] != nil {
-			j.byID[id].live -= size // about: the old one may have had another size
+	if old := j.index.set(hash, refOf(s.id, off)); old != 0 {
+		id, _ := old.at()
+		if id == s.id {
+			s.live -= size // about: the old one may have had another size
+		} else if o := j.byID[id]; o != nil {
+			o.live -= size
 		}
 	}
-	j.index[hash] = refOf(s.id, off)
 	s.live += size
 	if until == 0 {
 		until = math.MaxInt64
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -258,7 +258,7 @@
 		return
 	}
 	e.j.mu.RLock()
-	points := e.j.index[e.j.keyOf(h.kind, h.key)] == refOf(e.id, off)
+	points := e.j.points(e.j.keyOf(h.kind, h.key), refOf(e.id, off))
 	e.j.mu.RUnlock()
 	if r, err := readRecord(payload); err == nil && points {
 		e.visit(r)
@@ -300,7 +300,7 @@
 	for _, seg := range s.j.man.segments {
 		bytes += seg.size
 	}
-	return bytes, len(s.j.index)
+	return bytes, s.j.index.n
 }
 
 // Close writes what waits, lets the store go and ends its goroutines.
