--- a/api.go
+++ b/api.go
@@ -1,10 +1,10 @@
-// Package yarrowwalk decides, for one aggregator that reads many shards for one query, which replica gets
+// Package saffronquay decides, for one aggregator that reads many shards for one query, which replica gets
 // each part, when to try again, when to answer and what to turn away. It does no input or output: a front
 // node feeds what it sees to Scheduler.Step and carries out the actions that come back.
 //
 // This file is the whole interface and holds types only; the decisions are in scheduler.go. All times are
 // microseconds of one clock that the caller owns and that never runs backwards.
-package yarrowwalk
+package saffronquay
 
 // ID names a query or a part. Queries and parts share one space of ids, which are never reused.
 type ID int64
--- a/cmd/yarrowwalk-sim/main.go
+++ b/cmd/saffronquay-sim/main.go
@@ -1,4 +1,4 @@
-// Command yarrowwalk-sim hosts instances of the scheduler behind the simulator's wire: batches of events on
+// Command saffronquay-sim hosts instances of the scheduler behind the simulator's wire: batches of events on
 // standard input, one reply each on standard output. It decides nothing.
 package main
 
@@ -9,27 +9,27 @@
 	"io"
 	"os"
 
-	yw "yarrowwalk"
-	"yarrowwalk/internal/wire"
+	sq "saffronquay"
+	"saffronquay/internal/wire"
 )
 
 func main() {
 	if err := run(os.Stdin, os.Stdout); err != nil {
-		fmt.Fprintln(os.Stderr, "yarrowwalk-sim:", err)
+		fmt.Fprintln(os.Stderr, "saffronquay-sim:", err)
 		os.Exit(1)
 	}
 }
 
 type instance struct {
-	scheduler *yw.Scheduler
-	events    []yw.Event
+	scheduler *sq.Scheduler
+	events    []sq.Event
 	touched   bool
 }
 
 type host struct {
 	out       io.Writer
 	instances map[string]*instance
-	lists     map[int][]yw.Server
+	lists     map[int][]sq.Server
 	inBatch   bool
 	now       int64
 	serial    int64
@@ -37,7 +37,7 @@
 }
 
 func run(in io.Reader, out io.Writer) error {
-	h := &host{out: out, instances: map[string]*instance{}, lists: map[int][]yw.Server{}}
+	h := &host{out: out, instances: map[string]*instance{}, lists: map[int][]sq.Server{}}
 	r := bufio.NewReaderSize(in, 1<<20)
 	for n := 1; ; n++ {
 		line, err := r.ReadBytes('\n')
@@ -75,7 +75,7 @@
 	case wire.List:
 		h.lists[m.Slot] = m.Members
 	case wire.Open:
-		s, err := yw.New(m.Settings, m.Seed)
+		s, err := sq.New(m.Settings, m.Seed)
 		if err != nil {
 			return fmt.Errorf("OpenInstance: setup: %w", err)
 		}
@@ -100,7 +100,7 @@
 		if !ok {
 			return fmt.Errorf("list %d was never declared", m.Slot)
 		}
-		f := m.Event.(yw.FleetChanged)
+		f := m.Event.(sq.FleetChanged)
 		f.Servers = list
 		m.Event = f
 	}
--- a/cmd/saffronquay-standin/main.go
+++ b/cmd/saffronquay-standin/main.go
@@ -11,9 +11,9 @@
 	"syscall"
 	"time"
 
-	yw "yarrowwalk"
-	"yarrowwalk/internal/config"
-	"yarrowwalk/internal/standin"
+	sq "saffronquay"
+	"saffronquay/internal/config"
+	"saffronquay/internal/standin"
 )
 
 func main() {
@@ -44,10 +44,10 @@
 	for name, ix := range op.Indices {
 		cfg.Field = ix.Field
 		for _, c := range op.Settings.Module.Classes {
-			cfg.Once[name] = cfg.Once[name] || c.Name == ix.Class && c.Effect == yw.AtMostOnce
+			cfg.Once[name] = cfg.Once[name] || c.Name == ix.Class && c.Effect == sq.AtMostOnce
 		}
 	}
-	var ids []yw.ServerID
+	var ids []sq.ServerID
 	for _, s := range op.Servers {
 		ids = append(ids, s.ID)
 	}
--- a/cmd/saffronquay/durable.go
+++ b/cmd/saffronquay/durable.go
@@ -18,16 +18,16 @@
 
 	"google.golang.org/protobuf/proto"
 
-	yw "yarrowwalk"
-	"yarrowwalk/internal/broker"
-	"yarrowwalk/internal/config"
-	"yarrowwalk/internal/cursor"
-	"yarrowwalk/internal/layout"
-	"yarrowwalk/internal/once"
-	"yarrowwalk/internal/operations"
-	"yarrowwalk/internal/store"
-	"yarrowwalk/internal/store/form"
-	"yarrowwalk/internal/transport"
+	sq "saffronquay"
+	"saffronquay/internal/broker"
+	"saffronquay/internal/config"
+	"saffronquay/internal/cursor"
+	"saffronquay/internal/layout"
+	"saffronquay/internal/once"
+	"saffronquay/internal/operations"
+	"saffronquay/internal/store"
+	"saffronquay/internal/store/form"
+	"saffronquay/internal/transport"
 )
 
 // durable is what of this gatherer outlasts the process: the store, and who keeps what in it.
@@ -214,9 +214,9 @@
 	if proto.Unmarshal(value, &f) != nil {
 		return m
 	}
-	m.Learned = yw.Learned{Admission: min(max(f.Admission, 0), 1), Suspects: f.Suspects}
+	m.Learned = sq.Learned{Admission: min(max(f.Admission, 0), 1), Suspects: f.Suspects}
 	for _, s := range f.Servers {
-		m.Learned.Servers = append(m.Learned.Servers, yw.Known{Server: yw.ServerID(s.Id), Pace: s.Pace, PaceAt: s.PaceAt, Fails: s.Fails, Tries: s.Tries, At: s.At})
+		m.Learned.Servers = append(m.Learned.Servers, sq.Known{Server: sq.ServerID(s.Id), Pace: s.Pace, PaceAt: s.PaceAt, Fails: s.Fails, Tries: s.Tries, At: s.At})
 	}
 	m.Spent = map[string]broker.Spent{}
 	for _, r := range f.Rations {
@@ -240,15 +240,15 @@
 }
 
 // latest is the layout to begin with: the file's, or the one that was in force last where that is a later one of the same history.
-func (d *durable) latest(file layout.Doc, servers []yw.ServerID) layout.Doc {
+func (d *durable) latest(file layout.Doc, servers []sq.ServerID) layout.Doc {
 	if d == nil || d.doc == nil || d.doc.History != file.History || d.doc.Epoch <= file.Epoch {
 		return file
 	}
-	listed := map[yw.ServerID]bool{}
+	listed := map[sq.ServerID]bool{}
 	for _, id := range servers {
 		listed[id] = true
 	}
-	if _, err := layout.Make(*d.doc, func(id yw.ServerID) bool { return listed[id] }); err != nil {
+	if _, err := layout.Make(*d.doc, func(id sq.ServerID) bool { return listed[id] }); err != nil {
 		d.log.Printf("level=warn event=store_layout kept=file error=%q", err)
 		return file
 	}
--- a/cmd/saffronquay/gatherer.go
+++ b/cmd/saffronquay/gatherer.go
@@ -10,12 +10,12 @@
 	"sync"
 	"time"
 
-	yw "yarrowwalk"
-	"yarrowwalk/internal/broker"
-	"yarrowwalk/internal/handover"
-	"yarrowwalk/internal/operations"
-	"yarrowwalk/internal/platform"
-	"yarrowwalk/internal/transport"
+	sq "saffronquay"
+	"saffronquay/internal/broker"
+	"saffronquay/internal/handover"
+	"saffronquay/internal/operations"
+	"saffronquay/internal/platform"
+	"saffronquay/internal/transport"
 )
 
 // gatherer is the program's parts, joined.
@@ -180,7 +180,7 @@
 
 // compose makes the module, the core round it and their engine.
 func (g *gatherer) compose() error {
-	module, err := yw.New(g.settings.Module, g.seed)
+	module, err := sq.New(g.settings.Module, g.seed)
 	if err != nil {
 		return fmt.Errorf("configuration: settings: %w", err)
 	}
@@ -217,8 +217,8 @@
 	return d.routes.Layout(dst)
 }
 
-func (p plan) serverIDs() []yw.ServerID {
-	ids := make([]yw.ServerID, len(p.fleet.Servers))
+func (p plan) serverIDs() []sq.ServerID {
+	ids := make([]sq.ServerID, len(p.fleet.Servers))
 	for i, s := range p.fleet.Servers {
 		ids[i] = s.ID
 	}
@@ -322,7 +322,7 @@
 	}
 	g.engine.Succeed(from)
 	if list, err := platform.ParseList(from.List); err == nil && g.watcher != nil && from.Discovery == g.discovery {
-		g.engine.Fleet(yw.FleetChanged{Kind: yw.FleetCached, Servers: list.Servers}, list.Addresses)
+		g.engine.Fleet(sq.FleetChanged{Kind: sq.FleetCached, Servers: list.Servers}, list.Addresses)
 	}
 	g.share(others)
 	if from.Standby {
@@ -436,7 +436,7 @@
 // gone leave after the one that no longer does, so that no range is without holders in between.
 func (g *gatherer) settle() {
 	if g.routes != nil {
-		g.engine.Fleet(yw.FleetChanged{Kind: yw.FleetDelta, Servers: g.fleet.Servers}, g.addresses)
+		g.engine.Fleet(sq.FleetChanged{Kind: sq.FleetDelta, Servers: g.fleet.Servers}, g.addresses)
 		if err := g.routes.File(g.layout.Whole, g.serverIDs(), true); err != nil { // the directory has just said otherwise
 			g.log.Printf("level=error event=reload layout=kept error=%q", err)
 		}
--- a/cmd/saffronquay/main.go
+++ b/cmd/saffronquay/main.go
@@ -13,14 +13,14 @@
 	"syscall"
 	"time"
 
-	yw "yarrowwalk"
-	"yarrowwalk/internal/broker"
-	"yarrowwalk/internal/config"
-	"yarrowwalk/internal/cursor"
-	"yarrowwalk/internal/layout"
-	"yarrowwalk/internal/opensearch"
-	"yarrowwalk/internal/platform"
-	"yarrowwalk/internal/transport"
+	sq "saffronquay"
+	"saffronquay/internal/broker"
+	"saffronquay/internal/config"
+	"saffronquay/internal/cursor"
+	"saffronquay/internal/layout"
+	"saffronquay/internal/opensearch"
+	"saffronquay/internal/platform"
+	"saffronquay/internal/transport"
 )
 
 func main() {
@@ -54,8 +54,8 @@
 	front             transport.Front
 	dialect           broker.Dialect
 	partsPerCall      int
-	fleet             yw.FleetChanged
-	addresses         map[yw.ServerID]string
+	fleet             sq.FleetChanged
+	addresses         map[sq.ServerID]string
 	watch             func(*transport.Engine) *transport.Watcher // nil: the list of servers is fixed
 	vrrp              *config.VRRP                               // nil: off
 	operator          string                                     // where operators call; empty: no door
@@ -107,7 +107,7 @@
 		memoryMB: node.MemoryMB, settings: node.Settings, front: platform.Front{Margin: margin},
 		dialect:      platform.Workers{PerConn: node.Settings.StreamsPerConn},
 		partsPerCall: max(1, node.Settings.Module.PartsPerCall), discovery: node.Discovery,
-		fleet: yw.FleetChanged{Kind: yw.FleetCached, Servers: node.Known}, addresses: node.Addresses,
+		fleet: sq.FleetChanged{Kind: sq.FleetCached, Servers: node.Known}, addresses: node.Addresses,
 		watch: func(e *transport.Engine) *transport.Watcher {
 			return transport.NewWatcher(node.Discovery, node.Generation, node.Settings.Module.AskMembership, e.Fleet, logger)
 		},
@@ -139,12 +139,12 @@
 	if d := held.durable; d != nil {
 		front.Once = &opensearch.Once{Ledger: d.ledger, Header: op.Store.KeyHeader, Classes: map[string]bool{}, Without: d.store == nil}
 		for _, c := range op.Settings.Module.Classes {
-			front.Once.Classes[c.Name] = c.Effect == yw.AtMostOnce
+			front.Once.Classes[c.Name] = c.Effect == sq.AtMostOnce
 		}
 	}
 	return plan{name: op.Name, listen: op.Listen, operator: op.Operator, seed: op.Seed, sockets: op.Sockets, memoryMB: op.MemoryMB,
 		settings: op.Settings, budgets: op.Budgets, front: front, dialect: opensearch.Servers{}, partsPerCall: 1,
-		fleet: yw.FleetChanged{Kind: yw.FleetFull, Servers: op.Servers}, addresses: op.Addresses, vrrp: op.VRRP, layout: op.Layout, place: &held.place, cursors: &held.cursors, adopt: adopt,
+		fleet: sq.FleetChanged{Kind: sq.FleetFull, Servers: op.Servers}, addresses: op.Addresses, vrrp: op.VRRP, layout: op.Layout, place: &held.place, cursors: &held.cursors, adopt: adopt,
 		durable: held.durable,
 		again: func() (plan, error) {
 			now, err := config.ReloadOperator(os.Getenv, os.ReadFile, op)
--- a/cmd/saffronquay/service.go
+++ b/cmd/saffronquay/service.go
@@ -7,9 +7,9 @@
 	"sync"
 	"time"
 
-	"yarrowwalk/internal/config"
-	"yarrowwalk/internal/transport"
-	"yarrowwalk/internal/vrrp"
+	"saffronquay/internal/config"
+	"saffronquay/internal/transport"
+	"saffronquay/internal/vrrp"
 )
 
 // service listens at the virtual address while this gatherer is the Active router.
--- a/cmd/saffronquay/store.go
+++ b/cmd/saffronquay/store.go
@@ -9,8 +9,8 @@
 	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
 
-	"yarrowwalk/internal/store"
-	"yarrowwalk/internal/store/form"
+	"saffronquay/internal/store"
+	"saffronquay/internal/store/form"
 )
 
 const usage = `usage:
--- a/evidence_test.go
+++ b/evidence_test.go
@@ -1,4 +1,4 @@
-package yarrowwalk
+package saffronquay
 
 import (
 	"fmt"
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -10,18 +10,18 @@
 	"math"
 	"slices"
 
-	yw "yarrowwalk"
-	"yarrowwalk/internal/layout"
-	"yarrowwalk/internal/merge"
+	sq "saffronquay"
+	"saffronquay/internal/layout"
+	"saffronquay/internal/merge"
 )
 
 // Module is the decision module, as the core drives it.
 type Module interface {
-	Step(now int64, events []yw.Event) []yw.Action
+	Step(now int64, events []sq.Event) []sq.Action
 	// Rotation counts the servers in the list, and those of them that are avoided now.
 	Rotation() (listed, out int)
 	// Learned is what a process in this one's place should know.
-	Learned() yw.Learned
+	Learned() sq.Learned
 }
 
 // Terms are what the core itself holds to. Times are microseconds, as everywhere.
@@ -34,7 +34,7 @@
 	RetryAfter    bool // refusals may tell when to come back
 	MaxRetryAfter int64
 	AnswerGrace   int64 // how long past its deadline a query may wait for the module's word
-	Classes       []yw.Class
+	Classes       []sq.Class
 	Tenants       map[string]Budget // by tenant; those that are absent are not rationed
 }
 
@@ -68,7 +68,7 @@
 type Intended struct {
 	Shard  int
 	Span   layout.Span
-	Server yw.ServerID
+	Server sq.ServerID
 }
 
 // AskPart is one part of an Ask.
@@ -88,7 +88,7 @@
 
 // Call carries parts to a server, as one call.
 type Call struct {
-	Server   yw.ServerID
+	Server   sq.ServerID
 	Attempts []Attempt
 }
 
@@ -116,7 +116,7 @@
 type Drop struct{ Attempt AttemptID }
 
 // CloseIdle closes the idle connections to a server.
-type CloseIdle struct{ Server yw.ServerID }
+type CloseIdle struct{ Server sq.ServerID }
 
 // Watch asks for changes of the list of servers.
 type Watch struct{}
@@ -142,7 +142,7 @@
 
 // Final is the one final answer of a query.
 type Final struct {
-	Query      yw.ID
+	Query      sq.ID
 	Verdict    Verdict
 	Whole      bool
 	RetryAfter int64 // with Refused; 0: no advice
@@ -171,16 +171,16 @@
 func (Final) isEffect()     {}
 
 type query struct {
-	id    yw.ID
+	id    sq.ID
 	ask   Ask
-	class *yw.Class
+	class *sq.Class
 	group int64
 	parts []*part
 	over  bool
 }
 
 type part struct {
-	id            yw.ID
+	id            sq.ID
 	q             *query
 	ask           AskPart
 	tries         int
@@ -198,7 +198,7 @@
 	id     AttemptID
 	p      *part
 	n      int
-	server yw.ServerID
+	server sq.ServerID
 	epoch  int64 // of the layout at its send
 	sent   int64
 	due    int64
@@ -209,22 +209,22 @@
 type Core struct {
 	terms                Terms
 	module               Module
-	classes              map[string]*yw.Class
+	classes              map[string]*sq.Class
 	lastID               int64 // ids stay below 2^52, which one gatherer can't use up
-	queries              map[yw.ID]*query
+	queries              map[sq.ID]*query
 	labels               map[string]int64 // of the open queries whose label must be theirs alone, with their deadlines
 	beside               Standing         // of the other process of this gatherer, while there is one
-	parts                map[yw.ID]*part
+	parts                map[sq.ID]*part
 	attempts             map[AttemptID]*attempt
 	due                  agenda[*attempt] // by their ends
 	late                 agenda[*query]   // by their deadlines and the grace
 	open                 int              // queries and parts held
 	held                 int64            // bytes of parts that are in, of open queries
-	alarms               []yw.SetAlarm
-	events               []yw.Event
+	alarms               []sq.SetAlarm
+	events               []sq.Event
 	effects              []Effect
-	calls                map[yw.ServerID]int // index of the call that still takes parts, among the effects
-	intents              map[yw.ID]int       // the same, of what is to be made durable, by query
+	calls                map[sq.ServerID]int // index of the call that still takes parts, among the effects
+	intents              map[sq.ID]int       // the same, of what is to be made durable, by query
 	budgets              map[string]*ration
 	stepped              int64
 	began                bool
@@ -236,8 +236,8 @@
 
 // New makes a core round a module.
 func New(terms Terms, module Module) *Core {
-	c := &Core{module: module, queries: map[yw.ID]*query{},
-		labels: map[string]int64{}, parts: map[yw.ID]*part{}, byShard: map[int]*part{}, attempts: map[AttemptID]*attempt{}, calls: map[yw.ServerID]int{}, intents: map[yw.ID]int{}}
+	c := &Core{module: module, queries: map[sq.ID]*query{},
+		labels: map[string]int64{}, parts: map[sq.ID]*part{}, byShard: map[int]*part{}, attempts: map[AttemptID]*attempt{}, calls: map[sq.ServerID]int{}, intents: map[sq.ID]int{}}
 	c.hold(terms)
 	c.due.alive = func(a *attempt) bool { return c.attempts[a.id] == a }
 	c.late.alive = func(q *query) bool { return !q.over }
@@ -248,7 +248,7 @@
 // their budgets have left.
 func (c *Core) hold(terms Terms) {
 	terms.Classes = slices.Clone(terms.Classes)
-	c.terms, c.classes = terms, map[string]*yw.Class{}
+	c.terms, c.classes = terms, map[string]*sq.Class{}
 	for i := range terms.Classes {
 		c.classes[terms.Classes[i].Name] = &terms.Classes[i]
 	}
@@ -266,9 +266,9 @@
 
 // Reconfigure puts other terms in force, and the settings that go with them at the module, at one point in the order
 // of events.
-func (c *Core) Reconfigure(terms Terms, settings yw.Settings) {
+func (c *Core) Reconfigure(terms Terms, settings sq.Settings) {
 	c.hold(terms)
-	c.events = append(c.events, yw.SettingsChanged{Settings: settings})
+	c.events = append(c.events, sq.SettingsChanged{Settings: settings})
 }
 
 func (c *Core) nextID() int64 {
@@ -295,16 +295,16 @@
 func (c *Core) Beside(other Standing) { c.beside = other }
 
 // Learned is what a process in this one's place should know.
-func (c *Core) Learned() yw.Learned { return c.module.Learned() }
+func (c *Core) Learned() sq.Learned { return c.module.Learned() }
 
 // Recall begins with what a process had learnt that is gone, and with what its budgets had spent.
-func (c *Core) Recall(now int64, l yw.Learned, spent map[string]Spent) {
+func (c *Core) Recall(now int64, l sq.Learned, spent map[string]Spent) {
 	for name, s := range spent {
 		if r := c.budgets[name]; r != nil {
 			r.restore(now, s)
 		}
 	}
-	c.events = append(c.events, yw.Recalled{Learned: l})
+	c.events = append(c.events, sq.Recalled{Learned: l})
 }
 
 // Spent is what each tenant's budget has spent within its window; those that have spent nothing are missing.
@@ -320,11 +320,11 @@
 
 // Succeed begins with what the process before this one had learnt. It may still spend its budgets: both keep to them if
 // the free part counts as spent here for one window.
-func (c *Core) Succeed(now int64, l yw.Learned) {
+func (c *Core) Succeed(now int64, l sq.Learned) {
 	for _, r := range c.budgets {
 		r.freeFrom = now + r.Window
 	}
-	c.events = append(c.events, yw.Recalled{Learned: l})
+	c.events = append(c.events, sq.Recalled{Learned: l})
 }
 
 // ErrMalformed marks an Ask that no module could decide on.
@@ -377,7 +377,7 @@
 
 // Open takes a query. Its final answer comes as an effect, unless it is malformed or, with as much open as
 // may be, ended on the spot: then the Final is returned and the module never hears of it.
-func (c *Core) Open(now int64, a Ask) (yw.ID, *Final, error) {
+func (c *Core) Open(now int64, a Ask) (sq.ID, *Final, error) {
 	a.Parts = c.settle(a)
 	if err := c.check(now, a); err != nil {
 		return 0, nil, err
@@ -385,12 +385,12 @@
 	if c.terms.MaxOpen > 0 && c.open+c.beside.Open >= c.terms.MaxOpen {
 		return 0, &Final{Verdict: Refused, RetryAfter: c.advice(0), Shards: len(a.Parts)}, nil
 	}
-	q := &query{id: yw.ID(c.nextID()), ask: a, class: c.classes[a.Class], group: c.nextID()}
+	q := &query{id: sq.ID(c.nextID()), ask: a, class: c.classes[a.Class], group: c.nextID()}
 	var work int64
 	for _, p := range a.Parts {
 		work += p.Work
 	}
-	c.events = append(c.events, yw.Query{ID: q.id, Group: q.group, Class: a.Class, Tenant: a.Tenant,
+	c.events = append(c.events, sq.Query{ID: q.id, Group: q.group, Class: a.Class, Tenant: a.Tenant,
 		Deadline: a.Deadline, Work: work, Key: a.Key})
 	for _, ap := range a.Parts {
 		p := c.hand(q, ap)
@@ -410,19 +410,19 @@
 }
 
 // Left says that nobody waits for a query any more.
-func (c *Core) Left(id yw.ID) {
+func (c *Core) Left(id sq.ID) {
 	if q := c.queries[id]; q != nil {
 		c.close(q)
-		c.events = append(c.events, yw.ClientLeft{Query: id})
+		c.events = append(c.events, sq.ClientLeft{Query: id})
 	}
 }
 
 // Fleet brings news of the list of servers.
-func (c *Core) Fleet(f yw.FleetChanged) { c.events = append(c.events, f) }
+func (c *Core) Fleet(f sq.FleetChanged) { c.events = append(c.events, f) }
 
 // Ended reports how an attempt ended. What is reported for one that has ended before, such as an answer that
 // came after its time-out, is dropped: each attempt has one outcome.
-func (c *Core) Ended(now int64, id AttemptID, o yw.Outcome, value []byte, report *yw.LoadReport) {
+func (c *Core) Ended(now int64, id AttemptID, o sq.Outcome, value []byte, report *sq.LoadReport) {
 	c.Came(now, Reply{Attempt: id, Outcome: o, Value: value, Report: report})
 }
 
@@ -437,11 +437,11 @@
 	p := a.p
 	p.out = slices.DeleteFunc(p.out, func(o *attempt) bool { return o == a })
 	o = c.credit(a, o)
-	if o != yw.Rejected && o != yw.Unreachable && o != yw.NotSent && o != yw.Misplaced {
+	if o != sq.Rejected && o != sq.Unreachable && o != sq.NotSent && o != sq.Misplaced {
 		p.mayRun = true
 	}
 	full := false
-	if o == yw.Served && !p.in && !p.q.over {
+	if o == sq.Served && !p.in && !p.q.over {
 		if full = c.terms.MaxHeld > 0 && c.held+int64(r.Size) > c.terms.MaxHeld; !full {
 			p.in, p.value, p.part, p.size = true, r.Value, r.Part, int64(r.Size)
 			c.held += p.size
@@ -450,12 +450,12 @@
 	if len(p.out) == 0 && p.q.over {
 		c.forget(p)
 	}
-	c.events = append(c.events, yw.AttemptEnded{Part: p.id, Attempt: a.n, Server: a.server, Outcome: o,
+	c.events = append(c.events, sq.AttemptEnded{Part: p.id, Attempt: a.n, Server: a.server, Outcome: o,
 		Latency: now - a.sent, Report: r.Report})
 	if full { // guards the memory against answers that nobody bounded together
 		c.do(Note{Text: "a query fails: its parts and those of others are more than may be held"})
 		c.finish(p.q, Final{Verdict: Failed})
-		c.events = append(c.events, yw.ClientLeft{Query: p.q.id})
+		c.events = append(c.events, sq.ClientLeft{Query: p.q.id})
 		return
 	}
 	c.renew(now, p)
@@ -512,14 +512,14 @@
 
 func (c *Core) expire(now int64) {
 	for _, a := range c.due.take(now) {
-		c.giveUp(now, a, yw.TimedOut)
+		c.giveUp(now, a, sq.TimedOut)
 	}
 }
 
 // giveUp ends an attempt that nobody waits for any more. One that still waits for its intent never left.
-func (c *Core) giveUp(now int64, a *attempt, o yw.Outcome) {
+func (c *Core) giveUp(now int64, a *attempt, o sq.Outcome) {
 	if a.waits != nil {
-		o = yw.NotSent
+		o = sq.NotSent
 	} else {
 		c.do(Drop{Attempt: a.id})
 	}
@@ -530,7 +530,7 @@
 	kept := c.alarms[:0]
 	for _, a := range c.alarms {
 		if a.At <= now {
-			c.events = append(c.events, yw.AlarmRang{Mark: a.Mark})
+			c.events = append(c.events, sq.AlarmRang{Mark: a.Mark})
 		} else {
 			kept = append(kept, a)
 		}
@@ -544,45 +544,45 @@
 	for _, q := range c.late.take(now) {
 		c.do(Note{Text: "deadline guard: the module left a query unanswered"})
 		c.finish(q, Final{Verdict: Failed, Overdue: true})
-		c.events = append(c.events, yw.ClientLeft{Query: q.id})
+		c.events = append(c.events, sq.ClientLeft{Query: q.id})
 	}
 }
 
-func (c *Core) carryOut(now int64, a yw.Action) {
+func (c *Core) carryOut(now int64, a sq.Action) {
 	switch a := a.(type) {
-	case yw.Send:
+	case sq.Send:
 		c.send(now, a)
-	case yw.Cancel:
+	case sq.Cancel:
 		if p := c.parts[a.Part]; p != nil {
 			if i := slices.IndexFunc(p.out, func(t *attempt) bool { return t.n == a.Attempt }); i >= 0 {
 				c.withdraw(now, p.out[i])
 			}
 		}
-	case yw.Answer:
+	case sq.Answer:
 		c.answer(now, a)
-	case yw.Refuse:
+	case sq.Refuse:
 		if q := c.queries[a.Query]; q != nil {
 			c.refuse(q, now, a.RetryAfter)
 		}
-	case yw.Fail:
+	case sq.Fail:
 		if q := c.queries[a.Query]; q != nil {
 			c.finish(q, Final{Verdict: Failed, Overdue: now >= q.ask.Deadline-2*c.terms.Period})
 		}
-	case yw.SetAlarm:
+	case sq.SetAlarm:
 		c.alarms = append(c.alarms, a)
-	case yw.CloseIdle:
+	case sq.CloseIdle:
 		c.do(CloseIdle{Server: a.Server})
-	case yw.Watch:
+	case sq.Watch:
 		c.do(Watch{})
-	case yw.Fetch:
+	case sq.Fetch:
 		c.do(Fetch{})
-	case yw.Note:
+	case sq.Note:
 		c.do(Note{Text: a.Text})
-	case yw.Tell: // gatherers share nothing
+	case sq.Tell: // gatherers share nothing
 	}
 }
 
-func (c *Core) send(now int64, s yw.Send) {
+func (c *Core) send(now int64, s sq.Send) {
 	p := c.parts[s.Part]
 	if p == nil {
 		c.do(Note{Text: fmt.Sprintf("the module sent part %d, which is not held", s.Part)})
@@ -600,7 +600,7 @@
 	// A part that is in, or whose query is over, must not leave again; nor may one whose tenant's budget is
 	// spent. Not sent proves that it never ran.
 	if r := c.budgets[p.q.ask.Tenant]; p.in || p.q.over || due <= now || a.n > 0 && r != nil && !r.spend(now) {
-		c.Ended(now, a.id, yw.NotSent, nil, nil)
+		c.Ended(now, a.id, sq.NotSent, nil, nil)
 		return
 	}
 	out := Attempt{ID: a.id, Label: p.q.ask.Label, Shard: p.ask.Shard, Epoch: a.epoch, Span: p.ask.Span, Due: due,
@@ -613,7 +613,7 @@
 }
 
 // call has an attempt leave, with others to the same server as far as a call takes them.
-func (c *Core) call(server yw.ServerID, out Attempt) {
+func (c *Core) call(server sq.ServerID, out Attempt) {
 	if i, ok := c.calls[server]; ok {
 		call := c.effects[i].(Call)
 		if len(call.Attempts) < c.terms.PartsPerCall {
@@ -628,7 +628,7 @@
 
 // answer gives what is in. Guards the rule of honest answers a second time: less than the class's least
 // share is never given, nor marked whole where it is not.
-func (c *Core) answer(now int64, a yw.Answer) {
+func (c *Core) answer(now int64, a sq.Answer) {
 	q := c.queries[a.Query]
 	if q == nil {
 		return
@@ -654,7 +654,7 @@
 // while no part can have run.
 func (c *Core) refuse(q *query, now, after int64) {
 	overdue := now >= q.ask.Deadline-2*c.terms.Period
-	if q.class.Effect == yw.AtMostOnce {
+	if q.class.Effect == sq.AtMostOnce {
 		for _, p := range q.parts {
 			if p.mayRun || slices.ContainsFunc(p.out, func(a *attempt) bool { return a.waits == nil }) {
 				c.finish(q, Final{Verdict: Failed, Overdue: overdue})
--- a/internal/broker/broker_test.go
+++ b/internal/broker/broker_test.go
@@ -6,17 +6,17 @@
 	"strings"
 	"testing"
 
-	yw "yarrowwalk"
+	sq "saffronquay"
 )
 
 // script is a module that does what the test says and writes down what it is told.
 type script struct {
-	next  []yw.Action
-	seen  []yw.Event
+	next  []sq.Action
+	seen  []sq.Event
 	steps []int64
 }
 
-func (s *script) Step(now int64, events []yw.Event) []yw.Action {
+func (s *script) Step(now int64, events []sq.Event) []sq.Action {
 	s.seen, s.steps = append(s.seen, events...), append(s.steps, now)
 	a := s.next
 	s.next = nil
@@ -25,12 +25,12 @@
 
 func (*script) Rotation() (listed, out int) { return 0, 0 }
 
-func (*script) Learned() yw.Learned { return yw.Learned{Admission: 0.5} }
+func (*script) Learned() sq.Learned { return sq.Learned{Admission: 0.5} }
 
 func (s *script) outcomes() string {
 	var out []string
 	for _, e := range s.seen {
-		if e, ok := e.(yw.AttemptEnded); ok {
+		if e, ok := e.(sq.AttemptEnded); ok {
 			out = append(out, fmt.Sprintf("%d.%d=%d@%d", e.Part, e.Attempt, e.Outcome, e.Latency))
 		}
 	}
@@ -39,7 +39,7 @@
 
 func terms() Terms {
 	return Terms{Period: 10, Shards: 4, MaxOpen: 6, PartsPerCall: 2, RetryAfter: true, MaxRetryAfter: 500, AnswerGrace: 20,
-		Classes: []yw.Class{{Name: "free", Need: 1, Floor: 0.5}, {Name: "once", Need: 1, Floor: 1, Effect: yw.AtMostOnce}}}
+		Classes: []sq.Class{{Name: "free", Need: 1, Floor: 0.5}, {Name: "once", Need: 1, Floor: 1, Effect: sq.AtMostOnce}}}
 }
 
 // ask makes a query of half-weight parts; the ids that follow are 1 for the query and 3, 4 for its parts.
@@ -62,10 +62,10 @@
 }
 
 // act steps the core at a time with what the module is to do, and returns the effects of one kind.
-func act[E Effect](c *Core, m *script, now int64, actions ...yw.Action) []E {
+func act[E Effect](c *Core, m *script, now int64, actions ...sq.Action) []E {
 	m.next = actions
 	if len(actions) > 0 && len(c.events) == 0 {
-		c.Fleet(yw.FleetChanged{})
+		c.Fleet(sq.FleetChanged{})
 	}
 	var out []E
 	for _, e := range c.Step(now) {
@@ -78,16 +78,16 @@
 
 func TestOneFinalAnswer(t *testing.T) {
 	c, m := begin(t, terms(), "free", 0)
-	calls := act[Call](c, m, 100, yw.Send{Part: 3, Server: "s"})
+	calls := act[Call](c, m, 100, sq.Send{Part: 3, Server: "s"})
 	if len(calls) != 1 || calls[0].Attempts[0].Due != 1000 {
 		t.Fatalf("%v", calls)
 	}
-	c.Ended(140, calls[0].Attempts[0].ID, yw.Served, []byte("v"), nil)
-	got := act[Final](c, m, 150, yw.Answer{Query: 1, Whole: true}, yw.Refuse{Query: 1}, yw.Fail{Query: 1})
+	c.Ended(140, calls[0].Attempts[0].ID, sq.Served, []byte("v"), nil)
+	got := act[Final](c, m, 150, sq.Answer{Query: 1, Whole: true}, sq.Refuse{Query: 1}, sq.Fail{Query: 1})
 	if len(got) != 1 || got[0].Verdict != Answered || !got[0].Whole || string(got[0].Values[0].Data) != "v" {
 		t.Errorf("%+v", got)
 	}
-	if got := act[Final](c, m, 2000, yw.Answer{Query: 1}); len(got) != 0 || c.Held() != 0 || len(c.parts) != 0 || c.open != 0 {
+	if got := act[Final](c, m, 2000, sq.Answer{Query: 1}); len(got) != 0 || c.Held() != 0 || len(c.parts) != 0 || c.open != 0 {
 		t.Errorf("%+v, %d held, %d open", got, c.Held(), c.open)
 	}
 }
@@ -95,7 +95,7 @@
 // A module that loses sight of a query must not lose it for the client.
 func TestDeadlineGuard(t *testing.T) {
 	c, m := begin(t, terms(), "once", 0)
-	act[Call](c, m, 100, yw.Send{Part: 3, Server: "s"})
+	act[Call](c, m, 100, sq.Send{Part: 3, Server: "s"})
 	if got := act[Final](c, m, 1019); len(got) != 0 {
 		t.Fatalf("too soon: %v", got)
 	}
@@ -106,7 +106,7 @@
 		t.Errorf("%+v", got)
 	}
 	act[Final](c, m, 1100)
-	if last := m.seen[len(m.seen)-1]; last != (yw.ClientLeft{Query: 1}) {
+	if last := m.seen[len(m.seen)-1]; last != (sq.ClientLeft{Query: 1}) {
 		t.Errorf("the module was told %v", last)
 	}
 }
@@ -115,7 +115,7 @@
 // from it.
 func TestOneOutcome(t *testing.T) {
 	c, m := begin(t, terms(), "free", 0, 1)
-	calls := act[Call](c, m, 100, yw.Send{Part: 3, Server: "s", Timeout: 50}, yw.Send{Part: 4, Server: "s"})
+	calls := act[Call](c, m, 100, sq.Send{Part: 3, Server: "s", Timeout: 50}, sq.Send{Part: 4, Server: "s"})
 	if len(calls) != 1 || len(calls[0].Attempts) != 2 {
 		t.Fatalf("parts to one server share a call: %v", calls)
 	}
@@ -123,12 +123,12 @@
 	if drops := act[Drop](c, m, 150); len(drops) != 1 || drops[0].Attempt != a {
 		t.Fatalf("%v", drops)
 	}
-	c.Ended(155, a, yw.Served, []byte("late"), nil)
-	if drops := act[Drop](c, m, 160, yw.Cancel{Part: 4, Attempt: 0}, yw.Cancel{Part: 4, Attempt: 0}); len(drops) != 1 {
+	c.Ended(155, a, sq.Served, []byte("late"), nil)
+	if drops := act[Drop](c, m, 160, sq.Cancel{Part: 4, Attempt: 0}, sq.Cancel{Part: 4, Attempt: 0}); len(drops) != 1 {
 		t.Fatalf("%v", drops)
 	}
-	c.Ended(165, b, yw.Served, []byte("late"), nil)
-	got := act[Final](c, m, 170, yw.Answer{Query: 1})
+	c.Ended(165, b, sq.Served, []byte("late"), nil)
+	got := act[Final](c, m, 170, sq.Answer{Query: 1})
 	if len(got) != 1 || got[0].Verdict != Failed {
 		t.Errorf("answered from nothing: %+v", got)
 	}
@@ -142,19 +142,19 @@
 
 // A query that must not run twice may be refused only while no part can have run, whatever the module says.
 func TestRefusalIsHarmless(t *testing.T) {
-	for o, want := range map[yw.Outcome]Verdict{yw.Rejected: Refused, yw.Unreachable: Refused, yw.Errored: Failed,
-		yw.Broken: Failed, yw.Served: Failed} {
+	for o, want := range map[sq.Outcome]Verdict{sq.Rejected: Refused, sq.Unreachable: Refused, sq.Errored: Failed,
+		sq.Broken: Failed, sq.Served: Failed} {
 		c, m := begin(t, terms(), "once", 0)
-		calls := act[Call](c, m, 100, yw.Send{Part: 3, Server: "s"})
+		calls := act[Call](c, m, 100, sq.Send{Part: 3, Server: "s"})
 		c.Ended(110, calls[0].Attempts[0].ID, o, nil, nil)
-		got := act[Final](c, m, 120, yw.Refuse{Query: 1, RetryAfter: 900})
+		got := act[Final](c, m, 120, sq.Refuse{Query: 1, RetryAfter: 900})
 		if len(got) != 1 || got[0].Verdict != want || want == Refused && got[0].RetryAfter != 500 {
 			t.Errorf("after outcome %d: %+v", o, got)
 		}
 	}
 	c, m := begin(t, terms(), "once", 0)
-	act[Call](c, m, 100, yw.Send{Part: 3, Server: "s"})
-	if got := act[Final](c, m, 120, yw.Refuse{Query: 1}); len(got) != 1 || got[0].Verdict != Failed {
+	act[Call](c, m, 100, sq.Send{Part: 3, Server: "s"})
+	if got := act[Final](c, m, 120, sq.Refuse{Query: 1}); len(got) != 1 || got[0].Verdict != Failed {
 		t.Errorf("while an attempt is out: %+v", got)
 	}
 }
@@ -162,11 +162,11 @@
 func TestHonestAnswers(t *testing.T) {
 	for served, want := range map[int]string{0: "2 false", 1: "0 false", 2: "0 true"} {
 		c, m := begin(t, terms(), "free", 0, 1)
-		calls := act[Call](c, m, 100, yw.Send{Part: 3, Server: "s"}, yw.Send{Part: 4, Server: "s"})
+		calls := act[Call](c, m, 100, sq.Send{Part: 3, Server: "s"}, sq.Send{Part: 4, Server: "s"})
 		for _, a := range calls[0].Attempts[:served] {
-			c.Ended(110, a.ID, yw.Served, []byte("v"), nil)
+			c.Ended(110, a.ID, sq.Served, []byte("v"), nil)
 		}
-		got := act[Final](c, m, 120, yw.Answer{Query: 1, Whole: true})
+		got := act[Final](c, m, 120, sq.Answer{Query: 1, Whole: true})
 		if len(got) != 1 || fmt.Sprint(int(got[0].Verdict), " ", got[0].Whole) != want {
 			t.Errorf("with %d of 2 in: %+v", served, got)
 		}
@@ -189,7 +189,7 @@
 	act[Final](c, m, 100)
 	queries := 0
 	for _, e := range m.seen {
-		if _, ok := e.(yw.Query); ok {
+		if _, ok := e.(sq.Query); ok {
 			queries++
 		}
 	}
@@ -203,20 +203,20 @@
 	for now := int64(100); now <= 130; now++ {
 		c.Step(now)
 		if now == 103 {
-			c.Fleet(yw.FleetChanged{})
+			c.Fleet(sq.FleetChanged{})
 			if at, ok := c.Next(); at != 110 || !ok {
 				t.Errorf("next at %d", at)
 			}
 		}
 		if now == 110 {
-			m.next = []yw.Action{yw.SetAlarm{Mark: 7, At: 125}}
-			c.Fleet(yw.FleetChanged{})
+			m.next = []sq.Action{sq.SetAlarm{Mark: 7, At: 125}}
+			c.Fleet(sq.FleetChanged{})
 		}
 	}
 	if fmt.Sprint(m.steps) != "[100 110 120 130]" {
 		t.Errorf("steps at %v", m.steps)
 	}
-	if last := m.seen[len(m.seen)-1]; last != (yw.AlarmRang{Mark: 7}) {
+	if last := m.seen[len(m.seen)-1]; last != (sq.AlarmRang{Mark: 7}) {
 		t.Errorf("last was %v", last)
 	}
 }
@@ -228,12 +228,12 @@
 	c, m := begin(t, x, "free", 0)
 	now := int64(100)
 	for i, want := range []int{1, 1, 0, 0} {
-		calls := act[Call](c, m, now, yw.Send{Part: 3, Server: "s"})
+		calls := act[Call](c, m, now, sq.Send{Part: 3, Server: "s"})
 		if len(calls) != want {
 			t.Fatalf("send %d: %d calls, want %d", i, len(calls), want)
 		}
 		if want == 1 {
-			c.Ended(now+5, calls[0].Attempts[0].ID, yw.Errored, nil, nil)
+			c.Ended(now+5, calls[0].Attempts[0].ID, sq.Errored, nil, nil)
 		}
 		now += 10
 	}
@@ -241,7 +241,7 @@
 	if o := m.outcomes(); o != "3.0=1@5 3.1=1@5 3.2=7@0 3.3=7@0" {
 		t.Errorf("outcomes %s", o)
 	}
-	if calls := act[Call](c, m, 211, yw.Send{Part: 3, Server: "s"}); len(calls) != 1 {
+	if calls := act[Call](c, m, 211, sq.Send{Part: 3, Server: "s"}); len(calls) != 1 {
 		t.Error("the window has passed")
 	}
 }
@@ -273,7 +273,7 @@
 	if _, f, err := c.Open(1, a); f != nil || !errors.Is(err, ErrTaken) || c.Held() != 1 {
 		t.Errorf("%v, %v, %d held", f, err, c.Held())
 	}
-	if finals := act[Final](c, m, 20, yw.Refuse{Query: first}); len(finals) != 1 || finals[0].Verdict != Refused {
+	if finals := act[Final](c, m, 20, sq.Refuse{Query: first}); len(finals) != 1 || finals[0].Verdict != Refused {
 		t.Errorf("the first ended as %v", finals)
 	}
 	if _, f, err := c.Open(30, a); f != nil || err != nil {
@@ -291,15 +291,15 @@
 	old := terms()
 	old.Tenants = map[string]Budget{"t": {Free: 1, Window: 1000}, "gone": {Free: 1, Window: 1000}}
 	c, m := begin(t, old, "free", 0)
-	act[Call](c, m, 100, yw.Send{Part: 3, Server: "s"}, yw.Send{Part: 3, Server: "s"})
+	act[Call](c, m, 100, sq.Send{Part: 3, Server: "s"}, sq.Send{Part: 3, Server: "s"})
 	now := terms()
-	now.Classes = []yw.Class{{Name: "free", Need: 1, Floor: 1, Effect: yw.AtMostOnce}}
+	now.Classes = []sq.Class{{Name: "free", Need: 1, Floor: 1, Effect: sq.AtMostOnce}}
 	now.MaxOpen = 2
 	now.Tenants = map[string]Budget{"t": {Free: 2, Window: 1000}}
 	if _, f, err := c.Open(105, ask("once", 1)); f != nil || err != nil {
 		t.Fatal(f, err)
 	}
-	c.Reconfigure(now, yw.Settings{Period: 7})
+	c.Reconfigure(now, sq.Settings{Period: 7})
 	if _, _, err := c.Open(106, ask("once", 2)); !errors.Is(err, ErrMalformed) {
 		t.Errorf("a query of a class that is gone: %v", err)
 	}
@@ -307,7 +307,7 @@
 		t.Errorf("with as much open as may be now: %v %v", f, err)
 	}
 	// The one that is open may be refused although a part may have run: so it was when it came.
-	got := act[Final](c, m, 110, yw.Refuse{Query: 1}, yw.Send{Part: 3, Server: "s"})
+	got := act[Final](c, m, 110, sq.Refuse{Query: 1}, sq.Send{Part: 3, Server: "s"})
 	if len(got) != 1 || got[0].Verdict != Refused {
 		t.Errorf("%+v", got)
 	}
@@ -315,7 +315,7 @@
 	for _, e := range m.seen {
 		order = append(order, fmt.Sprintf("%T", e))
 	}
-	if got := strings.Join(order[len(order)-3:], " "); got != "yarrowwalk.Query yarrowwalk.Part yarrowwalk.SettingsChanged" {
+	if got := strings.Join(order[len(order)-3:], " "); got != "saffronquay.Query saffronquay.Part saffronquay.SettingsChanged" {
 		t.Errorf("the module saw %s", got)
 	}
 	if r := c.budgets["t"]; len(c.budgets) != 1 || len(r.extras) != 1 || r.Free != 2 {
@@ -329,7 +329,7 @@
 	now.Tenants = map[string]Budget{"t": {Free: 1, Ratio: 1, Window: 1000}}
 	m := &script{}
 	c := New(now, m)
-	c.Succeed(100, yw.Learned{Admission: 0.5})
+	c.Succeed(100, sq.Learned{Admission: 0.5})
 	c.Beside(Standing{Open: 4, Labels: map[string]int64{"theirs": 200}})
 	a := ask("free", 0)
 	a.Label, a.Unique = "theirs", true
@@ -351,11 +351,11 @@
 	}
 	// Two parts were taken, so two further attempts may leave, and with the free one three; that one may be spent by the
 	// other process until the window is over.
-	act[Call](c, m, 210, yw.Send{Part: 3, Server: "s"}, yw.Send{Part: 3, Server: "s"}, yw.Send{Part: 3, Server: "s"})
-	if got := len(act[Call](c, m, 300, yw.Send{Part: 3, Server: "s"})); got != 0 {
+	act[Call](c, m, 210, sq.Send{Part: 3, Server: "s"}, sq.Send{Part: 3, Server: "s"}, sq.Send{Part: 3, Server: "s"})
+	if got := len(act[Call](c, m, 300, sq.Send{Part: 3, Server: "s"})); got != 0 {
 		t.Errorf("%d calls beyond what both may spend", got)
 	}
-	if first, ok := m.seen[0].(yw.Recalled); !ok || first.Admission != 0.5 {
+	if first, ok := m.seen[0].(sq.Recalled); !ok || first.Admission != 0.5 {
 		t.Errorf("the module first saw %#v", m.seen[0])
 	}
 	r := c.budgets["t"]
--- a/internal/broker/dialect.go
+++ b/internal/broker/dialect.go
@@ -3,7 +3,7 @@
 import (
 	"errors"
 
-	yw "yarrowwalk"
+	sq "saffronquay"
 )
 
 // ErrLast says that the answer which came with it was the last on its connection; nothing was wrong with it.
@@ -36,12 +36,12 @@
 // Reply is what a server gave for one attempt.
 type Reply struct {
 	Attempt AttemptID
-	Outcome yw.Outcome
+	Outcome sq.Outcome
 	Value   []byte
 	// Read, where set, reads and judges the answer, and gives the reply that counts. It may take long and touches nothing of
 	// its session's: the pool runs it off the engine's goroutine.
 	Read   func() Reply
 	Size   int // bytes that Value and Part keep
 	Part   any // the same, as the session has read it for the query's front; nil where it reads nothing
-	Report *yw.LoadReport
+	Report *sq.LoadReport
 }
--- a/internal/broker/intent.go
+++ b/internal/broker/intent.go
@@ -1,6 +1,6 @@
 package broker
 
-import yw "yarrowwalk"
+import sq "saffronquay"
 
 // intend holds an attempt back until it is durable that it is about to leave. Guards a part that must not run twice against a crash
 // after which nobody knows that it left.
@@ -28,11 +28,11 @@
 		}
 		q := a.p.q
 		if err != nil || q.over || a.p.in {
-			c.Ended(now, id, yw.NotSent, nil, nil)
+			c.Ended(now, id, sq.NotSent, nil, nil)
 			if err != nil && !q.over {
 				c.do(Note{Text: "a query ends, since its intent could not be kept: " + err.Error()})
 				c.refuse(q, now, 0)
-				c.events = append(c.events, yw.ClientLeft{Query: q.id})
+				c.events = append(c.events, sq.ClientLeft{Query: q.id})
 			}
 			continue
 		}
--- a/internal/broker/intent_test.go
+++ b/internal/broker/intent_test.go
@@ -4,7 +4,7 @@
 	"errors"
 	"testing"
 
-	yw "yarrowwalk"
+	sq "saffronquay"
 )
 
 // book is a ledger that writes down what it is told.
@@ -30,7 +30,7 @@
 // sendBoth has the module send both parts of a query, and returns what is to be made durable.
 func sendBoth(t *testing.T, c *Core, m *script) Intend {
 	t.Helper()
-	m.next = []yw.Action{yw.Send{Part: 3, Server: "s"}, yw.Send{Part: 4, Server: "t"}}
+	m.next = []sq.Action{sq.Send{Part: 3, Server: "s"}, sq.Send{Part: 4, Server: "t"}}
 	effects := c.Step(100)
 	x, ok := effects[0].(Intend)
 	if len(effects) != 1 || !ok || len(x.Parts) != 2 || x.Parts[1].Server != "t" || x.Parts[1].Shard != 1 {
@@ -54,13 +54,13 @@
 	if len(calls) != 2 || calls[0].Server != "s" || calls[1].Attempts[0].Shard != 1 {
 		t.Fatalf("%+v", calls)
 	}
-	c.Ended(200, calls[0].Attempts[0].ID, yw.Unreachable, nil, nil)
+	c.Ended(200, calls[0].Attempts[0].ID, sq.Unreachable, nil, nil)
 	act[Call](c, m, 210)
 	if got := m.outcomes(); got != "3.0=4@50" {
 		t.Errorf("outcomes %q", got)
 	}
 	// It never ran, and its intent stands already.
-	if again := act[Call](c, m, 220, yw.Send{Part: 3, Server: "u"}); len(again) != 1 || again[0].Server != "u" {
+	if again := act[Call](c, m, 220, sq.Send{Part: 3, Server: "u"}); len(again) != 1 || again[0].Server != "u" {
 		t.Errorf("%+v", again)
 	}
 	c.Intended(230, x.Attempts, nil) // told twice
@@ -97,7 +97,7 @@
 	if got := act[Call](c, m, 1002); len(got) != 0 {
 		t.Errorf("left: %v", got)
 	}
-	if got := act[Final](c, m, 1015, yw.Refuse{Query: 1}); len(got) != 1 || got[0].Verdict != Refused {
+	if got := act[Final](c, m, 1015, sq.Refuse{Query: 1}); len(got) != 1 || got[0].Verdict != Refused {
 		t.Errorf("%+v", got)
 	}
 	c, m = beginOnce(t, 0, 1)
@@ -127,7 +127,7 @@
 		t.Errorf("%+v", spent)
 	}
 	b := New(after, &script{})
-	b.Recall(960, yw.Learned{}, spent)
+	b.Recall(960, sq.Learned{}, spent)
 	if b.budgets["t"].spend(960) {
 		t.Error("what was left may have been spent")
 	}
@@ -137,5 +137,5 @@
 	if !b.budgets["t"].spend(1960) {
 		t.Error("the window is over")
 	}
-	b.Recall(960, yw.Learned{}, map[string]Spent{"gone": {}, "t": {At: 1 << 60}})
+	b.Recall(960, sq.Learned{}, map[string]Spent{"gone": {}, "t": {At: 1 << 60}})
 }
--- a/internal/broker/layout.go
+++ b/internal/broker/layout.go
@@ -4,15 +4,15 @@
 	"cmp"
 	"slices"
 
-	yw "yarrowwalk"
-	"yarrowwalk/internal/layout"
+	sq "saffronquay"
+	"saffronquay/internal/layout"
 )
 
 // Layout puts a layout in force. Parts whose shard is no longer in force are planned anew, each by itself: at once where
 // nothing of them is out, else when that has ended. The cost is that of the open parts of the shards that changed.
 func (c *Core) Layout(now int64, u layout.Update) {
 	c.routes = u.Layout
-	c.events = append(c.events, yw.HoldersChanged{Holders: u.Layout})
+	c.events = append(c.events, sq.HoldersChanged{Holders: u.Layout})
 	var touched []*part
 	if len(u.Changed) <= len(c.byShard) {
 		for _, shard := range u.Changed {
@@ -47,7 +47,7 @@
 
 // hand makes a part of a query.
 func (c *Core) hand(q *query, ap AskPart) *part {
-	p := &part{id: yw.ID(c.nextID()), q: q, ask: ap}
+	p := &part{id: sq.ID(c.nextID()), q: q, ask: ap}
 	c.parts[p.id] = p
 	if c.routes != nil {
 		if p.after = c.byShard[ap.Shard]; p.after != nil {
@@ -58,8 +58,8 @@
 	return p
 }
 
-func (p *part) event() yw.Part {
-	return yw.Part{ID: p.id, Group: p.q.group, Shard: p.ask.Shard, Weight: p.ask.Weight, Work: p.ask.Work, Key: p.ask.Key}
+func (p *part) event() sq.Part {
+	return sq.Part{ID: p.id, Group: p.q.group, Shard: p.ask.Shard, Weight: p.ask.Weight, Work: p.ask.Work, Key: p.ask.Key}
 }
 
 // forget drops a part of which nothing is out.
@@ -130,7 +130,7 @@
 	if c.routes == nil || p.in || p.q.over || c.parts[p.id] != p || c.placed(p.ask) {
 		return
 	}
-	once := p.q.class.Effect == yw.AtMostOnce
+	once := p.q.class.Effect == sq.AtMostOnce
 	if len(p.out) > 0 {
 		if once || c.routes.Of(p.ask.Shard) != nil {
 			return // the old side may still answer, or nothing else may
@@ -144,7 +144,7 @@
 		return
 	}
 	var into []*part
-	var parts []yw.Part
+	var parts []sq.Part
 	for _, ap := range c.pieces(p.ask, p.q.ask.Want) {
 		n := c.hand(p.q, ap)
 		into, parts = append(into, n), append(parts, n.event())
@@ -153,28 +153,28 @@
 	p.q.parts = slices.Replace(p.q.parts, at, at+1, into...)
 	c.open += len(into) - 1
 	c.forget(p)
-	c.events = append(c.events, yw.Replanned{Part: p.id, Into: parts})
+	c.events = append(c.events, sq.Replanned{Part: p.id, Into: parts})
 	c.replanned++
 }
 
 // withdraw gives an attempt up.
 func (c *Core) withdraw(now int64, a *attempt) {
-	c.giveUp(now, a, yw.Cancelled)
+	c.giveUp(now, a, sq.Cancelled)
 }
 
 // credit judges an outcome by the layout in force: what a server gives for a span that it holds no longer is a failed attempt
 // that may have run, and a server with a newer layout has this one asked for.
-func (c *Core) credit(a *attempt, o yw.Outcome) yw.Outcome {
-	if o == yw.Misplaced {
+func (c *Core) credit(a *attempt, o sq.Outcome) sq.Outcome {
+	if o == sq.Misplaced {
 		c.misplaced++
 	}
 	switch {
 	case c.routes == nil:
-	case o == yw.Misplaced && a.epoch >= c.routes.Epoch():
+	case o == sq.Misplaced && a.epoch >= c.routes.Epoch():
 		c.behind = true
-	case o == yw.Served && !c.routes.Answers(a.server, a.p.ask.Shard, a.p.ask.Span):
+	case o == sq.Served && !c.routes.Answers(a.server, a.p.ask.Shard, a.p.ask.Span):
 		c.do(Note{Text: "an answer of " + string(a.server) + " for range " + a.p.ask.Span.String() + ", which it holds no longer"})
-		return yw.Errored
+		return sq.Errored
 	}
 	return o
 }
--- a/internal/broker/layout_test.go
+++ b/internal/broker/layout_test.go
@@ -8,8 +8,8 @@
 
 	"pgregory.net/rapid"
 
-	yw "yarrowwalk"
-	"yarrowwalk/internal/layout"
+	sq "saffronquay"
+	"saffronquay/internal/layout"
 )
 
 // fataler is a test, a benchmark or a property.
@@ -21,7 +21,7 @@
 func ranged(t fataler, n int) *layout.Layout {
 	d := layout.Doc{History: "h", Epoch: 1}
 	for i := range n {
-		d.Ranges = append(d.Ranges, layout.Range{Span: span(int64(10*i), int64(10*i+10)), Shard: i, Holders: []yw.ServerID{"s0", "s1"}})
+		d.Ranges = append(d.Ranges, layout.Range{Span: span(int64(10*i), int64(10*i+10)), Shard: i, Holders: []sq.ServerID{"s0", "s1"}})
 	}
 	l, err := layout.Make(d, nil)
 	if err != nil {
@@ -31,7 +31,7 @@
 }
 
 // change takes a layout through a split at its middle, a merge with the next range or a move, up to a deed.
-func change(t testing.TB, l *layout.Layout, kind layout.Kind, shard int, until layout.Deed, holders ...yw.ServerID) []*layout.Layout {
+func change(t testing.TB, l *layout.Layout, kind layout.Kind, shard int, until layout.Deed, holders ...sq.ServerID) []*layout.Layout {
 	d := l.Doc()
 	i := slices.IndexFunc(d.Ranges, func(r layout.Range) bool { return r.Shard == shard })
 	r := d.Ranges[i]
@@ -133,21 +133,21 @@
 	cut, retired := steps[3], steps[4]
 	for _, c := range []struct {
 		name, class string
-		outcome     yw.Outcome
+		outcome     sq.Outcome
 		when        *layout.Layout // in force when the outcome comes
 		places      string
 	}{
-		{"an answer of the old side", "free", yw.Served, cut, "[0:0-10]"},
-		{"misplaced", "free", yw.Misplaced, cut, "[1:0-5 2:5-10]"},
-		{"misplaced once", "once", yw.Misplaced, cut, "[1:0-5 2:5-10]"},
-		{"cut before its frame", "once", yw.Unreachable, cut, "[1:0-5 2:5-10]"},
-		{"cut after its frame", "once", yw.Broken, cut, "[0:0-10]"},
-		{"timed out", "once", yw.TimedOut, retired, "[0:0-10]"},
-		{"cut after its frame, may be repeated", "free", yw.Broken, cut, "[1:0-5 2:5-10]"},
-		{"served by one that holds it no longer", "once", yw.Served, retired, "[0:0-10]"},
+		{"an answer of the old side", "free", sq.Served, cut, "[0:0-10]"},
+		{"misplaced", "free", sq.Misplaced, cut, "[1:0-5 2:5-10]"},
+		{"misplaced once", "once", sq.Misplaced, cut, "[1:0-5 2:5-10]"},
+		{"cut before its frame", "once", sq.Unreachable, cut, "[1:0-5 2:5-10]"},
+		{"cut after its frame", "once", sq.Broken, cut, "[0:0-10]"},
+		{"timed out", "once", sq.TimedOut, retired, "[0:0-10]"},
+		{"cut after its frame, may be repeated", "free", sq.Broken, cut, "[1:0-5 2:5-10]"},
+		{"served by one that holds it no longer", "once", sq.Served, retired, "[0:0-10]"},
 	} {
 		core, m, q := placed(t, c.class, l, l, span(0, 10))
-		calls := act[Call](core, m, 110, yw.Send{Part: q.parts[0].id, Server: "s0"})
+		calls := act[Call](core, m, 110, sq.Send{Part: q.parts[0].id, Server: "s0"})
 		core.Layout(120, update(core, cut))
 		if c.when == retired {
 			core.Layout(121, update(core, retired))
@@ -157,12 +157,12 @@
 		if got := fmt.Sprint(q.places()); got != c.places {
 			t.Errorf("%s: %s, want %s", c.name, got, c.places)
 		}
-		if in := q.parts[0].in; in != (c.outcome == yw.Served && c.when == cut) {
+		if in := q.parts[0].in; in != (c.outcome == sq.Served && c.when == cut) {
 			t.Errorf("%s: in %t", c.name, in)
 		}
 	}
 	core, m, q := placed(t, "free", l, l, span(0, 10)) // a silent server: its old side goes, and nothing else would end it
-	act[Call](core, m, 110, yw.Send{Part: q.parts[0].id, Server: "s0"}, yw.Send{Part: q.parts[0].id, Server: "s1"})
+	act[Call](core, m, 110, sq.Send{Part: q.parts[0].id, Server: "s0"}, sq.Send{Part: q.parts[0].id, Server: "s1"})
 	core.Layout(120, update(core, cut))
 	core.Layout(121, update(core, retired))
 	if drops := act[Drop](core, m, 130); len(drops) != 2 || fmt.Sprint(q.places()) != "[1:0-5 2:5-10]" {
@@ -176,8 +176,8 @@
 	core, m, q := placed(t, "free", l, l, span(0, 10))
 	for n := range 3 {
 		now := int64(110 + 20*n)
-		calls := act[Call](core, m, now, yw.Send{Part: q.parts[0].id, Server: "s0"})
-		core.Ended(now+5, calls[0].Attempts[0].ID, yw.Misplaced, nil, nil)
+		calls := act[Call](core, m, now, sq.Send{Part: q.parts[0].id, Server: "s0"})
+		core.Ended(now+5, calls[0].Attempts[0].ID, sq.Misplaced, nil, nil)
 		if asked := act[Refresh](core, m, now+10); len(asked) != 1 || len(q.parts) != 1 || core.replanned != 0 {
 			t.Fatalf("%d: asked %d times, %v", n, len(asked), q.places())
 		}
@@ -189,9 +189,9 @@
 	l := ranged(t, 3)
 	core, m, q := placed(t, "free", l, l, span(0, 30))
 	core.terms.MaxHeld = 100
-	var sends []yw.Action
+	var sends []sq.Action
 	for _, p := range q.parts {
-		sends = append(sends, yw.Send{Part: p.id, Server: "s0"})
+		sends = append(sends, sq.Send{Part: p.id, Server: "s0"})
 	}
 	var ids []AttemptID
 	for _, call := range act[Call](core, m, 110, sends...) {
@@ -199,12 +199,12 @@
 			ids = append(ids, a.ID)
 		}
 	}
-	core.Came(120, Reply{Attempt: ids[0], Outcome: yw.Served, Size: 60})
-	core.Came(121, Reply{Attempt: ids[1], Outcome: yw.Served, Size: 40})
+	core.Came(120, Reply{Attempt: ids[0], Outcome: sq.Served, Size: 60})
+	core.Came(121, Reply{Attempt: ids[1], Outcome: sq.Served, Size: 40})
 	if core.held != 100 || len(core.queries) != 1 {
 		t.Fatalf("%d held", core.held)
 	}
-	core.Came(122, Reply{Attempt: ids[2], Outcome: yw.Served, Size: 1})
+	core.Came(122, Reply{Attempt: ids[2], Outcome: sq.Served, Size: 1})
 	if got := act[Final](core, m, 130); len(got) != 1 || got[0].Verdict != Failed || core.held != 0 || len(core.parts) != 0 {
 		t.Errorf("%+v, %d held", got, core.held)
 	}
@@ -218,10 +218,10 @@
 	truth    *layout.Layout
 	untold   []*layout.Layout
 	coming   []arrival
-	ran      map[yw.ID][]layout.Span // of queries that must not run twice
+	ran      map[sq.ID][]layout.Span // of queries that must not run twice
 	asked    map[string]Ask
-	ended    map[yw.ID]bool
-	ids      map[yw.ID]Ask
+	ended    map[sq.ID]bool
+	ids      map[sq.ID]Ask
 	problem  string
 	answered int
 	// careless has the driver say that what was cut after it ran never ran: a bug that the ledger has to find.
@@ -231,7 +231,7 @@
 type arrival struct {
 	at      int64
 	attempt AttemptID
-	outcome yw.Outcome
+	outcome sq.Outcome
 	value   []byte
 }
 
@@ -243,24 +243,24 @@
 
 // newWorld makes one. lax has the module believe that everything may be repeated: another bug that the ledger has to find.
 func newWorld(t fataler, seed uint64, lax bool) *world {
-	w := &world{rng: rand.New(rand.NewPCG(seed, 1)), ran: map[yw.ID][]layout.Span{}, ended: map[yw.ID]bool{}, ids: map[yw.ID]Ask{}}
-	classes := []yw.Class{{Name: "free", Aim: 40_000, HardLimit: 60_000, Worth: 1, LateWorth: 0.1, Need: 1, Floor: 1},
-		{Name: "once", Aim: 40_000, HardLimit: 60_000, Worth: 1, LateWorth: 0.1, Need: 1, Floor: 1, Effect: yw.AtMostOnce}}
-	set := yw.Settings{Aggregators: 1, Period: 100, Classes: slices.Clone(classes), Shards: 1, Cells: 1, Reach: 1,
-		Limits: yw.Limits{MaxTries: 4, SecondCopies: true, MayCancel: true, RetryAfter: true, MaxRetryAfter: 500}}
+	w := &world{rng: rand.New(rand.NewPCG(seed, 1)), ran: map[sq.ID][]layout.Span{}, ended: map[sq.ID]bool{}, ids: map[sq.ID]Ask{}}
+	classes := []sq.Class{{Name: "free", Aim: 40_000, HardLimit: 60_000, Worth: 1, LateWorth: 0.1, Need: 1, Floor: 1},
+		{Name: "once", Aim: 40_000, HardLimit: 60_000, Worth: 1, LateWorth: 0.1, Need: 1, Floor: 1, Effect: sq.AtMostOnce}}
+	set := sq.Settings{Aggregators: 1, Period: 100, Classes: slices.Clone(classes), Shards: 1, Cells: 1, Reach: 1,
+		Limits: sq.Limits{MaxTries: 4, SecondCopies: true, MayCancel: true, RetryAfter: true, MaxRetryAfter: 500}}
 	if lax {
-		set.Classes[1].Effect = yw.Repeatable
+		set.Classes[1].Effect = sq.Repeatable
 	}
-	module, err := yw.New(set, seed)
+	module, err := sq.New(set, seed)
 	if err != nil {
 		t.Fatal(err)
 	}
 	w.core = New(Terms{Period: 100, Shards: 1, PartsPerCall: 1, RetryAfter: true, MaxRetryAfter: 500, AnswerGrace: 100, Classes: classes}, module)
-	var fleet []yw.Server
+	var fleet []sq.Server
 	for i := range 5 {
-		fleet = append(fleet, yw.Server{ID: yw.ServerID(fmt.Sprint("s", i)), Health: yw.Ready})
+		fleet = append(fleet, sq.Server{ID: sq.ServerID(fmt.Sprint("s", i)), Health: sq.Ready})
 	}
-	w.core.Fleet(yw.FleetChanged{Kind: yw.FleetFull, Servers: fleet})
+	w.core.Fleet(sq.FleetChanged{Kind: sq.FleetFull, Servers: fleet})
 	w.truth = ranged(t, 6)
 	w.core.Layout(0, layout.Update{Layout: w.truth})
 	return w
@@ -270,7 +270,7 @@
 func (w *world) alter(n int) {
 	d := w.truth.Doc()
 	s := layout.Step{History: "h", Epoch: d.Epoch + 1, Change: fmt.Sprint("c", n), Do: layout.Announce}
-	holders := []yw.ServerID{yw.ServerID(fmt.Sprint("s", w.rng.IntN(5)))}
+	holders := []sq.ServerID{sq.ServerID(fmt.Sprint("s", w.rng.IntN(5)))}
 	at := w.rng.IntN(len(d.Ranges))
 	r := d.Ranges[at]
 	s.From = []int{r.Shard}
@@ -322,20 +322,20 @@
 }
 
 // serve plays a server that knows the truth: what it holds it runs, and what then comes back may be lost or late.
-func (w *world) serve(server yw.ServerID, a Attempt) {
+func (w *world) serve(server sq.ServerID, a Attempt) {
 	p := w.core.attempts[a.ID].p
 	at := w.now + 100 + w.rng.Int64N(6_000)
-	got := arrival{at, a.ID, yw.Served, []byte(a.Span.String())}
+	got := arrival{at, a.ID, sq.Served, []byte(a.Span.String())}
 	inForce, ok := w.truth.InForce(a.Shard)
 	switch {
 	case w.rng.IntN(10) == 0:
-		got.outcome = yw.Unreachable
+		got.outcome = sq.Unreachable
 	case !ok || a.Span.From < inForce.From || a.Span.To > inForce.To || !slices.Contains(w.truth.Of(a.Shard), server):
-		if got.outcome = yw.Rejected; w.truth.Epoch() > a.Epoch {
-			got.outcome = yw.Misplaced
+		if got.outcome = sq.Rejected; w.truth.Epoch() > a.Epoch {
+			got.outcome = sq.Misplaced
 		}
 	default:
-		if p.q.class.Effect == yw.AtMostOnce {
+		if p.q.class.Effect == sq.AtMostOnce {
 			for _, other := range w.ran[p.q.id] {
 				if !other.Meet(a.Span).Empty() {
 					w.fault("query %d ran %s after %s", p.q.id, a.Span, other)
@@ -345,11 +345,11 @@
 		}
 		switch w.rng.IntN(12) {
 		case 0:
-			if got.outcome = yw.Broken; w.careless {
-				got.outcome = yw.Unreachable
+			if got.outcome = sq.Broken; w.careless {
+				got.outcome = sq.Unreachable
 			}
 		case 1:
-			got.outcome = yw.Errored
+			got.outcome = sq.Errored
 		case 2:
 			return // silence
 		}
@@ -506,17 +506,17 @@
 }
 
 func benchmarkQuery(b *testing.B, servers, ranges int) {
-	set := yw.Settings{Aggregators: 1, Period: 100, Shards: 12, Cells: 12, Reach: 3,
-		Classes: []yw.Class{{Name: "free", Aim: 2_500_000, HardLimit: 5_000_000, Worth: 1, LateWorth: 0.1, Need: 1, Floor: 1}},
-		Limits:  yw.Limits{MaxTries: 4, SecondCopies: true, MayCancel: true}, Rules: yw.Rules{WarmWithin: 14_000_000}}
-	module, err := yw.New(set, 1)
+	set := sq.Settings{Aggregators: 1, Period: 100, Shards: 12, Cells: 12, Reach: 3,
+		Classes: []sq.Class{{Name: "free", Aim: 2_500_000, HardLimit: 5_000_000, Worth: 1, LateWorth: 0.1, Need: 1, Floor: 1}},
+		Limits:  sq.Limits{MaxTries: 4, SecondCopies: true, MayCancel: true}, Rules: sq.Rules{WarmWithin: 14_000_000}}
+	module, err := sq.New(set, 1)
 	if err != nil {
 		b.Fatal(err)
 	}
 	core := New(Terms{Period: 100, Shards: 12, PartsPerCall: 1, AnswerGrace: 100, Classes: set.Classes}, module)
-	fleet := yw.FleetChanged{Kind: yw.FleetFull}
+	fleet := sq.FleetChanged{Kind: sq.FleetFull}
 	for i := range servers {
-		fleet.Servers = append(fleet.Servers, yw.Server{ID: yw.ServerID(fmt.Sprint("s", i)), Cell: i % 12, Health: yw.Ready})
+		fleet.Servers = append(fleet.Servers, sq.Server{ID: sq.ServerID(fmt.Sprint("s", i)), Cell: i % 12, Health: sq.Ready})
 	}
 	core.Fleet(fleet)
 	shards := 12
@@ -555,7 +555,7 @@
 			for _, e := range core.Step(now) {
 				switch e := e.(type) {
 				case Call:
-					core.Ended(now+50, e.Attempts[0].ID, yw.Served, nil, nil)
+					core.Ended(now+50, e.Attempts[0].ID, sq.Served, nil, nil)
 				case Final:
 					ended = true
 				}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -10,8 +10,8 @@
 
 	"github.com/valyala/fastjson"
 
-	yw "yarrowwalk"
-	"yarrowwalk/internal/platform"
+	sq "saffronquay"
+	"saffronquay/internal/platform"
 )
 
 // Node is the whole configuration of one gatherer on the platform.
@@ -20,8 +20,8 @@
 	Operator                string // where operators call; empty: no door
 	Seed                    uint64
 	Sockets, MemoryMB       int
-	Known                   []yw.Server // the list of workers as last held
-	Addresses               map[yw.ServerID]string
+	Known                   []sq.Server // the list of workers as last held
+	Addresses               map[sq.ServerID]string
 	Generation              int64
 	Settings                Settings
 	keys                    []string // of the file and of the objects in it
@@ -113,7 +113,7 @@
 		return Node{}, *r.err
 	}
 	n.keys = keysOf("", r.v.GetObject())
-	n.Addresses = map[yw.ServerID]string{}
+	n.Addresses = map[sq.ServerID]string{}
 	if r.has("known") {
 		list, err := platform.ParseList(r.v.Get("known").MarshalTo(nil))
 		if err != nil {
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	yw "yarrowwalk"
+	sq "saffronquay"
 )
 
 func node(t *testing.T, from, to string) (Node, error) {
@@ -40,7 +40,7 @@
 		len(n.Known) != 1 || n.Known[0].StartedAt != 2000 || n.Addresses["s-5"] != "127.0.0.1:9" || !n.Settings.Module.Limits.MayCancel {
 		t.Errorf("%+v", n)
 	}
-	if _, err := yw.New(n.Settings.Module, n.Seed); err != nil {
+	if _, err := sq.New(n.Settings.Module, n.Seed); err != nil {
 		t.Error(err)
 	}
 }
@@ -93,7 +93,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if _, err := yw.New(o.Settings.Module, o.Seed); err != nil {
+	if _, err := sq.New(o.Settings.Module, o.Seed); err != nil {
 		t.Error(err)
 	}
 	if len(o.Indices) != 2 || len(o.Servers) != 4 || o.Budgets["estudio-lagos"].Window != 10_000_000 || o.VRRP == nil ||
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -10,11 +10,11 @@
 
 	"github.com/valyala/fastjson"
 
-	yw "yarrowwalk"
-	"yarrowwalk/internal/broker"
-	"yarrowwalk/internal/layout"
-	"yarrowwalk/internal/opensearch"
-	"yarrowwalk/internal/vrrp"
+	sq "saffronquay"
+	"saffronquay/internal/broker"
+	"saffronquay/internal/layout"
+	"saffronquay/internal/opensearch"
+	"saffronquay/internal/vrrp"
 )
 
 // Operator is what an operator's file sets up: a gatherer that speaks the search API, away from the platform.
@@ -27,8 +27,8 @@
 	Budgets           map[string]broker.Budget // of attempts, by tenant
 	TenantHeader      string
 	Indices           map[string]opensearch.Index
-	Servers           []yw.Server
-	Addresses         map[yw.ServerID]string
+	Servers           []sq.Server
+	Addresses         map[sq.ServerID]string
 	VRRP              *VRRP    // nil: off
 	Cursors           *Cursors // nil: there are no points in time
 	Layout            *Layout  // nil: settings and indices say where shards are, for good
@@ -119,7 +119,7 @@
 		Operator: r.str("operator", ""), TenantHeader: r.str("tenant_header", "X-Tenant"), Settings: readSettings(r.object("settings")),
 		Sockets: r.object("limits").count("sockets", 1024), MemoryMB: r.object("limits").count("memory_mb", 192),
 		Budgets: map[string]broker.Budget{}, Indices: map[string]opensearch.Index{},
-		Addresses: map[yw.ServerID]string{}}
+		Addresses: map[sq.ServerID]string{}}
 	r.hostPort("listen", o.Listen)
 	r.optionalHostPort("operator", o.Operator)
 	if o.Seed, err = strconv.ParseUint(r.str("seed", "0"), 16, 64); err != nil {
@@ -136,7 +136,7 @@
 		if x.require("id", "address"); !placed {
 			x.require("cell")
 		}
-		id := yw.ServerID(x.str("id", ""))
+		id := sq.ServerID(x.str("id", ""))
 		if _, twice := o.Addresses[id]; twice {
 			x.fault("id", "%q is named twice", id)
 		}
@@ -146,11 +146,11 @@
 		}
 		o.Addresses[id] = x.str("address", "")
 		x.hostPort("address", o.Addresses[id])
-		health := yw.Ready
+		health := sq.Ready
 		if x.boolean("draining") {
-			health = yw.Draining
+			health = sq.Draining
 		}
-		o.Servers = append(o.Servers, yw.Server{ID: id, Zone: x.str("zone", ""), Cell: cell, Health: health})
+		o.Servers = append(o.Servers, sq.Server{ID: id, Zone: x.str("zone", ""), Cell: cell, Health: health})
 	}
 	if placed {
 		o.layout(r.object("layout"))
@@ -164,7 +164,7 @@
 	if r.has("store") {
 		o.Store = readStore(r.object("store"))
 		for _, c := range o.Settings.Module.Classes {
-			if c.Effect == yw.AtMostOnce && o.Store.Keep.Microseconds() < c.HardLimit {
+			if c.Effect == sq.AtMostOnce && o.Store.Keep.Microseconds() < c.HardLimit {
 				r.object("store").fault("keep_ms", "want at least the hard limit of class %q", c.Name)
 			}
 		}
@@ -203,7 +203,7 @@
 	}
 	var err error
 	if o.Layout.Whole, err = layout.ParseDoc(r.v.Get("whole").MarshalTo(nil)); err == nil {
-		_, err = layout.Make(o.Layout.Whole, func(id yw.ServerID) bool { return o.Addresses[id] != "" })
+		_, err = layout.Make(o.Layout.Whole, func(id sq.ServerID) bool { return o.Addresses[id] != "" })
 	}
 	if err != nil {
 		r.fault("whole", "%v", err)
@@ -269,7 +269,7 @@
 	for _, t := range list {
 		t.require("name", "quota_per_s")
 		name := t.str("name", "")
-		o.Settings.Module.Tenants = append(o.Settings.Module.Tenants, yw.Tenant{Name: name, Quota: t.float("quota_per_s", 0)})
+		o.Settings.Module.Tenants = append(o.Settings.Module.Tenants, sq.Tenant{Name: name, Quota: t.float("quota_per_s", 0)})
 		if !t.has("budget") {
 			continue
 		}
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -3,22 +3,22 @@
 import (
 	"fmt"
 
-	yw "yarrowwalk"
+	sq "saffronquay"
 )
 
 // Settings is what one aggregator is told: what the module needs, and what only the program round it needs.
 type Settings struct {
-	Module         yw.Settings
+	Module         sq.Settings
 	MaxOpen        int   // queries and parts held at a time; 0: no bound
 	ConnectTimeout int64 // microseconds, as all times here
 	IdleClose      int64 // an idle connection is closed by the worker's machine at the latest then
 	StreamsPerConn int
 }
 
-var effects = map[string]yw.Effect{"free": yw.Repeatable, "guarded": yw.Deduped, "single_shot": yw.AtMostOnce}
+var effects = map[string]sq.Effect{"free": sq.Repeatable, "guarded": sq.Deduped, "single_shot": sq.AtMostOnce}
 
 // ParseSettings reads the settings object, in the form that the simulator's first message and a gatherer's
-// configuration share. What the figures mean is judged by yarrowwalk.New; form is judged here.
+// configuration share. What the figures mean is judged by saffronquay.New; form is judged here.
 func ParseSettings(text []byte) (Settings, error) {
 	r, err := newReader(text)
 	if err != nil {
@@ -40,18 +40,18 @@
 		StreamsPerConn: perm.count("streams_per_conn", 32),
 	}
 	m := &s.Module
-	*m = yw.Settings{
+	*m = sq.Settings{
 		Self: r.count("me", 0), Aggregators: r.count("balancers", 0), Zone: r.str("zone", ""),
 		Period: r.integer("period_us", 0),
 		Shards: fam.count("shards", 0), Cells: fam.count("positions", 0), Reach: fam.count("reach", 0),
 		CallOverhead: fam.integer("overhead_us", 0), PartsPerCall: fam.count("parts_a_call", 0),
 		AskMembership:  r.str("membership_mode", "") == "ask",
 		OverShareWorth: r.float("over_share_worth", 0),
-		Limits: yw.Limits{MaxTries: perm.count("most_tries", 0), SecondCopies: perm.boolean("second_copies"),
+		Limits: sq.Limits{MaxTries: perm.count("most_tries", 0), SecondCopies: perm.boolean("second_copies"),
 			MayCancel: perm.boolean("may_cancel"), Peers: perm.boolean("peers"),
 			RetryAfter: perm.boolean("retry_after"), MaxRetryAfter: perm.integer("max_retry_after_us", 0)},
-		Prices: yw.Prices{CrossZone: r.object("prices").float("cross_zone", 0)},
-		Rules: yw.Rules{AnswerGrace: rules.integer("grace_to_answer_us", 0),
+		Prices: sq.Prices{CrossZone: r.object("prices").float("cross_zone", 0)},
+		Rules: sq.Rules{AnswerGrace: rules.integer("grace_to_answer_us", 0),
 			DrainGrace: rules.integer("stop_sending_within_us", 0), ColdShare: rules.float("cold_share", 0),
 			WarmWithin: rules.integer("warm_within_us", 0), FallMultiple: rules.float("fall_multiple", 0),
 			FallWindow: rules.integer("fall_us", 0), AskWithin: rules.integer("ask_within_us", 0),
@@ -61,7 +61,7 @@
 		m.Rules.Budgeted, m.Rules.ExtraRatio = true, rules.float("extra_ratio", 0)
 	}
 	for _, p := range r.array("parties") {
-		m.Tenants = append(m.Tenants, yw.Tenant{Name: p.str("name", ""), Quota: p.float("quota_per_s", 0)})
+		m.Tenants = append(m.Tenants, sq.Tenant{Name: p.str("name", ""), Quota: p.float("quota_per_s", 0)})
 	}
 	if !r.has("family_info") {
 		return s
@@ -73,7 +73,7 @@
 		if !ok {
 			c.fault("effect", "unknown effect %q of class %q", c.str("effect", ""), c.str("name", ""))
 		}
-		m.Classes = append(m.Classes, yw.Class{Name: c.str("name", ""), Aim: c.integer("aim_us", 0),
+		m.Classes = append(m.Classes, sq.Class{Name: c.str("name", ""), Aim: c.integer("aim_us", 0),
 			AimStretch: c.float("aim_stretch", 0), HardLimit: c.integer("hard_limit_us", 0),
 			Worth: c.float("worth", 0), LateWorth: c.float("late_worth", 0), Effect: effect,
 			RepeatWindow: c.integer("repeat_window_us", 0), Need: whole[i], Floor: floor[i],
--- a/internal/layout/judge.go
+++ b/internal/layout/judge.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"slices"
 
-	yw "yarrowwalk"
+	sq "saffronquay"
 )
 
 // What is wrong with a layout or a step; each error that Make, Step and Keeper return wraps one.
@@ -37,7 +37,7 @@
 // judge collects faults of one document or step.
 type judge struct {
 	epoch  int64
-	known  func(yw.ServerID) bool
+	known  func(sq.ServerID) bool
 	faults []error
 }
 
@@ -49,7 +49,7 @@
 
 // Make judges a document and makes a layout of it, or names all that is wrong. known tells which servers are in the list;
 // nil: all are.
-func Make(d Doc, known func(yw.ServerID) bool) (*Layout, error) {
+func Make(d Doc, known func(sq.ServerID) bool) (*Layout, error) {
 	j := &judge{epoch: d.Epoch, known: known}
 	if d.History == "" {
 		j.fault(ErrInvalid, "", "history: missing")
--- a/internal/layout/keeper.go
+++ b/internal/layout/keeper.go
@@ -7,7 +7,7 @@
 	"io"
 	"slices"
 
-	yw "yarrowwalk"
+	sq "saffronquay"
 )
 
 // Update is a layout that has come in force, and the shards that it changes.
@@ -26,7 +26,7 @@
 // one owner; its times are the caller's.
 type Keeper struct {
 	now      *Layout
-	known    map[yw.ServerID]bool
+	known    map[sq.ServerID]bool
 	since    map[string]heard
 	reported map[string]State
 }
@@ -41,13 +41,13 @@
 
 // Servers sets the list of those who may hold ranges, or says which range in force it would leave with a holder that is not
 // listed; then nothing changes.
-func (k *Keeper) Servers(ids []yw.ServerID) error {
-	known := make(map[yw.ServerID]bool, len(ids))
+func (k *Keeper) Servers(ids []sq.ServerID) error {
+	known := make(map[sq.ServerID]bool, len(ids))
 	for _, id := range ids {
 		known[id] = true
 	}
 	if k.now != nil {
-		if _, err := Make(k.now.doc, func(id yw.ServerID) bool { return known[id] }); err != nil {
+		if _, err := Make(k.now.doc, func(id sq.ServerID) bool { return known[id] }); err != nil {
 			return err
 		}
 	}
@@ -55,7 +55,7 @@
 	return nil
 }
 
-func (k *Keeper) listed(id yw.ServerID) bool { return k.known == nil || k.known[id] }
+func (k *Keeper) listed(id sq.ServerID) bool { return k.known == nil || k.known[id] }
 
 // Whole takes a whole layout in, or says why not; what is in force then stays. One that is in force already is no error and
 // no update. Epochs may be skipped: what lies between is not needed.
--- a/internal/layout/layout.go
+++ b/internal/layout/layout.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"slices"
 
-	yw "yarrowwalk"
+	sq "saffronquay"
 )
 
 // Span is a run of keys, From up to but without To.
@@ -26,7 +26,7 @@
 type Range struct {
 	Span
 	Shard   int           `json:"shard"`
-	Holders []yw.ServerID `json:"holders"`
+	Holders []sq.ServerID `json:"holders"`
 }
 
 func (r Range) equal(o Range) bool {
@@ -126,7 +126,7 @@
 
 // Of lists the servers that hold a shard: those in force, or those of an old side that is not yet retired. It is what the
 // decision module asks. The caller must not change the list.
-func (l *Layout) Of(shard int) []yw.ServerID {
+func (l *Layout) Of(shard int) []sq.ServerID {
 	if i, ok := l.at[shard]; ok {
 		return l.doc.Ranges[i].Holders
 	}
@@ -141,7 +141,7 @@
 
 // Answers tells whether what a server gives for a span of a shard counts now: it holds it, or it is an old side that is
 // not yet retired. Guards against a holder that has missed its own loss.
-func (l *Layout) Answers(server yw.ServerID, shard int, span Span) bool {
+func (l *Layout) Answers(server sq.ServerID, shard int, span Span) bool {
 	holds := func(r *Range) bool {
 		return span.From >= r.From && span.To <= r.To && slices.Contains(r.Holders, server)
 	}
--- a/internal/layout/layout_test.go
+++ b/internal/layout/layout_test.go
@@ -11,14 +11,14 @@
 
 	"pgregory.net/rapid"
 
-	yw "yarrowwalk"
+	sq "saffronquay"
 )
 
-var servers = []yw.ServerID{"a", "b", "c", "d"}
+var servers = []sq.ServerID{"a", "b", "c", "d"}
 
-func known(id yw.ServerID) bool { return slices.Contains(servers, id) }
+func known(id sq.ServerID) bool { return slices.Contains(servers, id) }
 
-func rng(from, to int64, shard int, holders ...yw.ServerID) Range {
+func rng(from, to int64, shard int, holders ...sq.ServerID) Range {
 	return Range{Span{from, to}, shard, holders}
 }
 
@@ -37,8 +37,8 @@
 		{"overlap", func(d *Doc) { d.Ranges[1].From = 90 }, []string{"range 90-200", "overlaps 0-100"}},
 		{"inside out", func(d *Doc) { d.Ranges[1].To = 100 }, []string{"nothing lies in it"}},
 		{"no holder", func(d *Doc) { d.Ranges[2].Holders = nil }, []string{"range 200-300", "left with no holder"}},
-		{"unlisted", func(d *Doc) { d.Ranges[2].Holders = []yw.ServerID{"z"} }, []string{"range 200-300", `"z" is not in the list`}},
-		{"twice held", func(d *Doc) { d.Ranges[2].Holders = []yw.ServerID{"c", "c"} }, []string{"named twice"}},
+		{"unlisted", func(d *Doc) { d.Ranges[2].Holders = []sq.ServerID{"z"} }, []string{"range 200-300", `"z" is not in the list`}},
+		{"twice held", func(d *Doc) { d.Ranges[2].Holders = []sq.ServerID{"c", "c"} }, []string{"named twice"}},
 		{"one shard twice", func(d *Doc) { d.Ranges[2].Shard = 3 }, []string{"shard 3"}},
 		{"epoch", func(d *Doc) { d.Epoch = 0 }, []string{"epoch: want 1"}},
 		{"history", func(d *Doc) { d.History = "" }, []string{"history: missing"}},
@@ -151,11 +151,11 @@
 	}{
 		{"an older epoch", func(d *Doc) { d.Epoch = 4 }, ErrEpoch},
 		{"another history", func(d *Doc) { d.History, d.Epoch = "g", 50 }, ErrHistory},
-		{"another text of the same epoch", func(d *Doc) { d.Ranges[0].Holders = []yw.ServerID{"d"} }, ErrHistory},
+		{"another text of the same epoch", func(d *Doc) { d.Ranges[0].Holders = []sq.ServerID{"d"} }, ErrHistory},
 		{"a shard with another span", func(d *Doc) { d.Epoch, d.Ranges[0].To, d.Ranges[1].From = 9, 50, 50 }, ErrHistory},
 		{"a shard id that was retired", func(d *Doc) { d.Epoch, d.Ranges[0].Shard = 9, 7 }, ErrHistory},
 		{"less than is in force", func(d *Doc) { d.Epoch, d.Ranges = 9, d.Ranges[:2] }, ErrInvalid},
-		{"an unlisted holder", func(d *Doc) { d.Epoch, d.Ranges[0].Holders = 9, []yw.ServerID{"z"} }, ErrInvalid},
+		{"an unlisted holder", func(d *Doc) { d.Epoch, d.Ranges[0].Holders = 9, []sq.ServerID{"z"} }, ErrInvalid},
 	} {
 		d := doc()
 		c.spoil(&d)
@@ -163,7 +163,7 @@
 			t.Errorf("%s: %v %v", c.name, u, err)
 		}
 	}
-	if err := k.Servers([]yw.ServerID{"a", "b"}); err == nil || !strings.Contains(err.Error(), "range 200-300") {
+	if err := k.Servers([]sq.ServerID{"a", "b"}); err == nil || !strings.Contains(err.Error(), "range 200-300") {
 		t.Errorf("servers that leave a range without a listed holder: %v", err)
 	}
 	u, err := k.Step(split(6, "x", 0, rng(0, 50, 9, "a"), rng(50, 100, 10, "d")), 1_000)
@@ -223,7 +223,7 @@
 	at := rapid.IntRange(0, len(d.Ranges)-1).Draw(t, "range")
 	r := d.Ranges[at]
 	s.From = []int{r.Shard}
-	holder := func() yw.ServerID { return rapid.SampledFrom(append(servers, "z")).Draw(t, "holder") }
+	holder := func() sq.ServerID { return rapid.SampledFrom(append(servers, "z")).Draw(t, "holder") }
 	switch s.Kind = rapid.SampledFrom([]Kind{Split, Merge, Move}).Draw(t, "kind"); s.Kind {
 	case Move:
 		s.To = []Range{rng(r.From, r.To, r.Shard, holder())}
@@ -366,7 +366,7 @@
 		for i := range rapid.IntRange(0, 4).Draw(t, "ranges") {
 			r := rng(at, at+rapid.Int64Range(1, 9).Draw(t, "width"), i)
 			for range rapid.SampledFrom([]int{1, 1, 1, 2, 0}).Draw(t, "holders") {
-				r.Holders = append(r.Holders, rapid.SampledFrom([]yw.ServerID{"a", "b", "c", "d", "a", "b", "c", "d", "z"}).Draw(t, "holder"))
+				r.Holders = append(r.Holders, rapid.SampledFrom([]sq.ServerID{"a", "b", "c", "d", "a", "b", "c", "d", "z"}).Draw(t, "holder"))
 			}
 			if rapid.IntRange(0, 19).Draw(t, "spoil") == 0 {
 				r.From += rapid.Int64Range(-3, 3).Draw(t, "by")
@@ -421,9 +421,9 @@
 func big(n int) *Layout {
 	d := Doc{History: "h", Epoch: 1}
 	for i := range n {
-		var hs []yw.ServerID
+		var hs []sq.ServerID
 		for j := range 3 {
-			hs = append(hs, yw.ServerID(fmt.Sprint("s", (i+j)%1000)))
+			hs = append(hs, sq.ServerID(fmt.Sprint("s", (i+j)%1000)))
 		}
 		d.Ranges = append(d.Ranges, rng(int64(i)*100, int64(i+1)*100, i, hs...))
 	}
--- a/internal/layout/measure_test.go
+++ b/internal/layout/measure_test.go
@@ -10,9 +10,9 @@
 	"testing"
 	"time"
 
-	yw "yarrowwalk"
-	"yarrowwalk/internal/layout"
-	"yarrowwalk/internal/standin"
+	sq "saffronquay"
+	"saffronquay/internal/layout"
+	"saffronquay/internal/standin"
 )
 
 // TestMeasure takes the figures of docs/LAYOUT.md; it judges nothing. SAFFRONQUAY_MEASURE=1 runs it.
@@ -99,7 +99,7 @@
 	for _, when := range []string{"before", "after"} {
 		if when == "after" {
 			var to []layout.Range
-			for i, hs := range [][]yw.ServerID{{"s00", "s01"}, {"s02", "s03"}, {"s04", "s05"}, {"s03", "s04"}} {
+			for i, hs := range [][]sq.ServerID{{"s00", "s01"}, {"s02", "s03"}, {"s04", "s05"}, {"s03", "s04"}} {
 				to = append(to, layout.Range{Span: layout.Span{From: int64(25 * i), To: int64(25 * (i + 1))}, Shard: 6 + i, Holders: hs})
 			}
 			step := layout.Step{Change: "hot", Do: layout.Announce, Kind: layout.Split, From: []int{0}, To: to}
@@ -113,7 +113,7 @@
 			}
 			g.at(c.Directory.Now().Epoch())
 		}
-		busy := map[yw.ServerID]time.Duration{}
+		busy := map[sq.ServerID]time.Duration{}
 		for _, s := range c.Servers {
 			_, busy[s.ID()] = s.Worked()
 		}
--- a/internal/layout/program_test.go
+++ b/internal/layout/program_test.go
@@ -20,9 +20,9 @@
 	"testing"
 	"time"
 
-	yw "yarrowwalk"
-	"yarrowwalk/internal/layout"
-	"yarrowwalk/internal/standin"
+	sq "saffronquay"
+	"saffronquay/internal/layout"
+	"saffronquay/internal/standin"
 )
 
 const patience = 20 * time.Second // for what has to happen; no verdict hangs on how soon it does
@@ -43,7 +43,7 @@
 	if raced {
 		build = append(build, "-race")
 	}
-	if out, err := exec.Command("go", append(build, "yarrowwalk/cmd/saffronquay")...).CombinedOutput(); err != nil {
+	if out, err := exec.Command("go", append(build, "saffronquay/cmd/saffronquay")...).CombinedOutput(); err != nil {
 		return "", fmt.Errorf("%w: %s", err, out)
 	}
 	return path, nil
@@ -80,9 +80,9 @@
 func newCluster(t *testing.T, servers, ranges, reach int, keys int64, cfg standin.ServerConfig) *standin.Cluster {
 	t.Helper()
 	doc := layout.Doc{History: "h1", Epoch: 1}
-	var ids []yw.ServerID
+	var ids []sq.ServerID
 	for i := range servers {
-		ids = append(ids, yw.ServerID(fmt.Sprintf("s%02d", i)))
+		ids = append(ids, sq.ServerID(fmt.Sprintf("s%02d", i)))
 	}
 	for i := range ranges {
 		r := layout.Range{Shard: i, Span: layout.Span{From: keys * int64(i) / int64(ranges), To: keys * int64(i+1) / int64(ranges)}}
@@ -107,7 +107,7 @@
 }
 
 // config is an operator's file for a cluster; without a directory the file alone tells.
-func config(t *testing.T, c *standin.Cluster, whole layout.Doc, directory string, draining ...yw.ServerID) []byte {
+func config(t *testing.T, c *standin.Cluster, whole layout.Doc, directory string, draining ...sq.ServerID) []byte {
 	t.Helper()
 	var servers []any
 	for _, s := range c.Servers {
--- a/internal/layout/proof_test.go
+++ b/internal/layout/proof_test.go
@@ -10,8 +10,8 @@
 	"testing"
 	"time"
 
-	"yarrowwalk/internal/layout"
-	"yarrowwalk/internal/standin"
+	"saffronquay/internal/layout"
+	"saffronquay/internal/standin"
 )
 
 // tally counts what queries came to.
--- a/internal/layout/scenes_test.go
+++ b/internal/layout/scenes_test.go
@@ -11,9 +11,9 @@
 	"testing"
 	"time"
 
-	yw "yarrowwalk"
-	"yarrowwalk/internal/layout"
-	"yarrowwalk/internal/standin"
+	sq "saffronquay"
+	"saffronquay/internal/layout"
+	"saffronquay/internal/standin"
 )
 
 // scene is a small cluster (servers s00 to s04, ranges of 100 keys, one holder each) and gatherers that follow it.
@@ -33,8 +33,8 @@
 
 func keys(from, to int64) []layout.Span { return []layout.Span{{From: from, To: to}} }
 
-func part(from, to int64, shard int, holder yw.ServerID) layout.Range {
-	return layout.Range{Span: layout.Span{From: from, To: to}, Shard: shard, Holders: []yw.ServerID{holder}}
+func part(from, to int64, shard int, holder sq.ServerID) layout.Range {
+	return layout.Range{Span: layout.Span{From: from, To: to}, Shard: shard, Holders: []sq.ServerID{holder}}
 }
 
 // do takes steps, each written "CHANGE DEED".
@@ -298,7 +298,7 @@
 		g.mu.Unlock()
 		g.agent.Set(c.ill, 0)
 		change := fmt.Sprint("x", i)
-		s.announce(change, layout.Move, []int{0}, part(0, 100, 0, []yw.ServerID{"s04", "s00"}[i%2]))
+		s.announce(change, layout.Move, []int{0}, part(0, 100, 0, []sq.ServerID{"s04", "s00"}[i%2]))
 		s.do(change+" copy", change+" ready", change+" cutover", change+" retire")
 		if c.says != "" {
 			g.says(before, "event=layout_kept", c.says)
@@ -386,7 +386,7 @@
 	s.right("moved")
 	other := moved
 	other.Ranges = slices.Clone(moved.Ranges)
-	other.Ranges[3].Holders = []yw.ServerID{"s00"}
+	other.Ranges[3].Holders = []sq.ServerID{"s00"}
 	gap := moved
 	gap.Epoch, gap.Ranges = 90, moved.Ranges[1:]
 	for _, bad := range []struct {
--- a/internal/layout/search_test.go
+++ b/internal/layout/search_test.go
@@ -14,9 +14,9 @@
 
 	"github.com/valyala/fastjson"
 
-	yw "yarrowwalk"
-	"yarrowwalk/internal/layout"
-	"yarrowwalk/internal/standin"
+	sq "saffronquay"
+	"saffronquay/internal/layout"
+	"saffronquay/internal/standin"
 )
 
 func (g *gatherer) post(path, body string) (int, http.Header, string) {
@@ -125,8 +125,8 @@
 	}
 	between := []func(){write,
 		func() {
-			s.announce("x", layout.Split, []int{0}, layout.Range{Span: layout.Span{From: 0, To: 30}, Shard: 4, Holders: []yw.ServerID{"s03"}},
-				layout.Range{Span: layout.Span{From: 30, To: 100}, Shard: 5, Holders: []yw.ServerID{"s04", "s02"}})
+			s.announce("x", layout.Split, []int{0}, layout.Range{Span: layout.Span{From: 0, To: 30}, Shard: 4, Holders: []sq.ServerID{"s03"}},
+				layout.Range{Span: layout.Span{From: 30, To: 100}, Shard: 5, Holders: []sq.ServerID{"s04", "s02"}})
 			s.do("x copy", "x ready", "x cutover")
 			g.signal(syscall.SIGHUP) // cursors stay
 			g.says(0, "event=reload classes=")
@@ -138,7 +138,7 @@
 			g.run()
 		},
 		func() {
-			s.announce("m", layout.Move, []int{3}, layout.Range{Span: layout.Span{From: 300, To: 400}, Shard: 3, Holders: []yw.ServerID{"s02", "s00"}})
+			s.announce("m", layout.Move, []int{3}, layout.Range{Span: layout.Span{From: 300, To: 400}, Shard: 3, Holders: []sq.ServerID{"s02", "s00"}})
 			s.do("m copy", "m ready", "m cutover", "m retire")
 		}, write}
 	var got []string
--- a/internal/layout/step.go
+++ b/internal/layout/step.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"slices"
 
-	yw "yarrowwalk"
+	sq "saffronquay"
 )
 
 // Deed is what a step does with a change.
@@ -36,7 +36,7 @@
 
 // Step makes the layout that follows by one step, or says what is wrong with it; l stays as it is. It costs O(n) for n
 // ranges where the step changes what is in force, else O(changes).
-func (l *Layout) Step(s Step, known func(yw.ServerID) bool) (*Layout, error) {
+func (l *Layout) Step(s Step, known func(sq.ServerID) bool) (*Layout, error) {
 	j := &judge{epoch: s.Epoch, known: known}
 	switch {
 	case s.History != l.doc.History:
--- a/internal/loopback/opensearch_test.go
+++ b/internal/loopback/opensearch_test.go
@@ -11,7 +11,7 @@
 	"strings"
 	"testing"
 
-	"yarrowwalk/internal/http1"
+	"saffronquay/internal/http1"
 )
 
 type openSearchDialect struct{}
--- a/internal/loopback/platform_test.go
+++ b/internal/loopback/platform_test.go
@@ -14,7 +14,7 @@
 	"sync/atomic"
 	"testing"
 
-	"yarrowwalk/internal/http1"
+	"saffronquay/internal/http1"
 )
 
 type platformDialect struct{}
--- a/internal/loopback/scenario_test.go
+++ b/internal/loopback/scenario_test.go
@@ -55,8 +55,8 @@
 	"testing"
 	"time"
 
-	"yarrowwalk/internal/handover"
-	"yarrowwalk/internal/http1"
+	"saffronquay/internal/handover"
+	"saffronquay/internal/http1"
 )
 
 const patience = 20 * time.Second // for what has to happen; no verdict hangs on how soon it does
@@ -68,7 +68,7 @@
 	if err == nil {
 		program = filepath.Join(dir, "saffronquay")
 		var out []byte
-		if out, err = exec.Command("go", "build", "-o", program, "yarrowwalk/cmd/saffronquay").CombinedOutput(); err != nil {
+		if out, err = exec.Command("go", "build", "-o", program, "saffronquay/cmd/saffronquay").CombinedOutput(); err != nil {
 			err = fmt.Errorf("%w: %s", err, out)
 		}
 	}
--- a/internal/merge/agg_test.go
+++ b/internal/merge/agg_test.go
@@ -14,8 +14,8 @@
 	"github.com/valyala/fastjson"
 	"pgregory.net/rapid"
 
-	"yarrowwalk/internal/layout"
-	"yarrowwalk/internal/standin"
+	"saffronquay/internal/layout"
+	"saffronquay/internal/standin"
 )
 
 // clauses are aggregations of every kind; what they ask is compared with one store.
--- a/internal/merge/binary.go
+++ b/internal/merge/binary.go
@@ -6,7 +6,7 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"yarrowwalk/internal/merge/partial"
+	"saffronquay/internal/merge/partial"
 )
 
 // BinaryType is the media type of the binary form, of the version that is read here.
--- a/internal/merge/proof_test.go
+++ b/internal/merge/proof_test.go
@@ -13,8 +13,8 @@
 
 	"github.com/valyala/fastjson"
 
-	"yarrowwalk/internal/layout"
-	"yarrowwalk/internal/standin"
+	"saffronquay/internal/layout"
+	"saffronquay/internal/standin"
 )
 
 // store is random rows, in order of the key, and a way to split them.
--- a/internal/once/kill_test.go
+++ b/internal/once/kill_test.go
@@ -13,8 +13,8 @@
 	"testing"
 	"time"
 
-	"yarrowwalk/internal/layout"
-	"yarrowwalk/internal/standin"
+	"saffronquay/internal/layout"
+	"saffronquay/internal/standin"
 )
 
 // Two of five gatherers are killed at once, again and again, while 2,000 filings go through them with clients that retry. Nothing runs
--- a/internal/once/model_test.go
+++ b/internal/once/model_test.go
@@ -10,11 +10,11 @@
 
 	"pgregory.net/rapid"
 
-	yw "yarrowwalk"
-	"yarrowwalk/internal/broker"
-	"yarrowwalk/internal/once"
-	"yarrowwalk/internal/store"
-	"yarrowwalk/internal/store/simdisk"
+	sq "saffronquay"
+	"saffronquay/internal/broker"
+	"saffronquay/internal/once"
+	"saffronquay/internal/store"
+	"saffronquay/internal/store/simdisk"
 )
 
 const (
@@ -29,8 +29,8 @@
 	store   *store.Store
 	ledger  *once.Ledger
 	core    *broker.Core
-	entries map[yw.ID]*once.Entry
-	whose   map[yw.ID]int
+	entries map[sq.ID]*once.Entry
+	whose   map[sq.ID]int
 	words   []func()                            // from the store, yet to be told to the core
 	calls   map[broker.AttemptID]broker.Attempt // that servers have
 	effects []broker.Effect
@@ -60,17 +60,17 @@
 	if err != nil {
 		w.t.Fatalf("start: %v", err)
 	}
-	class := yw.Class{Name: "once", Aim: 50 * ms, HardLimit: limit, Worth: 1, LateWorth: 0.1, Need: 1, Floor: 1, Effect: yw.AtMostOnce}
-	settings := yw.Settings{Aggregators: 1, Zone: "a", Period: ms, Classes: []yw.Class{class}, Shards: 2, Cells: 2, Reach: 2, PartsPerCall: 1,
-		Limits: yw.Limits{MaxTries: 4, SecondCopies: true, MayCancel: true, RetryAfter: true, MaxRetryAfter: 100 * ms}}
-	m, err := yw.New(settings, 1)
+	class := sq.Class{Name: "once", Aim: 50 * ms, HardLimit: limit, Worth: 1, LateWorth: 0.1, Need: 1, Floor: 1, Effect: sq.AtMostOnce}
+	settings := sq.Settings{Aggregators: 1, Zone: "a", Period: ms, Classes: []sq.Class{class}, Shards: 2, Cells: 2, Reach: 2, PartsPerCall: 1,
+		Limits: sq.Limits{MaxTries: 4, SecondCopies: true, MayCancel: true, RetryAfter: true, MaxRetryAfter: 100 * ms}}
+	m, err := sq.New(settings, 1)
 	if err != nil {
 		w.t.Fatal(err)
 	}
 	core := broker.New(broker.Terms{Period: ms, Shards: 2, PartsPerCall: 1, RetryAfter: true, MaxRetryAfter: 100 * ms, AnswerGrace: ms, Classes: settings.Classes}, m)
-	core.Fleet(yw.FleetChanged{Kind: yw.FleetFull, Servers: []yw.Server{{ID: "s0", Zone: "a", Cell: 0, Health: yw.Ready}, {ID: "s1", Zone: "a", Cell: 1, Health: yw.Ready}}})
-	return &life{w: w, store: s, ledger: once.New(w.log(s), once.Config{Keep: keep, MaxBody: 100}), core: core, entries: map[yw.ID]*once.Entry{},
-		whose: map[yw.ID]int{}, calls: map[broker.AttemptID]broker.Attempt{}}
+	core.Fleet(sq.FleetChanged{Kind: sq.FleetFull, Servers: []sq.Server{{ID: "s0", Zone: "a", Cell: 0, Health: sq.Ready}, {ID: "s1", Zone: "a", Cell: 1, Health: sq.Ready}}})
+	return &life{w: w, store: s, ledger: once.New(w.log(s), once.Config{Keep: keep, MaxBody: 100}), core: core, entries: map[sq.ID]*once.Entry{},
+		whose: map[sq.ID]int{}, calls: map[broker.AttemptID]broker.Attempt{}}
 }
 
 // file has a client send its filing, the first time or again.
@@ -191,11 +191,11 @@
 			for _, id := range slices.Sorted(maps.Keys(p.calls)) {
 				a := p.calls[id]
 				delete(p.calls, id)
-				o := rapid.SampledFrom([]yw.Outcome{yw.Served, yw.Served, yw.Served, yw.Errored, yw.Broken, yw.Rejected, yw.Unreachable}).Draw(t, "outcome")
-				if ran := w.ran[fmt.Sprintf("%s#%d", a.Label, a.Shard)] > 0; ran && (o == yw.Rejected || o == yw.Unreachable) {
-					o = yw.Broken
-				} else if !ran && o == yw.Served {
-					o = yw.Rejected
+				o := rapid.SampledFrom([]sq.Outcome{sq.Served, sq.Served, sq.Served, sq.Errored, sq.Broken, sq.Rejected, sq.Unreachable}).Draw(t, "outcome")
+				if ran := w.ran[fmt.Sprintf("%s#%d", a.Label, a.Shard)] > 0; ran && (o == sq.Rejected || o == sq.Unreachable) {
+					o = sq.Broken
+				} else if !ran && o == sq.Served {
+					o = sq.Rejected
 				}
 				p.core.Ended(w.clock.Load(), id, o, []byte("v"), nil)
 				p.step(chance)
--- a/internal/once/once.go
+++ b/internal/once/once.go
@@ -8,9 +8,9 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"yarrowwalk/internal/broker"
-	"yarrowwalk/internal/store"
-	"yarrowwalk/internal/store/form"
+	"saffronquay/internal/broker"
+	"saffronquay/internal/store"
+	"saffronquay/internal/store/form"
 )
 
 // Config bounds a ledger. Times are microseconds.
--- a/internal/once/once_test.go
+++ b/internal/once/once_test.go
@@ -5,10 +5,10 @@
 	"strings"
 	"testing"
 
-	"yarrowwalk/internal/broker"
-	"yarrowwalk/internal/once"
-	"yarrowwalk/internal/store"
-	"yarrowwalk/internal/store/simdisk"
+	"saffronquay/internal/broker"
+	"saffronquay/internal/once"
+	"saffronquay/internal/store"
+	"saffronquay/internal/store/simdisk"
 )
 
 // faulty is a log whose health and losses the test sets.
--- a/internal/once/program_test.go
+++ b/internal/once/program_test.go
@@ -17,9 +17,9 @@
 	"testing"
 	"time"
 
-	yw "yarrowwalk"
-	"yarrowwalk/internal/layout"
-	"yarrowwalk/internal/standin"
+	sq "saffronquay"
+	"saffronquay/internal/layout"
+	"saffronquay/internal/standin"
 )
 
 const patience = 20 * time.Second // for what has to happen; no verdict hangs on how soon it does
@@ -30,7 +30,7 @@
 		return "", err
 	}
 	path := filepath.Join(dir, "saffronquay")
-	if out, err := exec.Command("go", "build", "-o", path, "yarrowwalk/cmd/saffronquay").CombinedOutput(); err != nil {
+	if out, err := exec.Command("go", "build", "-o", path, "saffronquay/cmd/saffronquay").CombinedOutput(); err != nil {
 		return "", fmt.Errorf("%w: %s", err, out)
 	}
 	return path, nil
@@ -66,10 +66,10 @@
 func newCluster(t *testing.T, work time.Duration) *standin.Cluster {
 	t.Helper()
 	doc := layout.Doc{History: "h", Epoch: 1}
-	ids := []yw.ServerID{"s0", "s1", "s2", "s3"}
+	ids := []sq.ServerID{"s0", "s1", "s2", "s3"}
 	for i := range 8 {
 		doc.Ranges = append(doc.Ranges, layout.Range{Shard: i, Span: layout.Span{From: int64(i) * 10, To: int64(i+1) * 10},
-			Holders: []yw.ServerID{ids[i%4], ids[(i+1)%4]}})
+			Holders: []sq.ServerID{ids[i%4], ids[(i+1)%4]}})
 	}
 	var rows []standin.Row
 	for k := range int64(80) {
--- a/internal/opensearch/front.go
+++ b/internal/opensearch/front.go
@@ -13,10 +13,10 @@
 	"strconv"
 	"strings"
 
-	"yarrowwalk/internal/broker"
-	"yarrowwalk/internal/cursor"
-	"yarrowwalk/internal/http1"
-	"yarrowwalk/internal/layout"
+	"saffronquay/internal/broker"
+	"saffronquay/internal/cursor"
+	"saffronquay/internal/http1"
+	"saffronquay/internal/layout"
 )
 
 // Index is one index that may be searched.
--- a/internal/opensearch/msearch.go
+++ b/internal/opensearch/msearch.go
@@ -9,7 +9,7 @@
 
 	"github.com/valyala/fastjson"
 
-	"yarrowwalk/internal/http1"
+	"saffronquay/internal/http1"
 )
 
 // maxSearches bounds a multi-search.
--- a/internal/opensearch/once.go
+++ b/internal/opensearch/once.go
@@ -9,9 +9,9 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"yarrowwalk/internal/broker"
-	"yarrowwalk/internal/http1"
-	"yarrowwalk/internal/once"
+	"saffronquay/internal/broker"
+	"saffronquay/internal/http1"
+	"saffronquay/internal/once"
 )
 
 // Once is what the front needs for queries that must not run twice.
--- a/internal/opensearch/opensearch_test.go
+++ b/internal/opensearch/opensearch_test.go
@@ -6,10 +6,10 @@
 	"strings"
 	"testing"
 
-	yw "yarrowwalk"
-	"yarrowwalk/internal/broker"
-	"yarrowwalk/internal/http1"
-	"yarrowwalk/internal/merge"
+	sq "saffronquay"
+	"saffronquay/internal/broker"
+	"saffronquay/internal/http1"
+	"saffronquay/internal/merge"
 )
 
 var front = Front{TenantHeader: "X-Tenant", Tenants: map[string]bool{"desk": true}, Longest: map[string]int64{"c": 5_000_000},
@@ -156,7 +156,7 @@
 	body := fmt.Appendf(nil, `{"took":1,"timed_out":false,"_shards":{"total":1,"successful":1,"failed":0},"hits":{"total":{"value":%d,"relation":"eq"},"hits":[%s]}}`,
 		total, strings.Join(hits, ","))
 	o, part := judge(&http1.Message{Status: 200, Body: body}, ask.Plan.(*merge.Plan))
-	if o != yw.Served {
+	if o != sq.Served {
 		t.Fatalf("%s: %d", body, o)
 	}
 	return broker.Value{Shard: shard, Part: part}
--- a/internal/opensearch/pit.go
+++ b/internal/opensearch/pit.go
@@ -10,8 +10,8 @@
 
 	"github.com/valyala/fastjson"
 
-	"yarrowwalk/internal/cursor"
-	"yarrowwalk/internal/http1"
+	"saffronquay/internal/cursor"
+	"saffronquay/internal/http1"
 )
 
 const pitPath = "/_search/point_in_time"
--- a/internal/opensearch/ranges.go
+++ b/internal/opensearch/ranges.go
@@ -5,7 +5,7 @@
 	"math"
 	"slices"
 
-	"yarrowwalk/internal/layout"
+	"saffronquay/internal/layout"
 )
 
 // Span is a run of whole numbers, From up to but without To.
--- a/internal/opensearch/respond.go
+++ b/internal/opensearch/respond.go
@@ -6,9 +6,9 @@
 	"fmt"
 	"strconv"
 
-	"yarrowwalk/internal/broker"
-	"yarrowwalk/internal/http1"
-	"yarrowwalk/internal/merge"
+	"saffronquay/internal/broker"
+	"saffronquay/internal/http1"
+	"saffronquay/internal/merge"
 )
 
 // respond makes the answer of what the parts gave.
--- a/internal/opensearch/search.go
+++ b/internal/opensearch/search.go
@@ -10,7 +10,7 @@
 
 	"github.com/valyala/fastjson"
 
-	"yarrowwalk/internal/merge"
+	"saffronquay/internal/merge"
 )
 
 // fault is a search that is refused before the broker hears of it.
--- a/internal/opensearch/servers.go
+++ b/internal/opensearch/servers.go
@@ -9,11 +9,11 @@
 
 	"github.com/valyala/fastjson"
 
-	yw "yarrowwalk"
-	"yarrowwalk/internal/broker"
-	"yarrowwalk/internal/http1"
-	"yarrowwalk/internal/layout"
-	"yarrowwalk/internal/merge"
+	sq "saffronquay"
+	"saffronquay/internal/broker"
+	"saffronquay/internal/http1"
+	"saffronquay/internal/layout"
+	"saffronquay/internal/merge"
 )
 
 // maxAnswer bounds a server's answer.
@@ -115,7 +115,7 @@
 func reading(r broker.Reply, m *http1.Message, plan *merge.Plan, place layout.Place) broker.Reply {
 	r.Read = nil
 	if r.Outcome, r.Part = judge(m, plan); place.Epoch > 0 {
-		if r.Outcome = placedAt(place, m, r.Outcome); r.Outcome != yw.Served {
+		if r.Outcome = placedAt(place, m, r.Outcome); r.Outcome != sq.Served {
 			r.Part = nil
 		}
 	}
@@ -128,23 +128,23 @@
 // placedAt judges an answer to a part that asked for a place. Guards against a server that has lost it or never held it: a 421
 // proves that nothing ran, and says by its epoch which side is late; any other answer counts only where it names the same
 // shard and span again.
-func placedAt(place layout.Place, m *http1.Message, o yw.Outcome) yw.Outcome {
+func placedAt(place layout.Place, m *http1.Message, o sq.Outcome) sq.Outcome {
 	if m.Status == misdirected {
 		epoch, err := strconv.ParseInt(m.Header.Get(layout.EpochField), 10, 64)
 		switch {
 		case err != nil:
-			return yw.Errored
+			return sq.Errored
 		case epoch > place.Epoch:
-			return yw.Misplaced
+			return sq.Misplaced
 		}
-		return yw.Rejected
+		return sq.Rejected
 	}
-	if o != yw.Served {
+	if o != sq.Served {
 		return o
 	}
 	in, err := layout.ParsePlace(m.Header.Get(layout.PlaceField))
 	if in.Epoch = place.Epoch; err != nil || in != place {
-		return yw.Errored
+		return sq.Errored
 	}
 	return o
 }
@@ -162,30 +162,30 @@
 
 // judge tells how a search came out. A success status proves nothing: guards against errors, time-outs and
 // failed shards inside a well-formed 200, and against hits that are not as asked, none of which may pass for a served part.
-func judge(m *http1.Message, plan *merge.Plan) (yw.Outcome, any) {
+func judge(m *http1.Message, plan *merge.Plan) (sq.Outcome, any) {
 	if plan != nil && plan.AsOf > 0 { // guards a page against a server that knows nothing of points in time
 		if m.Header.Get(asOfField) != strconv.FormatInt(plan.AsOf, 10) {
-			return yw.Errored, nil
+			return sq.Errored, nil
 		}
 		if m.Status == gone {
-			return yw.Served, merge.GonePart()
+			return sq.Served, merge.GonePart()
 		}
 	}
 	if plan != nil && plan.Binary && m.Status == 200 && binary(m.Header.Get("Content-Type")) {
 		part, err := plan.ReadBinary(m.Body)
 		if err != nil {
-			return yw.Errored, nil
+			return sq.Errored, nil
 		}
-		return yw.Served, part
+		return sq.Served, part
 	}
 	parser := parsers.Get()
 	defer parsers.Put(parser)
 	v, err := parser.ParseBytes(m.Body)
 	if err != nil {
-		return yw.Errored, nil
+		return sq.Errored, nil
 	}
 	if m.Status == 429 && strings.HasSuffix(string(v.GetStringBytes("error", "type")), "rejected_execution_exception") {
-		return yw.Rejected, nil // turned away from a full queue: it never ran
+		return sq.Rejected, nil // turned away from a full queue: it never ran
 	}
 	hits := v.Get("hits")
 	shards := v.Get("_shards")
@@ -194,16 +194,16 @@
 		shards == nil, shards.GetInt("failed") > 0, len(shards.GetArray("failures")) > 0,
 		shards.GetInt("successful") < shards.GetInt("total"), hits == nil, hits.Type() != fastjson.TypeObject,
 		hits.Get("hits") == nil, hits.Get("hits").Type() != fastjson.TypeArray:
-		return yw.Errored, nil
+		return sq.Errored, nil
 	}
 	if plan == nil {
-		return yw.Errored, nil // nobody could merge it
+		return sq.Errored, nil // nobody could merge it
 	}
 	part, err := plan.Read(v, m.Body)
 	if err != nil {
-		return yw.Errored, nil
+		return sq.Errored, nil
 	}
-	return yw.Served, part
+	return sq.Served, part
 }
 
 // binary tells the binary form by its media type.
--- a/internal/opensearch/sort.go
+++ b/internal/opensearch/sort.go
@@ -7,7 +7,7 @@
 
 	"github.com/valyala/fastjson"
 
-	"yarrowwalk/internal/merge"
+	"saffronquay/internal/merge"
 )
 
 // sortKey is one key of the order, as the client gave it.
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -10,8 +10,8 @@
 
 	"github.com/valyala/fastjson"
 
-	"yarrowwalk/internal/broker"
-	"yarrowwalk/internal/http1"
+	"saffronquay/internal/broker"
+	"saffronquay/internal/http1"
 )
 
 // Front speaks the platform's protocol towards clients.
--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -9,7 +9,7 @@
 
 	"github.com/valyala/fastjson"
 
-	yw "yarrowwalk"
+	sq "saffronquay"
 )
 
 // List is one object of discovery's: the whole list of workers, or what changed.
@@ -17,19 +17,19 @@
 	Generation int64
 	Whole      bool
 	// Servers carries start times as discovery gives them, in Unix microseconds.
-	Servers   []yw.Server
-	Addresses map[yw.ServerID]string
+	Servers   []sq.Server
+	Addresses map[sq.ServerID]string
 }
 
 // Merge takes in news of the list.
 func (l *List) Merge(news List) {
 	if news.Whole {
-		*l = List{Whole: true, Addresses: map[yw.ServerID]string{}}
+		*l = List{Whole: true, Addresses: map[sq.ServerID]string{}}
 	}
 	l.Generation = news.Generation
 	for _, v := range news.Servers {
-		l.Servers = slices.DeleteFunc(l.Servers, func(o yw.Server) bool { return o.ID == v.ID })
-		if v.Health == yw.Gone {
+		l.Servers = slices.DeleteFunc(l.Servers, func(o sq.Server) bool { return o.ID == v.ID })
+		if v.Health == sq.Gone {
 			delete(l.Addresses, v.ID)
 			continue
 		}
@@ -64,7 +64,7 @@
 	return o.MarshalTo(dst)
 }
 
-var lifecycles = map[string]yw.Health{"SERVING": yw.Ready, "DRAINING": yw.Draining, "DELETED": yw.Gone}
+var lifecycles = map[string]sq.Health{"SERVING": sq.Ready, "DRAINING": sq.Draining, "DELETED": sq.Gone}
 
 // ParseList reads one object of discovery's.
 func ParseList(text []byte) (List, error) {
@@ -75,15 +75,15 @@
 	if v.Get("generation") == nil || v.Get("instances") == nil {
 		return List{}, fmt.Errorf("list of workers: generation or instances missing")
 	}
-	l := List{Generation: v.GetInt64("generation"), Whole: v.GetBool("reset"), Addresses: map[yw.ServerID]string{}}
+	l := List{Generation: v.GetInt64("generation"), Whole: v.GetBool("reset"), Addresses: map[sq.ServerID]string{}}
 	for i, e := range v.GetArray("instances") {
-		id := yw.ServerID(e.GetStringBytes("instanceId"))
+		id := sq.ServerID(e.GetStringBytes("instanceId"))
 		health, ok := lifecycles[string(e.GetStringBytes("lifecycle"))]
 		if id == "" || !ok {
 			return List{}, fmt.Errorf("list of workers: instances[%d]: no instanceId, or unknown lifecycle %q", i,
 				e.GetStringBytes("lifecycle"))
 		}
-		l.Servers = append(l.Servers, yw.Server{ID: id, Zone: string(e.GetStringBytes("zone")),
+		l.Servers = append(l.Servers, sq.Server{ID: id, Zone: string(e.GetStringBytes("zone")),
 			Cell: e.GetInt("cell"), Health: health, StartedAt: e.GetInt64("startedAtMs") * 1000})
 		if addr := e.GetStringBytes("hostPort"); len(addr) > 0 {
 			l.Addresses[id] = string(addr)
--- a/internal/platform/frames.go
+++ b/internal/platform/frames.go
@@ -9,9 +9,9 @@
 	"strings"
 	"unicode/utf8"
 
-	yw "yarrowwalk"
-	"yarrowwalk/internal/broker"
-	"yarrowwalk/internal/http1"
+	sq "saffronquay"
+	"saffronquay/internal/broker"
+	"saffronquay/internal/http1"
 )
 
 // The bounds of what a worker sends. A value has to fit into an answer to a client.
@@ -100,7 +100,7 @@
 	delete(s.names, id)
 }
 
-var ends = map[string]yw.Outcome{"OK": yw.Served, "ERROR": yw.Errored, "REJECTED": yw.Rejected}
+var ends = map[string]sq.Outcome{"OK": sq.Served, "ERROR": sq.Errored, "REJECTED": sq.Rejected}
 
 // Partial tells that bytes of an unfinished answer are held.
 func (s *session) Partial() bool { return len(s.buf) > 0 }
@@ -136,13 +136,13 @@
 			break
 		}
 		r, known, err := s.head(line)
-		if err == nil && whole && r.Outcome == yw.Served && !utf8.Valid(value) {
+		if err == nil && whole && r.Outcome == sq.Served && !utf8.Valid(value) {
 			err = fmt.Errorf("a value that no answer can carry") // it would be another one once it is in JSON
 		}
 		if err != nil {
 			if known {
 				s.forget(r.Attempt)
-				replies = append(replies, broker.Reply{Attempt: r.Attempt, Outcome: yw.Errored})
+				replies = append(replies, broker.Reply{Attempt: r.Attempt, Outcome: sq.Errored})
 			}
 			return replies, err
 		}
@@ -191,11 +191,11 @@
 
 // report reads a load report; figures that are not known are skipped. One that can't be read as a whole says
 // nothing: guards against figures such as NaN, which would stay in every mean that they enter.
-func report(text string) *yw.LoadReport {
+func report(text string) *sq.LoadReport {
 	if text == "-" || text == "" {
 		return nil
 	}
-	l := &yw.LoadReport{Queue: -1, InFlight: -1, Throughput: -1, Utilization: -1}
+	l := &sq.LoadReport{Queue: -1, InFlight: -1, Throughput: -1, Utilization: -1}
 	fields := map[string]*float64{"queue": &l.Queue, "inflight": &l.InFlight, "qps": &l.Throughput, "util": &l.Utilization}
 	for _, pair := range strings.Split(text, ",") {
 		key, figure, ok := strings.Cut(pair, "=")
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -7,9 +7,9 @@
 	"strings"
 	"testing"
 
-	yw "yarrowwalk"
-	"yarrowwalk/internal/broker"
-	"yarrowwalk/internal/http1"
+	sq "saffronquay"
+	"saffronquay/internal/broker"
+	"saffronquay/internal/http1"
 )
 
 func frame(body string) string {
@@ -187,7 +187,7 @@
 func TestList(t *testing.T) {
 	l, err := ParseList([]byte(`{"generation":43,"reset":true,"instances":[{"instanceId":"s-5","hostPort":"10.1.0.18:8080",` +
 		`"zone":"a","cell":3,"lifecycle":"DRAINING","weight":1.0,"startedAtMs":7}]}`))
-	want := yw.Server{ID: "s-5", Zone: "a", Cell: 3, Health: yw.Draining, StartedAt: 7000}
+	want := sq.Server{ID: "s-5", Zone: "a", Cell: 3, Health: sq.Draining, StartedAt: 7000}
 	if err != nil || l.Generation != 43 || !l.Whole || l.Servers[0] != want || l.Addresses["s-5"] != "10.1.0.18:8080" {
 		t.Errorf("got %v, %v", l, err)
 	}
--- a/internal/standin/binary.go
+++ b/internal/standin/binary.go
@@ -7,8 +7,8 @@
 	"github.com/valyala/fastjson"
 	"google.golang.org/protobuf/proto"
 
-	"yarrowwalk/internal/layout"
-	"yarrowwalk/internal/merge/partial"
+	"saffronquay/internal/layout"
+	"saffronquay/internal/merge/partial"
 )
 
 // Binary is Search in the binary form of partial answers.
--- a/internal/standin/cluster.go
+++ b/internal/standin/cluster.go
@@ -6,8 +6,8 @@
 	"slices"
 	"sync"
 
-	yw "yarrowwalk"
-	"yarrowwalk/internal/layout"
+	sq "saffronquay"
+	"saffronquay/internal/layout"
 )
 
 // Cluster is servers with rows, the directory that says where they are, and who may hold what in truth.
@@ -19,14 +19,14 @@
 
 	doing sync.Mutex                          // one step at a time
 	mu    sync.Mutex                          // of the truth
-	truth map[yw.ServerID]map[int]layout.Span // who may run what, by server and shard
-	byID  map[yw.ServerID]*Server
+	truth map[sq.ServerID]map[int]layout.Span // who may run what, by server and shard
+	byID  map[sq.ServerID]*Server
 }
 
 // NewCluster makes servers of one kind that hold the ranges of a layout's document over rows; without addresses they listen
 // anywhere on loopback.
-func NewCluster(ids []yw.ServerID, addresses map[yw.ServerID]string, cfg ServerConfig, doc layout.Doc, rows []Row) (*Cluster, error) {
-	c := &Cluster{Ledger: &Ledger{}, All: rows, truth: map[yw.ServerID]map[int]layout.Span{}, byID: map[yw.ServerID]*Server{}}
+func NewCluster(ids []sq.ServerID, addresses map[sq.ServerID]string, cfg ServerConfig, doc layout.Doc, rows []Row) (*Cluster, error) {
+	c := &Cluster{Ledger: &Ledger{}, All: rows, truth: map[sq.ServerID]map[int]layout.Span{}, byID: map[sq.ServerID]*Server{}}
 	for _, id := range ids {
 		if cfg.ID = id; addresses != nil {
 			cfg.Address = addresses[id]
@@ -40,7 +40,7 @@
 		c.truth[id] = map[int]layout.Span{}
 	}
 	var err error
-	if c.Directory, err = newDirectory(doc, func(id yw.ServerID) bool { return c.byID[id] != nil }); err != nil {
+	if c.Directory, err = newDirectory(doc, func(id sq.ServerID) bool { return c.byID[id] != nil }); err != nil {
 		c.Close()
 		return nil, err
 	}
@@ -60,9 +60,9 @@
 }
 
 // Server is one by its id.
-func (c *Cluster) Server(id yw.ServerID) *Server { return c.byID[id] }
+func (c *Cluster) Server(id sq.ServerID) *Server { return c.byID[id] }
 
-func (c *Cluster) holds(id yw.ServerID, p layout.Place) bool {
+func (c *Cluster) holds(id sq.ServerID, p layout.Place) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	span, ok := c.truth[id][p.Shard]
@@ -135,7 +135,7 @@
 
 // only is a range with those of its holders that another one lacks.
 func only(r, without layout.Range) layout.Range {
-	r.Holders = slices.DeleteFunc(slices.Clone(r.Holders), func(id yw.ServerID) bool { return slices.Contains(without.Holders, id) })
+	r.Holders = slices.DeleteFunc(slices.Clone(r.Holders), func(id sq.ServerID) bool { return slices.Contains(without.Holders, id) })
 	return r
 }
 
@@ -221,8 +221,8 @@
 		return layout.Step{}, false
 	}
 	s := layout.Step{Change: id, Do: layout.Announce, From: []int{r.Shard}}
-	pick := func() []yw.ServerID {
-		var hs []yw.ServerID
+	pick := func() []sq.ServerID {
+		var hs []sq.ServerID
 		for _, j := range rng.Perm(len(c.Servers))[:reach] {
 			hs = append(hs, c.Servers[j].cfg.ID)
 		}
--- a/internal/standin/directory.go
+++ b/internal/standin/directory.go
@@ -12,13 +12,13 @@
 	"sync"
 	"time"
 
-	yw "yarrowwalk"
-	"yarrowwalk/internal/layout"
+	sq "saffronquay"
+	"saffronquay/internal/layout"
 )
 
 // Directory is a stand-in layout directory: one line of epochs, told through agents.
 type Directory struct {
-	known func(yw.ServerID) bool
+	known func(sq.ServerID) bool
 	do    func(layout.Step) error // an operator's step, with what it does to the data
 
 	mu      sync.Mutex
@@ -28,7 +28,7 @@
 	changed chan struct{}    // closed, and replaced, with each step
 }
 
-func newDirectory(first layout.Doc, known func(yw.ServerID) bool) (*Directory, error) {
+func newDirectory(first layout.Doc, known func(sq.ServerID) bool) (*Directory, error) {
 	l, err := layout.Make(first, known)
 	if err != nil {
 		return nil, fmt.Errorf("stand-in directory: %w", err)
--- a/internal/standin/ledger.go
+++ b/internal/standin/ledger.go
@@ -3,7 +3,7 @@
 import (
 	"sync"
 
-	"yarrowwalk/internal/layout"
+	"saffronquay/internal/layout"
 )
 
 // Ledger writes down every part that runs, apart from what the gatherer believes.
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -17,8 +17,8 @@
 
 	"github.com/valyala/fastjson"
 
-	yw "yarrowwalk"
-	"yarrowwalk/internal/layout"
+	sq "saffronquay"
+	"saffronquay/internal/layout"
 )
 
 // Fault is how a server treats searches, until it is told otherwise.
@@ -40,7 +40,7 @@
 
 // ServerConfig is what a server is made of.
 type ServerConfig struct {
-	ID      yw.ServerID
+	ID      sq.ServerID
 	Address string          // host:port to listen at; empty: any of loopback's
 	Field   string          // the key's name in queries
 	Once    map[string]bool // indices whose parts may run once
@@ -114,7 +114,7 @@
 type Server struct {
 	cfg    ServerConfig
 	ledger *Ledger
-	truth  func(yw.ServerID, layout.Place) bool
+	truth  func(sq.ServerID, layout.Place) bool
 	cores  chan struct{}
 
 	mu      sync.Mutex
@@ -132,7 +132,7 @@
 	parts   int           // run, in all
 }
 
-func newServer(cfg ServerConfig, ledger *Ledger, truth func(yw.ServerID, layout.Place) bool) (*Server, error) {
+func newServer(cfg ServerConfig, ledger *Ledger, truth func(sq.ServerID, layout.Place) bool) (*Server, error) {
 	s := &Server{cfg: cfg, ledger: ledger, truth: truth, cores: make(chan struct{}, cfg.Cores), holds: map[int]*hold{},
 		address: cmp.Or(cfg.Address, "127.0.0.1:0"), other: make(chan struct{}), held: make(chan struct{}, 1024)}
 	return s, s.Start()
@@ -448,4 +448,4 @@
 }
 
 // ID is its id.
-func (s *Server) ID() yw.ServerID { return s.cfg.ID }
+func (s *Server) ID() sq.ServerID { return s.cfg.ID }
--- a/internal/store/cases_test.go
+++ b/internal/store/cases_test.go
@@ -11,8 +11,8 @@
 	"testing"
 	"time"
 
-	"yarrowwalk/internal/store"
-	"yarrowwalk/internal/store/simdisk"
+	"saffronquay/internal/store"
+	"saffronquay/internal/store/simdisk"
 )
 
 // bench is a store on two disks in memory, for one test.
--- a/internal/store/commit.go
+++ b/internal/store/commit.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"io/fs"
 
-	"yarrowwalk/internal/store/form"
+	"saffronquay/internal/store/form"
 )
 
 // entry is one record on its way to the log.
--- a/internal/store/frame.go
+++ b/internal/store/frame.go
@@ -9,7 +9,7 @@
 	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
 
-	"yarrowwalk/internal/store/form"
+	"saffronquay/internal/store/form"
 )
 
 // A frame is a magic number, its payload's length and a checksum, of 4, 4 and 8 bytes, little-endian, and the payload. The checksum
--- a/internal/store/log.go
+++ b/internal/store/log.go
@@ -11,7 +11,7 @@
 	"strings"
 	"sync"
 
-	"yarrowwalk/internal/store/form"
+	"saffronquay/internal/store/form"
 )
 
 // ref is where a record lies: the segment's number and the offset in it.
--- a/internal/store/manifest.go
+++ b/internal/store/manifest.go
@@ -9,7 +9,7 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"yarrowwalk/internal/store/form"
+	"saffronquay/internal/store/form"
 )
 
 // Unknown is a span of which both copies are gone: something may have stood between two records.
--- a/internal/store/measure_test.go
+++ b/internal/store/measure_test.go
@@ -12,8 +12,8 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"yarrowwalk/internal/store"
-	"yarrowwalk/internal/store/form"
+	"saffronquay/internal/store"
+	"saffronquay/internal/store/form"
 )
 
 // measured skips what takes long and gives figures, no verdict: SAFFRONQUAY_MEASURE=1.
--- a/internal/store/proof_test.go
+++ b/internal/store/proof_test.go
@@ -10,10 +10,10 @@
 	"sync/atomic"
 	"testing"
 
-	"yarrowwalk/internal/broker"
-	"yarrowwalk/internal/once"
-	"yarrowwalk/internal/store"
-	"yarrowwalk/internal/store/simdisk"
+	"saffronquay/internal/broker"
+	"saffronquay/internal/once"
+	"saffronquay/internal/store"
+	"saffronquay/internal/store/simdisk"
 )
 
 // tally is what a proof counts.
--- a/internal/store/simdisk/simdisk.go
+++ b/internal/store/simdisk/simdisk.go
@@ -14,7 +14,7 @@
 	"sync"
 	"syscall"
 
-	"yarrowwalk/internal/store"
+	"saffronquay/internal/store"
 )
 
 // ErrCrashed is what every call gives after a crash.
--- a/internal/transport/beside.go
+++ b/internal/transport/beside.go
@@ -9,7 +9,7 @@
 	"strings"
 	"time"
 
-	"yarrowwalk/internal/handover"
+	"saffronquay/internal/handover"
 )
 
 const (
--- a/internal/transport/beside_test.go
+++ b/internal/transport/beside_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"yarrowwalk/internal/handover"
+	"saffronquay/internal/handover"
 )
 
 // Two processes hear of each other while both run, and of nothing else: guards a start against what a process that is
--- a/internal/transport/discovery.go
+++ b/internal/transport/discovery.go
@@ -5,15 +5,15 @@
 	"log"
 	"sync"
 
-	yw "yarrowwalk"
-	"yarrowwalk/internal/platform"
+	sq "saffronquay"
+	"saffronquay/internal/platform"
 )
 
 // Watcher follows discovery: it keeps a watch open and begins again from the last version it saw.
 type Watcher struct {
 	follower
 	generation int64 // Run's goroutine owns it
-	tell       func(yw.FleetChanged, map[yw.ServerID]string)
+	tell       func(sq.FleetChanged, map[sq.ServerID]string)
 	heard      chan struct{} // closed with the first list
 	told       bool          // it is; Run's goroutine owns it
 
@@ -26,7 +26,7 @@
 
 // NewWatcher makes a watcher of the list from a version on; Run runs it. With asked, it begins only at
 // Begin, and tells of failures instead of beginning again by itself.
-func NewWatcher(address string, generation int64, asked bool, tell func(yw.FleetChanged, map[yw.ServerID]string),
+func NewWatcher(address string, generation int64, asked bool, tell func(sq.FleetChanged, map[sq.ServerID]string),
 	logger *log.Logger) *Watcher {
 	w := &Watcher{generation: generation, tell: tell, heard: make(chan struct{})}
 	w.follower = newFollower(address, maxList, w, logger)
@@ -67,7 +67,7 @@
 func (w *Watcher) ended(err error) {
 	w.log.Printf("level=warn event=watch_ended generation=%d error=%q", w.generation, err)
 	if w.asked {
-		w.tell(yw.FleetChanged{Kind: yw.FleetFailed}, nil)
+		w.tell(sq.FleetChanged{Kind: sq.FleetFailed}, nil)
 	}
 }
 
@@ -97,11 +97,11 @@
 		w.list.Merge(l)
 	}
 	w.held.Unlock()
-	kind := yw.FleetDelta
+	kind := sq.FleetDelta
 	if l.Whole {
-		kind = yw.FleetFull
+		kind = sq.FleetFull
 	}
-	w.tell(yw.FleetChanged{Kind: kind, Servers: l.Servers}, l.Addresses)
+	w.tell(sq.FleetChanged{Kind: kind, Servers: l.Servers}, l.Addresses)
 	if !w.told {
 		w.told = true
 		close(w.heard)
--- a/internal/transport/door.go
+++ b/internal/transport/door.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"yarrowwalk/internal/operations"
+	"saffronquay/internal/operations"
 )
 
 const (
--- a/internal/transport/engine.go
+++ b/internal/transport/engine.go
@@ -9,11 +9,11 @@
 	"slices"
 	"time"
 
-	yw "yarrowwalk"
-	"yarrowwalk/internal/broker"
-	"yarrowwalk/internal/handover"
-	"yarrowwalk/internal/layout"
-	"yarrowwalk/internal/operations"
+	sq "saffronquay"
+	"saffronquay/internal/broker"
+	"saffronquay/internal/handover"
+	"saffronquay/internal/layout"
+	"saffronquay/internal/operations"
 )
 
 func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K { return slices.Sorted(maps.Keys(m)) }
@@ -37,7 +37,7 @@
 	inbox   chan func(now int64)
 	stop    chan struct{}
 	stopped chan struct{}
-	waiting map[yw.ID]func(broker.Final)
+	waiting map[sq.ID]func(broker.Final)
 	log     *log.Logger
 	sweepAt int64
 	figures *operations.Figures
@@ -58,7 +58,7 @@
 func NewEngine(clock Clock, core *broker.Core, cfg PoolConfig, d broker.Dialect, figures *operations.Figures,
 	logger *log.Logger) *Engine {
 	e := &Engine{clock: clock, core: core, inbox: make(chan func(int64), inboxSize), stop: make(chan struct{}),
-		stopped: make(chan struct{}), waiting: map[yw.ID]func(broker.Final){}, figures: figures, log: logger}
+		stopped: make(chan struct{}), waiting: map[sq.ID]func(broker.Final){}, figures: figures, log: logger}
 	e.pool = newPool(cfg, d, e.post)
 	e.pool.figures = figures
 	e.pool.ended, e.pool.over = core.Came, e.stopped
@@ -169,7 +169,7 @@
 type Ticket struct {
 	Final chan broker.Final // gets the one final answer
 	Err   chan error        // gets an error instead where the query is malformed
-	id    yw.ID
+	id    sq.ID
 }
 
 // Open hands over a query.
@@ -201,7 +201,7 @@
 }
 
 // Fleet brings news of the list of servers.
-func (e *Engine) Fleet(f yw.FleetChanged, addresses map[yw.ServerID]string) {
+func (e *Engine) Fleet(f sq.FleetChanged, addresses map[sq.ServerID]string) {
 	e.post(func(now int64) {
 		// What ends at a process that is gone comes first: it says nothing of the one in its place.
 		e.pool.fleet(now, f, addresses)
@@ -215,7 +215,7 @@
 }
 
 // Reconfigure puts other settings in force, in core, module and pool at once.
-func (e *Engine) Reconfigure(terms broker.Terms, settings yw.Settings, cfg PoolConfig, d broker.Dialect) {
+func (e *Engine) Reconfigure(terms broker.Terms, settings sq.Settings, cfg PoolConfig, d broker.Dialect) {
 	e.post(func(int64) {
 		e.core.Reconfigure(terms, settings)
 		e.pool.cfg, e.pool.dialect = cfg, d
@@ -258,13 +258,13 @@
 // Succeed begins with what the process before this one had learnt.
 func (e *Engine) Succeed(from handover.State) {
 	e.post(func(now int64) {
-		e.core.Succeed(now, yw.Learned{Admission: from.Admission, Suspects: from.Suspects})
+		e.core.Succeed(now, sq.Learned{Admission: from.Admission, Suspects: from.Suspects})
 	})
 }
 
 // Memory is what a process that comes after this one's end should know. Times are Unix microseconds.
 type Memory struct {
-	Learned yw.Learned
+	Learned sq.Learned
 	Spent   map[string]broker.Spent
 }
 
--- a/internal/transport/follow.go
+++ b/internal/transport/follow.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"yarrowwalk/internal/http1"
+	"saffronquay/internal/http1"
 )
 
 const (
--- a/internal/transport/listener.go
+++ b/internal/transport/listener.go
@@ -11,8 +11,8 @@
 	"syscall"
 	"time"
 
-	"yarrowwalk/internal/broker"
-	"yarrowwalk/internal/http1"
+	"saffronquay/internal/broker"
+	"saffronquay/internal/http1"
 )
 
 // Front is one dialect towards clients. It knows no socket.
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -6,9 +6,9 @@
 	"sync/atomic"
 	"time"
 
-	yw "yarrowwalk"
-	"yarrowwalk/internal/broker"
-	"yarrowwalk/internal/operations"
+	sq "saffronquay"
+	"saffronquay/internal/broker"
+	"saffronquay/internal/operations"
 )
 
 // PoolConfig bounds the connections to servers. Times are microseconds.
@@ -32,7 +32,7 @@
 	dialect broker.Dialect
 	post    func(func(now int64)) bool // false: nobody runs it any more
 	ended   func(now int64, r broker.Reply)
-	servers map[yw.ServerID]*server
+	servers map[sq.ServerID]*server
 	out     map[broker.AttemptID]*serverConn
 	figures *operations.Figures
 	over    <-chan struct{} // closed when nothing that is posted runs any more
@@ -42,7 +42,7 @@
 }
 
 type server struct {
-	id      yw.ServerID
+	id      sq.ServerID
 	address string
 	conns   []*serverConn
 	started int64
@@ -77,11 +77,11 @@
 }
 
 func newPool(cfg PoolConfig, d broker.Dialect, post func(func(int64)) bool) *pool {
-	return &pool{cfg: cfg, dialect: d, post: post, servers: map[yw.ServerID]*server{},
+	return &pool{cfg: cfg, dialect: d, post: post, servers: map[sq.ServerID]*server{},
 		out: map[broker.AttemptID]*serverConn{}, figures: operations.NewFigures()}
 }
 
-func (p *pool) serverOf(id yw.ServerID) *server {
+func (p *pool) serverOf(id sq.ServerID) *server {
 	s := p.servers[id]
 	if s == nil {
 		s = &server{id: id}
@@ -91,8 +91,8 @@
 }
 
 // fleet takes in news of the list of servers.
-func (p *pool) fleet(now int64, f yw.FleetChanged, addresses map[yw.ServerID]string) {
-	listed := map[yw.ServerID]bool{}
+func (p *pool) fleet(now int64, f sq.FleetChanged, addresses map[sq.ServerID]string) {
+	listed := map[sq.ServerID]bool{}
 	for _, v := range f.Servers {
 		s := p.serverOf(v.ID)
 		if a := addresses[v.ID]; a != "" && a != s.address {
@@ -104,10 +104,10 @@
 			s.started = v.StartedAt
 			p.outlived(now, s)
 		}
-		s.closed = v.Health != yw.Ready
+		s.closed = v.Health != sq.Ready
 	}
 	for id, s := range p.servers {
-		if f.Kind != yw.FleetDelta && f.Kind != yw.FleetFailed && !listed[id] {
+		if f.Kind != sq.FleetDelta && f.Kind != sq.FleetFailed && !listed[id] {
 			s.closed = true
 		}
 		if !s.closed {
@@ -139,7 +139,7 @@
 	c.backlog = nil
 	for _, call := range waiting {
 		for _, a := range call.Attempts {
-			p.end(now, c, broker.Reply{Attempt: a.ID, Outcome: yw.Unreachable})
+			p.end(now, c, broker.Reply{Attempt: a.ID, Outcome: sq.Unreachable})
 		}
 	}
 }
@@ -152,7 +152,7 @@
 }
 
 // closeIdle closes the idle connections to a server.
-func (p *pool) closeIdle(now int64, id yw.ServerID) {
+func (p *pool) closeIdle(now int64, id sq.ServerID) {
 	if s := p.servers[id]; s != nil {
 		for _, c := range append([]*serverConn(nil), s.conns...) {
 			if c.up && len(c.calls) == 0 {
@@ -224,7 +224,7 @@
 		return
 	}
 	for _, id := range sortedKeys(c.calls) {
-		p.end(now, c, broker.Reply{Attempt: id, Outcome: yw.Stranded})
+		p.end(now, c, broker.Reply{Attempt: id, Outcome: sq.Stranded})
 	}
 	p.fail(now, c, false)
 }
@@ -291,7 +291,7 @@
 
 func (p *pool) refuse(now int64, call broker.Call) {
 	for _, a := range call.Attempts {
-		p.ended(now, broker.Reply{Attempt: a.ID, Outcome: yw.Unreachable})
+		p.ended(now, broker.Reply{Attempt: a.ID, Outcome: sq.Unreachable})
 	}
 }
 
@@ -411,7 +411,7 @@
 			p.write(now, c, call)
 		} else {
 			for _, a := range call.Attempts {
-				p.end(now, c, broker.Reply{Attempt: a.ID, Outcome: yw.Unreachable})
+				p.end(now, c, broker.Reply{Attempt: a.ID, Outcome: sq.Unreachable})
 			}
 		}
 	}
@@ -500,10 +500,10 @@
 	if !errors.Is(err, broker.ErrLast) {
 		p.hurt = now
 	}
-	o := yw.Errored
+	o := sq.Errored
 	for _, id := range sortedKeys(c.calls) {
 		p.end(now, c, broker.Reply{Attempt: id, Outcome: o})
-		o = yw.Stranded
+		o = sq.Stranded
 	}
 	p.fail(now, c, false)
 }
@@ -541,7 +541,7 @@
 
 // count learns from how long a call took.
 func (p *pool) count(now int64, c *serverConn, r broker.Reply, sent int64) {
-	if r.Outcome == yw.Served {
+	if r.Outcome == sq.Served {
 		p.overtakes(c.server, sent)
 		if took := float64(now - sent); p.typical == 0 {
 			p.typical = took
@@ -571,13 +571,13 @@
 		}
 	}
 	done := c.done.Load()
-	ran := yw.Broken
+	ran := sq.Broken
 	for _, id := range sortedKeys(c.calls) {
-		o := yw.Unreachable
+		o := sq.Unreachable
 		if n := c.calls[id]; n > 0 && (n <= done || !settled) {
 			// One break is one piece of evidence, however many calls were out: guards servers, and the keys of
 			// queries, against being blamed for what else was lost with the connection.
-			o, ran = ran, yw.Stranded
+			o, ran = ran, sq.Stranded
 			p.hurt = now
 		}
 		p.end(now, c, broker.Reply{Attempt: id, Outcome: o})
--- a/internal/transport/routes.go
+++ b/internal/transport/routes.go
@@ -10,9 +10,9 @@
 	"sync"
 	"time"
 
-	yw "yarrowwalk"
-	"yarrowwalk/internal/layout"
-	"yarrowwalk/internal/operations"
+	sq "saffronquay"
+	"saffronquay/internal/layout"
+	"saffronquay/internal/operations"
 )
 
 const (
@@ -50,7 +50,7 @@
 }
 
 // NewRoutes makes the owner of a layout, with the one that is known at the start and the servers that may hold ranges.
-func NewRoutes(cfg RoutesConfig, first layout.Doc, servers []yw.ServerID, clock Clock, current *layout.Current,
+func NewRoutes(cfg RoutesConfig, first layout.Doc, servers []sq.ServerID, clock Clock, current *layout.Current,
 	tell func(layout.Update), figures *operations.LayoutFigures, logger *log.Logger) (*Routes, error) {
 	r := &Routes{cfg: cfg, clock: clock, current: current, tell: tell, figures: figures, wanted: make(chan struct{}, 1), heard: make(chan struct{})}
 	r.follower = newFollower(cfg.Directory, maxLayout, r, logger)
@@ -145,7 +145,7 @@
 
 // File takes in what the operator's file says, whole or not at all: the servers that may hold ranges, and a layout. What a
 // directory has told prevails over an older layout in the file.
-func (r *Routes) File(d layout.Doc, servers []yw.ServerID, commit bool) error {
+func (r *Routes) File(d layout.Doc, servers []sq.ServerID, commit bool) error {
 	r.held.Lock()
 	defer r.held.Unlock()
 	trial := r.keeper
--- a/internal/transport/serve.go
+++ b/internal/transport/serve.go
@@ -4,8 +4,8 @@
 	"errors"
 	"time"
 
-	"yarrowwalk/internal/broker"
-	"yarrowwalk/internal/http1"
+	"saffronquay/internal/broker"
+	"saffronquay/internal/http1"
 )
 
 // asked is one query of a request, or the response that ends it at once.
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -10,11 +10,11 @@
 	"testing"
 	"time"
 
-	yw "yarrowwalk"
-	"yarrowwalk/internal/broker"
-	"yarrowwalk/internal/http1"
-	"yarrowwalk/internal/operations"
-	"yarrowwalk/internal/platform"
+	sq "saffronquay"
+	"saffronquay/internal/broker"
+	"saffronquay/internal/http1"
+	"saffronquay/internal/operations"
+	"saffronquay/internal/platform"
 )
 
 const patience = 20 * time.Second
@@ -23,20 +23,20 @@
 type bench struct {
 	*pool
 	posted chan func(int64)
-	ends   map[broker.AttemptID]yw.Outcome
+	ends   map[broker.AttemptID]sq.Outcome
 }
 
 func newBench() *bench {
-	b := &bench{posted: make(chan func(int64), 64), ends: map[broker.AttemptID]yw.Outcome{}}
+	b := &bench{posted: make(chan func(int64), 64), ends: map[broker.AttemptID]sq.Outcome{}}
 	b.pool = newPool(PoolConfig{ConnectTimeout: 1_000_000, IdleClose: 9_000_000, MaxConns: 4}, platform.Workers{PerConn: 2},
 		func(f func(int64)) bool { b.posted <- f; return true })
 	b.ended = func(_ int64, r broker.Reply) { b.ends[r.Attempt] = r.Outcome }
 	return b
 }
 
-func (b *bench) fleet(now int64, health yw.Health, started int64, address string) {
-	b.pool.fleet(now, yw.FleetChanged{Servers: []yw.Server{{ID: "s", Health: health, StartedAt: started}}},
-		map[yw.ServerID]string{"s": address})
+func (b *bench) fleet(now int64, health sq.Health, started int64, address string) {
+	b.pool.fleet(now, sq.FleetChanged{Servers: []sq.Server{{ID: "s", Health: health, StartedAt: started}}},
+		map[sq.ServerID]string{"s": address})
 }
 
 // next runs the next post.
@@ -88,9 +88,9 @@
 // What was handed to a writer may be leaving just now. Until the writer has ended, only what it was never
 // handed is known not to have run: guards against sending again what must not run twice.
 func TestUnsettledWriterMayHaveSent(t *testing.T) {
-	for settled, want := range map[bool]yw.Outcome{false: yw.Broken, true: yw.Unreachable} {
+	for settled, want := range map[bool]sq.Outcome{false: sq.Broken, true: sq.Unreachable} {
 		b := newBench()
-		b.fleet(0, yw.Ready, 0, "127.0.0.1:1")
+		b.fleet(0, sq.Ready, 0, "127.0.0.1:1")
 		c := b.stalled(t)
 		b.call(0, callOf(1))
 		b.fail(0, c, settled)
@@ -103,11 +103,11 @@
 // A full queue of writes means that the far end takes nothing: what finds no room was never handed over.
 func TestFullQueueNeverRan(t *testing.T) {
 	b := newBench()
-	b.fleet(0, yw.Ready, 0, "127.0.0.1:1")
+	b.fleet(0, sq.Ready, 0, "127.0.0.1:1")
 	b.stalled(t)
 	b.call(0, callOf(1))
 	b.call(0, callOf(2))
-	if b.ends[1] != yw.Broken || b.ends[2] != yw.Unreachable || len(b.ends) != 2 || b.conns != 0 {
+	if b.ends[1] != sq.Broken || b.ends[2] != sq.Unreachable || len(b.ends) != 2 || b.conns != 0 {
 		t.Errorf("%v, %d connections", b.ends, b.conns)
 	}
 }
@@ -116,14 +116,14 @@
 func TestDrainWithdrawsWhatWaits(t *testing.T) {
 	address, _ := acceptor(t)
 	b := newBench()
-	b.fleet(0, yw.Ready, 0, address)
+	b.fleet(0, sq.Ready, 0, address)
 	b.call(0, callOf(1))
-	b.fleet(1, yw.Draining, 0, address)
-	if got, ok := b.ends[1]; !ok || got != yw.Unreachable {
+	b.fleet(1, sq.Draining, 0, address)
+	if got, ok := b.ends[1]; !ok || got != sq.Unreachable {
 		t.Errorf("outcome %d %t", got, ok)
 	}
 	b.call(2, callOf(2))
-	if got, ok := b.ends[2]; !ok || got != yw.Unreachable {
+	if got, ok := b.ends[2]; !ok || got != sq.Unreachable {
 		t.Errorf("a send to a draining server: %d %t", got, ok)
 	}
 	b.next(t, 3) // the connection comes up, for nobody
@@ -136,7 +136,7 @@
 func TestReplacedProcess(t *testing.T) {
 	address, conns := acceptor(t)
 	b := newBench()
-	b.fleet(0, yw.Ready, 0, address)
+	b.fleet(0, sq.Ready, 0, address)
 	b.call(10, callOf(1))
 	b.next(t, 20)
 	far := <-conns
@@ -144,8 +144,8 @@
 	if _, err := io.ReadFull(far, make([]byte, 4)); err != nil {
 		t.Fatal(err)
 	}
-	b.fleet(30, yw.Ready, 25, address)
-	if got, ok := b.ends[1]; !ok || got != yw.Broken {
+	b.fleet(30, sq.Ready, 25, address)
+	if got, ok := b.ends[1]; !ok || got != sq.Broken {
 		t.Errorf("outcome %d %t", got, ok)
 	}
 	b.call(40, callOf(2))
@@ -158,7 +158,7 @@
 func TestSilentConnectionRetires(t *testing.T) {
 	address, conns := acceptor(t)
 	b := newBench()
-	b.fleet(0, yw.Ready, 0, address)
+	b.fleet(0, sq.Ready, 0, address)
 	b.call(100, callOf(1))
 	b.next(t, 100)
 	b.call(110, callOf(2))
@@ -179,11 +179,11 @@
 func TestStreamsAndBounds(t *testing.T) {
 	address, _ := acceptor(t)
 	b := newBench()
-	b.fleet(0, yw.Ready, 0, address)
+	b.fleet(0, sq.Ready, 0, address)
 	for id := broker.AttemptID(1); id <= 9; id++ {
 		b.call(0, callOf(id))
 	}
-	if b.conns != 4 || len(b.ends) != 1 || b.ends[9] != yw.Unreachable {
+	if b.conns != 4 || len(b.ends) != 1 || b.ends[9] != sq.Unreachable {
 		t.Errorf("%d connections, %v", b.conns, b.ends)
 	}
 	for range 4 {
@@ -191,8 +191,8 @@
 	}
 	b.drop(2, 1)
 	b.drop(2, 2)
-	b.fleet(3, yw.Ready, 0, address)
-	b.pool.fleet(3, yw.FleetChanged{Servers: []yw.Server{{ID: "u", Health: yw.Ready}}}, map[yw.ServerID]string{"u": address})
+	b.fleet(3, sq.Ready, 0, address)
+	b.pool.fleet(3, sq.FleetChanged{Servers: []sq.Server{{ID: "u", Health: sq.Ready}}}, map[sq.ServerID]string{"u": address})
 	b.call(4, broker.Call{Server: "u", Attempts: []broker.Attempt{{ID: 10, Label: "q"}}})
 	if _, ended := b.ends[10]; ended || b.conns != 4 || len(b.servers["s"].conns) != 3 {
 		t.Errorf("%d connections, %v", b.conns, b.ends)
@@ -205,9 +205,9 @@
 
 type module struct{}
 
-func (module) Step(int64, []yw.Event) []yw.Action { return nil }
+func (module) Step(int64, []sq.Event) []sq.Action { return nil }
 
-func (module) Learned() yw.Learned { return yw.Learned{} }
+func (module) Learned() sq.Learned { return sq.Learned{} }
 
 func (module) Rotation() (listed, out int) { return 3, 1 }
 
@@ -228,7 +228,7 @@
 }
 
 func serve(t *testing.T, cfg ListenerConfig) (*Listener, *Engine) {
-	core := broker.New(broker.Terms{Period: 1000, Shards: 1, Classes: []yw.Class{{Name: "c"}}}, module{})
+	core := broker.New(broker.Terms{Period: 1000, Shards: 1, Classes: []sq.Class{{Name: "c"}}}, module{})
 	quiet := log.New(io.Discard, "", 0)
 	e := NewEngine(NewClock(), core, PoolConfig{MaxConns: 1, IdleClose: 1 << 40}, platform.Workers{PerConn: 1}, operations.NewFigures(), quiet)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -316,7 +316,7 @@
 func TestSpoiltBytes(t *testing.T) {
 	address, conns := acceptor(t)
 	b := newBench()
-	b.fleet(0, yw.Ready, 0, address)
+	b.fleet(0, sq.Ready, 0, address)
 	b.call(1, callOf(1))
 	b.next(t, 1)
 	b.call(2, callOf(2))
@@ -327,7 +327,7 @@
 	}
 	fmt.Fprint(far, "\xff\xff\xff\xff")
 	b.next(t, 3)
-	if b.ends[1] != yw.Errored || b.ends[2] != yw.Stranded || len(b.ends) != 2 || b.conns != 0 {
+	if b.ends[1] != sq.Errored || b.ends[2] != sq.Stranded || len(b.ends) != 2 || b.conns != 0 {
 		t.Errorf("%v, %d connections", b.ends, b.conns)
 	}
 	b.call(4, callOf(3))
@@ -346,7 +346,7 @@
 func TestAnswerThatStandsStill(t *testing.T) {
 	address, conns := acceptor(t)
 	b := newBench()
-	b.fleet(0, yw.Ready, 0, address)
+	b.fleet(0, sq.Ready, 0, address)
 	b.call(1, callOf(1))
 	b.next(t, 1)
 	far := <-conns
@@ -372,7 +372,7 @@
 func TestReadsNoFurtherThanTaken(t *testing.T) {
 	address, conns := acceptor(t)
 	b := newBench()
-	b.fleet(0, yw.Ready, 0, address)
+	b.fleet(0, sq.Ready, 0, address)
 	b.call(1, callOf(1))
 	b.next(t, 1)
 	far := <-conns
@@ -479,7 +479,7 @@
 func TestConnectionThatFellSilent(t *testing.T) {
 	address, conns := acceptor(t)
 	b := newBench()
-	b.fleet(0, yw.Ready, 0, address)
+	b.fleet(0, sq.Ready, 0, address)
 	b.typical = 10_000
 	b.call(1, callOf(1))
 	b.next(t, 1)
@@ -504,12 +504,12 @@
 		if id == 1+overtaken {
 			break
 		}
-		if len(b.ends) != int(id)-1 || b.ends[id] != yw.Served {
+		if len(b.ends) != int(id)-1 || b.ends[id] != sq.Served {
 			t.Fatalf("too soon: %v", b.ends)
 		}
 		b.call(late, callOf(id+1))
 	}
-	if b.ends[1] != yw.Stranded || len(b.servers["s"].conns) != 1 {
+	if b.ends[1] != sq.Stranded || len(b.servers["s"].conns) != 1 {
 		t.Errorf("%v, %d connections", b.ends, len(b.servers["s"].conns))
 	}
 }
@@ -519,7 +519,7 @@
 func TestBrokenConnection(t *testing.T) {
 	address, conns := acceptor(t)
 	b := newBench()
-	b.fleet(0, yw.Ready, 0, address)
+	b.fleet(0, sq.Ready, 0, address)
 	b.call(1, callOf(1))
 	b.next(t, 1)
 	b.call(2, callOf(2))
@@ -531,7 +531,7 @@
 	for len(b.ends) == 0 {
 		b.next(t, 3)
 	}
-	if b.ends[1] != yw.Broken || b.ends[2] != yw.Stranded {
+	if b.ends[1] != sq.Broken || b.ends[2] != sq.Stranded {
 		t.Errorf("%v", b.ends)
 	}
 	b.call(4, callOf(3))
@@ -694,7 +694,7 @@
 // An attempt counts as relayed once its call's last byte has left, and not where the server goes before that.
 func TestRelayedWhole(t *testing.T) {
 	b := newBench()
-	b.fleet(0, yw.Ready, 0, "127.0.0.1:1")
+	b.fleet(0, sq.Ready, 0, "127.0.0.1:1")
 	near, far := net.Pipe()
 	c := &serverConn{server: b.servers["s"], session: b.dialect.Session(""), net: near, up: true,
 		calls: map[broker.AttemptID]int64{}, sentAt: map[broker.AttemptID]int64{}, done: new(atomic.Int64), writes: make(chan frame, 4)}
@@ -710,7 +710,7 @@
 	far.Close()
 	b.next(t, 1)
 	<-ended
-	if n := b.figures.Relayed.Load(); n != 1 || b.ends[1] != yw.Broken && b.ends[1] != yw.Stranded || b.ends[2] != yw.Unreachable {
+	if n := b.figures.Relayed.Load(); n != 1 || b.ends[1] != sq.Broken && b.ends[1] != sq.Stranded || b.ends[2] != sq.Unreachable {
 		t.Errorf("relayed %d, ends %v", n, b.ends)
 	}
 }
--- a/internal/transport/vrrp.go
+++ b/internal/transport/vrrp.go
@@ -6,7 +6,7 @@
 	"net/netip"
 	"time"
 
-	"yarrowwalk/internal/vrrp"
+	"saffronquay/internal/vrrp"
 )
 
 // Redundancy carries a virtual router's advertisements over UDP, from this router to each of its peers.
--- a/internal/wire/encode.go
+++ b/internal/wire/encode.go
@@ -4,7 +4,7 @@
 	"encoding/json"
 	"fmt"
 
-	yw "yarrowwalk"
+	sq "saffronquay"
 )
 
 type rawAction struct {
@@ -25,36 +25,36 @@
 }
 
 // Encode appends the line of one action of an instance.
-func Encode(dst []byte, who string, a yw.Action) ([]byte, error) {
+func Encode(dst []byte, who string, a sq.Action) ([]byte, error) {
 	r := rawAction{Who: who}
-	id := func(v yw.ID) *int64 { n := int64(v); return &n }
+	id := func(v sq.ID) *int64 { n := int64(v); return &n }
 	switch a := a.(type) {
-	case yw.Send:
+	case sq.Send:
 		r.Type, r.Txn, r.Server, r.AllowFor = "PassOn", id(a.Part), string(a.Server), a.Timeout
-	case yw.Cancel:
+	case sq.Cancel:
 		r.Type, r.Txn, r.Shot = "Abandon", id(a.Part), &a.Attempt
-	case yw.Answer:
+	case sq.Answer:
 		r.Type, r.Txn, r.Entire = "GatherUp", id(a.Query), &a.Whole
-	case yw.Refuse:
+	case sq.Refuse:
 		r.Type, r.Txn, r.CoolDown = "TurnAway", id(a.Query), a.RetryAfter
-	case yw.Fail:
+	case sq.Fail:
 		r.Type, r.Txn = "RespondError", id(a.Query)
-	case yw.CloseIdle:
+	case sq.CloseIdle:
 		r.Type, r.Server = "FreeLinks", string(a.Server)
-	case yw.SetAlarm:
+	case sq.SetAlarm:
 		r.Type, r.Mark, r.Alarm = "SetAlarm", &a.Mark, &a.At
-	case yw.Watch:
+	case sq.Watch:
 		on := true
 		r.Type, r.Entire = "KeepInformed", &on
-	case yw.Fetch:
+	case sq.Fetch:
 		r.Type = "GetList"
-	case yw.Tell:
+	case sq.Tell:
 		var to any = a.Peer
 		if a.Peer < 0 {
 			to = "*"
 		}
 		r.Type, r.Target, r.Payload = "Share", to, &a.Text
-	case yw.Note:
+	case sq.Note:
 		r.Type, r.Text = "WriteLog", &a.Text
 	default:
 		return dst, fmt.Errorf("action %T has no form on the wire", a)
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -1,4 +1,4 @@
-// Package wire translates between the simulator's line protocol and the types of package yarrowwalk. It
+// Package wire translates between the simulator's line protocol and the types of package saffronquay. It
 // checks form only and decides nothing.
 package wire
 
@@ -9,8 +9,8 @@
 	"fmt"
 	"math"
 
-	yw "yarrowwalk"
-	"yarrowwalk/internal/config"
+	sq "saffronquay"
+	"saffronquay/internal/config"
 )
 
 // Kind tells what a decoded line is.
@@ -34,10 +34,10 @@
 	Now      int64
 	Serial   int64
 	Seed     uint64
-	Settings yw.Settings
+	Settings sq.Settings
 	Slot     int
-	Members  []yw.Server
-	Event    yw.Event // for a FleetChanged, the servers are those of list Slot
+	Members  []sq.Server
+	Event    sq.Event // for a FleetChanged, the servers are those of list Slot
 	UsesList bool
 }
 
@@ -119,7 +119,7 @@
 		if err := need("who", l.Who != nil, "txn", l.Txn != nil); err != nil {
 			return Message{}, err
 		}
-		return happened(yw.ClientLeft{Query: yw.ID(*l.Txn)})
+		return happened(sq.ClientLeft{Query: sq.ID(*l.Txn)})
 	},
 	"ProbeResult": readProbe,
 	"Response":    readResponse,
@@ -134,17 +134,17 @@
 		if err := need("who", l.Who != nil, "mark", l.Mark != nil); err != nil {
 			return Message{}, err
 		}
-		return happened(yw.AlarmRang{Mark: *l.Mark})
+		return happened(sq.AlarmRang{Mark: *l.Mark})
 	},
 	"NeighbourSays": func(l *rawLine) (Message, error) {
 		if err := need("who", l.Who != nil, "sender", l.Sender != nil, "payload", l.Payload != nil); err != nil {
 			return Message{}, err
 		}
-		return happened(yw.PeerSaid{Peer: int(*l.Sender), Text: *l.Payload})
+		return happened(sq.PeerSaid{Peer: int(*l.Sender), Text: *l.Payload})
 	},
 }
 
-func happened(e yw.Event) (Message, error) { return Message{Kind: Happened, Event: e}, nil }
+func happened(e sq.Event) (Message, error) { return Message{Kind: Happened, Event: e}, nil }
 
 // need takes pairs of a field's name and whether it is there, and names the first that is missing.
 func need(pairs ...any) error {
@@ -182,7 +182,7 @@
 		if *r.Health < 0 || *r.Health > 2 {
 			return Message{}, fmt.Errorf("member %d: unknown health %d", i, *r.Health)
 		}
-		s := yw.Server{ID: yw.ServerID(*r.Server), Zone: r.Campus, Cell: *r.Slot, Health: yw.Health(*r.Health),
+		s := sq.Server{ID: sq.ServerID(*r.Server), Zone: r.Campus, Cell: *r.Slot, Health: sq.Health(*r.Health),
 			StartedAt: r.LastStart}
 		m.Members = append(m.Members, s)
 	}
@@ -193,12 +193,12 @@
 	if err := need("who", l.Who != nil, "scope", l.Scope != nil); err != nil {
 		return Message{}, err
 	}
-	kinds := []yw.FleetKind{yw.FleetDelta, yw.FleetCached, yw.FleetFailed, yw.FleetFull}
+	kinds := []sq.FleetKind{sq.FleetDelta, sq.FleetCached, sq.FleetFailed, sq.FleetFull}
 	if *l.Scope < 0 || *l.Scope >= len(kinds) {
 		return Message{}, fmt.Errorf("unknown scope %d", *l.Scope)
 	}
-	m := Message{Kind: Happened, Event: yw.FleetChanged{Kind: kinds[*l.Scope]}}
-	if kinds[*l.Scope] == yw.FleetFailed {
+	m := Message{Kind: Happened, Event: sq.FleetChanged{Kind: kinds[*l.Scope]}}
+	if kinds[*l.Scope] == sq.FleetFailed {
 		return m, nil
 	}
 	m.UsesList = true
@@ -229,7 +229,7 @@
 		if err != nil {
 			return Message{}, err
 		}
-		return happened(yw.Query{ID: yw.ID(*l.Txn), Group: group, Class: *l.Priority, Tenant: tenant,
+		return happened(sq.Query{ID: sq.ID(*l.Txn), Group: group, Class: *l.Priority, Tenant: tenant,
 			Deadline: *l.Deadline, Work: work, Key: key})
 	}
 	if *l.Segment > math.MaxInt32 {
@@ -238,7 +238,7 @@
 	if err := need("size_or_weight", l.Weight != nil); err != nil {
 		return Message{}, err
 	}
-	return happened(yw.Part{ID: yw.ID(*l.Txn), Group: group, Shard: int(*l.Segment), Weight: *l.Weight,
+	return happened(sq.Part{ID: sq.ID(*l.Txn), Group: group, Shard: int(*l.Segment), Weight: *l.Weight,
 		Work: work, Key: key})
 }
 
@@ -264,7 +264,7 @@
 	if err != nil {
 		return Message{}, err
 	}
-	return happened(yw.ProbeEnded{Server: yw.ServerID(*l.Server), Outcome: out, Latency: *l.Latency,
+	return happened(sq.ProbeEnded{Server: sq.ServerID(*l.Server), Outcome: out, Latency: *l.Latency,
 		Report: report(l.Health)})
 }
 
@@ -277,14 +277,14 @@
 	if err != nil {
 		return Message{}, err
 	}
-	return happened(yw.AttemptEnded{Part: yw.ID(*l.Txn), Attempt: *l.Shot, Server: yw.ServerID(*l.Server),
+	return happened(sq.AttemptEnded{Part: sq.ID(*l.Txn), Attempt: *l.Shot, Server: sq.ServerID(*l.Server),
 		Outcome: out, Latency: *l.Latency, Report: report(l.Health)})
 }
 
-var outcomes = map[int]yw.Outcome{100: yw.Served, 301: yw.Errored, 302: yw.Rejected, 303: yw.TimedOut,
-	304: yw.Unreachable, 305: yw.Broken, 306: yw.Cancelled, 307: yw.NotSent}
+var outcomes = map[int]sq.Outcome{100: sq.Served, 301: sq.Errored, 302: sq.Rejected, 303: sq.TimedOut,
+	304: sq.Unreachable, 305: sq.Broken, 306: sq.Cancelled, 307: sq.NotSent}
 
-func outcome(code int) (yw.Outcome, error) {
+func outcome(code int) (sq.Outcome, error) {
 	o, ok := outcomes[code]
 	if !ok {
 		return 0, fmt.Errorf("unknown disposition %d", code)
@@ -292,7 +292,7 @@
 	return o, nil
 }
 
-func report(values map[string]float64) *yw.LoadReport {
+func report(values map[string]float64) *sq.LoadReport {
 	if values == nil {
 		return nil
 	}
@@ -302,6 +302,6 @@
 		}
 		return -1
 	}
-	return &yw.LoadReport{Queue: field("backlog"), InFlight: field("outstanding"), Throughput: field("throughput"),
+	return &sq.LoadReport{Queue: field("backlog"), InFlight: field("outstanding"), Throughput: field("throughput"),
 		Utilization: field("utilization")}
 }
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -7,7 +7,7 @@
 	"strings"
 	"testing"
 
-	yw "yarrowwalk"
+	sq "saffronquay"
 )
 
 const setup = `{"balancers":2,"me":1,"zone":"z","period_us":5000,"membership_mode":"ask","never_heard_of":[1],` +
@@ -18,7 +18,7 @@
 	`"over_share_worth":0.2,"telemetry":{"how":"pull"}}`
 
 func TestDecodeEvents(t *testing.T) {
-	report := &yw.LoadReport{Queue: 4, InFlight: -1, Throughput: 2.5, Utilization: -1}
+	report := &sq.LoadReport{Queue: 4, InFlight: -1, Throughput: 2.5, Utilization: -1}
 	for _, c := range []struct {
 		line string
 		want Message
@@ -27,31 +27,31 @@
 		{`{"event_type":"End"}`, Message{Kind: BatchEnd}},
 		{`{"event_type":"Killed","who":"node/3"}`, Message{Kind: Killed, Who: "node/3"}},
 		{`{"event_type":"DeadlineHit","who":"n","mark":77}`, Message{Kind: Happened, Who: "n",
-			Event: yw.AlarmRang{Mark: 77}}},
+			Event: sq.AlarmRang{Mark: 77}}},
 		{`{"event_type":"Hangup","who":"n","txn":5}`, Message{Kind: Happened, Who: "n",
-			Event: yw.ClientLeft{Query: 5}}},
+			Event: sq.ClientLeft{Query: 5}}},
 		{`{"event_type":"Ingress","who":"n","txn":5,"segment_no":-1,"priority":"c","group_no":9,` +
 			`"client_deadline_us":70,"work_us":6,"object":"k","size_or_weight":3,"tenant":"t","resent":true}`,
-			Message{Kind: Happened, Who: "n", Event: yw.Query{ID: 5, Group: 9, Class: "c", Tenant: "t", Deadline: 70,
+			Message{Kind: Happened, Who: "n", Event: sq.Query{ID: 5, Group: 9, Class: "c", Tenant: "t", Deadline: 70,
 				Work: 6, Key: "k"}}},
 		{`{"event_type":"Ingress","who":"n","txn":6,"segment_no":2,"priority":"c","group_no":9,` +
 			`"client_deadline_us":70,"size_or_weight":0.5,"tenant":0}`,
-			Message{Kind: Happened, Who: "n", Event: yw.Part{ID: 6, Group: 9, Shard: 2, Weight: 0.5}}},
+			Message{Kind: Happened, Who: "n", Event: sq.Part{ID: 6, Group: 9, Shard: 2, Weight: 0.5}}},
 		{`{"event_type":"Response","who":"n","txn":6,"shot":1,"server":"s:1","disposition":305,"latency_us":4,` +
 			`"complete":true,"health_info":{"recent_ms":14.5,"backlog":4,"throughput":2.5,"other":1}}`,
-			Message{Kind: Happened, Who: "n", Event: yw.AttemptEnded{Part: 6, Attempt: 1, Server: "s:1",
-				Outcome: yw.Broken, Latency: 4, Report: report}}},
+			Message{Kind: Happened, Who: "n", Event: sq.AttemptEnded{Part: 6, Attempt: 1, Server: "s:1",
+				Outcome: sq.Broken, Latency: 4, Report: report}}},
 		{`{"event_type":"ProbeResult","who":"n","server":"s:1","disposition":100,"latency_us":4}`,
-			Message{Kind: Happened, Who: "n", Event: yw.ProbeEnded{Server: "s:1", Latency: 4}}},
+			Message{Kind: Happened, Who: "n", Event: sq.ProbeEnded{Server: "s:1", Latency: 4}}},
 		{`{"event_type":"Ledger","slot":3,"members":[{"server":"s:1","campus":"z","slot_no":2,"health":1,"share":1.5,` +
-			`"last_start_us":9}]}`, Message{Kind: List, Slot: 3, Members: []yw.Server{{ID: "s:1", Zone: "z", Cell: 2,
-			Health: yw.Ready, StartedAt: 9}}}},
+			`"last_start_us":9}]}`, Message{Kind: List, Slot: 3, Members: []sq.Server{{ID: "s:1", Zone: "z", Cell: 2,
+			Health: sq.Ready, StartedAt: 9}}}},
 		{`{"event_type":"Fleet","who":"n","scope":0,"generation":4,"slot":3}`, Message{Kind: Happened, Who: "n",
-			Slot: 3, UsesList: true, Event: yw.FleetChanged{Kind: yw.FleetDelta}}},
+			Slot: 3, UsesList: true, Event: sq.FleetChanged{Kind: sq.FleetDelta}}},
 		{`{"event_type":"Fleet","who":"n","scope":2,"generation":4}`, Message{Kind: Happened, Who: "n",
-			Event: yw.FleetChanged{Kind: yw.FleetFailed}}},
+			Event: sq.FleetChanged{Kind: sq.FleetFailed}}},
 		{`{"event_type":"NeighbourSays","who":"n","sender":2,"payload":"hi"}`,
-			Message{Kind: Happened, Who: "n", Event: yw.PeerSaid{Peer: 2, Text: "hi"}}},
+			Message{Kind: Happened, Who: "n", Event: sq.PeerSaid{Peer: 2, Text: "hi"}}},
 	} {
 		got, err := Decode([]byte(c.line))
 		if err != nil {
@@ -73,10 +73,10 @@
 		!s.Rules.Budgeted || s.Rules.ExtraRatio != 0.05 || s.Rules.FreeExtras != 10 || !s.Limits.SecondCopies {
 		t.Errorf("settings were misread: %+v", s)
 	}
-	if want := []yw.Tenant{{Name: "t", Quota: 1.5}}; !reflect.DeepEqual(s.Tenants, want) || s.OverShareWorth != 0.2 {
+	if want := []sq.Tenant{{Name: "t", Quota: 1.5}}; !reflect.DeepEqual(s.Tenants, want) || s.OverShareWorth != 0.2 {
 		t.Errorf("tenants: %+v, over their share worth %v", s.Tenants, s.OverShareWorth)
 	}
-	want := yw.Class{Name: "c", Aim: 10, HardLimit: 20, Worth: 2, Effect: yw.Deduped, RepeatWindow: 5, Need: 1,
+	want := sq.Class{Name: "c", Aim: 10, HardLimit: 20, Worth: 2, Effect: sq.Deduped, RepeatWindow: 5, Need: 1,
 		Floor: 0.8, Partial: 0.9, Fetch: 3}
 	if len(s.Classes) != 1 || s.Classes[0] != want {
 		t.Errorf("classes: %+v", s.Classes)
@@ -110,21 +110,21 @@
 
 func TestEncodeRoundTrip(t *testing.T) {
 	for _, c := range []struct {
-		action yw.Action
+		action sq.Action
 		want   string
 	}{
-		{yw.Send{Part: 0, Server: "s:1", Timeout: 8}, `{"event_type":"PassOn","who":"n","txn":0,"allow_for_us":8,"server":"s:1"}`},
-		{yw.Cancel{Part: 7, Attempt: 0}, `{"event_type":"Abandon","who":"n","txn":7,"shot":0}`},
-		{yw.Answer{Query: 7}, `{"event_type":"GatherUp","who":"n","txn":7,"entire":false}`},
-		{yw.Refuse{Query: 7, RetryAfter: 9}, `{"event_type":"TurnAway","who":"n","txn":7,"cool_down_us":9}`},
-		{yw.Fail{Query: 7}, `{"event_type":"RespondError","who":"n","txn":7}`},
-		{yw.CloseIdle{Server: "s:1"}, `{"event_type":"FreeLinks","who":"n","server":"s:1"}`},
-		{yw.SetAlarm{Mark: 0, At: 3}, `{"event_type":"SetAlarm","who":"n","mark":0,"alarm_time_us":3}`},
-		{yw.Watch{}, `{"event_type":"KeepInformed","who":"n","entire":true}`},
-		{yw.Tell{Peer: -1, Text: "hi"}, `{"event_type":"Share","who":"n","target":"*","payload":"hi"}`},
-		{yw.Tell{Peer: 0, Text: "hi"}, `{"event_type":"Share","who":"n","target":0,"payload":"hi"}`},
-		{yw.Fetch{}, `{"event_type":"GetList","who":"n"}`},
-		{yw.Note{Text: "a \"b\""}, `{"event_type":"WriteLog","who":"n","reason_text":"a \"b\""}`},
+		{sq.Send{Part: 0, Server: "s:1", Timeout: 8}, `{"event_type":"PassOn","who":"n","txn":0,"allow_for_us":8,"server":"s:1"}`},
+		{sq.Cancel{Part: 7, Attempt: 0}, `{"event_type":"Abandon","who":"n","txn":7,"shot":0}`},
+		{sq.Answer{Query: 7}, `{"event_type":"GatherUp","who":"n","txn":7,"entire":false}`},
+		{sq.Refuse{Query: 7, RetryAfter: 9}, `{"event_type":"TurnAway","who":"n","txn":7,"cool_down_us":9}`},
+		{sq.Fail{Query: 7}, `{"event_type":"RespondError","who":"n","txn":7}`},
+		{sq.CloseIdle{Server: "s:1"}, `{"event_type":"FreeLinks","who":"n","server":"s:1"}`},
+		{sq.SetAlarm{Mark: 0, At: 3}, `{"event_type":"SetAlarm","who":"n","mark":0,"alarm_time_us":3}`},
+		{sq.Watch{}, `{"event_type":"KeepInformed","who":"n","entire":true}`},
+		{sq.Tell{Peer: -1, Text: "hi"}, `{"event_type":"Share","who":"n","target":"*","payload":"hi"}`},
+		{sq.Tell{Peer: 0, Text: "hi"}, `{"event_type":"Share","who":"n","target":0,"payload":"hi"}`},
+		{sq.Fetch{}, `{"event_type":"GetList","who":"n"}`},
+		{sq.Note{Text: "a \"b\""}, `{"event_type":"WriteLog","who":"n","reason_text":"a \"b\""}`},
 	} {
 		got, err := Encode(nil, "n", c.action)
 		if err != nil {
--- a/scheduler.go
+++ b/scheduler.go
@@ -4,7 +4,7 @@
 // replica of its shard with the smallest predicted backlog, summed from the cost hints of this aggregator's
 // parts out and reset by the servers' load reports. What is remembered is declared in state.go.
 
-package yarrowwalk
+package saffronquay
 
 import (
 	"cmp"
