--- /dev/null
+++ b/cmd/saffronquay/cli_store.go
@@ -0,0 +1,112 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"path/filepath"
+
+	"github.com/spf13/cobra"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+
+	"saffronquay/internal/store"
+	"saffronquay/internal/store/form"
+)
+
+func (c *cli) store() *cobra.Command {
+	parent := &cobra.Command{Use: "store", Short: "Look at a durable store, without touching it", Example: "  saffronquay store check /var/lib/saffronquay/a /var/lib/saffronquay/b"}
+	read := func(words []string) (*store.View, error) {
+		second := filepath.Join(words[0], "copy")
+		if len(words) == 2 {
+			second = words[1]
+		}
+		v, err := store.Read([2]store.Dir{store.Existing(words[0]), store.Existing(second)})
+		if err != nil {
+			return nil, unreached(err)
+		}
+		return v, nil
+	}
+	parent.AddCommand(&cobra.Command{Use: "check DIR [COPY]", Short: "Read every byte of both copies; 1 where something is damaged or lost", Args: cobra.RangeArgs(1, 2),
+		Example: "  saffronquay store check /var/lib/saffronquay/a /var/lib/saffronquay/b",
+		RunE: func(_ *cobra.Command, words []string) error {
+			v, err := read(words)
+			if err != nil {
+				return err
+			}
+			r := v.Check()
+			if err := c.tell(r, func(w io.Writer) { tellCheck(w, r) }); err != nil {
+				return err
+			}
+			if len(r.Damaged)+len(r.Unknown) > 0 {
+				return &ended{code: bad}
+			}
+			return nil
+		}},
+		&cobra.Command{Use: "dump DIR [COPY]", Short: "Print every record that can be read, a JSON object a line", Args: cobra.RangeArgs(1, 2),
+			Example: "  saffronquay store dump /var/lib/saffronquay/a /var/lib/saffronquay/b | head",
+			RunE: func(_ *cobra.Command, words []string) error {
+				v, err := read(words)
+				if err != nil {
+					return err
+				}
+				return c.dump(v)
+			}})
+	return parent
+}
+
+func tellCheck(w io.Writer, r store.Report) {
+	for _, d := range r.Damaged {
+		fmt.Fprintln(w, "damaged", d)
+	}
+	for _, u := range r.Unknown {
+		fmt.Fprintf(w, "unknown between records %d and %d\n", u.After, u.Before)
+	}
+	for _, s := range r.Stray {
+		fmt.Fprintln(w, "stray", s)
+	}
+	fmt.Fprintf(w, "epoch=%d segments=%d bytes=%d records=%d damaged=%d unknown=%d stray=%d took=%s\n", r.Epoch, r.Segments, r.Bytes,
+		r.Records, len(r.Damaged), len(r.Unknown), len(r.Stray), r.Took)
+}
+
+var kinds = map[store.Kind]struct {
+	name  string
+	value func() proto.Message
+}{
+	store.Once:    {"once", func() proto.Message { return &form.Once{} }},
+	store.Learned: {"learned", func() proto.Message { return &form.Learned{} }},
+	store.Layout:  {"layout", func() proto.Message { return &form.Layout{} }},
+	store.Cursor:  {"cursor", func() proto.Message { return &form.Cursor{} }},
+	store.Sealing: {"sealing", nil}, // a secret
+}
+
+func (c *cli) dump(v *store.View) error {
+	var broken error
+	unknown := v.Dump(func(r store.Record) {
+		if broken != nil {
+			return // nobody reads any more
+		}
+		k := kinds[r.Kind]
+		text := []byte("null")
+		if k.value != nil && !r.Gone {
+			m := k.value()
+			if err := proto.Unmarshal(r.Value, m); err == nil {
+				if b, err := protojson.Marshal(m); err == nil {
+					text = b
+				}
+			}
+		}
+		key, err := json.Marshal(r.Key)
+		if err != nil { // a string always has a form
+			key = []byte("null")
+		}
+		_, broken = fmt.Fprintf(c.out, `{"seq":%d,"at":%d,"until":%d,"kind":%q,"key":%s,"gone":%t,"value":%s}`+"\n", r.Seq, r.At, r.Until, k.name, key, r.Gone, text)
+	})
+	for _, u := range unknown {
+		fmt.Fprintf(c.errs, "unknown between records %d and %d\n", u.After, u.Before)
+	}
+	if len(unknown) > 0 {
+		return &ended{code: bad}
+	}
+	return nil
+}
--- a/cmd/saffronquay/durable.go
+++ b/cmd/saffronquay/durable.go
@@ -1,18 +1,15 @@
 package main
 
 import (
-	"bytes"
 	"crypto/rand"
 	"encoding/binary"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io/fs"
-	"log"
 	"log/slog"
 	"os"
 	"path/filepath"
-	"strings"
 	"sync"
 	"time"
 
@@ -22,6 +19,7 @@
 	"saffronquay/internal/broker"
 	"saffronquay/internal/config"
 	"saffronquay/internal/cursor"
+	"saffronquay/internal/events"
 	"saffronquay/internal/layout"
 	"saffronquay/internal/once"
 	"saffronquay/internal/operations"
@@ -34,7 +32,7 @@
 type durable struct {
 	cfg    config.Store
 	name   string // of the gatherer
-	log    *log.Logger
+	log    *slog.Logger
 	dirs   [2]store.Dir
 	store  *store.Store // nil: it could not be opened, and the file allows to start without
 	ledger *once.Ledger
@@ -63,7 +61,7 @@
 )
 
 // openDurable opens the store, and waits for the process that has it. Nothing is served before.
-func openDurable(cfg config.Store, name string, logger *log.Logger) (*durable, error) {
+func openDurable(cfg config.Store, name string, logger *slog.Logger) (*durable, error) {
 	d := &durable{cfg: cfg, name: name, log: logger, stop: make(chan struct{}), done: make(chan struct{})}
 	began := time.Now()
 	err := d.open()
@@ -76,7 +74,7 @@
 		if !cfg.Without {
 			return nil, fmt.Errorf("%w: look at it with 'saffronquay store check %s %s', and see docs/STORE.md", err, cfg.Directories[0], cfg.Directories[1])
 		}
-		logger.Printf("level=error event=store_off classes=\"those that must not run twice are turned away\" error=%q", err)
+		events.Error(logger, events.StoreOff, "classes", "those that must not run twice are turned away", "error", err)
 		return d, nil
 	}
 	d.ledger = once.New(d.store, once.Config{Keep: cfg.Keep.Microseconds(), MaxBody: cfg.MaxAnswer, Nonce: nonce()})
@@ -85,7 +83,7 @@
 		return nil, fmt.Errorf("store: %w", err)
 	}
 	bytes, keys := d.store.Size()
-	logger.Printf("level=info event=store bytes=%d keys=%d unknown=%d took=%s", bytes, keys, len(d.store.Unknown()), time.Since(began).Round(time.Millisecond))
+	events.Info(logger, events.Store, "bytes", bytes, "keys", keys, "unknown", len(d.store.Unknown()), "took", time.Since(began).Round(time.Millisecond))
 	return d, nil
 }
 
@@ -103,13 +101,13 @@
 		batch = 1
 	}
 	opt := store.Options{ID: nonce(), Now: func() int64 { return time.Since(began).Microseconds() }, Keep: d.cfg.Keep.Microseconds(),
-		SegmentSize: d.cfg.SegmentSize, MaxBatch: batch, CleanEvery: time.Second, ScrubEvery: scrubEvery, Log: eventLog(d.log)}
+		SegmentSize: d.cfg.SegmentSize, MaxBatch: batch, CleanEvery: time.Second, ScrubEvery: scrubEvery, Log: d.log}
 	for told := false; ; {
 		late := time.Since(began) > d.cfg.Takeover
 		d.store, err = store.Open(d.dirs, opt, late)
 		if !errors.Is(err, store.ErrOwned) {
 			if err == nil && late {
-				d.log.Printf("level=warn event=store_taken_over waited=%s", d.cfg.Takeover)
+				events.Warn(d.log, events.StoreTakenOver, "waited", d.cfg.Takeover)
 			}
 			d.dirs[0].Remove(wanted)
 			return err
@@ -119,7 +117,7 @@
 		}
 		if !told {
 			told = true
-			d.log.Printf("level=info event=store_waits longest=%s", d.cfg.Takeover)
+			events.Info(d.log, events.StoreWaits, "longest", d.cfg.Takeover)
 		}
 		if f, err := d.dirs[0].Create(wanted); err == nil {
 			f.Close()
@@ -249,7 +247,7 @@
 		listed[id] = true
 	}
 	if _, err := layout.Make(*d.doc, func(id sq.ServerID) bool { return listed[id] }); err != nil {
-		d.log.Printf("level=warn event=store_layout kept=file error=%q", err)
+		events.Warn(d.log, events.StoreLayout, "kept", "file", "error", err)
 		return file
 	}
 	return *d.doc
@@ -289,7 +287,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if err != nil && !d.failed {
-		d.log.Printf("level=warn event=store_misses error=%q", err)
+		events.Warn(d.log, events.StoreMisses, "error", err)
 	}
 	d.failed = err != nil
 }
@@ -362,7 +360,7 @@
 		break
 	}
 	d.store.Close()
-	d.log.Printf("level=info event=store_yielded open=%d", d.ledger.Held())
+	events.Info(d.log, events.StoreYielded, "open", d.ledger.Held())
 }
 
 // close lets the store go, where it is still held.
@@ -389,25 +387,3 @@
 	}
 	return s
 }
-
-// eventLog is the program's log for packages that write structured lines.
-func eventLog(l *log.Logger) *slog.Logger {
-	return slog.New(slog.NewTextHandler(lines{l}, &slog.HandlerOptions{ReplaceAttr: func(_ []string, a slog.Attr) slog.Attr {
-		switch a.Key {
-		case slog.TimeKey:
-			return slog.Attr{}
-		case slog.LevelKey:
-			return slog.String(a.Key, strings.ToLower(a.Value.String()))
-		case slog.MessageKey:
-			a.Key = "event"
-		}
-		return a
-	}}))
-}
-
-type lines struct{ l *log.Logger }
-
-func (w lines) Write(b []byte) (int, error) {
-	w.l.Print(string(bytes.TrimRight(b, "\n")))
-	return len(b), nil
-}
--- a/cmd/saffronquay/gatherer.go
+++ b/cmd/saffronquay/gatherer.go
@@ -1,9 +1,11 @@
 package main
 
 import (
+	"cmp"
 	"context"
+	"errors"
 	"fmt"
-	"log"
+	"log/slog"
 	"net"
 	"os"
 	"runtime/debug"
@@ -12,6 +14,7 @@
 
 	sq "saffronquay"
 	"saffronquay/internal/broker"
+	"saffronquay/internal/events"
 	"saffronquay/internal/handover"
 	"saffronquay/internal/operations"
 	"saffronquay/internal/platform"
@@ -21,7 +24,7 @@
 // gatherer is the program's parts, joined.
 type gatherer struct {
 	plan
-	log     *log.Logger
+	logger  *slog.Logger
 	clock   transport.Clock
 	engine  *transport.Engine
 	watcher *transport.Watcher // nil: the list of servers is fixed
@@ -36,20 +39,21 @@
 	others  int                   // descriptors that they hold
 	served  chan error            // the listener's end
 	turn    chan struct{}         // the duty has changed
+	up      func(listen, door string)
 
 	mu        sync.Mutex // of the two that a standby touches
 	listener  *transport.Listener
 	onStandby bool
 }
 
-func run(logger *log.Logger, term, hup <-chan os.Signal) error {
-	p, err := load(logger)
-	if err != nil {
-		return fmt.Errorf("configuration: %w", err)
+// run serves by a plan until term; up, where set, is told where clients and operators call.
+func run(p plan, logger *slog.Logger, term, hup <-chan os.Signal, up func(listen, door string)) error {
+	if err := p.applyLog(); err != nil {
+		return fmt.Errorf("configuration: log: %w", err)
 	}
 	debug.SetMemoryLimit(int64(p.memoryMB) << 20 * 3 / 4)
-	g := &gatherer{plan: p, log: logger, clock: transport.NewClock(), served: make(chan error, 1),
-		turn: make(chan struct{}, 1), met: make(chan []handover.State, 1)}
+	g := &gatherer{plan: p, logger: logger, clock: transport.NewClock(), served: make(chan error, 1),
+		turn: make(chan struct{}, 1), met: make(chan []handover.State, 1), up: up}
 	g.duty, g.figures = operations.NewDuty(g.stand), operations.NewFigures()
 	if g.layout != nil {
 		g.figures.Routes = &operations.LayoutFigures{}
@@ -103,7 +107,7 @@
 		if err != nil {
 			return fmt.Errorf("operator: %w", err)
 		}
-		g.door = transport.NewDoor(l, desk{g.duty, g.figures, g.routes}, g.log)
+		g.door = transport.NewDoor(l, desk{g.duty, g.figures, g.routes, g.output}, g.logger)
 		go g.door.Serve()
 		door = l.Addr().String()
 	}
@@ -117,7 +121,7 @@
 	g.succeed()
 	bounds := g.bounds()
 	g.mu.Lock()
-	g.listener = transport.NewListener(socket, bounds, g.engine, g.front, g.log)
+	g.listener = transport.NewListener(socket, bounds, g.engine, g.front, g.logger)
 	g.listener.Standby(g.onStandby)
 	g.mu.Unlock()
 	go g.engine.Run()
@@ -130,7 +134,7 @@
 	g.follow()
 	g.followLayout()
 	if g.vrrp != nil {
-		g.virtual = &service{clock: g.clock, config: *g.vrrp, engine: g.engine, log: g.log}
+		g.virtual = &service{clock: g.clock, config: *g.vrrp, engine: g.engine, log: g.logger}
 		g.virtual.reconfigure(bounds, g.front)
 		if err := g.compete(); err != nil && g.others == 0 {
 			return err
@@ -138,8 +142,10 @@
 	}
 	go func() { g.served <- g.listener.Serve() }()
 	g.duty.Begin()
-	g.log.Printf("level=info event=start name=%s listen=%s operator=%s servers=%d", g.name, socket.Addr(), door,
-		len(g.fleet.Servers))
+	if g.up != nil {
+		g.up(socket.Addr().String(), door)
+	}
+	events.Info(g.logger, events.Start, "name", g.name, "listen", socket.Addr(), "operator", door, "servers", len(g.fleet.Servers))
 	return nil
 }
 
@@ -151,7 +157,7 @@
 	}
 	err := g.virtual.compete(!g.standsBy())
 	if err != nil && !g.waits {
-		g.log.Printf("level=error event=vrrp error=%q", err)
+		events.Error(g.logger, events.Vrrp, "error", err)
 	}
 	g.waits = err != nil
 	return err
@@ -165,7 +171,7 @@
 	if g.listener != nil {
 		g.listener.Standby(standby)
 	}
-	g.log.Printf("level=info event=duty standby=%t", standby)
+	events.Info(g.logger, events.Duty, "standby", standby)
 	select {
 	case g.turn <- struct{}{}:
 	default:
@@ -184,7 +190,7 @@
 	if err != nil {
 		return fmt.Errorf("configuration: settings: %w", err)
 	}
-	g.engine = transport.NewEngine(g.clock, broker.New(g.terms(), module), g.pool(), g.dialect, g.figures, g.log)
+	g.engine = transport.NewEngine(g.clock, broker.New(g.terms(), module), g.pool(), g.dialect, g.figures, g.logger)
 	g.engine.Fleet(g.fleet, g.addresses)
 	if g.watch != nil {
 		g.watcher = g.watch(g.engine)
@@ -193,7 +199,7 @@
 	if g.layout != nil {
 		cfg := transport.RoutesConfig{Directory: g.layout.Directory, Stall: g.layout.Stall}
 		g.routes, err = transport.NewRoutes(cfg, g.durable.latest(g.layout.Whole, g.serverIDs()), g.serverIDs(), g.clock, g.place, g.engine.Layout,
-			g.figures.Routes, g.log)
+			g.figures.Routes, g.logger)
 		if err != nil {
 			return fmt.Errorf("configuration: %w", err)
 		}
@@ -207,6 +213,15 @@
 	*operations.Duty
 	*operations.Figures
 	routes *transport.Routes
+	output *events.Output
+}
+
+// Log changes what is logged.
+func (d desk) Log(level string) error {
+	if d.output == nil {
+		return errors.New("this program's log can't be changed")
+	}
+	return d.output.Level(level)
 }
 
 // Layout appends how the layout stands; nil where there is none.
@@ -217,6 +232,15 @@
 	return d.routes.Layout(dst)
 }
 
+// applyLog has the log written as the file says.
+func (p plan) applyLog() error {
+	if p.output == nil {
+		return nil
+	}
+	p.output.Format(cmp.Or(p.log.Format, "text"))
+	return p.output.Level(cmp.Or(p.log.Level, "info"))
+}
+
 func (p plan) serverIDs() []sq.ServerID {
 	ids := make([]sq.ServerID, len(p.fleet.Servers))
 	for i, s := range p.fleet.Servers {
@@ -240,7 +264,7 @@
 	select {
 	case <-g.routes.Heard():
 	case <-t.C:
-		g.log.Printf("level=warn event=start layout=given waited=%s", firstList)
+		events.Warn(g.logger, events.Start, "layout", "given", "waited", firstList)
 	}
 }
 
@@ -314,7 +338,7 @@
 		case g.met <- others:
 		default: // the main goroutine has not got to the last ones; there is word again soon
 		}
-	}, g.log)
+	}, g.logger)
 	others := g.beside.Others()
 	from, ok := handover.Youngest(others)
 	if !ok {
@@ -327,10 +351,10 @@
 	g.share(others)
 	if from.Standby {
 		if err := g.duty.Standby(); err != nil {
-			g.log.Printf("level=error event=duty error=%q", err)
+			events.Error(g.logger, events.Duty, "error", err)
 		}
 	}
-	g.log.Printf("level=info event=succeeds standby=%t open=%d sockets=%d generation=%d", from.Standby, from.Open, from.Sockets, from.Generation)
+	events.Info(g.logger, events.Succeeds, "standby", from.Standby, "open", from.Open, "sockets", from.Sockets, "generation", from.Generation)
 }
 
 // standing is how this process stands.
@@ -387,7 +411,7 @@
 	select {
 	case <-g.watcher.Heard():
 	case <-t.C:
-		g.log.Printf("level=warn event=start list=given waited=%s", firstList)
+		events.Warn(g.logger, events.Start, "list", "given", "waited", firstList)
 	}
 }
 
@@ -397,24 +421,30 @@
 	now, err := g.again()
 	if err != nil {
 		g.figures.CfgFaulty.Add(1)
-		g.log.Printf("level=error event=reload kept=old error=%q", err)
+		events.Error(g.logger, events.Reload, "kept", "old", "error", err)
 		return
 	}
 	if g.routes != nil {
 		if err := g.routes.File(now.layout.Whole, now.serverIDs(), false); err != nil {
 			g.figures.CfgFaulty.Add(1)
-			g.log.Printf("level=error event=reload kept=old error=%q", err)
+			events.Error(g.logger, events.Reload, "kept", "old", "error", err)
 			return
 		}
 	}
 	if now.listen != g.listen || now.operator != g.operator {
-		g.log.Printf("level=warn event=reload note=%q", "listen and operator take a restart")
+		events.Warn(g.logger, events.Reload, "note", "listen and operator take a restart")
 	}
 	if now.adopt != nil {
 		now.adopt()
 	}
 	now.name, now.listen, now.operator, now.vrrp, now.passed, now.shared, now.seed = g.name, g.listen, g.operator, g.vrrp,
 		g.passed, g.shared, g.seed
+	now.output = g.output
+	if now.log != g.plan.log { // what an operator set at the door stays otherwise
+		if err := now.applyLog(); err != nil {
+			events.Error(g.logger, events.Reload, "error", err)
+		}
+	}
 	g.plan = now
 	debug.SetMemoryLimit(int64(g.memoryMB) << 20 * 3 / 4)
 	g.engine.Reconfigure(g.terms(), g.settings.Module, g.pool(), g.dialect)
@@ -428,8 +458,7 @@
 		g.settle()
 	}
 	g.figures.CfgTaken.Add(1)
-	g.log.Printf("level=info event=reload classes=%d discovery=%s servers=%d", len(g.settings.Module.Classes), g.discovery,
-		len(g.fleet.Servers))
+	events.Info(g.logger, events.Reload, "classes", len(g.settings.Module.Classes), "discovery", g.discovery, "servers", len(g.fleet.Servers))
 }
 
 // settle has the file's servers and layout in force. New servers come before the layout that names them, and those that are
@@ -438,7 +467,7 @@
 	if g.routes != nil {
 		g.engine.Fleet(sq.FleetChanged{Kind: sq.FleetDelta, Servers: g.fleet.Servers}, g.addresses)
 		if err := g.routes.File(g.layout.Whole, g.serverIDs(), true); err != nil { // the directory has just said otherwise
-			g.log.Printf("level=error event=reload layout=kept error=%q", err)
+			events.Error(g.logger, events.Reload, "layout", "kept", "error", err)
 		}
 		if g.layout.Directory != "" {
 			g.routes.Move(g.layout.Directory)
@@ -464,7 +493,7 @@
 	} else {
 		g.listener.Leave()
 	}
-	g.log.Printf("level=info event=leaving held=%d", g.engine.Held())
+	events.Info(g.logger, events.Leaving, "held", g.engine.Held())
 	since := g.clock.Now()
 	tick := time.NewTicker(50 * time.Millisecond)
 	defer tick.Stop()
@@ -504,5 +533,5 @@
 	if g.door != nil {
 		g.door.Close()
 	}
-	g.log.Printf("level=info event=stopped")
+	events.Info(g.logger, events.Stopped)
 }
--- a/cmd/saffronquay/main.go
+++ b/cmd/saffronquay/main.go
@@ -4,9 +4,12 @@
 
 import (
 	"bytes"
+	"context"
 	"crypto/rand"
 	"encoding/binary"
-	"log"
+	"fmt"
+	"io"
+	"log/slog"
 	"os"
 	"os/signal"
 	"sync/atomic"
@@ -17,24 +20,49 @@
 	"saffronquay/internal/broker"
 	"saffronquay/internal/config"
 	"saffronquay/internal/cursor"
+	"saffronquay/internal/events"
 	"saffronquay/internal/layout"
 	"saffronquay/internal/opensearch"
 	"saffronquay/internal/platform"
 	"saffronquay/internal/transport"
 )
 
-func main() {
-	if len(os.Args) > 1 {
-		os.Exit(command(os.Args[1:], os.Stdout, os.Stderr))
-	}
-	logger := log.New(os.Stderr, "", log.LstdFlags|log.Lmicroseconds|log.LUTC)
+func main() { os.Exit(execute(os.Args[1:], os.Stdin, os.Stdout, os.Stderr)) }
+
+// serve serves until SIGTERM.
+func (c *cli) serve() error {
 	term, hup := make(chan os.Signal, 1), make(chan os.Signal, 1)
 	signal.Notify(term, syscall.SIGTERM, os.Interrupt)
 	signal.Notify(hup, syscall.SIGHUP) // unheard it would end the program
-	if err := run(logger, term, hup); err != nil {
-		logger.Printf("level=error event=exit error=%q", err)
-		os.Exit(1)
+	logger, out := newLog(c.errs, "text", slog.LevelInfo)
+	p, err := load(logger)
+	if err == nil {
+		p.output = out
+		err = run(p, logger, term, hup, nil)
+	} else {
+		err = fmt.Errorf("configuration: %w", err)
+	}
+	if err != nil {
+		events.Error(logger, events.Exit, "error", err)
+		return &ended{code: bad}
+	}
+	return nil
+}
+
+// newLog is the program's log.
+func newLog(w io.Writer, format string, level slog.Level) (*slog.Logger, *events.Output) {
+	o := events.New(w, format, level)
+	return o.Logger(), o
+}
+
+// interrupted is over with Ctrl-C or SIGTERM or, with a length above nought, after so long.
+func interrupted(length time.Duration) (context.Context, context.CancelFunc) {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	if length <= 0 {
+		return ctx, stop
 	}
+	timed, cancel := context.WithTimeout(ctx, length)
+	return timed, func() { cancel(); stop() }
 }
 
 const (
@@ -68,9 +96,14 @@
 	adopt             func()                         // has what this plan made for itself in force; nil: nothing
 	again             func() (plan, error)           // reads the file once more
 	durable           *durable                       // what outlasts the process; nil: nothing
+	log               config.Log                     // how lines are written
+	output            *events.Output                 // what they go through; nil: it can't be changed
 }
 
-func load(logger *log.Logger) (plan, error) {
+// readStable reads a file that may be written meanwhile.
+func readStable(path string) ([]byte, error) { return config.ReadStable(path, os.ReadFile) }
+
+func load(logger *slog.Logger) (plan, error) {
 	process, err := config.LoadProcess(os.Getenv)
 	if err != nil {
 		return plan{}, err
@@ -80,8 +113,8 @@
 	return p, err
 }
 
-func loadFile(logger *log.Logger) (plan, error) {
-	op, ok, err := config.LoadOperator(os.Getenv, os.ReadFile)
+func loadFile(logger *slog.Logger) (plan, error) {
+	op, ok, err := config.LoadOperator(os.Getenv, readStable)
 	if err != nil {
 		return plan{}, err
 	}
@@ -102,7 +135,7 @@
 	return gathering(node, logger), nil
 }
 
-func gathering(node config.Node, logger *log.Logger) plan {
+func gathering(node config.Node, logger *slog.Logger) plan {
 	return plan{name: node.Name, listen: node.Listen, operator: node.Operator, seed: node.Seed, sockets: node.Sockets,
 		memoryMB: node.MemoryMB, settings: node.Settings, front: platform.Front{Margin: margin},
 		dialect:      platform.Workers{PerConn: node.Settings.StreamsPerConn},
@@ -117,7 +150,7 @@
 		}}
 }
 
-func searching(op config.Operator, held *standing, logger *log.Logger) plan {
+func searching(op config.Operator, held *standing, logger *slog.Logger) plan {
 	keeper := held.of(op.Cursors)
 	adopt := func() {
 		if keeper != held.cursors.Load() {
@@ -145,9 +178,9 @@
 	return plan{name: op.Name, listen: op.Listen, operator: op.Operator, seed: op.Seed, sockets: op.Sockets, memoryMB: op.MemoryMB,
 		settings: op.Settings, budgets: op.Budgets, front: front, dialect: opensearch.Servers{}, partsPerCall: 1,
 		fleet: sq.FleetChanged{Kind: sq.FleetFull, Servers: op.Servers}, addresses: op.Addresses, vrrp: op.VRRP, layout: op.Layout, place: &held.place, cursors: &held.cursors, adopt: adopt,
-		durable: held.durable,
+		durable: held.durable, log: op.Log,
 		again: func() (plan, error) {
-			now, err := config.ReloadOperator(os.Getenv, os.ReadFile, op)
+			now, err := config.ReloadOperator(os.Getenv, readStable, op)
 			return searching(now, held, logger), err
 		}}
 }
--- a/cmd/saffronquay/service.go
+++ b/cmd/saffronquay/service.go
@@ -2,12 +2,13 @@
 
 import (
 	"fmt"
-	"log"
+	"log/slog"
 	"net"
 	"sync"
 	"time"
 
 	"saffronquay/internal/config"
+	"saffronquay/internal/events"
 	"saffronquay/internal/transport"
 	"saffronquay/internal/vrrp"
 )
@@ -17,7 +18,7 @@
 	clock  transport.Clock
 	config config.VRRP
 	engine *transport.Engine
-	log    *log.Logger
+	log    *slog.Logger
 	router *transport.Redundancy // nil: on standby, or leaving; the main goroutine owns it
 	stop   chan struct{}         // ends the present time as Active; the router's goroutine owns it
 
@@ -70,7 +71,7 @@
 			s.run(socket, stop)
 			return
 		}
-		s.log.Printf("level=warn event=vrrp_service address=%s error=%q", s.config.Service, err)
+		events.Warn(s.log, events.VrrpService, "address", s.config.Service, "error", err)
 		t := time.NewTimer(listenAgain)
 		select {
 		case <-t.C:
@@ -90,13 +91,13 @@
 		s.listeners = s.listeners[1:]
 	}
 	s.mu.Unlock()
-	s.log.Printf("level=info event=vrrp_service address=%s", s.config.Service)
+	events.Info(s.log, events.VrrpService, "address", s.config.Service)
 	go func() {
 		<-stop
 		l.HandOver(false)
 	}()
 	if err := l.Serve(); err != nil {
-		s.log.Printf("level=error event=vrrp_service error=%q", err)
+		events.Error(s.log, events.VrrpService, "error", err)
 	}
 }
 
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -109,8 +109,8 @@
 		n.Settings = readSettings(r.object("settings"))
 		n.Settings.checkServing(r.object("settings"))
 	}
-	if *r.err != nil {
-		return Node{}, *r.err
+	if err := r.err(); err != nil {
+		return Node{}, err
 	}
 	n.keys = keysOf("", r.v.GetObject())
 	n.Addresses = map[sq.ServerID]string{}
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"slices"
 	"strconv"
 	"time"
 
@@ -33,6 +34,13 @@
 	Cursors           *Cursors // nil: there are no points in time
 	Layout            *Layout  // nil: settings and indices say where shards are, for good
 	Store             *Store   // nil: nothing outlasts the process
+	Log               Log
+}
+
+// Log is how the log is written.
+type Log struct {
+	Format string // text or json; empty: text
+	Level  string // debug, info, warn or error; empty: info
 }
 
 // Store sets up the durable store.
@@ -158,6 +166,16 @@
 	if r.has("cursors") {
 		o.cursors(r.object("cursors"))
 	}
+	if l := r.object("log"); l.v != nil {
+		o.Log = Log{Format: l.str("format", "text"), Level: l.str("level", "info")}
+		if o.Log.Format != "text" && o.Log.Format != "json" {
+			l.fault("format", "want text or json, not %q", o.Log.Format)
+		}
+		if !slices.Contains([]string{"debug", "info", "warn", "error"}, o.Log.Level) {
+			l.fault("level", "want debug, info, warn or error, not %q", o.Log.Level)
+		}
+	}
+	r.has("$schema") // for editors
 	if r.has("vrrp") {
 		o.VRRP = readVRRP(r.object("vrrp"))
 	}
@@ -169,7 +187,8 @@
 			}
 		}
 	}
-	return o, *r.err
+	r.strict()
+	return o, r.err()
 }
 
 // cursors reads the bounds of points in time, and the key that seals their tokens.
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -25,11 +25,12 @@
 		return Settings{}, err
 	}
 	s := readSettings(r)
-	return s, *r.err
+	return s, r.err()
 }
 
 func readSettings(r reader) Settings {
 	r.require("family_info", "classes")
+	r.has("areas") // the platform lists all zones there; the servers' own are what counts
 	fam, perm, rules := r.object("family_info"), r.object("permissions"), r.object("rules")
 	classes := r.array("classes")
 	n := len(classes)
@@ -108,6 +109,9 @@
 	if s.MaxOpen < 0 {
 		r.fault("permissions.max_open", "want nought or more, not %d", s.MaxOpen)
 	}
+	if len(r.doc.faults) > 0 {
+		return // what is wrong already would be told again in other words
+	}
 	if err := s.Module.Validate(); err != nil {
 		r.fault("", "%v", err)
 	}
--- /dev/null
+++ b/internal/events/events_test.go
@@ -0,0 +1,181 @@
+package events_test
+
+import (
+	"bytes"
+	"fmt"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io"
+	"io/fs"
+	"log"
+	"log/slog"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+
+	"saffronquay/internal/events"
+)
+
+func TestLines(t *testing.T) {
+	var b bytes.Buffer
+	o := events.New(&b, "text", slog.LevelInfo)
+	l := o.Logger()
+	events.Info(l, events.Start, "name", "g", "listen", "127.0.0.1:1")
+	events.Debug(l, events.Start)
+	if got := b.String(); !strings.HasSuffix(got, " level=info event=start name=g listen=127.0.0.1:1\n") || strings.Count(got, "\n") != 1 {
+		t.Errorf("%q", got)
+	}
+	b.Reset()
+	o.Format("json")
+	if err := o.Level("warn"); err != nil {
+		t.Fatal(err)
+	}
+	events.Info(l, events.Start)
+	events.Warn(l.With("gatherer", "g"), events.LayoutKept, "error", io.EOF)
+	if got := b.String(); !strings.Contains(got, `"level":"warn","event":"layout_kept","error":"EOF","gatherer":"g"`) || strings.Count(got, "\n") != 1 {
+		t.Errorf("%q", got)
+	}
+	if o.Level("loud") == nil {
+		t.Error("a level that is none")
+	}
+}
+
+// What comes by the thousand is written a few times a second, and what was not is counted.
+func TestSampling(t *testing.T) {
+	var b bytes.Buffer
+	l := events.New(&b, "text", slog.LevelInfo).Logger()
+	for range 1000 {
+		events.Warn(l, events.VrrpDiscard, "from", "x")
+		events.Info(l, events.Reload)
+	}
+	if n := strings.Count(b.String(), "vrrp_discard"); n < 5 || n > 15 {
+		t.Errorf("%d of 1000 are written", n)
+	}
+	if n := strings.Count(b.String(), "event=reload"); n != 1000 {
+		t.Errorf("%d of 1000 rare ones are written", n)
+	}
+}
+
+// Every line that the program writes names an event and fields of the table, and no other package writes lines by itself.
+func TestAllEventsAreInTheTable(t *testing.T) {
+	used := map[string]bool{}
+	fset := token.NewFileSet()
+	err := filepath.WalkDir("../..", func(path string, d fs.DirEntry, err error) error {
+		if err != nil || d.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") || strings.Contains(path, "internal/store/weigh") ||
+			strings.Contains(path, "cmd/saffronquay-standin") {
+			return err
+		}
+		f, err := parser.ParseFile(fset, path, nil, 0)
+		if err != nil {
+			return err
+		}
+		ast.Inspect(f, func(n ast.Node) bool {
+			call, is := n.(*ast.CallExpr)
+			if !is {
+				return true
+			}
+			sel, is := call.Fun.(*ast.SelectorExpr)
+			if !is {
+				return true
+			}
+			from, is := sel.X.(*ast.Ident)
+			switch {
+			case !is || from.Name != "events":
+			case !slices.Contains([]string{"Debug", "Info", "Warn", "Error"}, sel.Sel.Name):
+			default:
+				check(t, fset.Position(call.Pos()).String(), call.Args, used)
+			}
+			if is && from.Name == "log" && strings.HasPrefix(sel.Sel.Name, "Print") {
+				t.Errorf("%s: it writes a line by itself", fset.Position(call.Pos()))
+			}
+			return true
+		})
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for e := range events.Fields {
+		name := ""
+		for _, part := range strings.Split(string(e), "_") {
+			name += strings.ToUpper(part[:1]) + part[1:]
+		}
+		if !used[name] {
+			t.Errorf("nobody logs %s", e)
+		}
+	}
+}
+
+func check(t *testing.T, at string, args []ast.Expr, used map[string]bool) {
+	name, is := args[1].(*ast.SelectorExpr)
+	if !is {
+		t.Errorf("%s: its event is no name of the table", at)
+		return
+	}
+	used[name.Sel.Name] = true
+	var fields []string
+	for e, fs := range events.Fields {
+		camel := ""
+		for _, part := range strings.Split(string(e), "_") {
+			camel += strings.ToUpper(part[:1]) + part[1:]
+		}
+		if camel == name.Sel.Name {
+			fields = fs
+		}
+	}
+	for i := 2; i < len(args); i += 2 {
+		lit, is := args[i].(*ast.BasicLit)
+		if !is {
+			t.Errorf("%s: a field's name is no literal", at)
+			continue
+		}
+		if field, err := strconv.Unquote(lit.Value); err != nil || !slices.Contains(fields, field) {
+			t.Errorf("%s: %s has no field %s", at, name.Sel.Name, lit.Value)
+		}
+	}
+}
+
+// What a line costs: as it was before, as text, as JSON, below the level, and beyond what is written of it in a second.
+func BenchmarkLines(b *testing.B) {
+	b.Run("before", func(b *testing.B) {
+		l := log.New(io.Discard, "", log.LstdFlags|log.Lmicroseconds|log.LUTC)
+		l.SetOutput(writer{})
+		for i := range b.N {
+			l.Printf("level=info event=fleet generation=%d whole=%t entries=%d", i, true, 12)
+		}
+	})
+	for _, format := range []string{"text", "json"} {
+		b.Run(format, func(b *testing.B) {
+			l := events.New(writer{}, format, slog.LevelInfo).Logger()
+			for i := range b.N {
+				events.Info(l, events.Fleet, "generation", i, "whole", true, "entries", 12)
+			}
+		})
+	}
+	b.Run("below the level", func(b *testing.B) {
+		l := events.New(writer{}, "text", slog.LevelWarn).Logger()
+		for i := range b.N {
+			events.Info(l, events.Fleet, "generation", i, "whole", true, "entries", 12)
+		}
+	})
+	b.Run("sampled", func(b *testing.B) {
+		l := events.New(writer{}, "text", slog.LevelInfo).Logger()
+		for range b.N {
+			events.Info(l, events.Note, "text", "x")
+		}
+	})
+}
+
+type writer struct{}
+
+func (writer) Write(p []byte) (int, error) { return len(p), nil }
+
+func ExampleNew() {
+	o := events.New(writer{}, "text", slog.LevelInfo)
+	events.Info(o.Logger(), events.Stopped)
+	fmt.Println(o.Level("debug"), o.Level("loud"))
+	// Output: <nil> want debug, info, warn or error, not "loud"
+}
--- /dev/null
+++ b/internal/events/names.go
@@ -0,0 +1,83 @@
+package events
+
+// Name is an event's.
+type Name string
+
+// The events. Their names, and those of their fields, are what operators' searches and alarms go by: they are not renamed.
+const (
+	Accept           Name = "accept"
+	DoorAccept       Name = "door_accept"
+	Duty             Name = "duty"
+	Exit             Name = "exit"
+	Fleet            Name = "fleet"
+	Handover         Name = "handover"
+	Layout           Name = "layout"
+	LayoutKept       Name = "layout_kept"
+	LayoutStalled    Name = "layout_stalled"
+	Leaving          Name = "leaving"
+	Note             Name = "note"
+	Reload           Name = "reload"
+	Start            Name = "start"
+	Stopped          Name = "stopped"
+	Store            Name = "store"
+	StoreClean       Name = "store_clean"
+	StoreDamaged     Name = "store_damaged"
+	StoreFails       Name = "store_fails"
+	StoreLayout      Name = "store_layout"
+	StoreMisses      Name = "store_misses"
+	StoreOff         Name = "store_off"
+	StoreTakenOver   Name = "store_taken_over"
+	StoreUnknown     Name = "store_unknown"
+	StoreWaits       Name = "store_waits"
+	StoreWritesAgain Name = "store_writes_again"
+	StoreYielded     Name = "store_yielded"
+	Succeeds         Name = "succeeds"
+	Vrrp             Name = "vrrp"
+	VrrpDiscard      Name = "vrrp_discard"
+	VrrpRead         Name = "vrrp_read"
+	VrrpSend         Name = "vrrp_send"
+	VrrpService      Name = "vrrp_service"
+	WatchEnded       Name = "watch_ended"
+	WatchMoved       Name = "watch_moved"
+)
+
+// Fields are those that each event may have. Values of clients' data (queries, keys, documents) are in none of them.
+var Fields = map[Name][]string{
+	Accept:           {"error"},
+	DoorAccept:       {"error"},
+	Duty:             {"standby", "error"},
+	Exit:             {"error"},
+	Fleet:            {"generation", "whole", "entries"},
+	Handover:         {"error"},
+	Layout:           {"epoch", "ranges", "changed", "changes", "from"},
+	LayoutKept:       {"epoch", "while", "reason", "error"},
+	LayoutStalled:    {"change", "kind", "state", "for"},
+	Leaving:          {"held"},
+	Note:             {"text"},
+	Reload:           {"kept", "error", "note", "classes", "discovery", "servers", "layout"},
+	Start:            {"name", "listen", "operator", "servers", "layout", "waited", "list"},
+	Stopped:          {},
+	Store:            {"bytes", "keys", "unknown", "took"},
+	StoreClean:       {"error"},
+	StoreDamaged:     {"file", "bytes"},
+	StoreFails:       {"error"},
+	StoreLayout:      {"kept", "error"},
+	StoreMisses:      {"error"},
+	StoreOff:         {"classes", "error"},
+	StoreTakenOver:   {"waited"},
+	StoreUnknown:     {"after", "before", "from", "to"},
+	StoreWaits:       {"longest"},
+	StoreWritesAgain: {},
+	StoreYielded:     {"open"},
+	Succeeds:         {"standby", "open", "sockets", "generation"},
+	Vrrp:             {"state", "error"},
+	VrrpDiscard:      {"from", "known", "error"},
+	VrrpRead:         {"error"},
+	VrrpSend:         {"error", "to"},
+	VrrpService:      {"address", "error"},
+	WatchEnded:       {"generation", "error"},
+	WatchMoved:       {"from"},
+}
+
+// often are the events that may come by the thousand: of each, so many a second are written, and then how many were not.
+var often = map[Name]int{VrrpDiscard: 5, VrrpRead: 5, VrrpSend: 5, Accept: 5, DoorAccept: 5, Note: 20, StoreFails: 5}
--- a/internal/layout/scenes_test.go
+++ b/internal/layout/scenes_test.go
@@ -432,7 +432,7 @@
 	s := newScene(t, 1)
 	s.announce("m", layout.Move, []int{0}, part(0, 100, 0, "s04"))
 	s.do("m copy")
-	s.gs[0].says(0, "event=layout_stalled", `change="m"`, "state=copying")
+	s.gs[0].says(0, "event=layout_stalled", "change=m", "state=copying")
 	s.right("stalled")
 	if got := s.gs[0].call("stats"); !strings.Contains(got, "svc.layout.stalled:1|g") || !strings.Contains(got, "svc.layout.changes:1|g") {
 		t.Errorf("stats: %s", got)
--- a/internal/once/kill_test.go
+++ b/internal/once/kill_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"os"
 	"path/filepath"
 	"strings"
@@ -375,3 +376,38 @@
 	_, rest, _ := strings.Cut(body, `"responses"`)
 	return rest
 }
+
+// The commands that go through the door, at a running gatherer.
+func TestDoorCommands(t *testing.T) {
+	c := newCluster(t, time.Millisecond)
+	g := newGatherer(t, c, "")
+	p := g.start()
+	g.send("POST", "/invoices/_search", "", "", "{}")
+	for _, x := range []struct {
+		words, want string
+		code        int
+	}{{"status", "YES active", 0}, {"stats -o json", `"svc.operations.read.fulfilled": 1`, 0}, {"layout show", "epoch 1 ranges 8", 0},
+		{"log debug", "YES log debug", 0}, {"log loud", "want debug, info, warn or error", 1}, {"drain --wait 10s", "drained", 0},
+		{"status", "YES standby", 0}, {"active", "YES active", 0}, {"log error", "YES", 0}, {"standby", "YES standby", 0}, {"log info", "YES", 0}} {
+		if out, code := g.run(append(strings.Fields(x.words), "--door", p.door)...); code != x.code || !strings.Contains(out, x.want) {
+			t.Errorf("%s: %d %s", x.words, code, out)
+		}
+	}
+	if n := strings.Count(g.said(), "event=duty"); n != 2 { // the third came while only errors were logged
+		t.Errorf("%d changes of duty are logged: %s", n, g.said())
+	}
+	// A door that takes calls and says nothing.
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	if out, code := g.run("status", "--door", l.Addr().String(), "--timeout", "100ms"); code != 3 || !strings.Contains(out, "timeout") {
+		t.Errorf("a silent door: %d %s", code, out)
+	}
+	// A log in JSON, by the file.
+	p.kill()
+	g.cfg["log"] = map[string]any{"format": "json", "level": "info"}
+	g.begin()
+	g.says(`"level":"info","event":"start","name":"g"`)
+}
--- a/internal/operations/call.go
+++ b/internal/operations/call.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"fmt"
+	"strings"
 )
 
 // Desk is what the door's calls reach. Its methods answer at once, under any load.
@@ -18,6 +19,8 @@
 	Stats(dst []byte) []byte
 	// Layout appends how the layout of ranges stands, a line each; nil where there is none.
 	Layout(dst []byte) []byte
+	// Log changes what is logged: debug, info, warn or error, and what is above it.
+	Log(level string) error
 }
 
 // MaxCall bounds a call's line, without its end.
@@ -81,9 +84,12 @@
 	case "active":
 		return did(d.Active(), call)
 	case "":
-		return no("empty call; there are status, stats, layout, standby and active")
+		return no("empty call; there are status, stats, layout, standby, active and log LEVEL")
 	}
-	return no("unknown call %q; there are status, stats, layout, standby and active", call)
+	if level, is := strings.CutPrefix(call, "log "); is {
+		return did(d.Log(level), call)
+	}
+	return no("unknown call %q; there are status, stats, layout, standby, active and log LEVEL", call)
 }
 
 func did(err error, call string) []byte {
--- a/internal/operations/call_test.go
+++ b/internal/operations/call_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"slices"
 	"strings"
 	"testing"
@@ -15,6 +16,13 @@
 
 func (desk) Layout(dst []byte) []byte { return nil }
 
+func (desk) Log(level string) error {
+	if level != "debug" {
+		return errors.New("no such level")
+	}
+	return nil
+}
+
 func newDesk(apply func(bool)) desk { return desk{NewDuty(apply), NewFigures()} }
 
 var calls = []struct{ line, answer string }{
--- a/internal/standin/query.go
+++ b/internal/standin/query.go
@@ -1,7 +1,9 @@
 package standin
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"strconv"
 
 	"github.com/valyala/fastjson"
@@ -88,3 +90,8 @@
 	}
 	return n
 }
+
+// SortRows puts rows in the order of their keys, as a cluster wants them.
+func SortRows(rows []Row) {
+	slices.SortStableFunc(rows, func(a, b Row) int { return cmp.Compare(a.Key, b.Key) })
+}
--- a/internal/store/proof_test.go
+++ b/internal/store/proof_test.go
@@ -34,10 +34,11 @@
 	told   map[string]string // answers whose record was acknowledged
 	worded map[string]string // answers that were handed to the ledger
 	steps  int
+	keys   int
 }
 
 func newWorld(seed uint64, sum *tally) *world {
-	w := &world{plan: &simdisk.Plan{}, rng: rand.New(rand.NewPCG(seed, 7)), sum: sum, acked: map[string]string{}, maybe: map[string]map[string]int{},
+	w := &world{keys: 12, plan: &simdisk.Plan{}, rng: rand.New(rand.NewPCG(seed, 7)), sum: sum, acked: map[string]string{}, maybe: map[string]map[string]int{},
 		ever: map[string]map[string]int{}, sent: map[string]int{}, told: map[string]string{}, worded: map[string]string{}}
 	w.disks = [2]*simdisk.Disk{simdisk.New("a", w.plan), simdisk.New("b", w.plan)}
 	return w
@@ -58,7 +59,7 @@
 	var wg sync.WaitGroup
 	var mu sync.Mutex
 	for range n {
-		key, value := fmt.Sprintf("key-%d", w.rng.IntN(12)), fmt.Sprintf("value-%d-%x", w.steps, w.rng.Uint64())
+		key, value := fmt.Sprintf("key-%d", w.rng.IntN(w.keys)), fmt.Sprintf("value-%d-%x", w.steps, w.rng.Uint64())
 		w.steps++
 		step := w.steps
 		r := store.Record{Kind: store.Cursor, Key: key, Value: []byte(value), Until: 0}
@@ -299,6 +300,9 @@
 		rounds, seeds, every = 4, 1, 3
 	}
 	w := newWorld(1, sum)
+	if os.Getenv("SAFFRONQUAY_LONG") != "" {
+		w.keys = 300
+	}
 	w.work(rounds)
 	if sum.lost.Load()+sum.invented.Load()+sum.resent.Load() > 0 {
 		t.Error("without any fault it is not as it was")
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -8,6 +8,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"saffronquay/internal/events"
 )
 
 // Kind tells what a record is about.
@@ -126,10 +128,10 @@
 	s := &Store{j: j, queue: make(chan *entry, queueSize), turns: make(chan func()), stop: make(chan struct{}), done: make(chan struct{}),
 		cleaned: make(chan struct{})}
 	for _, file := range j.damage {
-		opt.Log.Warn("store_damaged", "file", file)
+		events.Warn(opt.Log, events.StoreDamaged, "file", file)
 	}
 	for _, u := range j.man.unknown {
-		opt.Log.Error("store_unknown", "after", u.After, "before", u.Before, "from", u.From, "to", u.To)
+		events.Error(opt.Log, events.StoreUnknown, "after", u.After, "before", u.Before, "from", u.From, "to", u.To)
 	}
 	go s.run()
 	go s.tend()
@@ -210,10 +212,10 @@
 	}
 	if was := s.health.Load(); err == nil && was != nil {
 		s.health.Store(nil)
-		s.j.opt.Log.Info("store_writes_again")
+		events.Info(s.j.opt.Log, events.StoreWritesAgain)
 	} else if err != nil {
 		if s.health.Store(&err); was == nil {
-			s.j.opt.Log.Error("store_fails", "error", err)
+			events.Error(s.j.opt.Log, events.StoreFails, "error", err)
 		}
 	}
 	for _, e := range batch {
--- a/internal/store/tend.go
+++ b/internal/store/tend.go
@@ -4,6 +4,8 @@
 	"errors"
 	"slices"
 	"time"
+
+	"saffronquay/internal/events"
 )
 
 // moveBytes bounds what cleaning writes in one go: appends wait for no more than that.
@@ -23,7 +25,7 @@
 		select {
 		case <-tick.C:
 			if err := s.Clean(); err != nil && !errors.Is(err, ErrClosed) {
-				s.j.opt.Log.Warn("store_clean", "error", err)
+				events.Warn(s.j.opt.Log, events.StoreClean, "error", err)
 			}
 			if every := s.j.opt.ScrubEvery; every > 0 && time.Since(scrubbed) >= every {
 				scrubbed = time.Now()
@@ -62,7 +64,7 @@
 		res := scan(s.j.dirs, s.j.man.store, &frozen, header{}, true, &bufs, nowhere{})
 		for i, bad := range res.damaged {
 			if bad > 0 {
-				s.j.opt.Log.Warn("store_damaged", "file", s.j.dirs[i].String()+"/"+seg.name(), "bytes", bad)
+				events.Warn(s.j.opt.Log, events.StoreDamaged, "file", s.j.dirs[i].String()+"/"+seg.name(), "bytes", bad)
 				s.j.mu.Lock()
 				seg.damaged = true
 				s.j.mu.Unlock()
--- a/internal/transport/beside.go
+++ b/internal/transport/beside.go
@@ -3,12 +3,13 @@
 import (
 	"fmt"
 	"io"
-	"log"
+	"log/slog"
 	"os"
 	"path/filepath"
 	"strings"
 	"time"
 
+	"saffronquay/internal/events"
 	"saffronquay/internal/handover"
 )
 
@@ -28,14 +29,14 @@
 	clock           Clock
 	snapshot        func() (handover.State, bool)
 	met             func([]handover.State)
-	log             *log.Logger
+	log             *slog.Logger
 	stop, done      chan struct{}
 }
 
 // NewBeside makes one in a directory that outlives a process. snapshot gives this process's state, where it has one; met
 // is handed what the others told last, again and again. Run runs it.
 func NewBeside(dir, name string, clock Clock, snapshot func() (handover.State, bool), met func([]handover.State),
-	logger *log.Logger) *Beside {
+	logger *slog.Logger) *Beside {
 	own := fmt.Sprintf("%s%d-%d%s", besidePrefix, os.Getpid(), time.Now().UnixNano(), besideSuffix)
 	return &Beside{dir: dir, name: name, path: filepath.Join(dir, own), clock: clock, snapshot: snapshot, met: met,
 		log: logger, stop: make(chan struct{}), done: make(chan struct{})}
@@ -57,7 +58,7 @@
 		if s, ok := b.snapshot(); ok {
 			err := b.write(s)
 			if err != nil && !failed {
-				b.log.Printf("level=warn event=handover error=%q", err)
+				events.Warn(b.log, events.Handover, "error", err)
 			}
 			failed = err != nil
 		}
--- a/internal/transport/beside_test.go
+++ b/internal/transport/beside_test.go
@@ -1,8 +1,7 @@
 package transport
 
 import (
-	"io"
-	"log"
+	"log/slog"
 	"os"
 	"path/filepath"
 	"testing"
@@ -14,7 +13,7 @@
 // Two processes hear of each other while both run, and of nothing else: guards a start against what a process that is
 // gone, another gatherer or another version has left behind.
 func TestBesideEachOther(t *testing.T) {
-	dir, clock, quiet := t.TempDir(), NewClock(), log.New(io.Discard, "", 0)
+	dir, clock, quiet := t.TempDir(), NewClock(), slog.New(slog.DiscardHandler)
 	leave := func(name string, s handover.State) {
 		if err := os.WriteFile(filepath.Join(dir, besidePrefix+name), s.Append(nil), 0o600); err != nil {
 			t.Fatal(err)
--- a/internal/transport/discovery.go
+++ b/internal/transport/discovery.go
@@ -2,10 +2,11 @@
 
 import (
 	"fmt"
-	"log"
+	"log/slog"
 	"sync"
 
 	sq "saffronquay"
+	"saffronquay/internal/events"
 	"saffronquay/internal/platform"
 )
 
@@ -27,7 +28,7 @@
 // NewWatcher makes a watcher of the list from a version on; Run runs it. With asked, it begins only at
 // Begin, and tells of failures instead of beginning again by itself.
 func NewWatcher(address string, generation int64, asked bool, tell func(sq.FleetChanged, map[sq.ServerID]string),
-	logger *log.Logger) *Watcher {
+	logger *slog.Logger) *Watcher {
 	w := &Watcher{generation: generation, tell: tell, heard: make(chan struct{})}
 	w.follower = newFollower(address, maxList, w, logger)
 	w.asked = asked
@@ -65,7 +66,7 @@
 }
 
 func (w *Watcher) ended(err error) {
-	w.log.Printf("level=warn event=watch_ended generation=%d error=%q", w.generation, err)
+	events.Warn(w.log, events.WatchEnded, "generation", w.generation, "error", err)
 	if w.asked {
 		w.tell(sq.FleetChanged{Kind: sq.FleetFailed}, nil)
 	}
@@ -106,5 +107,5 @@
 		w.told = true
 		close(w.heard)
 	}
-	w.log.Printf("level=info event=fleet generation=%d whole=%t entries=%d", l.Generation, l.Whole, len(l.Servers))
+	events.Info(w.log, events.Fleet, "generation", l.Generation, "whole", l.Whole, "entries", len(l.Servers))
 }
--- a/internal/transport/door.go
+++ b/internal/transport/door.go
@@ -2,11 +2,12 @@
 
 import (
 	"errors"
-	"log"
+	"log/slog"
 	"net"
 	"sync"
 	"time"
 
+	"saffronquay/internal/events"
 	"saffronquay/internal/operations"
 )
 
@@ -22,7 +23,7 @@
 type Door struct {
 	net  net.Listener
 	desk operations.Desk
-	log  *log.Logger
+	log  *slog.Logger
 	wg   sync.WaitGroup
 
 	mu     sync.Mutex
@@ -34,7 +35,7 @@
 type callers []net.Conn
 
 // NewDoor makes a door on an open listener; Serve runs it.
-func NewDoor(l net.Listener, d operations.Desk, logger *log.Logger) *Door {
+func NewDoor(l net.Listener, d operations.Desk, logger *slog.Logger) *Door {
 	return &Door{net: l, desk: d, log: logger}
 }
 
@@ -46,7 +47,7 @@
 			return
 		}
 		if err != nil {
-			d.log.Printf("level=warn event=door_accept error=%q", err)
+			events.Warn(d.log, events.DoorAccept, "error", err)
 			time.Sleep(5 * time.Millisecond)
 			continue
 		}
--- a/internal/transport/engine.go
+++ b/internal/transport/engine.go
@@ -4,13 +4,14 @@
 
 import (
 	"cmp"
-	"log"
+	"log/slog"
 	"maps"
 	"slices"
 	"time"
 
 	sq "saffronquay"
 	"saffronquay/internal/broker"
+	"saffronquay/internal/events"
 	"saffronquay/internal/handover"
 	"saffronquay/internal/layout"
 	"saffronquay/internal/operations"
@@ -38,7 +39,7 @@
 	stop    chan struct{}
 	stopped chan struct{}
 	waiting map[sq.ID]func(broker.Final)
-	log     *log.Logger
+	log     *slog.Logger
 	sweepAt int64
 	figures *operations.Figures
 	// Watch and Fetch, where set, carry out what the module asks of discovery; they must not block.
@@ -56,7 +57,7 @@
 
 // NewEngine makes an engine; Run starts it.
 func NewEngine(clock Clock, core *broker.Core, cfg PoolConfig, d broker.Dialect, figures *operations.Figures,
-	logger *log.Logger) *Engine {
+	logger *slog.Logger) *Engine {
 	e := &Engine{clock: clock, core: core, inbox: make(chan func(int64), inboxSize), stop: make(chan struct{}),
 		stopped: make(chan struct{}), waiting: map[sq.ID]func(broker.Final){}, figures: figures, log: logger}
 	e.pool = newPool(cfg, d, e.post)
@@ -152,7 +153,7 @@
 				e.Refresh()
 			}
 		case broker.Note:
-			e.log.Printf("level=info event=note text=%q", x.Text)
+			events.Info(e.log, events.Note, "text", x.Text)
 		}
 	}
 }
--- a/internal/transport/follow.go
+++ b/internal/transport/follow.go
@@ -4,11 +4,12 @@
 	"bytes"
 	"context"
 	"fmt"
-	"log"
+	"log/slog"
 	"net"
 	"sync"
 	"time"
 
+	"saffronquay/internal/events"
 	"saffronquay/internal/http1"
 )
 
@@ -40,7 +41,7 @@
 // what is told goes to its source, on Run's goroutine.
 type follower struct {
 	source source
-	log    *log.Logger
+	log    *slog.Logger
 	most   int           // bytes of a whole list or a line
 	fresh  bool          // the whole list comes first; Run's goroutine owns it
 	asked  bool          // failures end it until begin: the module asks for the watch
@@ -53,7 +54,7 @@
 	moved   chan struct{} // closed, and replaced, when the address changes
 }
 
-func newFollower(address string, most int, s source, logger *log.Logger) follower {
+func newFollower(address string, most int, s source, logger *slog.Logger) follower {
 	return follower{source: s, log: logger, most: most, address: address, begin: make(chan struct{}, 1),
 		stop: make(chan struct{}), done: make(chan struct{}), moved: make(chan struct{})}
 }
@@ -100,7 +101,7 @@
 			return
 		case <-moved: // not a failure: the next address is asked at once
 			waits = false
-			f.log.Printf("level=info event=watch_moved from=%s", address)
+			events.Info(f.log, events.WatchMoved, "from", address)
 			continue
 		default:
 		}
--- a/internal/transport/listener.go
+++ b/internal/transport/listener.go
@@ -3,7 +3,7 @@
 import (
 	"errors"
 	"io"
-	"log"
+	"log/slog"
 	"net"
 	"strconv"
 	"sync"
@@ -12,6 +12,7 @@
 	"time"
 
 	"saffronquay/internal/broker"
+	"saffronquay/internal/events"
 	"saffronquay/internal/http1"
 )
 
@@ -68,7 +69,7 @@
 type Listener struct {
 	terms   atomic.Pointer[terms]
 	engine  *Engine
-	log     *log.Logger
+	log     *slog.Logger
 	net     net.Listener
 	leaving atomic.Bool
 	standby atomic.Bool
@@ -88,7 +89,7 @@
 }
 
 // NewListener makes a listener on an open socket; Serve runs it.
-func NewListener(l net.Listener, cfg ListenerConfig, e *Engine, f Front, logger *log.Logger) *Listener {
+func NewListener(l net.Listener, cfg ListenerConfig, e *Engine, f Front, logger *slog.Logger) *Listener {
 	made := &Listener{engine: e, log: logger, net: l, freed: make(chan struct{}, 1),
 		conns: map[*clientConn]bool{}, over: make(chan struct{})}
 	made.Reconfigure(cfg, f)
@@ -114,7 +115,7 @@
 			return nil
 		}
 		if err != nil {
-			l.log.Printf("level=warn event=accept error=%q", err)
+			events.Warn(l.log, events.Accept, "error", err)
 			l.evict(0)
 			l.pause(wait)
 			wait = min(2*wait, most)
--- a/internal/transport/routes.go
+++ b/internal/transport/routes.go
@@ -4,13 +4,14 @@
 	"context"
 	"errors"
 	"fmt"
-	"log"
+	"log/slog"
 	"net/url"
 	"slices"
 	"sync"
 	"time"
 
 	sq "saffronquay"
+	"saffronquay/internal/events"
 	"saffronquay/internal/layout"
 	"saffronquay/internal/operations"
 )
@@ -51,7 +52,7 @@
 
 // NewRoutes makes the owner of a layout, with the one that is known at the start and the servers that may hold ranges.
 func NewRoutes(cfg RoutesConfig, first layout.Doc, servers []sq.ServerID, clock Clock, current *layout.Current,
-	tell func(layout.Update), figures *operations.LayoutFigures, logger *log.Logger) (*Routes, error) {
+	tell func(layout.Update), figures *operations.LayoutFigures, logger *slog.Logger) (*Routes, error) {
 	r := &Routes{cfg: cfg, clock: clock, current: current, tell: tell, figures: figures, wanted: make(chan struct{}, 1), heard: make(chan struct{})}
 	r.follower = newFollower(cfg.Directory, maxLayout, r, logger)
 	r.fresh = true
@@ -177,8 +178,7 @@
 	r.figures.Ranges.Store(int64(u.Layout.Len()))
 	r.figures.Changes.Store(int64(len(u.Layout.Changes())))
 	r.figures.Taken.Add(1)
-	r.log.Printf("level=info event=layout epoch=%d ranges=%d changed=%d changes=%d from=%s", u.Layout.Epoch(), u.Layout.Len(),
-		len(u.Changed), len(u.Layout.Changes()), from)
+	events.Info(r.log, events.Layout, "epoch", u.Layout.Epoch(), "ranges", u.Layout.Len(), "changed", len(u.Changed), "changes", len(u.Layout.Changes()), "from", from)
 }
 
 func (r *Routes) wholePath() string { return "/layout" }
@@ -263,7 +263,7 @@
 	}
 	if text := err.Error(); text != r.fault || time.Since(r.faultAt) > repeatAfter {
 		r.fault, r.faultAt = text, time.Now()
-		r.log.Printf("level=warn event=layout_kept epoch=%d while=%s reason=%s error=%q", r.current.Load().Epoch(), what, reason, text)
+		events.Warn(r.log, events.LayoutKept, "epoch", r.current.Load().Epoch(), "while", what, "reason", reason, "error", text)
 	}
 }
 
@@ -275,8 +275,7 @@
 	all, fresh := r.keeper.Stalled(now, r.cfg.Stall.Microseconds())
 	r.figures.Stalled.Store(int64(len(all)))
 	for _, s := range fresh {
-		r.log.Printf("level=warn event=layout_stalled change=%q kind=%s state=%s for=%s", s.ID, s.Kind, s.State,
-			time.Duration(now-s.Since)*time.Microsecond)
+		events.Warn(r.log, events.LayoutStalled, "change", s.ID, "kind", s.Kind, "state", s.State, "for", time.Duration(now-s.Since)*time.Microsecond)
 	}
 }
 
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 	"io"
-	"log"
+	"log/slog"
 	"net"
 	"strings"
 	"sync/atomic"
@@ -229,7 +229,7 @@
 
 func serve(t *testing.T, cfg ListenerConfig) (*Listener, *Engine) {
 	core := broker.New(broker.Terms{Period: 1000, Shards: 1, Classes: []sq.Class{{Name: "c"}}}, module{})
-	quiet := log.New(io.Discard, "", 0)
+	quiet := slog.New(slog.DiscardHandler)
 	e := NewEngine(NewClock(), core, PoolConfig{MaxConns: 1, IdleClose: 1 << 40}, platform.Workers{PerConn: 1}, operations.NewFigures(), quiet)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/internal/transport/vrrp.go
+++ b/internal/transport/vrrp.go
@@ -1,11 +1,12 @@
 package transport
 
 import (
-	"log"
+	"log/slog"
 	"net"
 	"net/netip"
 	"time"
 
+	"saffronquay/internal/events"
 	"saffronquay/internal/vrrp"
 )
 
@@ -16,14 +17,14 @@
 	conn    *net.UDPConn
 	peers   []netip.AddrPort
 	changed func(vrrp.State) // runs on Run's goroutine
-	log     *log.Logger
+	log     *slog.Logger
 	stop    chan struct{}
 	done    chan struct{}
 }
 
 // NewRedundancy makes a virtual router on an open socket; Run runs it.
 func NewRedundancy(clock Clock, cfg vrrp.Config, conn *net.UDPConn, peers []netip.AddrPort,
-	changed func(vrrp.State), logger *log.Logger) *Redundancy {
+	changed func(vrrp.State), logger *slog.Logger) *Redundancy {
 	return &Redundancy{clock: clock, machine: vrrp.New(cfg), conn: conn, peers: peers, changed: changed,
 		log: logger, stop: make(chan struct{}), done: make(chan struct{})}
 }
@@ -45,7 +46,7 @@
 	for {
 		if now := r.machine.State(); now != state {
 			state = now
-			r.log.Printf("level=info event=vrrp state=%s", state)
+			events.Info(r.log, events.Vrrp, "state", state)
 			r.changed(state)
 		}
 		if at, ok := r.machine.Timer(); ok {
@@ -84,7 +85,7 @@
 			default:
 			}
 			// A peer that is down shows as a refused datagram on loopback; the socket stays good.
-			r.log.Printf("level=warn event=vrrp_read error=%q", err)
+			events.Warn(r.log, events.VrrpRead, "error", err)
 			if _, ok := err.(net.Error); !ok {
 				return
 			}
@@ -96,7 +97,7 @@
 		}
 		a, err := vrrp.Parse(buf[:n])
 		if !known || err != nil {
-			r.log.Printf("level=warn event=vrrp_discard from=%s known=%t error=%v", from, known, err)
+			events.Warn(r.log, events.VrrpDiscard, "from", from, "known", known, "error", err)
 			continue
 		}
 		select {
@@ -113,13 +114,13 @@
 	}
 	b, err := a.Append(nil)
 	if err != nil {
-		r.log.Printf("level=error event=vrrp_send error=%q", err)
+		events.Error(r.log, events.VrrpSend, "error", err)
 		return
 	}
 	for _, p := range r.peers {
 		r.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
 		if _, err := r.conn.WriteToUDPAddrPort(b, p); err != nil {
-			r.log.Printf("level=warn event=vrrp_send to=%s error=%q", p, err)
+			events.Warn(r.log, events.VrrpSend, "to", p, "error", err)
 		}
 	}
 }
--- a/scheduler.go
+++ b/scheduler.go
@@ -432,7 +432,7 @@
 		return
 	}
 	s.condemn(q.Key)
-	s.do(Note{Text: "queries of key " + q.Key + " bring down servers: turned away"})
+	s.do(Note{Text: "queries of key " + tag(q.Key) + " bring down servers: turned away"})
 	if s.cfg.Limits.Peers {
 		s.do(Tell{Peer: -1, Text: badKey + q.Key})
 	}
--- a/state.go
+++ b/state.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"hash/fnv"
 	"maps"
 	"math"
 	"math/rand/v2"
@@ -247,6 +248,13 @@
 	s.freeFrom = s.now + s.cfg.Rules.ExtraWindow
 }
 
+// tag stands for a key in the log: keys are clients' data.
+func tag(key string) string {
+	h := fnv.New32a()
+	h.Write([]byte(key))
+	return fmt.Sprintf("#%08x", h.Sum32())
+}
+
 func (s *Scheduler) do(a Action) { s.out = append(s.out, a) }
 
 // tookOne counts a request for the budget of further attempts.
