Have the scenario share wait until the successor has heard of the old process's end

The successor goes by what the old process told last, up to 100 ms ago, so that the same id may be refused for a moment after that one has ended; the scenario sent it at once. Change: the verb later sends a twin until it is no longer refused as open. The check that an open id is refused stays.

--- a/internal/loopback/scenario_test.go
+++ b/internal/loopback/scenario_test.go
@@ -505,6 +505,19 @@
 		}
 	case "twin":
 		w.send(f[1], w.sent[f[2]])
+	case "later": // the twin is taken once the other process has told that the first one has ended
+		for end := time.Now().Add(patience); ; time.Sleep(5 * time.Millisecond) {
+			w.send(f[1], w.sent[f[2]])
+			c := w.clients[f[1]]
+			got := <-c.got
+			if got != "status 409" || time.Now().After(end) {
+				c.got <- got
+				break
+			}
+			if c.closing {
+				delete(w.clients, f[1])
+			}
+		}
 	case "call":
 		words, want, _ := strings.Cut(strings.Join(f[1:], " "), " = ")
 		if got := w.call(words); !strings.HasPrefix(got, want) {
