--- a/internal/once/kill_test.go
+++ b/internal/once/kill_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -261,6 +262,14 @@
 	if out, code := g.run("store", "check", dir); code != 0 || !strings.Contains(out, "damaged=0 unknown=0") {
 		t.Errorf("check: %d %s", code, out)
 	}
+	path, err := binary()
+	if err != nil {
+		t.Fatal(err)
+	}
+	// Its reader leaves after one line.
+	if out, err := exec.Command("sh", "-c", `"$0" store dump "$1" | head -n 1`, path, dir).CombinedOutput(); err != nil || strings.Count(string(out), "\n") != 1 || !strings.HasPrefix(string(out), `{"seq":`) {
+		t.Errorf("dump into head: %v %s", err, out)
+	}
 	for _, pattern := range []string{"manifest-*", "copy/manifest-*"} {
 		files, _ := filepath.Glob(filepath.Join(dir, pattern))
 		for _, f := range files {
