--- a/internal/contract/gate.go
+++ b/internal/contract/gate.go
@@ -354,16 +354,21 @@
 	Accounts
 }
 
-// Accounts lists those that have asked for something, the busiest first, most at most.
-func (g *Gate) Accounts(most int) []Account {
+// Accounts lists those that have asked for something, in no order: O(teams).
+func (g *Gate) Accounts() []Account {
 	var out []Account
 	for name, n := range g.teams {
 		if n.accounts.Asked > 0 {
 			out = append(out, Account{Team: name, Share: n.share(false), Queued: len(n.queue), Out: n.out, Ratio: n.ratio, Accounts: n.accounts})
 		}
 	}
-	slices.SortFunc(out, func(a, b Account) int {
+	return out
+}
+
+// Busiest orders accounts by the work that was done, and keeps so many at most.
+func Busiest(all []Account, most int) []Account {
+	slices.SortFunc(all, func(a, b Account) int {
 		return cmp.Or(cmp.Compare(b.Took, a.Took), cmp.Compare(a.Team, b.Team))
 	})
-	return out[:min(most, len(out))]
+	return all[:min(most, len(all))]
 }
--- a/internal/transport/gate.go
+++ b/internal/transport/gate.go
@@ -38,13 +38,13 @@
 	})
 }
 
-// Accounts lists how teams stand, the busiest first.
+// Accounts lists how teams stand, the busiest first; they are put in order on the caller's goroutine.
 func (e *Engine) Accounts(most int) (out []contract.Account) {
 	got := make(chan []contract.Account, 1)
 	e.post(func(int64) {
 		var all []contract.Account
 		if e.gate != nil {
-			all = e.gate.Accounts(most)
+			all = e.gate.Accounts()
 		}
 		got <- all
 	})
@@ -52,7 +52,7 @@
 	case out = <-got:
 	case <-e.stopped:
 	}
-	return out
+	return contract.Busiest(out, most)
 }
 
 // arrive asks the gate first, where there is one; the module hears of a query once it is let in.
