Serve queries whose path ends without a key, as in deployments that have none

A line logged for each request on a scratch copy: 'POST /api', then segments without work or affinity. The site has no keys.

Cause: platform.Front.Open and Class wanted the prefix /api/ (client.go), which only paths with a key have: 404, which counts as refused.

Change: keyOf reads the key where there is one. Other paths stay 404.

The test fails without the mend on /api and /api?x=1.

--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -44,7 +44,7 @@
 		}
 		return none, nil, plain(200, "ready")
 	}
-	key, ok := strings.CutPrefix(path, "/api/")
+	key, ok := keyOf(path)
 	if !ok {
 		return none, nil, plain(404, "no such path")
 	}
@@ -60,12 +60,22 @@
 
 // Class is the class that a request for the broker names.
 func (Front) Class(m *http1.Message) string {
-	if !strings.HasPrefix(m.Target, "/api/") {
+	path, _, _ := strings.Cut(m.Target, "?")
+	if _, ok := keyOf(path); !ok {
 		return ""
 	}
 	return m.Header.Get("Request-Class")
 }
 
+// keyOf is what a query's path names; empty in deployments whose queries name nothing, where the path ends before it.
+func keyOf(path string) (key string, ok bool) {
+	rest, ok := strings.CutPrefix(path, "/api")
+	if !ok || rest == "" {
+		return "", ok
+	}
+	return strings.CutPrefix(rest, "/")
+}
+
 func (f Front) ask(m *http1.Message, key string, now int64) (broker.Ask, error) {
 	a := broker.Ask{Label: m.Header.Get("Request-Id"), Unique: true, Class: m.Header.Get("Request-Class"),
 		Tenant: m.Header.Get("Tenant"), Key: key}
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -152,6 +152,26 @@
 	}
 }
 
+// Where queries name nothing the path ends before the key: such a query is served as any other. Other paths are not taken for one.
+func TestRequestWithoutAKey(t *testing.T) {
+	for target, want := range map[string]struct {
+		key    string
+		status int // 0: it is a query
+	}{"/api": {}, "/api/": {}, "/api?x=1": {}, "/api/7f3a": {key: "7f3a"}, "/api/7f3a?x=1": {key: "7f3a"},
+		"/apis": {status: 404}, "/apix/7f3a": {status: 404}, "/": {status: 404}} {
+		m := request(headers, `{"segments":[{"segment":3,"boost":1}],"text":"t"}`)
+		m.Target = target
+		a, _, r := Front{}.Open(m, 0, true)
+		status, class := 0, Front{}.Class(m)
+		if r != nil {
+			status = r.Status
+		}
+		if status != want.status || a.Key != want.key || (class != "") != (want.status == 0) {
+			t.Errorf("%s: status %d, key %q, class %q, want %+v", target, status, a.Key, class, want)
+		}
+	}
+}
+
 func TestRequestFaults(t *testing.T) {
 	const body = `{"segments":[{"segment":3,"boost":0.5}],"text":"t"}`
 	for _, c := range []struct{ headers, body, names string }{
