Act on a change within 6 s of discovery's return, whatever call failed before

Need: a change counts as told 6 s after discovery had it and could be reached, after failed, refused, timed-out and given-up calls alike.

Checked, one by one: a dial is bounded (1 s). At fault (follow.go): the first answer to a watch had the 5 s of a silent one (lines); any byte, not a whole line, put that off, so that a peer that trickles was never left; pauses grew to 2 s (Run); a whole list that waits in discovery's queue for a second was given up at that very second (whole); one that has no length, and ends with its connection, was never taken in. In the module (fleet) the pause was an eighth to a quarter of ask_within, 1.25 to 2.5 s.

Change: 2.25 s for the first answer, 4.5 s between two whole lines, pauses of a second at most, 3 s for a list; the module asks again after 0.4 to 0.8 s. The bounds stand in one place, with their sum. Calls of one gatherer stay a second apart while nothing answers. A list without a length ends with an orderly end, never with a reset.

--- a/internal/transport/follow.go
+++ b/internal/transport/follow.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"math/rand/v2"
 	"net"
@@ -14,12 +16,18 @@
 	"saffronquay/internal/http1"
 )
 
+// A change counts as told 6 s after discovery had it and could be reached, whatever call failed, was refused or was given up just before.
+// So the longest that one call may go on in vain and the longest pause after it come to less than that, with room for a call that is
+// answered as late as discovery answers any: 1 + 2.25 + 1 s for a watch, 1 + 3 + 1 s for a list, 4.5 + 0.1 s for a watch that has
+// fallen silent. Calls of one follower come a second apart at least while nothing answers.
 const (
-	dialPatience  = time.Second     // the agent is on this machine: it answers at once or not at all
-	listPatience  = time.Second     // for a whole list, between two of its pieces
-	watchSilence  = 5 * time.Second // an empty line comes every 2 s; then the watch is taken for broken
-	watchPauseMin = 100 * time.Millisecond
-	watchPauseMax = 2 * time.Second
+	dialPatience   = time.Second             // the agent is on this machine: it answers at once or not at all
+	answerPatience = 2250 * time.Millisecond // until a call is answered: it may wait for two seconds in discovery's queue
+	listPatience   = time.Second             // for a whole list, between two of its pieces
+	listWhole      = 3 * time.Second         // for all of it: a peer that trickles is no better than a silent one
+	watchSilence   = 4500 * time.Millisecond // between two whole lines: an empty one comes every 2 s. Then the watch is taken for broken
+	watchPauseMin  = 100 * time.Millisecond
+	watchPauseMax  = time.Second
 )
 
 // source is what a follower follows: a whole list, and a watch of what changes in it, a line each.
@@ -48,6 +56,7 @@
 	fresh  bool          // the whole list comes first; Run's goroutine owns it
 	asked  bool          // failures end it until begin: the module asks for the watch
 	begin  chan struct{} // where asked
+	dial   func(ctx context.Context, address string) (net.Conn, error)
 	stop   chan struct{}
 	done   chan struct{}
 
@@ -57,7 +66,7 @@
 }
 
 func newFollower(address string, most int, s source, logger *slog.Logger) follower {
-	return follower{source: s, log: logger, most: most, address: address, begin: make(chan struct{}, 1),
+	return follower{source: s, log: logger, most: most, address: address, dial: dialPeer, begin: make(chan struct{}, 1),
 		stop: make(chan struct{}), done: make(chan struct{}), moved: make(chan struct{})}
 }
 
@@ -157,7 +166,7 @@
 		}
 		cancel()
 	}()
-	conn, err := dialPeer(ctx, address)
+	conn, err := f.dial(ctx, address)
 	if err != nil {
 		return false, err
 	}
@@ -183,7 +192,9 @@
 	var line []byte
 	var fault error
 	status := 0
-	p.Headed = func(m *http1.Message) { status = m.Status }
+	by := time.Now().Add(answerPatience)
+	alive := func() { by = time.Now().Add(watchSilence) }
+	p.Headed = func(m *http1.Message) { status = m.Status; alive() }
 	p.Stream = func(b []byte) {
 		line = append(line, b...)
 		for fault == nil {
@@ -195,6 +206,7 @@
 				fault = f.source.line(text, address)
 			}
 			line = line[i+1:]
+			alive() // by whole lines: one that trickles keeps no watch alive
 		}
 		if len(line) > f.most {
 			fault = fmt.Errorf("an object over %d bytes", f.most)
@@ -202,7 +214,7 @@
 	}
 	buf := make([]byte, readChunk)
 	for {
-		conn.SetReadDeadline(time.Now().Add(watchSilence))
+		conn.SetReadDeadline(by)
 		n, rerr := conn.Read(buf)
 		p.Feed(buf[:n])
 		m, perr := p.Next()
@@ -239,16 +251,19 @@
 	return nil
 }
 
-// whole asks for the whole list and takes it in.
+// whole asks for the whole list and takes it in. One without a length ends with its connection; a reset is no end.
 func (f *follower) whole(conn net.Conn, address string) error {
 	if err := ask(conn, f.source.wholePath(), address); err != nil {
 		return err
 	}
 	p := http1.Parser{Response: true, Limit: f.most}
 	buf := make([]byte, readChunk)
-	end := time.Now().Add(4 * listPatience) // a peer that trickles is no better than a silent one
+	end := time.Now().Add(listWhole)
 	for {
 		by := time.Now().Add(listPatience)
+		if p.Idle() { // it waits in discovery's queue
+			by = time.Now().Add(answerPatience)
+		}
 		if by.After(end) {
 			by = end
 		}
@@ -256,6 +271,9 @@
 		n, rerr := conn.Read(buf)
 		p.Feed(buf[:n])
 		m, err := p.Next()
+		if m == nil && err == nil && errors.Is(rerr, io.EOF) {
+			m, err = p.Ended()
+		}
 		switch {
 		case err != nil:
 			return fmt.Errorf("whole list: %w", err)
--- a/internal/transport/routes.go
+++ b/internal/transport/routes.go
@@ -135,7 +135,7 @@
 		cancel()
 	}()
 	address, _ := r.target()
-	conn, err := dialPeer(ctx, address)
+	conn, err := r.dial(ctx, address)
 	if err != nil {
 		return err
 	}
--- a/scheduler.go
+++ b/scheduler.go
@@ -34,6 +34,7 @@
 	fewParts    = 4.0  // parts that a query counts for in means of parts: those of one query are alike
 	fewQueries  = 4.0  // queries of a tenant that tell little of its traffic
 	lastFew     = 8    // one in so many parts of a query may be missing when it is nearly whole
+	askAgain    = 4e5  // microseconds at least, and twice that at most, before the list is asked for again: 6 s are left for it
 	lastMoment  = 3.0  // predictions left before the aim that make a further attempt due; 2: lowell -0.02
 )
 
@@ -60,8 +61,7 @@
 }
 
 func (s *Scheduler) open() {
-	s.started, s.servedAt = s.now, s.now
-	s.unseen = float64(s.cfg.Classes[0].Aim)
+	s.started, s.servedAt, s.unseen = s.now, s.now, float64(s.cfg.Classes[0].Aim)
 	if s.cfg.AskMembership {
 		s.do(Watch{})
 	}
@@ -111,9 +111,10 @@
 
 func (s *Scheduler) fleet(e FleetChanged) {
 	if e.Kind == FleetFailed {
-		// Ask again soon, but not at once: the list's service may be the one in trouble.
+		// Ask again soon, for a change has to be told in time, but not at once: the list's service may be the one in trouble.
+		pause := min(s.cfg.Rules.AskWithin/25, askAgain)
 		s.do(Note{Text: "the fleet's list could not be had; asking again"})
-		s.watchAt = s.now + s.cfg.Rules.AskWithin/8 + s.rng.Int64N(s.cfg.Rules.AskWithin/8+1)
+		s.watchAt = s.now + pause + s.rng.Int64N(pause+1)
 		return
 	}
 	s.watchAt = 0
@@ -1057,8 +1058,6 @@
 	r.paceT = s.now
 }
 
-// ---- Alarms
-
 // arm asks to be called again while anything is open.
 func (s *Scheduler) arm() {
 	if s.watchAt > 0 && s.now >= s.watchAt {
