--- a/scheduler.go
+++ b/scheduler.go
@@ -34,7 +34,7 @@
 	fewParts    = 4.0  // parts that a query counts for in means of parts: those of one query are alike
 	fewQueries  = 4.0  // queries of a tenant that tell little of its traffic
 	lastFew     = 8    // one in so many parts of a query may be missing when it is nearly whole
-	askAgain    = 4e5  // microseconds at least, and twice that at most, before the list is asked for again: 6 s are left for it
+	askAgain    = 4e5  // microseconds before a list is asked for again, twice that at most: 6 s are allowed
 	lastMoment  = 3.0  // predictions left before the aim that make a further attempt due; 2: lowell -0.02
 )
 
@@ -111,7 +111,7 @@
 
 func (s *Scheduler) fleet(e FleetChanged) {
 	if e.Kind == FleetFailed {
-		// Ask again soon, for a change has to be told in time, but not at once: the list's service may be the one in trouble.
+		// Ask again soon, but not at once: the list's service may be the one in trouble.
 		pause := min(s.cfg.Rules.AskWithin/25, askAgain)
 		s.do(Note{Text: "the fleet's list could not be had; asking again"})
 		s.watchAt = s.now + pause + s.rng.Int64N(pause+1)
