Take back what has not left once its query is over, its client gone or its server drains

Need: nothing begins more than 0.1 s after its client has left, first attempt, further one or copy, and nothing new goes to a server that drains.

Seen, on a fake clock with the real module: where attempts may not be cancelled, a call that waits for a connection leaves up to 0.8 s after its client; so does one behind a write that does not get on, and one on a connection that was coming up. Frames handed to a writer left after the word of a drain as well: only what waited for a connection was withdrawn.

Checked: further attempts and copies come from the module, which hears of the leaving in its next step: none begins late.

Cause: broker.Core.close left attempts to the module's Cancel, which it may not give; pool.withdraw and pool.drop knew the backlog only, a frame once in its channel was beyond reach (pool.go).

Change: an effect Recall, at the end of a query and when a part is in; writes wait in an outbox (outbox.go), from which a call or its share of one is taken back until its writer has it, and then ends as not sent. An answer without a length ends with an orderly end only: a reset completed it (pool.serve asked the session without looking at the error).

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -115,6 +115,9 @@
 // Drop gives up an attempt; what still comes back for it is nobody's.
 type Drop struct{ Attempt AttemptID }
 
+// Recall takes an attempt back where none of it has begun to leave; it then ends as not sent. One that has begun is left alone.
+type Recall struct{ Attempt AttemptID }
+
 // CloseIdle closes the idle connections to a server.
 type CloseIdle struct{ Server sq.ServerID }
 
@@ -166,6 +169,7 @@
 func (Call) isEffect()      {}
 func (Intend) isEffect()    {}
 func (Drop) isEffect()      {}
+func (Recall) isEffect()    {}
 func (CloseIdle) isEffect() {}
 func (Refresh) isEffect()   {}
 func (Watch) isEffect()     {}
@@ -454,6 +458,7 @@
 		if full = c.terms.MaxHeld > 0 && c.held+int64(r.Size) > c.terms.MaxHeld; !full {
 			p.in, p.value, p.part, p.size = true, r.Value, r.Part, int64(r.Size)
 			c.held += p.size
+			c.recall(p)
 		}
 	}
 	if len(p.out) == 0 && p.q.over {
@@ -704,8 +709,19 @@
 	for _, p := range q.parts {
 		c.held -= p.size
 		p.size = 0
+		c.recall(p)
 		if len(p.out) == 0 {
 			c.forget(p)
 		}
 	}
 }
+
+// recall takes back what of a part has not begun to leave: nobody waits for it any more. Guards servers, above all where giving up
+// is not permitted or stops nothing, against work that waited for a connection while its query ended or its client left.
+func (c *Core) recall(p *part) {
+	for _, a := range p.out {
+		if a.waits == nil { // else it ends once its intent is kept
+			c.do(Recall{Attempt: a.id})
+		}
+	}
+}
--- a/internal/broker/dialect.go
+++ b/internal/broker/dialect.go
@@ -24,12 +24,14 @@
 	// Drop appends what tells the server that an attempt is given up; keep is false where only closing the
 	// connection can say so.
 	Drop(dst []byte, id AttemptID) (out []byte, keep bool)
+	// Unsent says that an attempt was taken back before any byte of its call left: nothing comes back for it.
+	Unsent(id AttemptID)
 	// Feed takes in bytes from the server, which it does not keep. What was good is returned beside an error;
 	// after that the connection is of no use, and what is still out on it may have run.
 	Feed(b []byte) ([]Reply, error)
 	// Partial tells that bytes of an unfinished answer are held.
 	Partial() bool
-	// Closed says that the server has ended the connection, and returns what that completes.
+	// Closed says that the server has ended the connection in order, and returns what that completes. A reset completes nothing.
 	Closed() []Reply
 }
 
--- a/internal/opensearch/servers.go
+++ b/internal/opensearch/servers.go
@@ -75,6 +75,13 @@
 // Drop has no words in this dialect: only closing the connection gives a search up.
 func (s *session) Drop(dst []byte, id broker.AttemptID) ([]byte, bool) { return dst, s.out != id }
 
+// Unsent forgets a search that never left; the connection can take another.
+func (s *session) Unsent(id broker.AttemptID) {
+	if s.out == id {
+		s.out = 0
+	}
+}
+
 // Feed takes in bytes from the server and returns what they end.
 func (s *session) Feed(b []byte) ([]broker.Reply, error) {
 	s.parser.Feed(b)
--- a/internal/platform/frames.go
+++ b/internal/platform/frames.go
@@ -76,6 +76,9 @@
 	return appendFrame(dst, append([]byte{'A'}, name...)), true
 }
 
+// Unsent forgets an attempt whose frame never left.
+func (s *session) Unsent(id broker.AttemptID) { s.forget(id) }
+
 // late forgets one dropped attempt of a name; ok is false where there was none.
 func (s *session) late(name string) (ok bool) {
 	if s.dropped[name] == 0 {
--- a/internal/transport/engine.go
+++ b/internal/transport/engine.go
@@ -48,6 +48,7 @@
 	gateID  int64
 	permit  *Permit  // nil: everything is let in
 	paused  []paused // queries that wait while a change is put in force
+	endBy   int64    // when this process may be killed: what arrives is answered before; 0: not known
 	// Watch and Fetch, where set, carry out what the module asks of discovery; they must not block.
 	Watch, Fetch func()
 	// Refresh, where set, has the whole layout asked for; it must not block.
@@ -150,6 +151,8 @@
 			e.intend(now, x)
 		case broker.Drop:
 			e.pool.drop(now, x.Attempt)
+		case broker.Recall:
+			e.pool.recall(now, x.Attempt)
 		case broker.CloseIdle:
 			e.pool.closeIdle(now, x.Server)
 		case broker.Final:
@@ -200,6 +203,11 @@
 	return t
 }
 
+// EndBy says when this process may be killed: queries that arrive from now on have their end before, whatever time their clients give.
+func (e *Engine) EndBy(at int64) {
+	e.post(func(int64) { e.endBy = at })
+}
+
 // Left says that the client of a query is gone.
 func (e *Engine) Left(t *Ticket) {
 	e.post(func(now int64) {
--- /dev/null
+++ b/internal/transport/outbox.go
@@ -0,0 +1,84 @@
+package transport
+
+import (
+	"slices"
+	"sync"
+
+	"saffronquay/internal/broker"
+)
+
+// frame is bytes that leave in one go, and the call that they carry, if they do.
+type frame struct {
+	bytes  []byte
+	call   broker.Call
+	number int64 // of the write, on its connection
+}
+
+// outbox holds what waits to be written on one connection, in order. What the writer has not taken out can be taken back: a frame
+// waits here as long as the far end does not read.
+type outbox struct {
+	most  int
+	added chan struct{} // has a token after each put
+
+	mu     sync.Mutex
+	frames []*frame
+}
+
+func newOutbox(most int) *outbox { return &outbox{most: most, added: make(chan struct{}, 1)} }
+
+// put adds a frame; false where there is no room.
+func (o *outbox) put(f *frame) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if len(o.frames) >= o.most {
+		return false
+	}
+	o.frames = append(o.frames, f)
+	select {
+	case o.added <- struct{}{}:
+	default:
+	}
+	return true
+}
+
+// next takes the next frame out, and waits for one; nil once stop is closed.
+func (o *outbox) next(stop <-chan struct{}) *frame {
+	for {
+		if f := o.take(); f != nil {
+			return f
+		}
+		select {
+		case <-o.added:
+		case <-stop:
+			return nil
+		}
+	}
+}
+
+func (o *outbox) take() *frame {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if len(o.frames) == 0 {
+		return nil
+	}
+	f := o.frames[0]
+	o.frames[0] = nil
+	if o.frames = o.frames[1:]; len(o.frames) == 0 {
+		o.frames = nil
+	}
+	return f
+}
+
+// amend changes a frame that still waits, and drops it where nothing of it is left; false where the writer has it.
+func (o *outbox) amend(f *frame, change func()) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	i := slices.Index(o.frames, f)
+	if i < 0 {
+		return false
+	}
+	if change(); len(f.bytes) == 0 {
+		o.frames = slices.Delete(o.frames, i, i+1)
+	}
+	return true
+}
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"sync/atomic"
 	"time"
@@ -32,6 +33,7 @@
 	dialect broker.Dialect
 	post    func(func(now int64)) bool // false: nobody runs it any more
 	ended   func(now int64, r broker.Reply)
+	connect func(address string, timeout time.Duration) (net.Conn, error)
 	servers map[sq.ServerID]*server
 	out     map[broker.AttemptID]*serverConn
 	figures *operations.Figures
@@ -56,11 +58,11 @@
 	up       bool
 	retired  bool // takes no further calls and closes once it is empty
 	dead     bool
-	backlog  []broker.Call              // waiting for the connection to come up
-	calls    map[broker.AttemptID]int64 // out, with the number of the write that carries each
-	wrote    int64                      // writes handed over
-	done     *atomic.Int64              // writes completed
-	writes   chan frame
+	backlog  []broker.Call               // waiting for the connection to come up
+	calls    map[broker.AttemptID]*frame // out, with the write that carries each; nil: in the backlog
+	wrote    int64                       // writes handed over
+	done     *atomic.Int64               // number of the last write that was completed
+	writes   *outbox
 	usedAt   int64
 	heardAt  int64
 	openedAt int64
@@ -70,14 +72,11 @@
 	stalled  int64 // when the last bytes of an unfinished answer came; 0: there is none
 }
 
-// frame is bytes that leave in one go, and how many attempts they carry.
-type frame struct {
-	bytes    []byte
-	attempts int
-}
-
 func newPool(cfg PoolConfig, d broker.Dialect, post func(func(int64)) bool) *pool {
-	return &pool{cfg: cfg, dialect: d, post: post, servers: map[sq.ServerID]*server{},
+	connect := func(address string, timeout time.Duration) (net.Conn, error) {
+		return net.DialTimeout("tcp", address, timeout)
+	}
+	return &pool{cfg: cfg, dialect: d, post: post, connect: connect, servers: map[sq.ServerID]*server{},
 		out: map[broker.AttemptID]*serverConn{}, figures: operations.NewFigures()}
 }
 
@@ -113,7 +112,7 @@
 		if !s.closed {
 			continue
 		}
-		// Guards the drain rule: what still waits for a connection must not leave after the news.
+		// Guards the drain rule: what still waits, for a connection or behind other writes, must not leave after the news.
 		for _, c := range append([]*serverConn(nil), s.conns...) {
 			p.withdraw(now, c)
 		}
@@ -135,15 +134,53 @@
 }
 
 func (p *pool) withdraw(now int64, c *serverConn) {
-	waiting := c.backlog
-	c.backlog = nil
-	for _, call := range waiting {
-		for _, a := range call.Attempts {
-			p.end(now, c, broker.Reply{Attempt: a.ID, Outcome: sq.Unreachable})
+	for _, id := range sortedKeys(c.calls) {
+		if p.unsend(now, c, id) {
+			p.end(now, c, broker.Reply{Attempt: id, Outcome: sq.Unreachable})
 		}
 	}
 }
 
+// unsend takes an attempt back where no byte of its call has begun to leave, and tells whether it did. Others that travel with it
+// stay where they are.
+func (p *pool) unsend(now int64, c *serverConn, id broker.AttemptID) bool {
+	f, out := c.calls[id]
+	if !out || c.dead {
+		return false
+	}
+	without := func(all []broker.Attempt) []broker.Attempt {
+		kept := make([]broker.Attempt, 0, len(all))
+		for _, a := range all {
+			if a.ID != id {
+				kept = append(kept, a)
+			}
+		}
+		return kept
+	}
+	if f == nil {
+		for i := range c.backlog {
+			c.backlog[i].Attempts = without(c.backlog[i].Attempts)
+		}
+		return true
+	}
+	taken := c.writes.amend(f, func() {
+		c.session.Unsent(id)
+		f.call.Attempts = without(f.call.Attempts)
+		if f.bytes = nil; len(f.call.Attempts) > 0 {
+			f.bytes = c.session.Call(nil, f.call, now)
+		}
+	})
+	return taken
+}
+
+// recall takes back what nobody waits for, as far as it has not begun to leave.
+func (p *pool) recall(now int64, id broker.AttemptID) {
+	if c := p.out[id]; c != nil && p.unsend(now, c, id) {
+		p.end(now, c, broker.Reply{Attempt: id, Outcome: sq.NotSent})
+		p.closeIfEmpty(now, c)
+	}
+}
+
 func (p *pool) retire(now int64, s *server) {
 	for _, c := range append([]*serverConn(nil), s.conns...) {
 		c.retired = true
@@ -265,7 +302,7 @@
 		}
 	}
 	for _, a := range call.Attempts {
-		best.calls[a.ID], best.sentAt[a.ID] = 0, now
+		best.calls[a.ID], best.sentAt[a.ID] = nil, now
 		p.out[a.ID] = best
 	}
 	if !best.up {
@@ -296,54 +333,43 @@
 }
 
 func (p *pool) write(now int64, c *serverConn, call broker.Call) {
-	b := c.session.Call(nil, call, now)
-	select {
-	case c.writes <- frame{b, len(call.Attempts)}:
-		c.wrote++
-		c.usedAt = now
-		for _, a := range call.Attempts {
-			c.calls[a.ID] = c.wrote
-		}
-	default: // the far end takes nothing any more
+	f := &frame{bytes: c.session.Call(nil, call, now), call: call, number: c.wrote + 1}
+	if !c.writes.put(f) { // the far end takes nothing any more
 		p.fail(now, c, false)
+		return
+	}
+	c.wrote++
+	c.usedAt = now
+	for _, a := range call.Attempts {
+		c.calls[a.ID] = f
 	}
 }
 
-// drop gives an attempt up.
+// drop gives an attempt up. One that has not begun to leave is taken back, and the server never hears of it.
 func (p *pool) drop(now int64, id broker.AttemptID) {
 	c := p.out[id]
 	if c == nil {
 		return
 	}
 	silent := c.heardAt < c.sentAt[id] && now-c.sentAt[id] > silence
-	delete(p.out, id)
-	delete(c.calls, id)
-	delete(c.sentAt, id)
-	for i, call := range c.backlog {
-		kept := make([]broker.Attempt, 0, len(call.Attempts))
-		for _, a := range call.Attempts {
-			if a.ID != id {
-				kept = append(kept, a)
-			}
-		}
-		c.backlog[i].Attempts = kept
-	}
+	unsent := p.unsend(now, c, id)
+	p.gone(c, id)
 	if !c.up {
 		return
 	}
-	b, keep := c.session.Drop(nil, id)
-	if !keep {
-		p.fail(now, c, false)
-		return
-	}
-	if len(b) > 0 {
-		select {
-		case c.writes <- frame{bytes: b}:
-			c.wrote++
-		default:
+	if !unsent {
+		b, keep := c.session.Drop(nil, id)
+		if !keep {
 			p.fail(now, c, false)
 			return
 		}
+		if len(b) > 0 {
+			if !c.writes.put(&frame{bytes: b, number: c.wrote + 1}) {
+				p.fail(now, c, false)
+				return
+			}
+			c.wrote++
+		}
 	}
 	// Guards against machines that vanish without a word: a connection on which nothing at all has come back
 	// for so long may be open at this end only.
@@ -364,14 +390,14 @@
 			return nil
 		}
 	}
-	c := &serverConn{server: s, session: p.dialect.Session(s.address), calls: map[broker.AttemptID]int64{},
+	c := &serverConn{server: s, session: p.dialect.Session(s.address), calls: map[broker.AttemptID]*frame{},
 		sentAt: map[broker.AttemptID]int64{}, done: &atomic.Int64{},
-		writes: make(chan frame, 4*p.dialect.Streams()+16), usedAt: now, openedAt: now}
+		writes: newOutbox(4*p.dialect.Streams() + 16), usedAt: now, openedAt: now}
 	s.conns = append(s.conns, c)
 	p.conns++
 	address, timeout := s.address, time.Duration(p.cfg.ConnectTimeout)*time.Microsecond
 	go func() {
-		conn, err := net.DialTimeout("tcp", address, timeout)
+		conn, err := p.connect(address, timeout)
 		if err != nil {
 			p.post(func(now int64) { p.fail(now, c, false) })
 			return
@@ -426,22 +452,22 @@
 	go func() {
 		defer close(written)
 		for {
-			select {
-			case f := <-c.writes:
-				conn.SetWriteDeadline(time.Now().Add(writeTimeout))
-				if _, err := conn.Write(f.bytes); err != nil {
-					conn.Close()
-					return
-				}
-				p.figures.Relayed.Add(int64(f.attempts))
-				c.done.Add(1)
-			case <-stop:
+			f := c.writes.next(stop)
+			if f == nil {
+				return
+			}
+			conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+			if _, err := conn.Write(f.bytes); err != nil {
+				conn.Close()
 				return
 			}
+			p.figures.Relayed.Add(int64(len(f.call.Attempts)))
+			c.done.Store(f.number)
 		}
 	}()
 	buf := make([]byte, readChunk)
 	taken := make(chan struct{}, 1)
+	ended := false // in order: a reset is no end, and completes nothing
 	for {
 		n, err := conn.Read(buf) // the pool closes it when idle or silent for too long, so this ends
 		if n > 0 {
@@ -456,6 +482,7 @@
 			}
 		}
 		if err != nil {
+			ended = errors.Is(err, io.EOF)
 			break
 		}
 	}
@@ -463,12 +490,15 @@
 	close(stop)
 	<-written
 	p.post(func(now int64) {
-		if !c.dead {
+		if c.dead {
+			return
+		}
+		if ended {
 			for _, r := range c.session.Closed() {
 				p.take(now, c, r)
 			}
-			p.fail(now, c, true)
 		}
+		p.fail(now, c, true)
 	})
 }
 
@@ -574,7 +604,7 @@
 	ran := sq.Broken
 	for _, id := range sortedKeys(c.calls) {
 		o := sq.Unreachable
-		if n := c.calls[id]; n > 0 && (n <= done || !settled) {
+		if f := c.calls[id]; f != nil && (f.number <= done || !settled) {
 			// One break is one piece of evidence, however many calls were out: guards servers, and the keys of
 			// queries, against being blamed for what else was lost with the connection.
 			o, ran = ran, sq.Stranded
--- a/internal/transport/told_test.go
+++ b/internal/transport/told_test.go
@@ -10,6 +10,7 @@
 	"net"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -23,11 +24,11 @@
 // list is a stand-in for discovery, on pipes and a fake clock: as it fares, so it treats its calls.
 type list struct {
 	fares func(conn net.Conn, target string) bool // false: the call has come to nothing and its connection is to end
-	calls int
+	calls atomic.Int64
 }
 
 func (l *list) dial(ctx context.Context, _ string) (net.Conn, error) {
-	l.calls++
+	l.calls.Add(1)
 	near, far := net.Pipe()
 	go func() {
 		defer far.Close()
@@ -201,7 +202,7 @@
 	}
 	w.dial = func(ctx context.Context, address string) (net.Conn, error) {
 		if !isBack() && dial != nil {
-			l.calls++
+			l.calls.Add(1)
 			if err := dial(ctx); err != nil {
 				return nil, err
 			}
@@ -231,7 +232,7 @@
 	}
 	time.Sleep(down / 2)
 	close(back)
-	calls = l.calls
+	calls = int(l.calls.Load())
 	began := time.Now()
 	select {
 	case <-told:
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -55,8 +55,8 @@
 	near, far := net.Pipe()
 	t.Cleanup(func() { far.Close() })
 	s := b.servers["s"]
-	c := &serverConn{server: s, session: b.dialect.Session(""), net: near, up: true, calls: map[broker.AttemptID]int64{},
-		sentAt: map[broker.AttemptID]int64{}, done: new(atomic.Int64), writes: make(chan frame, 1)}
+	c := &serverConn{server: s, session: b.dialect.Session(""), net: near, up: true, calls: map[broker.AttemptID]*frame{},
+		sentAt: map[broker.AttemptID]int64{}, done: new(atomic.Int64), writes: newOutbox(1)}
 	s.conns, b.conns = []*serverConn{c}, 1
 	return c
 }
@@ -697,7 +697,7 @@
 	b.fleet(0, sq.Ready, 0, "127.0.0.1:1")
 	near, far := net.Pipe()
 	c := &serverConn{server: b.servers["s"], session: b.dialect.Session(""), net: near, up: true,
-		calls: map[broker.AttemptID]int64{}, sentAt: map[broker.AttemptID]int64{}, done: new(atomic.Int64), writes: make(chan frame, 4)}
+		calls: map[broker.AttemptID]*frame{}, sentAt: map[broker.AttemptID]int64{}, done: new(atomic.Int64), writes: newOutbox(4)}
 	b.servers["s"].conns, b.conns = []*serverConn{c}, 1
 	ended := make(chan struct{})
 	go func() { b.serve(c, near); close(ended) }()
--- /dev/null
+++ b/internal/transport/unsent_test.go
@@ -0,0 +1,177 @@
+package transport
+
+import (
+	"io"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	sq "saffronquay"
+	"saffronquay/internal/broker"
+	"saffronquay/internal/merge"
+	"saffronquay/internal/opensearch"
+	"saffronquay/internal/platform"
+)
+
+// heldWrite gives the server a connection whose writer has begun call 1 and gets no further: the far end has taken one byte.
+func heldWrite(t *testing.T, b *bench) (far net.Conn) {
+	t.Helper()
+	b.dialect = platform.Workers{PerConn: 8}
+	b.pool.fleet(0, sq.FleetChanged{Servers: []sq.Server{{ID: "s", Health: sq.Ready}}}, map[sq.ServerID]string{"s": "127.0.0.1:1"})
+	near, far := net.Pipe()
+	c := &serverConn{server: b.servers["s"], session: b.dialect.Session(""), net: near, up: true, calls: map[broker.AttemptID]*frame{},
+		sentAt: map[broker.AttemptID]int64{}, done: new(atomic.Int64), writes: newOutbox(8)}
+	b.servers["s"].conns, b.conns = []*serverConn{c}, 1
+	ended := make(chan struct{})
+	go func() { b.serve(c, near); close(ended) }()
+	t.Cleanup(func() { far.Close(); <-ended })
+	b.call(0, callOf(1))
+	if _, err := io.ReadFull(far, make([]byte, 1)); err != nil {
+		t.Fatal(err)
+	}
+	return far
+}
+
+// rest reads frames from the far end up to one that holds a call of that number, and returns how many calls each held.
+func rest(t *testing.T, far net.Conn, upTo string) (labels []string) {
+	t.Helper()
+	far.SetReadDeadline(time.Now().Add(patience))
+	missing := 1 // a byte of the first frame's length has been taken
+	for {
+		head := make([]byte, 4)
+		if _, err := io.ReadFull(far, head[missing:]); err != nil {
+			t.Fatalf("%v, after %q", err, labels)
+		}
+		missing = 0
+		body := make([]byte, int(head[2])<<8|int(head[3]))
+		if _, err := io.ReadFull(far, body); err != nil {
+			t.Fatal(err)
+		}
+		labels = append(labels, string(body))
+		if len(body) > 0 && string(body) == upTo {
+			return labels
+		}
+	}
+}
+
+func frameOf(ids ...broker.AttemptID) string {
+	c := broker.Call{}
+	for _, id := range ids {
+		c.Attempts = append(c.Attempts, callOf(id).Attempts...)
+	}
+	return string(platform.Workers{PerConn: 1}.Session("").Call(nil, c, 0)[4:])
+}
+
+// What waits behind a write that does not get on has not left: it is taken back when its query is over, its client gone, its attempt given
+// up or its server drains. What has begun stays, and what travels with another stays too. Guards workers against work that nobody
+// waits for, and the drain rule against frames that were handed to a writer in time and leave late.
+func TestWhatWaitsBehindAWriteIsTakenBack(t *testing.T) {
+	both := broker.Call{Server: "s", Attempts: append(callOf(2).Attempts, callOf(3).Attempts...)}
+	for name, tc := range map[string]struct {
+		do   func(b *bench)
+		ends map[broker.AttemptID]sq.Outcome
+		want []string
+	}{
+		"over": {func(b *bench) { b.recall(1, 1); b.recall(1, 2); b.recall(1, 3) },
+			map[broker.AttemptID]sq.Outcome{2: sq.NotSent, 3: sq.NotSent}, []string{frameOf(1), frameOf(9)}},
+		"one of two is over": {func(b *bench) { b.recall(1, 2) }, map[broker.AttemptID]sq.Outcome{2: sq.NotSent},
+			[]string{frameOf(1), frameOf(3), frameOf(9)}},
+		"given up": {func(b *bench) { b.drop(1, 2); b.drop(1, 3) }, map[broker.AttemptID]sq.Outcome{}, []string{frameOf(1), frameOf(9)}},
+		"begun and given up": {func(b *bench) { b.drop(1, 1) }, map[broker.AttemptID]sq.Outcome{},
+			[]string{frameOf(1), frameOf(2, 3), "Aq.1", frameOf(9)}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench()
+			far := heldWrite(t, b)
+			b.call(0, both)
+			tc.do(b)
+			b.call(2, callOf(9))
+			got := rest(t, far, frameOf(9))
+			if len(got) != len(tc.want) || len(b.ends) != len(tc.ends) {
+				t.Fatalf("left: %q, want %q; ended %v, want %v", got, tc.want, b.ends, tc.ends)
+			}
+			for i := range got {
+				if got[i] != tc.want[i] {
+					t.Errorf("left: %q, want %q", got, tc.want)
+				}
+			}
+			for id, o := range tc.ends {
+				if b.ends[id] != o {
+					t.Errorf("ended %v, want %v", b.ends, tc.ends)
+				}
+			}
+		})
+	}
+	t.Run("drains", func(t *testing.T) {
+		b := newBench()
+		far := heldWrite(t, b)
+		b.call(0, both)
+		b.fleet(1, sq.Draining, 0, "")
+		if len(b.ends) != 2 || b.ends[2] != sq.Unreachable || b.ends[3] != sq.Unreachable {
+			t.Errorf("ended %v", b.ends)
+		}
+		if got := rest(t, far, frameOf(1)); len(got) != 1 {
+			t.Errorf("left: %q", got)
+		}
+		c := b.servers["s"].conns[0]
+		if f := c.writes.take(); f != nil {
+			t.Errorf("a frame of %d bytes waits on for a server that drains", len(f.bytes))
+		}
+	})
+}
+
+// What waits for a connection is taken back like this too, and the connection then comes up for nobody.
+func TestWhatWaitsForAConnectionIsTakenBack(t *testing.T) {
+	address, _ := acceptor(t)
+	b := newBench()
+	b.fleet(0, sq.Ready, 0, address)
+	b.call(0, callOf(1))
+	b.call(0, callOf(2))
+	b.recall(1, 1)
+	if len(b.ends) != 1 || b.ends[1] != sq.NotSent {
+		t.Errorf("ended %v", b.ends)
+	}
+	b.recall(1, 2)
+	b.next(t, 2) // it comes up
+	c := b.servers["s"].conns[0]
+	if b.ends[2] != sq.NotSent || c.wrote != 0 || len(c.calls) != 0 {
+		t.Errorf("ended %v, %d writes", b.ends, c.wrote)
+	}
+}
+
+// An answer without a length ends with its connection where that ends in order. A reset is no end.
+func TestAResetCompletesNothing(t *testing.T) {
+	for name, tc := range map[string]struct {
+		reset bool
+		want  sq.Outcome
+	}{"in order": {false, sq.Served}, "reset": {true, sq.Broken}} {
+		t.Run(name, func(t *testing.T) {
+			address, conns := acceptor(t)
+			b := newBench()
+			b.dialect = opensearch.Servers{}
+			b.fleet(0, sq.Ready, 0, address)
+			b.call(0, broker.Call{Server: "s", Attempts: []broker.Attempt{{ID: 1, Due: 1 << 40, Text: []byte("{}"), Plan: &merge.Plan{}}}})
+			b.next(t, 1)
+			far := <-conns
+			defer far.Close()
+			far.SetDeadline(time.Now().Add(patience))
+			if _, err := far.Read(make([]byte, 4096)); err != nil {
+				t.Fatal(err)
+			}
+			io.WriteString(far, "HTTP/1.1 200 OK\r\n\r\n"+
+				`{"took":1,"timed_out":false,"_shards":{"total":1,"successful":1,"failed":0},"hits":{"total":{"value":0,"relation":"eq"},"hits":[]}}`)
+			b.next(t, 2) // all of it is taken in before the end
+			if tc.reset {
+				far.(*net.TCPConn).SetLinger(0)
+			}
+			far.Close()
+			for len(b.ends) == 0 {
+				b.next(t, 3)
+			}
+			if b.ends[1] != tc.want {
+				t.Errorf("outcome %d, want %d", b.ends[1], tc.want)
+			}
+		})
+	}
+}
