End connections by their readers, resting ones soon after SIGTERM, and late queries before SIGKILL

Need: nothing that is still owed may be lost in the moment in which a listener or a connection is ended.

Seen, with real sockets whose reads, writes and accepts stop at hooks: (1) a connection that was evicted, or ended on a drain, while its request was on its way from the socket to the listener had the request begun and its answer written to nobody; one whose request came in as it was ended was reset. (2) Without a passed socket nothing ended idle connections after SIGTERM: requests went on coming in on them until the exit, with up to all of their six seconds, while the platform may kill a process 3.7 s after SIGTERM, which loses what came later than 0.7 s. (3) At the exit the socket was closed over connections that waited to be accepted. (4) A last answer was closed over unread bytes: a reset, which takes it along. (5) Behind what can't be read a client that goes on sending for over 1 MiB was not seen to leave, and what it waited for went on for up to 1.5 s. (6) A request that waited behind another was begun although its client had left meanwhile.

Checked: Go's connections have no small writes held back (TCP_NODELAY is its default, with passed sockets too).

Cause: Listener.evict and endIdle closed from other goroutines (1); gatherer.end called Leave, which ended nothing (2), and then Close (3); clientConn.finish (4), pass (5), next (6).

Change: only a connection's reader ends it; bytes that have come are answered first. SIGTERM ends what rests after 0.45 s; what arrives later than 0.6 s after it ends 0.25 s before the platform may kill. The exit takes in what waits to be accepted and leaves no connection behind. A flood ends what its client waits for.

--- a/internal/gatherer/gatherer.go
+++ b/internal/gatherer/gatherer.go
@@ -590,30 +590,33 @@
 	g.engine.Fleet(g.fleet, g.addresses)
 }
 
-// end leaves: it goes on serving until nothing is held and nothing comes in any more or, with a passed socket, until
-// the last connection has ended.
+// end leaves: it goes on serving until nothing comes in any more, takes in what waits to be accepted, and ends once the last
+// connection has. With a passed socket it accepts nothing more from the beginning.
 func (g *Gatherer) end() {
 	g.duty.Leave(g.passed > 0)
 	g.fleetView.change(g.facts)
-	still := g.listener.Quiet
 	if g.virtual != nil {
 		g.virtual.leave()
-		still = func(since int64) bool { return g.listener.Quiet(since) && g.virtual.quiet(since) }
 	}
 	if g.passed > 0 {
 		g.listener.HandOver(g.others > 0)
-		still = func(int64) bool {
-			return g.listener.Conns() == 0 && (g.virtual == nil || g.virtual.quiet(g.clock.Now()+1))
-		}
 	} else {
 		g.listener.Leave()
 	}
+	still := func(since int64) bool { return g.listener.Quiet(since) && (g.virtual == nil || g.virtual.quiet(since)) }
+	empty := func() bool { return g.listener.Conns() == 0 && (g.virtual == nil || g.virtual.conns() == 0) }
 	events.Info(g.logger, events.Leaving, "held", g.engine.Held())
 	since := g.clock.Now()
+	killed := since + g.lifeAfterTerm()
+	lastEntry := time.NewTimer(fullTime)
+	defer lastEntry.Stop()
 	tick := time.NewTicker(50 * time.Millisecond)
 	defer tick.Stop()
-	for served := false; ; {
+	for served, closing := false, false; ; {
 		select {
+		case <-lastEntry.C:
+			g.engine.EndBy(killed)
+			continue
 		case <-g.hup: // it may still move the watch: what is held has to end well
 			g.retune()
 			continue
@@ -635,9 +638,15 @@
 		case <-tick.C:
 		}
 		now := g.clock.Now()
-		if (served || g.passed == 0 && now-since >= quiet) && still(now-quiet) && g.engine.Held() == 0 {
-			break
+		switch {
+		case !served && !closing && g.passed == 0 && now-since >= quiet && still(now-quiet):
+			g.listener.LastCalls()
+			closing = true
+			continue
+		case !served || !empty() || g.engine.Held() > 0:
+			continue
 		}
+		break
 	}
 	g.fleetView.part()
 	if g.beside != nil {
@@ -664,3 +673,21 @@
 	}
 	events.Info(g.logger, events.Stopped)
 }
+
+const (
+	// fullTime is how long after SIGTERM a query still gets all of its time, in which the platform lets it end.
+	fullTime = 600 * time.Millisecond
+	// The platform kills a process so long after SIGTERM, and the longest deadline, as far as that is not over mostAwaited, later.
+	killedAfter = 700_000
+	mostAwaited = 3_000_000
+	killMargin  = 250_000 // an answer takes this long at most from its decision to its last byte
+)
+
+// lifeAfterTerm is how long after SIGTERM answers still leave for certain, in microseconds.
+func (g *Gatherer) lifeAfterTerm() int64 {
+	longest := int64(0)
+	for _, c := range g.settings.Module.Classes {
+		longest = max(longest, c.HardLimit)
+	}
+	return min(longest, mostAwaited) + killedAfter - killMargin
+}
--- a/internal/gatherer/service.go
+++ b/internal/gatherer/service.go
@@ -123,6 +123,17 @@
 	return true
 }
 
+// conns is how many clients' connections are open.
+func (s *service) conns() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, l := range s.listeners {
+		n += l.Conns()
+	}
+	return n
+}
+
 // leave gives the virtual address up, first of all: a peer takes over while this one still answers.
 func (s *service) leave() {
 	if s.router == nil {
--- a/internal/transport/gate.go
+++ b/internal/transport/gate.go
@@ -57,6 +57,9 @@
 
 // arrive asks the gate first, where there is one; the module hears of a query once it is let in.
 func (e *Engine) arrive(now int64, a broker.Ask, t *Ticket) {
+	if e.endBy > 0 {
+		a.Deadline = min(a.Deadline, e.endBy)
+	}
 	if e.gate == nil {
 		e.admit(now, a, t)
 		return
--- a/internal/transport/listener.go
+++ b/internal/transport/listener.go
@@ -58,10 +58,15 @@
 	idleEnough  = 2 * time.Second // then a connection may be closed where room is wanted
 	// Once its connections are to go, a listener first lets answers end them. From restAfter on it closes those that
 	// have been idle for restIdle, from restLast on all that are idle.
-	restAfter  = time.Second
-	restIdle   = 500 * time.Millisecond
-	restLast   = 1500 * time.Millisecond
-	restTick   = 50 * time.Millisecond
+	restAfter = time.Second
+	restIdle  = 500 * time.Millisecond
+	restLast  = 1500 * time.Millisecond
+	restTick  = 50 * time.Millisecond
+	// Where nobody else takes the clients, new ones stay away 0.4 s after a listener has begun to leave, and what comes later than 0.7 s may
+	// find no time for its answer: then all that is idle goes at once.
+	leaveAfter = 450 * time.Millisecond
+	// lastCalls is how long what waits to be accepted is still taken in when a listener closes its socket.
+	lastCalls  = 20 * time.Millisecond
 	silentLong = 300 * time.Millisecond // clients that mean to ask do so at once
 )
 
@@ -73,24 +78,27 @@
 	net     net.Listener
 	leaving atomic.Bool
 	standby atomic.Bool
+	ending  atomic.Bool  // it closes its socket once what waits there is accepted
 	relief  atomic.Bool  // another process takes the clients
 	last    atomic.Int64 // when a query last came in
 	busy    atomic.Int64 // connections with a request being read, decided or answered
 	held    atomic.Int64 // bytes of unfinished requests
 	freed   chan struct{}
+	grace   time.Duration // faultGrace, but in tests
 	wg      sync.WaitGroup
 
 	over chan struct{} // closed by Close
 
-	mu     sync.Mutex
-	closed bool
-	conns  map[*clientConn]bool
-	rest   chan struct{} // closed when idle connections may stay again; nil while they may
+	mu        sync.Mutex
+	closed    bool
+	conns     map[*clientConn]bool
+	rest      chan struct{} // closed when idle connections may stay again; nil while they may
+	restAfter time.Duration // with rest: how long after its beginning they end
 }
 
 // NewListener makes a listener on an open socket; Serve runs it.
 func NewListener(l net.Listener, cfg ListenerConfig, e *Engine, f Front, logger *slog.Logger) *Listener {
-	made := &Listener{engine: e, log: logger, net: l, freed: make(chan struct{}, 1),
+	made := &Listener{engine: e, log: logger, net: l, grace: faultGrace, freed: make(chan struct{}, 1),
 		conns: map[*clientConn]bool{}, over: make(chan struct{})}
 	made.Reconfigure(cfg, f)
 	return made
@@ -109,11 +117,20 @@
 func (l *Listener) Serve() error {
 	const most = time.Second
 	wait := 5 * time.Millisecond
-	for {
+	for last := false; ; {
 		conn, err := l.net.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
+		var timeout net.Error
+		if l.ending.Load() && errors.As(err, &timeout) && timeout.Timeout() {
+			if !last && l.acceptUntil(time.Now().Add(lastCalls)) {
+				last = true
+				continue
+			}
+			l.net.Close()
+			return nil
+		}
 		if err != nil {
 			events.Warn(l.log, events.Accept, "error", err)
 			l.evict(0)
@@ -149,13 +166,14 @@
 	return len(l.conns) >= l.terms.Load().MaxConns*3/4 || l.kept() >= l.terms.Load().Enough
 }
 
-// scarce tells that clients keep as many connections as they may. Guards against clients that ask once and keep
-// their connection: what they hold is missing to those who have yet to ask. Saying so in the answer, unlike
-// closing later, can't cross a request; one that has come in already is answered first.
-func (l *Listener) scarce(c *clientConn) bool {
+// ends tells that a connection is to end with the answer that is due: it was to end anyway, or clients keep as many
+// connections as they may. Guards against clients that ask once and keep their connection: what they hold is missing to
+// those who have yet to ask. Saying so in the answer, unlike closing later, can't cross a request; one that has come in
+// already is answered first.
+func (l *Listener) ends(c *clientConn) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return len(c.queue) == 0 && l.kept() > l.terms.Load().Enough
+	return len(c.queue) == 0 && (c.final || l.kept() > l.terms.Load().Enough)
 }
 
 // kept counts the connections that have asked and may ask again.
@@ -180,7 +198,7 @@
 		return false
 	}
 	c := &clientConn{l: l, net: conn, accepted: time.Now(), since: time.Now(), gone: make(chan struct{}),
-		bad: make(chan struct{}), told: make(chan struct{})}
+		bad: make(chan struct{}), flood: make(chan struct{}), told: make(chan struct{})}
 	l.conns[c] = true
 	l.wg.Add(1)
 	go c.read()
@@ -211,9 +229,38 @@
 		}
 	}
 	if pick != nil {
-		pick.evicted = true
-		pick.net.Close()
+		pick.evict()
+	}
+}
+
+// evict has an idle connection end, under the listener's lock. Its reader ends it, who alone knows that no request has come in: closing
+// it from here could cross one that has been read, and that would be sent on without anybody to answer to.
+func (c *clientConn) evict() {
+	c.evicted = true
+	if c.fault != nil { // it has had its last answer, and is only read on
+		c.net.Close()
+		return
 	}
+	c.net.SetReadDeadline(time.Unix(1, 0))
+}
+
+// spared tells a reader whose time is up that the connection goes on all the same: bytes have come. Where it was to be evicted, it
+// ends with the answer to them.
+func (c *clientConn) spared() bool {
+	if !unread(c.net) {
+		return false
+	}
+	c.l.mu.Lock()
+	defer c.l.mu.Unlock()
+	c.reprieve()
+	return true
+}
+
+// reprieve lets a connection go on until the next answer, under the listener's lock.
+func (c *clientConn) reprieve() {
+	c.final = c.final || c.evicted
+	c.evicted = false
+	c.net.SetReadDeadline(time.Now().Add(c.l.terms.Load().Slow))
 }
 
 // spare is how little a connection is missed; below nought where it must stay.
@@ -234,8 +281,27 @@
 	return -1
 }
 
-// Leave makes the listener not ready; it goes on accepting and answering.
-func (l *Listener) Leave() { l.leaving.Store(true) }
+// Leave makes the listener not ready; it goes on accepting and answering, and soon ends what is idle.
+func (l *Listener) Leave() {
+	l.leaving.Store(true)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.wind(leaveAfter, leaveAfter)
+}
+
+// LastCalls takes in what waits to be accepted and closes the socket. Serve ends then.
+func (l *Listener) LastCalls() {
+	l.ending.Store(true)
+	if !l.acceptUntil(time.Unix(1, 0)) { // wakes Serve, which looks at what waits itself: its own time for that begins then
+		l.net.Close()
+	}
+}
+
+// acceptUntil bounds the wait for a further connection, where the socket can do so.
+func (l *Listener) acceptUntil(by time.Time) bool {
+	s, ok := l.net.(interface{ SetDeadline(time.Time) error })
+	return ok && s.SetDeadline(by) == nil
+}
 
 // HandOver stops accepting and ends each connection with its answer, or once it has been idle for a while. The
 // socket may be another process's too: closing it here is all that happens to it. With relief that process takes
@@ -246,20 +312,24 @@
 	l.net.Close()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.wind()
+	l.wind(restAfter, restLast)
 }
 
-// wind begins to end idle connections.
-func (l *Listener) wind() {
-	if l.rest != nil || l.closed {
+// wind begins to end idle connections: after a while those that have been idle for long enough, at last all. One that has begun goes on
+// as it is, unless the end is to come sooner.
+func (l *Listener) wind(after, last time.Duration) {
+	if l.closed || l.rest != nil && after >= l.restAfter {
 		return
 	}
-	l.rest = make(chan struct{})
+	if l.rest != nil {
+		close(l.rest)
+	}
+	l.rest, l.restAfter = make(chan struct{}), after
 	l.wg.Add(1)
-	go l.unwind(l.rest)
+	go l.unwind(l.rest, after, last)
 }
 
-func (l *Listener) unwind(stop <-chan struct{}) {
+func (l *Listener) unwind(stop <-chan struct{}, after, last time.Duration) {
 	defer l.wg.Done()
 	began := time.Now()
 	tick := time.NewTicker(restTick)
@@ -267,8 +337,8 @@
 	for {
 		select {
 		case now := <-tick.C:
-			if age := now.Sub(began); age >= restAfter {
-				l.endIdle(now, age >= restLast)
+			if age := now.Sub(began); age >= after {
+				l.endIdle(now, age >= last)
 			}
 		case <-stop:
 			return
@@ -278,19 +348,18 @@
 	}
 }
 
-// endIdle closes connections without a request arriving or in hand. Guards requests that have come in and that the
+// endIdle ends connections without a request arriving or in hand. Guards requests that have come in and that the
 // reader has not got to: closing over them would reset the connection under its client; and new connections, whose first
 // request is on its way.
 func (l *Listener) endIdle(now time.Time, all bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for c := range l.conns {
-		if c.partial || c.answering || len(c.queue) > 0 || c.fault != nil || unread(c.net) ||
+		if c.evicted || c.partial || c.answering || len(c.queue) > 0 || c.fault != nil || unread(c.net) ||
 			(!all || !c.spoke) && now.Sub(c.since) < restIdle {
 			continue
 		}
-		c.evicted = true
-		c.net.Close()
+		c.evict()
 	}
 }
 
@@ -327,8 +396,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if on {
-		l.wind()
-	} else if l.rest != nil {
+		l.wind(restAfter, restLast)
+	} else if l.rest != nil && !l.leaving.Load() {
 		close(l.rest)
 		l.rest = nil
 	}
@@ -364,6 +433,7 @@
 	accepted time.Time
 	gone     chan struct{} // closed when the client has left
 	bad      chan struct{} // closed when it has sent what can't be read
+	flood    chan struct{} // closed when it goes on sending behind that without end
 	told     chan struct{} // closed when that has been answered, or can't be any more
 
 	// Under l.mu:
@@ -373,7 +443,8 @@
 	answering bool
 	partial   bool // a request has begun to come in
 	spoke     bool // a whole request has come in
-	evicted   bool
+	evicted   bool // it is to end, unless a request comes in first
+	final     bool // the next answer is the last
 	ended     bool // the reader has ended
 	busy      bool
 	since     time.Time // when it last became idle
@@ -448,7 +519,11 @@
 		}
 		if err != nil {
 			var timeout net.Error
-			if !p.Idle() && errors.As(err, &timeout) && timeout.Timeout() {
+			late := errors.As(err, &timeout) && timeout.Timeout()
+			if late && p.Idle() && c.spared() {
+				continue
+			}
+			if late && !p.Idle() {
 				slow := &http1.Error{Status: 408, Text: "the request took too long to come in"}
 				if head != last {
 					c.lost(slow, head)
@@ -497,6 +572,9 @@
 			c.lost(fault, batch...)
 			batch = nil
 		}
+		if c.evicted { // these bytes were on their way from the socket to here
+			c.reprieve()
+		}
 		now := time.Now()
 		if partial && (!c.partial || len(batch) > 0) && c.spoke {
 			c.net.SetReadDeadline(now.Add(c.l.terms.Load().Slow))
@@ -523,10 +601,11 @@
 }
 
 // pass reads on past what can't be read, within bounds, so that the client's going is seen and the error
-// reaches it.
+// reaches it. Beyond them its going can't be seen: what it still waits for is given up.
 func (c *clientConn) pass() {
 	c.net.SetReadDeadline(time.Now().Add(faultGrace + linger))
 	if n, err := io.CopyN(io.Discard, c.net, lingerBytes); err == nil && n == lingerBytes {
+		close(c.flood)
 		<-c.told
 	}
 }
@@ -541,7 +620,9 @@
 func (c *clientConn) next() (m *http1.Message, fault *http1.Error) {
 	c.change(func() {
 		switch {
-		case len(c.queue) > 0 && (c.fault == nil || time.Since(c.faultAt) < faultGrace):
+		case c.ended && c.fault == nil: // nobody waits: what is queued is not begun
+			c.queue, c.answering = nil, false
+		case len(c.queue) > 0 && !c.ended && (c.fault == nil || time.Since(c.faultAt) < c.l.grace):
 			m, c.queue = c.queue[0], c.queue[1:]
 		case c.fault != nil:
 			fault = c.fault
@@ -587,8 +668,9 @@
 		c.queue = nil
 		c.answering, over = false, c.ended
 		if c.fault == nil {
-			// Nothing lies unread, and one who was told that the connection ends sends nothing more.
-			c.fault, over = &http1.Error{}, true
+			// One who was told that the connection ends sends nothing more. Closing over what it has sent already would reset the
+			// connection, and the answer with it.
+			c.fault, over = &http1.Error{}, over || !unread(c.net)
 		}
 	})
 	close(c.told)
--- a/internal/transport/serve.go
+++ b/internal/transport/serve.go
@@ -154,11 +154,14 @@
 			return front.Fault(status, err.Error()), goesOn
 		case <-w.bad:
 			w.bad = nil
-			w.timer = time.NewTimer(faultGrace)
+			w.timer = time.NewTimer(c.l.grace)
 			w.late = w.timer.C
 		case <-w.late:
 			c.leave(a)
 			return http1.Response{}, broke
+		case <-c.flood:
+			c.leave(a)
+			return http1.Response{}, broke
 		case <-c.gone:
 			c.leave(a)
 			return http1.Response{}, left
@@ -174,7 +177,7 @@
 
 // reply writes the answer to a request.
 func (c *clientConn) reply(m *http1.Message, r http1.Response) (last, ok bool) {
-	last = m.Close || !c.l.stays() || c.l.scarce(c)
+	last = m.Close || !c.l.stays() || c.l.ends(c)
 	if m.Method == "HEAD" {
 		r.Body = nil
 	}
