Open a second connection beside one that is late to come up while calls wait

Cause: pool.call put calls on the one connection that was coming up, however late, and pool.dial knew one try only.

Change: a connection that takes eight times what they usually take (20 ms at least, a quarter of the time to connect at most) while calls wait for it has another opened beside it, once; whichever is up first takes the calls, new calls don't wait for the late one. Harm: two tries for one to a machine that is gone.

The test forces both orders.

--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -34,6 +34,7 @@
 	post    func(func(now int64)) bool // false: nobody runs it any more
 	ended   func(now int64, r broker.Reply)
 	connect func(address string, timeout time.Duration) (net.Conn, error)
+	after   func(time.Duration, func()) *time.Timer
 	servers map[sq.ServerID]*server
 	out     map[broker.AttemptID]*serverConn
 	figures *operations.Figures
@@ -41,6 +42,7 @@
 	conns   int
 	hurt    int64   // when a connection was last lost with calls out on it; 0: never
 	typical float64 // slow moving average of how long a call takes to be served, in microseconds
+	dialled float64 // the same of how long a connection takes to come up
 }
 
 type server struct {
@@ -67,7 +69,10 @@
 	heardAt  int64
 	openedAt int64
 	upAt     int64
-	passed   int // calls that left after it fell silent and were answered elsewhere
+	spare    bool        // opened since another is late
+	spared   bool        // has one, or is one: there is no further
+	late     *time.Timer // until it is, itself
+	passed   int         // calls that left after it fell silent and were answered elsewhere
 	sentAt   map[broker.AttemptID]int64
 	stalled  int64 // when the last bytes of an unfinished answer came; 0: there is none
 }
@@ -76,7 +81,7 @@
 	connect := func(address string, timeout time.Duration) (net.Conn, error) {
 		return net.DialTimeout("tcp", address, timeout)
 	}
-	return &pool{cfg: cfg, dialect: d, post: post, connect: connect, servers: map[sq.ServerID]*server{},
+	return &pool{cfg: cfg, dialect: d, post: post, connect: connect, after: time.AfterFunc, servers: map[sq.ServerID]*server{},
 		out: map[broker.AttemptID]*serverConn{}, figures: operations.NewFigures()}
 }
 
@@ -282,6 +287,9 @@
 		if c.dead || c.retired || len(c.calls)+len(call.Attempts) > max(p.dialect.Streams(), len(call.Attempts)) {
 			continue
 		}
+		if !c.up && !c.spare && now-c.openedAt > p.lateAfter() && len(s.conns) < mostAlone {
+			continue // it may never come up
+		}
 		if alone && room && len(c.calls) > 0 || c.stalled > 0 && len(c.calls) == 0 {
 			continue
 		}
@@ -396,6 +404,9 @@
 	s.conns = append(s.conns, c)
 	p.conns++
 	address, timeout := s.address, time.Duration(p.cfg.ConnectTimeout)*time.Microsecond
+	c.late = p.after(time.Duration(p.lateAfter())*time.Microsecond, func() {
+		p.post(func(now int64) { p.isLate(now, c) })
+	})
 	go func() {
 		conn, err := p.connect(address, timeout)
 		if err != nil {
@@ -407,6 +418,41 @@
 	return c
 }
 
+// lateAfter is how long a connection may take to come up before another is opened beside it, in microseconds: well above what they usually
+// take, and well below what is waited for one at most.
+func (p *pool) lateAfter() int64 {
+	return min(max(int64(8*p.dialled), 20_000), max(p.cfg.ConnectTimeout/4, 1000))
+}
+
+// isLate opens another connection beside one that is late to come up while calls wait for it; whichever is up first takes them. Guards
+// calls against a handshake that is lost, and their servers against being taken for slow or gone because of it. Harm: to a machine that is
+// gone two connections are tried for one.
+func (p *pool) isLate(now int64, c *serverConn) {
+	if c.up || c.dead || c.spared || c.server.closed || len(c.calls) == 0 || len(c.server.conns) >= mostAlone {
+		return
+	}
+	if o := p.dial(now, c.server); o != nil {
+		c.spared, o.spared, o.spare = true, true, true
+	}
+}
+
+// takeOver has a connection that has come up take the calls that wait for others of its server, as far as it has room.
+func (p *pool) takeOver(c *serverConn) {
+	for _, o := range c.server.conns {
+		for !o.up && len(o.backlog) > 0 && len(c.calls)+len(o.backlog[0].Attempts) <= p.dialect.Streams() {
+			call := o.backlog[0]
+			o.backlog = o.backlog[1:]
+			for _, a := range call.Attempts {
+				c.calls[a.ID], c.sentAt[a.ID] = nil, o.sentAt[a.ID]
+				p.out[a.ID] = c
+				delete(o.calls, a.ID)
+				delete(o.sentAt, a.ID)
+			}
+			c.backlog = append(c.backlog, call)
+		}
+	}
+}
+
 // shed closes the connection that has been idle for longest, so that there is room for a new one.
 func (p *pool) shed(now int64) {
 	var oldest *serverConn
@@ -429,7 +475,17 @@
 	}
 	// heardAt stays unset: that a connection came up is no sign that its far end still lives.
 	c.net, c.up, c.usedAt, c.upAt = conn, true, now, now
+	c.late.Stop()
+	if took := float64(now - c.openedAt); took <= float64(p.lateAfter()) { // a late one says nothing of what is usual
+		if p.dialled == 0 {
+			p.dialled = took
+		}
+		p.dialled += (took - p.dialled) / 16
+	}
 	go p.serve(c, conn)
+	if !c.retired {
+		p.takeOver(c)
+	}
 	waiting := c.backlog
 	c.backlog = nil
 	for _, call := range waiting {
@@ -589,6 +645,9 @@
 		return
 	}
 	c.dead = true
+	if c.late != nil { // it was not dialled, as in tests
+		c.late.Stop()
+	}
 	p.conns--
 	if c.net != nil {
 		c.net.Close()
--- a/internal/transport/unsent_test.go
+++ b/internal/transport/unsent_test.go
@@ -1,8 +1,10 @@
 package transport
 
 import (
+	"fmt"
 	"io"
 	"net"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -140,6 +142,83 @@
 	}
 }
 
+// Beside a connection that is late to come up while a call waits for it another is opened, once, and whichever is up first takes the call. The
+// other is kept for later ones.
+func TestALateConnectionHasASpare(t *testing.T) {
+	for _, spareFirst := range []bool{true, false} {
+		t.Run(fmt.Sprintf("spareFirst=%t", spareFirst), func(t *testing.T) {
+			b := newBench()
+			ups := make(chan chan net.Conn, 4)
+			b.connect = func(string, time.Duration) (net.Conn, error) {
+				up := make(chan net.Conn)
+				ups <- up
+				return <-up, nil
+			}
+			b.fleet(0, sq.Ready, 0, "s:1")
+			comesUp := func(up chan net.Conn) (frames chan string) {
+				near, far := net.Pipe()
+				t.Cleanup(func() { far.Close() })
+				up <- near
+				b.next(t, 30_000)
+				frames = make(chan string, 4)
+				go func() {
+					for {
+						head := make([]byte, 4)
+						if _, err := io.ReadFull(far, head); err != nil {
+							return
+						}
+						body := make([]byte, head[3])
+						io.ReadFull(far, body)
+						frames <- string(body)
+					}
+				}()
+				return frames
+			}
+			b.call(0, callOf(1))
+			first := <-ups
+			c := b.servers["s"].conns[0]
+			b.isLate(20_000, c)
+			spare := <-ups
+			b.isLate(40_000, c) // a timer that rings again, and that of the spare
+			b.isLate(40_000, b.servers["s"].conns[1])
+			if n := len(b.servers["s"].conns); n != 2 {
+				t.Fatalf("%d connections", n)
+			}
+			one, other := spare, first
+			if !spareFirst {
+				one, other = first, spare
+			}
+			got, none := comesUp(one), comesUp(other)
+			select {
+			case f := <-got:
+				if !strings.HasPrefix(f, "Rq.1 1 ") {
+					t.Errorf("the first up got %q", f)
+				}
+			case <-time.After(patience):
+				t.Error("the first up got nothing")
+			}
+			b.call(50_000, callOf(2)) // the fullest takes it
+			if f := <-got; !strings.HasPrefix(f, "Rq.2 2 ") || len(none) != 0 || b.conns != 2 || len(b.ends) != 0 {
+				t.Errorf("then %q, the other got %d, %d connections, ended %v", f, len(none), b.conns, b.ends)
+			}
+		})
+	}
+	b := newBench()
+	b.connect = func(string, time.Duration) (net.Conn, error) { return nil, io.ErrUnexpectedEOF }
+	b.fleet(0, sq.Ready, 0, "s:1")
+	b.call(0, callOf(1))
+	c := b.servers["s"].conns[0]
+	b.recall(1, 1)
+	if b.isLate(20_000, c); b.conns != 1 {
+		t.Error("a spare where nothing waits")
+	}
+	b.call(2, callOf(2))
+	b.fleet(3, sq.Draining, 0, "")
+	if b.isLate(20_000, c); b.conns > 1 {
+		t.Error("a spare to a server that drains")
+	}
+}
+
 // An answer without a length ends with its connection where that ends in order. A reset is no end.
 func TestAResetCompletesNothing(t *testing.T) {
 	for name, tc := range map[string]struct {
