--- /dev/null
+++ b/internal/config/sites_test.go
@@ -0,0 +1,158 @@
+package config
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	sq "saffronquay"
+)
+
+// sites are settings such as the site files in deploy/sites lead to, each unlike every operator's in another way, and what they have to
+// come to. They are written by hand from the files: the form is that of the simulator's first message.
+var sites = []struct {
+	name, settings string
+	classes        []sq.Class
+	limits         sq.Limits
+	rules          sq.Rules
+	asks           bool
+	tenants        int
+}{
+	{"paso-freight", `{"me":1,"balancers":3,"areas":["north-quay","south-quay"],"zone":"south-quay","period_us":4000,"membership_mode":"ask",
+	"over_share_worth":0.2,"telemetry":{"how":"pull","fields":["outstanding"]},"counted_by":"request","unheard_of":{"a":[1,null]},
+	"classes":[
+	 {"name":"track","effect":"free","aim_us":700000,"hard_limit_us":1600000,"worth":1,"late_worth":0.2},
+	 {"name":"manifest","effect":"free","aim_us":1200000,"hard_limit_us":2500000,"worth":2,"late_worth":0},
+	 {"name":"amend","effect":"guarded","repeat_window_us":1500000,"key_scope":"all","aim_us":900000,"hard_limit_us":2500000,"worth":2,"late_worth":0.4},
+	 {"name":"release-hold","effect":"single_shot","aim_us":900000,"hard_limit_us":3000000,"worth":4,"late_worth":0.5},
+	 {"name":"yard-count","effect":"free","aim_us":1500000,"hard_limit_us":4000000,"worth":3,"late_worth":0.3}],
+	"family_info":{"shards":24,"positions":12,"reach":3,"overhead_us":0,"parts_a_call":1,"class_fetch":[0,0,0,0,0],
+	 "class_partial":[0.9,0.9,0.9,0.9,0.8],"floor_by_class":[1,1,1,1,0.5],"whole_at":[1,1,1,1,0.8]},
+	"permissions":{"most_tries":3,"second_copies":true,"may_cancel":false,"probing":true,"retry_after":true,"max_retry_after_us":800000,
+	 "max_open":90,"connect_timeout_us":300000,"idle_close_us":12000000,"streams_per_conn":16},
+	"prices":{"cross_zone":0.03},"parties":[{"name":"line-one","quota_per_s":20},{"name":"line-two","quota_per_s":10},{"name":"customs","quota_per_s":3}],
+	"rules":{"ask_within_us":10000000,"cold_share":0.25,"warm_within_us":12000000,"fall_multiple":3,"fall_us":2000000,"grace_to_answer_us":20000,
+	 "stop_sending_within_us":400000,"extra_ratio":0.15,"free_resends":8,"extra_window_us":8000000}}`,
+		[]sq.Class{
+			{Name: "track", Aim: 700_000, HardLimit: 1_600_000, Worth: 1, LateWorth: 0.2, Need: 1, Floor: 1, Partial: 0.9},
+			{Name: "manifest", Aim: 1_200_000, HardLimit: 2_500_000, Worth: 2, Need: 1, Floor: 1, Partial: 0.9},
+			{Name: "amend", Aim: 900_000, HardLimit: 2_500_000, Worth: 2, LateWorth: 0.4, Effect: sq.Deduped, RepeatWindow: 1_500_000, Need: 1, Floor: 1, Partial: 0.9},
+			{Name: "release-hold", Aim: 900_000, HardLimit: 3_000_000, Worth: 4, LateWorth: 0.5, Effect: sq.AtMostOnce, Need: 1, Floor: 1, Partial: 0.9},
+			{Name: "yard-count", Aim: 1_500_000, HardLimit: 4_000_000, Worth: 3, LateWorth: 0.3, Need: 0.8, Floor: 0.5, Partial: 0.8}},
+		sq.Limits{MaxTries: 3, SecondCopies: true, RetryAfter: true, MaxRetryAfter: 800_000},
+		sq.Rules{AnswerGrace: 20_000, DrainGrace: 400_000, ColdShare: 0.25, WarmWithin: 12_000_000, FallMultiple: 3, FallWindow: 2_000_000,
+			AskWithin: 10_000_000, Budgeted: true, FreeExtras: 8, ExtraRatio: 0.15, ExtraWindow: 8_000_000}, true, 3},
+	{"delta-clinics", `{"me":0,"balancers":2,"areas":["levee"],"zone":"levee","period_us":10000,"membership_mode":"push","over_share_worth":0.3,
+	"telemetry":{"how":"silent","fields":[]},"classes":[
+	 {"name":"prescribe","effect":"single_shot","aim_us":5000000,"hard_limit_us":12000000,"worth":3,"late_worth":0.6},
+	 {"name":"lookup","effect":"guarded","repeat_window_us":4000000,"aim_us":3500000,"hard_limit_us":9000000,"worth":1,"late_worth":0.1}],
+	"family_info":{"shards":12,"positions":4,"reach":1,"overhead_us":0,"parts_a_call":1,"class_fetch":[0,0],"class_partial":[0.9,0.9],
+	 "floor_by_class":[1,1],"whole_at":[1,1]},
+	"permissions":{"most_tries":2,"second_copies":false,"may_cancel":true,"retry_after":true,"max_retry_after_us":1500000,"max_open":40,
+	 "connect_timeout_us":400000,"idle_close_us":20000000,"streams_per_conn":8},
+	"parties":[{"name":"clinics","quota_per_s":9},{"name":"audit","quota_per_s":1}],
+	"rules":{"cold_share":0.3,"warm_within_us":11000000,"fall_multiple":2,"fall_us":2500000,"grace_to_answer_us":20000,"stop_sending_within_us":600000}}`,
+		[]sq.Class{
+			{Name: "prescribe", Aim: 5_000_000, HardLimit: 12_000_000, Worth: 3, LateWorth: 0.6, Effect: sq.AtMostOnce, Need: 1, Floor: 1, Partial: 0.9},
+			{Name: "lookup", Aim: 3_500_000, HardLimit: 9_000_000, Worth: 1, LateWorth: 0.1, Effect: sq.Deduped, RepeatWindow: 4_000_000, Need: 1, Floor: 1, Partial: 0.9}},
+		sq.Limits{MaxTries: 2, MayCancel: true, RetryAfter: true, MaxRetryAfter: 1_500_000},
+		sq.Rules{AnswerGrace: 20_000, DrainGrace: 600_000, ColdShare: 0.3, WarmWithin: 11_000_000, FallMultiple: 2, FallWindow: 2_500_000}, false, 2},
+}
+
+// Settings of other customers come to just what they say, serve, and stay apart: nothing of one site is left where another's is read.
+func TestSitesOfOthers(t *testing.T) {
+	for range 2 { // in either order
+		for _, site := range sites {
+			s, err := ParseSettings([]byte(site.settings))
+			if err != nil {
+				t.Fatalf("%s: %v", site.name, err)
+			}
+			m := s.Module
+			if fmt.Sprint(m.Classes) != fmt.Sprint(site.classes) {
+				t.Errorf("%s: classes %+v, want %+v", site.name, m.Classes, site.classes)
+			}
+			if m.Limits != site.limits || m.Rules != site.rules || m.AskMembership != site.asks || len(m.Tenants) != site.tenants {
+				t.Errorf("%s: %+v %+v asks %t, %d tenants", site.name, m.Limits, m.Rules, m.AskMembership, len(m.Tenants))
+			}
+			r, err := newReader([]byte(site.settings))
+			if err != nil {
+				t.Fatal(err)
+			}
+			readSettings(r).checkServing(r)
+			if err := r.err(); err != nil {
+				t.Errorf("%s: %v", site.name, err)
+			}
+			if _, err := sq.New(m, 1); err != nil {
+				t.Errorf("%s: %v", site.name, err)
+			}
+			for _, other := range []struct{ key, was, is string }{
+				{"effect", `"effect":"single_shot"`, `"effect":"once"`}, {"hard_limit_us", `"hard_limit_us":9000000`, `"hard_limit_us":0`},
+				{"hard_limit_us", `"hard_limit_us":1600000`, `"hard_limit_us":"soon"`}, {"floor_by_class", `"floor_by_class":[1,`, `"floor_by_class":[`},
+			} {
+				if !strings.Contains(site.settings, other.was) {
+					continue
+				}
+				bad := strings.Replace(site.settings, other.was, other.is, 1)
+				r, err := newReader([]byte(bad))
+				if err != nil {
+					t.Fatal(err)
+				}
+				readSettings(r).checkServing(r)
+				if err := r.err(); err == nil || !strings.Contains(err.Error(), other.key) {
+					t.Errorf("%s with %s: %v, want a fault that names %s", site.name, other.is, err, other.key)
+				}
+			}
+		}
+	}
+}
+
+// The program and the deploy files know no site's words: names of classes, tenants and zones come from settings alone.
+func TestNoSitesWordsInTheProgram(t *testing.T) {
+	files, err := filepath.Glob("../../deploy/sites/*.toml")
+	if err != nil || len(files) < 2 {
+		t.Fatal(files, err)
+	}
+	named := regexp.MustCompile(`(?m)^name = "([a-z-]{5,})"`)
+	words := map[string]bool{"ledger-cordoba": true, "santander-central": true, "rio-cobre": true, "filing-submit": true, "invoice-search": true,
+		"annual-summary": true, "meter-history": true, "gate-order": true, "usage-summary": true, "ad-booking": true, "network-report": true,
+		"show-lookup": true, "estudio-": true}
+	for _, f := range files {
+		text, err := os.ReadFile(f)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, m := range named.FindAllStringSubmatch(string(text), -1) {
+			words[m[1]] = true
+		}
+	}
+	for _, w := range []string{"pauses", "shared_slow", "neighbour", "crash", "balancer_crash", "lookup", "amend", "track", "manifest", "audit", "customs"} {
+		delete(words, w) // ordinary words, and the bench's
+	}
+	err = filepath.WalkDir("../..", func(path string, d os.DirEntry, err error) error {
+		if err != nil {
+			return err
+		}
+		if d.IsDir() && (d.Name() == ".git" || d.Name() == "journal" || d.Name() == "docs" || d.Name() == "sites" || d.Name() == "bin") {
+			return filepath.SkipDir
+		}
+		if !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return nil
+		}
+		text, err := os.ReadFile(path)
+		if err != nil {
+			return err
+		}
+		for w := range words {
+			if strings.Contains(string(text), w) {
+				t.Errorf("%s holds %q, a word of a site", path, w)
+			}
+		}
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -83,6 +83,11 @@
 	if a.Label == "" || len(a.Label) > maxID || strings.ContainsFunc(a.Label, func(r rune) bool { return r <= ' ' || r > '~' || r == '.' }) {
 		return a, fmt.Errorf("Request-Id: missing, too long, or not a plain word")
 	}
+	// The pages have no words by which a worker is told this key (docs/QUESTIONS.md): without it the part that arrives is not the client's, and
+	// a repeat of it would run again.
+	if m.Header.Get("Idempotency-Key") != "" {
+		return a, fmt.Errorf("Idempotency-Key: can't be passed on to workers")
+	}
 	wait := m.Header.Get("Request-Timeout-Ms")
 	ms, err := strconv.ParseUint(wait, 10, 31)
 	if err != nil || ms == 0 {
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -178,6 +178,7 @@
 		{strings.Replace(headers, "9b1f", "a.b", 1), body, "Request-Id"},
 		{strings.Replace(headers, "9b1f", "", 1), body, "Request-Id"},
 		{strings.Replace(headers, "9b1f", strings.Repeat("9", 200), 1), body, "Request-Id"},
+		{headers + "Idempotency-Key: d7c0\r\n", body, "Idempotency-Key"},
 		{strings.Replace(headers, "480", "soon", 1), body, "Request-Timeout-Ms"},
 		{strings.Replace(headers, "480", "0", 1), body, "Request-Timeout-Ms"},
 		{strings.Replace(headers, "480", "-5", 1), body, "Request-Timeout-Ms"},
