--- a/internal/loopback/platform_test.go
+++ b/internal/loopback/platform_test.go
@@ -55,7 +55,11 @@
 // discovery is a stand-in agent: it gives the whole list, which lacks some servers, holds a watch open and tells
 // what the scenario says.
 func discovery(t *testing.T, w *world, generation int, gone []string) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	return discoveryAt(t, w, "127.0.0.1:0", generation, gone)
+}
+
+func discoveryAt(t *testing.T, w *world, address string, generation int, gone []string) string {
+	l, err := net.Listen("tcp", address)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/loopback/scenario_test.go
+++ b/internal/loopback/scenario_test.go
@@ -100,16 +100,17 @@
 	servers []*standIn
 	address string
 	process
-	old     process  // the one that was replaced
-	env     []string // of the program
-	socket  *os.File // passed to the program; nil where it opens its own
-	clients map[string]*client
-	lists   chan string // changes that discovery has to tell
-	file    string      // the program's configuration
-	classes []class     // in it
-	tries   int
-	shared  string            // directory of the two processes
-	sent    map[string][]byte // by client
+	old         process  // the one that was replaced
+	env         []string // of the program
+	socket      *os.File // passed to the program; nil where it opens its own
+	clients     map[string]*client
+	lists       chan string // changes that discovery has to tell
+	file        string      // the program's configuration
+	classes     []class     // in it
+	tries       int
+	shared      string            // directory of the two processes
+	descriptors int               // that the program may open; 0: as many as this test
+	sent        map[string][]byte // by client
 
 	mu       sync.Mutex
 	changed  *sync.Cond
@@ -261,6 +262,9 @@
 	t := w.t
 	w.env = env
 	cmd, exited := exec.Command(program), make(chan error, 1)
+	if w.descriptors > 0 {
+		cmd = exec.Command("/bin/sh", "-c", fmt.Sprintf("ulimit -n %d && exec %s", w.descriptors, program))
+	}
 	cmd.Env = append(append(os.Environ(), "LB_OPERATOR=", "TMPDIR="+w.shared), env...)
 	if w.socket != nil {
 		cmd.ExtraFiles = []*os.File{w.socket}
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -29,6 +29,7 @@
 	Work      int64               // mean work of a part
 	Parts     []int               // of a query, by class
 	Mix       []float64           // of classes, by share of queries
+	Asking    []float64           // of the settings' tenants, by share of queries; none: queries have no tenant
 	Length    int64
 	Notice    int64 // from a change to the list's word of it
 	ColdShare float64
@@ -67,7 +68,22 @@
 	Served  float64 // share of the worth asked for that came in time
 	Toppled int     // servers of a core or more that were sent more than the rule allows while cold
 	Worst   float64 // the most that a cold server was sent within a window, over what the rule allows
+	Warming float64 // the least that a server was sent while it was cold, over what it could do then; 1 where none was cold
+	Chance  float64 // the same in parts of mean work, over the budget N and what counts as chance beyond it, 2·√N + 2
 	Twice   int     // parts that may have run and must not were sent again
+	// What came of the worth by class, by third of the day and by tenant.
+	Classes, Thirds, Tenants []Portion
+}
+
+// Portion is a part of the worth asked for, and what of it came in time.
+type Portion struct{ Asked, InTime float64 }
+
+// Served is the share that came in time; 1 where nothing was asked.
+func (p Portion) Served() float64 {
+	if p.Asked == 0 {
+		return 1
+	}
+	return p.InTime / p.Asked
 }
 
 type server struct {
@@ -128,16 +144,17 @@
 }
 
 type query struct {
-	id    sq.ID
-	class int
-	first int64 // try
-	tries int
-	parts []sq.ID
-	costs []float64
-	shard []int
-	over  bool
-	mark  int // its window
-	worth float64
+	id     sq.ID
+	class  int
+	first  int64 // try
+	tries  int
+	parts  []sq.ID
+	costs  []float64
+	shard  []int
+	over   bool
+	mark   int // its window
+	worth  float64
+	tenant int // -1: none
 }
 
 type event struct {
@@ -178,6 +195,7 @@
 func Play(d Day) (Result, error) {
 	w := &world{Day: d, rng: rand.New(rand.NewPCG(d.Seed, 77)), byID: map[sq.ServerID]*server{}, factor: 1, now: epochStart}
 	w.res.Windows = make([]Window, d.Length/second+1)
+	w.res.Classes, w.res.Thirds, w.res.Tenants = make([]Portion, len(d.Mix)), make([]Portion, 3), make([]Portion, len(d.Asking))
 	for i := range d.Servers {
 		s := &server{id: sq.ServerID(fmt.Sprint("s", i)), index: i, zone: fmt.Sprint("z", i%max(1, d.Zones)), up: true,
 			speed: 0.7 + 0.4*w.rng.Float64()}
@@ -214,7 +232,7 @@
 	for _, x := range w.res.Windows {
 		asked, in = asked+x.Asked, in+x.InTime
 	}
-	w.res.Served = in / max(asked, 1e-9)
+	w.res.Served, w.res.Warming = in/max(asked, 1e-9), 1
 	for _, s := range w.servers {
 		w.weigh(s)
 	}
@@ -370,19 +388,40 @@
 	})
 }
 
+// one draws one of several shares.
+func (w *world) one(shares []float64) int {
+	u, i := w.rng.Float64(), 0
+	for i < len(shares)-1 && u >= shares[i] {
+		u -= shares[i]
+		i++
+	}
+	return i
+}
+
+// portions are those that a query's worth counts for.
+func (w *world) portions(q *query) []*Portion {
+	ps := []*Portion{&w.res.Classes[q.class], &w.res.Thirds[min(2, 3*(q.first-epochStart)/max(1, w.Length))]}
+	if q.tenant >= 0 {
+		ps = append(ps, &w.res.Tenants[q.tenant])
+	}
+	return ps
+}
+
 func (w *world) ask() {
-	u, class := w.rng.Float64(), 0
-	for class < len(w.Mix)-1 && u >= w.Mix[class] {
-		u -= w.Mix[class]
-		class++
+	class := w.one(w.Mix)
+	q := &query{class: class, first: w.now, tenant: -1}
+	if len(w.Asking) > 0 {
+		q.tenant = w.one(w.Asking)
 	}
-	q := &query{class: class, first: w.now}
 	for _, s := range w.shards(w.Parts[class]) {
 		q.shard = append(q.shard, s)
 		q.costs = append(q.costs, float64(w.Work)*math.Exp(0.5*w.rng.NormFloat64()-0.125))
 	}
 	q.worth = w.Settings.Classes[class].Worth * float64(w.Parts[class])
 	w.window(w.now).Asked += q.worth
+	for _, p := range w.portions(q) {
+		p.Asked += q.worth
+	}
 	w.try(q)
 }
 
@@ -427,7 +466,7 @@
 		sum += x
 	}
 	events := []sq.Event{sq.Query{ID: q.id, Group: int64(q.id), Class: c.Name, Deadline: w.now + c.HardLimit*7/10, Work: int64(sum),
-		Key: fmt.Sprint("k", q.id)}}
+		Key: fmt.Sprint("k", q.id), Tenant: w.tenant(q)}}
 	for i, x := range q.costs {
 		w.lastID++
 		q.parts = append(q.parts, w.lastID)
@@ -438,6 +477,13 @@
 	w.tell(g, events...)
 }
 
+func (w *world) tenant(q *query) string {
+	if q.tenant < 0 {
+		return ""
+	}
+	return w.Settings.Tenants[q.tenant].Name
+}
+
 // again has a client come back, as far as it does.
 func (w *world) again(q *query, wait int64) {
 	q.over = true
@@ -483,6 +529,9 @@
 			w.close(g, q)
 			if w.now <= q.first+w.Settings.Classes[q.class].Aim {
 				w.window(q.first).InTime += q.worth
+				for _, p := range w.portions(q) {
+					p.InTime += q.worth
+				}
 				for _, c := range q.costs {
 					w.window(w.now).Useful += c
 				}
@@ -669,13 +718,23 @@
 	if s.speed*float64(w.Cores) < 1 {
 		return
 	}
-	worst := 0.0
+	if span := float64(min(epochStart+w.Length-s.since, w.WarmIn)); s.since > 0 && span > 0 {
+		could, got := s.speed*float64(w.Cores)*(w.Day.ColdShare*span+(1-w.Day.ColdShare)*span*span/float64(2*w.WarmIn)), 0.0
+		for _, x := range s.got {
+			got += x.work
+		}
+		w.res.Warming = min(w.res.Warming, got/could)
+	}
+	worst, mean := 0.0, float64(w.Work)
 	for i, sum, from := 0, 0.0, 0; i < len(s.got); i++ {
 		for sum += s.got[i].work; s.got[from].at <= s.got[i].at-r.FallWindow; from++ {
 			sum -= s.got[from].work
 		}
 		c := s.capacity(s.got[from].at, &w.Day) * float64(w.Cores)
-		worst = max(worst, sum/(r.FallMultiple*c*float64(r.FallWindow)))
+		most := r.FallMultiple * c * float64(r.FallWindow)
+		n := most / mean
+		worst = max(worst, sum/most)
+		w.res.Chance = max(w.res.Chance, sum/mean/(n+2*math.Sqrt(n)+2))
 	}
 	w.res.Worst = max(w.res.Worst, worst)
 	if worst > 1 {
