Begin nothing for clients that left before they were read, and leave answers that never end

Seen, with sockets held in tests: (1) a client that waits to be accepted, asks and leaves has its request begun as soon as it is read, however long ago it left: its end lies behind its bytes in the socket. (2) A worker's answer that goes on coming byte by byte is never found out: each byte counts as a sign of life (pool.heard), so calls go on following it on the same connection, and none is answered.

Checked: an answer that stands still ends its connection after 250 ms; lines and lengths out of bounds end it at once; a value within bounds may be 64 KiB, at a byte in 160 ms three hours.

Change: before a request is passed on its reader looks whether the far end has ended (one call, without reading); an answer has a second in all, in which others on the connection may end first.

--- a/internal/transport/endings_test.go
+++ b/internal/transport/endings_test.go
@@ -296,6 +296,45 @@
 	}
 }
 
+// A request whose client has left before it is read is not begun: its connection waited to be accepted, or its bytes to be read.
+func TestNothingIsBegunForAClientThatLeftBeforeItWasRead(t *testing.T) {
+	for _, reset := range []bool{false, true} {
+		w := newEnds(t)
+		w.rests()
+		w.beforeAccept.arm()
+		poke := w.dial() // has Serve come round, with it or before it
+		w.beforeAccept.wait(t)
+		conn := w.dial()
+		fmt.Fprint(conn, get)
+		if reset {
+			conn.(*net.TCPConn).SetLinger(0)
+		}
+		conn.Close()
+		close(w.beforeAccept.release)
+		fmt.Fprint(poke, get)
+		w.answer(poke)
+		w.until2(func() bool { return w.l.Conns() == 2 })
+		if n := w.opened.Load(); n != 2 {
+			t.Errorf("reset %t: %d requests begun, want 2", reset, n)
+		}
+	}
+}
+
+// A request that is arriving as a listener begins to leave is read to its end and answered, and its connection ends with that.
+func TestWhatArrivesInPiecesAsAListenerLeaves(t *testing.T) {
+	w := newEnds(t)
+	conn := w.dial()
+	fmt.Fprint(conn, get[:10])
+	w.until("it arrives", func(c *clientConn) bool { return c.partial })
+	w.l.Leave()
+	w.endIdle()
+	fmt.Fprint(conn, get[10:])
+	if m := w.answer(conn); m.Status != 200 || !m.Close {
+		t.Errorf("answered %d, closing %t", m.Status, m.Close)
+	}
+	w.until2(func() bool { return w.l.Conns() == 0 })
+}
+
 // Behind what can't be read a client may go on sending without end, so that its going would not be seen: what it still waits for is given
 // up then. The grace of such a connection is an hour here.
 func TestAFloodEndsWhatItsClientWaitsFor(t *testing.T) {
--- a/internal/transport/listener.go
+++ b/internal/transport/listener.go
@@ -365,21 +365,27 @@
 
 // unread tells that bytes wait on a connection.
 func unread(conn net.Conn) bool {
+	waits, _ := peek(conn)
+	return waits
+}
+
+// peek looks at what waits on a connection without reading it: bytes, or its far end's end.
+func peek(conn net.Conn) (waits, gone bool) {
 	raw, ok := conn.(syscall.Conn)
 	if !ok {
-		return false
+		return false, false
 	}
 	rc, err := raw.SyscallConn()
 	if err != nil {
-		return false
+		return false, false
 	}
-	n := 0
 	if rc.Control(func(fd uintptr) {
-		n, _, _ = syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		n, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		waits, gone = n > 0, n == 0 && err == nil || errors.Is(err, syscall.ECONNRESET)
 	}) != nil {
-		return false
+		return false, false
 	}
-	return n > 0
+	return waits, gone
 }
 
 // Conns is how many clients' connections are open.
@@ -512,6 +518,12 @@
 			if head != last {
 				c.lost(perr, head)
 			}
+			// Guards servers against requests whose client left before they were read, as where it waited to be accepted.
+			if len(batch) > 0 && perr == nil {
+				if _, gone := peek(c.net); gone {
+					return
+				}
+			}
 			if c.take(batch, perr, !p.Idle()) {
 				c.pass()
 				return
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -75,6 +75,7 @@
 	passed   int         // calls that left after it fell silent and were answered elsewhere
 	sentAt   map[broker.AttemptID]int64
 	stalled  int64 // when the last bytes of an unfinished answer came; 0: there is none
+	unended  int64 // when its first bytes came
 }
 
 func newPool(cfg PoolConfig, d broker.Dialect, post func(func(int64)) bool) *pool {
@@ -217,6 +218,8 @@
 	mostAlone = 8 // connections to one server meanwhile
 	// stall is how long an unfinished answer may stand still, in microseconds: it is written in one go.
 	stall = 250_000
+	// unendedMost is how long it may take in all, however it comes: what is behind it on the connection waits for it.
+	unendedMost = 4 * stall
 )
 
 // hush is how long a connection with calls out may say nothing before further calls take another one, in
@@ -572,9 +575,10 @@
 		p.spoil(now, c, err)
 		return
 	}
-	c.stalled = 0
-	if c.session.Partial() {
-		c.stalled = now
+	if !c.session.Partial() {
+		c.stalled, c.unended = 0, 0
+	} else if c.stalled = now; c.unended == 0 || len(replies) > 0 {
+		c.unended = now
 	}
 	p.closeIfEmpty(now, c)
 }
@@ -682,7 +686,7 @@
 	for _, s := range p.servers {
 		for _, c := range append([]*serverConn(nil), s.conns...) {
 			switch {
-			case c.stalled > 0 && now-c.stalled > stall:
+			case c.stalled > 0 && (now-c.stalled > stall || now-c.unended > unendedMost):
 				p.spoil(now, c, errStalled)
 			case len(c.calls) > 0:
 				p.strand(now, c)
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -371,6 +371,41 @@
 	}
 }
 
+// An answer that comes byte by byte without an end is found out too, however steady it is, and so that calls don't go on following it. One whose
+// predecessors on the connection do end is not.
+func TestAnswerThatNeverEnds(t *testing.T) {
+	for _, others := range []bool{false, true} {
+		address, conns := acceptor(t)
+		b := newBench()
+		b.fleet(0, sq.Ready, 0, address)
+		b.call(1, callOf(1))
+		b.next(t, 1)
+		b.call(1, callOf(2))
+		far := <-conns
+		defer far.Close()
+		c := b.servers["s"].conns[0]
+		now := int64(2)
+		for i := range 12 {
+			text := string(rune('a' + i))
+			if i == 0 {
+				text = "\x00\x00\x00\x20Yq.1 OK 1 -\n"
+			}
+			if others && i == 6 { // the first ends, and the second begins
+				text = strings.Repeat("x", 32-len("Yq.1 OK 1 -\n")-5) + "\x00\x00\x00\x20Yq.2 OK 1 -\n"
+			}
+			fmt.Fprint(far, text)
+			b.next(t, now)
+			b.sweep(now)
+			if now += stall * 2 / 3; c.dead {
+				break
+			}
+		}
+		if _, one := b.ends[1]; c.dead == others || !others && b.ends[1] != sq.Errored || others && (!one || b.ends[1] != sq.Served) {
+			t.Errorf("others=%t: ended %t, %v", others, c.dead, b.ends)
+		}
+	}
+}
+
 // A server that sends without end has one chunk at a time with the engine, however slow that is.
 func TestReadsNoFurtherThanTaken(t *testing.T) {
 	address, conns := acceptor(t)
