Go on attending to shares, leases and the file while a gatherer ends

Seen on reading: between SIGTERM and the exit, which may be seconds, a gatherer looked at its file, its fleet and at policies, but no more at its parts of the contracts' budgets: what its keeper had lowered meanwhile it went on using, while others were given it.

Cause: gatherer.end had a select of its own that lacked what run's had gained (parts.divides, parts.answers).

Change: one select, attend, for both; while ending it begins nothing (an election, a part in a view).

Result: the test fails on a select without the two cases.

--- a/internal/gatherer/gatherer.go
+++ b/internal/gatherer/gatherer.go
@@ -145,38 +145,70 @@
 		defer g.parts.tick.Stop()
 	}
 	for {
-		select {
-		case err := <-g.served:
+		switch turn, err := g.attend(nil, nil); turn {
+		case acceptEnded:
 			g.failure = fmt.Errorf("accept: %w", err)
 			return
-		case <-g.hup:
-			g.retune()
-		case others := <-g.met:
-			if g.share(others); g.waits {
-				g.compete()
-			}
-		case <-g.turn:
-			g.compete()
-			g.fleetView.change(g.facts)
-		case x := <-g.installs:
-			g.install(x)
-		case m := <-g.late:
-			g.takePart(m)
-		case c := <-g.fleetView.news():
-			g.reckoned(c)
-		case <-g.fleetView.step():
-			g.redivide()
-		case <-g.parts.divides():
-			g.lookAtParts()
-		case d := <-g.parts.answers():
-			g.redivideParts(d)
-		case <-g.term:
+		case toldToEnd:
 			g.end()
 			return
 		}
 	}
 }
 
+// turn is what has come up for the gatherer's goroutine that is not settled on the spot.
+type turn int
+
+const (
+	settled turn = iota
+	acceptEnded
+	toldToEnd
+	looked   // it is time to look whether the end has come
+	lastCome // what comes from now on has no time to itself
+)
+
+// attend waits for what comes up next, and settles what has to be settled whether or not the gatherer is ending: then look and last are
+// given, and what would begin something is left alone. Guards leases and numbers that go on changing while queries are still held.
+func (g *Gatherer) attend(look, last <-chan time.Time) (turn, error) {
+	ending := look != nil
+	duty, late, term := g.turn, g.late, g.term
+	if ending {
+		duty, late, term = nil, nil, nil
+	}
+	select {
+	case err := <-g.served:
+		return acceptEnded, err
+	case <-g.hup: // it may still move the watch: what is held has to end well
+		g.retune()
+	case others := <-g.met:
+		if g.share(others); g.waits && !ending {
+			g.compete()
+		}
+	case <-duty:
+		g.compete()
+		g.fleetView.change(g.facts)
+	case x := <-g.installs:
+		g.install(x)
+	case m := <-late:
+		g.takePart(m)
+	case c := <-g.fleetView.news():
+		g.reckoned(c)
+	case <-g.fleetView.step():
+		g.redivide()
+	case <-g.parts.divides():
+		g.lookAtParts()
+	case d := <-g.parts.answers():
+		g.redivideParts(d)
+	case <-term:
+		return toldToEnd, nil
+	case <-look:
+		return looked, nil
+	case <-last:
+		return lastCome, nil
+	}
+	return settled, nil
+}
+
 func (g *Gatherer) begin() error {
 	if err := g.compose(); err != nil {
 		return err
@@ -613,29 +645,15 @@
 	tick := time.NewTicker(50 * time.Millisecond)
 	defer tick.Stop()
 	for served, closing := false, false; ; {
-		select {
-		case <-lastEntry.C:
+		switch turn, _ := g.attend(tick.C, lastEntry.C); turn {
+		case lastCome:
 			g.engine.EndBy(killed)
 			continue
-		case <-g.hup: // it may still move the watch: what is held has to end well
-			g.retune()
-			continue
-		case others := <-g.met:
-			g.share(others)
-			continue
-		case c := <-g.fleetView.news():
-			g.reckoned(c)
-			continue
-		case <-g.fleetView.step():
-			g.redivide()
-			continue
-		case x := <-g.installs:
-			g.install(x)
-			continue
-		case <-g.served: // what it accepted last is among the connections now
+		case acceptEnded: // what it accepted last is among the connections now
 			served = true
 			continue
-		case <-tick.C:
+		case settled:
+			continue
 		}
 		now := g.clock.Now()
 		switch {
--- a/internal/gatherer/policy_test.go
+++ b/internal/gatherer/policy_test.go
@@ -130,3 +130,35 @@
 		t.Error("it waits for a gatherer that waits for it")
 	}
 }
+
+// A gatherer that is ending goes on looking at its parts of budgets, at the numbers of its fleet and at its file, since it still holds queries; it
+// begins nothing: neither VRRP's election nor a part in a view. Guards sums that others reckon with against one that lets go late.
+func TestAnEndingGathererAttends(t *testing.T) {
+	for _, ending := range []bool{false, true} {
+		g := &Gatherer{parts: newParts(3), turn: make(chan struct{}, 1), late: make(chan *members, 1), term: make(chan struct{}),
+			hup: make(chan struct{}, 1)}
+		defer g.parts.tick.Stop()
+		g.parts.asks = true
+		g.parts.told <- division{}
+		var look chan time.Time
+		if ending {
+			look = make(chan time.Time, 1)
+			close(g.term)
+			g.turn <- struct{}{} // would have it compete again
+		}
+		for end := time.Now().Add(time.Minute); g.parts.asks; {
+			if what, err := g.attend(look, nil); what != settled || err != nil || time.Now().After(end) {
+				t.Fatalf("ending %t: turn %d, %v", ending, what, err)
+			}
+		}
+		if ending {
+			look <- time.Time{}
+			if what, _ := g.attend(look, nil); what != looked && what != settled {
+				t.Errorf("turn %d", what)
+			}
+			if len(g.turn) != 1 {
+				t.Error("it competes although it is ending")
+			}
+		}
+	}
+}
--- a/internal/rollout/model/proof_test.go
+++ b/internal/rollout/model/proof_test.go
@@ -95,6 +95,7 @@
 		{"votes are forgotten", 290, rollout.Bugs{ForgetVote: true}}, {"an abort counts after a commit", 0, rollout.Bugs{AbortAfter: true}},
 		{"it goes on by its own time-out", 0, rollout.Bugs{OwnTimeout: true}}, {"the lease counts from the grant", 160, rollout.Bugs{FromArrival: true}}, {"who keeps is waited out", 140, rollout.Bugs{WaitOutKeepers: true}}} {
 		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
 			for seed := c.from; seed < c.from+1000; seed++ {
 				cfg := usual(seed)
 				cfg.Bugs = c.bugs
