Hold the reader where its time is up in the test of ends that meet requests

Seen: of twenty rounds under -race beside other load five failed, each in the case of a request that lies in the socket: the test wrote it after the reader had been woken, without holding it there, so that it came before or after the reader's last look.

Change: the crossing is where a read returns with its time up.

--- a/internal/transport/endings_test.go
+++ b/internal/transport/endings_test.go
@@ -64,13 +64,17 @@
 	h *hooks
 }
 
-type hooks struct{ beforeRead, afterRead, beforeWrite, beforeAccept crossing }
+type hooks struct{ beforeRead, afterRead, afterTime, beforeWrite, beforeAccept crossing }
 
 func (c hooked) Read(b []byte) (int, error) {
 	c.h.beforeRead.pass()
 	n, err := c.TCPConn.Read(b)
-	if n > 0 {
+	var timeout net.Error
+	switch {
+	case n > 0:
 		c.h.afterRead.pass()
+	case errors.As(err, &timeout) && timeout.Timeout():
+		c.h.afterTime.pass()
 	}
 	return n, err
 }
@@ -209,15 +213,12 @@
 					end(w)
 					close(w.afterRead.release)
 				} else { // they come in as the reader is about to end
-					w.beforeRead.arm()
-					w.l.mu.Lock()
-					for c := range w.l.conns {
-						c.net.SetReadDeadline(time.Unix(1, 0)) // has the reader come round once
-						c.evicted = true
-					}
-					w.l.mu.Unlock()
+					w.afterTime.arm()
+					end(w)
+					w.afterTime.wait(t)
 					fmt.Fprint(conn, get)
-					close(w.beforeRead.release)
+					w.until("they lie in the socket", func(c *clientConn) bool { return unread(c.net) })
+					close(w.afterTime.release)
 				}
 				if m := w.answer(conn); m.Status != 200 || !m.Close {
 					t.Errorf("answered %d, closing %t", m.Status, m.Close)
