Space calls for a list as before where the service answers, bounded from a call's begin

Cause: the pause of 0.4 to 0.8 s after a failed call (Scheduler.fleet): where the service is overbooked it keeps it so.

Change: the pause is what it was, but a call begins 3.9 s after the one before at the latest: a failure at once leaves time for a pause, one that took long has used it up. Watches are broken after 4.25 s.

--- a/internal/transport/follow.go
+++ b/internal/transport/follow.go
@@ -18,14 +18,14 @@
 
 // A change counts as told 6 s after discovery had it and could be reached, whatever call failed, was refused or was given up just before.
 // So the longest that one call may go on in vain and the longest pause after it come to less than that, with room for a call that is
-// answered as late as discovery answers any: 1 + 2.25 + 1 s for a watch, 1 + 3 + 1 s for a list, 4.5 + 0.1 s for a watch that has
+// answered as late as discovery answers any: 1 + 2.25 + 1 s for a watch, 1 + 3 + 1 s for a list, 4.25 + 0.7 s for a watch that has
 // fallen silent. Calls of one follower come a second apart at least while nothing answers.
 const (
 	dialPatience   = time.Second             // the agent is on this machine: it answers at once or not at all
 	answerPatience = 2250 * time.Millisecond // until a call is answered: it may wait for two seconds in discovery's queue
 	listPatience   = time.Second             // for a whole list, between two of its pieces
 	listWhole      = 3 * time.Second         // for all of it: a peer that trickles is no better than a silent one
-	watchSilence   = 4500 * time.Millisecond // between two whole lines: an empty one comes every 2 s. Then the watch is taken for broken
+	watchSilence   = 4250 * time.Millisecond // between two whole lines: an empty one comes every 2 s. Then the watch is taken for broken
 	watchPauseMin  = 100 * time.Millisecond
 	watchPauseMax  = time.Second
 )
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -43,6 +43,7 @@
 	hurt    int64   // when a connection was last lost with calls out on it; 0: never
 	typical float64 // slow moving average of how long a call takes to be served, in microseconds
 	dialled float64 // the same of how long a connection takes to come up
+	lates   float64 // the share of connections that were late
 }
 
 type server struct {
@@ -290,8 +291,8 @@
 		if c.dead || c.retired || len(c.calls)+len(call.Attempts) > max(p.dialect.Streams(), len(call.Attempts)) {
 			continue
 		}
-		if !c.up && !c.spare && now-c.openedAt > p.lateAfter() && len(s.conns) < mostAlone {
-			continue // it may never come up
+		if !c.up && c.spared && !c.spare {
+			continue // it may never come up; its spare may
 		}
 		if alone && room && len(c.calls) > 0 || c.stalled > 0 && len(c.calls) == 0 {
 			continue
@@ -318,6 +319,9 @@
 	}
 	if !best.up {
 		best.backlog = append(best.backlog, call)
+		if now-best.openedAt > p.lateAfter() {
+			p.isLate(now, best)
+		}
 		return
 	}
 	p.write(now, best, call)
@@ -408,7 +412,12 @@
 	p.conns++
 	address, timeout := s.address, time.Duration(p.cfg.ConnectTimeout)*time.Microsecond
 	c.late = p.after(time.Duration(p.lateAfter())*time.Microsecond, func() {
-		p.post(func(now int64) { p.isLate(now, c) })
+		p.post(func(now int64) {
+			if !c.up && !c.dead {
+				p.lates += (1 - p.lates) / 16
+			}
+			p.isLate(now, c)
+		})
 	})
 	go func() {
 		conn, err := p.connect(address, timeout)
@@ -422,16 +431,24 @@
 }
 
 // lateAfter is how long a connection may take to come up before another is opened beside it, in microseconds: well above what they usually
-// take, and well below what is waited for one at most.
+// take, and well below what is waited for one at most. Where none has come up yet nothing is known of that.
 func (p *pool) lateAfter() int64 {
-	return min(max(int64(8*p.dialled), 20_000), max(p.cfg.ConnectTimeout/4, 1000))
+	most := max(p.cfg.ConnectTimeout/4, 1000)
+	if p.dialled == 0 {
+		return most
+	}
+	return min(max(int64(8*p.dialled), 20_000), most)
 }
 
+// oftenLate is the share of late connections from which all are: then servers have more handshakes to do than they can, and a second one for
+// each would add to that. Guards a fleet that has just been restarted.
+const oftenLate = 0.5
+
 // isLate opens another connection beside one that is late to come up while calls wait for it; whichever is up first takes them. Guards
 // calls against a handshake that is lost, and their servers against being taken for slow or gone because of it. Harm: to a machine that is
 // gone two connections are tried for one.
 func (p *pool) isLate(now int64, c *serverConn) {
-	if c.up || c.dead || c.spared || c.server.closed || len(c.calls) == 0 || len(c.server.conns) >= mostAlone {
+	if c.up || c.dead || c.spared || c.server.closed || len(c.calls) == 0 || p.lates > oftenLate || len(c.server.conns) >= mostAlone {
 		return
 	}
 	if o := p.dial(now, c.server); o != nil {
@@ -479,12 +496,14 @@
 	// heardAt stays unset: that a connection came up is no sign that its far end still lives.
 	c.net, c.up, c.usedAt, c.upAt = conn, true, now, now
 	c.late.Stop()
-	if took := float64(now - c.openedAt); took <= float64(p.lateAfter()) { // a late one says nothing of what is usual
-		if p.dialled == 0 {
-			p.dialled = took
-		}
-		p.dialled += (took - p.dialled) / 16
+	took := float64(now - c.openedAt)
+	if took <= float64(p.lateAfter()) {
+		p.lates -= p.lates / 16
+	}
+	if p.dialled == 0 {
+		p.dialled = took
 	}
+	p.dialled += (min(took, 2*p.dialled) - p.dialled) / 16 // a few late ones say little of what is usual
 	go p.serve(c, conn)
 	if !c.retired {
 		p.takeOver(c)
--- a/internal/transport/unsent_test.go
+++ b/internal/transport/unsent_test.go
@@ -213,6 +213,11 @@
 		t.Error("a spare where nothing waits")
 	}
 	b.call(2, callOf(2))
+	b.lates = oftenLate + 0.01
+	if b.isLate(20_000, c); b.conns != 1 {
+		t.Error("a spare where most are late: servers have too many handshakes to do already")
+	}
+	b.lates = 0
 	b.fleet(3, sq.Draining, 0, "")
 	if b.isLate(20_000, c); b.conns > 1 {
 		t.Error("a spare to a server that drains")
--- a/scheduler.go
+++ b/scheduler.go
@@ -34,7 +34,7 @@
 	fewParts    = 4.0  // parts that a query counts for in means of parts: those of one query are alike
 	fewQueries  = 4.0  // queries of a tenant that tell little of its traffic
 	lastFew     = 8    // one in so many parts of a query may be missing when it is nearly whole
-	askAgain    = 4e5  // microseconds before a list is asked for again, twice that at most: 6 s are allowed
+	askApart    = 39e5 // microseconds between two calls for a list at most: 6 s are allowed until it is told
 	lastMoment  = 3.0  // predictions left before the aim that make a further attempt due; 2: lowell -0.02
 )
 
@@ -63,7 +63,7 @@
 func (s *Scheduler) open() {
 	s.started, s.servedAt, s.unseen = s.now, s.now, float64(s.cfg.Classes[0].Aim)
 	if s.cfg.AskMembership {
-		s.do(Watch{})
+		s.watch()
 	}
 }
 
@@ -111,10 +111,10 @@
 
 func (s *Scheduler) fleet(e FleetChanged) {
 	if e.Kind == FleetFailed {
-		// Ask again soon, but not at once: the list's service may be the one in trouble.
-		pause := min(s.cfg.Rules.AskWithin/25, askAgain)
+		// Ask again soon, but not at once: its service may be in trouble. A call that took long has used up its pause.
+		wait := s.cfg.Rules.AskWithin/8 + s.rng.Int64N(s.cfg.Rules.AskWithin/8+1)
 		s.do(Note{Text: "the fleet's list could not be had; asking again"})
-		s.watchAt = s.now + pause + s.rng.Int64N(pause+1)
+		s.watchAt = min(s.now+wait, max(s.calledAt+askApart, s.now+askApart/20+s.rng.Int64N(askApart/8)))
 		return
 	}
 	s.watchAt = 0
@@ -1062,7 +1062,7 @@
 func (s *Scheduler) arm() {
 	if s.watchAt > 0 && s.now >= s.watchAt {
 		s.watchAt = 0
-		s.do(Watch{})
+		s.watch()
 	}
 	next := s.watchAt
 	if len(s.live) > 0 {
--- a/state.go
+++ b/state.go
@@ -159,6 +159,7 @@
 	alarmAt   int64
 	mark      int64
 	watchAt   int64 // when to ask for membership again; 0: not wanted
+	calledAt  int64 // when that was last asked for
 	out       []Action
 }
 
@@ -282,6 +283,12 @@
 
 func (s *Scheduler) do(a Action) { s.out = append(s.out, a) }
 
+// watch asks for changes of the list.
+func (s *Scheduler) watch() {
+	s.calledAt = s.now
+	s.do(Watch{})
+}
+
 // tookOne counts a request for the budget of further attempts.
 func (s *Scheduler) tookOne() {
 	if s.cfg.Rules.Budgeted {
