--- a/scheduler.go
+++ b/scheduler.go
@@ -111,7 +111,7 @@
 
 func (s *Scheduler) fleet(e FleetChanged) {
 	if e.Kind == FleetFailed {
-		// Ask again soon, but not at once: its service may be in trouble. What took long has used up its pause.
+		// Ask again soon, not at once: its service may be in trouble. What took long has used up its pause.
 		wait := s.cfg.Rules.AskWithin/8 + s.rng.Int64N(s.cfg.Rules.AskWithin/8+1)
 		s.do(Note{Text: "the fleet's list could not be had; asking again"})
 		s.watchAt = min(s.now+wait, max(s.calledAt+askApart, s.now+askApart/20+s.rng.Int64N(askApart/8)))
