--- a/internal/transport/endings_test.go
+++ b/internal/transport/endings_test.go
@@ -296,6 +296,55 @@
 	}
 }
 
+// A request whose client has left before it is read is not begun, as where its connection waited to be accepted. What lies behind its bytes, the
+// client's end, is kept from being read here.
+func TestNothingIsBegunForAClientThatLeftBeforeItWasRead(t *testing.T) {
+	for _, reset := range []bool{false, true} {
+		w := newEnds(t)
+		conn := w.rests()
+		w.afterRead.arm()
+		fmt.Fprint(conn, get)
+		w.afterRead.wait(t)
+		w.beforeRead.arm() // should it come round
+		if reset {
+			conn.(*net.TCPConn).SetLinger(0)
+		}
+		conn.Close()
+		w.until("its end is there", func(c *clientConn) bool { _, gone := peek(c.net); return gone })
+		close(w.afterRead.release)
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			w.until2(func() bool { return w.l.Conns() == 0 || w.opened.Load() > 1 })
+		}()
+		select {
+		case <-ended:
+		case <-w.beforeRead.reached: // it has come round, and is not told of the end before the request is begun, or not
+			w.until2(func() bool { return w.opened.Load() > 1 })
+		}
+		close(w.beforeRead.release)
+		<-ended
+		if n := w.opened.Load(); n != 1 {
+			t.Errorf("reset %t: %d requests begun, want 1", reset, n)
+		}
+	}
+}
+
+// A request that is arriving as a listener begins to leave is read to its end and answered, and its connection ends with that.
+func TestWhatArrivesInPiecesAsAListenerLeaves(t *testing.T) {
+	w := newEnds(t)
+	conn := w.dial()
+	fmt.Fprint(conn, get[:10])
+	w.until("it arrives", func(c *clientConn) bool { return c.partial })
+	w.l.Leave()
+	w.endIdle()
+	fmt.Fprint(conn, get[10:])
+	if m := w.answer(conn); m.Status != 200 || !m.Close {
+		t.Errorf("answered %d, closing %t", m.Status, m.Close)
+	}
+	w.until2(func() bool { return w.l.Conns() == 0 })
+}
+
 // Behind what can't be read a client may go on sending without end, so that its going would not be seen: what it still waits for is given
 // up then. The grace of such a connection is an hour here.
 func TestAFloodEndsWhatItsClientWaitsFor(t *testing.T) {
