--- /dev/null
+++ b/internal/scale/place/sum.go
@@ -0,0 +1,127 @@
+package place
+
+import (
+	"fmt"
+	"io"
+	"math"
+	"strings"
+)
+
+// Sum is what a placing comes to.
+type Sum struct {
+	Placing Placing
+	Worst   map[Kind]Outcome // by the worst of a kind: most refused, then fewest regions that can change
+	// Of all pairs of losses: how many there are, and how many stop changes somewhere, everywhere, or queries.
+	Pairs, Somewhere, Everywhere, Queries int
+	// Minutes of a year without changes in some region, and in both; by all states with two losses at the most.
+	NoChange, NoChangeAtAll float64
+	// Refused is share of service lost to the rule times minutes of a year; Lost that which goes with the machines themselves.
+	Refused, Lost float64
+	Beyond        float64 // minutes of a year with three losses or more
+}
+
+// one is how much of the time one thing is lost.
+func (f Fleet) one(p Placing, l Loss) float64 {
+	o := f.Often[l.Kind]
+	share := min(1, o.PerYear*o.Minutes/year)
+	if l.Kind == Gatherer { // any of many
+		return 1 - math.Pow(1-share, float64(f.Gatherers))
+	}
+	return share
+}
+
+// Weigh goes through all single and double losses of a placing.
+func (f Fleet) Weigh(p Placing) Sum {
+	s := Sum{Placing: p, Worst: map[Kind]Outcome{}}
+	losses := f.Losses(p)
+	none, seen := 1.0, 0.0
+	for _, l := range losses {
+		none *= 1 - f.one(p, l)
+	}
+	odds := func(l Loss) float64 { x := f.one(p, l); return x / (1 - x) }
+	add := func(prob float64, o Outcome) {
+		m := prob * year
+		seen += prob
+		if !o.Changes[0] || !o.Changes[1] {
+			s.NoChange += m
+		}
+		if !o.Changes[0] && !o.Changes[1] {
+			s.NoChangeAtAll += m
+		}
+		s.Refused, s.Lost = s.Refused+m*o.Refused, s.Lost+m*o.Lost
+	}
+	add(none, f.After(p))
+	for i, a := range losses {
+		o := f.After(p, a)
+		add(none*odds(a), o)
+		if was, known := s.Worst[a.Kind]; !known || worse(o, was) {
+			s.Worst[a.Kind] = o
+		}
+		for _, b := range losses[i+1:] {
+			o := f.After(p, a, b)
+			add(none*odds(a)*odds(b), o)
+			s.Pairs++
+			if !o.Changes[0] || !o.Changes[1] {
+				s.Somewhere++
+			}
+			if !o.Changes[0] && !o.Changes[1] {
+				s.Everywhere++
+			}
+			if o.Refused > 0 {
+				s.Queries++
+			}
+		}
+	}
+	s.Beyond = max(0, 1-seen) * year
+	return s
+}
+
+func worse(a, b Outcome) bool {
+	can := func(o Outcome) (n int) {
+		for _, c := range o.Changes {
+			if c {
+				n++
+			}
+		}
+		return n
+	}
+	if a.Refused != b.Refused {
+		return a.Refused > b.Refused
+	}
+	return can(a) < can(b)
+}
+
+// Table writes one row a placing, as Markdown.
+func Table(w io.Writer, f Fleet, all []Placing) {
+	rows := []string{"| placing | machine | rack | zone | region | link | pairs: changes stop somewhere / everywhere / queries, of | min a year without changes, somewhere / everywhere | refused, min of full service a year |",
+		"| --- | --- | --- | --- | --- | --- | --- | --- | --- |"}
+	for _, p := range all {
+		s := f.Weigh(p)
+		row := "| " + p.Name
+		for k := Machine; k <= Link; k++ {
+			row += " | " + s.Worst[k].Stops()
+		}
+		rows = append(rows, fmt.Sprintf("%s | %d / %d / %d, of %d | %.1f / %.1f | %.1f |", row, s.Somewhere, s.Everywhere, s.Queries, s.Pairs, s.NoChange, s.NoChangeAtAll, s.Refused))
+	}
+	fmt.Fprintln(w, strings.Join(rows, "\n"))
+}
+
+// Detail writes every single loss of a placing, and the pairs that stop more than both of them alone, as Markdown.
+func Detail(w io.Writer, f Fleet, p Placing) {
+	rows := []string{"| lost | min a year | what stops |", "| --- | --- | --- |"}
+	losses := f.Losses(p)
+	for i, a := range losses {
+		rows = append(rows, fmt.Sprintf("| %s | %.2f | %s |", f.Name(a), f.one(p, a)*year, f.After(p, a).Stops()))
+		for _, b := range losses[i+1:] {
+			both, x, y := f.After(p, a, b), f.After(p, a), f.After(p, b)
+			more := both.Refused > x.Refused+y.Refused+1e-9
+			for r := range 2 {
+				more = more || x.Changes[r] && y.Changes[r] && !both.Changes[r]
+			}
+			if more {
+				rows = append(rows, fmt.Sprintf("| %s and %s | %.4f | %s |", f.Name(a), f.Name(b), f.one(p, a)*f.one(p, b)*year, both.Stops()))
+			}
+		}
+	}
+	fmt.Fprintln(w, strings.Join(rows, "\n"))
+}
