Measure the module by servers, parts, holders and steps a query is open

The size that is coming asks what a server in the list and a part of a query cost the module. BySize benchmarks give an idle step against servers, a whole query against its parts, servers, holders and steps, and the memory of a server and of an open part, with processor time of the whole process beside the clock's.

--- /dev/null
+++ b/size_test.go
@@ -0,0 +1,192 @@
+package saffronquay
+
+import (
+	"fmt"
+	"runtime"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// What the module costs at the size of many servers and many parts a query. One command gives all slopes; cpu is processor time of the whole
+// process, the collector's included, and says the same on busy cores:
+//
+//	go test -run '^$' -bench 'BySize$' -benchtime 1s .
+
+// processorTime is what this process has used so far.
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &u) != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// large is a deployment of so many servers, each shard held by reach of them, in six zones of two regions' worth.
+func large(servers, reach int) Settings {
+	cfg := plain()
+	cfg.Aggregators, cfg.Shards, cfg.Cells, cfg.Reach, cfg.Zone = 600, servers, servers, reach, "z0"
+	cfg.Classes = []Class{{Name: "q", Aim: 75 * ms, HardLimit: 1000 * ms, Worth: 1, Need: 1, Floor: 1, Partial: 0.9}}
+	cfg.Limits.SecondCopies = true
+	return cfg
+}
+
+// crowd is a module with servers that have all served, and the means to ask it on.
+type crowd struct {
+	s       *Scheduler
+	now     int64
+	id      ID
+	servers int
+}
+
+func newCrowd(tb testing.TB, cfg Settings) *crowd {
+	tb.Helper()
+	s, err := New(cfg, 1)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	c := &crowd{s: s, now: 1_000_000_000, servers: cfg.Cells}
+	var list []Server
+	for i := range c.servers {
+		list = append(list, Server{ID: ServerID(fmt.Sprintf("s-%08x", i)), Zone: fmt.Sprint("z", i%6), Cell: i, Health: Ready})
+	}
+	s.Step(c.now, []Event{FleetChanged{Kind: FleetCached, Servers: list}})
+	for known := 0; known < c.servers; {
+		c.query(min(c.servers, 1500), 2)
+		known = 0
+		for _, r := range s.servers {
+			if r.pace > 0 {
+				known++
+			}
+		}
+		if known >= c.servers*9/10 {
+			break
+		}
+	}
+	return c
+}
+
+// ask is a query of so many parts, each of another shard.
+func (c *crowd) ask(parts int) []Event {
+	c.id += ID(parts) + 1
+	events := make([]Event, 0, parts+1)
+	events = append(events, Query{ID: c.id, Group: int64(c.id), Class: "q", Deadline: c.now + 1000*ms, Work: int64(parts) * 5 * ms})
+	for i := range parts {
+		events = append(events, Part{ID: c.id + ID(i) + 1, Group: int64(c.id), Shard: (int(c.id) + i) % c.servers, Weight: 1 / float64(parts), Work: 5 * ms})
+	}
+	return events
+}
+
+// query opens a query and has its parts served over so many further steps; it tells whether it was answered, and how many parts left.
+func (c *crowd) query(parts, steps int) (answered bool, sent int) {
+	c.now += 5 * ms
+	out := of[Send](c.s.Step(c.now, c.ask(parts)))
+	sent = len(out)
+	for i := range steps {
+		c.now += 5 * ms
+		var back []Event
+		for _, a := range out[len(out)*i/steps : len(out)*(i+1)/steps] {
+			e := served(a, 0, int64(i+1)*5*ms)
+			e.Report = &LoadReport{Queue: 1, InFlight: -1}
+			back = append(back, e)
+		}
+		if len(back) == 0 {
+			back = []Event{AlarmRang{}}
+		}
+		got := c.s.Step(c.now, back)
+		answered = answered || len(of[Answer](got)) > 0
+		sent += len(of[Send](got))
+	}
+	return answered, sent
+}
+
+// BenchmarkIdleStepBySize is a step in which nothing happened but an alarm, against the servers in the list.
+func BenchmarkIdleStepBySize(b *testing.B) {
+	for _, servers := range []int{325, 650, 1300, 2600} {
+		b.Run(fmt.Sprintf("servers=%d", servers), func(b *testing.B) {
+			c := newCrowd(b, large(servers, 2))
+			b.ReportAllocs()
+			began := processorTime()
+			for b.Loop() {
+				c.now += 5 * ms
+				c.s.Step(c.now, []Event{AlarmRang{}})
+			}
+			b.ReportMetric(float64(processorTime()-began)/float64(b.N), "cpu-ns/step")
+		})
+	}
+}
+
+// BenchmarkQueryBySize is a whole query whose parts are served over so many steps, against its parts, against the servers, against the
+// holders of a shard and against the steps that it is open.
+func BenchmarkQueryBySize(b *testing.B) {
+	type size struct{ servers, parts, reach, steps int }
+	var sizes []size
+	for _, parts := range []int{100, 187, 375, 750, 1500} {
+		sizes = append(sizes, size{2600, parts, 2, 4})
+	}
+	for _, servers := range []int{325, 650, 1300} {
+		sizes = append(sizes, size{servers, 300, 2, 4})
+	}
+	sizes = append(sizes, size{2600, 300, 2, 4})
+	for _, reach := range []int{1, 4, 8} {
+		sizes = append(sizes, size{2600, 1500, reach, 4})
+	}
+	for _, steps := range []int{2, 8, 14} {
+		sizes = append(sizes, size{2600, 1500, 2, steps})
+	}
+	for _, z := range sizes {
+		b.Run(fmt.Sprintf("servers=%d,parts=%d,holders=%d,steps=%d", z.servers, z.parts, z.reach, z.steps), func(b *testing.B) {
+			c := newCrowd(b, large(z.servers, z.reach))
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			n, late, began := 0, 0, processorTime()
+			for b.Loop() {
+				if ok, _ := c.query(z.parts, z.steps); !ok {
+					late++
+				}
+				n++
+			}
+			runtime.ReadMemStats(&after)
+			parts := float64(n * z.parts)
+			b.ReportMetric(float64(processorTime()-began)/parts, "cpu-ns/part")
+			b.ReportMetric(float64(after.Mallocs-before.Mallocs)/parts, "allocs/part")
+			b.ReportMetric(float64(after.TotalAlloc-before.TotalAlloc)/parts, "B/part")
+			b.ReportMetric(float64(late)/float64(n), "unanswered/query")
+		})
+	}
+}
+
+func heap() float64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
+
+// BenchmarkStateBySize is not about time: it tells what a server and an open part keep in memory.
+func BenchmarkStateBySize(b *testing.B) {
+	for _, servers := range []int{325, 650, 1300, 2600} {
+		b.Run(fmt.Sprintf("servers=%d", servers), func(b *testing.B) {
+			for b.Loop() {
+				before := heap()
+				c := newCrowd(b, large(servers, 2))
+				b.ReportMetric((heap()-before)/float64(servers), "B/server")
+				runtime.KeepAlive(c)
+			}
+		})
+	}
+	for _, parts := range []int{100, 187, 375, 750, 1500} {
+		b.Run(fmt.Sprintf("parts=%d", parts), func(b *testing.B) {
+			for b.Loop() {
+				c := newCrowd(b, large(2600, 2))
+				before := heap()
+				for range 8 {
+					c.s.Step(c.now, c.ask(parts))
+				}
+				b.ReportMetric((heap()-before)/8/float64(parts), "B/part")
+				runtime.KeepAlive(c)
+			}
+		})
+	}
+}
