Add a hollow fleet of workers, and slopes of what queries cost one real gatherer

One process listens for thousands of workers that answer in the platform's protocol and do no work, and gives the list of them as discovery does, so that one real gatherer process can be asked queries at the size that is coming; 'work SLOPE' measures processor time, bytes, messages and memory against servers, parts, parts a call, rate, connections and followers of the list, with a least-squares line.

--- /dev/null
+++ b/internal/scale/work/slopes.go
@@ -0,0 +1,162 @@
+package work
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"saffronquay/internal/lab"
+	"saffronquay/internal/scale/fit"
+)
+
+// SlopeConfig is how a slope is measured.
+type SlopeConfig struct {
+	Program        Program
+	For            time.Duration
+	Cores          int
+	Workers, Parts int
+	Delay          time.Duration
+	Say            func(format string, args ...any)
+}
+
+// Table is one slope: figures against a variable, and the line through each.
+type Table struct {
+	Slope, Variable string
+	Figures         []string
+	Rows            []Row
+	Lines           []Line
+}
+
+// Row is one size.
+type Row struct {
+	X      float64
+	Values []float64
+}
+
+// Line is a figure's line by least squares; Misses is the largest share of a measured value that it is off by.
+type Line struct {
+	Figure                   string
+	Intercept, Slope, Misses float64
+}
+
+// slope measures one size after the other.
+type slope struct {
+	variable string
+	sizes    []float64
+	figures  []string
+	one      func(*stage, float64) []float64
+}
+
+// stage is what a slope's sizes share.
+type stage struct {
+	SlopeConfig
+	ctx context.Context
+	t   lab.T
+}
+
+var slopes = map[string]slope{
+	"rest": {"servers", []float64{325, 650, 1300, 2600},
+		[]string{"core_pct", "core_pct_connected", "MB", "MB_connected", "kB_connection", "connections", "ms_change"}, (*stage).rest},
+	"walk": {"servers", []float64{325, 650, 1300, 2600}, []string{"core_pct", "core_us_query", "queries"}, (*stage).walk},
+	"parts": {"parts", []float64{100, 187, 375, 750, 1500},
+		[]string{"ms_query", "us_part", "system_us_part", "worker_us_part", "out_B_part", "in_B_part", "MB", "p50_ms", "p99_ms", "answered"}, (*stage).parts},
+	"opening": {"parts", []float64{187, 375, 750, 1500}, []string{"ms_query", "ms_query_kept", "opened_query", "us_opening"}, (*stage).opening},
+	"calls":   {"parts_a_call", []float64{1, 2, 4, 8}, []string{"us_part", "system_us_part", "worker_us_part", "parts_call", "out_B_part", "answered"}, (*stage).calls},
+	"rates": {"queries_s", []float64{1, 2, 4, 8, 16, 32},
+		[]string{"core_pct", "ms_query", "whole", "partial", "refused", "failed", "lost_or_held", "copies_1000", "p50_ms", "p99_ms", "MB"}, (*stage).rates},
+	"connections": {"connections", []float64{75, 150, 300, 600}, []string{"MB", "kB", "kernel_kB", "us_part"}, (*stage).connections},
+	"watchers":    {"watchers", []float64{75, 150, 300, 600}, []string{"list_kB", "kB_change", "B_s_rest", "calls", "ms_list", "us_change"}, (*stage).watchers},
+}
+
+// Slopes are those that can be measured.
+func Slopes() []string { return slices.Sorted(maps.Keys(slopes)) }
+
+// Measure measures one slope. An error says that it could not be.
+func Measure(ctx context.Context, name string, cfg SlopeConfig) (table Table, err error) {
+	s, ok := slopes[name]
+	if !ok {
+		return table, fmt.Errorf("there is no slope %q", name)
+	}
+	table = Table{Slope: name, Variable: s.variable, Figures: s.figures}
+	for _, x := range s.sizes {
+		if err := ctx.Err(); err != nil {
+			return table, err
+		}
+		values, err := size(ctx, cfg, x, s.one)
+		if err != nil {
+			return table, fmt.Errorf("%s=%g: %w", s.variable, x, err)
+		}
+		table.Rows = append(table.Rows, Row{x, values})
+		cfg.Say("%s=%g %s", s.variable, x, words(s.figures, values))
+	}
+	for i, figure := range s.figures {
+		var ys []float64
+		for _, r := range table.Rows {
+			ys = append(ys, r.Values[i])
+		}
+		a, b, misses := fit.Line(s.sizes, ys)
+		table.Lines = append(table.Lines, Line{figure, a, b, misses})
+	}
+	return table, nil
+}
+
+func words(figures []string, values []float64) string {
+	var b strings.Builder
+	for i, f := range figures {
+		fmt.Fprintf(&b, "%s=%.4g ", f, values[i])
+	}
+	return strings.TrimSpace(b.String())
+}
+
+// size measures one size, and ends what it has started.
+func size(ctx context.Context, cfg SlopeConfig, x float64, one func(*stage, float64) []float64) (values []float64, err error) {
+	dir, err := os.MkdirTemp("", "saffronquay-work")
+	if err != nil {
+		return nil, err
+	}
+	r := &alone{dir: dir, say: cfg.Say}
+	defer func() {
+		if p := recover(); p != nil {
+			f, ok := p.(fatal)
+			if !ok {
+				panic(p)
+			}
+			err = f
+		}
+		r.close()
+		if err == nil && r.failed != "" {
+			err = fatal(r.failed)
+		}
+	}()
+	return one(&stage{cfg, ctx, r}, x), nil
+}
+
+// Write writes a table as text.
+func (t Table) Write(out io.Writer) {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintf(w, "%s\t%s\t\n", t.Variable, strings.Join(t.Figures, "\t"))
+	for _, r := range t.Rows {
+		fmt.Fprintf(w, "%g\t", r.X)
+		for _, v := range r.Values {
+			fmt.Fprintf(w, "%.4g\t", v)
+		}
+		fmt.Fprintln(w)
+	}
+	for _, part := range []struct {
+		name string
+		of   func(Line) float64
+	}{{"at nought", func(l Line) float64 { return l.Intercept }}, {"slope", func(l Line) float64 { return l.Slope }}, {"misses", func(l Line) float64 { return l.Misses }}} {
+		fmt.Fprintf(w, "%s\t", part.name)
+		for _, l := range t.Lines {
+			fmt.Fprintf(w, "%.4g\t", part.of(l))
+		}
+		fmt.Fprintln(w)
+	}
+	w.Flush()
+}
