Give servers the descriptors that a large machine has beyond 1,024

A gatherer kept 192 connections to servers at most whatever its limit on descriptors, and a call that finds no connection is refused as unreachable.

--- a/internal/gatherer/gatherer.go
+++ b/internal/gatherer/gatherer.go
@@ -430,12 +430,20 @@
 // sockets is how many descriptors this process may hold: what the other one of this gatherer holds is missing here.
 func (g *Gatherer) sockets() int { return max(g.Plan.sockets-g.others, 3*ownSockets) }
 
-func (g *Gatherer) serverConns() int { return min(192, g.sockets()/3) }
+// smallSockets is the most descriptors of a machine by whose size the shares below were found: more than that is for servers, since what a
+// gatherer needs for clients grows with its traffic and not with the fleet.
+const smallSockets = 1024
+
+// serverConns is how many of them connections to servers may hold. Guards a gatherer before thousands of servers against a query that asks
+// more of them than it may reach at a time: what finds no connection is refused, so that such a query is never whole.
+func (g *Gatherer) serverConns() int {
+	return min(192, g.sockets()/3) + max(0, g.sockets()-smallSockets)
+}
 
 // bounds is what one listener may hold. Clients must never take the descriptors that servers, discovery and
 // operators need.
 func (g *Gatherer) bounds() transport.ListenerConfig {
-	b := transport.ListenerConfig{MaxConns: g.sockets() - g.serverConns() - ownSockets, Enough: g.sockets() / 4,
+	b := transport.ListenerConfig{MaxConns: g.sockets() - g.serverConns() - ownSockets, Enough: min(g.sockets(), smallSockets) / 4,
 		Idle: 15 * time.Second, First: 2500 * time.Millisecond, Slow: 2500 * time.Millisecond,
 		MaxHeld: int64(g.memoryMB) << 20 / 8}
 	if g.operator != "" {
