Measure the list of servers, the core's queries and the engine before a hollow fleet by size

Benchmarks for docs/CAPACITY.md: ListBySize takes a whole list and a change of one entry from bytes to pool and module at 325 to 2,600 servers; QueryBySize in the core plays whole queries of 100 to 1,500 parts with the real module; EngineBySize adds pool, sockets and a hollow fleet.

--- /dev/null
+++ b/internal/broker/size_test.go
@@ -0,0 +1,96 @@
+package broker
+
+import (
+	"fmt"
+	"runtime"
+	"syscall"
+	"testing"
+	"time"
+
+	sq "saffronquay"
+)
+
+// BenchmarkQueryBySize is a whole query of the core with the real module, its parts served over four steps, against its parts before 2,600
+// servers; processor time is the whole process's.
+//
+//	go test -run '^$' -bench QueryBySize -benchtime 1s ./internal/broker
+func BenchmarkQueryBySize(b *testing.B) {
+	used := func() time.Duration {
+		var u syscall.Rusage
+		if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+			b.Fatal(err)
+		}
+		return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+	}
+	const servers, cells, steps, period = 2600, 1300, 4, 5000
+	for _, parts := range []int{100, 187, 375, 750, 1500} {
+		b.Run(fmt.Sprintf("servers=%d,parts=%d", servers, parts), func(b *testing.B) {
+			class := sq.Class{Name: "q", Aim: 75_000, HardLimit: 1_000_000, Worth: 1, Need: 1, Floor: 1}
+			cfg := sq.Settings{Aggregators: 600, Period: period, Shards: servers, Cells: cells, Reach: 1, PartsPerCall: 1, Classes: []sq.Class{class},
+				Limits: sq.Limits{MaxTries: 3, SecondCopies: true, MayCancel: true},
+				Rules:  sq.Rules{ColdShare: 0.3, WarmWithin: 10_000_000, FallMultiple: 3, FallWindow: 1_000_000, AskWithin: 10_000_000}}
+			module, err := sq.New(cfg, 1)
+			if err != nil {
+				b.Fatal(err)
+			}
+			c := New(Terms{Period: period, Shards: servers, PartsPerCall: 1, AnswerGrace: period, Classes: cfg.Classes}, module)
+			list := sq.FleetChanged{Kind: sq.FleetCached}
+			for i := range servers {
+				list.Servers = append(list.Servers, sq.Server{ID: sq.ServerID(fmt.Sprintf("s-%08x", i)), Cell: i % cells, Health: sq.Ready})
+			}
+			now, asked := int64(1_000_000_000), 0
+			c.Fleet(list)
+			c.Step(now)
+			value, report := []byte("12345678"), &sq.LoadReport{Queue: 1, InFlight: -1}
+			query := func() (answered bool) {
+				now += period
+				ask := Ask{Label: fmt.Sprint(asked), Class: "q", Deadline: now + 1_000_000}
+				for i := range parts {
+					ask.Parts = append(ask.Parts, AskPart{Shard: (asked*parts + i) % servers, Weight: 1 / float64(parts), Work: 5000})
+				}
+				asked++
+				if _, _, err := c.Open(now, ask); err != nil {
+					b.Fatal(err)
+				}
+				var out []AttemptID
+				for _, x := range c.Step(now) {
+					if call, ok := x.(Call); ok {
+						for _, a := range call.Attempts {
+							out = append(out, a.ID)
+						}
+					}
+				}
+				for i := range steps {
+					now += period
+					for _, id := range out[len(out)*i/steps : len(out)*(i+1)/steps] {
+						c.Ended(now, id, sq.Served, value, report)
+					}
+					for _, x := range c.Step(now) {
+						if f, ok := x.(Final); ok && f.Verdict == Answered && f.Whole {
+							answered = true
+						}
+					}
+				}
+				return answered
+			}
+			for range 4 * servers / parts {
+				query()
+			}
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			began, n, unanswered := used(), 0, 0
+			for b.Loop() {
+				if !query() {
+					unanswered++
+				}
+				n++
+			}
+			runtime.ReadMemStats(&after)
+			all := float64(n * parts)
+			b.ReportMetric(float64(used()-began)/all, "cpu-ns/part")
+			b.ReportMetric(float64(after.Mallocs-before.Mallocs)/all, "allocs/part")
+			b.ReportMetric(float64(after.TotalAlloc-before.TotalAlloc)/all, "B/part")
+			b.ReportMetric(float64(unanswered)/float64(n), "unanswered/query")
+		})
+	}
+}
--- /dev/null
+++ b/internal/scale/work/engine_test.go
@@ -0,0 +1,86 @@
+package work
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"runtime"
+	"testing"
+	"time"
+
+	sq "saffronquay"
+	"saffronquay/internal/broker"
+	"saffronquay/internal/operations"
+	"saffronquay/internal/platform"
+	"saffronquay/internal/transport"
+)
+
+// BenchmarkEngineBySize is a query through engine, core, module, pool and sockets, without the front, before a hollow fleet in the same
+// process, whose share of the processor time is in the figures; a profile tells them apart:
+//
+//	go test -run '^$' -bench EngineBySize -benchtime 2s -cpuprofile cpu.out ./internal/scale/work
+func BenchmarkEngineBySize(b *testing.B) {
+	for _, parts := range []int{187, 375, 750, 1500} {
+		b.Run(fmt.Sprintf("servers=2600,parts=%d", parts), func(b *testing.B) {
+			const servers, cells = 2600, 1300
+			w, err := Listen(Config{Workers: servers, Cells: cells, Value: 8, Seed: 1, Delay: 5 * time.Millisecond})
+			if err != nil {
+				b.Fatal(err)
+			}
+			defer w.Close()
+			class := sq.Class{Name: "q", Aim: 4_000_000, HardLimit: 30_000_000, Worth: 1, Need: 1, Floor: 1, Partial: 0.9}
+			settings := sq.Settings{Aggregators: 600, Zone: "z0", Period: 5000, Classes: []sq.Class{class}, Shards: servers, Cells: cells, Reach: 1, PartsPerCall: 1,
+				Limits: sq.Limits{MaxTries: 3, MayCancel: true}, Rules: sq.Rules{AnswerGrace: 20_000, DrainGrace: 250_000, ColdShare: 0.2, WarmWithin: 14_000_000,
+					FallMultiple: 2.5, FallWindow: 1_500_000, AskWithin: 10_000_000}}
+			module, err := sq.New(settings, 1)
+			if err != nil {
+				b.Fatal(err)
+			}
+			clock := transport.NewClock()
+			core := broker.New(broker.Terms{Period: 5000, Shards: servers, PartsPerCall: 1, AnswerGrace: 5000, Classes: settings.Classes}, module)
+			e := transport.NewEngine(clock, core, transport.PoolConfig{ConnectTimeout: 1_000_000, IdleClose: 60_000_000, MaxConns: 7000},
+				platform.Workers{PerConn: 32}, operations.NewFigures(), slog.New(slog.NewTextHandler(io.Discard, nil)))
+			news, addresses := sq.FleetChanged{Kind: sq.FleetCached}, map[sq.ServerID]string{}
+			for i := range servers {
+				id := sq.ServerID(Name(i))
+				news.Servers = append(news.Servers, sq.Server{ID: id, Zone: fmt.Sprint("z", i%zones), Cell: i % cells, Health: sq.Ready})
+				addresses[id] = w.Address(i)
+			}
+			e.Fleet(news, addresses)
+			go e.Run()
+			defer e.Stop()
+			asked := 0
+			query := func() {
+				ask := broker.Ask{Label: fmt.Sprintf("%016x", asked), Unique: true, Class: "q", Deadline: clock.Now() + 30_000_000, Text: []byte("c41e77d0")}
+				for i := range parts {
+					ask.Parts = append(ask.Parts, broker.AskPart{Shard: (asked*parts + i) % servers, Weight: 1 / float64(parts)})
+				}
+				asked++
+				t := e.Open(ask)
+				select {
+				case f := <-t.Final:
+					if f.Verdict != broker.Answered || !f.Whole {
+						b.Fatalf("query %d: %+v", asked, f.Verdict)
+					}
+				case err := <-t.Err:
+					b.Fatal(err)
+				}
+			}
+			for range 2 * servers / parts {
+				query()
+			}
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			began, n := own(), 0
+			for b.Loop() {
+				query()
+				n++
+			}
+			runtime.ReadMemStats(&after)
+			all := float64(n * parts)
+			b.ReportMetric(float64(own()-began)/all, "cpu-ns/part")
+			b.ReportMetric(float64(after.Mallocs-before.Mallocs)/all, "allocs/part")
+			b.ReportMetric(float64(after.TotalAlloc-before.TotalAlloc)/all, "B/part")
+		})
+	}
+}
--- a/internal/scale/work/measure.go
+++ b/internal/scale/work/measure.go
@@ -5,6 +5,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 )
 
@@ -47,6 +48,15 @@
 	return u, err
 }
 
+// own is the processor time that this process has used.
+func own() time.Duration {
+	var u syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &u) != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
 // slabs are the system's own records for a connection, and what they take for each object, in bytes.
 var slabs = []string{"TCP", "sock_inode_cache", "filp", "eventpoll_epi", "eventpoll_pwq"}
 
--- a/internal/scale/work/measured.go
+++ b/internal/scale/work/measured.go
@@ -4,7 +4,6 @@
 	"io"
 	"log/slog"
 	"math"
-	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -179,13 +178,6 @@
 		}
 		return t
 	}
-	own := func() time.Duration {
-		u, err := UseOf(os.Getpid())
-		if err != nil {
-			return 0
-		}
-		return u.Total()
-	}
 	began := own()
 	var wg sync.WaitGroup
 	for i := range all {
--- /dev/null
+++ b/internal/transport/size_test.go
@@ -0,0 +1,83 @@
+package transport
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"runtime"
+	"testing"
+
+	sq "saffronquay"
+	"saffronquay/internal/broker"
+	"saffronquay/internal/platform"
+)
+
+// listOf is a list of so many servers as discovery gives it, or only its first entries.
+func listOf(servers, first int, generation int64) platform.List {
+	l := platform.List{Generation: generation, Whole: first == servers, Addresses: map[sq.ServerID]string{}}
+	for i := range first {
+		id := sq.ServerID(fmt.Sprintf("s-%08x", i))
+		l.Servers = append(l.Servers, sq.Server{ID: id, Zone: fmt.Sprint("z", i%6), Cell: i % max(1, servers/2), Health: sq.Ready, StartedAt: generation * 1000})
+		l.Addresses[id] = fmt.Sprintf("10.1.%d.%d:8080", i/250, i%250)
+	}
+	return l
+}
+
+// BenchmarkListBySize is what the list of servers costs a gatherer, from the bytes that come until pool and module have it: the whole of it,
+// and a change of one entry.
+//
+//	go test -run '^$' -bench ListBySize -benchtime 1s ./internal/transport
+func BenchmarkListBySize(b *testing.B) {
+	quiet := slog.New(slog.NewTextHandler(io.Discard, nil))
+	for _, servers := range []int{325, 650, 1300, 2600} {
+		for _, change := range []bool{false, true} {
+			b.Run(fmt.Sprintf("servers=%d,change=%v", servers, change), func(b *testing.B) {
+				cfg := sq.Settings{Aggregators: 600, Period: 5000, Shards: servers, Cells: max(1, servers/2), Reach: 1, PartsPerCall: 1,
+					Classes: []sq.Class{{Name: "q", Aim: 75_000, HardLimit: 1_000_000, Worth: 1, Need: 1, Floor: 1}},
+					Rules:   sq.Rules{WarmWithin: 14_000_000, AskWithin: 10_000_000}}
+				module, err := sq.New(cfg, 1)
+				if err != nil {
+					b.Fatal(err)
+				}
+				core := broker.New(broker.Terms{Period: 5000, Shards: servers, PartsPerCall: 1, Classes: cfg.Classes}, module)
+				p := newPool(PoolConfig{ConnectTimeout: 250_000, IdleClose: 15_000_000, MaxConns: 7000}, platform.Workers{PerConn: 32},
+					func(func(int64)) bool { return true })
+				now := int64(1_000_000_000)
+				w := NewWatcher("127.0.0.1:1", 0, false, func(f sq.FleetChanged, addresses map[sq.ServerID]string) {
+					now += 5000
+					p.fleet(now, f, addresses)
+					core.Fleet(f)
+					core.Step(now)
+				}, quiet)
+				if err := w.whole(listOf(servers, servers, 1).Append(nil), "x"); err != nil {
+					b.Fatal(err)
+				}
+				first := servers
+				if change {
+					first = 1
+				}
+				text := listOf(servers, first, 2)
+				text.Whole = !change
+				bytes := text.Append(nil)
+				if change { // as written, it would say that it is whole
+					bytes = append([]byte(`{"generation":2,"reset":false,`), bytes[len(`{"generation":2,"reset":true,`):]...)
+				}
+				var before, after runtime.MemStats
+				runtime.ReadMemStats(&before)
+				for b.Loop() {
+					if change {
+						err = w.line(bytes, "x")
+					} else {
+						err = w.whole(bytes, "x")
+					}
+					if err != nil {
+						b.Fatal(err)
+					}
+				}
+				runtime.ReadMemStats(&after)
+				b.ReportMetric(float64(len(bytes)), "B/list")
+				b.ReportMetric(float64(after.TotalAlloc-before.TotalAlloc)/float64(b.N)/1024, "kB-allocated/list")
+			})
+		}
+	}
+}
