Count what views and changes of policy cost second by second, for events of a large fleet

Costs were known as means over a run; a zone that is lost, regions that part and a document for 600 cost at the peak. fleet/model counts what each process sends and receives in each second, and its measurements have sizes from 75 to 1,200 with the line through them; results of runs are as before. internal/scale/events plays rollout's cores with two regions that are apart, kills, starts and cuts by package faults' scripts, and counts bytes by second at each gatherer; rollout/model has neither bytes nor a delay between regions.

--- a/internal/fleet/model/measure_test.go
+++ b/internal/fleet/model/measure_test.go
@@ -5,40 +5,174 @@
 	"os"
 	"runtime"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
 	"saffronquay/internal/faults"
+	"saffronquay/internal/scale/fit"
 )
 
-// What a view costs, and how soon it is right, as the fleet grows. SAFFRONQUAY_MEASURE=1.
-func TestMeasure(t *testing.T) {
+// sizes are those of the table, 75 to 1200 for the slopes; 30, 100 and 1000 are older rows.
+var sizes = []int{30, 75, 100, 150, 300, 600, 1000, 1200}
+
+func measured(t *testing.T) {
+	t.Helper()
 	if os.Getenv("SAFFRONQUAY_MEASURE") == "" {
 		t.Skip("SAFFRONQUAY_MEASURE is not set")
 	}
-	for _, n := range []int{30, 100, 300, 1000} {
-		for _, loss := range []float64{0, 0.1} {
-			quiet := play(t, Config{Members: n, Seed: 1, Warm: true, Loss: loss, Length: 20 * time.Second, CountFrom: 10 * time.Second}, "")
-			sent := float64(quiet.Counts.Sent) / float64(n) / 20
-			crash := play(t, Config{Members: n, Seed: 1, Warm: true, Loss: loss, Length: 14 * time.Second}, fmt.Sprintf("at 3s kill %d", n-1))
-			split := play(t, Config{Members: n, Seed: 1, Warm: true, Loss: loss, Length: 26 * time.Second}, fmt.Sprintf("at 3s for 12s cut %s %s", faults.Set(span(0, n/2)), faults.Set(span(n/2, n))))
-			slices.Sort(crash.Detect)
-			var before, after runtime.MemStats
-			runtime.GC()
-			runtime.ReadMemStats(&before)
-			cores := quiet.Cores
-			quiet.Cores, crash.Cores, split.Cores = nil, nil, nil
-			runtime.GC()
-			runtime.ReadMemStats(&after)
-			runtime.KeepAlive(cores)
-			cores = nil
-			var freed runtime.MemStats
-			runtime.GC()
-			runtime.ReadMemStats(&freed)
-			t.Logf("members=%d loss=%g datagrams_s=%.1f bytes_s=%.0f detect_p50=%s detect_max=%s settled_after_split=%s kB_a_view=%d", n, loss, sent, quiet.Rate,
-				crash.Detect[len(crash.Detect)/2], crash.Detect[len(crash.Detect)-1], split.Settled(15*time.Second), (int64(after.HeapAlloc)-int64(freed.HeapAlloc))/int64(n)/1024)
+}
+
+// sideBySide does all of it, three at a time.
+func sideBySide(all []func()) {
+	turns := make(chan struct{}, 3)
+	var wg sync.WaitGroup
+	for _, do := range all {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			turns <- struct{}{}
+			defer func() { <-turns }()
+			do()
+		}()
+	}
+	wg.Wait()
+}
+
+// What a view costs, and how soon it is right, as the fleet grows. SAFFRONQUAY_MEASURE=1.
+func TestMeasure(t *testing.T) {
+	measured(t)
+	type row struct {
+		datagrams, bytes, detect, most, settled, kB float64
+		text                                        string
+	}
+	losses := []float64{0, 0.1}
+	rows := map[[2]float64]*row{}
+	var all []func()
+	for _, n := range slices.Backward(sizes) {
+		for _, loss := range losses {
+			x := &row{}
+			rows[[2]float64{float64(n), loss}] = x
+			all = append(all, func() {
+				quiet := play(t, Config{Members: n, Seed: 1, Warm: true, Loss: loss, Length: 20 * time.Second, CountFrom: 10 * time.Second}, "")
+				crash := play(t, Config{Members: n, Seed: 1, Warm: true, Loss: loss, Length: 14 * time.Second}, fmt.Sprintf("at 3s kill %d", n-1))
+				split := play(t, Config{Members: n, Seed: 1, Warm: true, Loss: loss, Length: 26 * time.Second},
+					fmt.Sprintf("at 3s for 12s cut %s %s", faults.Set(span(0, n/2)), faults.Set(span(n/2, n))))
+				x.datagrams, x.bytes = float64(quiet.Counts.Sent)/float64(n)/20, quiet.Rate
+				x.detect, x.most, x.settled = Quantile(crash.Detect, 0.5).Seconds(), slices.Max(crash.Detect).Seconds(), split.Settled(15*time.Second).Seconds()
+				heal := Peak(split.Seconds[15:])
+				x.text = fmt.Sprintf("members=%d loss=%g datagrams_s=%.1f bytes_s=%.0f detect_p50_ms=%.0f detect_max_ms=%.0f settled_after_split_ms=%.0f heal_peak_bytes_s=%d heal_most_sent=%d heal_most_received=%d",
+					n, loss, x.datagrams, x.bytes, 1000*x.detect, 1000*x.most, 1000*x.settled, heal.Sent/int64(n), heal.MostSent, heal.MostReceived)
+			})
+		}
+	}
+	sideBySide(all)
+	for _, loss := range losses {
+		for _, n := range sizes {
+			x := rows[[2]float64{float64(n), loss}]
+			x.kB = kBAView(t, n, loss)
+			t.Logf("%s kB_a_view=%.0f", x.text, x.kB)
+		}
+		for _, of := range []struct {
+			name string
+			take func(*row) float64
+		}{{"datagrams_s", func(x *row) float64 { return x.datagrams }}, {"bytes_s", func(x *row) float64 { return x.bytes }}, {"detect_p50_s", func(x *row) float64 { return x.detect }},
+			{"detect_max_s", func(x *row) float64 { return x.most }}, {"settled_s", func(x *row) float64 { return x.settled }}, {"kB_a_view", func(x *row) float64 { return x.kB }}} {
+			var xs, ys []float64
+			for _, n := range sizes {
+				if n >= 75 {
+					xs, ys = append(xs, float64(n)), append(ys, of.take(rows[[2]float64{float64(n), loss}]))
+				}
+			}
+			t.Log(fitted(fmt.Sprintf("loss=%g %s", loss, of.name), xs, ys))
+		}
+	}
+}
+
+// fitted tells the line through points of 75 to 1200 members, and what the one through those up to 300 foretells of 600.
+func fitted(name string, xs, ys []float64) string {
+	a, b, worst := fit.Line(xs, ys)
+	small := 0
+	for small < len(xs) && xs[small] <= 300 {
+		small++
+	}
+	fa, fb, _ := fit.Line(xs[:small], ys[:small])
+	i := slices.Index(xs, 600)
+	return fmt.Sprintf("fit %s = %.4g + %.4g a member, misses %.0f%%; by 75 to 300 at 600: %.4g, measured %.4g, off by %.0f%%", name, a, b, 100*worst, fa+600*fb, ys[i],
+		100*fit.Miss(fa+600*fb, ys[i]))
+}
+
+// kBAView is the memory of one view.
+func kBAView(t *testing.T, n int, loss float64) float64 {
+	r := play(t, Config{Members: n, Seed: 1, Warm: true, Loss: loss, Length: 2 * time.Second}, "")
+	cores := r.Cores
+	r = Result{}
+	var with, without runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&with)
+	runtime.KeepAlive(cores)
+	cores = nil
+	runtime.GC()
+	runtime.ReadMemStats(&without)
+	return float64(int64(with.HeapAlloc)-int64(without.HeapAlloc)) / float64(n) / 1024
+}
+
+// What events of a large fleet cost at the peak second, and how soon views are right again, with two regions 30 to 60 ms apart, one way.
+// SAFFRONQUAY_MEASURE=1.
+func TestMeasureEvents(t *testing.T) {
+	measured(t)
+	var all []func()
+	for _, n := range []int{1200, 600, 300, 150} {
+		a, b := faults.Set(span(0, n/2)), faults.Set(span(n/2, n))
+		zone, rack := faults.Set(span(n-n/6, n)), faults.Set(span(n-20, n))
+		wave := make(faults.Set, 0, n/10)
+		for i := 5; i < n; i += 10 {
+			wave = append(wave, i)
+		}
+		for _, e := range []struct {
+			name, script string
+			over, length time.Duration // when the last of it happens, and the run ends
+		}{
+			{"at rest", "", 0, 20 * time.Second},
+			{"1 crashes", "at 10s kill " + rack[:1].String(), 10 * time.Second, 30 * time.Second},
+			{"9 crash", "at 10s kill " + rack[:9].String(), 10 * time.Second, 30 * time.Second},
+			{"a rack of 20 lost", "at 10s kill " + rack.String(), 10 * time.Second, 30 * time.Second},
+			{"a tenth restarted at once", "at 10s kill " + wave.String() + "\nat 12s start " + wave.String(), 12 * time.Second, 40 * time.Second},
+			{"a zone lost", "at 10s kill " + zone.String(), 10 * time.Second, 40 * time.Second},
+			{"a zone lost and back", "at 10s kill " + zone.String() + "\nat 40s start " + zone.String(), 40 * time.Second, 70 * time.Second},
+			{"regions apart for 20 s", fmt.Sprintf("at 10s for 20s cut %s %s", a, b), 30 * time.Second, 60 * time.Second},
+			{"regions apart for 10 min", fmt.Sprintf("at 10s for 10m cut %s %s", a, b), 610 * time.Second, 640 * time.Second},
+		} {
+			if e.over > 5*time.Minute && n > 600 {
+				continue // an hour of processor time
+			}
+			all = append(all, func() {
+				cfg := Config{Members: n, Seed: 1, Warm: true, Length: e.length, Sample: 100 * time.Millisecond}
+				r := play(t, cfg, fmt.Sprintf("at 0s delay 30ms %s %s\n%s", a, b, e.script))
+				begin := 5
+				if e.script != "" {
+					begin = 10
+				}
+				p := Peak(r.Seconds[begin:])
+				over := 0
+				for _, s := range r.Seconds[begin:] {
+					if max(s.MostSent, s.MostReceived) > 28_000 {
+						over++
+					}
+				}
+				least := n
+				for _, s := range r.Samples {
+					if s.At > 5*time.Second {
+						least = min(least, s.Least)
+					}
+				}
+				t.Logf("members=%d %s: peak_sent_a_member=%d most_sent=%d most_received=%d most_datagrams=%d most_arriving=%d seconds_over_28kB=%d detect_p50_ms=%d detect_max_ms=%d settled_ms=%d false_dead=%d least_reckoned_with=%d",
+					n, e.name, p.Sent/int64(n), p.MostSent, p.MostReceived, p.MostDatagrams, p.MostArriving, over, Quantile(r.Detect, 0.5).Milliseconds(),
+					Quantile(r.Detect, 1).Milliseconds(), r.Settled(e.over).Milliseconds(), r.FalseDead, least)
+			})
 		}
 	}
+	sideBySide(all)
 }
 
 func span(a, b int) (s []int) {
--- a/internal/fleet/model/model.go
+++ b/internal/fleet/model/model.go
@@ -57,6 +57,7 @@
 	Twins     int // times that a process told of another one of its name
 	Counts    fleet.Counts
 	Rate      float64       // bytes that a member sent, a second, from CountFrom on
+	Seconds   []Second      // of the run, each
 	Cores     []*fleet.Core // of those that run at the end
 }
 
@@ -80,6 +81,7 @@
 	slow    int64
 	wakeAt  int64
 	wakeGen int
+	traffic traffic
 }
 
 type happening struct {
@@ -200,6 +202,9 @@
 			w.carry(h.p)
 		}
 	case datagram:
+		if h.p.up {
+			w.pass(h.p, 0, len(h.bytes), true)
+		}
 		switch {
 		case !h.p.up:
 		case h.p.stopped:
@@ -214,6 +219,7 @@
 		if !h.p.up || h.p.stopped || !h.other.up {
 			return
 		}
+		w.pass(h.p, 0, len(h.bytes), false)
 		reply, err := h.p.core.Frame(w.now, h.bytes)
 		w.carry(h.p)
 		if err == nil && reply != nil {
@@ -226,6 +232,7 @@
 func (w *world) carry(p *process) {
 	o := p.core.Out()
 	for _, d := range o.Datagrams {
+		w.pass(p, len(d.Bytes), 0, true)
 		to := w.byAddr[d.To]
 		if to == nil {
 			continue
@@ -276,6 +283,7 @@
 	if there.Cut || back.Cut {
 		return
 	}
+	w.pass(from, len(b), 0, false)
 	late := to.slow
 	for range crossings + 1 {
 		late += w.lag(there)
@@ -388,6 +396,7 @@
 
 func (w *world) kill(p *process) {
 	if p.up {
+		w.settle(p)
 		p.up = false
 		w.killed[p.start] = w.now
 	}
@@ -498,6 +507,9 @@
 	default:
 		w.res.SettledAt = time.Duration(w.last-epoch)*time.Microsecond + w.Sample
 	}
+	for _, p := range w.all {
+		w.settle(p)
+	}
 	_, live := w.truth()
 	for _, p := range live {
 		w.res.Cores = append(w.res.Cores, p.core)
--- /dev/null
+++ b/internal/fleet/model/traffic.go
@@ -0,0 +1,57 @@
+package model
+
+// Second is what passed within one second, datagrams and streams together, without the headers of the network.
+type Second struct {
+	Datagrams                   int64 // that all sent, streams not among them
+	Sent, Received              int64 // bytes, of all
+	MostSent, MostReceived      int64 // bytes, of the one process that sent, or received, the most
+	MostDatagrams, MostArriving int64 // datagrams, likewise
+}
+
+// Peak is the largest of each over some seconds.
+func Peak(all []Second) (most Second) {
+	for _, s := range all {
+		most.Datagrams, most.Sent, most.Received = max(most.Datagrams, s.Datagrams), max(most.Sent, s.Sent), max(most.Received, s.Received)
+		most.MostSent, most.MostReceived = max(most.MostSent, s.MostSent), max(most.MostReceived, s.MostReceived)
+		most.MostDatagrams, most.MostArriving = max(most.MostDatagrams, s.MostDatagrams), max(most.MostArriving, s.MostArriving)
+	}
+	return most
+}
+
+// traffic is one process's within the second that it passed something in last.
+type traffic struct {
+	second                             int
+	sent, received, datagrams, arrived int64
+}
+
+// pass counts what a process sends or receives now.
+func (w *world) pass(p *process, sent, received int, datagram bool) {
+	second := int((w.now - epoch) / 1_000_000)
+	for len(w.res.Seconds) <= second {
+		w.res.Seconds = append(w.res.Seconds, Second{})
+	}
+	if p.traffic.second != second {
+		w.settle(p)
+		p.traffic = traffic{second: second}
+	}
+	s, t := &w.res.Seconds[second], &p.traffic
+	s.Sent, s.Received = s.Sent+int64(sent), s.Received+int64(received)
+	t.sent, t.received = t.sent+int64(sent), t.received+int64(received)
+	switch {
+	case !datagram:
+	case sent > 0:
+		s.Datagrams++
+		t.datagrams++
+	default:
+		t.arrived++
+	}
+}
+
+// settle holds a process's last second against the most of all.
+func (w *world) settle(p *process) {
+	if t := p.traffic; t.second < len(w.res.Seconds) {
+		s := &w.res.Seconds[t.second]
+		s.MostSent, s.MostReceived = max(s.MostSent, t.sent), max(s.MostReceived, t.received)
+		s.MostDatagrams, s.MostArriving = max(s.MostDatagrams, t.datagrams), max(s.MostArriving, t.arrived)
+	}
+}
--- /dev/null
+++ b/internal/scale/events/look.go
@@ -0,0 +1,108 @@
+package events
+
+import (
+	"slices"
+	"time"
+
+	pb "go.etcd.io/raft/v3/raftpb"
+
+	"saffronquay/internal/rollout"
+	"saffronquay/internal/rollout/wire"
+)
+
+// look sees how queries stand, and which changes are in force at everybody that lets any in.
+func (w *world) look() {
+	w.later(every.Microseconds(), w.look)
+	l := Look{At: time.Duration(w.now-epoch) * time.Microsecond}
+	var count [4]int
+	least, versions := ^uint64(0), map[uint64]bool{}
+	for _, x := range w.nodes {
+		if !x.up {
+			continue
+		}
+		l.Live++
+		v, number, _ := x.n.Admit(w.now)
+		if count[v]++; v == rollout.Let {
+			least, versions[number] = min(least, number), true
+		}
+	}
+	if n := float64(l.Live); n > 0 {
+		l.Let, l.Held, l.Doubt, l.Lapse = float64(count[rollout.Let])/n, float64(count[rollout.Hold])/n, float64(count[rollout.Doubt])/n, float64(count[rollout.Lapse])/n
+	}
+	l.Versions = len(versions)
+	w.res.Looks = append(w.res.Looks, l)
+	for i := range w.res.Changes {
+		if c := &w.res.Changes[i]; c.InForce && c.All == 0 && count[rollout.Let] > 0 && count[rollout.Hold] == 0 && least >= c.number {
+			c.All = l.At - c.At
+		}
+	}
+}
+
+// sum adds up what each sent and received, second by second.
+func (w *world) sum(seconds int) {
+	for s := range seconds {
+		var x Second
+		for _, n := range w.nodes {
+			x.Messages, x.Sent = x.Messages+n.out[s], x.Sent+n.sent[s]
+			x.MostSent, x.MostReceived, x.MostMessages = max(x.MostSent, n.sent[s]), max(x.MostReceived, n.received[s]), max(x.MostMessages, n.out[s]+n.in[s])
+			if !n.voter {
+				x.Follower = max(x.Follower, n.sent[s]+n.received[s])
+			}
+		}
+		w.res.Seconds = append(w.res.Seconds, x)
+	}
+}
+
+// Peak is the largest of each over some seconds.
+func Peak(all []Second) (most Second) {
+	for _, s := range all {
+		most.Messages, most.Sent, most.MostSent = max(most.Messages, s.Messages), max(most.Sent, s.Sent), max(most.MostSent, s.MostSent)
+		most.MostReceived, most.MostMessages, most.Follower = max(most.MostReceived, s.MostReceived), max(most.MostMessages, s.MostMessages), max(most.Follower, s.Follower)
+	}
+	return most
+}
+
+// disk is what outlasts a gatherer's process.
+type disk struct {
+	identity uint64
+	id       uint64
+	met      map[string]uint64
+	roster   *wire.State
+	current  *wire.Document
+	staged   *wire.Proposal
+	hard     *pb.HardState
+	entries  []*pb.Entry
+	snapshot *pb.Snapshot
+}
+
+func (d *disk) memory() rollout.Memory {
+	return rollout.Memory{Identity: d.identity, Met: d.met, Members: d.roster.GetMembers(), MembersIndex: d.roster.GetMembersIndex(), Current: d.current, Staged: d.staged,
+		Disk: rollout.Disk{ID: d.id, Hard: d.hard, Entries: slices.Clone(d.entries), Snapshot: d.snapshot}}
+}
+
+func (d *disk) write(s *rollout.Save) {
+	if s.Met != nil {
+		d.met = s.Met
+		return
+	}
+	if s.ID != d.id {
+		d.id, d.hard, d.entries, d.snapshot = s.ID, nil, nil, nil
+	}
+	if s.Snapshot != nil {
+		d.snapshot, d.entries = s.Snapshot, nil
+	}
+	for _, e := range s.Entries {
+		for len(d.entries) > 0 && d.entries[len(d.entries)-1].GetIndex() >= e.GetIndex() {
+			d.entries = d.entries[:len(d.entries)-1]
+		}
+		d.entries = append(d.entries[:len(d.entries):len(d.entries)], e)
+	}
+	if s.Hard != nil {
+		d.hard = s.Hard
+	}
+}
+
+func (d *disk) compact(s *pb.Snapshot) {
+	d.snapshot = s
+	d.entries = slices.DeleteFunc(slices.Clone(d.entries), func(e *pb.Entry) bool { return e.GetIndex() <= s.Metadata.GetIndex() })
+}
