Measure control at size with hollow gatherers beside real processes

What 600 gatherers' control costs was known from models in virtual time only.

internal/scale and 'saffronquay scale' start fleets of a few real processes and many hollow gatherers (the real view, policy and shares with their drivers and sockets; no engine, fronts or store), read words and bytes by the drivers' counters and processor time and memory by the system, and play sizes, busy teams, longer policies and four events, of which they write a record and tables. The runner of campaigns moved to package lab, where both use it; lab's relays can be had for who is no member of a group.

--- a/cmd/saffronquay/cli.go
+++ b/cmd/saffronquay/cli.go
@@ -95,7 +95,7 @@
 	root.AddCommand(&cobra.Command{Use: "serve", Short: "Serve, as without a command", Args: cobra.NoArgs,
 		Example: "  SAFFRONQUAY_OPERATOR_FILE=deploy/layout.json saffronquay serve",
 		RunE:    func(*cobra.Command, []string) error { return c.serve() }},
-		c.try(), c.check(), c.test(), c.explain(), c.layout(), c.store(), c.model(), c.fleet(), c.policy(), c.campaign(), c.versionCommand(), c.man())
+		c.try(), c.check(), c.test(), c.explain(), c.layout(), c.store(), c.model(), c.fleet(), c.policy(), c.campaign(), c.scale(), c.versionCommand(), c.man())
 	root.AddCommand(c.doorCommands()...)
 	root.InitDefaultCompletionCmd()
 	return root
--- a/internal/campaign/campaign.go
+++ b/internal/campaign/campaign.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
-	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
@@ -61,65 +60,6 @@
 		cfg.Seed, cfg.Processes, cfg.Length.Seconds(), r.Queries, r.LetIn, r.Unanswered, r.Twice, r.Runs, r.Mixed, r.Over, r.Most, r.Whole, r.Grown, r.Unended, len(r.Script), r.Kills, r.Changes, r.Refused, len(r.Broken))
 }
 
-// runner is who runs the harness where no test does.
-type runner struct {
-	mu      sync.Mutex
-	dir     string
-	dirs    int
-	cleanup []func()
-	errors  []string
-	say     func(string, ...any)
-}
-
-// fatal is what ends a campaign early.
-type fatal string
-
-func (r *runner) Helper() {}
-
-func (r *runner) Errorf(format string, args ...any) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.errors = append(r.errors, fmt.Sprintf(format, args...))
-}
-
-func (r *runner) Fatal(args ...any) { panic(fatal(fmt.Sprint(args...))) }
-
-func (r *runner) Fatalf(format string, args ...any) { panic(fatal(fmt.Sprintf(format, args...))) }
-
-func (r *runner) Log(args ...any) { r.say("%s", fmt.Sprint(args...)) }
-
-func (r *runner) Logf(format string, args ...any) { r.say(format, args...) }
-
-func (r *runner) Cleanup(f func()) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.cleanup = append(r.cleanup, f)
-}
-
-func (r *runner) Failed() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return len(r.errors) > 0
-}
-
-func (r *runner) TempDir() string {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.dirs++
-	dir := filepath.Join(r.dir, fmt.Sprintf("place-%02d", r.dirs))
-	if err := os.MkdirAll(dir, 0o755); err != nil {
-		panic(fatal(err.Error()))
-	}
-	return dir
-}
-
-func (r *runner) close() {
-	for i := len(r.cleanup) - 1; i >= 0; i-- {
-		r.cleanup[i]()
-	}
-	os.RemoveAll(r.dir)
-}
-
 const (
 	cores  = 24
 	over   = 1.25
@@ -133,20 +73,15 @@
 	if err := os.MkdirAll(cfg.Dir, 0o755); err != nil {
 		return res, err
 	}
-	dir, err := os.MkdirTemp(cfg.Dir, "run-")
+	r, err := lab.NewRunner(cfg.Dir, cfg.Say)
 	if err != nil {
 		return res, err
 	}
-	r := &runner{dir: dir, say: cfg.Say}
-	defer r.close()
+	defer r.Close()
 	defer func() {
-		switch x := recover().(type) {
-		case nil:
-		case fatal: // a state that never came
+		if never := lab.Never(recover()); never != "" { // a state that never came
 			res.Unended++
-			res.Broken = append(res.Broken, string(x))
-		default:
-			panic(x)
+			res.Broken = append(res.Broken, never)
 		}
 	}()
 	d := &day{cfg: cfg, res: &res, r: r, calm: make(chan struct{}), over: make(chan struct{})}
@@ -161,7 +96,7 @@
 type day struct {
 	cfg     Config
 	res     *Result
-	r       *runner
+	r       *lab.Runner
 	g       *lab.Group
 	cluster *standin.Cluster
 	calm    chan struct{} // closed once the faults are over
--- a/internal/campaign/verdict.go
+++ b/internal/campaign/verdict.go
@@ -70,11 +70,7 @@
 			}
 		}
 	}
-	d.r.mu.Lock()
-	for _, e := range d.r.errors {
-		res.Broken = append(res.Broken, e)
-	}
-	d.r.mu.Unlock()
+	res.Broken = append(res.Broken, d.r.Errors()...)
 	if res.LetIn < 100 { // loud clients that are turned away come again at once, so most of them are
 		broken(1, "%d of %d queries were let in: the campaign shows nothing", res.LetIn, res.Queries)
 	}
--- a/internal/lab/net.go
+++ b/internal/lab/net.go
@@ -273,3 +273,19 @@
 		}
 	}
 }
+
+// Relay is where somebody is reached who is no member of the group, past the same faults.
+type Relay struct{ r *relay }
+
+// Relay opens one to a number of the script's that no member has, at an address; what it sends comes from there.
+func (g *Group) Relay(i int, at netip.Addr) *Relay {
+	g.T.Helper()
+	g.Net.Know(at, i)
+	return &Relay{newRelay(g.T, g.Net, i, at)}
+}
+
+// Address is where the others reach it.
+func (r *Relay) Address() netip.AddrPort { return r.r.address() }
+
+// Aim says where it is itself; not valid: nowhere.
+func (r *Relay) Aim(at netip.AddrPort) { r.r.aim(at) }
--- /dev/null
+++ b/internal/scale/disk.go
@@ -0,0 +1,54 @@
+package scale
+
+import (
+	"sync"
+
+	"google.golang.org/protobuf/proto"
+
+	"saffronquay/internal/rollout"
+	"saffronquay/internal/rollout/wire"
+)
+
+// disk is what a follower would keep in its store, as bytes.
+type disk struct {
+	mu                      sync.Mutex
+	identity                uint64
+	current, staged, roster []byte
+}
+
+func (d *disk) keep(record *[]byte, m proto.Message) error {
+	b, err := proto.Marshal(m)
+	if err != nil {
+		return err
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	*record = b
+	return nil
+}
+
+// memory is what the next life begins with.
+func (d *disk) memory() rollout.Memory {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	m := rollout.Memory{Identity: d.identity}
+	if d.roster != nil {
+		var s wire.State
+		if proto.Unmarshal(d.roster, &s) == nil {
+			m.Members, m.MembersIndex = s.Members, s.MembersIndex
+		}
+	}
+	if d.current != nil {
+		m.Current = &wire.Document{}
+		if proto.Unmarshal(d.current, m.Current) != nil {
+			m.Current = nil
+		}
+	}
+	if d.staged != nil {
+		m.Staged = &wire.Proposal{}
+		if proto.Unmarshal(d.staged, m.Staged) != nil {
+			m.Staged = nil
+		}
+	}
+	return m
+}
--- /dev/null
+++ b/internal/scale/figures_test.go
@@ -0,0 +1,81 @@
+package scale
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"saffronquay/internal/faults"
+	"saffronquay/internal/peers"
+)
+
+func step(t *testing.T, text string, members int) faults.Step {
+	t.Helper()
+	s, err := faults.Parse(text, members)
+	if err != nil || len(s) != 1 {
+		t.Fatal(s, err)
+	}
+	return s[0]
+}
+
+// A line is found for what grows in a line, a power for what does so, and what lies beside is told.
+func TestFit(t *testing.T) {
+	xs := []float64{50, 100, 200, 300}
+	of := func(f func(float64) float64) (ys []float64) {
+		for _, x := range xs {
+			ys = append(ys, f(x))
+		}
+		return ys
+	}
+	for _, c := range []struct {
+		name  string
+		f     func(float64) float64
+		power float64
+		off   float64
+	}{{"line", func(x float64) float64 { return 3 + 0.5*x }, 0, 1e-9}, {"square", func(x float64) float64 { return x * x }, 2, 1e-9},
+		{"root", func(x float64) float64 { return 7 * math.Sqrt(x) }, 0.5, 1e-9}, {"constant", func(float64) float64 { return 4 }, 0, 1e-9},
+		{"bent", func(x float64) float64 { return 10 + x + math.Mod(x, 100)/10 }, 0, 0.1}} {
+		f := FitTo(xs, of(c.f))
+		if math.Abs(f.Power-c.power) > 1e-9 || f.Off > c.off || c.off < 0.01 && math.Abs(f.At(600)/c.f(600)-1) > 1e-6 {
+			t.Errorf("%s: %+v, at 600 %g", c.name, f, f.At(600))
+		}
+	}
+}
+
+func TestTimes(t *testing.T) {
+	var all []time.Duration
+	for i := range 200 {
+		all = append(all, time.Duration(200-i)*time.Millisecond)
+	}
+	if x := timesOf(all, false); x.N != 200 || x.Median != 100 || x.P99 != 198 || x.Most != 200 {
+		t.Errorf("%+v", x)
+	}
+	if x := timesOf(nil, true); x.N != 0 {
+		t.Errorf("%+v", x)
+	}
+}
+
+// Rates are of those that ran at both samples; whoever was started anew counts in nothing.
+func TestBetween(t *testing.T) {
+	at := func(sent, cpu int64, runs ...bool) Sample {
+		r := Report{CPU: cpu, At: cpu * 10, RSS: 4 << 20}
+		for _, x := range runs {
+			r.Hollow = append(r.Hollow, Stand{Runs: x, View: peers.Traffic{Sent: sent, SentBytes: 10 * sent}, Policy: peers.Traffic{Received: sent, ReceivedBytes: sent, ShareBytes: sent}})
+		}
+		leader := Real{Leads: true, Votes: true, CPU: cpu, View: peers.Traffic{Sent: sent}}
+		return Sample{At: cpu * 10, Reports: []Report{r}, Real: []Real{leader, {CPU: 2 * cpu}}}
+	}
+	s := between(at(100, 1e5, true, true, false), at(300, 3e5, true, true, true))
+	if s.Runs != 2 || s.Hollow.ViewWords != 100 || s.Hollow.ViewBytes != 1000 || s.Hollow.PolicyBytes != 100 || s.Hollow.ShareBytes != 100 || math.Abs(s.Hollow.CPU-5) > 1e-9 || s.Hollow.MB != 2 {
+		t.Errorf("%+v", s)
+	}
+	if s.Leader.ViewWords != 100 || math.Abs(s.Leader.CPU-10) > 1e-9 || math.Abs(s.Follower.CPU-20) > 1e-9 {
+		t.Errorf("%+v", s)
+	}
+	if s := between(at(300, 1e5, true), at(100, 3e5, true)); s.Runs != 0 || s.Hollow.ViewWords != 0 {
+		t.Errorf("a gatherer that began anew counts: %+v", s)
+	}
+	if a := alike(Rates{ViewWords: 9, ViewBytes: 1, PolicyWords: 1, PolicyBytes: 1}, Rates{ViewWords: 10, ViewBytes: 1, PolicyWords: 1, PolicyBytes: 1}); math.Abs(a.Worst()-0.9) > 1e-9 {
+		t.Errorf("%+v", a)
+	}
+}
