--- a/internal/fleet/model/measure_test.go
+++ b/internal/fleet/model/measure_test.go
@@ -147,7 +147,7 @@
 				continue // an hour of processor time
 			}
 			all = append(all, func() {
-				cfg := Config{Members: n, Seed: 1, Warm: true, Length: e.length, Sample: 100 * time.Millisecond}
+				cfg := Config{Members: n, Seed: 1, Warm: true, Seeds: 3, Length: e.length, Sample: 100 * time.Millisecond}
 				r := play(t, cfg, fmt.Sprintf("at 0s delay 30ms %s %s\n%s", a, b, e.script))
 				begin := 5
 				if e.script != "" {
--- a/internal/scale/events/events.go
+++ b/internal/scale/events/events.go
@@ -34,7 +34,9 @@
 	Messages, Sent         int64 // by all; Sent in bytes
 	MostSent, MostReceived int64 // bytes of the one that sent, or received, the most
 	MostMessages           int64 // sent and received by the one that has the most
-	Follower               int64 // bytes sent and received by the one that has the most of those that do not vote
+	// Bytes sent and received by the one who led last, by the one that has the most of the others that vote, by the one that has the most of
+	// those that do not, and by these in the mean.
+	Leader, Voter, Follower, FollowerMean int64
 }
 
 // Change is how one change went. Times count from its proposal.
@@ -64,6 +66,7 @@
 	Changes []Change
 	Looks   []Look // each 20 ms
 	Leaders int    // times that somebody began to lead
+	Leader  int    // who began to last
 }
 
 const (
@@ -121,6 +124,7 @@
 	nodes []*node
 	index map[string]int
 	links faults.Links
+	led   []int // who led last, by second
 	res   Result
 	err   error
 }
@@ -132,6 +136,7 @@
 	}
 	w := &world{Config: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 0xe7e27)), now: epoch, index: map[string]int{}}
 	seconds := int(cfg.Length/time.Second) + 1
+	w.led = make([]int, seconds)
 	for i := range cfg.Gatherers {
 		x := &node{index: i, name: fmt.Sprintf("n%04d", i), sent: make([]int64, seconds), received: make([]int64, seconds),
 			out: make([]int64, seconds), in: make([]int64, seconds)}
@@ -250,7 +255,7 @@
 	}
 	if leads := x.n.Leads(); leads != x.leads {
 		if x.leads = leads; leads {
-			w.res.Leaders++
+			w.res.Leaders, w.res.Leader = w.res.Leaders+1, x.index
 		}
 	}
 	if next := x.n.Next(); x.wakeAt == 0 || next < x.wakeAt {
--- a/internal/scale/events/look.go
+++ b/internal/scale/events/look.go
@@ -13,6 +13,7 @@
 // look sees how queries stand, and which changes are in force at everybody that lets any in.
 func (w *world) look() {
 	w.later(every.Microseconds(), w.look)
+	w.led[(w.now-epoch)/1_000_000] = w.res.Leader
 	l := Look{At: time.Duration(w.now-epoch) * time.Microsecond}
 	var count [4]int
 	least, versions := ^uint64(0), map[uint64]bool{}
@@ -45,10 +46,17 @@
 		for _, n := range w.nodes {
 			x.Messages, x.Sent = x.Messages+n.out[s], x.Sent+n.sent[s]
 			x.MostSent, x.MostReceived, x.MostMessages = max(x.MostSent, n.sent[s]), max(x.MostReceived, n.received[s]), max(x.MostMessages, n.out[s]+n.in[s])
-			if !n.voter {
-				x.Follower = max(x.Follower, n.sent[s]+n.received[s])
+			switch both := n.sent[s] + n.received[s]; {
+			case n.index == w.led[s]:
+				x.Leader = both
+			case n.voter:
+				x.Voter = max(x.Voter, both)
+			default:
+				x.Follower = max(x.Follower, both)
+				x.FollowerMean += both
 			}
 		}
+		x.FollowerMean /= int64(max(1, len(w.nodes)-len(w.Voters)))
 		w.res.Seconds = append(w.res.Seconds, x)
 	}
 }
@@ -58,6 +66,7 @@
 	for _, s := range all {
 		most.Messages, most.Sent, most.MostSent = max(most.Messages, s.Messages), max(most.Sent, s.Sent), max(most.MostSent, s.MostSent)
 		most.MostReceived, most.MostMessages, most.Follower = max(most.MostReceived, s.MostReceived), max(most.MostMessages, s.MostMessages), max(most.Follower, s.Follower)
+		most.Leader, most.Voter, most.FollowerMean = max(most.Leader, s.Leader), max(most.Voter, s.Voter), max(most.FollowerMean, s.FollowerMean)
 	}
 	return most
 }
