Measure fleets at rest once no news are told, and fit no growth to what scatters

A span now begins once a view's word has the length that it has without news, fleets of a proof measure together, and a line has to fit twice as well as no growth.

--- a/cmd/saffronquay/cli_scale.go
+++ b/cmd/saffronquay/cli_scale.go
@@ -70,7 +70,7 @@
 	f.IntVar(&p.Fleet.Queries, "queries", 20, "queries a second, over all voters")
 	f.DurationVar(&p.Delay, "delay", 30*time.Millisecond, "between the regions, at least; up to twice that")
 	f.DurationVar(&p.Effort.Rest, "rest", 15*time.Second, "how long rates at rest are measured")
-	f.DurationVar(&p.Effort.Calm, "calm", 20*time.Second, "how long news may take to be told to the end")
+	f.DurationVar(&p.Effort.Calm, "calm", time.Minute, "how long is waited at most until no news are told any more")
 	f.IntVar(&p.Effort.Changes, "changes", 5, "changes of the policy at each size")
 	f.IntVar(&p.Effort.Crashes, "crashes", 1, "real followers that are killed at each size, one after the other")
 	f.IntVar(&p.Runs, "runs", 1, "how often all of it is played")
--- a/internal/scale/event.go
+++ b/internal/scale/event.go
@@ -143,7 +143,7 @@
 		r.Delay(delay)
 	}
 	r.Settled(cfg.Gatherers)
-	time.Sleep(calm) // what was told at the start is told to its end
+	r.quiet(calm)
 	e.Name, e.Gatherers = scene.Name, cfg.Gatherers
 	script, err := faults.Parse(scene.Script(r), cfg.Gatherers)
 	if err != nil {
--- a/internal/scale/fit.go
+++ b/internal/scale/fit.go
@@ -18,8 +18,8 @@
 	return f.A + f.B*x
 }
 
-// FitTo fits a line by least squares of what it is off in proportion, and a power of the variable where that fits more than twice as well.
-// It needs two points with x above nought.
+// FitTo fits what does not grow at all, a line by least squares of what it is off in proportion where that fits more than twice as well, and
+// a power of the variable where that does so once more: what scatters is not taken for growth. It needs two points with x above nought.
 func FitTo(xs, ys []float64) Fit {
 	weigh := func(xs, ys, ws []float64) (a, b float64) {
 		var w, x, y, xx, xy float64
@@ -38,6 +38,13 @@
 	}
 	a, b := weigh(xs, ys, line)
 	linear := off(Fit{A: a, B: b}, xs, ys)
+	var sum, weights float64
+	for i := range ys {
+		sum, weights = sum+line[i]*ys[i], weights+line[i]
+	}
+	if level := off(Fit{A: sum / weights}, xs, ys); level.Off <= 2*linear.Off {
+		linear = level
+	}
 	if !positive {
 		return linear
 	}
--- a/internal/scale/measure.go
+++ b/internal/scale/measure.go
@@ -17,6 +17,7 @@
 	Run       int     `json:"run"`
 	Seconds   float64 `json:"seconds"` // at rest, that the rates are over
 	Started   float64 `json:"started_s"`
+	Calm      bool    `json:"calm"` // no news were told in that time
 
 	Rest struct {
 		Hollow   Rates `json:"hollow"`
@@ -51,8 +52,9 @@
 type Effort struct {
 	Rest    time.Duration // that rates at rest are over
 	Changes int
-	Calm    time.Duration // after the last one, until its news are told
+	Calm    time.Duration // that is waited at most until no news are told any more
 	Crashes int           // of a real follower
+	Ready   func()        // called when a fleet is at rest; it returns when rates are to be measured
 }
 
 // Measure plays one fleet to its end.
@@ -70,11 +72,8 @@
 	r.Settled(cfg.Gatherers)
 	s.Started = time.Since(began).Seconds()
 	s.Gatherers, s.Hollow, s.Busy, s.Policy = cfg.Gatherers, cfg.Gatherers-r.real, cfg.Busy, len(r.document(1))
-	time.Sleep(e.Calm) // what was told at the start is told to its end
-	a := r.Read(0)
-	time.Sleep(e.Rest) // the span that is measured
-	b := r.Read(0)
-	rest := between(a, b)
+	rest := r.atRest(e)
+	s.Calm = calm(rest)
 	s.Seconds = rest.Seconds
 	s.Rest.Hollow, s.Rest.Busiest, s.Rest.Follower, s.Rest.Voter, s.Rest.Leader = rest.Hollow, rest.Busiest, rest.Follower, rest.Voter, rest.Leader
 	s.Alike = alike(rest.Hollow, rest.Follower)
@@ -108,6 +107,42 @@
 	return s, nil
 }
 
+// restLength is how many bytes a word of the view has at most where it tells no news: a probe and its answer have some 78 on the mean, the
+// exchanges among them.
+const restLength = 90
+
+func calm(s Span) bool { return s.Hollow.ViewWords > 0 && s.Hollow.ViewBytes < restLength*s.Hollow.ViewWords }
+
+// quiet waits until views tell no news for a second, and gives up after a while.
+func (r *Rig) quiet(most time.Duration) bool {
+	end := time.Now().Add(most)
+	for a := r.Read(0); time.Now().Before(end); {
+		time.Sleep(time.Second) // between two looks
+		b := r.Read(0)
+		if calm(between(a, b)) {
+			return true
+		}
+		a = b
+	}
+	return false
+}
+
+// atRest measures a span in which no news are told; where none comes in the time that is given, it measures one in which some are.
+func (r *Rig) atRest(e Effort) (s Span) {
+	for end := time.Now().Add(e.Calm); ; {
+		r.quiet(time.Until(end))
+		if e.Ready != nil {
+			e.Ready()
+			e.Ready = nil
+		}
+		a := r.Read(0)
+		time.Sleep(e.Rest) // the span that is measured
+		if s = between(a, r.Read(0)); calm(s) || time.Now().After(end) {
+			return s
+		}
+	}
+}
+
 // changes changes the policy a few times, and works out what one costs beyond rest.
 func (r *Rig) changes(e Effort, rest Span, s *Size) {
 	if e.Changes == 0 {
@@ -123,7 +158,7 @@
 			r.t.Errorf("version %d was put in force %d times at %d gatherers", c.Number, c.Times, len(c.At))
 		}
 	}
-	time.Sleep(e.Calm) // what views tell of the last one is told to its end
+	r.quiet(e.Calm)
 	span := between(a, r.Read(0))
 	n := span.Seconds / float64(e.Changes)
 	hollow, leader := span.Hollow.plus(rest.Hollow, -1), span.Leader.plus(rest.Leader, -1)
--- a/internal/scale/report.go
+++ b/internal/scale/report.go
@@ -118,6 +118,9 @@
 	fmt.Fprintf(b, "\n| hollow : real | view words | view bytes | policy words | policy bytes |\n|---|---|---|---|---|\n")
 	for _, x := range xs {
 		for _, s := range at[x] {
+			if !s.Calm {
+				fmt.Fprintf(b, "| %d, run %d: news were told in the span at rest | | | | |\n", x, s.Run)
+			}
 			fmt.Fprintf(b, "| %d, run %d | %.3f | %.3f | %.3f | %.3f |\n", x, s.Run, s.Alike.ViewWords, s.Alike.ViewBytes, s.Alike.PolicyWords, s.Alike.PolicyBytes)
 		}
 	}
--- a/internal/scale/scale_test.go
+++ b/internal/scale/scale_test.go
@@ -50,6 +50,7 @@
 // many come for one that is sent.
 func sameWords(t *testing.T, r *Rig, view, policy int64) {
 	t.Helper()
+	r.quiet(time.Minute) // where it never comes to rest, all tell the same news
 	a := r.Read(0)
 	var b Sample
 	r.g.Until("enough words", func() (string, bool) {
