--- a/internal/scale/measure.go
+++ b/internal/scale/measure.go
@@ -111,7 +111,9 @@
 // exchanges among them.
 const restLength = 90
 
-func calm(s Span) bool { return s.Hollow.ViewWords > 0 && s.Hollow.ViewBytes < restLength*s.Hollow.ViewWords }
+func calm(s Span) bool {
+	return s.Hollow.ViewWords > 0 && s.Hollow.ViewBytes < restLength*s.Hollow.ViewWords
+}
 
 // quiet waits until views tell no news for a second, and gives up after a while.
 func (r *Rig) quiet(most time.Duration) bool {
