Count a change's time from its first proposal, refused tries with it

At 600 gatherers on a machine under load most tries were refused (23 for 5 changes: 'fell silent while queries were held'), and times counted from the try that was not. Both are told now.

--- a/cmd/saffronquay/cli_scale.go
+++ b/cmd/saffronquay/cli_scale.go
@@ -67,6 +67,7 @@
 	f.IntVar(&p.Fleet.Process, "process", 100, "hollow gatherers to a process, which is a zone")
 	f.IntSliceVar(&p.Fleet.Apart, "apart", []int{9}, "sizes of further processes of hollow gatherers; the first is killed in 'nine down'")
 	f.IntVar(&p.Fleet.Teams, "teams", 12, "teams of the contracts")
+	f.DurationVar(&p.Fleet.Hold, "hold", 0, "hold_ms of the rollout; 0: the program's default")
 	f.IntVar(&p.Fleet.Queries, "queries", 20, "queries a second, over all voters")
 	f.DurationVar(&p.Delay, "delay", 30*time.Millisecond, "between the regions, at least; up to twice that")
 	f.DurationVar(&p.Effort.Rest, "rest", 15*time.Second, "how long rates at rest are measured")
--- a/internal/scale/measure.go
+++ b/internal/scale/measure.go
@@ -37,8 +37,9 @@
 		LeaderWords float64 `json:"leader_words"`
 		LeaderCPU   float64 `json:"leader_cpu_ms"`
 	} `json:"a_change"`
-	InForce  Times    `json:"in_force_everywhere"` // over changes, the most of all gatherers
-	Each     Times    `json:"in_force_at_each"`    // over changes and gatherers
+	InForce  Times    `json:"in_force_everywhere"`          // over changes, the most of all gatherers, refusals and what was proposed again in it
+	LastTry  Times    `json:"in_force_everywhere_last_try"` // the same from the proposal that was not refused
+	Each     Times    `json:"in_force_at_each"`             // over changes and gatherers
 	Answered Times    `json:"answered"`
 	Refused  []string `json:"refused,omitempty"`
 	Crash    Times    `json:"crash_known_to_all"`
@@ -151,9 +152,10 @@
 		return
 	}
 	a := r.Read(0)
-	var most, each, answered []time.Duration
+	var most, last, each, answered []time.Duration
 	for range e.Changes {
 		c := r.Change()
+		last = append(last, c.Most()-c.Last)
 		most, each, answered = append(most, c.Most()), append(each, c.At...), append(answered, c.Answered)
 		s.Refused = append(s.Refused, c.Refused...)
 		if c.Times != len(c.At) {
@@ -166,6 +168,7 @@
 	hollow, leader := span.Hollow.plus(rest.Hollow, -1), span.Leader.plus(rest.Leader, -1)
 	s.PerChange.Bytes, s.PerChange.Words, s.PerChange.CPU = hollow.Bytes()*n, hollow.Words()*n, hollow.CPU*10*n
 	s.PerChange.LeaderBytes, s.PerChange.LeaderWords, s.PerChange.LeaderCPU = leader.Bytes()*n, leader.Words()*n, leader.CPU*10*n
+	s.LastTry = timesOf(last, true)
 	s.InForce, s.Each, s.Answered = timesOf(most, true), timesOf(each, false), timesOf(answered, true)
 }
 
--- a/internal/scale/report.go
+++ b/internal/scale/report.go
@@ -36,6 +36,8 @@
 	{"a change: words at a hollow gatherer", func(s Size) float64 { return s.PerChange.Words }},
 	{"a change: ms of a core at a hollow gatherer", func(s Size) float64 { return s.PerChange.CPU }},
 	{"a change: kB at the leader", func(s Size) float64 { return s.PerChange.LeaderBytes / 1000 }},
+	{"a change: words at the leader", func(s Size) float64 { return s.PerChange.LeaderWords }},
+	{"a change: ms of a core at the leader", func(s Size) float64 { return s.PerChange.LeaderCPU }},
 	{"in force everywhere, ms, median of changes", func(s Size) float64 { return s.InForce.Median }},
 	{"in force everywhere, ms, most", func(s Size) float64 { return s.InForce.Most }},
 	{"a crash is known to all, ms", func(s Size) float64 { return s.Crash.Median }},
@@ -124,10 +126,10 @@
 			fmt.Fprintf(b, "| %d, run %d | %.3f | %.3f | %.3f | %.3f |\n", x, s.Run, s.Alike.ViewWords, s.Alike.ViewBytes, s.Alike.PolicyWords, s.Alike.PolicyBytes)
 		}
 	}
-	fmt.Fprintf(b, "\n| %s | run | started in s | changes | in force everywhere ms: p50, p99, most | at each: p50, p99 | refused, and proposed again | crash known: first to last ms | queries let in |\n|---|---|---|---|---|---|---|---|---|\n", what)
+	fmt.Fprintf(b, "\n| %s | run | started in s | changes | in force everywhere ms: p50, p99, most | without refused tries: p50, most | at each: p50, p99 | refused, and proposed again | crash known: first to last ms | queries let in |\n|---|---|---|---|---|---|---|---|---|---|\n", what)
 	for _, x := range xs {
 		for _, s := range at[x] {
-			fmt.Fprintf(b, "| %d | %d | %.0f | %d | %.0f, %.0f, %.0f | %.0f, %.0f | %d | %.0f to %.0f | %d of %d |\n", x, s.Run, s.Started, s.InForce.N, s.InForce.Median, s.InForce.P99, s.InForce.Most,
+			fmt.Fprintf(b, "| %d | %d | %.0f | %d | %.0f, %.0f, %.0f | %.0f, %.0f | %.0f, %.0f | %d | %.0f to %.0f | %d of %d |\n", x, s.Run, s.Started, s.InForce.N, s.InForce.Median, s.InForce.P99, s.InForce.Most, s.LastTry.Median, s.LastTry.Most,
 				s.Each.Median, s.Each.P99, len(s.Refused), s.CrashAt.Median, s.Crash.Most, s.LetIn, s.Queries)
 		}
 	}
