Work the median of paces out only where it is asked for, not in every step

Now gaugeFleet notes the moment, and usualPace works the median out when it is first asked for, before anything that it goes by changes: the list, the paces, what a process before knew. It is found by selection in a list that is kept. Servers that may be sent to are counted when the list changes. TestAnIdleStepLooksAtNoServer counts servers looked at: none in idle steps.

--- /dev/null
+++ b/gauge_test.go
@@ -0,0 +1,207 @@
+package saffronquay
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"reflect"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// A step in which nothing is decided looks at no server; one in which parts are sent looks at each once at most.
+func TestAnIdleStepLooksAtNoServer(t *testing.T) {
+	const servers = 400
+	c := newCrowd(t, large(servers, 2))
+	c.now += 5 * ms
+	out := of[Send](c.s.Step(c.now, c.ask(100)))
+	if len(out) != 100 {
+		t.Fatalf("%d sends, want 100", len(out))
+	}
+	looked := c.s.looked
+	for range 50 { // a query is open, its parts are out, and nothing happens
+		c.now += 100
+		if got := c.s.Step(c.now, []Event{AlarmRang{}}); len(of[Send](got)) > 0 {
+			t.Fatal("the steps are not idle")
+		}
+	}
+	if n := c.s.looked - looked; n != 0 {
+		t.Errorf("50 idle steps looked at %d servers", n)
+	}
+	for i, a := range out[:40] {
+		before := c.s.looked
+		c.now += 100
+		c.s.Step(c.now, []Event{served(a, 0, 4*ms)})
+		if n := c.s.looked - before; n > 2*servers || i > 0 && n > servers {
+			t.Fatalf("a step with an answer looked at %d servers of %d", n, servers)
+		}
+	}
+}
+
+// eager is the median as it was taken in each step: of all paces, sorted.
+func eager(s *Scheduler) float64 {
+	var ps []float64
+	for _, r := range s.servers {
+		if r.Health == Ready && r.pace > 0 {
+			ps = append(ps, 1+(r.pace-1)*fade(s.gaugedAt-r.paceT, s.gaugedFor))
+		}
+	}
+	if len(ps) == 0 {
+		return 1
+	}
+	slices.Sort(ps)
+	return ps[len(ps)/2]
+}
+
+// Two modules live through the same day, with servers that come, go, drain and start anew, other settings and what a process before knew; of one
+// the median is asked for after each step. They decide the same, and that median is the one of all paces, sorted.
+func TestAMedianWorkedOutLateChangesNothing(t *testing.T) {
+	for seed := range uint64(12) {
+		rng := rand.New(rand.NewPCG(seed, 9))
+		cfg := large(60, 3)
+		cfg.Classes[0].Need, cfg.Classes[0].Floor, cfg.Limits.SecondCopies = 0.9, 0.5, seed%2 == 0
+		late, err := New(cfg, seed)
+		if err != nil {
+			t.Fatal(err)
+		}
+		early, err := New(cfg, seed)
+		if err != nil {
+			t.Fatal(err)
+		}
+		now, id := int64(1_000_000_000), ID(1)
+		server := func(i int, h Health) Server {
+			return Server{ID: ServerID(fmt.Sprint("s", i)), Zone: fmt.Sprint("z", i%3), Cell: i % 60, Health: h, StartedAt: now * int64(rng.IntN(2))}
+		}
+		var list []Server
+		for i := range 120 {
+			list = append(list, Server{ID: ServerID(fmt.Sprint("s", i)), Zone: fmt.Sprint("z", i%3), Cell: i % 60, Health: Ready})
+		}
+		events := []Event{FleetChanged{Kind: FleetCached, Servers: list}}
+		type flight struct {
+			send Send
+			n    int
+			at   int64
+		}
+		tries := map[ID]int{}
+		var out []flight
+		for step := range 1500 {
+			a, b := late.Step(now, events), early.Step(now, slices.Clone(events))
+			if !reflect.DeepEqual(a, b) {
+				t.Fatalf("seed %d, step %d: %v, and where the median was asked for %v", seed, step, a, b)
+			}
+			if got, want := early.usualPace(), eager(early); math.Float64bits(got) != math.Float64bits(want) {
+				t.Fatalf("seed %d, step %d: a median of %v, want %v", seed, step, got, want)
+			}
+			ready := 0
+			for _, r := range late.servers {
+				if r.Health == Ready {
+					ready++
+				}
+			}
+			if late.ready != ready {
+				t.Fatalf("seed %d, step %d: %d servers are counted as ready, of %d", seed, step, late.ready, ready)
+			}
+			for _, x := range of[Send](a) {
+				out = append(out, flight{x, tries[x.Part], now})
+				tries[x.Part]++
+			}
+			now += int64(1+rng.IntN(8)) * ms
+			events = []Event{AlarmRang{Mark: late.mark}}
+			kept := out[:0]
+			for _, f := range out {
+				switch {
+				case rng.IntN(6) > 0:
+					kept = append(kept, f)
+				case rng.IntN(20) == 0:
+					events = append(events, AttemptEnded{Part: f.send.Part, Attempt: f.n, Server: f.send.Server, Outcome: Outcome(1 + rng.IntN(5)), Latency: now - f.at})
+				default:
+					e := served(f.send, f.n, now-f.at)
+					e.Report = &LoadReport{Queue: float64(rng.IntN(5)), InFlight: -1}
+					events = append(events, e)
+				}
+			}
+			out = kept
+			if rng.IntN(3) == 0 {
+				id += 100
+				n := 1 + rng.IntN(12)
+				events = append(events, Query{ID: id, Group: int64(id), Class: "q", Deadline: now + 300*ms, Work: int64(n) * 5 * ms})
+				for i := range n {
+					events = append(events, Part{ID: id + ID(i) + 1, Group: int64(id), Shard: rng.IntN(60), Weight: 1 / float64(n), Work: 5 * ms})
+				}
+			}
+			switch rng.IntN(40) {
+			case 0:
+				events = append(events, FleetChanged{Kind: FleetDelta, Servers: []Server{server(rng.IntN(130), Health(rng.IntN(3)))}})
+			case 1:
+				other := cfg
+				other.Classes = slices.Clone(cfg.Classes)
+				other.Classes[0].Aim = int64(40+rng.IntN(80)) * ms
+				events = append(events, SettingsChanged{Settings: other})
+			case 2:
+				l := Learned{Admission: rng.Float64()}
+				for i := range 130 { // of those that have served nothing since they started
+					l.Servers = append(l.Servers, Known{Server: ServerID(fmt.Sprint("s", i)), Pace: 9 * rng.Float64(), PaceAt: now, Tries: 2, At: now})
+				}
+				events = slices.Insert(events, rng.IntN(2), Event(Recalled{l}))
+			}
+			if rng.IntN(2) == 0 { // the order of what happens is any
+				rng.Shuffle(len(events)-1, func(i, j int) {
+					if _, ok := events[i+1].(Part); !ok {
+						if _, ok := events[j+1].(Part); !ok {
+							events[i+1], events[j+1] = events[j+1], events[i+1]
+						}
+					}
+				})
+			}
+		}
+		if late.looked >= early.looked {
+			t.Errorf("seed %d: %d servers looked at, no fewer than the %d of one that is asked after each step", seed, late.looked, early.looked)
+		}
+	}
+}
+
+// What a process before this one knew of servers changes the median from the next step on only, as when it was taken in each step.
+func TestWhatIsRecalledCountsFromTheNextStep(t *testing.T) {
+	sc := newScript(t, plain(), "a", "b", "c", "d", "e")
+	sc.s.servers["a"].pace, sc.s.servers["a"].paceT = 3, sc.now
+	sc.step(10 * ms)
+	l := Learned{Admission: 1}
+	for _, id := range []ServerID{"b", "c", "d"} {
+		l.Servers = append(l.Servers, Known{Server: id, Pace: 9, PaceAt: sc.now, At: sc.now})
+	}
+	want := eager(sc.s)
+	sc.s.recall(l)
+	if got := sc.s.usualPace(); got != want || got < 2 || got > 3 {
+		t.Errorf("a median of %v, want the %v of the step before", got, want)
+	}
+	if sc.step(10 * ms); sc.s.usualPace() < 8 {
+		t.Errorf("a median of %v once three of four are known to take nine times as long", sc.s.usualPace())
+	}
+}
+
+func TestNthIsWhatSortingPutsThere(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		v := rapid.SliceOfN(rapid.OneOf(rapid.Float64(), rapid.SampledFrom([]float64{0, 1, 1, 2, math.NaN(), math.Inf(1), math.Inf(-1)})), 1, 200).Draw(t, "v")
+		k := rapid.IntRange(0, len(v)-1).Draw(t, "k")
+		sorted := slices.Sorted(slices.Values(v))
+		if got := nth(v, k); math.Float64bits(got) != math.Float64bits(sorted[k]) && !(got != got && sorted[k] != sorted[k]) && got != sorted[k] {
+			t.Fatalf("%v at %d, want %v", got, k, sorted[k])
+		}
+	})
+	for _, n := range []int{1, 2, 3, 1000, 4096} { // orders that are easy to get wrong
+		up, same := make([]float64, n), make([]float64, n)
+		for i := range up {
+			up[i] = float64(i)
+		}
+		down := slices.Clone(up)
+		slices.Reverse(down)
+		for _, v := range [][]float64{up, down, same} {
+			want := slices.Sorted(slices.Values(v))[n/2]
+			if got := nth(v, n/2); got != want {
+				t.Errorf("%d values: %v, want %v", n, got, want)
+			}
+		}
+	}
+}
--- a/scheduler.go
+++ b/scheduler.go
@@ -118,6 +118,7 @@
 		return
 	}
 	s.watchAt = 0
+	s.usualPace() // of the list as it was
 	for _, r := range s.servers {
 		r.listed = r.listed && e.Kind == FleetDelta
 	}
@@ -145,6 +146,7 @@
 	for i, cell := range s.cells {
 		s.cells[i] = slices.DeleteFunc(cell, s.forgets)
 	}
+	s.countReady()
 }
 
 // holders lists the servers that hold a shard, by the table where there is one, and may be sent to.
@@ -295,39 +297,18 @@
 // that has just recovered stays shunned for a few aims.
 func (s *Scheduler) paceOf(r *replica) float64 {
 	if r.pace == 0 {
-		return s.pace
+		return s.usualPace()
 	}
-	return s.paceToward(s.pace, r)
+	return r.paceAt(s.now, max(4*s.aim, s.span), s.usualPace())
 }
 
-// paceToward is a server's pace as last observed, on its way back to another value since.
-func (s *Scheduler) paceToward(rest float64, r *replica) float64 {
-	return rest + (r.pace-rest)*fade(s.now-r.paceT, max(4*s.aim, s.span))
-}
-
-// gaugeFleet takes the median of the servers' paces.
+// gaugeFleet sets the moment whose median of the servers' paces holds from now on: see usualPace.
 func (s *Scheduler) gaugeFleet() {
-	var ps []float64
-	ready := 0
-	for _, cell := range s.cells {
-		for _, r := range cell {
-			if r.Health == Ready {
-				ready++
-			}
-			if r.Health == Ready && r.pace > 0 {
-				ps = append(ps, s.paceToward(1, r))
-			}
-		}
-	}
+	s.gaugeDue, s.gaugedAt, s.gaugedFor = true, s.now, max(4*s.aim, s.span)
 	// Sends so far against time so far, in windows of the warm-up time, tell how rarely a server is tried.
 	s.span = 2 * s.aim
 	if n := s.sendsOf(); n > 0 {
-		s.span = min(max(s.span, int64(2*float64(ready)/n)), s.cfg.Rules.WarmWithin)
-	}
-	s.pace = 1
-	if len(ps) > 0 {
-		slices.Sort(ps)
-		s.pace = ps[len(ps)/2]
+		s.span = min(max(s.span, int64(2*float64(s.ready)/n)), s.cfg.Rules.WarmWithin)
 	}
 }
 
@@ -841,7 +822,7 @@
 		by -= (by - p.q.came) / 3
 	}
 	if p.q.nearly() { // what counts is how long it takes elsewhere
-		usual = max(usual, (s.crowd.rate(s.now, s.aim, 0)+s.cost(p))*s.pace)
+		usual = max(usual, (s.crowd.rate(s.now, s.aim, 0)+s.cost(p))*s.usualPace())
 	}
 	return !a.ended && float64(s.now-a.sent) > s.giveUpLoss()*a.due && float64(by-s.now) < lastMoment*usual
 }
--- a/state.go
+++ b/state.go
@@ -139,7 +139,13 @@
 	strict    bool               // admission was last noted to be strict
 	slack     float64            // admission lets in what is predicted within so many times what the aim leaves
 	slackAt   int64              // when it last changed
-	pace      float64            // the median of the servers' paces
+	pace      float64            // the median of the servers' paces, unless it is due
+	gaugeDue  bool               // it is yet to be worked out
+	gaugedAt  int64              // as of when
+	gaugedFor int64              // how long a server's pace lasts, then
+	ready     int                // servers in the list that may be sent to
+	paces     []float64          // the median's, kept for the next
+	looked    int64              // servers whose pace went into a median, since the start
 	average   map[int]float64    // served latency by shard, of those seen
 	unseen    float64            // what stands in for the others
 	table     Holders            // who holds which shard; nil: by the settings' formula
@@ -231,6 +237,79 @@
 	return l
 }
 
+// usualPace is the median of the servers' paces as of the last step, each on its way back to 1 since it was observed. It is worked out when
+// it is first asked for, and before what it goes by changes: most steps need none, and it costs O(servers).
+func (s *Scheduler) usualPace() float64 {
+	if !s.gaugeDue {
+		return s.pace
+	}
+	ps := s.paces[:0]
+	for _, cell := range s.cells {
+		for _, r := range cell {
+			if r.Health == Ready && r.pace > 0 {
+				ps = append(ps, r.paceAt(s.gaugedAt, s.gaugedFor, 1))
+			}
+		}
+	}
+	s.looked += int64(len(ps))
+	s.pace, s.paces, s.gaugeDue = 1, ps, false
+	if len(ps) > 0 {
+		s.pace = nth(ps, len(ps)/2)
+	}
+	return s.pace
+}
+
+// paceAt is a server's pace as last observed, on its way back to another value since.
+func (r *replica) paceAt(now, span int64, rest float64) float64 {
+	return rest + (r.pace-rest)*fade(now-r.paceT, span)
+}
+
+// nth is what sorting would put at a place; it leaves the values in another order. O(n) but for orders that are made to be slow.
+func nth(v []float64, k int) float64 {
+	for lo, hi, rounds := 0, len(v)-1, 0; lo < hi; rounds++ {
+		if rounds > 64 {
+			slices.Sort(v[lo : hi+1])
+			break
+		}
+		three := [3]float64{v[lo], v[lo+(hi-lo)/2], v[hi]}
+		slices.Sort(three[:])
+		i, j := lo, hi
+		for i <= j {
+			for cmp.Less(v[i], three[1]) {
+				i++
+			}
+			for cmp.Less(three[1], v[j]) {
+				j--
+			}
+			if i <= j {
+				v[i], v[j] = v[j], v[i]
+				i, j = i+1, j-1
+			}
+		}
+		if k > j && k < i {
+			break
+		}
+		if k <= j {
+			hi = j
+		} else {
+			lo = i
+		}
+	}
+	return v[k]
+}
+
+// countReady counts the servers that may be sent to, once the list has changed.
+func (s *Scheduler) countReady() {
+	s.ready = 0
+	for _, cell := range s.cells {
+		for _, r := range cell {
+			if r.Health == Ready {
+				s.ready++
+			}
+		}
+	}
+}
+
 // recallServer takes in what was learnt of a server, unless something was learnt here already. A time that lies ahead, as a clock that
 // was set back leaves it, counts as now.
 func (s *Scheduler) recallServer(k Known) {
@@ -247,6 +326,7 @@
 }
 
 func (s *Scheduler) recall(l Learned) {
+	s.usualPace() // of what was known before
 	for _, k := range l.Servers {
 		s.recallServer(k)
 	}
