Take for the leader in a run whom most gatherers take for it

A voter that begins to lead last may be behind one of a later term, so two rows at rest (75 and 1,200 gatherers, leader in B) named the wrong one. Whom most name is the leader now; events tell from when to when queries are refused as well.

--- a/internal/scale/events/events.go
+++ b/internal/scale/events/events.go
@@ -35,7 +35,7 @@
 	Messages, Sent         int64 // by all; Sent in bytes
 	MostSent, MostReceived int64 // bytes of the one that sent, or received, the most
 	MostMessages           int64 // sent and received by the one that has the most
-	// Bytes sent and received by the one who led last, by the one that has the most of the others that vote, by the one that has the most of
+	// Bytes sent and received by the one whom most take for the leader, by the one that has the most of the others that vote, by the one that has the most of
 	// those that do not, and by these in the mean.
 	Leader, Voter, Follower, FollowerMean int64
 }
@@ -67,7 +67,7 @@
 	Changes []Change
 	Looks   []Look // each 20 ms
 	Leaders int    // times that somebody began to lead
-	Leader  int    // who began to last
+	Leader  int    // whom most take for the leader at the end
 }
 
 const (
@@ -125,7 +125,7 @@
 	nodes []*node
 	index map[string]int
 	links faults.Links
-	led   []int            // who led last, by second
+	led   []int            // whom most take for the leader, by second
 	last  map[[2]int]int64 // when the last word of one to another arrives, with InOrder
 	res   Result
 	err   error
@@ -257,7 +257,7 @@
 	}
 	if leads := x.n.Leads(); leads != x.leads {
 		if x.leads = leads; leads {
-			w.res.Leaders, w.res.Leader = w.res.Leaders+1, x.index
+			w.res.Leaders++
 		}
 	}
 	if next := x.n.Next(); x.wakeAt == 0 || next < x.wakeAt {
--- a/internal/scale/events/look.go
+++ b/internal/scale/events/look.go
@@ -13,15 +13,18 @@
 // look sees how queries stand, and which changes are in force at everybody that lets any in.
 func (w *world) look() {
 	w.later(every.Microseconds(), w.look)
-	w.led[(w.now-epoch)/1_000_000] = w.res.Leader
 	l := Look{At: time.Duration(w.now-epoch) * time.Microsecond}
 	var count [4]int
 	least, versions := ^uint64(0), map[uint64]bool{}
+	takenFor := make([]int, len(w.nodes)) // the leader, by so many
 	for _, x := range w.nodes {
 		if !x.up {
 			continue
 		}
 		l.Live++
+		if i, known := w.index[x.n.Leader()]; known {
+			takenFor[i]++
+		}
 		v, number, _ := x.n.Admit(w.now)
 		if count[v]++; v == rollout.Let {
 			least, versions[number] = min(least, number), true
@@ -31,6 +34,9 @@
 		l.Let, l.Held, l.Doubt, l.Lapse = float64(count[rollout.Let])/n, float64(count[rollout.Hold])/n, float64(count[rollout.Doubt])/n, float64(count[rollout.Lapse])/n
 	}
 	l.Versions = len(versions)
+	most := slices.Max(takenFor)
+	w.res.Leader = slices.Index(takenFor, most)
+	w.led[(w.now-epoch)/1_000_000] = w.res.Leader
 	w.res.Looks = append(w.res.Looks, l)
 	for i := range w.res.Changes {
 		if c := &w.res.Changes[i]; c.InForce && c.All == 0 && count[rollout.Let] > 0 && count[rollout.Hold] == 0 && least >= c.number {
--- a/internal/scale/events/measure_test.go
+++ b/internal/scale/events/measure_test.go
@@ -95,20 +95,24 @@
 // anybody was refused.
 func held(r Result, from time.Duration) string {
 	var held, doubt, lapse, most float64
-	refusing, longest := 0, 0
+	refusing, longest, first, last := 0, 0, time.Duration(0), time.Duration(0)
 	for _, l := range r.Looks {
 		if l.At < from {
 			continue
 		}
 		held, doubt, lapse = held+l.Held*every.Seconds(), doubt+l.Doubt*every.Seconds(), lapse+l.Lapse*every.Seconds()
 		if most = max(most, l.Doubt+l.Lapse); l.Doubt+l.Lapse > 0 {
-			refusing++
+			if refusing++; first == 0 {
+				first = l.At
+			}
+			last = l.At
 		} else {
 			refusing = 0
 		}
 		longest = max(longest, refusing)
 	}
-	return fmt.Sprintf("held_s=%.3f refused_s=%.3f (in_doubt %.3f) most_refused=%.3f refused_for_s=%.2f", held, doubt+lapse, doubt, most, (time.Duration(longest) * every).Seconds())
+	return fmt.Sprintf("held_s=%.3f refused_s=%.3f (in_doubt %.3f) most_refused=%.3f refused_for_s=%.2f (from %.2f to %.2f s)", held, doubt+lapse, doubt, most, (time.Duration(longest) * every).Seconds(),
+		first.Seconds(), last.Seconds())
 }
 
 func traffic(r Result, from int, n int) string {
