--- a/internal/scale/rig.go
+++ b/internal/scale/rig.go
@@ -142,8 +142,9 @@
 	for i := range max(c.Teams, 1) {
 		all, weights = append(all, map[string]any{"name": team(i), "quota_per_s": 100}), append(weights, map[string]any{"name": team(i), "weight": 1, "wait_ms": 1000})
 	}
-	for i := range c.Padding / 38 { // as long as a tenant is
-		all = append(all, map[string]any{"name": fmt.Sprintf("pad-%06d", i), "quota_per_s": 1})
+	for i := range c.Padding / 74 { // as long as a tenant and its contract are
+		name := fmt.Sprintf("pad-%06d", i)
+		all, weights = append(all, map[string]any{"name": name, "quota_per_s": 1}), append(weights, map[string]any{"name": name, "weight": 1})
 	}
 	return all, map[string]any{"cores": 100 * c.Gatherers, "gatherers": c.Gatherers, "over": 1.25, "teams": weights}
 }
