--- a/internal/transport/size_test.go
+++ b/internal/transport/size_test.go
@@ -81,3 +81,33 @@
 		}
 	}
 }
+
+// BenchmarkLookBySize is what the engine looks at 20 times a second though nothing happens: every connection, and every server in the list.
+func BenchmarkLookBySize(b *testing.B) {
+	for _, servers := range []int{325, 650, 1300, 2600} {
+		cfg := sq.Settings{Aggregators: 600, Period: 5000, Shards: servers, Cells: servers, Reach: 1, PartsPerCall: 1,
+			Classes: []sq.Class{{Name: "q", Aim: 75_000, HardLimit: 1_000_000, Worth: 1, Need: 1, Floor: 1}}}
+		module, err := sq.New(cfg, 1)
+		if err != nil {
+			b.Fatal(err)
+		}
+		list := listOf(servers, servers, 1)
+		module.Step(1_000_000_000, []sq.Event{sq.FleetChanged{Kind: sq.FleetFull, Servers: list.Servers}})
+		p := newPool(PoolConfig{IdleClose: 1 << 60, MaxConns: 7000}, platform.Workers{PerConn: 32}, func(func(int64)) bool { return true })
+		p.fleet(0, sq.FleetChanged{Kind: sq.FleetFull, Servers: list.Servers}, list.Addresses)
+		for _, s := range p.servers {
+			s.conns = append(s.conns, &serverConn{server: s, up: true, calls: map[broker.AttemptID]*frame{}})
+		}
+		b.Run(fmt.Sprintf("connections=%d", servers), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				p.sweep(1)
+			}
+		})
+		b.Run(fmt.Sprintf("servers=%d", servers), func(b *testing.B) {
+			for b.Loop() {
+				module.Rotation()
+			}
+		})
+	}
+}
