--- a/internal/scale/work/measured.go
+++ b/internal/scale/work/measured.go
@@ -40,7 +40,7 @@
 func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 func us(d time.Duration) float64 { return float64(d) / float64(time.Microsecond) }
 
-// rest is a gatherer that keeps its list and its connections, and serves nothing; then so many changes of the list.
+// rest is a gatherer that keeps its list and its connections, and serves nothing; then so many changes of the list, and calls at its operators' door.
 func (s *stage) rest(x float64) []float64 {
 	servers := int(x)
 	cfg, size := s.roomy(servers)
@@ -65,10 +65,19 @@
 		}
 		return a
 	})
+	const calls = 300
+	length := 0
+	asked := scene.Watch(func() (a Answers) {
+		for range calls {
+			length = len(scene.Gatherer.Call("stats"))
+		}
+		return a
+	})
 	pct := func(r Run) float64 { return 100 * float64(r.Gatherer.Total()) / float64(r.Took) }
 	grown := float64(connected.Gatherer.Resident - bare.Gatherer.Resident)
 	return []float64{pct(bare), pct(connected), float64(bare.Gatherer.Resident) / mb, float64(connected.Gatherer.Resident) / mb,
-		grown / kb / float64(max(1, connected.Fleet.Open)), float64(connected.Fleet.Open), ms(changed.Gatherer.Total()) / changes}
+		grown / kb / float64(max(1, connected.Fleet.Open)), float64(connected.Fleet.Open), ms(changed.Gatherer.Total()) / changes, float64(length),
+		us(asked.Gatherer.Total()) / calls}
 }
 
 // walk is a gatherer that has one query of one part in each period of the module, so that nearly all that it does is to step.
--- a/internal/scale/work/slopes.go
+++ b/internal/scale/work/slopes.go
@@ -62,7 +62,7 @@
 
 var slopes = map[string]slope{
 	"rest": {"servers", []float64{325, 650, 1300, 2600},
-		[]string{"core_pct", "core_pct_connected", "MB", "MB_connected", "kB_connection", "connections", "ms_change"}, (*stage).rest},
+		[]string{"core_pct", "core_pct_connected", "MB", "MB_connected", "kB_connection", "connections", "ms_change", "stats_B", "us_stats"}, (*stage).rest},
 	"walk": {"servers", []float64{325, 650, 1300, 2600}, []string{"core_pct", "core_us_query", "queries"}, (*stage).walk},
 	"parts": {"parts", []float64{100, 187, 375, 750, 1500},
 		[]string{"ms_query", "us_part", "system_us_part", "worker_us_part", "out_B_part", "in_B_part", "MB", "p50_ms", "p99_ms", "answered"}, (*stage).parts},
