--- a/internal/scale/work/workers.go
+++ b/internal/scale/work/workers.go
@@ -142,8 +142,7 @@
 	w.mu.Unlock()
 }
 
-// serve answers the calls of one connection. With a delay each call's answers wait for a timer of their own and are written by a goroutine
-// that lives while some wait.
+// serve answers the calls of one connection, at once or, with a delay, each when its own timer says so.
 func (w *Workers) serve(conn net.Conn, seed uint64) {
 	defer w.wg.Done()
 	defer w.forget(conn)
