--- a/internal/scale/work/slopes.go
+++ b/internal/scale/work/slopes.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"maps"
-	"os"
 	"slices"
 	"strings"
 	"text/tabwriter"
@@ -116,22 +116,16 @@
 
 // size measures one size, and ends what it has started.
 func size(ctx context.Context, cfg SlopeConfig, x float64, one func(*stage, float64) []float64) (values []float64, err error) {
-	dir, err := os.MkdirTemp("", "saffronquay-work")
+	r, err := lab.NewRunner("", cfg.Say)
 	if err != nil {
 		return nil, err
 	}
-	r := &alone{dir: dir, say: cfg.Say}
+	defer r.Close()
 	defer func() {
-		if p := recover(); p != nil {
-			f, ok := p.(fatal)
-			if !ok {
-				panic(p)
-			}
-			err = f
-		}
-		r.close()
-		if err == nil && r.failed != "" {
-			err = fatal(r.failed)
+		if never := lab.Never(recover()); never != "" {
+			err = errors.New(never)
+		} else if all := r.Errors(); len(all) > 0 {
+			err = errors.New(strings.Join(all, "; "))
 		}
 	}()
 	return one(&stage{cfg, ctx, r}, x), nil
