Let clients of a slope guess a part's work, in as few bytes as a body allows

Without a guess a gatherer goes by what each shard's parts took before, and one slow beginning makes it turn all queries of an aim of 75 ms away for good: measured alone on the machine, 1,500 parts, 1 to 32 queries a second, on one core and on eight: refused 100%. Rates are asked with a guess of 500 us from now on; weights are written with as few digits as add up, so that 1,500 parts fit into 64 KiB with it.

--- a/internal/scale/work/clients.go
+++ b/internal/scale/work/clients.go
@@ -7,6 +7,7 @@
 	"math"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -21,6 +22,7 @@
 	Rate          float64 // queries a second
 	For           time.Duration
 	Patience      time.Duration // of a client, as it tells
+	Work          int           // microseconds that a client guesses a part to take; 0: it does not say
 }
 
 // Answers are how a load's queries came out, each counted once.
@@ -51,15 +53,29 @@
 	return b, err
 }
 
+// share is a part's weight in as few words as add up to 1 well enough: a body holds 64 KiB at most.
+func share(parts int) string {
+	for digits := 0; ; digits++ {
+		word := strings.Replace(strconv.FormatFloat(1/float64(parts), 'e', digits, 64), "e-0", "e-", 1)
+		if w, err := strconv.ParseFloat(word, 64); err == nil && math.Abs(w*float64(parts)-1) < 0.008 {
+			return word
+		}
+	}
+}
+
 // segments is the body of a query whose parts begin at a shard.
-func segments(first, parts, shards int) string {
+func segments(first, parts, shards, work int) string {
 	var b strings.Builder
 	b.WriteString(`{"segments":[`)
+	weight, guess := share(parts), ""
+	if work > 0 {
+		guess = fmt.Sprintf(`,"work":%d`, work)
+	}
 	for i := range parts {
 		if i > 0 {
 			b.WriteByte(',')
 		}
-		fmt.Fprintf(&b, `{"segment":%d,"boost":%.7f}`, (first+i)%shards, 1/float64(parts))
+		fmt.Fprintf(&b, `{"segment":%d,"boost":%s%s}`, (first+i)%shards, weight, guess)
 	}
 	b.WriteString(`],"text":"c41e77d0"}`)
 	return b.String()
@@ -72,7 +88,7 @@
 	client := &http.Client{Transport: transport, Timeout: l.Patience + 2*time.Second}
 	bodies := make([]string, 8) // the same few, at other shards each
 	for i := range bodies {
-		bodies[i] = segments(i*l.Shards/len(bodies), l.Parts, l.Shards)
+		bodies[i] = segments(i*l.Shards/len(bodies), l.Parts, l.Shards, l.Work)
 	}
 	var mu sync.Mutex
 	var wg sync.WaitGroup
--- a/internal/scale/work/measured.go
+++ b/internal/scale/work/measured.go
@@ -130,13 +130,16 @@
 		float64(r.Fleet.Received) / parts, float64(r.Whole) / float64(r.Asked)}
 }
 
+// guessed is what clients guess a part to take, in microseconds: with more digits a query of 1,500 parts is over 64 KiB.
+const guessed = 500
+
 // rates is a gatherer whose queries have an aim of 75 ms and may be sent twice, asked more and more.
 func (s *stage) rates(x float64) []float64 {
 	cfg, size := s.roomy(s.Workers)
 	size.Holders, size.Copies, size.Aim = holders, true, 75*time.Millisecond
 	size.Cells, cfg.Cells = s.Workers, s.Workers
 	scene := s.set(cfg, size, s.Parts)
-	r := scene.Play(s.ctx, Load{Parts: s.Parts, Shards: size.Shards, Rate: x, For: s.For, Patience: 4 * time.Second})
+	r := scene.Play(s.ctx, Load{Parts: s.Parts, Shards: size.Shards, Rate: x, For: s.For, Patience: 4 * time.Second, Work: guessed})
 	q := float64(r.Asked + r.Held)
 	return []float64{100 * float64(r.Gatherer.Total()) / float64(r.Took), ms(r.Gatherer.Total()) / max(1, float64(r.Whole+r.Partial)), float64(r.Whole) / q,
 		float64(r.Partial) / q, float64(r.Refused) / q, float64(r.Failed) / q, float64(r.Lost+r.Held) / q,
--- a/internal/scale/work/workers_test.go
+++ b/internal/scale/work/workers_test.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"math"
+	"strconv"
 	"testing"
 	"time"
 
+	"saffronquay/internal/http1"
 	"saffronquay/internal/lab"
 )
 
@@ -107,3 +110,14 @@
 		t.Error("there is a process -1")
 	}
 }
+
+// A query of 1,500 parts fits into a body, and its weights add up.
+func TestAQueryFitsIntoABody(t *testing.T) {
+	for _, parts := range []int{1, 3, 100, 187, 375, 750, 1500} {
+		text := segments(1100, parts, 2600, guessed)
+		w, err := strconv.ParseFloat(share(parts), 64)
+		if len(text) > http1.MaxBody || err != nil || math.Abs(w*float64(parts)-1) > 0.01 {
+			t.Errorf("%d parts: %d bytes, weights of %s", parts, len(text), share(parts))
+		}
+	}
+}
