--- a/internal/scale/work/slopes.go
+++ b/internal/scale/work/slopes.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"maps"
-	"os"
 	"slices"
 	"strings"
 	"text/tabwriter"
@@ -62,7 +62,7 @@
 
 var slopes = map[string]slope{
 	"rest": {"servers", []float64{325, 650, 1300, 2600},
-		[]string{"core_pct", "core_pct_connected", "MB", "MB_connected", "kB_connection", "connections", "ms_change"}, (*stage).rest},
+		[]string{"core_pct", "core_pct_connected", "MB", "MB_connected", "kB_connection", "connections", "ms_change", "stats_B", "us_stats"}, (*stage).rest},
 	"walk": {"servers", []float64{325, 650, 1300, 2600}, []string{"core_pct", "core_us_query", "queries"}, (*stage).walk},
 	"parts": {"parts", []float64{100, 187, 375, 750, 1500},
 		[]string{"ms_query", "us_part", "system_us_part", "worker_us_part", "out_B_part", "in_B_part", "MB", "p50_ms", "p99_ms", "answered"}, (*stage).parts},
@@ -116,22 +116,16 @@
 
 // size measures one size, and ends what it has started.
 func size(ctx context.Context, cfg SlopeConfig, x float64, one func(*stage, float64) []float64) (values []float64, err error) {
-	dir, err := os.MkdirTemp("", "saffronquay-work")
+	r, err := lab.NewRunner("", cfg.Say)
 	if err != nil {
 		return nil, err
 	}
-	r := &alone{dir: dir, say: cfg.Say}
+	defer r.Close()
 	defer func() {
-		if p := recover(); p != nil {
-			f, ok := p.(fatal)
-			if !ok {
-				panic(p)
-			}
-			err = f
-		}
-		r.close()
-		if err == nil && r.failed != "" {
-			err = fatal(r.failed)
+		if never := lab.Never(recover()); never != "" {
+			err = errors.New(never)
+		} else if all := r.Errors(); len(all) > 0 {
+			err = errors.New(strings.Join(all, "; "))
 		}
 	}()
 	return one(&stage{cfg, ctx, r}, x), nil
