--- a/internal/scale/change.go
+++ b/internal/scale/change.go
@@ -20,6 +20,7 @@
 	Answered time.Duration   // from the first proposal until the proposer was told that it is in force
 	Last     time.Duration   // from the first proposal to the last: what refusals took
 	At       []time.Duration // from the first proposal until it was in force at each gatherer that runs, hollow and real, in order
+	Slowest  string          // where it was in force last
 	Times    int             // it was put in force, over all
 	Refused  []string        // why it was proposed again
 	proposed int64           // first, in Unix microseconds
@@ -75,6 +76,13 @@
 		}
 	}
 	r.t.Logf("version %d answered after %s, of which %s for %d refusals: %v", c.Number, c.Answered.Round(time.Millisecond), c.Last.Round(time.Millisecond), len(c.Refused), c.Refused)
+	took := func(name string, at int64) {
+		d := time.Duration(at-c.proposed) * time.Microsecond
+		if len(c.At) == 0 || d > slices.Max(c.At) {
+			c.Slowest = name
+		}
+		c.At = append(c.At, d)
+	}
 	r.g.Until(fmt.Sprintf("version %d in force everywhere", c.Number), func() (string, bool) {
 		c.At, c.Times = nil, 0
 		missing := ""
@@ -84,7 +92,7 @@
 			case x.Installed == 0 && x.Number < c.Number:
 				missing = x.Name
 			case x.Installed > 0:
-				c.At = append(c.At, time.Duration(x.Installed-c.proposed)*time.Microsecond)
+				took(x.Name, x.Installed)
 				c.Times += x.Times
 			}
 		}
@@ -97,13 +105,14 @@
 				missing = m.Name
 				continue
 			}
-			c.At = append(c.At, time.Duration(at[0]-c.proposed)*time.Microsecond)
+			took(m.Name, at[0])
 			c.Times += len(at)
 		}
 		time.Sleep(50 * time.Millisecond) // between two looks
 		return "missing at " + missing, missing == ""
 	})
 	slices.Sort(c.At)
+	r.t.Logf("version %d is in force at all of %d after %s, last at %s", c.Number, len(c.At), c.Most().Round(time.Millisecond), c.Slowest)
 	return c
 }
 
