Have each region agree by itself and follow a global agreement: the core

Halves of a fleet that can't reach each other refuse for the whole cut, since one half's leases end. With the key region each region's voters now agree among themselves and give its leases; a global agreement decides the line of versions, and its holders are the regions (two-phase commit over replicated groups). Nothing sets regions yet.

--- a/internal/rollout/force.go
+++ b/internal/rollout/force.go
@@ -67,18 +67,21 @@
 		g.Open, s.Open = p.Document.GetNumber(), nil
 		s.Decided, s.Committed = p.Attempt, false
 		s.record(p, false, "the fleet was made anew")
+		if p.Global != 0 && !p.Decided {
+			s.GlobalRefused, s.GlobalReason = p.Global, "the region was made anew"
+		}
 	}
 	if current.GetNumber() > s.number() {
 		s.Previous, s.Current = s.Current, current
 	}
-	if c := s.Current; c != nil {
-		s.Current = &wire.Document{Number: c.Number + forcedVersions, Hash: c.Hash, Text: c.Text, Keep: c.Keep}
+	if c := s.Current; c != nil && s.Region == "" { // a region's numbers are the global agreement's
+		s.Current = &wire.Document{Number: c.Number + forcedVersions, Hash: c.Hash, Text: c.Text, Keep: c.Keep, Parts: c.Parts}
 	}
 	g.Voters = slices.DeleteFunc(votersOf(s.Members), func(v string) bool { return v == name })
 	id := firstID + index + 1
 	s.Change, s.Retired, s.MembersIndex, g.Version = nil, nil, index, s.number()
 	for _, m := range slices.Clone(s.Members) {
-		x := &wire.Member{Name: m.Name, Address: m.Address}
+		x := &wire.Member{Name: m.Name, Address: m.Address, Region: m.Region, Global: m.Global}
 		if m.Name == name {
 			x.Id, x.Identity = id, identity
 		}
--- a/internal/rollout/holder.go
+++ b/internal/rollout/holder.go
@@ -36,6 +36,9 @@
 	Share          share.Bugs
 
 	VoteByName bool // a voter that comes back without its disk votes as the one it was
+
+	HeldUnlogged   bool // a region's held is told to the global agreement before the region's log has it
+	ToldEverywhere bool // a proposer is told that a version is in force in regions that have not said so
 }
 
 // Holder is one gatherer's side: the version in force there, its lease, and the proposal that it judges and holds for. It is not for
@@ -71,6 +74,9 @@
 	known   bool // a word of a leader was taken in since the start
 	want    bool // the version in force is wanted whole
 	judge   bool // the open proposal is wanted whole
+
+	standing *wire.Standing // of the region, as its leader told it last
+	told     int64          // when; 0: never
 }
 
 // Admit decides whether a query may be let in now, and under which version. It allocates nothing. retry is when it may be worth to come
@@ -197,6 +203,9 @@
 		return nil, nil // it was overtaken
 	}
 	h.index, h.known = w.Index, true
+	if w.Standing != nil {
+		h.standing, h.told = w.Standing, now
+	}
 	if w.Nonce == h.nonce || w.Nonce == 0 {
 		h.leader, h.misses = from, 0
 	}
@@ -211,6 +220,7 @@
 		}
 		install = w.Current
 		h.current, h.want, h.keeps = install, false, false
+		h.divide()
 		if h.holding == 0 || w.Decided != h.holding || !w.Committed {
 			h.until = 0 // it did not hold for this one: only a new lease tells that nothing came after it
 		}
--- a/internal/rollout/leader.go
+++ b/internal/rollout/leader.go
@@ -23,7 +23,11 @@
 		v.leads, v.term, v.since, v.heard = true, status.HardState.GetTerm(), now, now
 		v.opened = last // its own first entry came with its election
 		v.lease, v.batches, v.waiting, v.phase, v.attempt = map[string]*grantee{}, map[uint64][]waiter{}, nil, idle, 0
-		v.changing = 0
+		v.changing, v.following, v.rosterOf = 0, 0, 0
+		clear(v.known)
+		if v.up != nil {
+			v.up.lead(now, now+v.cfg.RegionLease+int64(math.Ceil(2*v.cfg.Drift*float64(v.cfg.RegionLease))))
+		}
 		v.books = nil
 		if v.parts != nil {
 			v.books = share.NewBooks(v.term, v.surely(now), v.cfg.Bugs.Share)
@@ -53,8 +57,16 @@
 
 // asked takes a holder's word in, where this one leads. It is answered once leadership is confirmed after it.
 func (v *voter) asked(now int64, from string, identity uint64, a *wire.Ask) {
-	g := v.grantee(from)
-	if g.seen = now; a.Number == g.number || a.Number > g.number {
+	var g *grantee
+	if !v.cfg.global {
+		g = v.grantee(from)
+	} else if g = v.askedGlobal(now, from, identity, a); g == nil {
+		return
+	}
+	if !a.Apart {
+		g.seen = now
+	}
+	if a.Number == g.number || a.Number > g.number {
 		g.number = a.Number
 	}
 	g.identity = identity
@@ -86,23 +98,36 @@
 		}
 		delete(v.batches, r)
 		for _, w := range batch {
-			v.grant(now, w)
+			if w.ask == nil {
+				v.standGlobal(now, w.at)
+			} else {
+				v.grant(now, w)
+			}
 		}
 	}
 }
 
 // grant answers one ask.
 func (v *voter) grant(now int64, w waiter) {
-	word := v.word(w.ask)
+	word := v.word(now, w.ask)
+	if v.cfg.global {
+		g := v.grantee(w.ask.Region)
+		if word.Refusal = v.refusal(g, w.ask); word.Refusal == "" {
+			word.Lease = v.cfg.Lease
+			g.until = max(g.until, v.surely(w.at))
+		}
+		v.out = append(v.out, &wire.Message{From: v.self, To: w.from, Word: word})
+		return
+	}
 	g := v.grantee(w.from)
 	switch {
-	case v.state.member(w.from) == nil:
+	case v.listed(w.from) == nil:
 		word.Refusal = "it is not on the roster"
 	case w.ask.Number != v.state.number():
 		word.Refusal = "it has another version" // the word has it whole
 	case v.phase == judging && now-v.began > v.cfg.Silent && g.ready != v.attempt && g.refused != v.attempt:
 		word.Refusal = "it has not judged the open proposal"
-	case (v.phase == holding || v.phase == closing) && g.ready != v.attempt:
+	case v.holds() && g.ready != v.attempt:
 		word.Refusal = "a change is being put in force"
 	default:
 		word.Lease = v.cfg.Lease
@@ -119,7 +144,7 @@
 	}
 	if v.namesOf != v.state.MembersIndex {
 		v.namesOf, v.names = v.state.MembersIndex, nil
-		for _, m := range v.state.Members {
+		for _, m := range v.roster() {
 			v.names = append(v.names, m.Name)
 		}
 	}
@@ -128,9 +153,15 @@
 }
 
 // word is how everything stands, for one who asks, or for all.
-func (v *voter) word(a *wire.Ask) *wire.Word {
+func (v *voter) word(now int64, a *wire.Ask) *wire.Word {
 	w := &wire.Word{Leader: v.self, Index: v.applied, Number: v.state.number(), Decided: v.state.Decided, Committed: v.state.Committed, Open: v.state.open(),
-		Hold: (v.phase == holding || v.phase == closing) && v.attempt == v.state.open() && v.attempt != 0}
+		Hold: v.holds() && v.attempt == v.state.open() && v.attempt != 0}
+	if v.cfg.global {
+		w.CurrentAttempt, w.Parts = v.state.CurrentAttempt, v.cfg.partsOf(v.state.Current)
+	}
+	if v.up != nil {
+		w.Standing = v.standing(now)
+	}
 	if a == nil {
 		return w
 	}
@@ -138,28 +169,28 @@
 	if a.MembersIndex < v.state.MembersIndex {
 		w.Members, w.MembersIndex = v.state.Members, v.state.MembersIndex
 	}
-	if a.Number != v.state.number() {
+	if a.Number != v.state.number() && (a.Want || !v.cfg.global) {
 		w.Current = v.state.Current
 	}
-	if w.Open != 0 && a.Ready != w.Open && a.Refused != w.Open {
+	if w.Open != 0 && (a.Judge || !v.cfg.global) && a.Ready != w.Open && a.Refused != w.Open {
 		w.Proposed = v.state.Open.Document
 	}
 	return w
 }
 
 // tell sends everybody a word without an ask: who has something to do asks at once.
-func (v *voter) tell(whole bool) {
-	for _, m := range v.state.Members {
-		w := v.word(nil)
+func (v *voter) tell(now int64, whole bool) {
+	for _, m := range v.roster() {
+		w := v.word(now, nil)
 		if g := v.lease[m.Name]; whole && g != nil {
 			if w.Open != 0 && g.ready != w.Open {
 				w.Proposed = v.state.Open.Document
 			}
-			if g.number != w.Number {
+			if g.number != w.Number && !(v.cfg.global && g.held == w.CurrentAttempt) {
 				w.Current = v.state.Current
 			}
 		}
-		v.out = append(v.out, &wire.Message{From: v.self, To: m.Name, Word: w})
+		v.say(m.Name, w)
 	}
 }
 
@@ -180,10 +211,12 @@
 	open := v.state.open()
 	if open != v.attempt {
 		v.attempt, v.began, v.told = open, now, false
-		if v.phase = judging; open == 0 {
+		if v.phase, v.judged = judging, false; open == 0 {
 			v.phase = idle
+		} else if v.state.Open.Prepared {
+			v.phase = prepared // others may count on it: only the global agreement's end, or that of the region's lease, lets it go on
 		} else if open < v.opened { // of a leader before this one: what that one's holders know is not known
-			v.close(now, entryAbort, "the leader was lost")
+			v.close(now, entryAbort, leaderLost)
 		}
 	}
 	if v.state.Change != nil {
@@ -191,34 +224,46 @@
 	}
 	if !v.told {
 		v.told = true
-		v.tell(true)
+		v.tell(now, true)
 	}
 	if v.phase != idle && now-v.retold >= v.cfg.Tick {
 		v.retold = now
-		v.press()
+		v.press(now)
+	}
+	if v.up != nil {
+		v.follow(now)
 	}
 	switch v.phase {
 	case judging:
-		v.judgeAll(now)
+		was := v.judged
+		v.judged = false
+		if v.cfg.global {
+			v.judgeRegions(now)
+		} else {
+			v.judgeAll(now)
+		}
+		if v.up != nil && v.judged && !was {
+			v.up.askAt = now
+		}
 	case holding:
 		v.holdAll(now)
 	}
 }
 
 // press tells those once more that have not done yet what the open proposal wants of them: words get lost.
-func (v *voter) press() {
-	for _, m := range v.state.Members {
+func (v *voter) press(now int64) {
+	for _, m := range v.roster() {
 		g := v.lease[m.Name]
-		if g == nil || v.phase == closing {
+		if g == nil || v.phase >= closing {
 			continue
 		}
-		w := v.word(nil)
-		if v.phase == judging && g.ready != v.attempt && g.refused != v.attempt {
+		w := v.word(now, nil)
+		if v.phase == judging && !v.cfg.global && g.ready != v.attempt && g.refused != v.attempt {
 			w.Proposed = v.state.Open.Document
 		} else if v.phase != holding || g.held == v.attempt {
 			continue
 		}
-		v.out = append(v.out, &wire.Message{From: v.self, To: m.Name, Word: w})
+		v.say(m.Name, w)
 	}
 }
 
@@ -230,7 +275,7 @@
 
 // judgeAll waits until everybody on the roster is ready, or is not to be waited for; one that says no ends it.
 func (v *voter) judgeAll(now int64) {
-	for _, m := range v.state.Members {
+	for _, m := range v.roster() {
 		g := v.grantee(m.Name)
 		if g.refused == v.attempt {
 			v.close(now, entryAbort, m.Name+": "+g.reason)
@@ -244,6 +289,11 @@
 		}
 		return
 	}
+	v.judgedAll(now)
+}
+
+// judgedAll has queries held, where all have judged the open proposal.
+func (v *voter) judgedAll(now int64) {
 	if !v.cfg.Bugs.NoWait && v.surely(v.since) > now {
 		return // a leader before this one may have given leases to others than are on the roster now
 	}
@@ -254,15 +304,19 @@
 		v.close(now, entryAbort, "dry: everybody who is there would take it")
 		return
 	}
+	v.judged = true
+	if v.up != nil && !v.mayHold(now) {
+		return // the other regions judge it as well
+	}
 	v.phase, v.began = holding, now
-	v.tell(false)
+	v.tell(now, false)
 }
 
 // unlisted names one who was taken off the roster, and whose lease may not be over; empty: nobody. Those whose is are forgotten.
 func (v *voter) unlisted(now int64) (who string) {
 	for name, g := range v.lease {
 		switch {
-		case v.state.member(name) != nil:
+		case v.listed(name) != nil:
 		case g.until > now:
 			who = max(who, name)
 		default:
@@ -275,7 +329,7 @@
 // holdAll waits until everybody holds, or is not to be waited for; where the moment runs out that is decided in the log.
 func (v *voter) holdAll(now int64) {
 	silent := v.unlisted(now)
-	for _, m := range v.state.Members {
+	for _, m := range v.roster() {
 		g := v.grantee(m.Name)
 		if g.refused == v.attempt { // its word was late: it is in force nowhere all the same
 			v.close(now, entryAbort, m.Name+": "+g.reason)
@@ -286,6 +340,8 @@
 		}
 	}
 	switch {
+	case silent == "" && v.up != nil && !v.decided():
+		v.prepare(now)
 	case silent == "":
 		v.close(now, entryCommit, "")
 	case now-v.began >= v.cfg.HoldFor*3/4:
@@ -293,10 +349,34 @@
 	}
 }
 
+// leaderLost is why a proposal is aborted that a new leader finds open.
+const leaderLost = "the leader was lost"
+
+// holds tells that the open proposal has come so far that queries are held for it.
+func (v *voter) holds() bool { return v.phase >= holding }
+
+// say sends a word without an ask; to a region it goes by whoever asked for it last.
+func (v *voter) say(to string, w *wire.Word) {
+	if v.cfg.global {
+		if to = v.grantee(to).via; to == "" {
+			return
+		}
+	}
+	v.out = append(v.out, &wire.Message{From: v.self, To: to, Word: w})
+}
+
 // close has the end of the open proposal decided in the log. Where it is lost on the way the next leader decides.
 func (v *voter) close(now int64, kind uint32, reason string) {
-	if v.propose(&wire.Entry{Kind: kind, Attempt: v.attempt, Reason: reason}) == nil {
+	e := &wire.Entry{Kind: kind, Attempt: v.attempt, Reason: reason}
+	if v.cfg.global && kind == entryCommit {
+		e.Parts = v.divided()
+	}
+	if v.up != nil {
+		v.closeRegion(now, e)
+	}
+	if v.propose(e) == nil {
 		v.phase, v.began = closing, now
+		v.aborting, v.why = kind == entryAbort, reason
 		if v.cfg.Bugs.AbortAfter && kind == entryCommit && v.rng.IntN(4) == 0 {
 			v.propose(&wire.Entry{Kind: entryAbort, Attempt: v.attempt})
 		}
@@ -309,7 +389,9 @@
 	if d := v.state.told(p.Nonce); d != nil && v.leads && v.applied >= v.opened {
 		a.End, a.Reason, a.Number = 2, d.Reason, d.Number
 		if d.Committed {
-			a.End = 1
+			if a.End = 1; v.cfg.global && d.What == "" {
+				v.acknowledged(now, d.Number, a)
+			}
 		}
 		return a
 	}
@@ -327,6 +409,10 @@
 	if p.Abort {
 		return v.giveUp(p, a)
 	}
+	if v.cfg.global && p.Keep {
+		a.End, a.Reason = 2, "a version that keeps is not for regions: they go on by themselves"
+		return a
+	}
 	if p.VoterAdd != "" || p.VoterRemove != "" {
 		return v.proposedVoters(now, p, a)
 	}
--- a/internal/rollout/members.go
+++ b/internal/rollout/members.go
@@ -18,14 +18,16 @@
 type Member struct {
 	Name    string
 	Address string // host:port where it agrees on the policy
-	Voter   bool
+	Region  string // empty: the fleet has none
+	Voter   bool   // with regions: in its own region's agreement
+	Global  bool   // with regions: in the global agreement. Where nobody is named for it, all voters are
 }
 
 // firstMembers are the records of the first roster; ids go by the order of names, identities are those that the voters met.
 func firstMembers(members []Member, met map[string]uint64) (all []*wire.Member) {
 	id := uint64(0)
 	for _, m := range slices.SortedFunc(slices.Values(members), func(a, b Member) int { return cmp.Compare(a.Name, b.Name) }) {
-		x := &wire.Member{Name: m.Name, Address: m.Address}
+		x := &wire.Member{Name: m.Name, Address: m.Address, Region: m.Region, Global: m.Global}
 		if m.Voter {
 			id++
 			x.Id, x.Identity = id, met[m.Name]
@@ -93,9 +95,12 @@
 	if d.Reason = s.unfit(e); d.Reason == "" {
 		d.Committed, s.MembersIndex = true, index
 		for _, m := range e.Add {
-			x := &wire.Member{Name: m.Name, Address: m.Address}
+			x := &wire.Member{Name: m.Name, Address: m.Address, Region: m.Region, Global: m.Global}
 			if was := s.member(m.Name); was != nil {
 				x.Id, x.Identity = was.Id, was.Identity
+				if m.Region == "" {
+					x.Region, x.Global = was.Region, was.Global
+				}
 			}
 			s.put(x)
 		}
@@ -112,6 +117,15 @@
 		if m.Name == "" || m.Address == "" {
 			return "it names nobody, or no address"
 		}
+		switch was := s.member(m.Name); {
+		case len(s.Regions) == 0 && s.Region == "" && m.Region != "":
+			return m.Name + " has a region, and the fleet has none"
+		case len(s.Regions) == 0 || m.Region == "" && was != nil:
+		case was != nil && was.Region != m.Region:
+			return m.Name + " is in region " + was.Region + ": take it off the roster first"
+		case !slices.Contains(s.Regions, m.Region):
+			return fmt.Sprintf("%s: there is no region %q", m.Name, m.Region)
+		}
 	}
 	if len(s.Members)+len(e.Add) > mostRoster {
 		return fmt.Sprintf("the roster would have over %d", mostRoster)
@@ -148,7 +162,7 @@
 	if c.Remove != "" {
 		if m := s.voter(c.RemoveId); m != nil {
 			s.Retired = m
-			s.put(&wire.Member{Name: m.Name, Address: m.Address})
+			s.put(&wire.Member{Name: m.Name, Address: m.Address, Region: m.Region, Global: m.Global})
 		}
 	}
 	if c.Add != nil {
--- a/internal/rollout/state.go
+++ b/internal/rollout/state.go
@@ -19,6 +19,8 @@
 	entryRoster
 	entryVoters   // a change of who votes begins
 	entryVotersBe // it ends
+	entryFollow   // of a region: a proposal of the global agreement is followed
+	entryPrepared // of a region: all hold for it
 )
 
 const (
@@ -79,10 +81,24 @@
 		p := s.Open
 		s.Open = nil
 		s.Decided, s.Committed, s.Reason = p.Attempt, e.Kind == entryCommit, e.Reason
+		if !s.Committed && p.Global != 0 && !p.Decided {
+			s.GlobalRefused, s.GlobalReason = p.Global, e.Reason
+		}
 		if s.Committed {
+			if len(e.Parts) > 0 {
+				p.Document.Parts = e.Parts
+			}
 			s.Previous, s.Current, s.CurrentAttempt = s.Current, p.Document, p.Attempt
 		}
 		s.record(p, s.Committed, e.Reason)
+	case entryFollow:
+		if s.Open == nil && whole(e.Document) && e.Document.Number > s.number() {
+			s.Open = &wire.Proposal{Attempt: index, Document: e.Document, By: e.By, Global: e.Global, Decided: e.Decided}
+		}
+	case entryPrepared:
+		if s.open() == e.Attempt {
+			s.Open.Prepared = true
+		}
 	case entryRoster:
 		s.roster(index, &e)
 	case entryVoters:
--- a/internal/rollout/voter.go
+++ b/internal/rollout/voter.go
@@ -20,10 +20,12 @@
 type phase uint8
 
 const (
-	idle    phase = iota
-	judging       // all that hold a lease judge it, or are waited out
-	holding       // all that are ready hold queries
-	closing       // commit or abort is on its way through the log
+	idle      phase = iota
+	judging         // all that hold a lease judge it, or are waited out
+	holding         // all that are ready hold queries
+	closing         // commit or abort is on its way through the log
+	preparing       // of a region: all hold, and that is on its way through the log
+	prepared        // of a region: the log says so; the global agreement's end is waited for
 )
 
 // Save is what a voter's disk has to hold before Saved is called: until then nothing of it may be known to anybody.
@@ -63,6 +65,7 @@
 	heard   int64 // of a leader, or as a leader of a majority
 	elect   int64 // when to stand, where nobody is heard
 
+	up      *follower     // of a region's voters; nil: no other agreement is followed
 	parts   *share.Holder // of this process; nil: budgets are not divided
 	books   *share.Books  // while it leads
 	names   []string      // on the roster, in order,
@@ -89,6 +92,17 @@
 	retold   int64            // when those were pressed last that have not done yet what it wants
 	told     bool             // everybody has been told of it
 	out      []*wire.Message
+
+	judged    bool                // the open proposal is, by all that are waited for
+	aborting  bool                // what closing is on its way: an abort,
+	why       string              // for this reason
+	following uint64              // the entry that follows the global agreement, and is on its way
+	followed  int64               // since when
+	rosterOf  uint64              // the roster there that was compared,
+	rosterIs  uint64              // with this one here
+	list      []*wire.Member      // who may have a lease
+	listOf    uint64              // by this roster
+	known     map[string]*grantee // of the global agreement: whoever made itself known, by name
 }
 
 // grantee is what a leader knows of one gatherer.
@@ -101,6 +115,7 @@
 	number   uint64
 	seen     int64
 	left     bool   // it has said that it lets nothing in any more
+	via      string // of a region: who asked for it last
 	identity uint64 // of its disk
 }
 
@@ -114,6 +129,9 @@
 func firstDisk(cfg Config, met map[string]uint64) (Disk, error) {
 	first := state{}
 	first.Members, first.MembersIndex = firstMembers(cfg.Members, met), 1
+	if first.Region = cfg.Region; cfg.global {
+		first.Region, first.Regions = "", cfg.regions
+	}
 	data, err := proto.Marshal(&first.State)
 	if err != nil {
 		return Disk{}, fmt.Errorf("rollout: first state: %w", err)
@@ -130,7 +148,7 @@
 
 // newVoter makes a voter of its disk. One that was added later and has nothing on it yet learns everything from the leader.
 func newVoter(cfg Config, now int64, rng *rand.Rand, disk Disk) (*voter, error) {
-	v := &voter{cfg: cfg, rng: rng, self: cfg.Name, id: disk.ID, lease: map[string]*grantee{}, batches: map[uint64][]waiter{}, words: map[uint64]int64{}, snaps: map[uint64]int64{},
+	v := &voter{cfg: cfg, rng: rng, known: map[string]*grantee{}, self: cfg.Name, id: disk.ID, lease: map[string]*grantee{}, batches: map[uint64][]waiter{}, words: map[uint64]int64{}, snaps: map[uint64]int64{},
 		storage: raft.NewMemoryStorage(), tickAt: now, heard: now}
 	if snapshot := disk.Snapshot; snapshot != nil {
 		if err := v.storage.ApplySnapshot(snapshot); err != nil {
--- a/internal/rollout/voters.go
+++ b/internal/rollout/voters.go
@@ -65,7 +65,10 @@
 		}
 		return v.alone(now, 0, c.RemoveId)
 	}
-	m, g := v.state.member(p.VoterAdd), v.lease[p.VoterAdd]
+	m, g := v.listed(p.VoterAdd), v.lease[p.VoterAdd]
+	if v.cfg.global {
+		m, g = v.state.member(p.VoterAdd), v.known[p.VoterAdd]
+	}
 	switch {
 	case m == nil:
 		return p.VoterAdd + " is not on the roster"
@@ -78,7 +81,7 @@
 	case p.VoterRemove == "" && len(voters) >= mostVoters:
 		return fmt.Sprintf("there are %d voters already", len(voters))
 	}
-	c.Add = &wire.Member{Name: m.Name, Address: m.Address, Identity: g.identity}
+	c.Add = &wire.Member{Name: m.Name, Address: m.Address, Identity: g.identity, Region: m.Region, Global: m.Global}
 	return v.alone(now, 0, 0)
 }
 
--- a/internal/share/holder.go
+++ b/internal/share/holder.go
@@ -33,7 +33,9 @@
 
 // Holder is one gatherer's side. It is not for several goroutines.
 type Holder struct {
-	slots  uint64
+	total  uint64 // slots of all regions together
+	ppm    uint32 // what this gatherer's region has of every budget; PPM where there are no regions
+	slots  uint64 // among how many that is divided
 	term   uint64 // of the keeper heard of last
 	seq    uint64 // of the grant that it goes by
 	until  int64  // of that
@@ -52,12 +54,39 @@
 }
 
 // NewHolder is one that has nothing but its floor.
-func NewHolder(slots uint64, bugs Bugs) *Holder { return &Holder{slots: slots, bugs: bugs} }
+func NewHolder(slots uint64, bugs Bugs) *Holder {
+	return &Holder{total: slots, slots: slots, ppm: PPM, bugs: bugs}
+}
 
 // Slots says among how many the budgets are divided from now on. What was given for another number is void.
-func (h *Holder) Slots(n uint64) { h.slots = n }
+func (h *Holder) Slots(n uint64) {
+	h.total = n
+	h.slots = (n*uint64(h.ppm) + PPM - 1) / PPM
+}
+
+// Region says what part of every budget is this gatherer's region's, from now on: it is divided among so much of the slots, rounded up. All
+// that is said of parts between a gatherer and its keeper is said of that part.
+func (h *Holder) Region(ppm uint32) {
+	h.ppm = min(ppm, PPM)
+	h.Slots(h.total)
+}
+
+// whole is a part of the region's part as one of the whole budget; regional is what it takes of the region's part, rounded up.
+func (h *Holder) whole(p uint32) uint32 {
+	if h.ppm == PPM {
+		return p
+	}
+	return uint32(uint64(p) * uint64(h.ppm) / PPM)
+}
+
+func (h *Holder) regional(p uint32) uint32 {
+	if h.ppm == PPM || p == 0 {
+		return p
+	}
+	return uint32(min(PPM, (uint64(p)*PPM+uint64(h.ppm)-1)/uint64(max(h.ppm, 1))))
+}
 
-// Among is the number of slots.
+// Among is the number of slots: in this gatherer's region, where there are regions.
 func (h *Holder) Among() uint64 { return h.slots }
 
 // Want says what this gatherer could use; teams that are not named want nothing. The greatest wants are kept where there are too many.
@@ -66,6 +95,13 @@
 		return cmp.Or(cmp.Compare(max(b.Want, b.Used), max(a.Want, a.Used)), cmp.Compare(a.Team, b.Team))
 	})
 	h.demand = all[:min(len(all), MostTeams)]
+	if h.ppm == PPM {
+		return
+	}
+	h.demand = slices.Clone(h.demand)
+	for i, d := range h.demand {
+		h.demand[i].Want, h.demand[i].Used = h.regional(d.Want), h.regional(d.Used)
+	}
 }
 
 // leased tells whether it goes by a grant.
@@ -74,7 +110,9 @@
 }
 
 // Part is what of a team's budget may be used now. It allocates nothing.
-func (h *Holder) Part(now int64, team string) uint32 {
+func (h *Holder) Part(now int64, team string) uint32 { return h.whole(h.part(now, team)) }
+
+func (h *Holder) part(now int64, team string) uint32 {
 	if !h.leased(now) {
 		return Floor(h.slots)
 	}
@@ -86,15 +124,21 @@
 
 // Hungry tells that this gatherer wants more of some team than it has.
 func (h *Holder) Hungry(now int64) bool {
-	return slices.ContainsFunc(h.demand, func(d Demand) bool { return d.Want > h.Part(now, d.Team) })
+	return slices.ContainsFunc(h.demand, func(d Demand) bool { return d.Want > h.part(now, d.Team) })
 }
 
 // Parts is what may be used now: of the teams that are named, and of all others; and until when. The map is not to be changed.
 func (h *Holder) Parts(now int64) (named map[string]uint32, others uint32, until int64) {
 	if !h.leased(now) {
-		return nil, Floor(h.slots), 0
+		return nil, h.whole(Floor(h.slots)), 0
+	}
+	if named = h.parts; h.ppm != PPM {
+		named = make(map[string]uint32, len(h.parts))
+		for team, p := range h.parts {
+			named[team] = h.whole(p)
+		}
 	}
-	return h.parts, Even(h.slots), h.until
+	return named, h.whole(Even(h.slots)), h.until
 }
 
 // Ask words how this gatherer stands.
@@ -109,7 +153,7 @@
 		if d.Want > 0 {
 			a.Wants = append(a.Wants, &wire.Part{Team: d.Team, Ppm: min(d.Want, PPM)})
 		}
-		if has := h.Part(now, d.Team); a.Seq != 0 && d.Used > has {
+		if has := h.part(now, d.Team); a.Seq != 0 && d.Used > has {
 			claims[d.Team] = d.Used // it shrinks as its queries end
 		}
 	}
