Read the region of each gatherer and who votes in the global agreement

The size that is coming has two regions, and the file could name none. rollout.region says where a gatherer is, rollout.members[].region where each is, members[].global who votes on versions; either all have a region or none. Each serving region has one to seven voters; a region of global voters alone is a witness's place. It stands beside members and not in settings: settings go with the policy.

--- a/internal/config/rollout.go
+++ b/internal/config/rollout.go
@@ -14,8 +14,11 @@
 type Rollout struct {
 	Listen      netip.AddrPort
 	Members     map[string]netip.AddrPort // by name; this gatherer among them
-	Voters      []string
-	Lease, Hold time.Duration
+	Voters      []string                  // with regions each in its own region's agreement
+	Region      string                    // of this gatherer; empty: the fleet has none
+	Regions     map[string]string         // by name; nil: there are none
+	Global      []string                  // voters of the global agreement, where any are named; else all voters are
+	Lease, Hold time.Duration             // Hold 0: the rollout's own default
 	Drift       float64
 	Share       bool // budgets of contracts are divided by leases on parts
 }
@@ -33,8 +36,12 @@
 func (o *Operator) rollout(r reader) {
 	r.require("listen", "members")
 	x := &Rollout{Listen: r.addrPort("listen", r.str("listen", "")), Members: map[string]netip.AddrPort{}, Lease: ms(r, "lease_ms", 2000, 200, 60_000),
-		Hold: ms(r, "hold_ms", 200, 20, 5000), Drift: r.float("drift", 0.01), Share: r.boolean("share")}
-	for _, m := range r.array("members") {
+		Drift: r.float("drift", 0.01), Share: r.boolean("share"), Region: r.str("region", "")}
+	if r.has("hold_ms") {
+		x.Hold = ms(r, "hold_ms", 200, 20, 5000)
+	}
+	members := r.array("members")
+	for _, m := range members {
 		m.require("name", "address")
 		name := m.str("name", "")
 		if _, twice := x.Members[name]; twice {
@@ -44,12 +51,14 @@
 			x.Voters = append(x.Voters, name)
 		}
 	}
-	if n := len(x.Voters); n != 1 && n != 3 && n != 5 && n != 7 {
-		r.fault("members", "want 3, 5 or 7 voters (1 to try it out), not %d", n)
-	}
 	if _, ok := x.Members[o.Name]; !ok {
 		r.fault("members", "this gatherer, %q, is not among them", o.Name)
 	}
+	if x.regions(r, members, o.Name); x.Regions == nil {
+		if n := len(x.Voters); n != 1 && n != 3 && n != 5 && n != 7 {
+			r.fault("members", "want 3, 5 or 7 voters (1 to try it out), not %d", n)
+		}
+	}
 	if !(x.Drift > 0 && x.Drift <= 0.1) {
 		r.fault("drift", "want above 0 to 0.1, not %g", x.Drift)
 	}
@@ -60,6 +69,7 @@
 		r.fault("", "it needs a store: what was agreed on has to outlast the process")
 	}
 	slices.Sort(x.Voters)
+	slices.Sort(x.Global)
 	o.Rollout = x
 }
 
