Wire regions into the gatherer, its driver, its door and the policy's commands

The core agrees by region and nothing drove it. The gatherer keeps its vote in the global agreement in the same store under keys of its own (voterLog, one for each agreement), and hands its region on; a store of another region is refused by name. The driver saves both logs beside everything else and logs when a region goes apart and joins.

Parts of budgets: a gatherer's floor is the one its region's keeper reckons with, and what was given is void where the region's part changes, since other regions may have it by the next version.

--- a/cmd/saffronquay/cli.go
+++ b/cmd/saffronquay/cli.go
@@ -22,6 +22,7 @@
 	bad      = 1 // a check failed, or what was asked for could not be done
 	wrongUse = 2
 	noReach  = 3 // what it is about can't be read or reached
+	partly   = 4 // done, but not everywhere
 )
 
 // ended is an end that is not good.
--- a/cmd/saffronquay/cli_policy.go
+++ b/cmd/saffronquay/cli_policy.go
@@ -25,20 +25,22 @@
 
 // proposal is what the flags of propose and adopt say.
 type proposal struct {
-	at    []string
-	base  int64
-	wait  time.Duration
-	dry   bool
-	abort bool
-	keep  bool
-	turn  func(*wire.Propose) // what else it says
-	what  string              // of roster or voters, once it is made; empty: a version
+	at     []string
+	base   int64
+	wait   time.Duration
+	dry    bool
+	abort  bool
+	keep   bool
+	region string              // whose voters are asked; empty: the fleet's, with regions the global agreement's
+	turn   func(*wire.Propose) // what else it says
+	what   string              // of roster or voters, once it is made; empty: a version
 }
 
 func (c *cli) policy() *cobra.Command {
 	parent := &cobra.Command{Use: "policy", Short: "Show the policy's versions, and change them everywhere or nowhere",
-		Long: "A policy (the keys settings, tenants and contracts of the operator's file) takes hold at all gatherers or at none. Exit codes of propose and\n" +
-			"adopt: 0 in force, 1 refused, 3 in doubt: the outcome is not known yet, and 'policy status' tells it.",
+		Long: "A policy (the keys settings, tenants and contracts of the operator's file) takes hold at all gatherers or at none; with regions, while one is\n" +
+			"cut off, in the others. Exit codes of propose, adopt and revert: 0 in force, with regions in all of them, 1 refused, 3 in doubt: the outcome is\n" +
+			"not known yet, and 'policy status' tells it, 4 in force, but in some regions only.",
 		Example: "  saffronquay policy status --door 127.0.0.1:9401\n  saffronquay policy propose new.json --door 127.0.0.1:9401 --file deploy/rollout.json"}
 	parent.AddCommand(&cobra.Command{Use: "status", Short: "Show the version in force, what was decided and, at the leader, how each gatherer stands", Args: cobra.NoArgs,
 		Example: "  saffronquay policy status --door 127.0.0.1:9401", RunE: func(*cobra.Command, []string) error {
@@ -251,12 +253,38 @@
 	if op.Rollout == nil {
 		return nil, failed(errors.New("the file sets up no rollout"))
 	}
-	for _, name := range op.Rollout.Voters {
+	names := op.Rollout.Voters
+	if p.region != "" {
+		names = slices.DeleteFunc(slices.Clone(names), func(name string) bool { return op.Rollout.Regions[name] != p.region })
+		if len(names) == 0 {
+			return nil, failed(fmt.Errorf("nobody votes in region %q, by the file", p.region))
+		}
+	} else if len(op.Rollout.Global) > 0 {
+		names = op.Rollout.Global
+	}
+	for _, name := range names {
 		all = append(all, op.Rollout.Members[name])
 	}
 	return all, nil
 }
 
+// inForce tells that a version is in force: where there are no regions, or all have said so, everywhere; else in which.
+func (c *cli) inForce(a *wire.Answer) error {
+	v, line := map[string]any{"in_force": true, "number": a.Number}, fmt.Sprintf("version %d is in force", a.Number)
+	of := len(a.InForce) + len(a.Apart)
+	if of > 0 {
+		v["regions"], v["apart"] = append([]string{}, a.InForce...), append([]string{}, a.Apart...)
+		line += fmt.Sprintf(" in %d of %d regions: %s", len(a.InForce), of, strings.Join(a.InForce, ", "))
+	}
+	if len(a.Apart) > 0 {
+		line += "; not in " + strings.Join(a.Apart, ", ") + ", as far as is known: it takes hold there when they are joined again"
+	}
+	if err := c.tell(v, func(w io.Writer) { fmt.Fprintln(w, line) }); err != nil || len(a.Apart) == 0 {
+		return err
+	}
+	return &ended{code: partly}
+}
+
 // propose sends a proposal to one voter after the other until one that leads takes it, and waits for its end.
 func (c *cli) propose(p proposal, text []byte) error {
 	voters, err := c.voters(p)
@@ -305,7 +333,7 @@
 			if p.what != "" {
 				return c.tell(map[string]any{"ok": true, "what": p.what}, func(w io.Writer) { fmt.Fprintln(w, p.what) })
 			}
-			return c.tell(map[string]any{"in_force": true, "number": answer.Number}, func(w io.Writer) { fmt.Fprintf(w, "version %d is in force\n", answer.Number) })
+			return c.inForce(answer)
 		case 2:
 			if p.dry && strings.HasPrefix(answer.Reason, "dry: ") {
 				return c.tell(map[string]any{"good": true}, func(w io.Writer) { fmt.Fprintln(w, "good:", strings.TrimPrefix(answer.Reason, "dry: ")) })
--- a/cmd/saffronquay/cli_voters.go
+++ b/cmd/saffronquay/cli_voters.go
@@ -17,8 +17,7 @@
 )
 
 // proposes has a command propose something, with the flags that say to whom and for how long.
-func (c *cli) proposes(cmd *cobra.Command, of func(words []string) (turn func(*wire.Propose), made string, err error)) *cobra.Command {
-	p := &proposal{}
+func (c *cli) proposes(p *proposal, cmd *cobra.Command, of func(words []string) (turn func(*wire.Propose), made string, err error)) *cobra.Command {
 	cmd.Flags().StringSliceVar(&p.at, "at", nil, "where voters agree on the policy (default: what the file says)")
 	cmd.Flags().DurationVar(&p.wait, "wait", 30*time.Second, "how long to wait for the end")
 	cmd.RunE = func(_ *cobra.Command, words []string) (err error) {
@@ -61,20 +60,37 @@
 					case of["voter"] == "true":
 						word = "votes"
 					}
+					if of["region"] != "" {
+						word += ", region " + of["region"]
+					}
+					if of["global"] == "true" {
+						word += ", votes in the global agreement"
+					}
 					fmt.Fprintf(w, "%s at %s %s\n", of["name"], of["address"], word)
 				}
 			})
 		}}
-	parent.AddCommand(c.proposes(&cobra.Command{Use: "add NAME", Short: "Have a gatherer of the roster vote", Args: cobra.ExactArgs(1),
-		Example: "  saffronquay policy voters add cordoba-4 --file deploy/rollout.json"}, func(w []string) (func(*wire.Propose), string, error) {
-		return func(x *wire.Propose) { x.VoterAdd = w[0] }, w[0] + " votes", nil
-	}), c.proposes(&cobra.Command{Use: "remove NAME", Short: "Take a vote, where more than three vote", Args: cobra.ExactArgs(1),
-		Example: "  saffronquay policy voters remove cordoba-4 --file deploy/rollout.json"}, func(w []string) (func(*wire.Propose), string, error) {
-		return func(x *wire.Propose) { x.VoterRemove = w[0] }, w[0] + " votes no more", nil
-	}), c.proposes(&cobra.Command{Use: "replace OLD [NEW]", Short: "Have one vote in the place of another, or of itself where it lost its disk", Args: cobra.RangeArgs(1, 2),
-		Example: "  saffronquay policy voters replace cordoba-2 --file deploy/rollout.json"}, func(w []string) (func(*wire.Propose), string, error) {
-		old, now := w[0], w[len(w)-1]
-		return func(x *wire.Propose) { x.VoterRemove, x.VoterAdd = old, now }, now + " votes in the place of " + old, nil
+	// change is a change of who votes: in one region's agreement, or in the one that decides versions.
+	change := func(cmd *cobra.Command, of func(words []string) (add, remove, made string)) *cobra.Command {
+		p := &proposal{}
+		cmd.Flags().StringVar(&p.region, "region", "", "whose voters, where there are regions (default: the voters of the global agreement)")
+		return c.proposes(p, cmd, func(w []string) (func(*wire.Propose), string, error) {
+			add, remove, made := of(w)
+			if p.region != "" {
+				made += " in region " + p.region
+			}
+			return func(x *wire.Propose) { x.VoterAdd, x.VoterRemove, x.Region = add, remove, p.region }, made, nil
+		})
+	}
+	parent.AddCommand(change(&cobra.Command{Use: "add NAME", Short: "Have a gatherer of the roster vote", Args: cobra.ExactArgs(1),
+		Example: "  saffronquay policy voters add cordoba-4 --file deploy/rollout.json"}, func(w []string) (add, remove, made string) {
+		return w[0], "", w[0] + " votes"
+	}), change(&cobra.Command{Use: "remove NAME", Short: "Take a vote, where more than three vote", Args: cobra.ExactArgs(1),
+		Example: "  saffronquay policy voters remove cordoba-4 --file deploy/rollout.json"}, func(w []string) (add, remove, made string) {
+		return "", w[0], w[0] + " votes no more"
+	}), change(&cobra.Command{Use: "replace OLD [NEW]", Short: "Have one vote in the place of another, or of itself where it lost its disk", Args: cobra.RangeArgs(1, 2),
+		Example: "  saffronquay policy voters replace cordoba-2 --file deploy/rollout.json"}, func(w []string) (add, remove, made string) {
+		return w[len(w)-1], w[0], w[len(w)-1] + " votes in the place of " + w[0]
 	}))
 	return parent
 }
@@ -84,16 +100,20 @@
 	parent := &cobra.Command{Use: "roster", Short: "Change who takes part: only who is on the roster gets a lease",
 		Example: "  saffronquay policy roster add cordoba-4 127.0.0.1:9480 --file deploy/rollout.json"}
 	var gone bool
+	var region string
 	remove := &cobra.Command{Use: "remove NAME", Short: "Take a gatherer that does not vote off the roster", Args: cobra.ExactArgs(1),
 		Example: "  saffronquay policy roster remove cordoba-4 --file deploy/rollout.json"}
 	remove.Flags().BoolVar(&gone, "gone", false, "it surely does not run any more; wanted where the version in force keeps")
-	parent.AddCommand(c.proposes(&cobra.Command{Use: "add NAME HOST:PORT", Short: "Put a gatherer on the roster, or give it another address", Args: cobra.ExactArgs(2),
-		Example: "  saffronquay policy roster add cordoba-4 127.0.0.1:9480 --file deploy/rollout.json"}, func(w []string) (func(*wire.Propose), string, error) {
+	add := &cobra.Command{Use: "add NAME HOST:PORT", Short: "Put a gatherer on the roster, or give it another address", Args: cobra.ExactArgs(2),
+		Example: "  saffronquay policy roster add cordoba-4 127.0.0.1:9480 --file deploy/rollout.json\n" +
+			"  saffronquay policy roster add rosario-4 127.0.0.1:9580 --region este --file deploy/regions.json"}
+	add.Flags().StringVar(&region, "region", "", "where it is, where there are regions; wanted of a new one")
+	parent.AddCommand(c.proposes(&proposal{}, add, func(w []string) (func(*wire.Propose), string, error) {
 		if _, err := netip.ParseAddrPort(w[1]); err != nil {
 			return nil, "", fmt.Errorf("want an address and a port: %w", err)
 		}
-		return func(x *wire.Propose) { x.Add = []*wire.Member{{Name: w[0], Address: w[1]}} }, w[0] + " is on the roster", nil
-	}), c.proposes(remove, func(w []string) (func(*wire.Propose), string, error) {
+		return func(x *wire.Propose) { x.Add = []*wire.Member{{Name: w[0], Address: w[1], Region: region}} }, w[0] + " is on the roster", nil
+	}), c.proposes(&proposal{}, remove, func(w []string) (func(*wire.Propose), string, error) {
 		return func(x *wire.Propose) { x.Remove, x.Gone = []string{w[0]}, gone }, w[0] + " is off the roster", nil
 	}))
 	return parent
--- a/internal/events/names.go
+++ b/internal/events/names.go
@@ -25,9 +25,11 @@
 	PeersReckon      Name = "peers_reckon"
 	Reload           Name = "reload"
 	Rollout          Name = "rollout"
+	RolloutApart     Name = "rollout_apart"
 	RolloutFails     Name = "rollout_fails"
 	RolloutHolds     Name = "rollout_holds"
 	RolloutInForce   Name = "rollout_in_force"
+	RolloutJoined    Name = "rollout_joined"
 	RolloutRefused   Name = "rollout_refused"
 	RolloutRoster    Name = "rollout_roster"
 	Start            Name = "start"
@@ -76,9 +78,11 @@
 	PeersReckon:      {"members", "divide"},
 	Reload:           {"kept", "error", "note", "classes", "discovery", "servers", "layout"},
 	Rollout:          {"listen", "number", "members", "founding"},
+	RolloutApart:     {"region", "number", "for"},
 	RolloutFails:     {"what", "error"},
 	RolloutHolds:     {"on", "number"},
 	RolloutInForce:   {"number"},
+	RolloutJoined:    {"region", "number", "newest"},
 	RolloutRefused:   {"error"},
 	RolloutRoster:    {"members", "index"},
 	Start:            {"name", "listen", "operator", "servers", "layout", "waited", "list"},
@@ -107,4 +111,4 @@
 
 // often are the events that may come by the thousand: of each, so many a second are written, and then how many were not.
 var often = map[Name]int{VrrpDiscard: 5, VrrpRead: 5, VrrpSend: 5, Accept: 5, DoorAccept: 5, Note: 20, StoreFails: 5,
-	Peer: 100, PeerDropped: 5, PeerNap: 2}
+	Peer: 100, PeerDropped: 5, PeerNap: 2, RolloutApart: 2, RolloutJoined: 2}
--- a/internal/gatherer/force.go
+++ b/internal/gatherer/force.go
@@ -27,7 +27,7 @@
 		return given, err
 	}
 	defer d.store.Close()
-	h := &policyHost{store: d.store}
+	h := newPolicyHost(nil, d.store)
 	memory, err := h.recall()
 	if err != nil {
 		return given, fmt.Errorf("rollout: %w", err)
@@ -41,6 +41,10 @@
 	if err := proto.Unmarshal(disk.Snapshot.Data, &s); err != nil {
 		return given, err
 	}
+	// A vote in the global agreement is by the old identity, so it is as one whose disk is lost.
+	if err := h.global.drop(); err != nil {
+		return given, fmt.Errorf("rollout: %w", err)
+	}
 	// The new disk's records first, by which nobody goes yet; then who votes by them.
 	if err := h.Save(&rollout.Save{ID: disk.ID, Hard: disk.Hard, Snapshot: disk.Snapshot}); err != nil {
 		return given, fmt.Errorf("rollout: %w", err)
@@ -48,7 +52,7 @@
 	if err := h.Roster(&wire.State{Members: s.Members, MembersIndex: s.MembersIndex}); err != nil {
 		return given, fmt.Errorf("rollout: %w", err)
 	}
-	if err := h.write(store.Record{Kind: store.Rollout, Key: keyIdentity, Value: binary.BigEndian.AppendUint64(nil, identity)}); err != nil {
+	if err := write(d.store, store.Record{Kind: store.Rollout, Key: keyIdentity, Value: binary.BigEndian.AppendUint64(nil, identity)}); err != nil {
 		return given, errors.Join(errors.New("rollout: the new identity is not on disk: do it again"), err)
 	}
 	return given, nil
--- a/internal/gatherer/parts.go
+++ b/internal/gatherer/parts.go
@@ -14,6 +14,7 @@
 type parts struct {
 	tick     *time.Ticker
 	slots    uint64
+	ppm      uint32 // what this gatherer's region has of everything; share.PPM where there are no regions
 	named    map[string]uint32
 	others   uint32
 	lows     map[string]low
@@ -29,13 +30,35 @@
 // division is what this gatherer may use, as it was told.
 type division struct {
 	slots  uint64
+	ppm    uint32
 	named  map[string]uint32
 	others uint32
 	ok     bool
 }
 
-func newParts(slots uint64) *parts {
-	return &parts{tick: time.NewTicker(partsEvery), slots: slots, others: share.Floor(slots), told: make(chan division, 1)}
+func newParts(slots uint64, ppm uint32) *parts {
+	p := &parts{tick: time.NewTicker(partsEvery), slots: slots, ppm: ppm, told: make(chan division, 1)}
+	p.others = p.floor(slots)
+	return p
+}
+
+// floor is the part without a lease, among so many: the one that the keeper of the books in this gatherer's region reckons with.
+func (p *parts) floor(slots uint64) uint32 {
+	h := share.NewHolder(slots, share.Bugs{})
+	h.Region(p.ppm)
+	_, floor, _ := h.Parts(0)
+	return floor
+}
+
+// region says what this gatherer's region has of everything from now on. What was given for another part of it is void: the region's keeper
+// may give it to others at once, and the other regions get theirs when this one has a version by which it has less.
+func (p *parts) region(ppm uint32) (changed bool) {
+	if p == nil || ppm == p.ppm {
+		return false
+	}
+	p.ppm, p.named = ppm, nil
+	p.others = p.floor(p.slots)
+	return true
 }
 
 // answers is where what came of a look is told; nil where budgets are not divided.
@@ -64,7 +87,7 @@
 func (p *parts) of(slots uint64) func(team string) float64 {
 	named, others := p.named, p.others
 	if slots != p.slots {
-		named, others = nil, share.Floor(slots)
+		named, others = nil, p.floor(slots)
 	}
 	return func(team string) float64 {
 		if part, ok := named[team]; ok {
@@ -91,7 +114,7 @@
 	}
 	named, others := p.named, float64(p.others)/share.PPM
 	if uint64(c.Gatherers) != p.slots {
-		named, others = nil, float64(share.Floor(uint64(c.Gatherers)))/share.PPM
+		named, others = nil, float64(p.floor(uint64(c.Gatherers)))/share.PPM
 	}
 	all := others
 	for team, part := range named {
@@ -100,7 +123,8 @@
 	return max(all, 1e-6)
 }
 
-// aggregators is among how many the bound on cold servers is divided here: rounded up, so that all together stay within it.
+// aggregators is among how many the bound on cold servers is divided here: rounded up, so that all together stay within it. Parts are of the
+// whole also where there are regions, so the bound is the whole fleet's, and not a region's.
 func (p *parts) aggregators(c *contract.Config) int { return int(math.Ceil(1/p.ofAll(c) - 1e-9)) }
 
 // low is the least part that this gatherer had of a team's budget for a window at least, and two at most.
@@ -165,9 +189,9 @@
 		return
 	}
 	p.asks = true
-	slots := uint64(op.Contracts.Gatherers)
+	slots, ppm := uint64(op.Contracts.Gatherers), p.ppm
 	go func() {
-		d := division{slots: slots}
+		d := division{slots: slots, ppm: ppm}
 		d.named, d.others, d.ok = policy.Divide(p.demands(g.engine.Accounts(1<<20), slots), partsEarly)
 		p.told <- d
 	}()
@@ -177,7 +201,7 @@
 func (g *Gatherer) redivideParts(d division) {
 	p := g.parts
 	p.asks = false
-	if g.contracts == nil || !d.ok {
+	if g.contracts == nil || !d.ok || d.ppm != p.ppm { // asked before the region's part changed: the next look tells
 		return
 	}
 	same := p.slots == d.slots && p.others == d.others && maps.Equal(p.named, d.named)
--- a/internal/gatherer/parts_test.go
+++ b/internal/gatherer/parts_test.go
@@ -15,7 +15,7 @@
 
 // Over random divisions the bounds on cold servers of all gatherers come to one at most; with even parts each has its even one.
 func TestColdServersAreDivided(t *testing.T) {
-	even := newParts(4)
+	even := newParts(4, share.PPM)
 	even.others = share.Even(4)
 	if n := even.aggregators(tree); n != 4 {
 		t.Errorf("even parts: among %d", n)
@@ -25,7 +25,7 @@
 		left := map[string]uint32{"a": share.PPM, "b": share.PPM, "c": share.PPM}
 		sum := 0.0
 		for range 4 {
-			p := newParts(4)
+			p := newParts(4, share.PPM)
 			p.named, p.others = map[string]uint32{}, share.Even(4)
 			for team, l := range left {
 				part := uint32(rng.Float64() * float64(l))
@@ -45,7 +45,7 @@
 	all := map[string]broker.Budget{"a": {Free: 12, Window: window}}
 	for seed := range uint64(200) {
 		rng := rand.New(rand.NewPCG(seed, 2))
-		two := []*parts{newParts(4), newParts(4)}
+		two := []*parts{newParts(4, share.PPM), newParts(4, share.PPM)}
 		extras := [2][]float64{} // when each spent one
 		to, next := 0, int64(0)
 		for now := int64(1); now < 120_000_000; now += 250_000 {
@@ -87,7 +87,7 @@
 }
 
 func TestDemands(t *testing.T) {
-	p := newParts(4)
+	p := newParts(4, share.PPM)
 	p.others = share.Even(4)
 	got := p.demands([]contract.Account{{Team: "idle", Budget: 10}, {Team: "works", Budget: 10, Out: 2}, {Team: "waits", Budget: 10, Out: 2, Queued: 3}}, 4)
 	if len(got) != 2 || got[0] != (share.Demand{Team: "works", Want: 200_000, Used: 200_000}) || got[1].Want != 500_000 || math.Abs(float64(got[1].Used)-200_000) > 1 {
--- a/internal/gatherer/policy_test.go
+++ b/internal/gatherer/policy_test.go
@@ -14,6 +14,7 @@
 	"saffronquay/internal/peers"
 	"saffronquay/internal/rollout"
 	"saffronquay/internal/rollout/wire"
+	"saffronquay/internal/share"
 	"saffronquay/internal/store"
 )
 
@@ -34,7 +35,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	h := &policyHost{store: s}
+	h := newPolicyHost(nil, s)
 	if err := h.identify(); err != nil {
 		t.Fatal(err)
 	}
@@ -135,7 +136,7 @@
 // begins nothing: neither VRRP's election nor a part in a view. Guards sums that others reckon with against one that lets go late.
 func TestAnEndingGathererAttends(t *testing.T) {
 	for _, ending := range []bool{false, true} {
-		g := &Gatherer{parts: newParts(3), turn: make(chan struct{}, 1), late: make(chan *members, 1), term: make(chan struct{}),
+		g := &Gatherer{parts: newParts(3, share.PPM), turn: make(chan struct{}, 1), late: make(chan *members, 1), term: make(chan struct{}),
 			hup: make(chan struct{}, 1)}
 		defer g.parts.tick.Stop()
 		g.parts.asks = true
--- /dev/null
+++ b/internal/gatherer/regions_test.go
@@ -0,0 +1,144 @@
+package gatherer
+
+import (
+	"math/rand/v2"
+	"strings"
+	"testing"
+
+	pb "go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
+
+	"saffronquay/internal/config"
+	"saffronquay/internal/rollout"
+	"saffronquay/internal/rollout/wire"
+	"saffronquay/internal/share"
+)
+
+// The votes of one gatherer in its region's agreement and in the global one are kept apart, under the same ids and indexes; each is cut to a
+// snapshot, and taken away, without the other.
+func TestTwoVotesAreKeptApart(t *testing.T) {
+	dirs := [2]string{t.TempDir(), t.TempDir()}
+	s, h, _ := kept(t, dirs)
+	entry := func(i uint64, data string) *pb.Entry {
+		return &pb.Entry{Index: proto.Uint64(i), Term: proto.Uint64(1), Data: []byte(data)}
+	}
+	hard := func(commit uint64) *pb.HardState {
+		return &pb.HardState{Term: proto.Uint64(1), Vote: proto.Uint64(2), Commit: proto.Uint64(commit)}
+	}
+	for _, err := range []error{
+		h.Save(&rollout.Save{Met: map[string]uint64{"a": 1}}),
+		h.SaveGlobal(&rollout.Save{Met: map[string]uint64{"a": 1, "x": 9}}),
+		h.Save(&rollout.Save{ID: 3, Entries: []*pb.Entry{entry(1, "own"), entry(2, "own")}, Hard: hard(2)}),
+		h.SaveGlobal(&rollout.Save{ID: 2, Entries: []*pb.Entry{entry(1, "global"), entry(2, "global"), entry(3, "global")}, Hard: hard(3)}),
+		h.SnapshotGlobal(rollout.Disk{ID: 2, Snapshot: &pb.Snapshot{Data: []byte("s"), Metadata: &pb.SnapshotMetadata{Index: proto.Uint64(2), Term: proto.Uint64(1)}}}),
+		h.Roster(&wire.State{Members: []*wire.Member{{Name: "a", Region: "oeste"}}, MembersIndex: 4}),
+	} {
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	again := func() rollout.Memory {
+		t.Helper()
+		s.Close()
+		var m rollout.Memory
+		s, h, m = kept(t, dirs)
+		return m
+	}
+	m := again()
+	if d := m.Disk; d.ID != 3 || d.Snapshot != nil || len(d.Entries) != 2 || string(d.Entries[1].Data) != "own" || d.Hard.GetCommit() != 2 || len(m.Met) != 1 {
+		t.Errorf("own: %+v, met %v", d, m.Met)
+	}
+	if d := m.Global.Disk; d.ID != 2 || string(d.Snapshot.GetData()) != "s" || len(d.Entries) != 1 || string(d.Entries[0].Data) != "global" || len(m.Global.Met) != 2 {
+		t.Errorf("global: %+v, met %v", d, m.Global.Met)
+	}
+	// Another id in one of them makes void what that one has, and nothing of the other.
+	if err := h.SaveGlobal(&rollout.Save{ID: 77, Hard: hard(0)}); err != nil {
+		t.Fatal(err)
+	}
+	if m = again(); m.Global.Disk.ID != 77 || len(m.Global.Disk.Entries) != 0 || m.Global.Disk.Snapshot != nil || len(m.Disk.Entries) != 2 {
+		t.Errorf("%+v and %+v", m.Global.Disk, m.Disk)
+	}
+	if err := h.global.drop(); err != nil {
+		t.Fatal(err)
+	}
+	if m = again(); m.Global.Disk.ID != 0 || m.Global.Met != nil || len(m.Disk.Entries) != 2 || len(m.Met) != 1 || m.Identity == 0 {
+		t.Errorf("after one was taken away: %+v", m)
+	}
+	s.Close()
+	// A store of another region, or of none, is not taken up.
+	r := &config.Rollout{Region: "oeste"}
+	if err := sameRegion(r, "a", m); err != nil {
+		t.Error(err)
+	}
+	for _, r.Region = range []string{"este", ""} {
+		if err := sameRegion(r, "a", m); err == nil || !strings.Contains(err.Error(), "empty store") {
+			t.Errorf("%q: %v", r.Region, err)
+		}
+	}
+}
+
+// A region has what the version says, and before any says it its share of the first roster, as the core reckons.
+func TestRegionPart(t *testing.T) {
+	r := &config.Rollout{Region: "este", Voters: []string{"a", "d"}, Regions: map[string]string{"a": "oeste", "b": "oeste", "c": "oeste", "d": "este", "w": "norte"}}
+	parts := &wire.Document{Parts: []*wire.Part{{Region: "oeste", Ppm: 600_000}, {Region: "este", Ppm: 100_000}}}
+	for _, c := range []struct {
+		region string
+		doc    *wire.Document
+		want   uint32
+	}{{"este", nil, 250_000}, {"oeste", nil, 750_000}, {"norte", nil, 0}, {"este", parts, 100_000}, {"norte", parts, 0}, {"", parts, share.PPM}} {
+		if r.Region = c.region; regionPart(r, c.doc) != c.want {
+			t.Errorf("%q: %d, want %d", c.region, regionPart(r, c.doc), c.want)
+		}
+	}
+	if regionPart(nil, nil) != share.PPM {
+		t.Error("without a rollout")
+	}
+}
+
+// Over random parts of two regions, and random parts within them, the bounds on cold servers of all gatherers come to one at most, and so do
+// their floors to what is kept back for them.
+func TestColdServersOverRegions(t *testing.T) {
+	for seed := range uint64(300) {
+		rng := rand.New(rand.NewPCG(seed, 3))
+		west := uint32(250_000 * (1 + rng.IntN(3)))
+		sum, floors := 0.0, uint32(0)
+		for _, ppm := range []uint32{west, share.PPM - west} {
+			left := map[string]uint32{"a": ppm, "b": ppm, "c": ppm}
+			for range 4 * ppm / share.PPM {
+				p := newParts(4, ppm)
+				floors += p.floor(4)
+				p.named, p.others = map[string]uint32{}, share.Even(4)
+				for team, l := range left {
+					part := uint32(rng.Float64() * float64(l))
+					p.named[team], left[team] = part, l-part
+				}
+				sum += 1 / float64(p.aggregators(tree))
+			}
+		}
+		if sum > 1+1e-9 || floors > share.Reserve {
+			t.Errorf("seed %d: the bounds come to %.4f of the whole, the floors to %d", seed, sum, floors)
+		}
+	}
+}
+
+// Where a region's part changes, what its gatherers were given before is void at once, also where it is told only then.
+func TestRegionPartChanges(t *testing.T) {
+	g := &Gatherer{parts: newParts(4, 500_000)}
+	defer g.parts.tick.Stop()
+	g.contracts = tree
+	p := g.parts
+	p.named, p.others = map[string]uint32{"a": 400_000}, 100_000
+	if p.region(500_000) || p.of(4)("a") != 0.4 {
+		t.Errorf("nothing has changed: %v", p.of(4)("a"))
+	}
+	if !p.region(250_000) || p.of(4)("a") != float64(p.floor(4))/share.PPM || p.floor(4) > share.Floor(4) {
+		t.Errorf("half as much: %v", p.of(4)("a"))
+	}
+	g.redivideParts(division{slots: 4, ppm: 500_000, named: map[string]uint32{"a": 400_000}, others: 100_000, ok: true})
+	if p.named != nil || p.asks {
+		t.Errorf("what was asked before is in force: %v", p.named)
+	}
+	if (*parts)(nil).region(1) {
+		t.Error("budgets that are not divided have changed")
+	}
+}
--- /dev/null
+++ b/internal/gatherer/standing.go
@@ -0,0 +1,146 @@
+package gatherer
+
+import (
+	"fmt"
+	"strconv"
+
+	"saffronquay/internal/operations"
+	"saffronquay/internal/rollout"
+	"saffronquay/internal/rollout/wire"
+)
+
+func (g *Gatherer) rolloutFigures() (f operations.RolloutFigures) {
+	p := g.policy.Load()
+	if p == nil {
+		return f // not yet
+	}
+	yes := map[bool]int64{true: 1}
+	got := make(chan operations.RolloutFigures, 1)
+	if p.Status(func(n *rollout.Node, now int64) {
+		v, _, _ := n.Admit(now)
+		f := operations.RolloutFigures{Number: int64(n.Number()), Admits: yes[v == rollout.Let], Holding: yes[n.Holding()], LeaseMs: max(0, n.Lease()-now) / 1000, Leads: yes[n.Leads()]}
+		if r, are := n.Region(now); are {
+			f.Region = &operations.RegionFigures{Behind: int64(r.Newest - r.Number), ApartMs: r.Apart / 1000, Leads: yes[n.GlobalLeads()]}
+		}
+		got <- f
+	}) == nil {
+		f = <-got
+	}
+	f.Traffic = trafficFigures(p.Traffic())
+	return f // nought where it is late
+}
+
+// Policy appends how the policy stands: a line of this gatherer, what was decided, and on the leader a line for each gatherer.
+func (d desk) Policy(dst []byte) []byte {
+	p := d.policy()
+	if p == nil {
+		return nil
+	}
+	got := make(chan []byte, 1)
+	err := p.Status(func(n *rollout.Node, now int64) {
+		var dst []byte
+		v, number, _ := n.Admit(now)
+		ready, refused, reason := n.Verdicts()
+		hash := ""
+		if doc := n.Current(); doc != nil {
+			hash = fmt.Sprintf("%x", doc.Hash)
+		}
+		dst = fmt.Appendf(dst, "policy number=%d hash=%s admits=%s lease_ms=%d keeps=%t holding=%t leader=%s leads=%t ready=%d refused=%d reason=%s open=%d founding=%t lost_disk=%t\n",
+			max(number, n.Number()), hash, v, max(0, n.Lease()-now)/1000, n.Keeps(), n.Holding(), n.Leader(), n.Leads(), ready, refused, strconv.Quote(reason), n.Open(), n.Founding(), n.Stranger())
+		r, are := n.Region(now)
+		if are {
+			dst = regionLine(dst, n, r, now)
+		}
+		for _, m := range n.Members() {
+			dst = fmt.Appendf(dst, "member name=%s address=%s voter=%t id=%d", m.Name, m.Address, m.Id != 0, m.Id)
+			if are {
+				dst = fmt.Appendf(dst, " region=%s global=%t", m.Region, m.Global)
+			}
+			dst = append(dst, '\n')
+		}
+		dst = decisionLines(dst, n, r, are)
+		for _, x := range n.Grants() {
+			dst = fmt.Appendf(dst, "holder name=%s number=%d lease_ms=%d seen_ms=%d ready=%d held=%d refused=%d voter=%t lost_disk=%t left=%t reason=%s\n", x.Name, x.Number, max(0, x.Until-now)/1000, seen(x, now),
+				x.Ready, x.Held, x.Refused, x.Voter, x.Lost, x.Left, strconv.Quote(x.Reason))
+		}
+		for _, x := range n.GlobalGrants() {
+			dst = fmt.Appendf(dst, "region_holder name=%s number=%d lease_ms=%d seen_ms=%d ready=%d held=%d refused=%d reason=%s\n", x.Name, x.Number, max(0, x.Until-now)/1000, seen(x, now),
+				x.Ready, x.Held, x.Refused, strconv.Quote(x.Reason))
+		}
+		got <- dst
+	})
+	if err != nil {
+		return nil
+	}
+	return append(dst, <-got...)
+}
+
+// regionLine tells how this gatherer's region stands with the others. What was decided beyond a cut is not known: behind is at least so much.
+func regionLine(dst []byte, n *rollout.Node, r rollout.Region, now int64) []byte {
+	asked := int64(-1)
+	if r.Asked >= 0 {
+		asked = r.Asked / 1000
+	}
+	reason := r.Reason
+	if r.Apart > 0 && reason == "" {
+		reason = "no lease: the voters of the global agreement are not reached, or not a majority of them"
+	}
+	return fmt.Appendf(dst, "region name=%s number=%d newest=%d behind=%d apart=%t apart_ms=%d lease_ms=%d asked_ms=%d global_leader=%s global_leads=%t global_votes=%t global_open=%d reason=%s\n",
+		r.Name, r.Number, r.Newest, r.Newest-r.Number, r.Apart > 0, r.Apart/1000, max(0, r.Until-now)/1000, asked, r.Leader, n.GlobalLeads(), n.GlobalVotes(), n.GlobalOpen(), strconv.Quote(reason))
+}
+
+// decisionLines tell what was decided: without regions all that a voter knows; with them what the global agreement has decided where this
+// gatherer votes in it, else what its region has, and in both cases changes of who votes in the region.
+func decisionLines(dst []byte, n *rollout.Node, r rollout.Region, are bool) []byte {
+	tell := func(all []*wire.Decision, region string, such func(*wire.Decision) bool) {
+		for _, x := range all {
+			if !such(x) {
+				continue
+			}
+			dst = fmt.Appendf(dst, "decision number=%d in_force=%t by=%s hash=%x what=%s reason=%s", x.Number, x.Committed, x.By, x.Hash, strconv.Quote(x.What), strconv.Quote(x.Reason))
+			if region != "" {
+				dst = fmt.Appendf(dst, " region=%s", region)
+			}
+			dst = append(dst, '\n')
+		}
+	}
+	global := n.GlobalVotes()
+	tell(n.GlobalDecisions(), "", func(*wire.Decision) bool { return global })
+	if !are {
+		r.Name = ""
+	}
+	tell(n.Decisions(), r.Name, func(x *wire.Decision) bool { return !global || x.What != "" })
+	return dst
+}
+
+// seen is for how long somebody has not asked, in milliseconds; -1: not under this leader.
+func seen(x rollout.Grant, now int64) int64 {
+	if x.Seen == 0 {
+		return -1
+	}
+	return (now - x.Seen) / 1000
+}
+
+// PolicyText is the document in force, for operators, or the one before it, which voters know; empty where there is none.
+func (d desk) PolicyText(dst []byte, previous bool) []byte {
+	p := d.policy()
+	if p == nil {
+		return nil
+	}
+	got := make(chan []byte, 1)
+	if p.Status(func(n *rollout.Node, _ int64) {
+		text, doc := []byte{}, n.Current()
+		if previous {
+			if doc = n.Previous(); n.GlobalVotes() {
+				doc = n.GlobalPrevious()
+			}
+		}
+		if doc != nil {
+			text = append(append(text, doc.Text...), '\n')
+		}
+		got <- text
+	}) != nil {
+		return nil
+	}
+	return append(append([]byte{}, dst...), <-got...)
+}
--- /dev/null
+++ b/internal/gatherer/voterlog.go
@@ -0,0 +1,325 @@
+package gatherer
+
+import (
+	"encoding/binary"
+	"fmt"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+
+	pb "go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
+
+	"saffronquay/internal/rollout"
+	"saffronquay/internal/rollout/wire"
+	"saffronquay/internal/store"
+)
+
+// Keys of the records by which a part in agreeing on the policy outlasts the process.
+const (
+	keyIdentity = "identity" // of the disk, eight bytes
+	keyMet      = "met"      // the first voters' identities
+	keyRoster   = "roster"   // as known last
+	keyCurrent  = "current"
+	keyStaged   = "staged"
+	keyVoter    = "voter" // the id that this disk votes by, eight bytes; what lies there of another id is void
+	keyHard     = "hard"  // these three with the id, and the entry's index
+	keySnapshot = "snapshot"
+	keyEntry    = "entry"
+
+	ofGlobal = "global-" // before met, voter and all below it: those of the vote in the global agreement
+)
+
+// voterLog is where the store has a gatherer's vote in one agreement, and the log of it. The two agreements of a gatherer in a region are
+// kept apart: a crash between their records leaves each whole.
+type voterLog struct {
+	store  *store.Store
+	prefix string // of its keys
+
+	mu    sync.Mutex
+	id    uint64   // of the voter whose entries they are
+	named bool     // that id is on disk
+	void  []string // keys of other ids
+	last  uint64   // of the entries in the store
+	low   uint64   // the first of them
+}
+
+// identify draws the identity of this disk, once, and has it there before anybody hears of it.
+func (h *policyHost) identify() error {
+	if _, known, err := h.store.Get(store.Rollout, keyIdentity); known || err != nil {
+		return err
+	}
+	return write(h.store, store.Record{Kind: store.Rollout, Key: keyIdentity, Value: binary.BigEndian.AppendUint64(nil, nonce()|1)})
+}
+
+// recall reads what outlasted the process before.
+func (h *policyHost) recall() (m rollout.Memory, err error) {
+	if m.Identity, err = numberAt(h.store, keyIdentity); err != nil {
+		return m, err
+	}
+	if m.Met, m.Disk, err = h.own.recall(); err != nil {
+		return m, err
+	}
+	if m.Global.Met, m.Global.Disk, err = h.global.recall(); err != nil {
+		return m, err
+	}
+	roster, current, staged := &wire.State{}, &wire.Document{}, &wire.Proposal{}
+	if _, err = load(h.store, keyRoster, roster); err != nil {
+		return m, err
+	}
+	m.Members, m.MembersIndex = roster.Members, roster.MembersIndex
+	if known, err := load(h.store, keyCurrent, current); err != nil {
+		return m, err
+	} else if known {
+		m.Current = current
+	}
+	if known, err := load(h.store, keyStaged, staged); err != nil {
+		return m, err
+	} else if known {
+		m.Staged = staged
+	}
+	return m, nil
+}
+
+// recall reads a vote and its log; what lies there of another id is void.
+func (l *voterLog) recall() (met map[string]uint64, disk rollout.Disk, err error) {
+	if disk.ID, err = numberAt(l.store, l.prefix+keyVoter); err != nil {
+		return nil, disk, err
+	}
+	l.id, l.named, l.void = disk.ID, disk.ID != 0, nil
+	entries := map[uint64]*pb.Entry{}
+	read := func(r store.Record, to proto.Message) {
+		if e := unmarshal(r, to); e != nil && err == nil {
+			err = e
+		}
+	}
+	if e := l.store.Each(store.Rollout, func(r store.Record) {
+		key, ours := strings.CutPrefix(r.Key, l.prefix)
+		if !ours || l.prefix == "" && strings.HasPrefix(key, ofGlobal) {
+			return
+		}
+		kind, rest, of := strings.Cut(key, "/")
+		id, index, _ := strings.Cut(rest, "/")
+		if of && id != strconv.FormatUint(l.id, 10) {
+			l.void = append(l.void, r.Key)
+			return
+		}
+		switch kind {
+		case keyMet:
+			x := &wire.Hello{}
+			read(r, x)
+			met = map[string]uint64{}
+			for _, y := range x.Met {
+				met[y.Name] = y.Identity
+			}
+		case keyHard:
+			disk.Hard = &pb.HardState{}
+			read(r, disk.Hard)
+		case keySnapshot:
+			disk.Snapshot = &pb.Snapshot{}
+			read(r, disk.Snapshot)
+		case keyEntry:
+			if i, e := strconv.ParseUint(index, 10, 64); e == nil {
+				entries[i] = &pb.Entry{}
+				read(r, entries[i])
+			}
+		}
+	}); e != nil {
+		return met, disk, e
+	}
+	if err != nil {
+		return met, disk, err
+	}
+	from := uint64(0)
+	if disk.Snapshot != nil {
+		from = disk.Snapshot.Metadata.GetIndex()
+	}
+	l.low, l.last = from+1, from
+	for entries[l.last+1] != nil {
+		l.last++
+		disk.Entries = append(disk.Entries, entries[l.last])
+	}
+	if hard := disk.Hard; hard != nil && hard.GetCommit() > l.last {
+		hard.Commit = proto.Uint64(l.last) // what it speaks of was not acknowledged
+	}
+	return met, disk, nil
+}
+
+// of is a key of this voter's.
+func (l *voterLog) of(key string) string {
+	return l.prefix + key + "/" + strconv.FormatUint(l.id, 10)
+}
+
+func (l *voterLog) entry(i uint64) string { return fmt.Sprintf("%s/%020d", l.of(keyEntry), i) }
+
+// save keeps a voter's log and vote, or whom one of the first voters has met. What a new entry makes void is taken back with it.
+func (l *voterLog) save(s *rollout.Save) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if s.Met != nil {
+		x := &wire.Hello{}
+		for _, name := range slices.Sorted(maps.Keys(s.Met)) {
+			x.Met = append(x.Met, &wire.Met{Name: name, Identity: s.Met[name]})
+		}
+		return keep(l.store, l.prefix+keyMet, x)
+	}
+	var all []store.Record
+	gone := func(key string) { all = append(all, store.Record{Kind: store.Rollout, Key: key, Gone: true}) }
+	if s.ID != l.id { // a vote of its own: what is there of another one is void once the id is written, which is last
+		for i := l.low; i <= l.last; i++ {
+			l.void = append(l.void, l.entry(i))
+		}
+		if l.id != 0 {
+			l.void = append(l.void, l.of(keyHard), l.of(keySnapshot))
+		}
+		l.id, l.low, l.last, l.named = s.ID, 1, 0, false
+	}
+	add := func(key string, m proto.Message) error {
+		r, err := record(key, m)
+		all = append(all, r)
+		return err
+	}
+	last, low := l.last, l.low
+	if s.Snapshot != nil {
+		if err := add(l.of(keySnapshot), s.Snapshot); err != nil {
+			return err
+		}
+		for i := low; i <= last; i++ {
+			gone(l.entry(i))
+		}
+		last = s.Snapshot.Metadata.GetIndex()
+		low = last + 1
+	}
+	if s.Hard != nil {
+		if err := add(l.of(keyHard), s.Hard); err != nil {
+			return err
+		}
+	}
+	if n := len(s.Entries); n > 0 {
+		for i := s.Entries[n-1].GetIndex() + 1; i <= last; i++ {
+			gone(l.entry(i))
+		}
+		for _, e := range s.Entries {
+			if err := add(l.entry(e.GetIndex()), e); err != nil {
+				return err
+			}
+		}
+		last = s.Entries[n-1].GetIndex()
+	}
+	if !l.named {
+		all = append(all, store.Record{Kind: store.Rollout, Key: l.prefix + keyVoter, Value: binary.BigEndian.AppendUint64(nil, l.id)})
+	}
+	if err := write(l.store, all...); err != nil {
+		return err
+	}
+	l.last, l.low, l.named = last, low, true
+	return nil
+}
+
+// snapshot keeps a snapshot of this voter's own in the place of the log up to it, and drops what is void.
+func (l *voterLog) snapshot(d rollout.Disk) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if d.ID != l.id {
+		return nil // it votes by another one now
+	}
+	r, err := record(l.of(keySnapshot), d.Snapshot)
+	if err != nil {
+		return err
+	}
+	all := []store.Record{r}
+	upTo := min(d.Snapshot.Metadata.GetIndex(), l.last)
+	for i := l.low; i <= upTo; i++ {
+		all = append(all, store.Record{Kind: store.Rollout, Key: l.entry(i), Gone: true})
+	}
+	for _, key := range l.void {
+		all = append(all, store.Record{Kind: store.Rollout, Key: key, Gone: true})
+	}
+	if err := write(l.store, all...); err != nil {
+		return err
+	}
+	l.low, l.void = max(l.low, upTo+1), nil
+	return nil
+}
+
+// drop takes a vote and its log away, as where the disk is lost.
+func (l *voterLog) drop() error {
+	var all []store.Record
+	if err := l.store.Each(store.Rollout, func(r store.Record) {
+		if strings.HasPrefix(r.Key, l.prefix) {
+			all = append(all, store.Record{Kind: store.Rollout, Key: r.Key, Gone: true})
+		}
+	}); err != nil {
+		return err
+	}
+	return write(l.store, all...)
+}
+
+// write has records on disk, in their order, and returns when all are.
+func write(s *store.Store, records ...store.Record) error {
+	ends := make(chan error, len(records))
+	var first error
+	sent := 0
+	for _, r := range records {
+		if err := s.Append(r, func(err error) { ends <- err }); err != nil {
+			first = err
+			break
+		}
+		sent++
+	}
+	for range sent {
+		if err := <-ends; err != nil && first == nil {
+			first = err
+		}
+	}
+	return first
+}
+
+func record(key string, m proto.Message) (store.Record, error) {
+	b, err := proto.Marshal(m)
+	return store.Record{Kind: store.Rollout, Key: key, Value: b}, err
+}
+
+// keep has one record on disk.
+func keep(s *store.Store, key string, m proto.Message) error {
+	r, err := record(key, m)
+	if err != nil {
+		return err
+	}
+	return write(s, r)
+}
+
+// load reads one record; false: it is not there.
+func load(s *store.Store, key string, to proto.Message) (known bool, err error) {
+	r, known, err := s.Get(store.Rollout, key)
+	if err != nil {
+		return false, fmt.Errorf("record %q: %w", key, err)
+	}
+	if !known {
+		return false, nil
+	}
+	return true, unmarshal(r, to)
+}
+
+func unmarshal(r store.Record, to proto.Message) error {
+	if err := proto.Unmarshal(r.Value, to); err != nil {
+		return fmt.Errorf("record %q: %w", r.Key, err)
+	}
+	return nil
+}
+
+// numberAt is a number of eight bytes; 0: it is not there.
+func numberAt(s *store.Store, key string) (uint64, error) {
+	r, known, err := s.Get(store.Rollout, key)
+	switch {
+	case err != nil:
+		return 0, fmt.Errorf("record %q: %w", key, err)
+	case !known:
+		return 0, nil
+	case len(r.Value) != 8:
+		return 0, fmt.Errorf("record %q: it has %d bytes", key, len(r.Value))
+	}
+	return binary.BigEndian.Uint64(r.Value), nil
+}
--- a/internal/operations/call_test.go
+++ b/internal/operations/call_test.go
@@ -193,3 +193,17 @@
 		t.Errorf("%s", got)
 	}
 }
+
+// Where there are regions the figures tell how this one stands; where there are none they say nothing of it.
+func TestFiguresOfARegion(t *testing.T) {
+	f := NewFigures()
+	var r RolloutFigures
+	f.Rollout = func() RolloutFigures { return r }
+	if got := string(f.Stats(nil)); !strings.Contains(got, "svc.rollout.number:0|g") || strings.Contains(got, "apart") || strings.Contains(got, "behind") {
+		t.Errorf("without regions: %s", got)
+	}
+	r.Region = &RegionFigures{Behind: 2, ApartMs: 1500, Leads: 1}
+	if got := string(f.Stats(nil)); !strings.Contains(got, "svc.rollout.behind:2|g\nsvc.rollout.apart_ms:1500|g\nsvc.rollout.leads_global:1|g\n") {
+		t.Errorf("%s", got)
+	}
+}
--- a/internal/operations/figures.go
+++ b/internal/operations/figures.go
@@ -40,9 +40,14 @@
 // RolloutFigures are how the versions of the policy stand at one gatherer: 1 and 0 for yes and no.
 type RolloutFigures struct {
 	Number, Admits, Holding, LeaseMs, Leads int64
+	Region                                  *RegionFigures // nil: there are no regions
 	Traffic                                 TrafficFigures
 }
 
+// RegionFigures are how a gatherer's region stands with the others: by how many versions it is behind and for how long it has gone on by
+// itself, both at least; 1 where the gatherer leads the global agreement.
+type RegionFigures struct{ Behind, ApartMs, Leads int64 }
+
 // TrafficFigures are what a part of control has sent and taken in: words, bytes of payload, those of them that are of budgets, and links to
 // others that are open now.
 type TrafficFigures struct{ Sent, Received, SentBytes, ReceivedBytes, ShareBytes, Links int64 }
@@ -161,6 +166,9 @@
 		}{{"number", s.Number}, {"admits", s.Admits}, {"holding", s.Holding}, {"lease_ms", s.LeaseMs}, {"leads", s.Leads}} {
 			dst = fmt.Appendf(dst, "svc.rollout.%s:%d|g\n", c.name, c.n)
 		}
+		if r := s.Region; r != nil {
+			dst = fmt.Appendf(dst, "svc.rollout.behind:%d|g\nsvc.rollout.apart_ms:%d|g\nsvc.rollout.leads_global:%d|g\n", r.Behind, r.ApartMs, r.Leads)
+		}
 		dst = s.Traffic.tell(dst, "rollout")
 	}
 	if l := f.Routes; l != nil {
