--- a/internal/rollout/node.go
+++ b/internal/rollout/node.go
@@ -232,6 +232,7 @@
 	switch {
 	case m.Global:
 		n.takeGlobal(now, m)
+	case m.Propose == nil && n.foreign(m.From): // between regions there is the global agreement, and nothing else
 	case m.Word != nil:
 		judge, install := n.Holder.hear(now, m.From, m.Word)
 		if install != nil {
--- a/internal/rollout/regions.go
+++ b/internal/rollout/regions.go
@@ -56,6 +56,15 @@
 	return own, global, nil
 }
 
+// foreign tells that a gatherer is of another region.
+func (n *Node) foreign(name string) bool {
+	if n.global == nil {
+		return false
+	}
+	m := find(n.members, name)
+	return m != nil && m.Region != n.cfg.Region
+}
+
 // tickGlobal does what is due of the global agreement.
 func (n *Node) tickGlobal(now int64) {
 	if v := n.global.voter; v != nil {
--- a/internal/rollout/voter.go
+++ b/internal/rollout/voter.go
@@ -180,7 +180,13 @@
 }
 
 // leader is the name of who leads, as far as is known here.
-func (v *voter) leader() string { return v.state.voter(v.node.BasicStatus().SoftState.Lead).GetName() }
+func (v *voter) leader() string {
+	id := v.node.BasicStatus().SoftState.Lead
+	if id == raft.None && (v.cfg.global || v.cfg.Region != "") {
+		return "" // and not somebody who does not vote, who may be of another region
+	}
+	return v.state.voter(id).GetName()
+}
 
 // isOut tells that this voter has no vote any more, as its own log says.
 func (v *voter) isOut() bool {
