--- a/cmd/saffronquay/cli_policy.go
+++ b/cmd/saffronquay/cli_policy.go
@@ -268,13 +268,16 @@
 	return all, nil
 }
 
+// settlesIn is for how long a version is told to be in force in some regions before that counts as the end.
+const settlesIn = time.Second
+
 // inForce tells that a version is in force: where there are no regions, or all have said so, everywhere; else in which.
 func (c *cli) inForce(a *wire.Answer) error {
 	v, line := map[string]any{"in_force": true, "number": a.Number}, fmt.Sprintf("version %d is in force", a.Number)
 	of := len(a.InForce) + len(a.Apart)
 	if of > 0 {
 		v["regions"], v["apart"] = append([]string{}, a.InForce...), append([]string{}, a.Apart...)
-		line += fmt.Sprintf(" in %d of %d regions: %s", len(a.InForce), of, strings.Join(a.InForce, ", "))
+		line += strings.TrimSuffix(fmt.Sprintf(" in %d of %d regions: %s", len(a.InForce), of, strings.Join(a.InForce, ", ")), ": ")
 	}
 	if len(a.Apart) > 0 {
 		line += "; not in " + strings.Join(a.Apart, ", ") + ", as far as is known: it takes hold there when they are joined again"
@@ -315,6 +318,8 @@
 	}
 	began, sent := time.Now(), false
 	var last error
+	var partial *wire.Answer // not in force in all regions, as it was told last,
+	var since time.Time      // and first
 	for i := 0; time.Since(began) < p.wait; time.Sleep(50 * time.Millisecond) {
 		answer, err := peers.AskPolicy(voters[i%len(voters)], x, c.timeout)
 		if err != nil {
@@ -333,6 +338,15 @@
 			if p.what != "" {
 				return c.tell(map[string]any{"ok": true, "what": p.what}, func(w io.Writer) { fmt.Fprintln(w, p.what) })
 			}
+			if len(answer.Apart) > 0 {
+				if partial == nil {
+					since = time.Now()
+				}
+				// A leader that was elected just now has not heard of all regions yet.
+				if partial = answer; len(answer.InForce) == 0 || time.Since(since) < settlesIn {
+					continue
+				}
+			}
 			return c.inForce(answer)
 		case 2:
 			if p.dry && strings.HasPrefix(answer.Reason, "dry: ") {
@@ -343,6 +357,9 @@
 			i++
 		}
 	}
+	if partial != nil {
+		return c.inForce(partial)
+	}
 	if !sent {
 		return unreached(errors.New("no voter leads: nothing was proposed"))
 	}
--- a/cmd/saffronquay/cli_policy_test.go
+++ b/cmd/saffronquay/cli_policy_test.go
@@ -19,6 +19,7 @@
 		{&wire.Answer{Number: 3}, good, "version 3 is in force\n", `"in_force": true`},
 		{&wire.Answer{Number: 3, InForce: []string{"este", "oeste"}}, good, "version 3 is in force in 2 of 2 regions: este, oeste\n", `"apart": []`},
 		{&wire.Answer{Number: 3, InForce: []string{"oeste"}, Apart: []string{"este"}}, partly, "version 3 is in force in 1 of 2 regions: oeste; not in este,", `"este"`},
+		{&wire.Answer{Number: 3, Apart: []string{"este", "oeste"}}, partly, "version 3 is in force in 0 of 2 regions; not in este, oeste,", `"regions": []`},
 	} {
 		for output, want := range map[string]string{"text": c.text, "json": c.json} {
 			var out bytes.Buffer
