--- a/internal/peers/regions_test.go
+++ b/internal/peers/regions_test.go
@@ -17,22 +17,25 @@
 // regional is a group of two regions, of which none runs yet: three vote in each, and of those three and two on versions.
 func regional(t *testing.T, seed uint64) *lab.Group {
 	t.Helper()
-	g := prepared(t, seed, 7, 3)
-	region := map[string]string{}
-	for name, set := range halves {
-		for _, i := range set {
-			region[g.Members[i].Name] = name
+	return placed(t, seed, 7, func(i int) (region string, voter, global bool) {
+		if region = "oeste"; halves["este"].Has(i) {
+			region = "este"
 		}
-	}
-	votes := map[string]bool{"g00": true, "g01": true, "g02": true, "g04": true, "g05": true, "g06": true}
-	for _, m := range g.Members {
+		return region, i != 3, i != 3 && i != 6
+	})
+}
+
+// placed is a group whose members are where they are said to be, of which none runs yet.
+func placed(t *testing.T, seed uint64, members int, where func(i int) (region string, voter, global bool)) *lab.Group {
+	t.Helper()
+	g := prepared(t, seed, members, 1)
+	for k, m := range g.Members {
 		m.Edit(func(file map[string]any) {
 			r := file["rollout"].(map[string]any)
-			r["region"] = region[m.Name]
-			for _, x := range r["members"].([]any) {
+			r["region"], _, _ = where(k)
+			for i, x := range r["members"].([]any) {
 				x := x.(map[string]any)
-				name := x["name"].(string)
-				x["region"], x["voter"], x["global"] = region[name], votes[name], votes[name] && name != "g06"
+				x["region"], x["voter"], x["global"] = where(i)
 			}
 		})
 	}
