Test the hard cases of regions, and keep the parts of who was taken off the roster in the books

Cases: the regions cut in the middle of judgement, hold and commit, both ways and one way; flapping every second; leaders that die while cut off and while prepared; the majority's region lost and back; a restart while cut off; a roster that changes meanwhile; a contract halved right before the cut; a witness. Found by them, and no matter of regions: the books forgot at once who was taken off the roster, while its lease ran on (525165 of 500000 for less than a lease), and the floors of free slots were given away (483196 of 480000).

--- a/internal/rollout/model/model.go
+++ b/internal/rollout/model/model.go
@@ -3,6 +3,7 @@
 package model
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
@@ -44,11 +45,13 @@
 	Watch func(now int64, part func(node int, team string) uint32) // is told every 50 ms what each that runs may use
 	At    []At                                                     // what happens besides
 
-	Regions int   // the nodes are in turn in so many, voters too. 0: there are none
-	Unaware bool  // the agreement knows nothing of them
-	Global  int   // so many of the first nodes vote in the global agreement
-	Between int64 // a message between two regions takes from half as long to as long
-	Cuts    []Cut // of regions from each other
+	Regions int    // the nodes are in turn in so many, voters too. 0: there are none
+	Unaware bool   // the agreement knows nothing of them
+	Slots   uint64 // that budgets are divided among; 0: the first roster
+	Witness bool   // one more node, in a place of its own, has nothing but a global vote: that of the last of the Global ones
+	Global  int    // so many of the first nodes vote in the global agreement
+	Between int64  // a message between two regions takes from half as long to as long
+	Cuts    []Cut  // of regions from each other
 
 	script func(w *world) // what happens besides; nil: nothing
 }
@@ -156,27 +159,28 @@
 
 type world struct {
 	Config
-	rng        *rand.Rand
-	now        int64
-	seq        int
-	todo       agenda
-	nodes      []*node
-	cut        map[[2]int]int // how often, by pair and direction
-	late       int64          // messages are so much later
-	loss       float64
-	res        Result
-	newest     uint64 // that anything was let in under
-	texts      map[uint64]string
-	ends       map[uint64]bool // by attempt: whether it was committed
-	open       map[uint64]*proposal
-	acked      uint64
-	proposed   uint64
-	read       int64 // when a query was kept in the history last
-	regions    []*region
-	parts      map[uint64]string // of each version
-	part       map[uint64][]*wire.Part
-	endsGlobal map[uint64]bool
-	divided    map[[2]int]int // how often regions are cut, by pair and direction
+	rng              *rand.Rand
+	now              int64
+	seq              int
+	todo             agenda
+	nodes            []*node
+	cut              map[[2]int]int // how often, by pair and direction
+	late             int64          // messages are so much later
+	loss             float64
+	res              Result
+	newest           uint64 // that anything was let in under
+	texts            map[uint64]string
+	ends             map[uint64]bool // by attempt: whether it was committed
+	open             map[uint64]*proposal
+	acked            uint64
+	proposed         uint64
+	read             int64 // when a query was kept in the history last
+	regions          []*region
+	parts            map[uint64]string // of each version
+	part             map[uint64][]*wire.Part
+	endsGlobal       map[uint64]bool
+	apartAt, apartTo int64          // the first cut
+	divided          map[[2]int]int // how often regions are cut, by pair and direction
 }
 
 const (
@@ -196,6 +200,9 @@
 		w.nodes = append(w.nodes, &node{region: i % max(cfg.Regions, 1), index: i, name: fmt.Sprintf("n%03d", i), rate: 1 + 0.0099*(2*w.rng.Float64()-1), offset: w.rng.Int64N(100 * second)})
 	}
 	w.found()
+	if cfg.Witness {
+		w.nodes = append(w.nodes, &node{region: cfg.Regions, index: total, name: fmt.Sprintf("n%03d", total), rate: 1})
+	}
 	for _, x := range w.nodes {
 		if err := w.start(x); err != nil {
 			return w.res, err
@@ -297,11 +304,15 @@
 // start starts a node by what its disk has.
 func (w *world) start(x *node) error {
 	x.life++
-	cfg := rollout.Config{Name: x.name, Bugs: w.Bugs, Compact: w.Compact, Share: w.Share, Slots: uint64(w.Voters + w.Others)}
+	cfg := rollout.Config{Name: x.name, Bugs: w.Bugs, Compact: w.Compact, Share: w.Share, Slots: cmp.Or(w.Slots, uint64(w.Voters+w.Others))}
 	for i, y := range w.nodes[:w.Voters+w.Others] {
 		cfg.Members = append(cfg.Members, rollout.Member{Name: y.name, Address: y.name, Voter: i < w.Voters, Region: w.regionOf(y), Global: w.aware() && i < w.Global})
 	}
-	cfg.Region = w.regionOf(x)
+	if cfg.Region = w.regionOf(x); w.Witness {
+		y := w.nodes[len(w.nodes)-1]
+		cfg.Members[w.Global-1].Global = false
+		cfg.Members = append(cfg.Members, rollout.Member{Name: y.name, Address: y.name, Region: w.regionOf(y), Global: true})
+	}
 	if x.disk.identity == 0 {
 		x.disk.identity = w.rng.Uint64() | 1
 	}
@@ -531,7 +542,7 @@
 		})
 		return
 	}
-	if w.Regions > 0 {
+	if w.Regions > x.region {
 		w.come(x)
 	}
 	w.watch(x)
@@ -556,7 +567,7 @@
 	} else {
 		w.res.Refused++
 	}
-	if w.Regions > 0 {
+	if w.Regions > x.region {
 		w.waited(x, v)
 	}
 }
@@ -939,6 +950,12 @@
 			w.ends[d.Attempt] = d.Committed
 		}
 		v, number, _ := x.n.Admit(w.local(x))
+		if w.Witness && x.region == w.Regions {
+			if v == rollout.Let {
+				w.wrong(&w.res.Unlisted, "the witness lets queries in")
+			}
+			continue
+		}
 		if known && !roster[x.name] {
 			if v == rollout.Let {
 				w.wrong(&w.res.Unlisted, "%s is not on the roster, and lets queries in at the end", x.name)
--- a/internal/rollout/model/regions.go
+++ b/internal/rollout/model/regions.go
@@ -32,6 +32,7 @@
 	Rejoined      []int64            // from the end of a cut until all are under one version, each
 	Most          map[string]float64 // by region, team aside: the most that its parts came to, of what it may
 	Behind        int                // times at which a region that was cut off told that it is
+	Halved        int                // times at which one region had half the contract that another one had
 }
 
 func (r RegionResult) bad() int {
@@ -78,7 +79,7 @@
 // divide cuts the first region off from the others.
 func (w *world) divide(c Cut) {
 	add := func(n int) {
-		for r := 1; r < w.Regions; r++ {
+		for r := 1; r <= w.Regions; r++ { // and the witness's place
 			if c.OneWay != 2 {
 				w.divided[[2]int{0, r}] += n
 			}
@@ -88,6 +89,9 @@
 		}
 	}
 	end := w.now + c.For
+	if w.apartAt == 0 {
+		w.apartAt, w.apartTo = w.now, end
+	}
 	var flap func()
 	flap = func() {
 		add(1)
@@ -206,15 +210,12 @@
 	x.waiting = 0
 }
 
-// window is 0 in the 10 s before the first cut, 1 while it lasts, and -1 else.
+// window is 0 from the sixth second until the first cut, 1 while it lasts, and -1 else.
 func (w *world) window() int {
-	if len(w.Cuts) == 0 {
-		return -1
-	}
-	switch c, at := w.Cuts[0], w.now-epoch; {
-	case at >= c.At-10*second && at < c.At:
+	switch {
+	case w.apartAt == 0 && w.now >= epoch+5*second:
 		return 0
-	case at >= c.At && at < c.At+c.For:
+	case w.apartAt != 0 && w.now < w.apartTo:
 		return 1
 	}
 	return -1
@@ -373,7 +374,7 @@
 // all the sum of those parts. The contract halves with each version that is a multiple of four, and doubles with the one after.
 func (w *world) budgets() {
 	w.later(50*ms, w.budgets)
-	all, most := 0.0, 0.0
+	all, most, least := 0.0, 0.0, 1e9
 	for i := range w.regions {
 		name := fmt.Sprintf("r%d", i)
 		for _, team := range []string{"busy", "idle"} {
@@ -395,10 +396,13 @@
 			}
 			if team == "busy" {
 				all += float64(sum) * contract(number)
-				most = max(most, contract(number))
+				most, least = max(most, contract(number)), min(least, contract(number))
 			}
 		}
 	}
+	if least < most {
+		w.res.Region.Halved++
+	}
 	if all > share.PPM*most {
 		w.wrong(&w.res.Region.OverContract, "all parts come to %.0f of a contract of %.0f", all/share.PPM, most)
 	}
--- a/internal/rollout/model/regions_proof_test.go
+++ b/internal/rollout/model/regions_proof_test.go
@@ -27,13 +27,13 @@
 
 // busy has everybody want much of one team's budget, and some more than others.
 func busy(_ int64, node int) []share.Demand {
-	return []share.Demand{{Team: "busy", Want: uint32(1000 * (node%40 + 1))}}
+	return []share.Demand{{Team: "busy", Want: uint32(20_000 * (node % 5))}}
 }
 
 // between is a run of 24 gatherers in two regions under faults of all kinds at any step, and cuts between the regions.
 func between(seed uint64) Config {
 	return Config{Seed: seed, Regions: 2, Voters: 10, Others: 14, Global: 5, Between: 60 * ms, Calm: 14 * second, Length: 26 * second, Every: 900 * ms, Admit: 20 * ms, Faults: 10, SayNo: true,
-		Loss: []float64{0, 0.02, 0.3}[seed%3], Compact: []uint64{0, 4, 12, 30}[seed%4], Spares: 2, Operators: []int64{0, 700 * ms, 1500 * ms}[seed%5%3],
+		Loss: []float64{0, 0.02, 0.3}[seed%3], Compact: []uint64{0, 4, 12, 30}[seed%4], Spares: 2, Operators: []int64{0, 700 * ms, 1500 * ms}[seed%5%3], Share: seed%2 == 0, Slots: 30, Wants: busy,
 		Cuts: [][]Cut{nil, {{At: 4 * second, For: 4 * second}}, {{At: 4 * second, For: 6 * second, Flaps: second}}, {{At: 4 * second, For: 4 * second, OneWay: 1 + int(seed/4%2)}}}[seed%4]}
 }
 
--- a/internal/share/books.go
+++ b/internal/share/books.go
@@ -201,6 +201,9 @@
 		} else {
 			target := b.target(now, name, t, members)[from]
 			others := t.sum - uint64(t.held[from])
+			if n := uint64(len(t.held)); n < b.slots { // who comes next, or is not known here, has its floor
+				others += uint64(Floor(b.slots)) * (b.slots - n)
+			}
 			p = uint32(min(uint64(target), PPM-min(PPM, others)))
 		}
 		p = max(p, Floor(b.slots)) // that is kept back for it, whatever the books fear
@@ -232,6 +235,11 @@
 			return false
 		}
 	}
+	for m, x := range b.holders { // also of those that are not on the roster any more
+		if now < max(x.out, x.until) && b.held(now, m, name) > Even(b.slots) {
+			return false
+		}
+	}
 	delete(b.teams, name)
 	return true
 }
@@ -248,6 +256,17 @@
 		t.held[m] = b.held(now, m, name)
 		t.sum += uint64(t.held[m])
 	}
+	for m, x := range b.holders { // who was taken off the roster may use what it was given until its lease is surely over
+		if _, on := slices.BinarySearch(members, m); on {
+			continue
+		}
+		if now >= max(x.out, x.until) {
+			delete(b.holders, m)
+			continue
+		}
+		t.held[m] = b.held(now, m, name)
+		t.sum += uint64(t.held[m])
+	}
 	floor := uint64(Floor(b.slots))
 	quiet := now-t.busy > quietFor
 	needs := make([]uint64, 0, len(members))
--- a/internal/share/books_test.go
+++ b/internal/share/books_test.go
@@ -151,3 +151,59 @@
 		hs["a"].Part(4, "t")
 	}
 }
+
+// Who is taken off the roster may go on with its part until its lease is surely over: nobody else is given that before.
+func TestOffTheRoster(t *testing.T) {
+	b, hs := fleet(Bugs{})
+	now := int64(1)
+	hs["a"].Want([]Demand{{"t", PPM, 0}})
+	for range 3 {
+		for _, name := range names {
+			asked(b, hs[name], now, name, true)
+		}
+		now += 500_000
+	}
+	hs["b"].Want([]Demand{{"t", PPM, 0}})
+	end := now + 2_040_000
+	for ; now < end+1_000_000; now += 200_000 {
+		for _, name := range names[1:] {
+			hs[name].Hear(now, 2_000_000, b.Grant(now, now+2_040_000, name, hs[name].Ask(now), names[1:]))
+		}
+		if sum := hs["a"].Part(now, "t") + hs["b"].Part(now, "t"); hs["a"].leased(now) && sum > PPM {
+			t.Fatalf("%d us before its lease is over: %d in all", end-now, sum)
+		}
+	}
+	if p := hs["b"].Part(now, "t"); p < 850_000 || b.holders["a"] != nil {
+		t.Errorf("afterwards: %d; the books know it yet: %t", p, b.holders["a"] != nil)
+	}
+}
+
+// A region has its part of every budget, and divides it as a fleet without regions does the whole.
+func TestRegion(t *testing.T) {
+	b, hs := NewBooks(1, 0, Bugs{}), map[string]*Holder{}
+	b.Slots(4)
+	for _, name := range names {
+		hs[name] = NewHolder(10, Bugs{})
+		hs[name].Region(400_000)
+		if hs[name].Among() != 4 || hs[name].Part(1, "t") != 10_000 {
+			t.Fatalf("%d slots, and %d without a lease", hs[name].Among(), hs[name].Part(1, "t"))
+		}
+	}
+	now := int64(1)
+	hs["a"].Want([]Demand{{"t", 370_000, 0}})
+	for range 3 {
+		for _, name := range names {
+			asked(b, hs[name], now, name, true)
+		}
+		now += 500_000
+	}
+	named, others, _ := hs["a"].Parts(now)
+	if p := hs["a"].Part(now, "t"); p != 370_000 || named["t"] != p || others != 100_000 || hs["b"].Part(now, "t") != 10_000 {
+		t.Errorf("%d, %v, %d", p, named, others)
+	}
+	// It has less from a version on: what it holds is scaled at once.
+	hs["a"].Region(200_000)
+	if p := hs["a"].Part(now, "t"); p > 185_000 || hs["a"].Among() != 2 {
+		t.Errorf("of less: %d among %d", p, hs["a"].Among())
+	}
+}
