--- a/internal/peers/regions_test.go
+++ b/internal/peers/regions_test.go
@@ -186,8 +186,12 @@
 	g.Until("somebody logs that it is joined", func() (string, bool) {
 		return "", g.Said("event=rollout_joined", "region=este", "number=3") > 0
 	})
+	// As far from each other as regions are: 30 to 60 ms each way.
+	g.Net.Begin(script(t, "at 0s for 1h delay 30ms 0-3 4-6", 7)[0])
 	change(0, "version 4 is in force in 2 of 2 regions: este, oeste\n", 4, "3")
-	admit(t, g)
+	if n := admit(t, g); n != 4 {
+		t.Errorf("version %d", n)
+	}
 	close(over)
 	let := unmixed(t, g, wait())
 	if let["oeste"] < 100 || let["este"] < 100 {
