Take the global vote away after the new identity when a region is made anew

A crash between the two left a gatherer that had forgotten its vote under an identity that the others know, and could vote twice. Now the identity goes first; the vote is then one of a lost disk, and replaced by itself, which the test of a region made anew plays to its end.

--- a/internal/gatherer/force.go
+++ b/internal/gatherer/force.go
@@ -41,10 +41,6 @@
 	if err := proto.Unmarshal(disk.Snapshot.Data, &s); err != nil {
 		return given, err
 	}
-	// A vote in the global agreement is by the old identity, so it is as one whose disk is lost.
-	if err := h.global.drop(); err != nil {
-		return given, fmt.Errorf("rollout: %w", err)
-	}
 	// The new disk's records first, by which nobody goes yet; then who votes by them.
 	if err := h.Save(&rollout.Save{ID: disk.ID, Hard: disk.Hard, Snapshot: disk.Snapshot}); err != nil {
 		return given, fmt.Errorf("rollout: %w", err)
@@ -55,5 +51,10 @@
 	if err := write(d.store, store.Record{Kind: store.Rollout, Key: keyIdentity, Value: binary.BigEndian.AppendUint64(nil, identity)}); err != nil {
 		return given, errors.Join(errors.New("rollout: the new identity is not on disk: do it again"), err)
 	}
+	// A vote in the global agreement was by the old identity: from here on it is as one whose disk is lost. Not before: a vote that is forgotten
+	// under an identity that is known could be given twice.
+	if err := h.global.drop(); err != nil {
+		return given, errors.Join(errors.New("rollout: the vote in the global agreement is still there: do it again"), err)
+	}
 	return given, nil
 }
--- a/internal/peers/regions_cases_test.go
+++ b/internal/peers/regions_cases_test.go
@@ -159,6 +159,10 @@
 	g.Start(5, 6)
 	serves(g, "este", 1)
 	o.run(0, "g05 votes in region este", append([]string{"voters", "add", "g05", "--region", "este"}, o.flags()...)...)
+	// Its vote on versions was by its old identity: it is replaced by itself.
+	until(g, 4, "lost_disk=true")
+	o.run(0, "g04 votes in the place of g04", append([]string{"voters", "replace", "g04"}, o.flags()...)...)
+	until(g, 4, "lost_disk=false", "global_votes=true")
 	o.run(0, "version 2 is in force in 2 of 2 regions: este, oeste", append([]string{"propose", o.write("two.json", policy(t, g, 2)), "--base", "1"}, o.flags()...)...)
 	admit(t, g)
 }
