--- a/cmd/saffronquay/cli_voters.go
+++ b/cmd/saffronquay/cli_voters.go
@@ -42,9 +42,13 @@
 			}
 			lost := map[string]bool{}
 			var all []map[string]string
+			here := ""
 			for _, of := range policyLines(text) {
-				if of["kind"] == "member" {
+				switch of["kind"] {
+				case "member":
 					all = append(all, of)
+				case "region":
+					here = of["name"]
 				}
 				lost[of["name"]] = lost[of["name"]] || of["lost_disk"] == "true"
 			}
@@ -59,8 +63,10 @@
 						word = "has no vote: it came back without its disk; replace it by itself"
 					case of["voter"] == "true":
 						word = "votes"
+					case of["region"] != here: // who votes there is not known here
+						word = "is elsewhere"
 					}
-					if of["region"] != "" {
+					if here != "" {
 						word += ", region " + of["region"]
 					}
 					if of["global"] == "true" {
--- a/internal/peers/regions_test.go
+++ b/internal/peers/regions_test.go
@@ -203,4 +203,6 @@
 	}
 	o.run(0, "g06 at "+g.PolicyRelay(6).String()+" votes, region este\n", "voters", "--door", o.door(4))
 	o.run(0, "g04 at "+g.PolicyRelay(4).String()+" votes, region este, votes in the global agreement\n", "voters", "--door", o.door(4))
+	o.run(0, "g00 at "+g.PolicyRelay(0).String()+" is elsewhere, region oeste, votes in the global agreement\n", "voters", "--door", o.door(4))
+	o.run(0, "g03 at "+g.PolicyRelay(3).String()+" follows, region oeste\n", "voters", "--door", o.door(0))
 }
