--- a/internal/gatherer/force.go
+++ b/internal/gatherer/force.go
@@ -27,7 +27,7 @@
 		return given, err
 	}
 	defer d.store.Close()
-	h := &policyHost{store: d.store}
+	h := newPolicyHost(nil, d.store)
 	memory, err := h.recall()
 	if err != nil {
 		return given, fmt.Errorf("rollout: %w", err)
@@ -48,8 +48,13 @@
 	if err := h.Roster(&wire.State{Members: s.Members, MembersIndex: s.MembersIndex}); err != nil {
 		return given, fmt.Errorf("rollout: %w", err)
 	}
-	if err := h.write(store.Record{Kind: store.Rollout, Key: keyIdentity, Value: binary.BigEndian.AppendUint64(nil, identity)}); err != nil {
+	if err := write(d.store, store.Record{Kind: store.Rollout, Key: keyIdentity, Value: binary.BigEndian.AppendUint64(nil, identity)}); err != nil {
 		return given, errors.Join(errors.New("rollout: the new identity is not on disk: do it again"), err)
 	}
+	// A vote in the global agreement was by the old identity: from here on it is as one whose disk is lost. Not before: a vote that is forgotten
+	// under an identity that is known could be given twice.
+	if err := h.global.drop(); err != nil {
+		return given, errors.Join(errors.New("rollout: the vote in the global agreement is still there: do it again"), err)
+	}
 	return given, nil
 }
