Ask the parts of the program for their figures without the lock of the figures

At 50 to 300 gatherers one real process in 4 of 16 changes put the version in force 1.0 s after all others, with its queries held: 'stats' at the door held the lock of the figures while it asked the rollout how it stands; the rollout's goroutine waited for the gatherer's to put the document in force, and that one for the lock, to make the classes known. The question's time-out of 1 s ended it. Whoever counted the end of a request waited too.

Stats now copies the classes under the lock and asks without it.

--- a/internal/operations/figures.go
+++ b/internal/operations/figures.go
@@ -111,12 +111,14 @@
 	n          *atomic.Int64
 }
 
-// Stats appends the figures, a line each, in the form of statsd.
+// Stats appends the figures, a line each, in the form of statsd. Parts of the program are asked without the lock: who answers may be waiting
+// for one who wants it.
 func (f *Figures) Stats(dst []byte) []byte {
 	f.mu.RLock()
-	defer f.mu.RUnlock()
-	for _, name := range slices.Sorted(maps.Keys(f.classes)) {
-		e := f.classes[name]
+	classes := maps.Clone(f.classes)
+	f.mu.RUnlock()
+	for _, name := range slices.Sorted(maps.Keys(classes)) {
+		e := classes[name]
 		for _, c := range []struct {
 			name string
 			n    *atomic.Int64
