--- a/internal/rollout/global.go
+++ b/internal/rollout/global.go
@@ -32,7 +32,7 @@
 		return "it has another version"
 	case a.Apart:
 		return "it was cut off"
-	case v.phase == holding && (g.ready != v.attempt || g.refused == v.attempt || g.held != v.attempt && g.until <= now), v.phase == closing && g.held != v.attempt:
+	case v.holds() && (g.refused == v.attempt || g.held != v.attempt && (g.ready != v.attempt || g.until <= now || v.phase == closing)):
 		return "a change is being put in force" // to hold takes a region time: who is not waited for gets no lease meanwhile
 	}
 	return ""
