Count a connection's bytes from before its watcher begins

Seen: the race detector in TestIdleLinkIsLetGo, once: Policy.serve (internal/peers/frames.go) put the counting connection in the place of the plain one after it had begun the goroutine that closes it at the end.

--- a/internal/peers/frames.go
+++ b/internal/peers/frames.go
@@ -45,6 +45,7 @@
 
 // serve takes in what one connection brings: a gatherer's messages, or an operator's proposals, which are answered on it.
 func (p *Policy) serve(conn net.Conn) {
+	conn = p.counts.of(conn)
 	over := make(chan struct{})
 	defer close(over)
 	go func() {
@@ -54,7 +55,6 @@
 		}
 		conn.Close()
 	}()
-	conn = p.counts.of(conn)
 	for {
 		conn.SetReadDeadline(time.Now().Add(linkIdle))
 		m, err := readMessage(conn)
