Give the events of a fleet in virtual time a command: saffronquay scale events

Need: internal/scale/events was imported by its own tests only. The command plays changes, and faults by a script, over two regions, and tells the peak second, how each change went, and how queries stood.

--- a/cmd/saffronquay/cli_scale.go
+++ b/cmd/saffronquay/cli_scale.go
@@ -79,7 +79,7 @@
 	f.StringVar(&p.Out, "out", "scale", "where the record (.json) and the tables (.md) are written")
 	f.StringVar(&p.Fleet.Dir, "dir", os.TempDir(), "for what lasts as long as the run")
 	f.DurationVar(&p.Limit, "limit", time.Hour, "no fleet is begun after so long")
-	cmd.AddCommand(c.scaleHollow(), c.scalePlace(), c.scaleWorkers(), c.scaleWork())
+	cmd.AddCommand(c.scaleHollow(), c.scalePlace(), c.scaleWorkers(), c.scaleWork(), c.scaleEvents())
 	return cmd
 }
 
