--- /dev/null
+++ b/cmd/saffronquay-system/main.go
@@ -0,0 +1,112 @@
+// Command saffronquay-system runs the processes of the rollout scheduler: proxy and agent on edge machines, steward on core machines,
+// store on storage machines.
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+
+	"saffronquay/internal/system/agent"
+	"saffronquay/internal/system/proxy"
+	"saffronquay/internal/system/settings"
+	"saffronquay/internal/system/steward"
+	"saffronquay/internal/system/storage"
+)
+
+func main() {
+	if err := command().Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "saffronquay-system:", err)
+		os.Exit(1)
+	}
+}
+
+func command() *cli.Command {
+	return &cli.Command{
+		Name:  "saffronquay-system",
+		Usage: "a rollout scheduler for trainers",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Usage: "path of the settings file (TOML)", Sources: cli.EnvVars(settings.Variable)},
+			&cli.StringFlag{Name: "log-level", Value: "warn", Usage: "debug, info, warn or error"},
+			&cli.StringFlag{Name: "log-format", Value: "text", Usage: "text or json"},
+		},
+		Commands: []*cli.Command{
+			roleCommand("proxy", "carry the traffic of an edge machine", proxy.Run),
+			roleCommand("agent", "link the proxy of an edge machine to the control plane", agent.Run),
+			roleCommand("steward", "serve control on a core machine", steward.Run),
+			roleCommand("store", "keep batch jobs on a storage machine", storage.Run),
+			checkCommand(),
+		},
+	}
+}
+
+// role runs a process until its context ends.
+type role func(context.Context, *settings.Source, *slog.Logger) error
+
+func roleCommand(name, usage string, run role) *cli.Command {
+	return &cli.Command{Name: name, Usage: usage, Action: func(ctx context.Context, c *cli.Command) error {
+		source, err := open(c)
+		if err != nil {
+			return err
+		}
+		log, err := logger(c, source.Current())
+		if err != nil {
+			return err
+		}
+		limitMemory(source.Current())
+		ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+		defer stop()
+		signal.Ignore(syscall.SIGHUP, syscall.SIGPIPE) // the settings file is looked at again without a signal
+		log.Info("starting", "command", name)
+		return run(ctx, source, log)
+	}}
+}
+
+func checkCommand() *cli.Command {
+	return &cli.Command{Name: "check", Usage: "check a settings file", Action: func(_ context.Context, c *cli.Command) error {
+		source, err := open(c)
+		if err == nil {
+			fmt.Fprintf(c.Root().Writer, "%s: good\n", source.Current().NodeName)
+		}
+		return err
+	}}
+}
+
+func open(c *cli.Command) (*settings.Source, error) {
+	path := c.String("settings")
+	if path == "" {
+		return nil, fmt.Errorf("no settings file: set --settings or %s", settings.Variable)
+	}
+	return settings.NewSource(path)
+}
+
+func logger(c *cli.Command, s *settings.Settings) (*slog.Logger, error) {
+	var level slog.Level
+	if err := level.UnmarshalText([]byte(c.String("log-level"))); err != nil {
+		return nil, fmt.Errorf("--log-level: %w", err)
+	}
+	options := &slog.HandlerOptions{Level: level}
+	switch format := c.String("log-format"); format {
+	case "text":
+		return slog.New(slog.NewTextHandler(os.Stderr, options)).With("node", s.NodeName), nil
+	case "json":
+		return slog.New(slog.NewJSONHandler(os.Stderr, options)).With("node", s.NodeName), nil
+	default:
+		return nil, fmt.Errorf("--log-format: want text or json, not %q", format)
+	}
+}
+
+// memoryShare is the part of the machine's memory that the runtime tries to stay below.
+const memoryShare = 0.7
+
+func limitMemory(s *settings.Settings) {
+	if s.Limits.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(s.Limits.MemoryMB<<20)))
+	}
+}
--- a/internal/peers/peers.go
+++ b/internal/fleet/gossip/gossip.go
@@ -1,4 +1,4 @@
-package peers
+package gossip
 
 import (
 	"errors"
@@ -39,7 +39,7 @@
 )
 
 // ErrClosed says that the driver has ended, or is too late to answer.
-var ErrClosed = errors.New("peers: the view is closed or late")
+var ErrClosed = errors.New("gossip: the view is closed or late")
 
 // Peers is a running part in a fleet.
 type Peers struct {
@@ -61,7 +61,7 @@
 	watchAt int64  // when
 
 	dropped, full, failed atomic.Int64
-	traffic               counter
+	traffic               Counter
 	wg                    sync.WaitGroup
 	stop                  chan struct{}
 	stopping              sync.Once
@@ -210,7 +210,7 @@
 		if _, err := p.udp.WriteToUDPAddrPort(d.Bytes, d.To); err != nil {
 			p.failed.Add(1)
 		} else {
-			p.traffic.out(len(d.Bytes))
+			p.traffic.Out(len(d.Bytes))
 		}
 	}
 	for _, x := range o.Opens {
--- a/internal/peers/streams.go
+++ b/internal/fleet/gossip/streams.go
@@ -1,4 +1,4 @@
-package peers
+package gossip
 
 import (
 	"context"
@@ -26,7 +26,7 @@
 			}
 			continue // a peer that is down shows as a refused datagram on loopback; the socket stays good
 		}
-		p.traffic.in(n)
+		p.traffic.In(n)
 		if !p.allowed(from.Addr()) {
 			p.dropped.Add(1)
 			events.Warn(p.log, events.PeerDropped, "what", "datagram", "from", from, "error", fleet.ErrAddress)
@@ -80,7 +80,7 @@
 // serve answers one exchange: its first frame, and the one with what the other side had more.
 func (p *Peers) serve(conn net.Conn) {
 	conn.SetDeadline(time.Now().Add(patience))
-	conn = p.traffic.of(conn)
+	conn = p.traffic.Of(conn)
 	for range 2 {
 		b, err := readFrame(conn)
 		if err != nil {
@@ -135,7 +135,7 @@
 	}
 	defer conn.Close()
 	conn.SetDeadline(time.Now().Add(patience))
-	conn = p.traffic.of(conn)
+	conn = p.traffic.Of(conn)
 	if writeFrame(conn, x.Frame) != nil {
 		return
 	}
--- /dev/null
+++ b/internal/fleet/gossip/traffic.go
@@ -0,0 +1,55 @@
+package gossip
+
+import (
+	"net"
+	"sync/atomic"
+)
+
+// Traffic is what a part has sent and taken in since its beginning: words (a datagram, a frame of an exchange, a message on the policy)
+// and bytes of payload, without the headers of UDP, TCP and IP.
+type Traffic struct {
+	Sent, Received           int64 // words
+	SentBytes, ReceivedBytes int64
+	ShareBytes               int64 // of both, those that are of budgets
+	Links                    int64 // to others, that are open now
+}
+
+// Counter counts traffic; any goroutine may.
+type Counter struct{ sent, received, sentBytes, receivedBytes atomic.Int64 }
+
+// Out counts a word of so many bytes that was sent.
+func (c *Counter) Out(n int) { c.sent.Add(1); c.sentBytes.Add(int64(n)) }
+
+// In counts a word of so many bytes that was taken in.
+func (c *Counter) In(n int) { c.received.Add(1); c.receivedBytes.Add(int64(n)) }
+
+// Words counts words whose bytes are counted elsewhere.
+func (c *Counter) Words(sent, received int64) { c.sent.Add(sent); c.received.Add(received) }
+
+// Read returns what was counted.
+func (c *Counter) Read() Traffic {
+	return Traffic{Sent: c.sent.Load(), Received: c.received.Load(), SentBytes: c.sentBytes.Load(), ReceivedBytes: c.receivedBytes.Load()}
+}
+
+// Traffic is what was sent and taken in for the view.
+func (p *Peers) Traffic() Traffic { return p.traffic.Read() }
+
+// Of counts the bytes of a connection.
+func (c *Counter) Of(conn net.Conn) net.Conn { return counted{conn, c} }
+
+type counted struct {
+	net.Conn
+	c *Counter
+}
+
+func (x counted) Read(b []byte) (int, error) {
+	n, err := x.Conn.Read(b)
+	x.c.receivedBytes.Add(int64(n))
+	return n, err
+}
+
+func (x counted) Write(b []byte) (int, error) {
+	n, err := x.Conn.Write(b)
+	x.c.sentBytes.Add(int64(n))
+	return n, err
+}
--- a/internal/peers/doc.go
+++ b/internal/peers/doc.go
@@ -1,7 +1,6 @@
-// Package peers carries what gatherers of one fleet tell each other: datagrams and full exchanges for the view of the fleet (package
-// fleet, which decides all of it). It owns one UDP socket, one TCP listener and the goroutine that owns the core.
+// Package peers carries what gatherers of one fleet agree on: versions of the policy and shares of budgets (packages rollout and share,
+// which decide all of it). The view of the fleet is carried by package gossip, whose types stand here under their old names for those
+// that use both.
 //
-// It promises that nothing here blocks the engine or a client, that queues are bounded and every call on a socket has a deadline, and
-// that what comes from addresses that are not allowed is dropped and counted before it is read. It must never decide who is alive, nor
-// know senders by the addresses that their datagrams come from.
+// It promises that nothing here blocks the engine or a client, that queues are bounded and every call on a socket has a deadline.
 package peers
--- a/internal/peers/frames.go
+++ b/internal/peers/frames.go
@@ -45,7 +45,7 @@
 
 // serve takes in what one connection brings: a gatherer's messages, or an operator's proposals, which are answered on it.
 func (p *Policy) serve(conn net.Conn) {
-	conn = p.counts.of(conn)
+	conn = p.counts.Of(conn)
 	over := make(chan struct{})
 	defer close(over)
 	go func() {
--- a/internal/peers/links_test.go
+++ b/internal/peers/links_test.go
@@ -76,8 +76,8 @@
 		}
 	})
 	for range 2 {
-		sent := p.counts.sent.Load()
-		until(t, "said something", func() bool { return p.counts.sent.Load() > sent })
+		sent := p.counts.Read().Sent
+		until(t, "said something", func() bool { return p.counts.Read().Sent > sent })
 		until(t, "let its link go", func() bool { return p.links.Load() == 0 })
 	}
 }
--- /dev/null
+++ b/internal/system/batch/item.go
@@ -0,0 +1,283 @@
+package batch
+
+import (
+	"context"
+	"errors"
+	"io"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"saffronquay/internal/system/configuration"
+	"saffronquay/internal/system/forward"
+	"saffronquay/internal/system/routing"
+	"saffronquay/internal/system/rpc"
+	"saffronquay/internal/system/worker"
+)
+
+const (
+	// placeWait is how long an item waits for a place at a worker before it is handed back.
+	placeWait = 700 * time.Millisecond
+	// triesMost bounds the workers that an item is sent to under one lease.
+	triesMost  = 12
+	retryPause = 20 * time.Millisecond
+	// itemSlack is added to what is left until a job's deadline: late groups are still worth something.
+	itemSlack = 2 * time.Second
+	itemLeast = 1 * time.Second
+)
+
+// text is what has been made of an item so far.
+type text struct {
+	data     []byte
+	events   int
+	lastID   int64
+	versions []uint64
+	current  uint64
+}
+
+func (t *text) reset() { *t = text{lastID: -1} }
+
+// run works on an item until its result is known; nil where the lease was taken back.
+func (r *Runner) run(ctx context.Context, lease *rpc.Lease) *rpc.Report {
+	made := &text{lastID: -1}
+	for range triesMost {
+		table := r.Table()
+		route := table.Find(lease.Host, lease.Item.Path)
+		if route == nil {
+			return &rpc.Report{Result: &rpc.Result{}} // its route has ended
+		}
+		ticket := r.place(ctx, route, lease, made)
+		if ticket == nil {
+			return &rpc.Report{Released: true}
+		}
+		outcome := r.try(ctx, route, lease, ticket, made)
+		ticket.Clear()
+		switch {
+		case ctx.Err() != nil:
+			return nil
+		case outcome == tryWhole:
+			return r.score(ctx, lease, made)
+		case outcome == tryFailed:
+			return &rpc.Report{Failed: true}
+		case outcome == tryImpossible:
+			return &rpc.Report{Result: &rpc.Result{}}
+		}
+		pause(ctx, retryPause)
+	}
+	return &rpc.Report{Released: true}
+}
+
+// place waits for a place at a worker that fits.
+func (r *Runner) place(ctx context.Context, route *configuration.Route, lease *rpc.Lease, made *text) *routing.Ticket {
+	query := &routing.Query{Model: lease.Model, MinVersion: lease.MinVersion, MostItems: r.Slots}
+	for _, target := range route.Targets() {
+		if target.Weight > 0 {
+			query.Services = append(query.Services, target.Service)
+		}
+	}
+	if lease.SingleVersion && made.events > 0 {
+		query.Exact = made.current
+	}
+	cost := r.Forwarder.Table.Cost(route.Name, route.TargetLatencyMS, usage(lease.Item))
+	deadline := time.NewTimer(placeWait)
+	defer deadline.Stop()
+	for {
+		changed := r.Forwarder.Table.Changed()
+		if ticket := r.Forwarder.Table.Pick(r.Forwarder.Clock(), query, cost); ticket != nil {
+			return ticket
+		}
+		select {
+		case <-changed:
+		case <-time.After(retryPause):
+		case <-deadline.C:
+			if query.Exact != 0 { // no worker has this version any more: the text is made anew
+				made.reset()
+				query.Exact = 0
+				deadline.Reset(placeWait)
+				continue
+			}
+			return nil
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+func usage(item *rpc.Item) routing.Usage {
+	for _, h := range item.Headers {
+		if h.Name == "Token-Usage" {
+			return forward.ParseUsage(h.Value)
+		}
+	}
+	return routing.Usage{}
+}
+
+type tryOutcome uint8
+
+const (
+	tryAgain tryOutcome = iota
+	tryWhole
+	tryFailed
+	tryImpossible
+)
+
+// try sends an item to one worker and reads its events.
+func (r *Runner) try(ctx context.Context, route *configuration.Route, lease *rpc.Lease, ticket *routing.Ticket, made *text) tryOutcome {
+	table, clock, w := r.Forwarder.Table, r.Forwarder.Clock, ticket.Worker
+	begun := time.Now()
+	resumed := made.events > 0
+	answer, err := r.Forwarder.Pool.Do(ctx, &worker.Call{Address: w.Address, Method: fasthttp.MethodPost, URI: lease.Item.Path, Host: lease.Host,
+		Headers: itemHeaders(lease, w.ID, made), Body: lease.Item.Body})
+	if err != nil {
+		if ctx.Err() == nil {
+			table.Failed(clock(), w)
+		}
+		return tryAgain
+	}
+	defer answer.Close()
+	switch {
+	case string(answer.Header.Peek("Request-Id")) != lease.Item.Id && len(answer.Header.Peek("Request-Id")) > 0:
+		r.Forwarder.Pool.Forget(w.Address)
+		return tryAgain
+	case answer.Status == fasthttp.StatusMisdirectedRequest:
+		r.noteVersion(w, lease.Model, answer)
+		table.Refused(clock(), w)
+		return tryAgain
+	case len(answer.Header.Peek("Not-Executed")) > 0:
+		table.Refused(clock(), w)
+		return tryAgain
+	case answer.Status == fasthttp.StatusUnprocessableEntity:
+		return tryImpossible
+	case answer.Status == fasthttp.StatusInternalServerError:
+		return tryFailed
+	case answer.Status >= 300:
+		table.Refused(clock(), w)
+		return tryAgain
+	}
+	version := r.noteVersion(w, lease.Model, answer)
+	if version < lease.MinVersion || lease.SingleVersion && made.events > 0 && version != made.current {
+		if version >= lease.MinVersion {
+			made.reset()
+		}
+		return tryAgain
+	}
+	made.current = version
+	switch err := r.read(answer, lease, w, made); {
+	case err == nil:
+		table.Served(w)
+		if !resumed {
+			table.Learn(route.Name, route.TargetLatencyMS, float64(time.Since(begun).Microseconds())/1000, usage(lease.Item))
+		}
+		return tryWhole
+	case ctx.Err() == nil && !errors.Is(err, errVersion):
+		table.Failed(clock(), w)
+	}
+	return tryAgain
+}
+
+func (r *Runner) noteVersion(w *routing.Worker, model string, answer *worker.Answer) uint64 {
+	version, err := strconv.ParseUint(string(answer.Header.Peek("Weight-Versions")), 10, 64)
+	if err == nil {
+		r.Forwarder.Table.SawVersion(w, model, version)
+	}
+	return version
+}
+
+func itemHeaders(lease *rpc.Lease, instance string, made *text) []worker.Header {
+	left := max(time.Duration(lease.DueInMs)*time.Millisecond+itemSlack, itemLeast)
+	headers := make([]worker.Header, 0, len(lease.Item.Headers)+5)
+	for _, h := range lease.Item.Headers {
+		headers = append(headers, worker.Header{Name: h.Name, Value: h.Value})
+	}
+	headers = append(headers, worker.Header{Name: "Request-Id", Value: lease.Item.Id}, worker.Header{Name: "Expect-Instance", Value: instance},
+		worker.Header{Name: "Deadline-Ms", Value: strconv.FormatInt(left.Milliseconds(), 10)})
+	if made.events > 0 {
+		headers = append(headers, worker.Header{Name: "Last-Event-Id", Value: strconv.FormatInt(made.lastID, 10)})
+		if lease.SingleVersion {
+			headers = append(headers, worker.Header{Name: "Expect-Version", Value: strconv.FormatUint(made.current, 10)})
+		}
+	}
+	return headers
+}
+
+var (
+	errVersion = errors.New("batch: the version of the weights changed within a text")
+	errOrder   = errors.New("batch: an event is missing or stands twice")
+)
+
+// read adds an answer's events to the text; no error says that the text is whole.
+func (r *Runner) read(answer *worker.Answer, lease *rpc.Lease, w *routing.Worker, made *text) error {
+	events := worker.NewEvents(answer)
+	for {
+		event, err := events.Next()
+		if errors.Is(err, io.EOF) {
+			if made.events == 0 {
+				return io.ErrUnexpectedEOF
+			}
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if event.Version != 0 && event.Version != made.current {
+			r.Forwarder.Table.SawVersion(w, lease.Model, event.Version)
+			if lease.SingleVersion && made.events > 0 {
+				made.reset()
+				return errVersion
+			}
+			made.current = event.Version
+		}
+		if made.events > 0 && event.ID >= 0 && event.ID <= made.lastID {
+			made.reset()
+			return errOrder
+		}
+		if made.events > 0 {
+			made.data = append(made.data, '\n')
+		}
+		made.data = append(made.data, event.Data...)
+		made.events++
+		made.lastID = event.ID
+		if !slices.Contains(made.versions, made.current) {
+			made.versions = append(made.versions, made.current)
+		}
+	}
+}
+
+// scoreTries bounds how often a text's reward call is made anew.
+const scoreTries = 8
+
+// score has a whole text scored, where the item asks for that.
+func (r *Runner) score(ctx context.Context, lease *rpc.Lease, made *text) *rpc.Report {
+	result := &rpc.Result{Completed: true, Text: made.data, WeightVersions: made.versions}
+	scorer := lease.Item.Scorer
+	if scorer == nil {
+		return &rpc.Report{Result: result}
+	}
+	errors500 := 0
+	for range scoreTries {
+		route := r.Table().Find(scorer.Host, scorer.Path)
+		if route == nil {
+			return &rpc.Report{Result: &rpc.Result{}}
+		}
+		left := time.Duration(max(route.TimeoutMS, 500)) * time.Millisecond
+		answer := r.Forwarder.Do(ctx, &forward.Request{ID: scorer.Id, Method: fasthttp.MethodPost, URI: scorer.Path, Host: scorer.Host, Body: scorer.Body,
+			Route: route, Deadline: time.Now().Add(left)})
+		errors500 += answer.Errors
+		if answer.Err == nil && answer.Status < 300 {
+			result.Score = string(answer.Answer.Header.Peek("Response-Stamp"))
+			answer.Release()
+			return &rpc.Report{Result: result}
+		}
+		answer.Release()
+		if ctx.Err() != nil {
+			return nil
+		}
+		if errors500 >= max(route.MaxAttempts, 1) {
+			return &rpc.Report{Result: &rpc.Result{}}
+		}
+		pause(ctx, retryPause)
+	}
+	return &rpc.Report{Released: true}
+}
--- /dev/null
+++ b/internal/system/batch/runner.go
@@ -0,0 +1,285 @@
+// Package batch works on the items of batch jobs: it takes leases from the owners of the ledger's shards as far as the workers have room,
+// runs each item as a request for tokens, has its text scored, and reports what became of it.
+package batch
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"saffronquay/internal/system/configuration"
+	"saffronquay/internal/system/forward"
+	"saffronquay/internal/system/ledgerclient"
+	"saffronquay/internal/system/routing"
+	"saffronquay/internal/system/rpc"
+)
+
+// Runner works on items of batch jobs at one gatherer.
+type Runner struct {
+	Name      string
+	Forwarder *forward.Forwarder
+	Ledger    *ledgerclient.Client
+	Table     func() *configuration.Table // nil while no configuration is known
+	Slots     func(w *routing.Worker) int // this gatherer's part of a worker's places
+	Log       *slog.Logger
+
+	mu          sync.Mutex
+	leases      map[uint64]*running
+	epochs      map[string]uint64 // of the owners that know what this gatherer holds
+	outstanding map[string]int    // items asked for by calls under way
+	reports     map[string]chan *rpc.Report
+	stopping    bool
+	active      sync.WaitGroup
+}
+
+// running is a lease that is worked on.
+type running struct {
+	shard  string
+	lease  *rpc.Lease
+	cancel context.CancelFunc
+}
+
+const (
+	pollWait    = 400 * time.Millisecond
+	noRoomPause = 50 * time.Millisecond
+	callMost    = 3 * time.Second
+	reportQueue = 4096
+	reportBatch = 64
+)
+
+// Run works until the context ends, then finishes what it holds, for so long at most, and hands back the rest.
+func (r *Runner) Run(ctx context.Context, finish time.Duration) {
+	r.leases, r.epochs, r.outstanding, r.reports = map[uint64]*running{}, map[string]uint64{}, map[string]int{}, map[string]chan *rpc.Report{}
+	work, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	known := map[string]bool{}
+	var pollers sync.WaitGroup
+	for ctx.Err() == nil {
+		for _, shard := range r.Ledger.Shards() {
+			if known[shard] {
+				continue
+			}
+			known[shard] = true
+			queue := make(chan *rpc.Report, reportQueue)
+			r.mu.Lock()
+			r.reports[shard] = queue
+			r.mu.Unlock()
+			pollers.Add(1)
+			go func() {
+				defer pollers.Done()
+				r.poll(ctx, work, shard)
+			}()
+			go r.report(work, shard, queue)
+		}
+		pause(ctx, 200*time.Millisecond)
+	}
+	r.mu.Lock()
+	r.stopping = true
+	r.mu.Unlock()
+	done := make(chan struct{})
+	go func() { r.active.Wait(); close(done) }()
+	select {
+	case <-done:
+	case <-time.After(finish):
+	}
+	for shard := range known {
+		leave, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
+		r.call(leave, shard, &rpc.WorkRequest{Leaving: true})
+		cancel()
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
+
+// services are those that batch jobs' routes go to.
+func (r *Runner) services() (names []string) {
+	table := r.Table()
+	if table == nil {
+		return nil
+	}
+	return table.DeploymentServices()
+}
+
+// room is what this gatherer could begin now, less what calls under way have asked for.
+func (r *Runner) room() (want int, rooms []*rpc.Room) {
+	rooms, want = r.Forwarder.Table.Rooms(r.Forwarder.Clock(), r.services(), r.Slots)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.stopping {
+		return 0, nil
+	}
+	waiting := 0
+	for _, n := range r.outstanding {
+		waiting += n
+	}
+	return max(0, want-waiting), rooms
+}
+
+// poll asks a shard's owner for items whenever there is room.
+func (r *Runner) poll(ctx, work context.Context, shard string) {
+	for ctx.Err() == nil {
+		changed := r.Forwarder.Table.Changed()
+		want, rooms := r.room()
+		if want == 0 {
+			select {
+			case <-changed:
+			case <-time.After(pollWait):
+				r.ask(ctx, work, shard, &rpc.WorkRequest{}, 0) // still alive
+			case <-ctx.Done():
+			}
+			continue
+		}
+		if r.ask(ctx, work, shard, &rpc.WorkRequest{Rooms: rooms, WaitMs: uint32(pollWait.Milliseconds())}, want) == nil {
+			pause(ctx, noRoomPause)
+		}
+	}
+}
+
+// ask calls a shard's owner and begins what it hands out.
+func (r *Runner) ask(ctx, work context.Context, shard string, request *rpc.WorkRequest, want int) *rpc.WorkResponse {
+	request.Want = uint32(want)
+	r.mu.Lock()
+	r.outstanding[shard] += want
+	r.mu.Unlock()
+	response := r.call(ctx, shard, request)
+	r.mu.Lock()
+	r.outstanding[shard] -= want
+	r.mu.Unlock()
+	if response != nil {
+		r.take(work, shard, response)
+	}
+	return response
+}
+
+// call sends a request to a shard's owner. An owner that doesn't know what this gatherer holds is told.
+func (r *Runner) call(ctx context.Context, shard string, request *rpc.WorkRequest) *rpc.WorkResponse {
+	request.Shard, request.Gatherer = shard, r.Name
+	var response *rpc.WorkResponse
+	callCtx, cancel := context.WithTimeout(ctx, callMost)
+	defer cancel()
+	err := r.Ledger.Call(callCtx, shard, time.Duration(request.WaitMs)*time.Millisecond, func(ctx context.Context, l rpc.Ledger) (rpc.Outcome, string, error) {
+		request.Held = r.held(shard)
+		answer, err := l.Work(ctx, request)
+		if err != nil {
+			r.forgetEpoch(shard)
+			return rpc.Outcome_OUTCOME_UNKNOWN, "", err
+		}
+		if answer.Outcome != rpc.Outcome_DONE {
+			r.forgetEpoch(shard)
+		}
+		response = answer
+		return answer.Outcome, answer.LeaderAddress, nil
+	})
+	if err != nil {
+		return nil
+	}
+	return response
+}
+
+func (r *Runner) forgetEpoch(shard string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.epochs, shard)
+}
+
+// held lists what is worked on, where the owner may not know.
+func (r *Runner) held(shard string) (held []*rpc.HeldLease) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.epochs[shard] != 0 {
+		return nil
+	}
+	for number, l := range r.leases {
+		if l.shard == shard {
+			held = append(held, &rpc.HeldLease{Job: l.lease.Job, Item: l.lease.Item.Id, Number: number})
+		}
+	}
+	return held
+}
+
+// take begins the leases of a response and gives up what it cancels.
+func (r *Runner) take(work context.Context, shard string, response *rpc.WorkResponse) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if old := r.epochs[shard]; old != 0 && old != response.Epoch {
+		delete(r.epochs, shard) // a new owner; it is told with the next call
+	} else {
+		r.epochs[shard] = response.Epoch
+	}
+	for _, number := range response.Cancelled {
+		if l := r.leases[number]; l != nil {
+			l.cancel()
+		}
+	}
+	for _, lease := range response.Leases {
+		if r.leases[lease.Number] != nil {
+			continue
+		}
+		itemCtx, cancel := context.WithCancel(work)
+		r.leases[lease.Number] = &running{shard, lease, cancel}
+		r.active.Add(1)
+		go r.workOn(itemCtx, shard, lease)
+	}
+}
+
+// workOn runs one lease and reports.
+func (r *Runner) workOn(ctx context.Context, shard string, lease *rpc.Lease) {
+	defer r.active.Done()
+	report := r.run(ctx, lease)
+	cancelled := ctx.Err() != nil
+	r.mu.Lock()
+	if l := r.leases[lease.Number]; l != nil {
+		l.cancel()
+	}
+	delete(r.leases, lease.Number)
+	queue := r.reports[shard]
+	r.mu.Unlock()
+	if report == nil || cancelled && report.Result == nil {
+		return
+	}
+	report.Job, report.Item, report.Number = lease.Job, lease.Item.Id, lease.Number
+	select {
+	case queue <- report:
+	default:
+		r.Log.Warn("report dropped: too many wait", "shard", shard)
+	}
+}
+
+// report delivers reports until each is taken, and asks for new items with them.
+func (r *Runner) report(ctx context.Context, shard string, queue chan *rpc.Report) {
+	for {
+		var batch []*rpc.Report
+		select {
+		case first := <-queue:
+			batch = append(batch, first)
+		case <-ctx.Done():
+			return
+		}
+	more:
+		for len(batch) < reportBatch {
+			select {
+			case next := <-queue:
+				batch = append(batch, next)
+			default:
+				break more
+			}
+		}
+		r.deliver(ctx, shard, batch)
+	}
+}
+
+func (r *Runner) deliver(ctx context.Context, shard string, batch []*rpc.Report) {
+	for ctx.Err() == nil {
+		want, rooms := r.room()
+		if response := r.ask(ctx, ctx, shard, &rpc.WorkRequest{Reports: batch, Rooms: rooms}, want); response != nil && response.ReportsTaken {
+			return
+		}
+		pause(ctx, noRoomPause)
+	}
+}
--- /dev/null
+++ b/internal/system/consensus/core.go
@@ -0,0 +1,380 @@
+package consensus
+
+import (
+	"errors"
+	"math/rand/v2"
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	"saffronquay/internal/system/rpc"
+)
+
+// Config says who a replica is and how patient it is.
+type Config struct {
+	Group       string
+	ID          string
+	Address     string // of this replica's peer service
+	ElectionMS  int64  // shortest silence of a leader before an election; the longest is twice that
+	HeartbeatMS int64
+	Random      *rand.Rand
+}
+
+// Stored is what a replica finds on its disk.
+type Stored struct {
+	HardState *rpc.HardState
+	Snapshot  *rpc.Snapshot
+	Entries   []*rpc.Entry
+}
+
+// Ready is what a driver has to do, in this order: persist Snapshot, HardState and Entries (with one sync); send Messages; apply
+// Restore and Committed.
+type Ready struct {
+	HardState *rpc.HardState
+	Snapshot  *rpc.Snapshot // replaces the whole log
+	Entries   []*rpc.Entry  // replace whatever the log holds at and after the first of them
+	Messages  []*rpc.Message
+	Restore   *rpc.Snapshot // for the state machine
+	Committed []*rpc.Entry
+}
+
+// MustSync tells whether something has to be on disk before the messages leave.
+func (r *Ready) MustSync() bool { return r.HardState != nil || r.Snapshot != nil || len(r.Entries) > 0 }
+
+// Empty tells whether there is nothing to do.
+func (r *Ready) Empty() bool {
+	return !r.MustSync() && len(r.Messages) == 0 && r.Restore == nil && len(r.Committed) == 0
+}
+
+// Why a proposal is refused. None of these has any effect.
+var (
+	ErrNotLeader = errors.New("consensus: this replica is not the leader")
+	ErrBusy      = errors.New("consensus: an earlier membership change is under way")
+)
+
+const (
+	maxAppendBytes = 512 << 10
+	maxInFlight    = 16 // appends to one replica that have no answer yet
+)
+
+type role uint8
+
+const (
+	follower role = iota
+	preCandidate
+	candidate
+	leader
+)
+
+// progress is what a leader knows of another replica.
+type progress struct {
+	match, next uint64
+	inFlight    int
+	contactAt   int64 // when the newest heartbeat was sent that it has answered
+	heardAt     int64
+	snapshotAt  int64 // when a snapshot was sent that has not been answered; 0: none
+}
+
+// Core is one replica's state. It is for one goroutine.
+type Core struct {
+	cfg        Config
+	now        int64
+	role       role
+	epoch      uint64
+	vote       string
+	commit     uint64
+	handedOut  uint64 // commit index up to which entries were given to the driver
+	log        log
+	membership *rpc.Membership
+	since      uint64 // index of the entry that membership stands in
+	base       *rpc.Membership
+
+	leaderID      string
+	leaderAddress string
+	leaderHeardAt int64
+	electionAt    int64
+	votes         map[string]bool
+
+	peers       map[string]*progress
+	heartbeatAt int64
+	rounds      map[uint64]int64 // when heartbeats were sent
+	round       uint64
+	firstIndex  uint64 // of the leader's own epoch
+	elected     int64  // when it became leader
+
+	messages      []*rpc.Message
+	hardChanged   bool
+	unstableFrom  uint64 // first index that isn't persisted; 0: none
+	newSnapshot   *rpc.Snapshot
+	restoreNeeded *rpc.Snapshot
+	snapshotState []byte // of the newest snapshot, to send
+}
+
+// New starts a replica with what it finds on disk. A replica that founds a group has a snapshot at index 0 with the founders.
+func New(cfg Config, stored Stored, now int64) *Core {
+	c := &Core{cfg: cfg, now: now, membership: &rpc.Membership{}, base: &rpc.Membership{}, peers: map[string]*progress{}, rounds: map[uint64]int64{}}
+	if stored.Snapshot != nil {
+		c.log.snapshotIndex, c.log.snapshotEpoch = stored.Snapshot.Index, stored.Snapshot.Epoch
+		c.commit, c.handedOut = stored.Snapshot.Index, stored.Snapshot.Index
+		c.snapshotState = stored.Snapshot.State
+		if stored.Snapshot.Membership != nil {
+			c.base = stored.Snapshot.Membership
+		}
+	}
+	c.log.entries = stored.Entries
+	if stored.HardState != nil {
+		c.epoch, c.vote = stored.HardState.Epoch, stored.HardState.Vote
+	}
+	c.findMembership()
+	c.resetElection()
+	return c
+}
+
+// ID is the replica's own id.
+func (c *Core) ID() string { return c.cfg.ID }
+
+// IsLeader tells whether this replica leads, whether or not others still follow.
+func (c *Core) IsLeader() bool { return c.role == leader }
+
+// Epoch is the newest epoch that it knows of.
+func (c *Core) Epoch() uint64 { return c.epoch }
+
+// Commit is the newest index that is known to be agreed on.
+func (c *Core) Commit() uint64 { return c.commit }
+
+// Leader names the leader that it follows; empty where it knows none.
+func (c *Core) Leader() (id, address string) { return c.leaderID, c.leaderAddress }
+
+// Membership is the newest that stands in the log, agreed on or not.
+func (c *Core) Membership() *rpc.Membership { return c.membership }
+
+// Settled tells whether the newest membership is agreed on.
+func (c *Core) Settled() bool { return c.since <= c.commit }
+
+// LogLength is the number of entries since the last snapshot.
+func (c *Core) LogLength() int { return len(c.log.entries) }
+
+// HeardLeader tells whether the leader was heard, or leads with a lease, not longer than so many milliseconds ago.
+func (c *Core) HeardLeader(now, within int64) bool {
+	if c.role == leader {
+		return c.HoldsLease(now)
+	}
+	return c.leaderID != "" && now-c.leaderHeardAt <= within
+}
+
+// HoldsLease tells whether this replica is the leader and no other can have been elected yet, and whether it knows everything that
+// earlier leaders have acknowledged. Reads of the state are then up to date.
+func (c *Core) HoldsLease(now int64) bool {
+	if c.role != leader || c.commit < c.firstIndex {
+		return false
+	}
+	return now-c.quorumContact() < c.cfg.ElectionMS*8/10
+}
+
+// LedSince is when this replica became leader.
+func (c *Core) LedSince() int64 { return c.elected }
+
+// quorumContact is the latest time at which a majority is known to have followed this leader.
+func (c *Core) quorumContact() int64 {
+	times := make([]int64, 0, len(c.membership.Voters))
+	for _, voter := range c.membership.Voters {
+		switch p := c.peers[voter.Id]; {
+		case voter.Id == c.cfg.ID:
+			times = append(times, c.now)
+		case p != nil:
+			times = append(times, p.contactAt)
+		default:
+			times = append(times, 0)
+		}
+	}
+	if len(times) == 0 {
+		return 0
+	}
+	slices.SortFunc(times, func(a, b int64) int { return int(b - a) })
+	return times[len(times)/2]
+}
+
+func (c *Core) isVoter(id string) bool {
+	return slices.ContainsFunc(c.membership.Voters, func(r *rpc.Replica) bool { return r.Id == id })
+}
+
+func (c *Core) quorum() int { return len(c.membership.Voters)/2 + 1 }
+
+func (c *Core) resetElection() {
+	c.electionAt = c.now + c.cfg.ElectionMS + c.cfg.Random.Int64N(c.cfg.ElectionMS)
+}
+
+// Tick tells the core the time.
+func (c *Core) Tick(now int64) {
+	c.now = max(c.now, now)
+	if c.role == leader {
+		if c.now-c.quorumContact() > 2*c.cfg.ElectionMS && c.now-c.elected > 2*c.cfg.ElectionMS {
+			c.follow(c.epoch, "", "")
+			return
+		}
+		if c.now >= c.heartbeatAt {
+			c.heartbeat()
+		}
+		return
+	}
+	if c.now >= c.electionAt && c.isVoter(c.cfg.ID) {
+		c.campaign(preCandidate)
+	}
+}
+
+// campaign asks for votes; as a pre-candidate without raising the epoch.
+func (c *Core) campaign(as role) {
+	c.role, c.leaderID, c.leaderAddress = as, "", ""
+	c.votes = map[string]bool{c.cfg.ID: true}
+	c.resetElection()
+	kind, epoch := rpc.MessageKind_PRE_VOTE, c.epoch+1
+	if as == candidate {
+		c.epoch++
+		c.vote, c.hardChanged = c.cfg.ID, true
+		kind, epoch = rpc.MessageKind_VOTE, c.epoch
+	}
+	for _, voter := range c.membership.Voters {
+		if voter.Id != c.cfg.ID {
+			c.send(&rpc.Message{Kind: kind, To: voter.Id, Epoch: epoch, LogIndex: c.log.lastIndex(), LogEpoch: c.log.lastEpoch()})
+		}
+	}
+	c.countVotes()
+}
+
+func (c *Core) countVotes() {
+	granted, refused := 0, 0
+	for _, voter := range c.membership.Voters {
+		if vote, ok := c.votes[voter.Id]; ok && vote {
+			granted++
+		} else if ok {
+			refused++
+		}
+	}
+	switch {
+	case granted >= c.quorum() && c.role == preCandidate:
+		c.campaign(candidate)
+	case granted >= c.quorum() && c.role == candidate:
+		c.lead()
+	case refused >= c.quorum():
+		c.role = follower
+	}
+}
+
+func (c *Core) lead() {
+	c.role, c.leaderID, c.leaderAddress, c.elected = leader, c.cfg.ID, c.cfg.Address, c.now
+	c.peers, c.rounds = map[string]*progress{}, map[uint64]int64{}
+	c.firstIndex = c.log.lastIndex() + 1
+	c.trackPeers()
+	c.append(&rpc.Entry{Kind: rpc.EntryKind_ENTRY_NOOP})
+	c.heartbeat()
+}
+
+// trackPeers keeps a progress for each other member.
+func (c *Core) trackPeers() {
+	members := map[string]bool{}
+	for _, replica := range slices.Concat(c.membership.Voters, c.membership.Learners) {
+		members[replica.Id] = true
+		if c.peers[replica.Id] == nil && replica.Id != c.cfg.ID {
+			c.peers[replica.Id] = &progress{next: c.log.lastIndex() + 1}
+		}
+	}
+	for id := range c.peers {
+		if !members[id] {
+			delete(c.peers, id)
+		}
+	}
+}
+
+// append adds an entry of the leader's to its own log.
+func (c *Core) append(entry *rpc.Entry) uint64 {
+	entry.Index, entry.Epoch = c.log.lastIndex()+1, c.epoch
+	c.log.entries = append(c.log.entries, entry)
+	c.markUnstable(entry.Index)
+	if entry.Kind == rpc.EntryKind_ENTRY_MEMBERSHIP {
+		c.findMembership()
+		c.trackPeers()
+	}
+	return entry.Index
+}
+
+func (c *Core) markUnstable(index uint64) {
+	if c.unstableFrom == 0 || index < c.unstableFrom {
+		c.unstableFrom = index
+	}
+}
+
+// Propose appends a command; it is agreed on once it comes out of Ready with this index and epoch.
+func (c *Core) Propose(data []byte) (index, epoch uint64, err error) {
+	if c.role != leader {
+		return 0, 0, ErrNotLeader
+	}
+	index = c.append(&rpc.Entry{Kind: rpc.EntryKind_ENTRY_COMMAND, Data: data})
+	return index, c.epoch, nil
+}
+
+// ProposeMembership changes the members. The voters may differ by one replica from those before.
+func (c *Core) ProposeMembership(m *rpc.Membership) error {
+	if c.role != leader || c.commit < c.firstIndex {
+		return ErrNotLeader
+	}
+	if c.since > c.commit {
+		return ErrBusy
+	}
+	data, err := proto.Marshal(m)
+	if err != nil {
+		return err
+	}
+	c.append(&rpc.Entry{Kind: rpc.EntryKind_ENTRY_MEMBERSHIP, Data: data})
+	return nil
+}
+
+// CaughtUp tells whether a replica holds almost everything that the leader holds.
+func (c *Core) CaughtUp(id string) bool {
+	p := c.peers[id]
+	return p != nil && c.now-p.heardAt < 3*c.cfg.HeartbeatMS && p.match+16 >= c.log.lastIndex() && p.match >= c.commit-min(c.commit, 16)
+}
+
+// Reachable tells whether a replica has answered this leader lately.
+func (c *Core) Reachable(id string) bool {
+	p := c.peers[id]
+	return p != nil && c.now-p.heardAt < c.cfg.ElectionMS
+}
+
+// findMembership takes the newest membership in the log, or the snapshot's.
+func (c *Core) findMembership() {
+	for i := len(c.log.entries) - 1; i >= 0; i-- {
+		if entry := c.log.entries[i]; entry.Kind == rpc.EntryKind_ENTRY_MEMBERSHIP {
+			m := &rpc.Membership{}
+			if proto.Unmarshal(entry.Data, m) == nil {
+				c.membership, c.since = m, entry.Index
+				return
+			}
+		}
+	}
+	c.membership, c.since = c.base, c.log.snapshotIndex
+}
+
+func (c *Core) send(m *rpc.Message) {
+	m.Group, m.From, m.FromAddress = c.cfg.Group, c.cfg.ID, c.cfg.Address
+	c.messages = append(c.messages, m)
+}
+
+// follow makes the replica a follower in an epoch.
+func (c *Core) follow(epoch uint64, leaderID, address string) {
+	if epoch > c.epoch {
+		c.epoch, c.vote, c.hardChanged = epoch, "", true
+	}
+	c.role, c.leaderID, c.leaderAddress = follower, leaderID, address
+	if leaderID != "" {
+		c.leaderHeardAt = c.now
+	}
+	c.resetElection()
+}
+
+// NextAt is when Tick has something to do if no message comes before.
+func (c *Core) NextAt() int64 {
+	if c.role == leader {
+		return c.heartbeatAt
+	}
+	return c.electionAt
+}
--- /dev/null
+++ b/internal/system/consensus/membership.go
@@ -0,0 +1,74 @@
+package consensus
+
+import (
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	"saffronquay/internal/system/rpc"
+)
+
+func decodeMembership(data []byte, otherwise *rpc.Membership) *rpc.Membership {
+	m := &rpc.Membership{}
+	if proto.Unmarshal(data, m) != nil {
+		return otherwise
+	}
+	return m
+}
+
+// NextMembership is the next change of one replica that leads from the current members to the wanted voters, or nil where there is
+// none to make now. A replica becomes a learner first and a voter once it is caught up; nobody is removed while a wanted voter is missing
+// that could still be admitted, so that the number of copies never falls on the way.
+func (c *Core) NextMembership(wanted []*rpc.Replica) *rpc.Membership {
+	if c.role != leader || c.commit < c.firstIndex || c.since > c.commit || len(wanted) == 0 {
+		return nil
+	}
+	current := proto.Clone(c.membership).(*rpc.Membership)
+	has := func(list []*rpc.Replica, id string) bool {
+		return slices.ContainsFunc(list, func(r *rpc.Replica) bool { return r.Id == id })
+	}
+	without := func(list []*rpc.Replica, id string) []*rpc.Replica {
+		return slices.DeleteFunc(slices.Clone(list), func(r *rpc.Replica) bool { return r.Id == id })
+	}
+	for _, replica := range current.Learners {
+		if !has(wanted, replica.Id) {
+			current.Learners = without(current.Learners, replica.Id)
+			return current
+		}
+	}
+	missing := 0
+	for _, replica := range wanted {
+		switch {
+		case has(current.Voters, replica.Id):
+		case !has(current.Learners, replica.Id):
+			current.Learners = append(current.Learners, replica)
+			return current
+		case c.CaughtUp(replica.Id):
+			current.Learners = without(current.Learners, replica.Id)
+			current.Voters = append(current.Voters, replica)
+			return current
+		default:
+			missing++
+		}
+	}
+	if missing > 0 {
+		return nil
+	}
+	var self *rpc.Replica
+	for _, replica := range current.Voters {
+		if has(wanted, replica.Id) {
+			continue
+		}
+		if replica.Id == c.cfg.ID {
+			self = replica // the leader leaves last
+			continue
+		}
+		current.Voters = without(current.Voters, replica.Id)
+		return current
+	}
+	if self != nil {
+		current.Voters = without(current.Voters, self.Id)
+		return current
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/system/consensus/messages.go
@@ -0,0 +1,322 @@
+package consensus
+
+import (
+	"slices"
+
+	"saffronquay/internal/system/rpc"
+)
+
+// Step takes a message in.
+func (c *Core) Step(now int64, m *rpc.Message) {
+	c.now = max(c.now, now)
+	if m.To != c.cfg.ID || m.Group != c.cfg.Group {
+		return
+	}
+	switch m.Kind {
+	case rpc.MessageKind_PRE_VOTE, rpc.MessageKind_VOTE:
+		c.onVoteRequest(m)
+		return
+	case rpc.MessageKind_PRE_VOTE_REPLY:
+		if m.Reject && m.Epoch > c.epoch {
+			c.follow(m.Epoch, "", "")
+		} else if c.role == preCandidate && m.Epoch == c.epoch+1 || c.role == preCandidate && m.Reject {
+			c.votes[m.From] = !m.Reject
+			c.countVotes()
+		}
+		return
+	}
+	if m.Epoch < c.epoch {
+		if m.Kind == rpc.MessageKind_APPEND || m.Kind == rpc.MessageKind_SNAPSHOT {
+			// A leader of the past learns of the newer epoch.
+			c.send(&rpc.Message{Kind: rpc.MessageKind_APPEND_REPLY, To: m.From, Epoch: c.epoch, Reject: true, Round: m.Round})
+		}
+		return
+	}
+	switch m.Kind {
+	case rpc.MessageKind_VOTE_REPLY:
+		if m.Epoch > c.epoch {
+			c.follow(m.Epoch, "", "")
+		} else if c.role == candidate {
+			c.votes[m.From] = !m.Reject
+			c.countVotes()
+		}
+	case rpc.MessageKind_APPEND:
+		c.follow(m.Epoch, m.From, m.FromAddress)
+		c.onAppend(m)
+	case rpc.MessageKind_SNAPSHOT:
+		c.follow(m.Epoch, m.From, m.FromAddress)
+		c.onSnapshot(m)
+	case rpc.MessageKind_APPEND_REPLY:
+		if m.Epoch > c.epoch {
+			c.follow(m.Epoch, "", "")
+		} else if c.role == leader {
+			c.onAppendReply(m)
+		}
+	}
+}
+
+func (c *Core) onVoteRequest(m *rpc.Message) {
+	reply := rpc.MessageKind_VOTE_REPLY
+	if m.Kind == rpc.MessageKind_PRE_VOTE {
+		reply = rpc.MessageKind_PRE_VOTE_REPLY
+	}
+	refuse := func() {
+		c.send(&rpc.Message{Kind: reply, To: m.From, Epoch: c.epoch, Reject: true})
+	}
+	current := m.LogEpoch > c.log.lastEpoch() || m.LogEpoch == c.log.lastEpoch() && m.LogIndex >= c.log.lastIndex()
+	// Whoever follows a live leader doesn't help to replace it: the leader's lease rests on that.
+	led := c.role == leader && c.now-c.quorumContact() < c.cfg.ElectionMS ||
+		c.role != leader && c.leaderID != "" && c.now-c.leaderHeardAt < c.cfg.ElectionMS
+	if led || m.Epoch < c.epoch || !current || !c.isVoter(c.cfg.ID) {
+		if m.Kind == rpc.MessageKind_VOTE && !led && m.Epoch > c.epoch {
+			c.follow(m.Epoch, "", "")
+		}
+		refuse()
+		return
+	}
+	if m.Kind == rpc.MessageKind_PRE_VOTE {
+		if m.Epoch <= c.epoch {
+			refuse()
+			return
+		}
+		c.send(&rpc.Message{Kind: reply, To: m.From, Epoch: m.Epoch})
+		return
+	}
+	if m.Epoch > c.epoch {
+		c.follow(m.Epoch, "", "")
+	}
+	if c.role == leader || c.vote != "" && c.vote != m.From {
+		refuse()
+		return
+	}
+	c.vote, c.hardChanged = m.From, true
+	c.resetElection()
+	c.send(&rpc.Message{Kind: reply, To: m.From, Epoch: c.epoch})
+}
+
+func (c *Core) onAppend(m *rpc.Message) {
+	reply := &rpc.Message{Kind: rpc.MessageKind_APPEND_REPLY, To: m.From, Epoch: c.epoch, Round: m.Round}
+	entries, before, beforeEpoch := m.Entries, m.LogIndex, m.LogEpoch
+	if before < c.log.snapshotIndex {
+		// What the snapshot covers is agreed on and needs no comparison.
+		skip := min(c.log.snapshotIndex-before, uint64(len(entries)))
+		entries = entries[skip:]
+		before += skip
+		beforeEpoch = c.log.snapshotEpoch
+		if before < c.log.snapshotIndex {
+			reply.LogIndex = c.log.snapshotIndex
+			c.send(reply)
+			return
+		}
+	}
+	if epoch, ok := c.log.epochAt(before); !ok || epoch != beforeEpoch {
+		reply.Reject = true
+		reply.LogIndex = min(c.log.lastIndex(), max(before, 1)-1)
+		c.send(reply)
+		return
+	}
+	last := before + uint64(len(entries))
+	for i, entry := range entries {
+		if epoch, ok := c.log.epochAt(entry.Index); ok && epoch == entry.Epoch {
+			continue
+		}
+		if entry.Index <= c.log.lastIndex() {
+			c.log.truncateAfter(entry.Index - 1)
+		}
+		c.log.entries = append(c.log.entries, entries[i:]...)
+		c.markUnstable(entry.Index)
+		c.findMembership()
+		break
+	}
+	c.commit = max(c.commit, min(m.Commit, last))
+	reply.LogIndex = last
+	c.send(reply)
+}
+
+func (c *Core) onSnapshot(m *rpc.Message) {
+	s := m.Snapshot
+	if s != nil && s.Index > c.commit {
+		c.log = log{snapshotIndex: s.Index, snapshotEpoch: s.Epoch}
+		c.commit, c.handedOut, c.unstableFrom = s.Index, s.Index, 0
+		c.newSnapshot, c.restoreNeeded, c.snapshotState = s, s, s.State
+		c.base = s.Membership
+		c.findMembership()
+	}
+	c.send(&rpc.Message{Kind: rpc.MessageKind_APPEND_REPLY, To: m.From, Epoch: c.epoch, LogIndex: c.commit, Round: m.Round})
+}
+
+func (c *Core) onAppendReply(m *rpc.Message) {
+	p := c.peers[m.From]
+	if p == nil {
+		return
+	}
+	p.heardAt = c.now
+	if sent, ok := c.rounds[m.Round]; ok {
+		p.contactAt = max(p.contactAt, sent)
+	}
+	p.inFlight = max(0, p.inFlight-1)
+	if m.Reject {
+		if m.LogIndex+1 < p.next {
+			p.next = max(m.LogIndex, p.match) + 1
+			p.inFlight = 0
+			c.replicate(m.From, p, false)
+		}
+		return
+	}
+	p.snapshotAt = 0
+	p.match = max(p.match, m.LogIndex)
+	p.next = max(p.next, p.match+1)
+	c.advanceCommit()
+	if p.next <= c.log.lastIndex() {
+		c.replicate(m.From, p, false)
+	}
+}
+
+// advanceCommit finds the newest entry of its own epoch that a majority holds on disk.
+func (c *Core) advanceCommit() {
+	matches := make([]uint64, 0, len(c.membership.Voters))
+	for _, voter := range c.membership.Voters {
+		switch p := c.peers[voter.Id]; {
+		case voter.Id == c.cfg.ID:
+			matches = append(matches, c.persisted())
+		case p != nil:
+			matches = append(matches, p.match)
+		default:
+			matches = append(matches, 0)
+		}
+	}
+	if len(matches) == 0 {
+		return
+	}
+	slices.Sort(matches)
+	index := matches[(len(matches)-1)/2]
+	if epoch, ok := c.log.epochAt(index); index > c.commit && ok && epoch == c.epoch {
+		c.commit = index
+		c.heartbeatAt = min(c.heartbeatAt, c.now+commitNoticeMS)
+		if c.since <= c.commit && !c.isVoter(c.cfg.ID) {
+			c.heartbeat() // the others learn of the commit before this one leaves
+			c.follow(c.epoch, "", "")
+		}
+	}
+}
+
+// commitNoticeMS is how soon followers are told of a new commit index, where no further entry tells them.
+const commitNoticeMS = 5
+
+func (c *Core) persisted() uint64 {
+	if c.unstableFrom != 0 {
+		return c.unstableFrom - 1
+	}
+	return c.log.lastIndex()
+}
+
+func (c *Core) heartbeat() {
+	// On a common grid the heartbeats of all groups of a machine leave together.
+	c.heartbeatAt = (c.now/c.cfg.HeartbeatMS + 1) * c.cfg.HeartbeatMS
+	c.round++
+	c.rounds[c.round] = c.now
+	delete(c.rounds, c.round-64)
+	for id, p := range c.peers {
+		c.replicate(id, p, true)
+	}
+}
+
+// replicate sends a replica what it lacks; with always an empty message where it lacks nothing.
+func (c *Core) replicate(id string, p *progress, always bool) {
+	silent := c.now-p.heardAt > 2*c.cfg.HeartbeatMS+c.cfg.ElectionMS/4 // it gets heartbeats only, until it answers
+	if silent && p.inFlight > 0 {
+		p.next, p.inFlight = p.match+1, 0
+	}
+	if p.next <= c.log.snapshotIndex {
+		if p.snapshotAt != 0 && c.now-p.snapshotAt < snapshotRetryMS {
+			if always {
+				c.sendAppend(id, c.log.snapshotIndex, nil)
+			}
+			return
+		}
+		if silent && p.snapshotAt != 0 {
+			if always {
+				c.sendAppend(id, c.log.snapshotIndex, nil)
+			}
+			return
+		}
+		p.snapshotAt = c.now
+		c.send(&rpc.Message{Kind: rpc.MessageKind_SNAPSHOT, To: id, Epoch: c.epoch, Round: c.round,
+			Snapshot: &rpc.Snapshot{Index: c.log.snapshotIndex, Epoch: c.log.snapshotEpoch, Membership: c.base, State: c.snapshotState}})
+		return
+	}
+	for sent := false; ; sent = true {
+		var entries []*rpc.Entry
+		if !silent && p.inFlight < maxInFlight {
+			entries = c.log.from(p.next, maxAppendBytes)
+		}
+		if len(entries) == 0 && (sent || !always) {
+			return
+		}
+		c.sendAppend(id, p.next-1, entries)
+		if len(entries) == 0 {
+			return
+		}
+		p.next += uint64(len(entries))
+		p.inFlight++
+	}
+}
+
+// snapshotRetryMS is how long a snapshot may take before it is sent once more.
+const snapshotRetryMS = 3000
+
+func (c *Core) sendAppend(id string, before uint64, entries []*rpc.Entry) {
+	epoch, _ := c.log.epochAt(before)
+	c.send(&rpc.Message{Kind: rpc.MessageKind_APPEND, To: id, Epoch: c.epoch, LogIndex: before, LogEpoch: epoch, Commit: c.commit, Entries: entries, Round: c.round})
+}
+
+// Ready returns what is to be done, and takes it for done: the driver must not call the core again before it has persisted it.
+func (c *Core) Ready() Ready {
+	var r Ready
+	if c.role == leader {
+		for id, p := range c.peers {
+			if p.next <= c.log.lastIndex() {
+				c.replicate(id, p, false)
+			}
+		}
+	}
+	if c.hardChanged {
+		r.HardState = &rpc.HardState{Epoch: c.epoch, Vote: c.vote}
+		c.hardChanged = false
+	}
+	r.Snapshot, r.Restore = c.newSnapshot, c.restoreNeeded
+	c.newSnapshot, c.restoreNeeded = nil, nil
+	if c.unstableFrom != 0 {
+		r.Entries = c.log.from(c.unstableFrom, int(^uint(0)>>1))
+		c.unstableFrom = 0
+	}
+	r.Messages = c.messages
+	c.messages = nil
+	if c.role == leader && len(r.Entries) > 0 {
+		c.advanceCommit() // of a group of one; otherwise the followers' answers do it
+	}
+	if c.handedOut < c.commit {
+		r.Committed = c.log.entries[c.handedOut-c.log.snapshotIndex : c.commit-c.log.snapshotIndex : c.commit-c.log.snapshotIndex]
+		c.handedOut = c.commit
+	}
+	return r
+}
+
+// Compact records that the driver has persisted a snapshot of the state after an index that was handed out.
+func (c *Core) Compact(index uint64, state []byte) *rpc.Snapshot {
+	epoch, ok := c.log.epochAt(index)
+	if !ok || index > c.handedOut || index <= c.log.snapshotIndex {
+		return nil
+	}
+	membership := c.base
+	for i := c.log.snapshotIndex + 1; i <= index; i++ {
+		if entry := c.log.entry(i); entry.Kind == rpc.EntryKind_ENTRY_MEMBERSHIP {
+			membership = decodeMembership(entry.Data, membership)
+		}
+	}
+	c.base = membership
+	c.log.compact(index, epoch)
+	c.snapshotState = state
+	c.findMembership()
+	return &rpc.Snapshot{Index: index, Epoch: epoch, Membership: membership, State: state}
+}
--- /dev/null
+++ b/internal/system/directory/directory.go
@@ -0,0 +1,252 @@
+// Package directory is the state machine of the shard that holds the configuration: the configuration itself, the named versions of
+// weights, which replicas each group should have, and which machines are to be emptied.
+package directory
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/binary"
+	"sync"
+
+	"google.golang.org/protobuf/proto"
+
+	"saffronquay/internal/system/configuration"
+	"saffronquay/internal/system/feed"
+	"saffronquay/internal/system/rpc"
+)
+
+// Shard is the name of the shard and of its group.
+const Shard = "directory"
+
+// takenMost is the number of taken configurations that are known again when they are sent once more.
+const takenMost = 8192
+
+// Directory is the state. Apply, Snapshot and Restore are for the replica's goroutine; the rest may be called by any.
+type Directory struct {
+	feed *feed.Table
+
+	mu            sync.RWMutex
+	version       uint64
+	configuration []byte
+	table         *configuration.Table
+	taken         []*rpc.TakenConfiguration
+	models        map[string]uint64
+	placements    map[string]*rpc.Placement
+	retirements   map[string]bool // machine: completed
+	policies      map[string]bool // model: texts are made by one version
+}
+
+// New returns an empty directory that publishes its changes.
+func New(table *feed.Table) *Directory {
+	return &Directory{feed: table, models: map[string]uint64{}, placements: map[string]*rpc.Placement{}, retirements: map[string]bool{}, policies: map[string]bool{},
+		table: configuration.NewTable(&configuration.Document{})}
+}
+
+// Digest identifies what an operator sent.
+func Digest(base uint64, patch bool, body []byte) []byte {
+	h := sha256.New()
+	var head [9]byte
+	binary.BigEndian.PutUint64(head[:], base)
+	if patch {
+		head[8] = 1
+	}
+	h.Write(head[:])
+	h.Write(body)
+	return h.Sum(nil)
+}
+
+// Apply implements replica.StateMachine.
+func (d *Directory) Apply(index uint64, command []byte) []byte {
+	c := &rpc.DirectoryCommand{}
+	result := &rpc.DirectoryResult{Status: rpc.DirectoryStatus_DIRECTORY_INVALID, Message: "unreadable command"}
+	var event *rpc.FeedEvent
+	if proto.Unmarshal(command, c) == nil {
+		d.mu.Lock()
+		result, event = d.apply(c)
+		d.mu.Unlock()
+	}
+	if event != nil {
+		d.feed.Publish(Shard, index, event)
+	} else {
+		d.feed.Publish(Shard, index)
+	}
+	encoded, _ := proto.Marshal(result)
+	return encoded
+}
+
+func (d *Directory) apply(c *rpc.DirectoryCommand) (*rpc.DirectoryResult, *rpc.FeedEvent) {
+	done := &rpc.DirectoryResult{}
+	switch x := c.Command.(type) {
+	case *rpc.DirectoryCommand_Replace:
+		return d.replace(x.Replace)
+	case *rpc.DirectoryCommand_NameVersion:
+		if x.NameVersion.Version <= d.models[x.NameVersion.Model] {
+			return done, nil
+		}
+		d.models[x.NameVersion.Model] = x.NameVersion.Version
+		return done, &rpc.FeedEvent{Event: &rpc.FeedEvent_Version{Version: x.NameVersion}}
+	case *rpc.DirectoryCommand_Place:
+		d.placements[x.Place.Group] = x.Place
+		return done, &rpc.FeedEvent{Event: &rpc.FeedEvent_Placement{Placement: x.Place}}
+	case *rpc.DirectoryCommand_Retire:
+		d.retirements[x.Retire.Node] = d.retirements[x.Retire.Node] || x.Retire.Completed
+		return done, nil
+	case *rpc.DirectoryCommand_Policy:
+		if old, ok := d.policies[x.Policy.Model]; ok && old == x.Policy.SingleVersion {
+			return done, nil
+		}
+		d.policies[x.Policy.Model] = x.Policy.SingleVersion
+		return done, &rpc.FeedEvent{Event: &rpc.FeedEvent_Policy{Policy: x.Policy}}
+	case *rpc.DirectoryCommand_Read:
+		return &rpc.DirectoryResult{Configuration: d.configuration}, nil
+	}
+	return &rpc.DirectoryResult{Status: rpc.DirectoryStatus_DIRECTORY_INVALID, Message: "unknown command"}, nil
+}
+
+// replace takes a configuration where it builds on the current one. One that was taken before is acknowledged once more.
+func (d *Directory) replace(r *rpc.ReplaceConfiguration) (*rpc.DirectoryResult, *rpc.FeedEvent) {
+	for _, taken := range d.taken {
+		if taken.Version == r.Version && bytes.Equal(taken.Digest, r.Digest) {
+			return &rpc.DirectoryResult{}, nil
+		}
+	}
+	if r.Base != d.version {
+		return &rpc.DirectoryResult{Status: rpc.DirectoryStatus_DIRECTORY_CONFLICT, Message: "another version is current"}, nil
+	}
+	body := r.Body
+	if r.Patch {
+		changed, err := configuration.Apply(d.configuration, r.Body)
+		if err != nil {
+			return &rpc.DirectoryResult{Status: rpc.DirectoryStatus_DIRECTORY_INVALID, Message: err.Error()}, nil
+		}
+		body = changed
+	}
+	document, err := configuration.Parse(body)
+	if err != nil {
+		return &rpc.DirectoryResult{Status: rpc.DirectoryStatus_DIRECTORY_INVALID, Message: err.Error()}, nil
+	}
+	if document.Version <= d.version || document.Version != r.Version {
+		return &rpc.DirectoryResult{Status: rpc.DirectoryStatus_DIRECTORY_INVALID, Message: "version: is not above the current one"}, nil
+	}
+	d.version, d.configuration, d.table = document.Version, body, configuration.NewTable(document)
+	d.taken = append(d.taken, &rpc.TakenConfiguration{Version: r.Version, Digest: r.Digest})
+	if len(d.taken) > takenMost {
+		d.taken = append([]*rpc.TakenConfiguration(nil), d.taken[len(d.taken)-takenMost/2:]...)
+	}
+	return &rpc.DirectoryResult{}, &rpc.FeedEvent{Event: &rpc.FeedEvent_Configuration{Configuration: &rpc.ConfigurationEvent{Version: d.version, Body: body}}}
+}
+
+// Snapshot implements replica.StateMachine.
+func (d *Directory) Snapshot() ([]byte, error) {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	s := &rpc.DirectorySnapshot{Version: d.version, Configuration: d.configuration, Taken: d.taken, Models: d.models}
+	for _, p := range d.placements {
+		s.Placements = append(s.Placements, p)
+	}
+	for node, completed := range d.retirements {
+		s.Retirements = append(s.Retirements, &rpc.RetireState{Node: node, Completed: completed})
+	}
+	for model, single := range d.policies {
+		s.Policies = append(s.Policies, &rpc.ModelPolicy{Model: model, SingleVersion: single})
+	}
+	return proto.Marshal(s)
+}
+
+// Restore implements replica.StateMachine.
+func (d *Directory) Restore(index uint64, state []byte) error {
+	s := &rpc.DirectorySnapshot{}
+	if err := proto.Unmarshal(state, s); err != nil {
+		return err
+	}
+	document, err := &configuration.Document{}, error(nil)
+	if len(s.Configuration) > 0 {
+		if document, err = configuration.Parse(s.Configuration); err != nil {
+			return err
+		}
+	}
+	d.mu.Lock()
+	d.version, d.configuration, d.table, d.taken = s.Version, s.Configuration, configuration.NewTable(document), s.Taken
+	d.models = map[string]uint64{}
+	for model, version := range s.Models {
+		d.models[model] = version
+	}
+	d.placements, d.retirements, d.policies = map[string]*rpc.Placement{}, map[string]bool{}, map[string]bool{}
+	for _, p := range s.Policies {
+		d.policies[p.Model] = p.SingleVersion
+	}
+	for _, p := range s.Placements {
+		d.placements[p.Group] = p
+	}
+	for _, r := range s.Retirements {
+		d.retirements[r.Node] = r.Completed
+	}
+	events := d.events()
+	d.mu.Unlock()
+	d.feed.Replace(Shard, index, events)
+	return nil
+}
+
+func (d *Directory) events() (events []*rpc.FeedEvent) {
+	if d.version > 0 {
+		events = append(events, &rpc.FeedEvent{Event: &rpc.FeedEvent_Configuration{Configuration: &rpc.ConfigurationEvent{Version: d.version, Body: d.configuration}}})
+	}
+	for model, version := range d.models {
+		events = append(events, &rpc.FeedEvent{Event: &rpc.FeedEvent_Version{Version: &rpc.NameVersion{Model: model, Version: version}}})
+	}
+	for _, p := range d.placements {
+		events = append(events, &rpc.FeedEvent{Event: &rpc.FeedEvent_Placement{Placement: p}})
+	}
+	for model, single := range d.policies {
+		events = append(events, &rpc.FeedEvent{Event: &rpc.FeedEvent_Policy{Policy: &rpc.ModelPolicy{Model: model, SingleVersion: single}}})
+	}
+	return events
+}
+
+// Policy tells whether texts of a model must be made by one version; false for known where nobody has said so yet.
+func (d *Directory) Policy(model string) (single, known bool) {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	single, known = d.policies[model]
+	return single, known
+}
+
+// Table is the configuration in force.
+func (d *Directory) Table() *configuration.Table {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.table
+}
+
+// Models are the newest versions that were named.
+func (d *Directory) Models() map[string]uint64 {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	models := make(map[string]uint64, len(d.models))
+	for model, version := range d.models {
+		models[model] = version
+	}
+	return models
+}
+
+// Placements are the wanted replicas by group.
+func (d *Directory) Placements() map[string]*rpc.Placement {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	placements := make(map[string]*rpc.Placement, len(d.placements))
+	for name, p := range d.placements {
+		placements[name] = p
+	}
+	return placements
+}
+
+// Retirements tells for each machine that is to be emptied whether it is.
+func (d *Directory) Retirements() map[string]bool {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	retirements := make(map[string]bool, len(d.retirements))
+	for node, completed := range d.retirements {
+		retirements[node] = completed
+	}
+	return retirements
+}
--- /dev/null
+++ b/internal/system/feed/table.go
@@ -0,0 +1,191 @@
+// Package feed brings control state to the processes that act on it: a table for each shard, a snapshot of it for whoever begins, and a
+// feed of changes from an offset for whoever goes on. An offset is an index of the shard's log, so it means the same at every steward,
+// and a process that goes on at another one neither misses a change nor steps back.
+package feed
+
+import (
+	"sync"
+
+	"saffronquay/internal/system/rpc"
+)
+
+// retained is the number of changes of a shard that can be asked for; whoever is further behind gets a snapshot.
+const retained = 2048
+
+// Table holds the newest event for each key, by shard.
+type Table struct {
+	mu      sync.Mutex
+	shards  map[string]*shard
+	changed chan struct{}
+}
+
+type shard struct {
+	offset uint64
+	floor  uint64 // changes at and below it are no longer retained
+	events []*rpc.FeedEvent
+	newest map[string]*rpc.FeedEvent
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table { return &Table{shards: map[string]*shard{}, changed: make(chan struct{})} }
+
+func (t *Table) shard(name string) *shard {
+	s := t.shards[name]
+	if s == nil {
+		s = &shard{newest: map[string]*rpc.FeedEvent{}}
+		t.shards[name] = s
+	}
+	return s
+}
+
+func (t *Table) wake() {
+	close(t.changed)
+	t.changed = make(chan struct{})
+}
+
+// key is what an event is about: a later event with the same key replaces it.
+func key(e *rpc.FeedEvent) string {
+	switch x := e.Event.(type) {
+	case *rpc.FeedEvent_Configuration:
+		return "configuration"
+	case *rpc.FeedEvent_Version:
+		return "version/" + x.Version.Model
+	case *rpc.FeedEvent_Placement:
+		return "placement/" + x.Placement.Group
+	case *rpc.FeedEvent_Instance:
+		return "instance/" + x.Instance.Id
+	case *rpc.FeedEvent_Gone:
+		return "instance/" + x.Gone
+	case *rpc.FeedEvent_Policy:
+		return "policy/" + x.Policy.Model
+	case *rpc.FeedEvent_Member:
+		return "member/" + x.Member.Name
+	case *rpc.FeedEvent_Left:
+		return "member/" + x.Left
+	}
+	return ""
+}
+
+// Publish records changes that the entry at an index of the shard's log has made.
+func (t *Table) Publish(name string, index uint64, events ...*rpc.FeedEvent) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.shard(name)
+	for _, e := range events {
+		e.Offset = index
+		s.put(e)
+	}
+	s.offset = index
+	t.wake()
+}
+
+func (s *shard) put(e *rpc.FeedEvent) {
+	switch e.Event.(type) {
+	case *rpc.FeedEvent_Gone, *rpc.FeedEvent_Left:
+		delete(s.newest, key(e))
+	default:
+		s.newest[key(e)] = e
+	}
+	s.events = append(s.events, e)
+	if len(s.events) > 2*retained {
+		s.floor = s.events[retained-1].Offset
+		s.events = append([]*rpc.FeedEvent(nil), s.events[retained:]...)
+	}
+}
+
+// Replace sets a shard to a snapshot. It returns events that say what is gone.
+func (t *Table) Replace(name string, index uint64, events []*rpc.FeedEvent) (removed []*rpc.FeedEvent) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.shard(name)
+	old := s.newest
+	s.newest = map[string]*rpc.FeedEvent{}
+	s.events, s.offset, s.floor = nil, index, index
+	for _, e := range events {
+		s.newest[key(e)] = e
+	}
+	for k, e := range old {
+		if s.newest[k] != nil {
+			continue
+		}
+		switch x := e.Event.(type) {
+		case *rpc.FeedEvent_Instance:
+			removed = append(removed, &rpc.FeedEvent{Offset: index, Event: &rpc.FeedEvent_Gone{Gone: x.Instance.Id}})
+		case *rpc.FeedEvent_Member:
+			removed = append(removed, &rpc.FeedEvent{Offset: index, Event: &rpc.FeedEvent_Left{Left: x.Member.Name}})
+		}
+	}
+	t.wake()
+	return removed
+}
+
+// Offset is the index of a shard's log up to which the table has its changes.
+func (t *Table) Offset(name string) uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.shard(name).offset
+}
+
+// Offsets are those of all shards.
+func (t *Table) Offsets() map[string]uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	offsets := make(map[string]uint64, len(t.shards))
+	for name, s := range t.shards {
+		offsets[name] = s.offset
+	}
+	return offsets
+}
+
+// Since returns what is new to somebody with these offsets, and a channel that is closed at the next change.
+func (t *Table) Since(offsets map[string]uint64) (feeds []*rpc.ShardFeed, changed <-chan struct{}) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for name, s := range t.shards {
+		have := offsets[name]
+		if have >= s.offset {
+			continue
+		}
+		f := &rpc.ShardFeed{Shard: name, Offset: s.offset}
+		if have < s.floor || have == 0 {
+			f.Snapshot = true
+			for _, e := range s.newest {
+				f.Events = append(f.Events, e)
+			}
+		} else {
+			for _, e := range s.events {
+				if e.Offset > have {
+					f.Events = append(f.Events, e)
+				}
+			}
+		}
+		feeds = append(feeds, f)
+	}
+	return feeds, t.changed
+}
+
+// Take records what another table told, and returns the events that are new here, in order.
+func (t *Table) Take(feeds []*rpc.ShardFeed) (news []*rpc.FeedEvent) {
+	for _, f := range feeds {
+		if f.Offset <= t.Offset(f.Shard) {
+			continue // an older state never replaces a newer one
+		}
+		if f.Snapshot {
+			news = append(news, t.Replace(f.Shard, f.Offset, f.Events)...)
+			news = append(news, f.Events...)
+			continue
+		}
+		t.mu.Lock()
+		s := t.shard(f.Shard)
+		for _, e := range f.Events {
+			if e.Offset > s.offset {
+				s.put(e)
+				news = append(news, e)
+			}
+		}
+		s.offset = f.Offset
+		t.wake()
+		t.mu.Unlock()
+	}
+	return news
+}
--- /dev/null
+++ b/internal/system/ledger/ledger.go
@@ -0,0 +1,214 @@
+package ledger
+
+import (
+	"sync"
+
+	"google.golang.org/protobuf/proto"
+
+	"saffronquay/internal/system/rpc"
+)
+
+// Ledger is the state of one shard. Apply, Snapshot and Restore are for the replica's goroutine; the rest may be called by any.
+type Ledger struct {
+	mu      sync.Mutex
+	jobs    map[string]*job
+	changed func(Change) // told under no lock, in the order of the log
+}
+
+// job is one batch job.
+type job struct {
+	create  *rpc.CreateJob
+	results []*rpc.Result
+	settled map[string]bool
+	ended   bool
+	wake    chan struct{} // closed when a result is added or the job ends
+	body    map[string]*rpc.Item
+}
+
+// Change is what an entry of the log has changed.
+type Change struct {
+	Created  *rpc.CreateJob
+	Settled  string // job
+	Items    []string
+	Ended    string
+	Restored bool
+}
+
+// New returns an empty ledger. changed is told of every change, on the replica's goroutine.
+func New(changed func(Change)) *Ledger {
+	return &Ledger{jobs: map[string]*job{}, changed: changed}
+}
+
+func newJob(create *rpc.CreateJob) *job {
+	j := &job{create: create, settled: map[string]bool{}, wake: make(chan struct{}), body: make(map[string]*rpc.Item, len(create.Items))}
+	for _, item := range create.Items {
+		j.body[item.Id] = item
+	}
+	return j
+}
+
+func (j *job) signal() {
+	close(j.wake)
+	j.wake = make(chan struct{})
+}
+
+// Apply implements replica.StateMachine.
+func (l *Ledger) Apply(_ uint64, command []byte) []byte {
+	c := &rpc.LedgerCommand{}
+	result := &rpc.LedgerResult{Unknown: true}
+	var change Change
+	if proto.Unmarshal(command, c) == nil {
+		l.mu.Lock()
+		result, change = l.apply(c)
+		l.mu.Unlock()
+	}
+	if l.changed != nil {
+		l.changed(change)
+	}
+	encoded, _ := proto.Marshal(result)
+	return encoded
+}
+
+func (l *Ledger) apply(c *rpc.LedgerCommand) (*rpc.LedgerResult, Change) {
+	done := &rpc.LedgerResult{}
+	switch x := c.Command.(type) {
+	case *rpc.LedgerCommand_Create:
+		if l.jobs[x.Create.Id] != nil {
+			return done, Change{}
+		}
+		l.jobs[x.Create.Id] = newJob(x.Create)
+		return done, Change{Created: x.Create}
+	case *rpc.LedgerCommand_Append:
+		j := l.jobs[x.Append.Job]
+		if j == nil {
+			return &rpc.LedgerResult{Unknown: true}, Change{}
+		}
+		return done, Change{Settled: x.Append.Job, Items: j.append(x.Append.Results)}
+	case *rpc.LedgerCommand_End:
+		j := l.jobs[x.End.Job]
+		if j == nil {
+			return &rpc.LedgerResult{Unknown: true}, Change{}
+		}
+		if !j.ended {
+			j.ended = true
+			j.signal()
+		}
+		return done, Change{Ended: x.End.Job}
+	case *rpc.LedgerCommand_Forget:
+		delete(l.jobs, x.Forget)
+		return done, Change{Ended: x.Forget}
+	}
+	return &rpc.LedgerResult{Unknown: true}, Change{}
+}
+
+// append lists results. An item that is listed already, or that isn't the job's, is passed over; so is everything once the job has ended.
+func (j *job) append(results []*rpc.Result) (items []string) {
+	for _, r := range results {
+		items = append(items, r.Item)
+		if j.ended || j.settled[r.Item] || j.body[r.Item] == nil {
+			continue
+		}
+		j.settled[r.Item] = true
+		j.results = append(j.results, r)
+	}
+	j.signal()
+	return items
+}
+
+// Snapshot implements replica.StateMachine.
+func (l *Ledger) Snapshot() ([]byte, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := &rpc.LedgerSnapshot{}
+	for _, j := range l.jobs {
+		s.Jobs = append(s.Jobs, &rpc.StoredJob{Job: j.create, Results: j.results, Ended: j.ended})
+	}
+	return proto.Marshal(s)
+}
+
+// Restore implements replica.StateMachine.
+func (l *Ledger) Restore(_ uint64, state []byte) error {
+	s := &rpc.LedgerSnapshot{}
+	if err := proto.Unmarshal(state, s); err != nil {
+		return err
+	}
+	l.mu.Lock()
+	for _, j := range l.jobs {
+		j.signal()
+	}
+	l.jobs = map[string]*job{}
+	for _, stored := range s.Jobs {
+		j := newJob(stored.Job)
+		j.results, j.ended = stored.Results, stored.Ended
+		for _, r := range stored.Results {
+			j.settled[r.Item] = true
+		}
+		l.jobs[stored.Job.Id] = j
+	}
+	l.mu.Unlock()
+	if l.changed != nil {
+		l.changed(Change{Restored: true})
+	}
+	return nil
+}
+
+// Known tells whether a job was accepted.
+func (l *Ledger) Known(id string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.jobs[id] != nil
+}
+
+// pageBytes bounds the texts of one read, so that its answer stays below 1 MB.
+const pageBytes = 400 << 10
+
+// Read returns the results from a position on, and a channel that is closed when there is more.
+func (l *Ledger) Read(id string, after int) (total int, results []*rpc.Result, more <-chan struct{}, found bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	j := l.jobs[id]
+	if j == nil {
+		return 0, nil, nil, false
+	}
+	size := 0
+	for i := max(after, 0); i < len(j.results); i++ {
+		size += len(j.results[i].Text) + 200
+		if len(results) > 0 && size > pageBytes {
+			break
+		}
+		results = append(results, j.results[i])
+	}
+	return len(j.create.Items), results, j.wake, true
+}
+
+// Body returns the body of an item that is not listed yet.
+func (l *Ledger) Body(id, item string) (body []byte, found bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	j := l.jobs[id]
+	if j == nil || j.body[item] == nil {
+		return nil, false
+	}
+	return j.body[item].Body, true
+}
+
+// Stored is a job as it stands.
+type Stored struct {
+	Job     *rpc.CreateJob
+	Settled map[string]bool
+	Ended   bool
+}
+
+// Jobs returns all jobs as they stand.
+func (l *Ledger) Jobs() (list []Stored) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, j := range l.jobs {
+		settled := make(map[string]bool, len(j.settled))
+		for id := range j.settled {
+			settled[id] = true
+		}
+		list = append(list, Stored{j.create, settled, j.ended})
+	}
+	return list
+}
--- /dev/null
+++ b/internal/system/ledger/scheduler.go
@@ -0,0 +1,406 @@
+package ledger
+
+import (
+	"cmp"
+	"slices"
+
+	"saffronquay/internal/system/rpc"
+)
+
+// Scheduler hands out the items of a shard's open jobs while its process owns the shard. It is pure: times are milliseconds that the
+// caller gives, and what it knows of jobs comes from the ledger.
+type Scheduler struct {
+	epoch     uint64
+	sequence  uint64
+	begunAt   int64
+	begun     bool // items may be handed out
+	jobs      map[string]*openJob
+	order     []*openJob // by urgency
+	gatherers map[string]*gatherer
+	leases    map[uint64]*itemState
+}
+
+const (
+	// gathererLostMS is how long a gatherer may be silent before its items are handed to others.
+	gathererLostMS = 1500
+	// adoptMS is how long a new owner waits for gatherers to say what they work on before it hands anything out.
+	adoptMS = 500
+	// spareShare is the part of the wanted groups that is begun beyond them, since some take long.
+	spareShare = 8
+)
+
+type stage uint8
+
+const (
+	pending stage = iota
+	leased
+	settling
+	settled
+)
+
+type openJob struct {
+	create *rpc.CreateJob
+	dueAt  int64
+	lastAt int64 // when its items may be given up
+	groups []*group
+	items  map[string]*itemState
+	whole  int
+}
+
+type group struct {
+	items []*itemState
+	left  int // not settled
+	begun bool
+}
+
+type itemState struct {
+	job      *openJob
+	group    *group
+	item     *rpc.Item
+	stage    stage
+	failures uint32
+	number   uint64
+	gatherer string
+}
+
+type gatherer struct {
+	seenAt    int64
+	numbers   map[uint64]bool
+	cancelled []uint64
+}
+
+// NewScheduler returns a scheduler for an owner's epoch that knows the jobs of the ledger. wall is the time of day.
+func NewScheduler(epoch uint64, now, wall int64, jobs []Stored) *Scheduler {
+	s := &Scheduler{epoch: epoch, begunAt: now, jobs: map[string]*openJob{}, gatherers: map[string]*gatherer{}, leases: map[uint64]*itemState{}}
+	for _, stored := range jobs {
+		if !stored.Ended {
+			s.open(stored.Job, now-max(0, wall-stored.Job.SentUnixMs), stored.Settled)
+		}
+	}
+	return s
+}
+
+// Epoch is the owner's epoch that it was made for.
+func (s *Scheduler) Epoch() uint64 { return s.epoch }
+
+// Open begins a job that was just accepted.
+func (s *Scheduler) Open(now int64, create *rpc.CreateJob) {
+	if s.jobs[create.Id] == nil {
+		s.open(create, now, nil)
+	}
+}
+
+func (s *Scheduler) open(create *rpc.CreateJob, sentAt int64, done map[string]bool) {
+	j := &openJob{create: create, dueAt: sentAt + int64(create.DeadlineMs), lastAt: sentAt + int64(create.MaxQueueMs), items: map[string]*itemState{}}
+	groups := map[string]*group{}
+	for _, item := range create.Items {
+		name := cmp.Or(item.Group, item.Id)
+		g := groups[name]
+		if g == nil {
+			g = &group{}
+			groups[name] = g
+			j.groups = append(j.groups, g)
+		}
+		x := &itemState{job: j, group: g, item: item}
+		if done[item.Id] {
+			x.stage = settled
+			g.begun = true
+		} else {
+			g.left++
+		}
+		g.items = append(g.items, x)
+		j.items[item.Id] = x
+	}
+	for _, g := range j.groups {
+		if g.left == 0 {
+			j.whole++
+		}
+	}
+	s.jobs[create.Id] = j
+	s.order = append(s.order, j)
+	slices.SortStableFunc(s.order, func(a, b *openJob) int { return cmp.Compare(a.dueAt, b.dueAt) })
+}
+
+// Close ends a job: what runs of it is to be cancelled.
+func (s *Scheduler) Close(id string) {
+	j := s.jobs[id]
+	if j == nil {
+		return
+	}
+	delete(s.jobs, id)
+	s.order = slices.DeleteFunc(s.order, func(o *openJob) bool { return o == j })
+	for _, x := range j.items {
+		if x.stage == leased {
+			if g := s.gatherers[x.gatherer]; g != nil {
+				g.cancelled = append(g.cancelled, x.number)
+			}
+			s.drop(x)
+		}
+	}
+}
+
+// drop takes a lease back.
+func (s *Scheduler) drop(x *itemState) {
+	if g := s.gatherers[x.gatherer]; g != nil {
+		delete(g.numbers, x.number)
+	}
+	delete(s.leases, x.number)
+	x.number, x.gatherer = 0, ""
+	if x.stage == leased {
+		x.stage = pending
+	}
+}
+
+// Settled records that items of a job are listed.
+func (s *Scheduler) Settled(id string, items []string) {
+	j := s.jobs[id]
+	if j == nil {
+		return
+	}
+	for _, name := range items {
+		x := j.items[name]
+		if x == nil || x.stage == settled {
+			continue
+		}
+		if x.number != 0 {
+			if x.stage == leased { // somebody else has finished it meanwhile
+				if g := s.gatherers[x.gatherer]; g != nil {
+					g.cancelled = append(g.cancelled, x.number)
+				}
+			}
+			s.drop(x)
+		}
+		x.stage = settled
+		x.group.left--
+		if x.group.left == 0 {
+			j.whole++
+		}
+	}
+}
+
+// Heard notes that a gatherer is alive, and returns whether this scheduler hadn't known it.
+func (s *Scheduler) Heard(now int64, name string) {
+	g := s.gatherers[name]
+	if g == nil {
+		g = &gatherer{numbers: map[uint64]bool{}}
+		s.gatherers[name] = g
+	}
+	g.seenAt = now
+}
+
+// Adopt lets a gatherer go on with what it held before this scheduler began.
+func (s *Scheduler) Adopt(name string, held []*rpc.HeldLease) {
+	g := s.gatherers[name]
+	for _, h := range held {
+		if g == nil || s.leases[h.Number] != nil {
+			continue
+		}
+		j := s.jobs[h.Job]
+		var x *itemState
+		if j != nil {
+			x = j.items[h.Item]
+		}
+		if x == nil || x.stage != pending {
+			g.cancelled = append(g.cancelled, h.Number)
+			continue
+		}
+		s.grant(x, name, h.Number)
+	}
+}
+
+func (s *Scheduler) grant(x *itemState, name string, number uint64) {
+	x.stage, x.number, x.gatherer = leased, number, name
+	x.group.begun = true
+	s.leases[number] = x
+	s.gatherers[name].numbers[number] = true
+}
+
+// Leave takes back what a gatherer holds that goes or is lost.
+func (s *Scheduler) Leave(name string) {
+	g := s.gatherers[name]
+	if g == nil {
+		return
+	}
+	for number := range g.numbers {
+		if x := s.leases[number]; x != nil {
+			s.drop(x)
+		}
+	}
+	delete(s.gatherers, name)
+}
+
+// Report takes in what became of a lease, and returns the result to be listed, if there is one.
+func (s *Scheduler) Report(r *rpc.Report) *rpc.Result {
+	j := s.jobs[r.Job]
+	if j == nil {
+		return nil
+	}
+	x := j.items[r.Item]
+	if x == nil || x.stage == settled || x.stage == settling {
+		return nil
+	}
+	current := x.number == r.Number
+	switch {
+	case r.Result != nil:
+		if x.number != 0 {
+			s.drop(x)
+		}
+		x.stage = settling
+		return r.Result
+	case r.Failed:
+		x.failures++
+		if current {
+			s.drop(x)
+		}
+		if x.failures >= max(j.create.MaxAttempts, 1) {
+			if x.number != 0 {
+				s.drop(x)
+			}
+			x.stage = settling
+			return &rpc.Result{Item: r.Item}
+		}
+	case current:
+		s.drop(x)
+	}
+	return nil
+}
+
+// Unsettled records that results could not be listed: the items are open again.
+func (s *Scheduler) Unsettled(id string, items []string) {
+	if j := s.jobs[id]; j != nil {
+		for _, name := range items {
+			if x := j.items[name]; x != nil && x.stage == settling {
+				x.stage = pending
+			}
+		}
+	}
+}
+
+// Tick takes back what lost gatherers held, and returns by job the items whose time is over. freed tells whether there is more to hand out.
+func (s *Scheduler) Tick(now int64) (expired map[string][]string, freed bool) {
+	for name, g := range s.gatherers {
+		if now-g.seenAt > gathererLostMS {
+			freed = freed || len(g.numbers) > 0
+			s.Leave(name)
+		}
+	}
+	if now-s.begunAt >= adoptMS && !s.begun {
+		s.begun, freed = true, true
+	}
+	for _, j := range s.order {
+		if j.create.MaxQueueMs == 0 || now < j.lastAt {
+			continue
+		}
+		for id, x := range j.items {
+			if x.stage == pending {
+				if expired == nil {
+					expired = map[string][]string{}
+				}
+				x.stage = settling
+				expired[j.create.Id] = append(expired[j.create.Id], id)
+			}
+		}
+	}
+	return expired, freed
+}
+
+// Gatherers is the number of those that were heard lately.
+func (s *Scheduler) Gatherers() int { return len(s.gatherers) }
+
+// Cancelled returns the leases that a gatherer should give up, once.
+func (s *Scheduler) Cancelled(name string) []uint64 {
+	g := s.gatherers[name]
+	if g == nil {
+		return nil
+	}
+	list := g.cancelled
+	g.cancelled = nil
+	return list
+}
+
+// rooms holds what a gatherer could begin, by model.
+type rooms map[string][]*rpc.Room
+
+// fit takes a place at a worker whose version of the model is new enough, the oldest that does.
+func (r rooms) fit(model string, minVersion uint64) bool {
+	var best *rpc.Room
+	for _, room := range r[model] {
+		if room.Free > 0 && room.Version >= minVersion && (best == nil || room.Version < best.Version) {
+			best = room
+		}
+	}
+	if best == nil {
+		return false
+	}
+	best.Free--
+	return true
+}
+
+// Take leases up to so many items to a gatherer: of the most urgent job first, groups that are begun before others, and no more groups
+// than the trainer waits for and a few to spare while any job has wanted ones left.
+func (s *Scheduler) Take(now int64, name string, want int, free []*rpc.Room) (leases []*rpc.Lease) {
+	if want <= 0 || !s.begun || s.gatherers[name] == nil {
+		return nil
+	}
+	room := rooms{}
+	for _, r := range free {
+		room[r.Model] = append(room[r.Model], r)
+	}
+	for _, all := range []bool{false, true} {
+		for _, j := range s.order {
+			leases = s.takeOf(j, now, name, want, room, all, leases)
+			if len(leases) >= want {
+				return leases
+			}
+		}
+	}
+	return leases
+}
+
+func (s *Scheduler) takeOf(j *openJob, now int64, name string, want int, room rooms, all bool, leases []*rpc.Lease) []*rpc.Lease {
+	most := int(j.create.Desired) + int(j.create.Desired)/spareShare
+	if all || j.create.Desired == 0 {
+		most = len(j.groups)
+	}
+	begun := 0
+	for _, g := range j.groups {
+		if g.begun {
+			begun++
+		}
+	}
+	for _, onlyBegun := range []bool{true, false} {
+		for _, g := range j.groups {
+			if g.left == 0 || g.begun != onlyBegun {
+				continue
+			}
+			if !g.begun {
+				if begun >= most {
+					break
+				}
+			}
+			was := g.begun
+			for _, x := range g.items {
+				if x.stage != pending {
+					continue
+				}
+				if len(leases) >= want || !room.fit(j.create.Model, j.create.MinVersion) {
+					return leases
+				}
+				leases = append(leases, s.lease(x, now, name))
+			}
+			if g.begun && !was {
+				begun++
+			}
+		}
+	}
+	return leases
+}
+
+func (s *Scheduler) lease(x *itemState, now int64, name string) *rpc.Lease {
+	s.sequence++
+	number := s.epoch<<32 | s.sequence
+	s.grant(x, name, number)
+	c := x.job.create
+	return &rpc.Lease{Job: c.Id, Number: number, Item: x.item, Host: c.Host, Model: c.Model, MinVersion: c.MinVersion, DueInMs: x.job.dueAt - now,
+		Failures: x.failures, MaxAttempts: c.MaxAttempts, SingleVersion: c.SingleVersion}
+}
--- /dev/null
+++ b/internal/system/ledger/service.go
@@ -0,0 +1,328 @@
+package ledger
+
+import (
+	"context"
+	"log/slog"
+	"strings"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"saffronquay/internal/system/replica"
+	"saffronquay/internal/system/rpc"
+)
+
+// Service answers the gatherers' calls about batch jobs for all shards of a process.
+type Service struct {
+	Host        *replica.Host
+	Log         *slog.Logger
+	KeepResults time.Duration // after a job was sent
+
+	mu     sync.Mutex
+	shards map[string]*shard
+}
+
+type shard struct {
+	name   string
+	ledger *Ledger
+
+	mu        sync.Mutex
+	scheduler *Scheduler    // nil while this process doesn't own the shard
+	wake      chan struct{} // closed when there may be something to hand out
+}
+
+const (
+	proposeTimeout = 1500 * time.Millisecond
+	tickEach       = 100 * time.Millisecond
+	maxWait        = 5 * time.Second
+	forgetEach     = 5 * time.Second
+)
+
+// Machine returns the state machine of a shard.
+func (s *Service) Machine(name string) replica.StateMachine {
+	if !strings.HasPrefix(name, shardPrefix) {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.shards == nil {
+		s.shards = map[string]*shard{}
+	}
+	if sh := s.shards[name]; sh != nil {
+		return sh.ledger
+	}
+	sh := &shard{name: name, wake: make(chan struct{})}
+	sh.ledger = New(sh.changed)
+	s.shards[name] = sh
+	return sh.ledger
+}
+
+func (s *Service) shard(name string) *shard {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.shards[name]
+}
+
+// changed keeps the scheduler in step with the ledger.
+func (sh *shard) changed(c Change) {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	if sh.scheduler == nil {
+		return
+	}
+	switch {
+	case c.Restored:
+		sh.scheduler = nil // it begins anew from what the ledger holds
+	case c.Created != nil:
+		sh.scheduler.Open(now(), c.Created)
+	case c.Settled != "":
+		sh.scheduler.Settled(c.Settled, c.Items)
+	case c.Ended != "":
+		sh.scheduler.Close(c.Ended)
+	}
+	sh.signal()
+}
+
+func (sh *shard) signal() {
+	close(sh.wake)
+	sh.wake = make(chan struct{})
+}
+
+var processStart = time.Now()
+
+// now is a clock in milliseconds that never steps.
+func now() int64 { return time.Since(processStart).Milliseconds() + 1_000_000 }
+
+// lead returns a shard and its status where this process owns it; otherwise what to answer.
+func (s *Service) lead(name string) (sh *shard, status *replica.Status, outcome rpc.Outcome, leader string) {
+	sh = s.shard(name)
+	if sh == nil {
+		return nil, nil, rpc.Outcome_UNAVAILABLE, ""
+	}
+	status = s.Host.Status(name)
+	if status == nil {
+		return nil, nil, rpc.Outcome_UNAVAILABLE, ""
+	}
+	if !status.Lease {
+		sh.mu.Lock()
+		if !status.Leader {
+			sh.scheduler = nil
+		}
+		sh.mu.Unlock()
+		return nil, nil, rpc.Outcome_NOT_LEADER, status.LeaderAddress
+	}
+	return sh, status, rpc.Outcome_DONE, ""
+}
+
+// schedule returns the shard's scheduler; the caller holds the shard's lock.
+func (sh *shard) schedule(epoch uint64) *Scheduler {
+	if sh.scheduler == nil || sh.scheduler.Epoch() != epoch {
+		sh.scheduler = NewScheduler(epoch, now(), time.Now().UnixMilli(), sh.ledger.Jobs())
+	}
+	return sh.scheduler
+}
+
+func (s *Service) propose(ctx context.Context, shard string, command *rpc.LedgerCommand) (outcome rpc.Outcome, result *rpc.LedgerResult) {
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	proposed := s.Host.Propose(ctx, shard, replica.Marshal(command))
+	result = &rpc.LedgerResult{}
+	if proposed.Outcome == rpc.Outcome_DONE {
+		if err := proto.Unmarshal(proposed.Result, result); err != nil {
+			return rpc.Outcome_OUTCOME_UNKNOWN, result
+		}
+	}
+	return proposed.Outcome, result
+}
+
+// Submit implements rpc.Ledger.
+func (s *Service) Submit(ctx context.Context, r *rpc.SubmitRequest) (*rpc.SubmitResponse, error) {
+	_, _, outcome, leader := s.lead(r.Shard)
+	if outcome != rpc.Outcome_DONE {
+		return &rpc.SubmitResponse{Outcome: outcome, LeaderAddress: leader}, nil
+	}
+	outcome, _ = s.propose(ctx, r.Shard, &rpc.LedgerCommand{Command: &rpc.LedgerCommand_Create{Create: r.Job}})
+	return &rpc.SubmitResponse{Outcome: outcome}, nil
+}
+
+// Read implements rpc.Ledger.
+func (s *Service) Read(ctx context.Context, r *rpc.ReadRequest) (*rpc.ReadResponse, error) {
+	wait := time.NewTimer(min(time.Duration(r.WaitMs)*time.Millisecond, maxWait))
+	defer wait.Stop()
+	for {
+		sh, _, outcome, leader := s.lead(r.Shard)
+		if outcome != rpc.Outcome_DONE {
+			return &rpc.ReadResponse{Outcome: outcome, LeaderAddress: leader}, nil
+		}
+		total, results, more, found := sh.ledger.Read(r.Job, int(r.After))
+		response := &rpc.ReadResponse{Outcome: rpc.Outcome_DONE, Found: found, Total: uint32(total), Results: results}
+		if !found || len(results) > 0 || r.WaitMs == 0 {
+			return response, nil
+		}
+		select {
+		case <-more:
+		case <-wait.C:
+			return response, nil
+		case <-ctx.Done():
+			return response, nil
+		}
+	}
+}
+
+// Body implements rpc.Ledger.
+func (s *Service) Body(_ context.Context, r *rpc.BodyRequest) (*rpc.BodyResponse, error) {
+	sh, _, outcome, leader := s.lead(r.Shard)
+	if outcome != rpc.Outcome_DONE {
+		return &rpc.BodyResponse{Outcome: outcome, LeaderAddress: leader}, nil
+	}
+	body, found := sh.ledger.Body(r.Job, r.Item)
+	return &rpc.BodyResponse{Outcome: rpc.Outcome_DONE, Found: found, Body: body}, nil
+}
+
+// End implements rpc.Ledger.
+func (s *Service) End(ctx context.Context, r *rpc.EndRequest) (*rpc.EndResponse, error) {
+	sh, _, outcome, leader := s.lead(r.Shard)
+	if outcome != rpc.Outcome_DONE {
+		return &rpc.EndResponse{Outcome: outcome, LeaderAddress: leader}, nil
+	}
+	if !sh.ledger.Known(r.Job) {
+		return &rpc.EndResponse{Outcome: rpc.Outcome_DONE}, nil
+	}
+	outcome, _ = s.propose(ctx, r.Shard, &rpc.LedgerCommand{Command: &rpc.LedgerCommand_End{End: &rpc.EndJob{Job: r.Job}}})
+	return &rpc.EndResponse{Outcome: outcome, Found: true}, nil
+}
+
+// Work implements rpc.Ledger: it takes in what became of a gatherer's leases and hands out new ones.
+func (s *Service) Work(ctx context.Context, r *rpc.WorkRequest) (*rpc.WorkResponse, error) {
+	sh, status, outcome, leader := s.lead(r.Shard)
+	if outcome != rpc.Outcome_DONE {
+		return &rpc.WorkResponse{Outcome: outcome, LeaderAddress: leader}, nil
+	}
+	response := &rpc.WorkResponse{Outcome: rpc.Outcome_DONE, Epoch: status.Epoch}
+	response.ReportsTaken = s.settle(ctx, sh, status.Epoch, r)
+	wait := time.NewTimer(min(time.Duration(r.WaitMs)*time.Millisecond, maxWait))
+	defer wait.Stop()
+	for {
+		sh.mu.Lock()
+		scheduler := sh.schedule(status.Epoch)
+		scheduler.Heard(now(), r.Gatherer)
+		response.Cancelled = append(response.Cancelled, scheduler.Cancelled(r.Gatherer)...)
+		if r.Leaving {
+			scheduler.Leave(r.Gatherer)
+		} else {
+			response.Leases = scheduler.Take(now(), r.Gatherer, int(r.Want), r.Rooms)
+		}
+		response.Gatherers = uint32(scheduler.Gatherers())
+		wake := sh.wake
+		sh.mu.Unlock()
+		if len(response.Leases) > 0 || len(response.Cancelled) > 0 || r.WaitMs == 0 || r.Leaving {
+			return response, nil
+		}
+		select {
+		case <-wake:
+		case <-wait.C:
+			return response, nil
+		case <-ctx.Done():
+			return response, nil
+		}
+		if sh, status, outcome, leader = s.lead(r.Shard); outcome != rpc.Outcome_DONE {
+			return &rpc.WorkResponse{Outcome: outcome, LeaderAddress: leader, ReportsTaken: response.ReportsTaken}, nil
+		}
+	}
+}
+
+// settle takes reports in and has their results listed. It tells whether all of them are dealt with.
+func (s *Service) settle(ctx context.Context, sh *shard, epoch uint64, r *rpc.WorkRequest) bool {
+	byJob := map[string][]*rpc.Result{}
+	sh.mu.Lock()
+	scheduler := sh.schedule(epoch)
+	scheduler.Heard(now(), r.Gatherer)
+	scheduler.Adopt(r.Gatherer, r.Held)
+	for _, report := range r.Reports {
+		if result := scheduler.Report(report); result != nil {
+			byJob[report.Job] = append(byJob[report.Job], result)
+		}
+	}
+	sh.mu.Unlock()
+	taken := true
+	for job, results := range byJob {
+		taken = s.list(ctx, sh, job, results) && taken
+	}
+	return taken
+}
+
+// list has results agreed on.
+func (s *Service) list(ctx context.Context, sh *shard, job string, results []*rpc.Result) bool {
+	outcome, _ := s.propose(ctx, sh.name, &rpc.LedgerCommand{Command: &rpc.LedgerCommand_Append{Append: &rpc.AppendResults{Job: job, Results: results}}})
+	if outcome == rpc.Outcome_DONE {
+		return true
+	}
+	var items []string
+	for _, result := range results {
+		items = append(items, result.Item)
+	}
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	if sh.scheduler != nil {
+		sh.scheduler.Unsettled(job, items)
+	}
+	return false
+}
+
+// Run gives up what nobody works on in time, and forgets what is old, until the context ends.
+func (s *Service) Run(ctx context.Context) {
+	ticker := time.NewTicker(tickEach)
+	defer ticker.Stop()
+	forgetAt := time.Now().Add(forgetEach)
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		forget := time.Now().After(forgetAt)
+		if forget {
+			forgetAt = time.Now().Add(forgetEach)
+		}
+		s.mu.Lock()
+		var names []string
+		for name := range s.shards {
+			names = append(names, name)
+		}
+		s.mu.Unlock()
+		for _, name := range names {
+			s.tick(ctx, name, forget)
+		}
+	}
+}
+
+func (s *Service) tick(ctx context.Context, name string, forget bool) {
+	sh, status, outcome, _ := s.lead(name)
+	if outcome != rpc.Outcome_DONE {
+		return
+	}
+	sh.mu.Lock()
+	expired, freed := sh.schedule(status.Epoch).Tick(now())
+	if freed {
+		sh.signal()
+	}
+	sh.mu.Unlock()
+	for job, items := range expired {
+		var results []*rpc.Result
+		for _, item := range items {
+			results = append(results, &rpc.Result{Item: item})
+		}
+		s.list(ctx, sh, job, results)
+	}
+	if !forget {
+		return
+	}
+	wall := time.Now().UnixMilli()
+	for _, stored := range sh.ledger.Jobs() {
+		age := time.Duration(wall-stored.Job.SentUnixMs) * time.Millisecond
+		if stored.Ended && age > s.KeepResults || age > 2*s.KeepResults+time.Duration(stored.Job.MaxQueueMs)*time.Millisecond {
+			s.propose(ctx, name, &rpc.LedgerCommand{Command: &rpc.LedgerCommand_Forget{Forget: stored.Job.Id}})
+		}
+	}
+}
--- /dev/null
+++ b/internal/system/ledgerclient/client.go
@@ -0,0 +1,127 @@
+// Package ledgerclient calls the owners of the ledger's shards, wherever they are.
+package ledgerclient
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"saffronquay/internal/system/ledger"
+	"saffronquay/internal/system/rpc"
+	"saffronquay/internal/system/transport"
+)
+
+// Client finds the owner of each shard and calls it.
+type Client struct {
+	HTTP *transport.Client
+
+	mu         sync.Mutex
+	placements map[string]*rpc.Placement
+	leaders    map[string]string
+	turn       int
+}
+
+// New returns a client that knows no shards yet.
+func New(http *transport.Client) *Client {
+	return &Client{HTTP: http, placements: map[string]*rpc.Placement{}, leaders: map[string]string{}}
+}
+
+// Errors of calls.
+var (
+	// ErrUnknown says that the call may take effect although nobody said so.
+	ErrUnknown = errors.New("ledger: no clear answer")
+	// ErrUnavailable says that the call has had no effect.
+	ErrUnavailable = errors.New("ledger: no owner answers")
+)
+
+const (
+	tryTimeout = 900 * time.Millisecond
+	retryPause = 40 * time.Millisecond
+)
+
+// Place notes the replicas of a group.
+func (c *Client) Place(p *rpc.Placement) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.placements[p.Group] = p
+}
+
+// Shards are the names of the shards; none while they are not placed yet.
+func (c *Client) Shards() (names []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	count := ledger.ShardsIn(func(group string) bool { return c.placements[group] != nil })
+	for n := range count {
+		names = append(names, ledger.ShardName(n))
+	}
+	return names
+}
+
+// ShardOf is the shard of a host's jobs; empty while the shards are not placed yet.
+func (c *Client) ShardOf(host string) string {
+	if n := len(c.Shards()); n > 0 {
+		return ledger.ShardOf(host, n)
+	}
+	return ""
+}
+
+// target is the replica to ask: the leader where it is known, else each in turn.
+func (c *Client) target(shard string) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if leader := c.leaders[shard]; leader != "" {
+		return leader
+	}
+	replicas := c.placements[shard].GetReplicas()
+	if len(replicas) == 0 {
+		return ""
+	}
+	c.turn++
+	return replicas[c.turn%len(replicas)].Address
+}
+
+func (c *Client) learn(shard, asked, leader string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if leader == asked {
+		leader = ""
+	}
+	c.leaders[shard] = leader
+}
+
+// Call calls the owner of a shard until one has answered or the context ends. call returns the outcome, and the leader that the process
+// named. A call must do no harm when it takes effect twice.
+func (c *Client) Call(ctx context.Context, shard string, extra time.Duration, call func(context.Context, rpc.Ledger) (rpc.Outcome, string, error)) error {
+	failure := ErrUnavailable
+	for {
+		if address := c.target(shard); address != "" {
+			tryCtx, cancel := context.WithTimeout(ctx, tryTimeout+extra)
+			outcome, leader, err := call(tryCtx, rpc.NewLedgerProtobufClient("http://"+address, c.HTTP))
+			cancel()
+			switch {
+			case err != nil:
+				failure = ErrUnknown
+				c.learn(shard, address, "")
+			case outcome == rpc.Outcome_DONE:
+				c.mu.Lock()
+				c.leaders[shard] = address
+				c.mu.Unlock()
+				return nil
+			case outcome == rpc.Outcome_OUTCOME_UNKNOWN:
+				failure = ErrUnknown
+				c.learn(shard, address, "")
+			default:
+				c.learn(shard, address, leader)
+				if leader != "" && leader != address && ctx.Err() == nil {
+					continue
+				}
+			}
+		}
+		select {
+		case <-time.After(retryPause):
+		case <-ctx.Done():
+			return failure
+		}
+	}
+}
--- /dev/null
+++ b/internal/system/proxy/handler.go
@@ -0,0 +1,251 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"io"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"saffronquay/internal/system/configuration"
+	"saffronquay/internal/system/forward"
+	"saffronquay/internal/system/routing"
+	"saffronquay/internal/system/verdict"
+	"saffronquay/internal/system/worker"
+)
+
+const (
+	retryAfter = "0.25" // seconds
+	jobsPath   = "/api/lots/"
+	itemsPath  = "/api/items/"
+	// answerMargin is left between the end of a worker's time and the answer that the client waits for.
+	answerMargin = 4 * time.Millisecond
+)
+
+// handle answers one request of a client.
+func (p *Proxy) handle(ctx *fasthttp.RequestCtx) {
+	p.active.Add(1)
+	defer p.active.Add(-1)
+	if p.stopping.Load() {
+		ctx.SetConnectionClose()
+	}
+	table := p.config.Load()
+	if table == nil {
+		refuse(ctx, "no configuration is known yet")
+		return
+	}
+	path, host := string(ctx.RequestURI()), string(ctx.Host())
+	switch {
+	case strings.HasPrefix(path, jobsPath) && table.HasHost(host):
+		p.job(ctx, host, pathID(path, jobsPath))
+		return
+	case strings.HasPrefix(path, itemsPath) && table.HasHost(host):
+		p.itemBody(ctx, host, pathID(path, itemsPath))
+		return
+	}
+	route := table.Find(host, path)
+	switch {
+	case route == nil:
+		answer(ctx, fasthttp.StatusNotFound, "no such route")
+	case route.Type == configuration.Deployment:
+		p.submit(ctx, route, host)
+	default:
+		p.pass(ctx, route, host, path)
+	}
+}
+
+func pathID(path, prefix string) string {
+	id, _, _ := strings.Cut(strings.TrimPrefix(path, prefix), "?")
+	return id
+}
+
+func answer(ctx *fasthttp.RequestCtx, status int, message string) {
+	ctx.SetStatusCode(status)
+	ctx.SetContentType("text/plain")
+	ctx.SetBodyString(message + "\n")
+}
+
+// refuse answers that the request has not run and never will.
+func refuse(ctx *fasthttp.RequestCtx, message string) {
+	ctx.Response.Header.Set("Retry-After", retryAfter)
+	answer(ctx, fasthttp.StatusServiceUnavailable, message)
+}
+
+// pass sends a request on to a worker.
+func (p *Proxy) pass(ctx *fasthttp.RequestCtx, route *configuration.Route, host, path string) {
+	id := string(ctx.Request.Header.Peek("Request-Id"))
+	if id == "" {
+		answer(ctx, fasthttp.StatusBadRequest, "Request-Id: is missing")
+		return
+	}
+	request := &forward.Request{ID: id, Method: string(ctx.Method()), URI: path, Host: host, Body: ctx.PostBody(), Route: route,
+		Headers: endToEnd(ctx), Deadline: deadline(ctx, route), Usage: usage(ctx), Model: string(ctx.Request.Header.Peek("Model"))}
+	if route.Type == configuration.Streaming {
+		p.stream(ctx, request)
+		return
+	}
+	result := p.forwarder.Do(context.Background(), request)
+	defer result.Release()
+	if result.Err != nil {
+		giveUp(ctx, &result)
+		return
+	}
+	copyHead(ctx, result.Answer)
+	ctx.Response.SetBodyRaw(result.Body)
+}
+
+// giveUp gives a request whose tries are over its final answer.
+func giveUp(ctx *fasthttp.RequestCtx, result *forward.Result) {
+	switch {
+	case result.Verdict == verdict.NotRun:
+		refuse(ctx, "no worker takes the request now")
+	case errors.Is(result.Err, context.DeadlineExceeded):
+		answer(ctx, fasthttp.StatusGatewayTimeout, "the time of the request is over")
+	default:
+		answer(ctx, fasthttp.StatusBadGateway, "no worker has answered the request whole")
+	}
+}
+
+// deadline is when the request's client, or its route, gives it up.
+func deadline(ctx *fasthttp.RequestCtx, route *configuration.Route) time.Time {
+	limit := time.Duration(route.TimeoutMS * float64(time.Millisecond))
+	if ms, err := strconv.ParseFloat(string(ctx.Request.Header.Peek("Deadline-Ms")), 64); err == nil && ms > 0 {
+		limit = min(limit, time.Duration(ms*float64(time.Millisecond)))
+	}
+	return ctx.Time().Add(limit - answerMargin)
+}
+
+func usage(ctx *fasthttp.RequestCtx) routing.Usage {
+	value := ctx.Request.Header.Peek("Token-Usage")
+	if len(value) == 0 {
+		return routing.Usage{}
+	}
+	return forward.ParseUsage(string(value))
+}
+
+// endToEnd are the header fields that concern more than one connection.
+func endToEnd(ctx *fasthttp.RequestCtx) (headers []worker.Header) {
+	for name, value := range ctx.Request.Header.All() {
+		if !ownField(string(name)) {
+			headers = append(headers, worker.Header{Name: string(name), Value: string(value)})
+		}
+	}
+	return headers
+}
+
+// ownField tells whether a field concerns one connection only, or is written by this program.
+func ownField(name string) bool {
+	switch strings.ToLower(name) {
+	case "connection", "keep-alive", "proxy-connection", "proxy-authenticate", "proxy-authorization", "te", "trailer", "transfer-encoding", "upgrade",
+		"content-length", "host", "expect", "request-id", "deadline-ms", "expect-instance", "priority", "expect-version":
+		return true
+	}
+	return false
+}
+
+// copyHead passes a worker's status and fields on.
+func copyHead(ctx *fasthttp.RequestCtx, from *worker.Answer) {
+	ctx.SetStatusCode(from.Status)
+	for name, value := range from.Header.All() {
+		switch strings.ToLower(string(name)) {
+		case "connection", "keep-alive", "transfer-encoding", "content-length", "trailer", "upgrade", "proxy-authenticate", "date", "server":
+		case "content-type":
+			ctx.Response.Header.SetContentTypeBytes(value)
+		default:
+			ctx.Response.Header.AddBytesKV(name, value)
+		}
+	}
+}
+
+// stream passes a stream on event by event.
+func (p *Proxy) stream(ctx *fasthttp.RequestCtx, request *forward.Request) {
+	if last := ctx.Request.Header.Peek("Last-Event-Id"); len(last) > 0 && !request.Route.Resumable {
+		answer(ctx, fasthttp.StatusBadRequest, "Last-Event-Id: streams of this route can't be taken up again")
+		return
+	}
+	result := p.forwarder.Open(context.Background(), request)
+	if result.Err != nil {
+		defer result.Release()
+		giveUp(ctx, &result)
+		return
+	}
+	copyHead(ctx, result.Answer)
+	if result.Status >= 300 {
+		defer result.Release()
+		body, err := result.Answer.ReadAll()
+		if err != nil {
+			ctx.Response.Reset()
+			answer(ctx, fasthttp.StatusBadGateway, "the worker's answer broke off")
+			return
+		}
+		ctx.Response.SetBodyRaw(body)
+		return
+	}
+	p.active.Add(1)
+	ctx.Response.ImmediateHeaderFlush = true
+	ctx.Response.SetBodyStream(&relay{proxy: p, request: request, result: result}, -1)
+}
+
+// relay reads a stream from its worker, and goes on at another one where the route allows that.
+type relay struct {
+	proxy   *Proxy
+	request *forward.Request
+	result  forward.Result
+	closed  bool
+	events  eventCutter
+}
+
+// Read implements io.Reader. Any error but io.EOF has the client's connection closed, so that the stream doesn't look whole.
+func (r *relay) Read(b []byte) (int, error) {
+	for {
+		if n := r.events.take(b); n > 0 {
+			return n, nil
+		}
+		n, err := r.result.Answer.Read(b)
+		r.events.add(b[:n])
+		if n > 0 {
+			continue
+		}
+		if errors.Is(err, io.EOF) {
+			if n := r.events.rest(b); n > 0 {
+				return n, nil
+			}
+			return 0, io.EOF
+		}
+		if err != nil && !r.resume() {
+			return 0, err
+		}
+	}
+}
+
+// resume takes the stream up at another worker behind the last whole event.
+func (r *relay) resume() bool {
+	if !r.request.Route.Resumable || !r.events.seen || time.Until(r.request.Deadline) <= 0 {
+		return false
+	}
+	r.result.Release()
+	r.result.Answer = nil
+	next := *r.request
+	next.Headers = append(next.Headers[:len(next.Headers):len(next.Headers)], worker.Header{Name: "Last-Event-Id", Value: r.events.lastID})
+	result := r.proxy.forwarder.Open(context.Background(), &next)
+	if result.Err != nil || result.Status >= 300 {
+		result.Release()
+		return false
+	}
+	r.result = result
+	r.events.drop()
+	return true
+}
+
+// Close ends the stream.
+func (r *relay) Close() error {
+	if !r.closed {
+		r.closed = true
+		r.result.Release()
+		r.proxy.active.Add(-1)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/system/proxy/jobs.go
@@ -0,0 +1,183 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"strconv"
+	"time"
+
+	"github.com/mailru/easyjson"
+	"github.com/valyala/fasthttp"
+
+	"saffronquay/internal/system/agent"
+	"saffronquay/internal/system/configuration"
+	"saffronquay/internal/system/ledger"
+	"saffronquay/internal/system/ledgerclient"
+	"saffronquay/internal/system/rpc"
+)
+
+const (
+	submitTimeout = 2500 * time.Millisecond
+	readTimeoutMS = 1500 // beyond what the client lets a read be held
+	maxHoldMS     = 2000
+	noteTimeout   = 2 * time.Second
+)
+
+// submit takes a batch job.
+func (p *Proxy) submit(ctx *fasthttp.RequestCtx, route *configuration.Route, host string) {
+	id := string(ctx.Request.Header.Peek("Request-Id"))
+	if id == "" || !ctx.IsPost() {
+		answer(ctx, fasthttp.StatusBadRequest, "a batch job is a POST with a Request-Id")
+		return
+	}
+	job, err := ledger.ParseSubmission(ctx.PostBody())
+	if err != nil {
+		answer(ctx, fasthttp.StatusBadRequest, err.Error())
+		return
+	}
+	job.Id, job.Host, job.Path, job.SentUnixMs = id, host, string(ctx.Path()), time.Now().UnixMilli()
+	job.DeadlineMs, job.MaxQueueMs = uint32(route.DeadlineMS), uint32(route.MaxQueueS*1000)
+	job.MaxAttempts, job.SingleVersion, job.Priority = uint32(max(route.MaxAttempts, 1)), route.OnPolicy, uint32(max(route.Priority, 0))
+	p.notePolicy(job.Model, route.OnPolicy)
+	shard := p.ledger.ShardOf(host)
+	if shard == "" {
+		refuse(ctx, "batch jobs can't be kept yet")
+		return
+	}
+	within, cancel := context.WithTimeout(context.Background(), submitTimeout)
+	defer cancel()
+	err = p.ledger.Call(within, shard, 0, func(ctx context.Context, l rpc.Ledger) (rpc.Outcome, string, error) {
+		response, err := l.Submit(ctx, &rpc.SubmitRequest{Shard: shard, Job: job})
+		if err != nil {
+			return rpc.Outcome_OUTCOME_UNKNOWN, "", err
+		}
+		return response.Outcome, response.LeaderAddress, nil
+	})
+	switch {
+	case err == nil:
+		ctx.SetStatusCode(fasthttp.StatusAccepted)
+	case errors.Is(err, ledgerclient.ErrUnavailable):
+		refuse(ctx, "batch jobs can't be kept now")
+	default:
+		answer(ctx, fasthttp.StatusGatewayTimeout, "the batch job may have been taken")
+	}
+}
+
+// notePolicy tells the directory, once for each model, whether its texts must be made by one version of the weights.
+func (p *Proxy) notePolicy(model string, single bool) {
+	p.mu.Lock()
+	known, ok := p.policies[model]
+	if model == "" || ok && (known || !single) || p.noting[model] {
+		p.mu.Unlock()
+		return
+	}
+	p.noting[model] = true
+	p.mu.Unlock()
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), noteTimeout)
+		defer cancel()
+		rpc.NewControlProtobufClient("http://"+agent.Address(p.settings), p.client).NotePolicy(ctx, &rpc.ModelPolicy{Model: model, SingleVersion: single})
+		p.mu.Lock()
+		delete(p.noting, model)
+		p.mu.Unlock()
+	}()
+}
+
+// job reads or ends a batch job.
+func (p *Proxy) job(ctx *fasthttp.RequestCtx, host, id string) {
+	shard := p.ledger.ShardOf(host)
+	switch {
+	case shard == "":
+		refuse(ctx, "batch jobs can't be read yet")
+	case ctx.IsGet():
+		p.readJob(ctx, shard, id)
+	case ctx.IsDelete():
+		p.endJob(ctx, shard, id)
+	default:
+		answer(ctx, fasthttp.StatusMethodNotAllowed, "want GET or DELETE")
+	}
+}
+
+func (p *Proxy) readJob(ctx *fasthttp.RequestCtx, shard, id string) {
+	after := ctx.QueryArgs().GetUintOrZero("after")
+	hold, err := strconv.Atoi(string(ctx.Request.Header.Peek("Wait-Ms")))
+	if err != nil || hold < 0 {
+		hold = 0
+	}
+	hold = min(hold, maxHoldMS)
+	var page *rpc.ReadResponse
+	within, cancel := context.WithTimeout(context.Background(), time.Duration(hold+readTimeoutMS)*time.Millisecond)
+	defer cancel()
+	err = p.ledger.Call(within, shard, time.Duration(hold)*time.Millisecond, func(ctx context.Context, l rpc.Ledger) (rpc.Outcome, string, error) {
+		response, err := l.Read(ctx, &rpc.ReadRequest{Shard: shard, Job: id, After: uint32(after), WaitMs: uint32(hold)})
+		if err != nil {
+			return rpc.Outcome_OUTCOME_UNKNOWN, "", err
+		}
+		page = response
+		return response.Outcome, response.LeaderAddress, nil
+	})
+	switch {
+	case err != nil:
+		refuse(ctx, "the batch job can't be read now")
+	case !page.Found:
+		answer(ctx, fasthttp.StatusNotFound, "no such batch job")
+	default:
+		text, err := easyjson.Marshal(ledger.NewPage(page, after))
+		if err != nil {
+			answer(ctx, fasthttp.StatusInternalServerError, err.Error())
+			return
+		}
+		ctx.SetContentType("application/json")
+		ctx.SetBody(text)
+	}
+}
+
+func (p *Proxy) endJob(ctx *fasthttp.RequestCtx, shard, id string) {
+	found := false
+	within, cancel := context.WithTimeout(context.Background(), submitTimeout)
+	defer cancel()
+	err := p.ledger.Call(within, shard, 0, func(ctx context.Context, l rpc.Ledger) (rpc.Outcome, string, error) {
+		response, err := l.End(ctx, &rpc.EndRequest{Shard: shard, Job: id})
+		if err != nil {
+			return rpc.Outcome_OUTCOME_UNKNOWN, "", err
+		}
+		found = response.Found
+		return response.Outcome, response.LeaderAddress, nil
+	})
+	switch {
+	case err != nil:
+		answer(ctx, fasthttp.StatusGatewayTimeout, "the end of the batch job is not certain")
+	case !found:
+		answer(ctx, fasthttp.StatusNotFound, "no such batch job")
+	}
+}
+
+// itemBody returns the body of an item.
+func (p *Proxy) itemBody(ctx *fasthttp.RequestCtx, host, id string) {
+	shard := p.ledger.ShardOf(host)
+	if shard == "" || !ctx.IsGet() {
+		refuse(ctx, "items can't be read yet")
+		return
+	}
+	item := string(ctx.QueryArgs().Peek("id"))
+	var body *rpc.BodyResponse
+	within, cancel := context.WithTimeout(context.Background(), readTimeoutMS*time.Millisecond)
+	defer cancel()
+	err := p.ledger.Call(within, shard, 0, func(ctx context.Context, l rpc.Ledger) (rpc.Outcome, string, error) {
+		response, err := l.Body(ctx, &rpc.BodyRequest{Shard: shard, Job: id, Item: item})
+		if err != nil {
+			return rpc.Outcome_OUTCOME_UNKNOWN, "", err
+		}
+		body = response
+		return response.Outcome, response.LeaderAddress, nil
+	})
+	switch {
+	case err != nil:
+		refuse(ctx, "the item can't be read now")
+	case !body.Found:
+		answer(ctx, fasthttp.StatusNotFound, "no such item")
+	default:
+		ctx.SetContentType("application/octet-stream")
+		ctx.SetBody(body.Body)
+	}
+}
--- /dev/null
+++ b/internal/system/proxy/proxy.go
@@ -0,0 +1,191 @@
+// Package proxy is the role that carries the traffic: it takes requests of clients, trainers' batch jobs and reads, sends requests to
+// workers, and works on the items of batch jobs. What it knows of the system comes from the agent of its machine.
+package proxy
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/fasthttp/router"
+	"github.com/valyala/fasthttp"
+
+	"saffronquay/internal/system/agent"
+	"saffronquay/internal/system/batch"
+	"saffronquay/internal/system/configuration"
+	"saffronquay/internal/system/feed"
+	"saffronquay/internal/system/forward"
+	"saffronquay/internal/system/ledgerclient"
+	"saffronquay/internal/system/routing"
+	"saffronquay/internal/system/rpc"
+	"saffronquay/internal/system/settings"
+	"saffronquay/internal/system/transport"
+	"saffronquay/internal/system/worker"
+)
+
+// Proxy is a running process of this role.
+type Proxy struct {
+	settings  *settings.Settings
+	log       *slog.Logger
+	client    *transport.Client
+	forwarder *forward.Forwarder
+	ledger    *ledgerclient.Client
+	config    atomic.Pointer[configuration.Table]
+	stopping  atomic.Bool
+	active    atomic.Int64
+
+	mu       sync.Mutex
+	edges    []string // names of the live gatherers, in order
+	policies map[string]bool
+	noting   map[string]bool
+}
+
+const (
+	drainLeast  = 2600 * time.Millisecond // after SIGTERM new connections come for so long
+	drainMargin = 900 * time.Millisecond
+	sweepEach   = 2 * time.Second
+	readBuffer  = 64 << 10
+	maxBody     = 64 << 20
+	readTimeout = 15 * time.Second
+	idleTimeout = 90 * time.Second
+)
+
+var processStart = time.Now()
+
+func clock() int64 { return time.Since(processStart).Milliseconds() + 1_000_000 }
+
+// Run serves until the context ends, then drains.
+func Run(ctx context.Context, source *settings.Source, log *slog.Logger) error {
+	s := source.Current()
+	p := &Proxy{settings: s, log: log, client: transport.NewClient(), policies: map[string]bool{}, noting: map[string]bool{}}
+	p.ledger = ledgerclient.New(p.client)
+	p.forwarder = &forward.Forwarder{Table: routing.NewTable(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))), Pool: worker.NewPool(), Clock: clock}
+	front, err := transport.ListenTCP(s.Listen.Frontend)
+	if err != nil {
+		return err
+	}
+	ready, err := transport.ListenTCP(s.Listen.Readiness)
+	if err != nil {
+		return err
+	}
+	tail := &feed.Client{Table: feed.NewTable(), HTTP: p.client, Node: s.NodeName, Sources: func() []string { return []string{agent.Address(s)} }, Heard: p.heard, Log: log}
+	tailCtx, stopTail := context.WithCancel(context.Background())
+	defer stopTail()
+	go tail.Run(tailCtx)
+	readiness := router.New()
+	readiness.GET("/api/readyz", p.readyz)
+	readyServer := &fasthttp.Server{Handler: readiness.Handler, NoDefaultServerHeader: true, NoDefaultDate: true}
+	go readyServer.Serve(ready)
+	server := &fasthttp.Server{Handler: p.handle, ReadBufferSize: readBuffer, MaxRequestBodySize: maxBody, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
+		NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true, CloseOnShutdown: true, DisablePreParseMultipartForm: true}
+	go server.Serve(front)
+	runner := &batch.Runner{Name: s.NodeName, Forwarder: p.forwarder, Ledger: p.ledger, Table: p.config.Load, Slots: p.slots, Log: log}
+	finished := make(chan struct{})
+	grace := settings.Seconds(s.Bounds.GraceS)
+	go func() {
+		runner.Run(ctx, grace/2)
+		close(finished)
+	}()
+	go p.sweep(tailCtx)
+	<-ctx.Done()
+	p.drain(grace, finished)
+	end, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	server.ShutdownWithContext(end)
+	return nil
+}
+
+// drain goes on serving while new connections may come and requests are open.
+func (p *Proxy) drain(grace time.Duration, finished <-chan struct{}) {
+	p.stopping.Store(true)
+	p.log.Info("draining")
+	begun := time.Now()
+	for time.Since(begun) < grace-drainMargin {
+		batchDone := false
+		select {
+		case <-finished:
+			batchDone = true
+		default:
+		}
+		if time.Since(begun) > drainLeast && p.active.Load() == 0 && batchDone {
+			return
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+func (p *Proxy) sweep(ctx context.Context) {
+	ticker := time.NewTicker(sweepEach)
+	defer ticker.Stop()
+	for {
+		select {
+		case now := <-ticker.C:
+			p.forwarder.Pool.Sweep(now)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// readyz tells the platform whether new connections may come here.
+func (p *Proxy) readyz(ctx *fasthttp.RequestCtx) {
+	if p.stopping.Load() || p.config.Load() == nil {
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+	}
+}
+
+// heard takes in what the agent tells.
+func (p *Proxy) heard(events []*rpc.FeedEvent) {
+	for _, e := range events {
+		switch x := e.Event.(type) {
+		case *rpc.FeedEvent_Configuration:
+			p.configure(x.Configuration)
+		case *rpc.FeedEvent_Instance:
+			p.forwarder.Table.Put(x.Instance)
+		case *rpc.FeedEvent_Gone:
+			p.forwarder.Table.Remove(x.Gone)
+		case *rpc.FeedEvent_Placement:
+			p.ledger.Place(x.Placement)
+		case *rpc.FeedEvent_Policy:
+			p.mu.Lock()
+			p.policies[x.Policy.Model] = x.Policy.SingleVersion
+			p.mu.Unlock()
+		case *rpc.FeedEvent_Member:
+			if x.Member.Kind == settings.ServesEdge {
+				p.setEdge(x.Member.Name, true)
+			}
+		case *rpc.FeedEvent_Left:
+			p.setEdge(x.Left, false)
+		}
+	}
+}
+
+// configure puts a configuration in force; an older one never replaces a newer one.
+func (p *Proxy) configure(e *rpc.ConfigurationEvent) {
+	if old := p.config.Load(); old != nil && old.Version >= e.Version {
+		return
+	}
+	document, err := configuration.Parse(e.Body)
+	if err != nil {
+		p.log.Error("configuration can't be used", "version", e.Version, "error", err)
+		return
+	}
+	p.config.Store(configuration.NewTable(document))
+	p.log.Info("configuration", "version", e.Version, "routes", len(document.Routes))
+}
+
+func (p *Proxy) setEdge(name string, alive bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	i, found := slices.BinarySearch(p.edges, name)
+	switch {
+	case alive && !found:
+		p.edges = slices.Insert(p.edges, i, name)
+	case !alive && found:
+		p.edges = slices.Delete(p.edges, i, i+1)
+	}
+}
--- /dev/null
+++ b/internal/system/steward/place.go
@@ -0,0 +1,177 @@
+package steward
+
+import (
+	"context"
+	"time"
+
+	"saffronquay/internal/system/directory"
+	"saffronquay/internal/system/placement"
+	"saffronquay/internal/system/replica"
+	"saffronquay/internal/system/rpc"
+	"saffronquay/internal/system/settings"
+)
+
+const (
+	// settleTime is how long the machines of a class must have been complete before the first placement: all of them start at about the
+	// same time.
+	settleTime     = 1200 * time.Millisecond
+	settleStores   = 2500 * time.Millisecond
+	settleMost     = 6 * time.Second
+	controlTimeout = 800 * time.Millisecond
+)
+
+// machines lists those that can hold replicas of a kind.
+func (st *Steward) machines(kind string) (list []placement.Machine) {
+	view := st.membership.View()
+	retirements := st.directory.Retirements()
+	for _, m := range view.Members {
+		if m.Kind != kind {
+			continue
+		}
+		_, retiring := retirements[m.Name]
+		machine := placement.Machine{Node: m.Name, Identity: m.Identity, Address: m.Address, Zone: m.Zone, Alive: m.Alive, Retiring: retiring}
+		if !m.Alive {
+			machine.DeadMS = (view.At - m.Since) / 1000
+		}
+		list = append(list, machine)
+	}
+	return list
+}
+
+// place sees to it that each group's wanted replicas are those that the machines allow. Only the directory's leader does.
+func (st *Steward) place(ctx context.Context) {
+	status := st.host.Status(directory.Shard)
+	if status == nil || st.host.Now()-status.LedSince < settleTime.Milliseconds() {
+		return // members that were only just heard of again would look dead
+	}
+	stewards := st.machines(settings.ServesControlPlane)
+	placements := st.directory.Placements()
+	size := st.settings.GroupSize()
+	for _, name := range groups() {
+		current := placements[name].GetReplicas()
+		if current == nil {
+			current = st.withNodes(status.Membership.GetVoters(), stewards)
+		}
+		st.propose(ctx, name, current, placement.Plan(current, stewards, size, nil))
+	}
+	stores := st.machines(settings.ServesStorage)
+	load := map[string]int{}
+	for _, name := range st.ledgerGroups() {
+		for _, r := range placements[name].GetReplicas() {
+			load[r.Node]++
+		}
+	}
+	for _, name := range st.ledgerGroups() {
+		current := placements[name].GetReplicas()
+		if current == nil && !st.mayPlaceFirst(stores, size) {
+			continue
+		}
+		plan := placement.Plan(current, stores, size, load)
+		if current == nil {
+			for _, r := range plan {
+				load[r.Node]++
+			}
+		}
+		st.propose(ctx, name, current, plan)
+	}
+}
+
+// mayPlaceFirst tells whether enough storage machines are known to place a group for the first time.
+func (st *Steward) mayPlaceFirst(stores []placement.Machine, size int) bool {
+	alive := 0
+	for _, m := range stores {
+		if m.Alive {
+			alive++
+		}
+	}
+	age := time.Since(st.begun)
+	return alive >= size && age > settleStores || alive > 0 && age > settleMost
+}
+
+// withNodes adds the machines' names to founders, who know only each other's addresses.
+func (st *Steward) withNodes(replicas []*rpc.Replica, machines []placement.Machine) (named []*rpc.Replica) {
+	for _, r := range replicas {
+		x := &rpc.Replica{Id: r.Id, Address: r.Address, Node: r.Node}
+		for _, m := range machines {
+			if m.Identity == r.Id {
+				x.Node = m.Node
+			}
+		}
+		if x.Node == "" {
+			x.Node = r.Id
+		}
+		named = append(named, x)
+	}
+	return named
+}
+
+func (st *Steward) propose(ctx context.Context, group string, current, plan []*rpc.Replica) {
+	if len(plan) == 0 || placement.Same(current, plan) && st.directory.Placements()[group] != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	command := replica.Marshal(&rpc.DirectoryCommand{Command: &rpc.DirectoryCommand_Place{Place: &rpc.Placement{Group: group, Replicas: plan,
+		Founding: current == nil}}})
+	if st.host.Propose(ctx, directory.Shard, command).Outcome == rpc.Outcome_DONE {
+		st.log.Info("placement", "group", group, "replicas", nodes(plan))
+	}
+}
+
+func nodes(replicas []*rpc.Replica) (names []string) {
+	for _, r := range replicas {
+		names = append(names, r.Node)
+	}
+	return names
+}
+
+// retire finds out which machines that are to be emptied hold nothing any more.
+func (st *Steward) retire(ctx context.Context) {
+	for node, completed := range st.directory.Retirements() {
+		if completed || !st.emptied(ctx, node) {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+		command := replica.Marshal(&rpc.DirectoryCommand{Command: &rpc.DirectoryCommand_Retire{Retire: &rpc.RetireState{Node: node, Completed: true}}})
+		st.host.Propose(ctx, directory.Shard, command)
+		cancel()
+	}
+}
+
+// emptied tells whether no group has a replica on a machine, as the groups' leaders say.
+func (st *Steward) emptied(ctx context.Context, node string) bool {
+	placements := st.directory.Placements()
+	for _, name := range st.ledgerGroups() {
+		wanted := placements[name]
+		if wanted == nil {
+			continue
+		}
+		for _, r := range wanted.Replicas {
+			if r.Node == node {
+				return false
+			}
+		}
+		if !st.settledWithout(ctx, wanted, node) {
+			return false
+		}
+	}
+	return true
+}
+
+// settledWithout tells whether a group's leader says that its members are the wanted ones, agreed on.
+func (st *Steward) settledWithout(ctx context.Context, wanted *rpc.Placement, node string) bool {
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	for _, r := range wanted.Replicas {
+		response, err := rpc.NewReplicationProtobufClient("http://"+r.Address, st.client).Status(ctx, &rpc.StatusRequest{})
+		if err != nil {
+			continue
+		}
+		for _, g := range response.Groups {
+			if g.Group == wanted.Group && g.Leader == g.Replica && g.Settled && placement.Same(g.Membership.GetVoters(), wanted.Replicas) {
+				return true
+			}
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/system/steward/steward.go
@@ -0,0 +1,260 @@
+// Package steward is the role that serves control: it holds the replicas of the directory and of the registry's shards, answers the
+// operator, the trainers and the workers, places replica groups, sends the workers their orders, and feeds whoever watches.
+package steward
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"saffronquay/internal/system/directory"
+	"saffronquay/internal/system/feed"
+	"saffronquay/internal/system/ledger"
+	"saffronquay/internal/system/membership"
+	"saffronquay/internal/system/registry"
+	"saffronquay/internal/system/replica"
+	"saffronquay/internal/system/rpc"
+	"saffronquay/internal/system/settings"
+	"saffronquay/internal/system/transport"
+	"saffronquay/internal/system/weights"
+)
+
+// Steward is a running process of this role.
+type Steward struct {
+	source   *settings.Source
+	settings *settings.Settings
+	log      *slog.Logger
+	identity replica.Identity
+
+	store      *replica.Store
+	host       *replica.Host
+	client     *transport.Client
+	feed       *feed.Table
+	directory  *directory.Directory
+	shards     map[string]*shard
+	membership *membership.Membership
+	control    *fasthttp.Server
+
+	mu      sync.Mutex
+	changed chan struct{} // closed when a group's status changes
+	begun   time.Time
+}
+
+// shard is a part of the registry at this steward.
+type shard struct {
+	steward  *Steward
+	name     string
+	registry *registry.Registry
+
+	mu    sync.Mutex
+	owner *registry.Owner
+	epoch uint64 // under which owner has begun
+}
+
+// freshWithin is how long ago a leader may have been heard for a steward to count as in touch.
+const freshWithin = 700 // ms
+
+// Run serves until the context ends, then closes what is open.
+func Run(ctx context.Context, source *settings.Source, log *slog.Logger) error {
+	st := &Steward{source: source, settings: source.Current(), log: log, client: transport.NewClient(), feed: feed.NewTable(), shards: map[string]*shard{},
+		changed: make(chan struct{}), begun: time.Now()}
+	if err := st.open(); err != nil {
+		return err
+	}
+	defer st.store.Close()
+	return st.serve(ctx)
+}
+
+// groups names the groups that stewards hold.
+func groups() []string {
+	names := []string{directory.Shard}
+	for n := range registry.Shards {
+		names = append(names, registry.ShardName(n))
+	}
+	return names
+}
+
+func (st *Steward) open() (err error) {
+	if st.store, err = replica.OpenStore(st.settings.DataDir); err != nil {
+		return err
+	}
+	if st.identity, err = replica.Identify(st.store, st.settings); err != nil {
+		return err
+	}
+	st.directory = directory.New(st.feed)
+	for n := range registry.Shards {
+		name := registry.ShardName(n)
+		st.shards[name] = &shard{steward: st, name: name, registry: registry.New(name, st.feed), owner: registry.NewOwner(st.settings.HeartbeatMS)}
+	}
+	sender := replica.NewSender(st.client)
+	st.host, err = replica.NewHost(replica.Config{Identity: st.identity, Store: st.store, Machine: st.machine, Send: sender.Send, Log: st.log, Changed: st.groupChanged})
+	return err
+}
+
+func (st *Steward) machine(group string) replica.StateMachine {
+	if group == directory.Shard {
+		return st.directory
+	}
+	if sh := st.shards[group]; sh != nil {
+		return sh.registry
+	}
+	return nil
+}
+
+func (st *Steward) groupChanged(string) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	close(st.changed)
+	st.changed = make(chan struct{})
+}
+
+func (st *Steward) serve(ctx context.Context) error {
+	peer, err := transport.Listen(st.settings.PeerAddress(), map[string]http.Handler{
+		rpc.ReplicationPathPrefix: rpc.NewReplicationServer(&replica.Service{Host: st.host}),
+		rpc.ControlPathPrefix:     rpc.NewControlServer(st),
+	})
+	if err != nil {
+		return err
+	}
+	control, err := transport.ListenTCP(st.settings.Listen.ControlPlane)
+	if err != nil {
+		return err
+	}
+	if st.membership, err = membership.Start(st.settings, settings.ServesControlPlane, st.identity.ID, st.log, nil); err != nil {
+		return err
+	}
+	go st.host.Run()
+	go peer.Serve()
+	st.found()
+	st.control = &fasthttp.Server{Handler: st.routes(), MaxRequestBodySize: maxBody, NoDefaultServerHeader: true, NoDefaultDate: true,
+		IdleTimeout: time.Minute, ReadTimeout: 20 * time.Second, CloseOnShutdown: true}
+	go st.control.Serve(control)
+	go st.controlLoop(ctx)
+	for _, sh := range st.shards {
+		holder := &weights.Holder{Node: st.settings.NodeName, Lease: settings.Milliseconds(st.settings.Bounds.LeaseMS), Shard: sh, Wanted: st.directory.Models,
+			Single: st.singleVersion, Log: st.log}
+		go holder.Run(ctx)
+	}
+	select {
+	case <-ctx.Done():
+	case <-st.host.Done():
+	}
+	st.log.Info("stopping")
+	end, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	st.control.ShutdownWithContext(end)
+	peer.Close(end)
+	if !st.host.Failed() {
+		st.host.Stop()
+		return nil
+	}
+	return fmt.Errorf("steward: the disk failed")
+}
+
+// found starts the groups at the first start of the whole system: the machines that the seeds name are their founders.
+func (st *Steward) found() {
+	if !st.settings.Bootstrap {
+		return
+	}
+	var founders []*rpc.Replica
+	own := false
+	for _, seed := range st.settings.Seeds {
+		founders = append(founders, &rpc.Replica{Id: replica.FounderID(seed), Address: st.settings.PeerOf(seed)})
+		own = own || replica.FounderID(seed) == st.identity.ID
+	}
+	if !own {
+		return
+	}
+	for _, name := range groups() {
+		st.host.Found(name, founders)
+	}
+}
+
+// singleVersion tells whether a model's texts must be made by one version of its weights; while nobody has said so, they may have to.
+func (st *Steward) singleVersion(model string) bool {
+	single, known := st.directory.Policy(model)
+	return single || !known
+}
+
+// fresh tells whether this steward is in touch with the leaders of all groups.
+func (st *Steward) fresh() bool {
+	for _, name := range groups() {
+		status := st.host.Status(name)
+		if status == nil || st.host.Now()-status.HeardAt > freshWithin {
+			return false
+		}
+	}
+	return true
+}
+
+// Watch implements rpc.Control.
+func (st *Steward) Watch(ctx context.Context, r *rpc.WatchRequest) (*rpc.WatchResponse, error) {
+	return feed.Watch(ctx, st.feed, st.fresh, r), nil
+}
+
+// NotePolicy implements rpc.Control.
+func (st *Steward) NotePolicy(ctx context.Context, p *rpc.ModelPolicy) (*rpc.NotePolicyResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
+	defer cancel()
+	command := replica.Marshal(&rpc.DirectoryCommand{Command: &rpc.DirectoryCommand_Policy{Policy: p}})
+	return &rpc.NotePolicyResponse{Taken: st.submit(ctx, directory.Shard, command).Outcome == rpc.Outcome_DONE}, nil
+}
+
+func (st *Steward) submit(ctx context.Context, group string, command []byte) replica.Proposed {
+	return replica.Submit(ctx, st.host, st.client, group, command)
+}
+
+// controlAddress is where the process with a peer address answers workers and the operator.
+func (st *Steward) controlAddress(peer string) string {
+	host, _, err := net.SplitHostPort(peer)
+	own, err2 := netip.ParseAddrPort(st.settings.Listen.ControlPlane)
+	if err != nil || err2 != nil {
+		return ""
+	}
+	return net.JoinHostPort(host, fmt.Sprint(own.Port()))
+}
+
+// controlLoop keeps what this steward leads in order: placements, retirements, lost workers.
+func (st *Steward) controlLoop(ctx context.Context) {
+	ticker := time.NewTicker(150 * time.Millisecond)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		for name, placement := range st.directory.Placements() {
+			if st.machine(name) != nil {
+				st.host.SetWanted(name, placement.Replicas)
+			}
+		}
+		for _, sh := range st.shards {
+			sh.tick(ctx)
+		}
+		if status := st.host.Status(directory.Shard); status != nil && status.Lease {
+			st.place(ctx)
+			st.retire(ctx)
+		}
+	}
+}
+
+// ledgerGroups names the groups that storage machines hold, shard 0 last: once it is placed, all are.
+func (st *Steward) ledgerGroups() (names []string) {
+	placements := st.directory.Placements()
+	shards := ledger.ShardsIn(func(group string) bool { return placements[group] != nil })
+	if shards == 0 {
+		shards = ledger.ShardsFor(len(st.machines(settings.ServesStorage)))
+	}
+	for n := shards - 1; n >= 0; n-- {
+		names = append(names, ledger.ShardName(n))
+	}
+	return names
+}
--- /dev/null
+++ b/internal/system/storage/storage.go
@@ -0,0 +1,111 @@
+// Package storage is the role that keeps batch jobs: it holds replicas of the ledger's shards and answers the gatherers for those that it
+// owns.
+package storage
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"slices"
+	"time"
+
+	"saffronquay/internal/system/feed"
+	"saffronquay/internal/system/ledger"
+	"saffronquay/internal/system/membership"
+	"saffronquay/internal/system/replica"
+	"saffronquay/internal/system/rpc"
+	"saffronquay/internal/system/settings"
+	"saffronquay/internal/system/transport"
+)
+
+// Storage is a running process of this role.
+type Storage struct {
+	source     *settings.Source
+	log        *slog.Logger
+	identity   replica.Identity
+	host       *replica.Host
+	service    *ledger.Service
+	client     *transport.Client
+	membership *membership.Membership
+}
+
+// Run serves until the context ends.
+func Run(ctx context.Context, source *settings.Source, log *slog.Logger) error {
+	s := source.Current()
+	store, err := replica.OpenStore(s.DataDir)
+	if err != nil {
+		return err
+	}
+	defer store.Close()
+	st := &Storage{source: source, log: log, client: transport.NewClient()}
+	if st.identity, err = replica.Identify(store, s); err != nil {
+		return err
+	}
+	st.service = &ledger.Service{Log: log, KeepResults: settings.Seconds(s.Bounds.StatusIntervalS + keepSlackS)}
+	sender := replica.NewSender(st.client)
+	if st.host, err = replica.NewHost(replica.Config{Identity: st.identity, Store: store, Machine: st.service.Machine, Send: sender.Send, Log: log}); err != nil {
+		return err
+	}
+	st.service.Host = st.host
+	server, err := transport.Listen(s.PeerAddress(), map[string]http.Handler{
+		rpc.ReplicationPathPrefix: rpc.NewReplicationServer(&replica.Service{Host: st.host}),
+		rpc.LedgerPathPrefix:      rpc.NewLedgerServer(st.service),
+	})
+	if err != nil {
+		return err
+	}
+	if st.membership, err = membership.Start(s, settings.ServesStorage, st.identity.ID, log, nil); err != nil {
+		return err
+	}
+	tail := &feed.Client{Table: feed.NewTable(), HTTP: st.client, Node: s.NodeName, Sources: st.stewards, Heard: st.heard, Log: log}
+	go st.host.Run()
+	go server.Serve()
+	go st.service.Run(ctx)
+	go tail.Run(ctx)
+	select {
+	case <-ctx.Done():
+	case <-st.host.Done():
+	}
+	log.Info("stopping")
+	end, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	server.Close(end)
+	if st.host.Failed() {
+		return fmt.Errorf("storage: the disk failed")
+	}
+	st.host.Stop()
+	return nil
+}
+
+// keepSlackS is added to the time that results have to be kept.
+const keepSlackS = 30
+
+func (st *Storage) stewards() (addresses []string) {
+	s := st.source.Current()
+	for _, m := range st.membership.View().Alive(settings.ServesControlPlane) {
+		addresses = append(addresses, m.Address)
+	}
+	for _, seed := range s.Seeds {
+		if address := s.PeerOf(seed); address != "" && !slices.Contains(addresses, address) {
+			addresses = append(addresses, address)
+		}
+	}
+	return addresses
+}
+
+// heard acts on new placements: this machine founds a group that it is a founder of, and leads a group that it leads to its wanted
+// replicas.
+func (st *Storage) heard(events []*rpc.FeedEvent) {
+	for _, e := range events {
+		p := e.GetPlacement()
+		if p == nil || st.service.Machine(p.Group) == nil {
+			continue
+		}
+		own := slices.ContainsFunc(p.Replicas, func(r *rpc.Replica) bool { return r.Id == st.identity.ID })
+		if p.Founding && own {
+			st.host.Found(p.Group, p.Replicas)
+		}
+		st.host.SetWanted(p.Group, p.Replicas)
+	}
+}
--- /dev/null
+++ b/internal/system/weights/holder.go
@@ -0,0 +1,228 @@
+package weights
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"saffronquay/internal/system/rpc"
+	"saffronquay/internal/system/transport"
+)
+
+// Shard is what a holder needs of the registry shard whose workers it sends orders to.
+type Shard interface {
+	// Lease tells whether this process owns the shard right now, and under which epoch.
+	Lease() (epoch uint64, owned bool)
+	// Owned is for how long it has owned it.
+	Owned() time.Duration
+	// LastHolder is the machine that sent orders last; empty where none did.
+	LastHolder() string
+	// Hold records this machine as the holder.
+	Hold(ctx context.Context, epoch uint64) bool
+	Instances() []*rpc.Instance
+	// Record tells the shard of a worker's new weights.
+	Record(ctx context.Context, instance, model string, version uint64)
+}
+
+// Holder sends the orders of one shard.
+type Holder struct {
+	Node   string
+	Lease  time.Duration // how long after another holder's last order this one must wait
+	Shard  Shard
+	Wanted func() map[string]uint64
+	Single func(model string) bool
+	Log    *slog.Logger
+
+	mu       sync.Mutex
+	busy     map[string]bool
+	held     uint64 // epoch under which this machine is recorded as the holder
+	client   fasthttp.Client
+	loadTime time.Duration // learned
+}
+
+const (
+	round         = 50 * time.Millisecond
+	orderTimeout  = 800 * time.Millisecond
+	reportTimeout = 500 * time.Millisecond
+	reportEach    = 200 * time.Millisecond
+	loadMost      = 8 * time.Second
+	firstGuess    = 500 * time.Millisecond
+	shareAtOnce   = 3 // one in so many workers loads at a time
+)
+
+// Run works until the context ends.
+func (h *Holder) Run(ctx context.Context) {
+	h.busy, h.loadTime = map[string]bool{}, firstGuess
+	h.client = fasthttp.Client{Dial: transport.Dial, MaxIdemponentCallAttempts: 1, MaxIdleConnDuration: 4 * time.Second, NoDefaultUserAgentHeader: true,
+		RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false }}
+	ticker := time.NewTicker(round)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			h.turn(ctx)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// turn begins the orders that are due now.
+func (h *Holder) turn(ctx context.Context) {
+	wanted := h.Wanted()
+	if len(wanted) == 0 {
+		return
+	}
+	h.mu.Lock()
+	busy := make(map[string]bool, len(h.busy))
+	for id := range h.busy {
+		busy[id] = true
+	}
+	h.mu.Unlock()
+	orders := Plan(h.Shard.Instances(), wanted, busy, h.Single, func(workers int) int { return (workers + shareAtOnce - 1) / shareAtOnce })
+	if len(orders) == 0 {
+		return
+	}
+	epoch, owned := h.Shard.Lease()
+	if !owned || !h.mayHold(ctx, epoch) {
+		return
+	}
+	for _, order := range orders {
+		h.mu.Lock()
+		h.busy[order.Instance.Id] = true
+		h.mu.Unlock()
+		go h.carryOut(ctx, order, epoch)
+	}
+}
+
+// mayHold makes this machine the holder, once another one's last order is long enough ago.
+func (h *Holder) mayHold(ctx context.Context, epoch uint64) bool {
+	if h.held == epoch {
+		return true
+	}
+	if last := h.Shard.LastHolder(); last != "" && last != h.Node && h.Shard.Owned() < h.Lease {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	if h.Shard.Hold(ctx, epoch) {
+		h.held = epoch
+	}
+	return h.held == epoch
+}
+
+// orderBody is what a worker is sent.
+type orderBody struct {
+	Operation string `json:"operation"`
+	Model     string `json:"model"`
+	Version   uint64 `json:"version"`
+	Mode      Mode   `json:"mode"`
+	Holder    string `json:"holder"`
+	Fence     uint64 `json:"fence"`
+}
+
+// carryOut sends an order and waits until the worker has the weights.
+func (h *Holder) carryOut(ctx context.Context, order Order, epoch uint64) {
+	defer func() {
+		h.mu.Lock()
+		delete(h.busy, order.Instance.Id)
+		h.mu.Unlock()
+	}()
+	if now, owned := h.Shard.Lease(); !owned || now != epoch {
+		return
+	}
+	begun := time.Now()
+	status, err := h.order(order, epoch)
+	switch {
+	case err != nil:
+		h.Log.Warn("order unanswered", "instance", order.Instance.Id, "error", err)
+		h.pause(ctx, reportEach)
+	case status == fasthttp.StatusOK:
+		h.record(ctx, order)
+		return
+	case status != fasthttp.StatusAccepted && status != fasthttp.StatusConflict:
+		h.Log.Warn("order refused", "instance", order.Instance.Id, "model", order.Model, "version", order.Version, "status", status)
+		h.pause(ctx, reportEach)
+		return
+	}
+	h.pause(ctx, h.loadTime)
+	for time.Since(begun) < loadMost {
+		version, busy, err := h.report(order.Instance, order.Model)
+		if err == nil && version >= order.Version {
+			h.record(ctx, order)
+			return
+		}
+		if err == nil && !busy && time.Since(begun) > 2*time.Second || err != nil && time.Since(begun) > 3*time.Second {
+			return // the next turn orders it again
+		}
+		if !h.pause(ctx, reportEach) {
+			return
+		}
+	}
+}
+
+func (h *Holder) pause(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-time.After(d):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (h *Holder) order(order Order, epoch uint64) (status int, err error) {
+	body, err := json.Marshal(orderBody{"version", order.Model, order.Version, order.Mode, h.Node, epoch})
+	if err != nil {
+		return 0, err
+	}
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.Header.SetMethod(fasthttp.MethodPost)
+	request.SetRequestURI("http://" + order.Instance.Address + "/api/order")
+	request.Header.SetContentType("application/json")
+	request.Header.Set("Expect-Instance", order.Instance.Id)
+	request.SetBody(body)
+	if err := h.client.DoTimeout(request, response, orderTimeout); err != nil {
+		return 0, err
+	}
+	return response.StatusCode(), nil
+}
+
+func (h *Holder) report(instance *rpc.Instance, model string) (version uint64, busy bool, err error) {
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.SetRequestURI("http://" + instance.Address + "/api/report")
+	request.Header.Set("Expect-Instance", instance.Id)
+	if err := h.client.DoTimeout(request, response, reportTimeout); err != nil {
+		return 0, false, err
+	}
+	if response.StatusCode() != fasthttp.StatusOK {
+		return 0, false, fmt.Errorf("weights: report: status %d", response.StatusCode())
+	}
+	var r struct {
+		Models []struct {
+			Name    string `json:"name"`
+			Version uint64 `json:"version"`
+		} `json:"models"`
+		Busy bool `json:"utilization"`
+	}
+	if err := json.Unmarshal(response.Body(), &r); err != nil {
+		return 0, false, err
+	}
+	for _, m := range r.Models {
+		if m.Name == model {
+			version = m.Version
+		}
+	}
+	return version, r.Busy, nil
+}
+
+func (h *Holder) record(ctx context.Context, order Order) {
+	h.Shard.Record(ctx, order.Instance.Id, order.Model, order.Version)
+}
--- /dev/null
+++ b/internal/system/weights/plan.go
@@ -0,0 +1,99 @@
+// Package weights brings the workers of a service to the versions of weights that were named. One machine at a time sends orders to the
+// workers of a shard (package registry); this package decides which ones, and carries them out.
+package weights
+
+import (
+	"cmp"
+	"slices"
+
+	"saffronquay/internal/system/rpc"
+)
+
+// Mode says what becomes of requests that run when new weights are loaded.
+type Mode string
+
+// The modes.
+const (
+	Wait   Mode = "wait"   // they end first
+	Retain Mode = "retain" // they go on under the new version
+)
+
+// Order is one change of weights of one worker.
+type Order struct {
+	Instance *rpc.Instance
+	Model    string
+	Version  uint64
+	Mode     Mode
+}
+
+// Plan returns the orders to send now. wanted holds the newest named version by model, busy the workers that an order is under way at,
+// single whether a model's texts must be made by one version. atOnce bounds the orders under way in a service.
+func Plan(instances []*rpc.Instance, wanted map[string]uint64, busy map[string]bool, single func(model string) bool, atOnce func(workers int) int) []Order {
+	services := map[string][]*rpc.Instance{}
+	for _, i := range instances {
+		if !i.Lost {
+			services[i.Service] = append(services[i.Service], i)
+		}
+	}
+	var orders []Order
+	for _, workers := range services {
+		orders = append(orders, planService(workers, wanted, busy, single, atOnce(len(workers)))...)
+	}
+	return orders
+}
+
+func planService(workers []*rpc.Instance, wanted map[string]uint64, busy map[string]bool, single func(string) bool, most int) (orders []Order) {
+	room := most
+	for _, w := range workers {
+		if busy[w.Id] {
+			room--
+		}
+	}
+	type candidate struct {
+		Order
+		behind uint64
+		done   int // workers that have this version already
+	}
+	var candidates []candidate
+	for _, w := range workers {
+		if busy[w.Id] || w.Draining {
+			continue
+		}
+		for _, m := range w.Models {
+			if m.Version >= wanted[m.Name] {
+				continue
+			}
+			mode := Retain
+			if single(m.Name) {
+				mode = Wait
+			}
+			candidates = append(candidates, candidate{Order{w, m.Name, wanted[m.Name], mode}, wanted[m.Name] - m.Version, holding(workers, m.Name, wanted[m.Name])})
+		}
+	}
+	// The models that lag most go first, and of these the ones that fewest workers hold.
+	slices.SortStableFunc(candidates, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(b.behind, a.behind), cmp.Compare(a.done, b.done), cmp.Compare(a.Model, b.Model), cmp.Compare(a.Instance.Id, b.Instance.Id))
+	})
+	taken := map[string]bool{}
+	for _, c := range candidates {
+		if room <= 0 {
+			break
+		}
+		if taken[c.Instance.Id] {
+			continue
+		}
+		taken[c.Instance.Id] = true
+		room--
+		orders = append(orders, c.Order)
+	}
+	return orders
+}
+
+func holding(workers []*rpc.Instance, model string, version uint64) (n int) {
+	for _, w := range workers {
+		if slices.ContainsFunc(w.Models, func(m *rpc.ModelWeights) bool { return m.Name == model && m.Version >= version }) {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/system/worker/pool.go
@@ -0,0 +1,277 @@
+// Package worker speaks HTTP/1.1 to workers: it sends a request over a kept or new connection and reads the answer, whole or event by
+// event. Every error carries a verdict that says whether the request may have run.
+package worker
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"saffronquay/internal/system/transport"
+	"saffronquay/internal/system/verdict"
+)
+
+// Call is a request to a worker.
+type Call struct {
+	Address  string
+	Method   string
+	URI      string // path and query, as they came
+	Host     string
+	Headers  []Header
+	Body     []byte
+	DialTime time.Duration // that a new connection may take; 0: the usual
+}
+
+// Header is one header field.
+type Header struct{ Name, Value string }
+
+const (
+	readBuffer    = 8 << 10
+	headerMost    = 64 << 10
+	idleUsual     = 4 * time.Second
+	idleMostConns = 64
+)
+
+// Pool keeps connections to workers.
+type Pool struct {
+	mu   sync.Mutex
+	idle map[string][]*connection
+}
+
+// NewPool returns a pool without connections.
+func NewPool() *Pool { return &Pool{idle: map[string][]*connection{}} }
+
+type connection struct {
+	net.Conn
+	reader  *bufio.Reader
+	expires time.Time
+}
+
+// Answer is a worker's answer whose body has not been read yet. It must be closed.
+type Answer struct {
+	Status int
+	Header fasthttp.ResponseHeader
+
+	pool    *Pool
+	address string
+	conn    *connection
+	body    io.Reader
+	whole   bool // the body was read to its end
+	stop    func() bool
+}
+
+// Do sends a request and reads the head of its answer. When the context ends, the connection is closed and whatever waits for it fails.
+func (p *Pool) Do(ctx context.Context, call *Call) (*Answer, error) {
+	conn, err := p.connect(call)
+	if err != nil {
+		return nil, verdict.Wrap(verdict.Failed, verdict.NotRun, err, "connect to %s", call.Address)
+	}
+	stop := context.AfterFunc(ctx, func() { conn.SetDeadline(time.Unix(1, 0)) })
+	fail := func(v verdict.Verdict, err error, what string) error {
+		stop()
+		conn.Close()
+		if ctx.Err() != nil {
+			return verdict.Wrap(verdict.TimedOut, v, ctx.Err(), "%s %s", what, call.Address)
+		}
+		return verdict.Wrap(verdict.Failed, v, err, "%s %s", what, call.Address)
+	}
+	sent, err := conn.Write(call.encode())
+	if err != nil {
+		v := verdict.MayHaveRun
+		if sent == 0 {
+			v = verdict.NotRun
+		}
+		return nil, fail(v, err, "send to")
+	}
+	a := &Answer{pool: p, address: call.Address, conn: conn, stop: stop}
+	for {
+		a.Header.Reset()
+		if err := a.Header.Read(conn.reader); err != nil {
+			return nil, fail(verdict.MayHaveRun, err, "read from")
+		}
+		if a.Status = a.Header.StatusCode(); a.Status >= 200 {
+			break
+		}
+	}
+	a.body = a.reader(call.Method)
+	return a, nil
+}
+
+// encode writes the request as it goes over the connection.
+func (c *Call) encode() []byte {
+	var b bytes.Buffer
+	b.Grow(512 + len(c.Body))
+	b.WriteString(c.Method + " " + c.URI + " HTTP/1.1\r\nHost: " + c.Host + "\r\n")
+	for _, h := range c.Headers {
+		b.WriteString(h.Name)
+		b.WriteString(": ")
+		b.WriteString(h.Value)
+		b.WriteString("\r\n")
+	}
+	if len(c.Body) > 0 || c.Method != fasthttp.MethodGet && c.Method != fasthttp.MethodHead {
+		b.WriteString("Content-Length: " + strconv.Itoa(len(c.Body)) + "\r\n")
+	}
+	b.WriteString("\r\n")
+	b.Write(c.Body)
+	return b.Bytes()
+}
+
+// connect takes a kept connection, or opens one.
+func (p *Pool) connect(call *Call) (*connection, error) {
+	now := time.Now()
+	for {
+		conn := p.take(call.Address)
+		if conn == nil {
+			break
+		}
+		if now.Before(conn.expires) && conn.reader.Buffered() == 0 && quiet(conn.Conn) {
+			return conn, nil
+		}
+		conn.Close()
+	}
+	wait := call.DialTime
+	if wait == 0 {
+		wait = transport.DialTimeout
+	}
+	raw, err := transport.DialWithin(call.Address, wait)
+	if err != nil {
+		return nil, err
+	}
+	return &connection{Conn: raw, reader: bufio.NewReaderSize(raw, readBuffer)}, nil
+}
+
+func (p *Pool) take(address string) *connection {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[address]
+	if len(list) == 0 {
+		return nil
+	}
+	conn := list[len(list)-1]
+	p.idle[address] = list[:len(list)-1]
+	return conn
+}
+
+// quiet tells whether a connection is open and nothing unasked has arrived on it.
+func quiet(conn net.Conn) bool {
+	raw, err := conn.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return false
+	}
+	open := false
+	err = raw.Read(func(descriptor uintptr) bool {
+		var one [1]byte
+		_, _, err := syscall.Recvfrom(int(descriptor), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		open = err == syscall.EAGAIN
+		return true
+	})
+	return err == nil && open
+}
+
+// reader reads the body in the framing that the head states.
+func (a *Answer) reader(method string) io.Reader {
+	length := a.Header.ContentLength()
+	switch {
+	case method == fasthttp.MethodHead || a.Status == fasthttp.StatusNoContent || a.Status == fasthttp.StatusNotModified:
+		a.whole = true
+		return bytes.NewReader(nil)
+	case length >= 0:
+		a.whole = length == 0
+		return &fixedReader{a, int64(length)}
+	case length == -1:
+		return &chunkedReader{answer: a}
+	default:
+		return &closingReader{a}
+	}
+}
+
+// Read reads on in the body. It returns io.EOF only where the body is whole.
+func (a *Answer) Read(b []byte) (int, error) { return a.body.Read(b) }
+
+// ReadAll reads the whole body.
+func (a *Answer) ReadAll() ([]byte, error) {
+	if n := a.Header.ContentLength(); n > 0 && n < 1<<24 {
+		b := make([]byte, n)
+		_, err := io.ReadFull(a.body, b)
+		return b, err
+	}
+	return io.ReadAll(a.body)
+}
+
+// Close ends the answer. The connection is kept where the body was read to its end and nothing speaks against it.
+func (a *Answer) Close() {
+	if a.conn == nil {
+		return
+	}
+	conn := a.conn
+	a.conn = nil
+	if !a.stop() || !a.whole || a.Header.ConnectionClose() || conn.reader.Buffered() > 0 {
+		conn.Close()
+		return
+	}
+	conn.expires = time.Now().Add(a.idleTime())
+	p := a.pool
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if list := p.idle[a.address]; len(list) < idleMostConns {
+		p.idle[a.address] = append(list, conn)
+		return
+	}
+	conn.Close()
+}
+
+// idleTime is how long the worker keeps the connection, less a margin.
+func (a *Answer) idleTime() time.Duration {
+	for _, part := range strings.Split(string(a.Header.Peek("Keep-Alive")), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		if seconds, err := strconv.Atoi(value); err == nil && strings.EqualFold(name, "timeout") {
+			return max(time.Duration(seconds)*time.Second-time.Second/2, 0)
+		}
+	}
+	return idleUsual
+}
+
+// Forget closes the kept connections to an address.
+func (p *Pool) Forget(address string) {
+	p.mu.Lock()
+	list := p.idle[address]
+	delete(p.idle, address)
+	p.mu.Unlock()
+	for _, conn := range list {
+		conn.Close()
+	}
+}
+
+// Sweep closes connections that have been idle for too long.
+func (p *Pool) Sweep(now time.Time) {
+	var old []*connection
+	p.mu.Lock()
+	for address, list := range p.idle {
+		kept := list[:0]
+		for _, conn := range list {
+			if now.After(conn.expires) {
+				old = append(old, conn)
+			} else {
+				kept = append(kept, conn)
+			}
+		}
+		if len(kept) == 0 {
+			delete(p.idle, address)
+		} else {
+			p.idle[address] = kept
+		}
+	}
+	p.mu.Unlock()
+	for _, conn := range old {
+		conn.Close()
+	}
+}
