--- a/internal/system/batch/item.go
+++ b/internal/system/batch/item.go
@@ -132,11 +132,13 @@
 		Headers: itemHeaders(lease, w.ID, made), Body: lease.Item.Body})
 	if err != nil {
 		if ctx.Err() == nil {
+			r.Log.Debug("try failed", "item", lease.Item.Id, "worker", w.ID, "error", err)
 			table.Failed(clock(), w)
 		}
 		return tryAgain
 	}
 	defer answer.Close()
+	r.Log.Debug("answer", "item", lease.Item.Id, "worker", w.ID, "status", answer.Status, "weights", answer.Header.Peek("Weight-Versions"), "length", answer.Header.ContentLength(), "not", answer.Header.Peek("Not-Executed"))
 	switch {
 	case string(answer.Header.Peek("Request-Id")) != lease.Item.Id && len(answer.Header.Peek("Request-Id")) > 0:
 		r.Forwarder.Pool.Forget(w.Address)
@@ -172,6 +174,7 @@
 		}
 		return tryWhole
 	case ctx.Err() == nil && !errors.Is(err, errVersion):
+		r.Log.Debug("stream broke off", "item", lease.Item.Id, "worker", w.ID, "events", made.events, "error", err)
 		table.Failed(clock(), w)
 	}
 	return tryAgain
@@ -271,6 +274,7 @@
 			return &rpc.Report{Result: result}
 		}
 		answer.Release()
+		r.Log.Debug("reward call", "item", lease.Item.Id, "status", answer.Status, "error", answer.Err, "errors", answer.Errors)
 		if ctx.Err() != nil {
 			return nil
 		}
--- a/internal/system/batch/runner.go
+++ b/internal/system/batch/runner.go
@@ -244,6 +244,9 @@
 		return
 	}
 	report.Job, report.Item, report.Number = lease.Job, lease.Item.Id, lease.Number
+	if report.Result != nil {
+		report.Result.Item = lease.Item.Id
+	}
 	select {
 	case queue <- report:
 	default:
