Divide workers' places among the gatherers of their zone, pack texts, restart quicker

Cause: texts crossed zones four times; after a kill of all, gatherers knew no configuration until an election; every process logged each membership change.

--- a/cmd/saffronquay-system/main.go
+++ b/cmd/saffronquay-system/main.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"slices"
 	"syscall"
 
 	"github.com/urfave/cli/v3"
@@ -105,7 +106,13 @@
 // memoryShare is the part of the machine's memory that the runtime tries to stay below.
 const memoryShare = 0.7
 
+// storeGarbage is the garbage that a store may hold, in percent of what it keeps: it keeps much, and collecting costs it little.
+const storeGarbage = 25
+
 func limitMemory(s *settings.Settings) {
+	if slices.Contains(s.Serves, settings.ServesStorage) {
+		debug.SetGCPercent(storeGarbage)
+	}
 	if s.Limits.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(s.Limits.MemoryMB<<20)))
 	}
--- a/internal/system/batch/item.go
+++ b/internal/system/batch/item.go
@@ -12,6 +12,7 @@
 
 	"saffronquay/internal/system/configuration"
 	"saffronquay/internal/system/forward"
+	"saffronquay/internal/system/ledger"
 	"saffronquay/internal/system/routing"
 	"saffronquay/internal/system/rpc"
 	"saffronquay/internal/system/worker"
@@ -145,17 +146,17 @@
 		return tryAgain
 	case answer.Status == fasthttp.StatusMisdirectedRequest:
 		r.noteVersion(w, lease.Model, answer)
-		table.Refused(clock(), w)
+		table.Refused(clock(), w, lease.Model)
 		return tryAgain
 	case len(answer.Header.Peek("Not-Executed")) > 0:
-		table.Refused(clock(), w)
+		table.Refused(clock(), w, lease.Model)
 		return tryAgain
 	case answer.Status == fasthttp.StatusUnprocessableEntity:
 		return tryImpossible
 	case answer.Status == fasthttp.StatusInternalServerError:
 		return tryFailed
 	case answer.Status >= 300:
-		table.Refused(clock(), w)
+		table.Refused(clock(), w, lease.Model)
 		return tryAgain
 	}
 	version := r.noteVersion(w, lease.Model, answer)
@@ -253,7 +254,7 @@
 
 // score has a whole text scored, where the item asks for that.
 func (r *Runner) score(ctx context.Context, lease *rpc.Lease, made *text) *rpc.Report {
-	result := &rpc.Result{Completed: true, Text: made.data, WeightVersions: made.versions}
+	result := &rpc.Result{Completed: true, Text: ledger.PackText(made.data), WeightVersions: made.versions}
 	scorer := lease.Item.Scorer
 	if scorer == nil {
 		return &rpc.Report{Result: result}
--- a/internal/system/consensus/core.go
+++ b/internal/system/consensus/core.go
@@ -124,9 +124,11 @@
 	c.log.entries = stored.Entries
 	if stored.HardState != nil {
 		c.epoch, c.vote = stored.HardState.Epoch, stored.HardState.Vote
+		c.commit = max(c.commit, min(stored.HardState.Commit, c.log.lastIndex()))
 	}
 	c.findMembership()
-	c.resetElection()
+	// Whoever has just started waits less: where all replicas start together, nobody leads.
+	c.electionAt = c.now + cfg.ElectionMS/4 + cfg.Random.Int64N(cfg.ElectionMS/2)
 	return c
 }
 
--- a/internal/system/consensus/messages.go
+++ b/internal/system/consensus/messages.go
@@ -281,7 +281,7 @@
 		}
 	}
 	if c.hardChanged {
-		r.HardState = &rpc.HardState{Epoch: c.epoch, Vote: c.vote}
+		r.HardState = c.hardState()
 		c.hardChanged = false
 	}
 	r.Snapshot, r.Restore = c.newSnapshot, c.restoreNeeded
@@ -289,6 +289,7 @@
 	if c.unstableFrom != 0 {
 		r.Entries = c.log.from(c.unstableFrom, int(^uint(0)>>1))
 		c.unstableFrom = 0
+		r.HardState = c.hardState() // for the commit index, with which a restarted replica can begin at once
 	}
 	r.Messages = c.messages
 	c.messages = nil
@@ -302,6 +303,10 @@
 	return r
 }
 
+func (c *Core) hardState() *rpc.HardState {
+	return &rpc.HardState{Epoch: c.epoch, Vote: c.vote, Commit: c.commit}
+}
+
 // Compact records that the driver has persisted a snapshot of the state after an index that was handed out.
 func (c *Core) Compact(index uint64, state []byte) *rpc.Snapshot {
 	epoch, ok := c.log.epochAt(index)
--- a/internal/system/forward/forward.go
+++ b/internal/system/forward/forward.go
@@ -222,7 +222,7 @@
 		v := verdict.Of(err)
 		if ctx.Err() == nil || v == verdict.NotRun && !declined(err) {
 			if declined(err) {
-				f.Table.Refused(f.Clock(), w)
+				f.Table.Refused(f.Clock(), w, r.Model)
 			} else {
 				f.Table.Failed(f.Clock(), w)
 			}
--- a/internal/system/ledger/job.go
+++ b/internal/system/ledger/job.go
@@ -115,7 +115,7 @@
 }
 
 // NewPage makes the answer to a trainer's read.
-func NewPage(r *rpc.ReadResponse, after int) *Page {
+func NewPage(r *rpc.ReadResponse, after int) (*Page, error) {
 	page := &Page{Total: int(r.Total), NextToken: after + len(r.Results), Results: make([]PageResult, 0, len(r.Results))}
 	for _, result := range r.Results {
 		state := Abandoned
@@ -126,9 +126,13 @@
 		if versions == nil {
 			versions = []uint64{}
 		}
-		page.Results = append(page.Results, PageResult{ID: result.Item, State: state, Text: string(result.Text), WeightVersions: versions, Score: result.Score})
+		text, err := UnpackText(result.Text)
+		if err != nil {
+			return nil, err
+		}
+		page.Results = append(page.Results, PageResult{ID: result.Item, State: state, Text: text, WeightVersions: versions, Score: result.Score})
 	}
-	return page
+	return page, nil
 }
 
 const shardPrefix = "ledger-"
--- a/internal/system/membership/membership.go
+++ b/internal/system/membership/membership.go
@@ -3,6 +3,7 @@
 package membership
 
 import (
+	"context"
 	"fmt"
 	"log/slog"
 	"net/netip"
@@ -27,7 +28,8 @@
 type Member struct {
 	*rpc.Member
 	Alive bool
-	Since int64 // when it took its state, as the driver's clock has it, in microseconds
+	Start uint64 // identity of its process's life
+	Since int64  // when it took its state, as the driver's clock has it, in microseconds
 }
 
 // View is who is known at a moment.
@@ -46,6 +48,16 @@
 	return list
 }
 
+// Start is the identity of a live process's life, by the name of its machine; 0 where it isn't alive.
+func (v *View) Start(name string) uint64 {
+	for _, m := range v.Members {
+		if m.Name == name && m.Alive {
+			return m.Start
+		}
+	}
+	return 0
+}
+
 // Membership is a process's part in the protocol.
 type Membership struct {
 	driver  *gossip.Peers
@@ -77,6 +89,9 @@
 		Seed:   uint64(time.Now().UnixNano()),
 		Watch:  m.watch,
 	}
+	if !log.Enabled(context.Background(), slog.LevelInfo) {
+		log = slog.New(slog.DiscardHandler) // each process would tell of every change
+	}
 	if m.driver, err = gossip.Open(cfg, m.now, nil, log); err != nil {
 		return nil, fmt.Errorf("membership: %w", err)
 	}
@@ -92,7 +107,7 @@
 		kind, identity, _ := strings.Cut(x.Version, "/")
 		view.Members = append(view.Members, Member{
 			Member: &rpc.Member{Name: x.Name, Kind: kind, Identity: identity, Address: m.peerOf(x.Address.String()), Zone: x.Zone},
-			Alive:  x.State == fleet.Alive || x.State == fleet.Suspected, Since: x.Since,
+			Alive:  x.State == fleet.Alive || x.State == fleet.Suspected, Start: x.Start, Since: x.Since,
 		})
 	}
 	m.view.Store(view)
--- a/internal/system/proxy/handler.go
+++ b/internal/system/proxy/handler.go
@@ -23,6 +23,8 @@
 	itemsPath  = "/api/items/"
 	// answerMargin is left between the end of a worker's time and the answer that the client waits for.
 	answerMargin = 4 * time.Millisecond
+	// startWait is how long a request may wait for the first configuration after the process has started.
+	startWait = 600 * time.Millisecond
 )
 
 // handle answers one request of a client.
@@ -32,7 +34,7 @@
 	if p.stopping.Load() {
 		ctx.SetConnectionClose()
 	}
-	table := p.config.Load()
+	table := p.configured(ctx)
 	if table == nil {
 		refuse(ctx, "no configuration is known yet")
 		return
@@ -57,6 +59,22 @@
 	}
 }
 
+// configured returns the configuration in force. Right after the start it waits for one for a while, as long as the client has time.
+func (p *Proxy) configured(ctx *fasthttp.RequestCtx) *configuration.Table {
+	if table := p.config.Load(); table != nil {
+		return table
+	}
+	wait := startWait
+	if ms, err := strconv.ParseFloat(string(ctx.Request.Header.Peek("Deadline-Ms")), 64); err == nil && ms > 0 {
+		wait = min(wait, time.Duration(ms*float64(time.Millisecond))/2)
+	}
+	select {
+	case <-p.known:
+	case <-time.After(wait):
+	}
+	return p.config.Load()
+}
+
 func pathID(path, prefix string) string {
 	id, _, _ := strings.Cut(strings.TrimPrefix(path, prefix), "?")
 	return id
--- a/internal/system/proxy/jobs.go
+++ b/internal/system/proxy/jobs.go
@@ -122,7 +122,11 @@
 	case !page.Found:
 		answer(ctx, fasthttp.StatusNotFound, "no such batch job")
 	default:
-		text, err := easyjson.Marshal(ledger.NewPage(page, after))
+		results, err := ledger.NewPage(page, after)
+		var text []byte
+		if err == nil {
+			text, err = easyjson.Marshal(results)
+		}
 		if err != nil {
 			answer(ctx, fasthttp.StatusInternalServerError, err.Error())
 			return
--- a/internal/system/proxy/proxy.go
+++ b/internal/system/proxy/proxy.go
@@ -6,7 +6,6 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -35,11 +34,13 @@
 	forwarder *forward.Forwarder
 	ledger    *ledgerclient.Client
 	config    atomic.Pointer[configuration.Table]
+	known     chan struct{} // closed once a configuration is known
 	stopping  atomic.Bool
 	active    atomic.Int64
 
 	mu       sync.Mutex
-	edges    []string // names of the live gatherers, in order
+	edges    map[string][]string // names of the live gatherers by zone, in order
+	allEdges []string
 	policies map[string]bool
 	noting   map[string]bool
 }
@@ -61,7 +62,7 @@
 // Run serves until the context ends, then drains.
 func Run(ctx context.Context, source *settings.Source, log *slog.Logger) error {
 	s := source.Current()
-	p := &Proxy{settings: s, log: log, client: transport.NewClient(), policies: map[string]bool{}, noting: map[string]bool{}}
+	p := &Proxy{settings: s, log: log, client: transport.NewClient(), edges: map[string][]string{}, known: make(chan struct{}), policies: map[string]bool{}, noting: map[string]bool{}}
 	p.ledger = ledgerclient.New(p.client)
 	p.forwarder = &forward.Forwarder{Table: routing.NewTable(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))), Pool: worker.NewPool(), Clock: clock}
 	front, err := transport.ListenTCP(s.Listen.Frontend)
@@ -156,10 +157,10 @@
 			p.mu.Unlock()
 		case *rpc.FeedEvent_Member:
 			if x.Member.Kind == settings.ServesEdge {
-				p.setEdge(x.Member.Name, true)
+				p.setEdge(x.Member.Name, x.Member.Zone)
 			}
 		case *rpc.FeedEvent_Left:
-			p.setEdge(x.Left, false)
+			p.dropEdge(x.Left)
 		}
 	}
 }
@@ -174,18 +175,8 @@
 		p.log.Error("configuration can't be used", "version", e.Version, "error", err)
 		return
 	}
-	p.config.Store(configuration.NewTable(document))
-	p.log.Info("configuration", "version", e.Version, "routes", len(document.Routes))
-}
-
-func (p *Proxy) setEdge(name string, alive bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	i, found := slices.BinarySearch(p.edges, name)
-	switch {
-	case alive && !found:
-		p.edges = slices.Insert(p.edges, i, name)
-	case !alive && found:
-		p.edges = slices.Delete(p.edges, i, i+1)
+	if p.config.Swap(configuration.NewTable(document)) == nil {
+		close(p.known)
 	}
+	p.log.Info("configuration", "version", e.Version, "routes", len(document.Routes))
 }
--- a/internal/system/replica/host.go
+++ b/internal/system/replica/host.go
@@ -143,6 +143,7 @@
 	}
 	g.core = consensus.New(consensus.Config{Group: name, ID: h.cfg.Identity.ID, Address: h.cfg.Identity.Address,
 		ElectionMS: electionMS, HeartbeatMS: heartbeatMS, Random: h.random}, stored, h.Now())
+	g.dirty = true
 	h.groups[name] = g
 	h.publish(g)
 	return nil
--- a/internal/system/routing/routing.go
+++ b/internal/system/routing/routing.go
@@ -25,7 +25,7 @@
 	items          int     // of these, items of batch jobs
 	failures       int     // in a row
 	avoidUntil     int64
-	refusedUntil   int64 // it is full, or loads weights
+	refused        map[string]int64 // until when it is taken to decline requests for a model; it is full, or loads weights
 }
 
 // Table holds the workers.
@@ -61,7 +61,7 @@
 	defer t.mu.Unlock()
 	w := t.byID[i.Id]
 	if w == nil {
-		w = &Worker{ID: i.Id, Service: i.Service, versions: map[string]uint64{}}
+		w = &Worker{ID: i.Id, Service: i.Service, versions: map[string]uint64{}, refused: map[string]int64{}}
 		t.byID[i.Id] = w
 		t.byService[i.Service] = append(t.byService[i.Service], w)
 	}
@@ -126,7 +126,7 @@
 			if !q.allows(w) {
 				continue
 			}
-			avoided := now < w.avoidUntil || now < w.refusedUntil || w.lost
+			avoided := now < w.avoidUntil || now < w.refused[q.Model] || w.lost
 			if avoided && q.MostItems != nil {
 				continue // an item can wait for a better one
 			}
@@ -188,7 +188,7 @@
 const (
 	avoidFirstMS = 150
 	avoidMostMS  = 2000
-	refusedMS    = 60
+	refusedMS    = 100
 )
 
 // Failed notes that a worker did not answer; it is avoided for a while that grows with each failure in a row.
@@ -199,11 +199,11 @@
 	w.avoidUntil = now + int64(min(avoidFirstMS<<min(w.failures-1, 10), avoidMostMS))
 }
 
-// Refused notes that a worker has declined a request.
-func (t *Table) Refused(now int64, w *Worker) {
+// Refused notes that a worker has declined a request for a model; empty where the request names none.
+func (t *Table) Refused(now int64, w *Worker, model string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	w.refusedUntil = now + refusedMS
+	w.refused[model] = now + refusedMS
 }
 
 // Served notes that a worker has answered.
@@ -221,20 +221,6 @@
 	w.backlog = float64(running+waiting) * average
 }
 
-// Busy tells whether every worker that could take a request of some services is known to be full or not answering.
-func (t *Table) Busy(now int64, services []string) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for _, service := range services {
-		for _, w := range t.byService[service] {
-			if !w.draining && !w.lost && now >= w.refusedUntil && now >= w.avoidUntil {
-				return false
-			}
-		}
-	}
-	return true
-}
-
 // Rooms tells how many items could begin now, by model and version, and in all; services are those that the table's route goes to.
 func (t *Table) Rooms(now int64, services []string, most func(w *Worker) int) (rooms []*rpc.Room, want int) {
 	t.mu.Lock()
@@ -246,16 +232,22 @@
 	free := map[place]uint32{}
 	for _, service := range services {
 		for _, w := range t.byService[service] {
-			if w.draining || w.lost || now < w.avoidUntil || now < w.refusedUntil {
+			if w.draining || w.lost || now < w.avoidUntil {
 				continue
 			}
 			n := most(w) - w.items
 			if n <= 0 {
 				continue
 			}
-			want += n
+			open := false
 			for model, version := range w.versions {
-				free[place{model, version}] += uint32(n)
+				if now >= w.refused[model] {
+					free[place{model, version}] += uint32(n)
+					open = true
+				}
+			}
+			if open {
+				want += n
 			}
 		}
 	}
--- a/internal/system/steward/steward.go
+++ b/internal/system/steward/steward.go
@@ -138,7 +138,8 @@
 	go st.control.Serve(control)
 	go st.controlLoop(ctx)
 	for _, sh := range st.shards {
-		holder := &weights.Holder{Node: st.settings.NodeName, Lease: settings.Milliseconds(st.settings.Bounds.LeaseMS), Shard: sh, Wanted: st.directory.Models,
+		holder := &weights.Holder{Node: st.settings.NodeName, Lease: settings.Milliseconds(st.settings.Bounds.LeaseMS),
+			Fenced: st.settings.Bounds.Fencing, Shard: sh, Wanted: st.directory.Models,
 			Single: st.singleVersion, Log: st.log}
 		go holder.Run(ctx)
 	}
--- a/internal/system/weights/holder.go
+++ b/internal/system/weights/holder.go
@@ -19,8 +19,8 @@
 	Lease() (epoch uint64, owned bool)
 	// Owned is for how long it has owned it.
 	Owned() time.Duration
-	// LastHolder is the machine that sent orders last; empty where none did.
-	LastHolder() string
+	// LastHolder is the machine that sent orders last; empty where none did. ended tells whether its process has ended since.
+	LastHolder() (node string, ended bool)
 	// Hold records this machine as the holder.
 	Hold(ctx context.Context, epoch uint64) bool
 	Instances() []*rpc.Instance
@@ -32,6 +32,7 @@
 type Holder struct {
 	Node   string
 	Lease  time.Duration // how long after another holder's last order this one must wait
+	Fenced bool          // workers check fences, so that nothing late of an ended holder takes effect
 	Shard  Shard
 	Wanted func() map[string]uint64
 	Single func(model string) bool
@@ -104,7 +105,7 @@
 	if h.held == epoch {
 		return true
 	}
-	if last := h.Shard.LastHolder(); last != "" && last != h.Node && h.Shard.Owned() < h.Lease {
+	if last, ended := h.Shard.LastHolder(); last != "" && last != h.Node && h.Shard.Owned() < h.Lease && !(h.Fenced && ended) {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
