--- a/internal/system/consensus/core.go
+++ b/internal/system/consensus/core.go
@@ -333,9 +333,12 @@
 // CaughtUp tells whether a replica holds almost everything that the leader holds.
 func (c *Core) CaughtUp(id string) bool {
 	p := c.peers[id]
-	return p != nil && c.now-p.heardAt < 3*c.cfg.HeartbeatMS && p.match+16 >= c.log.lastIndex() && p.match >= c.commit-min(c.commit, 16)
+	return p != nil && c.now-p.heardAt < 3*c.cfg.HeartbeatMS && p.match > c.log.snapshotIndex && p.match >= c.since && p.match+caughtUpWithin >= c.log.lastIndex()
 }
 
+// caughtUpWithin is how many entries a replica may lack to count as caught up.
+const caughtUpWithin = 8
+
 // Reachable tells whether a replica has answered this leader lately.
 func (c *Core) Reachable(id string) bool {
 	p := c.peers[id]
--- a/internal/system/consensus/messages.go
+++ b/internal/system/consensus/messages.go
@@ -67,7 +67,9 @@
 	// Whoever follows a live leader doesn't help to replace it: the leader's lease rests on that.
 	led := c.role == leader && c.now-c.quorumContact() < c.cfg.ElectionMS ||
 		c.role != leader && c.leaderID != "" && c.now-c.leaderHeardAt < c.cfg.ElectionMS
-	if led || m.Epoch < c.epoch || !current || !c.isVoter(c.cfg.ID) {
+	// A replica may vote without knowing yet that it is a voter: the entry that says so may have reached only the others. Whether its vote
+	// counts is for the candidate to say.
+	if led || m.Epoch < c.epoch || !current {
 		if m.Kind == rpc.MessageKind_VOTE && !led && m.Epoch > c.epoch {
 			c.follow(m.Epoch, "", "")
 		}
@@ -216,8 +218,15 @@
 	c.round++
 	c.rounds[c.round] = c.now
 	delete(c.rounds, c.round-64)
-	for id, p := range c.peers {
-		c.replicate(id, p, true)
+	c.eachPeer(func(id string, p *progress) { c.replicate(id, p, true) })
+}
+
+// eachPeer visits the other members in the membership's order.
+func (c *Core) eachPeer(visit func(id string, p *progress)) {
+	for _, replica := range slices.Concat(c.membership.Voters, c.membership.Learners) {
+		if p := c.peers[replica.Id]; p != nil {
+			visit(replica.Id, p)
+		}
 	}
 }
 
@@ -274,11 +283,11 @@
 func (c *Core) Ready() Ready {
 	var r Ready
 	if c.role == leader {
-		for id, p := range c.peers {
+		c.eachPeer(func(id string, p *progress) {
 			if p.next <= c.log.lastIndex() {
 				c.replicate(id, p, false)
 			}
-		}
+		})
 	}
 	if c.hardChanged {
 		r.HardState = c.hardState()
