--- a/internal/system/consensus/membership.go
+++ b/internal/system/consensus/membership.go
@@ -17,8 +17,9 @@
 }
 
 // NextMembership is the next change of one replica that leads from the current members to the wanted voters, or nil where there is
-// none to make now. A replica becomes a learner first and a voter once it is caught up; nobody is removed while a wanted voter is missing
-// that could still be admitted, so that the number of copies never falls on the way.
+// none to make now. A replica becomes a learner first and a voter once it is caught up. A live voter stays until its successor is admitted,
+// so that the number of copies never falls on the way; one that is gone leaves just before, since with it and its successor both the group
+// would need more live voters than it does without.
 func (c *Core) NextMembership(wanted []*rpc.Replica) *rpc.Membership {
 	if c.role != leader || c.commit < c.firstIndex || c.since > c.commit || len(wanted) == 0 {
 		return nil
@@ -44,6 +45,10 @@
 			current.Learners = append(current.Learners, replica)
 			return current
 		case c.CaughtUp(replica.Id):
+			if gone := c.goneVoter(current, wanted); gone != "" {
+				current.Voters = without(current.Voters, gone)
+				return current
+			}
 			current.Learners = without(current.Learners, replica.Id)
 			current.Voters = append(current.Voters, replica)
 			return current
@@ -72,3 +77,17 @@
 	}
 	return nil
 }
+
+// goneVoter is a voter that isn't wanted and doesn't answer; empty where there is none, or where too few would be left.
+func (c *Core) goneVoter(current *rpc.Membership, wanted []*rpc.Replica) string {
+	if len(current.Voters) <= 2 {
+		return ""
+	}
+	for _, replica := range current.Voters {
+		isWanted := slices.ContainsFunc(wanted, func(w *rpc.Replica) bool { return w.Id == replica.Id })
+		if !isWanted && replica.Id != c.cfg.ID && !c.Reachable(replica.Id) {
+			return replica.Id
+		}
+	}
+	return ""
+}
--- a/internal/system/ledger/ledger.go
+++ b/internal/system/ledger/ledger.go
@@ -57,7 +57,7 @@
 	c := &rpc.LedgerCommand{}
 	result := &rpc.LedgerResult{Unknown: true}
 	var change Change
-	if proto.Unmarshal(command, c) == nil {
+	if decode(command, c) == nil {
 		l.mu.Lock()
 		result, change = l.apply(c)
 		l.mu.Unlock()
--- a/internal/system/replica/host.go
+++ b/internal/system/replica/host.go
@@ -43,7 +43,7 @@
 	electionMS       = 550
 	heartbeatMS      = 110
 	queueLength      = 4096
-	snapshotMinBytes = 16 << 20
+	snapshotMinBytes = 48 << 20
 	snapshotEntries  = 20000
 	idle             = 200 * time.Millisecond
 )
--- a/internal/system/weights/plan.go
+++ b/internal/system/weights/plan.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"hash/fnv"
 	"slices"
 
 	"saffronquay/internal/system/rpc"
@@ -55,12 +56,13 @@
 		done   int // workers that have this version already
 	}
 	var candidates []candidate
+	homes := assign(workers)
 	for _, w := range workers {
 		if busy[w.Id] || w.Draining {
 			continue
 		}
 		for _, m := range w.Models {
-			if m.Version >= wanted[m.Name] {
+			if m.Version >= wanted[m.Name] || !homes[m.Name][w.Id] {
 				continue
 			}
 			mode := Retain
@@ -97,3 +99,51 @@
 	}
 	return n
 }
+
+// spareHomes is the number of workers that serve a model beyond its even share.
+const spareHomes = 1
+
+// assign divides the workers of a service among their models: each model is kept up to date on its share of the workers and a few more,
+// so that a new version interrupts and costs as little as it can. Each worker serves about as many models as any other.
+func assign(workers []*rpc.Instance) map[string]map[string]bool {
+	var models []string
+	var fit []*rpc.Instance
+	for _, w := range workers {
+		if w.Draining {
+			continue
+		}
+		fit = append(fit, w)
+		for _, m := range w.Models {
+			if !slices.Contains(models, m.Name) {
+				models = append(models, m.Name)
+			}
+		}
+	}
+	slices.Sort(models)
+	homes := map[string]map[string]bool{}
+	load := map[string]int{}
+	for i, model := range models {
+		share := len(fit)
+		if len(models) > 1 {
+			share = min((len(fit)+len(models)-1)/len(models)+spareHomes, len(fit))
+		}
+		homes[model] = map[string]bool{}
+		order := slices.Clone(fit)
+		slices.SortFunc(order, func(a, b *rpc.Instance) int {
+			return cmp.Or(cmp.Compare(load[a.Id], load[b.Id]), cmp.Compare(rank(a, i), rank(b, i)), cmp.Compare(a.Id, b.Id))
+		})
+		for _, w := range order[:share] {
+			homes[model][w.Id] = true
+			load[w.Id]++
+		}
+	}
+	return homes
+}
+
+// rank orders workers for the model of a number, the same way as long as the worker lives.
+func rank(w *rpc.Instance, model int) uint32 {
+	h := fnv.New32a()
+	h.Write([]byte{byte(model)})
+	h.Write([]byte(w.Id))
+	return h.Sum32()
+}
