--- a/internal/system/batch/item.go
+++ b/internal/system/batch/item.go
@@ -27,6 +27,10 @@
 	// itemSlack is added to what is left until a job's deadline: late groups are still worth something.
 	itemSlack = 2 * time.Second
 	itemLeast = 1 * time.Second
+	// A worker that is silent for so long before the first event, or between two, is taken for lost, and the text is taken up at another
+	// one. A load of weights, during which a worker may pause, takes less.
+	silenceFirst   = 2500 * time.Millisecond
+	silenceBetween = 1400 * time.Millisecond
 )
 
 // text is what has been made of an item so far.
@@ -129,7 +133,11 @@
 	table, clock, w := r.Forwarder.Table, r.Forwarder.Clock, ticket.Worker
 	begun := time.Now()
 	resumed := made.events > 0
-	answer, err := r.Forwarder.Pool.Do(ctx, &worker.Call{Address: w.Address, Method: fasthttp.MethodPost, URI: lease.Item.Path, Host: lease.Host,
+	tryCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	silence := time.AfterFunc(silenceFirst, cancel)
+	defer silence.Stop()
+	answer, err := r.Forwarder.Pool.Do(tryCtx, &worker.Call{Address: w.Address, Method: fasthttp.MethodPost, URI: lease.Item.Path, Host: lease.Host,
 		Headers: itemHeaders(lease, w.ID, made), Body: lease.Item.Body})
 	if err != nil {
 		if ctx.Err() == nil {
@@ -167,7 +175,7 @@
 		return tryAgain
 	}
 	made.current = version
-	switch err := r.read(answer, lease, w, made); {
+	switch err := r.read(answer, lease, w, made, silence); {
 	case err == nil:
 		table.Served(w)
 		if !resumed {
@@ -212,7 +220,7 @@
 )
 
 // read adds an answer's events to the text; no error says that the text is whole.
-func (r *Runner) read(answer *worker.Answer, lease *rpc.Lease, w *routing.Worker, made *text) error {
+func (r *Runner) read(answer *worker.Answer, lease *rpc.Lease, w *routing.Worker, made *text, silence *time.Timer) error {
 	events := worker.NewEvents(answer)
 	for {
 		event, err := events.Next()
@@ -225,6 +233,7 @@
 		if err != nil {
 			return err
 		}
+		silence.Reset(silenceBetween)
 		if event.Version != 0 && event.Version != made.current {
 			r.Forwarder.Table.SawVersion(w, lease.Model, event.Version)
 			if lease.SingleVersion && made.events > 0 {
--- a/internal/system/ledger/scheduler.go
+++ b/internal/system/ledger/scheduler.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 
 	"saffronquay/internal/system/rpc"
@@ -404,3 +405,23 @@
 	return &rpc.Lease{Job: c.Id, Number: number, Item: x.item, Host: c.Host, Model: c.Model, MinVersion: c.MinVersion, DueInMs: x.job.dueAt - now,
 		Failures: x.failures, MaxAttempts: c.MaxAttempts, SingleVersion: c.SingleVersion}
 }
+
+// Describe tells how far a job is, for logs.
+func (s *Scheduler) Describe(id string) string {
+	j := s.jobs[id]
+	if j == nil {
+		return "not open"
+	}
+	counts := map[stage]int{}
+	begun := 0
+	for _, x := range j.items {
+		counts[x.stage]++
+	}
+	for _, g := range j.groups {
+		if g.begun {
+			begun++
+		}
+	}
+	return fmt.Sprintf("groups %d begun %d whole %d wanted %d; items pending %d leased %d settling %d settled %d", len(j.groups), begun, j.whole, j.create.Desired,
+		counts[pending], counts[leased], counts[settling], counts[settled])
+}
--- a/internal/system/ledger/service.go
+++ b/internal/system/ledger/service.go
@@ -143,6 +143,7 @@
 		return &rpc.SubmitResponse{Outcome: outcome, LeaderAddress: leader}, nil
 	}
 	outcome, _ = s.propose(ctx, r.Shard, &rpc.LedgerCommand{Command: &rpc.LedgerCommand_Create{Create: r.Job}})
+	s.Log.Info("batch job", "job", r.Job.Id, "model", r.Job.Model, "step", r.Job.Step, "items", len(r.Job.Items), "desired", r.Job.Desired, "min_version", r.Job.MinVersion, "outcome", outcome)
 	return &rpc.SubmitResponse{Outcome: outcome}, nil
 }
 
@@ -186,6 +187,7 @@
 	if outcome != rpc.Outcome_DONE {
 		return &rpc.EndResponse{Outcome: outcome, LeaderAddress: leader}, nil
 	}
+	s.Log.Info("batch job ends", "job", r.Job, "state", sh.describe(r.Job))
 	if !sh.ledger.Known(r.Job) {
 		return &rpc.EndResponse{Outcome: rpc.Outcome_DONE}, nil
 	}
@@ -326,3 +328,13 @@
 		}
 	}
 }
+
+// describe tells how far a job is.
+func (sh *shard) describe(id string) string {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	if sh.scheduler == nil {
+		return ""
+	}
+	return sh.scheduler.Describe(id)
+}
--- a/internal/system/weights/holder.go
+++ b/internal/system/weights/holder.go
@@ -138,6 +138,10 @@
 	}
 	begun := time.Now()
 	status, err := h.order(order, epoch)
+	h.Log.Info("order", "instance", order.Instance.Id, "model", order.Model, "version", order.Version, "mode", order.Mode, "fence", epoch, "status", status)
+	defer func() {
+		h.Log.Info("order over", "instance", order.Instance.Id, "model", order.Model, "version", order.Version, "took", time.Since(begun))
+	}()
 	switch {
 	case err != nil:
 		h.Log.Warn("order unanswered", "instance", order.Instance.Id, "error", err)
