--- a/internal/system/batch/item.go
+++ b/internal/system/batch/item.go
@@ -24,9 +24,10 @@
 	// triesMost bounds the workers that an item is sent to under one lease.
 	triesMost  = 12
 	retryPause = 20 * time.Millisecond
-	// itemSlack is added to what is left until a job's deadline: late groups are still worth something.
-	itemSlack = 2 * time.Second
-	itemLeast = 1 * time.Second
+	// itemSlack is added to what is left until a job's deadline: late groups are still worth something, and what nobody wants any more is
+	// cancelled.
+	itemSlack = 10 * time.Second
+	itemLeast = 5 * time.Second
 	// A worker that is silent for so long before the first event, or between two, is taken for lost, and the text is taken up at another
 	// one. A load of weights, during which a worker may pause, takes less.
 	silenceFirst   = 2500 * time.Millisecond
--- a/internal/system/batch/runner.go
+++ b/internal/system/batch/runner.go
@@ -26,8 +26,10 @@
 
 	mu          sync.Mutex
 	leases      map[uint64]*running
-	epochs      map[string]uint64 // of the owners that know what this gatherer holds
-	outstanding map[string]int    // items asked for by calls under way
+	epochs      map[string]uint64    // of the owners that know what this gatherer holds
+	heardAt     map[string]time.Time // when a shard's owner last answered
+	toldAt      map[string]time.Time // when it was last told what this gatherer holds
+	outstanding map[string]int       // items asked for by calls under way
 	reports     map[string]chan *rpc.Report
 	stopping    bool
 	active      sync.WaitGroup
@@ -46,11 +48,16 @@
 	callMost    = 3 * time.Second
 	reportQueue = 4096
 	reportBatch = 64
+	// leaseTime is how long items are worked on without a word of their shard's owner: others may have them by then, or their job has
+	// ended.
+	leaseTime = 2400 * time.Millisecond
+	// tellEach is how often an owner is told what this gatherer works on.
+	tellEach = 1 * time.Second
 )
 
 // Run works until the context ends, then finishes what it holds, for so long at most, and hands back the rest.
 func (r *Runner) Run(ctx context.Context, finish time.Duration) {
-	r.leases, r.epochs, r.outstanding, r.reports = map[uint64]*running{}, map[string]uint64{}, map[string]int{}, map[string]chan *rpc.Report{}
+	r.leases, r.epochs, r.heardAt, r.toldAt, r.outstanding, r.reports = map[uint64]*running{}, map[string]uint64{}, map[string]time.Time{}, map[string]time.Time{}, map[string]int{}, map[string]chan *rpc.Report{}
 	work, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	known := map[string]bool{}
@@ -72,6 +79,7 @@
 			}()
 			go r.report(work, shard, queue)
 		}
+		r.expire(time.Now())
 		pause(ctx, 200*time.Millisecond)
 	}
 	r.mu.Lock()
@@ -97,6 +105,17 @@
 	}
 }
 
+// expire gives up the items of shards whose owners have not answered for too long.
+func (r *Runner) expire(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, l := range r.leases {
+		if at, ok := r.heardAt[l.shard]; ok && now.Sub(at) > leaseTime {
+			l.cancel()
+		}
+	}
+}
+
 // services are those that batch jobs' routes go to.
 func (r *Runner) services() (names []string) {
 	table := r.Table()
@@ -188,13 +207,14 @@
 	delete(r.epochs, shard)
 }
 
-// held lists what is worked on, where the owner may not know.
+// held lists what is worked on, where the owner may not know, and now and then in any case: a word of a cancelled lease may be lost.
 func (r *Runner) held(shard string) (held []*rpc.HeldLease) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.epochs[shard] != 0 {
+	if r.epochs[shard] != 0 && time.Since(r.toldAt[shard]) < tellEach {
 		return nil
 	}
+	r.toldAt[shard] = time.Now()
 	for number, l := range r.leases {
 		if l.shard == shard {
 			held = append(held, &rpc.HeldLease{Job: l.lease.Job, Item: l.lease.Item.Id, Number: number})
@@ -207,6 +227,7 @@
 func (r *Runner) take(work context.Context, shard string, response *rpc.WorkResponse) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.heardAt[shard] = time.Now()
 	if old := r.epochs[shard]; old != 0 && old != response.Epoch {
 		delete(r.epochs, shard) // a new owner; it is told with the next call
 	} else {
--- a/internal/system/consensus/core.go
+++ b/internal/system/consensus/core.go
@@ -53,8 +53,8 @@
 )
 
 const (
-	maxAppendBytes = 512 << 10
-	maxInFlight    = 16 // appends to one replica that have no answer yet
+	maxAppendBytes = 256 << 10
+	maxInFlight    = 8 // appends to one replica that have no answer yet
 )
 
 type role uint8
@@ -70,6 +70,7 @@
 type progress struct {
 	match, next uint64
 	inFlight    int
+	probing     bool  // where its log ends is not known: one append at a time, until one is accepted
 	contactAt   int64 // when the newest heartbeat was sent that it has answered
 	heardAt     int64
 	snapshotAt  int64 // when a snapshot was sent that has not been answered; 0: none
@@ -156,12 +157,16 @@
 // LogLength is the number of entries since the last snapshot.
 func (c *Core) LogLength() int { return len(c.log.entries) }
 
-// HeardLeader tells whether the leader was heard, or leads with a lease, not longer than so many milliseconds ago.
-func (c *Core) HeardLeader(now, within int64) bool {
-	if c.role == leader {
-		return c.HoldsLease(now)
+// HeardAt is when the leader that it follows was last heard.
+func (c *Core) HeardAt() int64 { return c.leaderHeardAt }
+
+// Leading tells whether this replica leads and knows everything that earlier leaders have acknowledged, and when a majority was last
+// known to follow it.
+func (c *Core) Leading() (ready bool, contactAt int64) {
+	if c.role != leader {
+		return false, 0
 	}
-	return c.leaderID != "" && now-c.leaderHeardAt <= within
+	return c.commit >= c.firstIndex, c.quorumContact()
 }
 
 // HoldsLease tells whether this replica is the leader and no other can have been elected yet, and whether it knows everything that
--- a/internal/system/consensus/messages.go
+++ b/internal/system/consensus/messages.go
@@ -114,6 +114,7 @@
 	if epoch, ok := c.log.epochAt(before); !ok || epoch != beforeEpoch {
 		reply.Reject = true
 		reply.LogIndex = min(c.log.lastIndex(), max(before, 1)-1)
+		reply.Refused = before
 		c.send(reply)
 		return
 	}
@@ -158,14 +159,15 @@
 	}
 	p.inFlight = max(0, p.inFlight-1)
 	if m.Reject {
-		if m.LogIndex+1 < p.next {
-			p.next = max(m.LogIndex, p.match) + 1
-			p.inFlight = 0
+		// Of appends that were sent in a row, all behind a lost one are refused: only the answer to the newest probe counts.
+		if m.Refused == p.next-1 || !p.probing && m.Refused < p.next {
+			p.next = max(min(m.LogIndex, p.next-1), p.match) + 1
+			p.probing, p.inFlight = true, 0
 			c.replicate(m.From, p, false)
 		}
 		return
 	}
-	p.snapshotAt = 0
+	p.snapshotAt, p.probing = 0, false
 	p.match = max(p.match, m.LogIndex)
 	p.next = max(p.next, p.match+1)
 	c.advanceCommit()
@@ -234,7 +236,7 @@
 func (c *Core) replicate(id string, p *progress, always bool) {
 	silent := c.now-p.heardAt > 2*c.cfg.HeartbeatMS+c.cfg.ElectionMS/4 // it gets heartbeats only, until it answers
 	if silent && p.inFlight > 0 {
-		p.next, p.inFlight = p.match+1, 0
+		p.next, p.inFlight, p.probing = p.match+1, 0, true
 	}
 	if p.next <= c.log.snapshotIndex {
 		if p.snapshotAt != 0 && c.now-p.snapshotAt < snapshotRetryMS {
@@ -256,7 +258,7 @@
 	}
 	for sent := false; ; sent = true {
 		var entries []*rpc.Entry
-		if !silent && p.inFlight < maxInFlight {
+		if !silent && (p.inFlight < maxInFlight && !p.probing || p.inFlight == 0) {
 			entries = c.log.from(p.next, maxAppendBytes)
 		}
 		if len(entries) == 0 && (sent || !always) {
@@ -266,8 +268,11 @@
 		if len(entries) == 0 {
 			return
 		}
-		p.next += uint64(len(entries))
 		p.inFlight++
+		if p.probing {
+			return // it may be refused: next stays
+		}
+		p.next += uint64(len(entries))
 	}
 }
 
--- a/internal/system/ledger/ledger.go
+++ b/internal/system/ledger/ledger.go
@@ -5,6 +5,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"saffronquay/internal/system/replica"
 	"saffronquay/internal/system/rpc"
 )
 
@@ -57,7 +58,7 @@
 	c := &rpc.LedgerCommand{}
 	result := &rpc.LedgerResult{Unknown: true}
 	var change Change
-	if decode(command, c) == nil {
+	if replica.DecodeAliased(command, c) == nil {
 		l.mu.Lock()
 		result, change = l.apply(c)
 		l.mu.Unlock()
@@ -129,7 +130,7 @@
 // Restore implements replica.StateMachine.
 func (l *Ledger) Restore(_ uint64, state []byte) error {
 	s := &rpc.LedgerSnapshot{}
-	if err := proto.Unmarshal(state, s); err != nil {
+	if err := replica.DecodeAliased(state, s); err != nil {
 		return err
 	}
 	l.mu.Lock()
--- a/internal/system/ledger/scheduler.go
+++ b/internal/system/ledger/scheduler.go
@@ -42,6 +42,7 @@
 type openJob struct {
 	create *rpc.CreateJob
 	dueAt  int64
+	overAt int64 // when its results are worth nothing any more
 	lastAt int64 // when its items may be given up
 	groups []*group
 	items  map[string]*itemState
@@ -92,7 +93,7 @@
 }
 
 func (s *Scheduler) open(create *rpc.CreateJob, sentAt int64, done map[string]bool) {
-	j := &openJob{create: create, dueAt: sentAt + int64(create.DeadlineMs), lastAt: sentAt + int64(create.MaxQueueMs), items: map[string]*itemState{}}
+	j := &openJob{create: create, dueAt: sentAt + int64(create.DeadlineMs), overAt: sentAt + int64(max(create.GiveUpMs, create.DeadlineMs)), lastAt: sentAt + int64(create.MaxQueueMs), items: map[string]*itemState{}}
 	groups := map[string]*group{}
 	for _, item := range create.Items {
 		name := cmp.Or(item.Group, item.Id)
@@ -189,11 +190,12 @@
 	g.seenAt = now
 }
 
-// Adopt lets a gatherer go on with what it held before this scheduler began.
+// Adopt compares what a gatherer works on with what it has leases for. It may go on with what nobody else has, as after a change of the
+// owner; the rest is to be cancelled.
 func (s *Scheduler) Adopt(name string, held []*rpc.HeldLease) {
 	g := s.gatherers[name]
 	for _, h := range held {
-		if g == nil || s.leases[h.Number] != nil {
+		if g == nil || g.numbers[h.Number] {
 			continue
 		}
 		j := s.jobs[h.Job]
@@ -347,17 +349,41 @@
 	for _, r := range free {
 		room[r.Model] = append(room[r.Model], r)
 	}
-	for _, all := range []bool{false, true} {
-		for _, j := range s.order {
-			leases = s.takeOf(j, now, name, want, room, all, leases)
-			if len(leases) >= want {
-				return leases
+	for _, spare := range []bool{false, true} {
+		for hope := inTime; hope <= worthless; hope++ {
+			for _, j := range s.order {
+				if j.hope(now) != hope {
+					continue
+				}
+				leases = s.takeOf(j, now, name, want, room, spare, leases)
+				if len(leases) >= want {
+					return leases
+				}
 			}
 		}
 	}
 	return leases
 }
 
+// hope is what a job's results may still be worth.
+type hope uint8
+
+const (
+	inTime hope = iota
+	late
+	worthless
+)
+
+func (j *openJob) hope(now int64) hope {
+	switch {
+	case now < j.dueAt:
+		return inTime
+	case now < j.overAt:
+		return late
+	}
+	return worthless
+}
+
 func (s *Scheduler) takeOf(j *openJob, now int64, name string, want int, room rooms, all bool, leases []*rpc.Lease) []*rpc.Lease {
 	most := int(j.create.Desired) + int(j.create.Desired)/spareShare
 	if all || j.create.Desired == 0 {
--- a/internal/system/ledger/service.go
+++ b/internal/system/ledger/service.go
@@ -104,7 +104,7 @@
 	if status == nil {
 		return nil, nil, rpc.Outcome_UNAVAILABLE, ""
 	}
-	if !status.Lease {
+	if !status.Lease(s.Host.Now()) {
 		sh.mu.Lock()
 		if !status.Leader {
 			sh.scheduler = nil
--- a/internal/system/proxy/jobs.go
+++ b/internal/system/proxy/jobs.go
@@ -37,6 +37,7 @@
 	}
 	job.Id, job.Host, job.Path, job.SentUnixMs = id, host, string(ctx.Path()), time.Now().UnixMilli()
 	job.DeadlineMs, job.MaxQueueMs = uint32(route.DeadlineMS), uint32(route.MaxQueueS*1000)
+	job.GiveUpMs = uint32(max(route.TimeoutMS, route.DeadlineMS))
 	job.MaxAttempts, job.SingleVersion, job.Priority = uint32(max(route.MaxAttempts, 1)), route.OnPolicy, uint32(max(route.Priority, 0))
 	p.notePolicy(job.Model, route.OnPolicy)
 	shard := p.ledger.ShardOf(host)
--- a/internal/system/replica/host.go
+++ b/internal/system/replica/host.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/puzpuzpuz/xsync/v4"
 	"google.golang.org/protobuf/proto"
 
 	"saffronquay/internal/system/consensus"
@@ -46,24 +47,36 @@
 	snapshotMinBytes = 48 << 20
 	snapshotEntries  = 20000
 	idle             = 200 * time.Millisecond
+	diskRetry        = 200 * time.Millisecond
+	// leaseMS is how long after its last contact with a majority a leader may answer reads; it is less than the shortest silence after
+	// which another one can be elected.
+	leaseMS = electionMS * 8 / 10
 )
 
-// Status is how a replica sees its group.
+// Status is how a replica saw its group when something last changed.
 type Status struct {
 	Leader        bool
-	Lease         bool
-	LeaseAt       int64 // when Lease was found out, as Host.Now
+	Ready         bool  // it leads, and knows everything that earlier leaders acknowledged
+	ContactAt     int64 // when a majority was last known to follow this leader, as Host.Now
 	LeaderID      string
 	LeaderAddress string
 	Epoch         uint64
 	Commit        uint64
 	Applied       uint64
-	HeardAt       int64 // when the leader was last known to be in touch
+	HeardAt       int64 // when the leader was last heard
 	LedSince      int64
 	Membership    *rpc.Membership
 	Settled       bool // the membership is agreed on
 }
 
+// Lease tells whether this replica is the leader and no other can have been elected yet, so that what it has applied is up to date.
+func (s *Status) Lease(now int64) bool { return s.Leader && s.Ready && now-s.ContactAt < leaseMS }
+
+// InTouch tells whether the leader was heard lately, or is this replica and holds its lease.
+func (s *Status) InTouch(now, within int64) bool {
+	return s.Lease(now) || !s.Leader && s.LeaderID != "" && now-s.HeardAt < within
+}
+
 // Host runs the replicas of one process: it tells the cores the time, persists, sends and applies.
 type Host struct {
 	cfg     Config
@@ -73,22 +86,22 @@
 	done    chan struct{}
 	groups  map[string]*group
 	address map[string]string // of replicas, by id
-	failed  atomic.Bool
-	random  *rand.Rand
+	// statuses can be read by any goroutine.
+	statuses *xsync.Map[string, *atomic.Pointer[Status]]
+	failed   atomic.Bool
+	random   *rand.Rand
 }
 
 type group struct {
-	name      string
-	core      *consensus.Core
-	machine   StateMachine
-	waiters   map[uint64]waiter
-	wanted    []*rpc.Replica
-	applied   uint64
-	logBytes  int64
-	firstKept uint64
-	lastKept  uint64
-	status    atomic.Pointer[Status]
-	dirty     bool
+	name     string
+	core     *consensus.Core
+	machine  StateMachine
+	waiters  map[uint64]waiter
+	wanted   []*rpc.Replica
+	applied  uint64
+	logBytes int64
+	status   *atomic.Pointer[Status]
+	dirty    bool
 }
 
 type waiter struct {
@@ -105,12 +118,8 @@
 // NewHost returns a host that holds what its store holds.
 func NewHost(cfg Config) (*Host, error) {
 	h := &Host{cfg: cfg, start: time.Now(), in: make(chan func(), queueLength), stop: make(chan struct{}), done: make(chan struct{}),
-		groups: map[string]*group{}, address: map[string]string{}, random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
-	names, err := cfg.Store.Groups()
-	if err != nil {
-		return nil, err
-	}
-	for _, name := range names {
+		groups: map[string]*group{}, address: map[string]string{}, statuses: xsync.NewMap[string, *atomic.Pointer[Status]](), random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
+	for _, name := range cfg.Store.Groups() {
 		stored, err := cfg.Store.Load(name)
 		if err != nil {
 			return nil, err
@@ -128,18 +137,17 @@
 func (h *Host) Now() int64 { return time.Since(h.start).Milliseconds() + 1_000_000 }
 
 func (h *Host) open(name string, machine StateMachine, stored consensus.Stored) error {
-	g := &group{name: name, machine: machine, waiters: map[uint64]waiter{}}
+	g := &group{name: name, machine: machine, waiters: map[uint64]waiter{}, status: &atomic.Pointer[Status]{}}
 	if stored.Snapshot != nil {
 		if len(stored.Snapshot.State) > 0 {
 			if err := machine.Restore(stored.Snapshot.Index, stored.Snapshot.State); err != nil {
 				return err
 			}
 		}
-		g.applied, g.firstKept, g.lastKept = stored.Snapshot.Index, stored.Snapshot.Index+1, stored.Snapshot.Index
+		g.applied = stored.Snapshot.Index
 	}
 	for _, entry := range stored.Entries {
 		g.logBytes += int64(len(entry.Data))
-		g.lastKept = entry.Index
 	}
 	g.core = consensus.New(consensus.Config{Group: name, ID: h.cfg.Identity.ID, Address: h.cfg.Identity.Address,
 		ElectionMS: electionMS, HeartbeatMS: heartbeatMS, Random: h.random}, stored, h.Now())
@@ -246,41 +254,21 @@
 	return Proposed{Outcome: rpc.Outcome_OUTCOME_UNKNOWN}
 }
 
-// Status is how this replica sees a group; nil where it holds none.
+// Status is how this replica sees a group; nil where it holds none. It doesn't wait for anything.
 func (h *Host) Status(name string) *Status {
-	result := make(chan *Status, 1)
-	h.do(func() {
-		if g := h.groups[name]; g != nil {
-			h.publish(g)
-			result <- g.status.Load()
-			return
-		}
-		result <- nil
-	})
-	select {
-	case status := <-result:
-		return status
-	case <-h.done:
-		return nil
+	if status, ok := h.statuses.Load(name); ok {
+		return status.Load()
 	}
+	return nil
 }
 
 // Groups names the groups of this process.
-func (h *Host) Groups() []string {
-	result := make(chan []string, 1)
-	h.do(func() {
-		var names []string
-		for name := range h.groups {
-			names = append(names, name)
-		}
-		result <- names
+func (h *Host) Groups() (names []string) {
+	h.statuses.Range(func(name string, _ *atomic.Pointer[Status]) bool {
+		names = append(names, name)
+		return true
 	})
-	select {
-	case names := <-result:
-		return names
-	case <-h.done:
-		return nil
-	}
+	return names
 }
 
 func (h *Host) do(f func()) {
@@ -414,33 +402,42 @@
 }
 
 func (h *Host) save(g *group, r *consensus.Ready) Save {
-	save := Save{Group: g.name, HardState: r.HardState, Snapshot: r.Snapshot, Entries: r.Entries, LastIndex: g.lastKept, FirstKept: g.firstKept}
 	if r.Snapshot != nil {
-		g.firstKept = r.Snapshot.Index + 1
-		// Entries that the old log holds beyond the snapshot are of no use either.
-		save.Snapshot = r.Snapshot
-		g.lastKept = max(g.lastKept, r.Snapshot.Index)
 		g.logBytes = 0
 	}
 	for _, entry := range r.Entries {
 		g.logBytes += int64(len(entry.Data))
-		g.lastKept = entry.Index
 	}
-	return save
+	return Save{Group: g.name, HardState: r.HardState, Snapshot: r.Snapshot, Entries: r.Entries}
 }
 
-func (h *Host) persist(saves []Save) bool { return h.check(h.cfg.Store.Persist(saves)) }
+// persist stores what the cores have promised. While the disk takes nothing it tries again: the leases of this process run out
+// meanwhile, and its replicas say nothing. It returns false where the host is stopped before.
+func (h *Host) persist(saves []Save) bool {
+	for {
+		err := h.cfg.Store.Persist(saves)
+		if err == nil {
+			return true
+		}
+		h.cfg.Log.Error("the disk takes nothing", "error", err)
+		select {
+		case <-time.After(diskRetry):
+		case <-h.stop:
+			return false
+		}
+	}
+}
 
-// check ends the host where its disk fails: what it would say from then on could not be kept.
+// check ends the host where its state can't be read: what it would say from then on would be wrong.
 func (h *Host) check(err error) bool {
 	if err != nil {
-		h.cfg.Log.Error("replica storage failed", "error", err)
+		h.cfg.Log.Error("replica state can't be read", "error", err)
 		h.failed.Store(true)
 	}
 	return err == nil
 }
 
-// Failed tells whether the host has ended because its disk failed.
+// Failed tells whether the host has ended because its state could not be read.
 func (h *Host) Failed() bool { return h.failed.Load() }
 
 // Done is closed when the host has ended.
@@ -500,24 +497,19 @@
 	if snapshot == nil {
 		return
 	}
-	if h.persist([]Save{{Group: g.name, Snapshot: snapshot, LastIndex: g.lastKept, FirstKept: g.firstKept}}) {
-		g.firstKept = snapshot.Index + 1
+	if h.persist([]Save{{Group: g.name, Snapshot: snapshot}}) {
 		g.logBytes = 0
 	}
 }
 
 // publish tells readers how the group stands.
 func (h *Host) publish(g *group) {
-	now := h.Now()
 	leaderID, leaderAddress := g.core.Leader()
-	status := &Status{Leader: g.core.IsLeader(), Lease: g.core.HoldsLease(now), LeaseAt: now, LeaderID: leaderID, LeaderAddress: leaderAddress,
-		Epoch: g.core.Epoch(), Commit: g.core.Commit(), Applied: g.applied, LedSince: g.core.LedSince(), Membership: g.core.Membership(), Settled: g.core.Settled()}
-	if g.core.HeardLeader(now, heartbeatMS*2) {
-		status.HeardAt = now
-	} else if old := g.status.Load(); old != nil {
-		status.HeardAt = old.HeardAt
-	}
+	ready, contact := g.core.Leading()
+	status := &Status{Leader: g.core.IsLeader(), Ready: ready, ContactAt: contact, LeaderID: leaderID, LeaderAddress: leaderAddress, Epoch: g.core.Epoch(),
+		Commit: g.core.Commit(), Applied: g.applied, HeardAt: g.core.HeardAt(), LedSince: g.core.LedSince(), Membership: g.core.Membership(), Settled: g.core.Settled()}
 	old := g.status.Swap(status)
+	h.statuses.Store(g.name, g.status)
 	if old != nil && (old.Leader != status.Leader || old.LeaderID != status.LeaderID) {
 		h.cfg.Log.Info("leader", "group", g.name, "epoch", status.Epoch, "leader", status.LeaderID, "self", status.Leader)
 	}
--- a/internal/system/replica/store.go
+++ b/internal/system/replica/store.go
@@ -1,18 +1,10 @@
 package replica
 
 import (
-	"bufio"
-	"bytes"
-	"encoding/binary"
 	"errors"
 	"fmt"
-	"hash/crc32"
-	"io"
 	"os"
 	"path/filepath"
-	"slices"
-	"strconv"
-	"strings"
 
 	"github.com/tidwall/buntdb"
 	"google.golang.org/protobuf/proto"
@@ -21,24 +13,31 @@
 	"saffronquay/internal/system/rpc"
 )
 
-// Store keeps what the replicas of a process have promised, in one buntdb file. Every record carries a checksum. A transaction is
-// synced before it counts, so only the last one can be torn by a loss of power: Open cuts the file where it stops being whole.
+// Store keeps what the replicas of a process have promised. What is small and hardly ever changes (the identity) lies in buntdb. The
+// groups' logs and snapshots lie in a write-ahead log of this package, because buntdb holds its whole set in memory a second time.
 type Store struct {
 	folder string
-	db     *buntdb.DB
-	// written counts the bytes written since the file was last rewritten, live what a rewritten file would hold.
-	written, live int64
-	sizes         map[string]int64
+	facts  *buntdb.DB
+	log    *writeAheadLog
+	groups map[string]*storedGroup
+}
+
+// storedGroup says where the records of a group lie that are still of use.
+type storedGroup struct {
+	hard     span
+	snapshot span
+	first    uint64 // index of entries[0]
+	entries  []span
 }
 
 // ErrDamaged says that a stored record is not what was written.
 var ErrDamaged = errors.New("replica: a stored record is damaged")
 
 const (
-	fileName     = "replicas.db"
-	rewriteName  = "replicas.new"
-	identityKey  = "identity"
-	rewriteAfter = 48 << 20 // bytes of which more than half are of no use any more
+	factsName   = "facts.db"
+	identityKey = "identity"
+	// rewriteAfter is the size in bytes from which on a log whose larger part is of no use any more is rewritten.
+	rewriteAfter = 32 << 20
 )
 
 // OpenStore opens the store in a folder. An empty folder gives an empty store.
@@ -46,175 +45,123 @@
 	if err := os.MkdirAll(folder, 0o755); err != nil {
 		return nil, err
 	}
-	s := &Store{folder: folder, sizes: map[string]int64{}}
-	os.Remove(filepath.Join(folder, rewriteName))
-	if err := cutTornTail(s.path()); err != nil {
-		return nil, err
-	}
-	return s, s.open()
-}
-
-func (s *Store) path() string { return filepath.Join(s.folder, fileName) }
-
-func (s *Store) open() error {
-	db, err := buntdb.Open(s.path())
+	facts, err := buntdb.Open(filepath.Join(folder, factsName))
 	if err != nil {
-		return fmt.Errorf("replica: open store: %w", err)
+		return nil, fmt.Errorf("replica: open store: %w", err)
 	}
-	if err := db.SetConfig(buntdb.Config{SyncPolicy: buntdb.Always, AutoShrinkDisabled: true}); err != nil {
-		return err
+	if err := facts.SetConfig(buntdb.Config{SyncPolicy: buntdb.Always, AutoShrinkDisabled: true}); err != nil {
+		return nil, err
 	}
-	s.db = db
-	s.live = 0
-	clear(s.sizes)
-	err = db.View(func(tx *buntdb.Tx) error {
-		return tx.Ascend("", func(key, value string) bool {
-			s.note(key, len(value))
-			return true
-		})
-	})
-	s.written = s.live
-	return errors.Join(err, syncFolder(s.folder))
-}
-
-func (s *Store) note(key string, size int) {
-	total := int64(len(key) + size)
-	s.live += total - s.sizes[key]
-	s.sizes[key] = total
-	s.written += total
-}
-
-func (s *Store) forget(key string) {
-	s.live -= s.sizes[key]
-	delete(s.sizes, key)
-}
-
-// Close closes the file.
-func (s *Store) Close() error { return s.db.Close() }
-
-func syncFolder(folder string) error {
-	f, err := os.Open(folder)
-	if err != nil {
-		return err
+	s := &Store{folder: folder, facts: facts, groups: map[string]*storedGroup{}}
+	if s.log, err = openLog(folder, s.replay); err != nil {
+		return nil, err
 	}
-	defer f.Close()
-	return f.Sync()
-}
-
-// Identity returns the id that is bound to this disk, empty where the disk has none yet.
-func (s *Store) Identity() (string, error) {
-	id, err := s.get(identityKey)
-	return string(id), err
+	return s, syncFolder(folder)
 }
 
-// SetIdentity binds an id to this disk.
-func (s *Store) SetIdentity(id string) error {
-	return s.db.Update(func(tx *buntdb.Tx) error { return s.set(tx, identityKey, []byte(id)) })
-}
+// Close closes the files.
+func (s *Store) Close() error { return errors.Join(s.facts.Close(), s.log.close()) }
 
-func (s *Store) get(key string) (value []byte, err error) {
-	err = s.db.View(func(tx *buntdb.Tx) error {
-		sealed, err := tx.Get(key)
+// Identity returns the id that is bound to this disk, empty where the disk has none yet.
+func (s *Store) Identity() (id string, err error) {
+	err = s.facts.View(func(tx *buntdb.Tx) error {
+		id, err = tx.Get(identityKey)
 		if errors.Is(err, buntdb.ErrNotFound) {
 			return nil
 		}
-		if err == nil {
-			value, err = unseal(sealed)
-		}
 		return err
 	})
-	return value, err
+	return id, err
 }
 
-func (s *Store) set(tx *buntdb.Tx, key string, value []byte) error {
-	sealed := seal(value)
-	_, _, err := tx.Set(key, sealed, nil)
-	s.note(key, len(sealed))
-	return err
+// SetIdentity binds an id to this disk.
+func (s *Store) SetIdentity(id string) error {
+	return s.facts.Update(func(tx *buntdb.Tx) error {
+		_, _, err := tx.Set(identityKey, id, nil)
+		return err
+	})
 }
 
-func seal(value []byte) string {
-	var b strings.Builder
-	b.Grow(4 + len(value))
-	var sum [4]byte
-	binary.BigEndian.PutUint32(sum[:], crc32.ChecksumIEEE(value))
-	b.Write(sum[:])
-	b.Write(value)
-	return b.String()
+func (s *Store) group(name string) *storedGroup {
+	g := s.groups[name]
+	if g == nil {
+		g = &storedGroup{}
+		s.groups[name] = g
+	}
+	return g
 }
 
-func unseal(sealed string) ([]byte, error) {
-	if len(sealed) < 4 {
-		return nil, ErrDamaged
-	}
-	value := []byte(sealed[4:])
-	if binary.BigEndian.Uint32([]byte(sealed[:4])) != crc32.ChecksumIEEE(value) {
-		return nil, ErrDamaged
+// replay notes where a record lies.
+func (s *Store) replay(payload []byte, at span) error {
+	r := &rpc.StoredRecord{}
+	if err := proto.Unmarshal(payload, r); err != nil {
+		return err
 	}
-	return value, nil
+	s.note(r, at)
+	return nil
 }
 
-func hardKey(group string) string     { return "group/" + group + "/hard" }
-func snapshotKey(group string) string { return "group/" + group + "/snapshot" }
-func entryKey(group string, index uint64) string {
-	return fmt.Sprintf("group/%s/log/%016x", group, index)
+func (s *Store) note(r *rpc.StoredRecord, at span) {
+	g := s.group(r.Group)
+	switch {
+	case r.HardState != nil:
+		g.hard = at
+	case r.Snapshot != nil:
+		g.snapshot = at
+		if next := r.Snapshot.Index + 1; next > g.first {
+			g.entries = g.entries[min(int(next-g.first), len(g.entries)):]
+			g.first = next
+		}
+	case r.Entry != nil && r.Entry.Index >= g.first && r.Entry.Index <= g.first+uint64(len(g.entries)):
+		g.entries = append(g.entries[:r.Entry.Index-g.first], at)
+	}
 }
 
 // Groups names the groups that the store holds something of.
-func (s *Store) Groups() (names []string, err error) {
-	err = s.db.View(func(tx *buntdb.Tx) error {
-		return tx.AscendKeys("group/*/snapshot", func(key, _ string) bool {
-			names = append(names, strings.Split(key, "/")[1])
-			return true
-		})
-	})
-	return names, err
+func (s *Store) Groups() (names []string) {
+	for name, g := range s.groups {
+		if g.snapshot.length > 0 {
+			names = append(names, name)
+		}
+	}
+	return names
 }
 
 // Load reads what is stored of a group.
-func (s *Store) Load(group string) (stored consensus.Stored, err error) {
-	snapshot, err := s.get(snapshotKey(group))
-	if err != nil {
+func (s *Store) Load(name string) (stored consensus.Stored, err error) {
+	g := s.group(name)
+	stored.HardState, stored.Snapshot = &rpc.HardState{}, &rpc.Snapshot{}
+	if r, err := s.read(g.hard); err != nil {
 		return stored, err
+	} else if r.HardState != nil {
+		stored.HardState = r.HardState
 	}
-	stored.Snapshot = &rpc.Snapshot{}
-	if err = proto.Unmarshal(snapshot, stored.Snapshot); err != nil {
+	if r, err := s.read(g.snapshot); err != nil {
 		return stored, err
+	} else if r.Snapshot != nil {
+		stored.Snapshot = r.Snapshot
 	}
-	hard, err := s.get(hardKey(group))
-	if err != nil {
-		return stored, err
+	for _, at := range g.entries {
+		r, err := s.read(at)
+		if err != nil {
+			return stored, err
+		}
+		stored.Entries = append(stored.Entries, r.Entry)
 	}
-	stored.HardState = &rpc.HardState{}
-	if err = proto.Unmarshal(hard, stored.HardState); err != nil {
-		return stored, err
+	return stored, nil
+}
+
+// read reads one record; an empty one where there is none.
+func (s *Store) read(at span) (*rpc.StoredRecord, error) {
+	r := &rpc.StoredRecord{}
+	if at.length == 0 {
+		return r, nil
 	}
-	next := stored.Snapshot.Index + 1
-	err = s.db.View(func(tx *buntdb.Tx) error {
-		var failed error
-		err := tx.AscendKeys("group/"+group+"/log/*", func(_, sealed string) bool {
-			value, err := unseal(sealed)
-			entry := &rpc.Entry{}
-			if err == nil {
-				err = proto.Unmarshal(value, entry)
-			}
-			switch {
-			case err != nil:
-				failed = err
-				return false
-			case entry.Index < next:
-				return true
-			case entry.Index > next:
-				failed = ErrDamaged
-				return false
-			}
-			stored.Entries = append(stored.Entries, entry)
-			next++
-			return true
-		})
-		return errors.Join(err, failed)
-	})
-	return stored, err
+	payload, err := s.log.read(at)
+	if err != nil {
+		return nil, err
+	}
+	return r, DecodeAliased(payload, r)
 }
 
 // Save is what is to be stored of one group.
@@ -223,181 +170,69 @@
 	HardState *rpc.HardState
 	Snapshot  *rpc.Snapshot
 	Entries   []*rpc.Entry
-	LastIndex uint64 // before Entries, that the store holds
-	FirstKept uint64 // before Snapshot, that the store holds
-}
-
-// Persist stores all of it with one sync.
-func (s *Store) Persist(saves []Save) error {
-	err := s.db.Update(func(tx *buntdb.Tx) error {
-		for _, save := range saves {
-			if err := s.persist(tx, save); err != nil {
-				return err
-			}
-		}
-		return nil
-	})
-	if err == nil && s.written > rewriteAfter && s.written > 2*s.live {
-		err = s.rewrite()
-	}
-	return err
 }
 
-func (s *Store) persist(tx *buntdb.Tx, save Save) error {
+// records are the records of a save, in the order in which they have to be replayed.
+func (save *Save) records() (records []*rpc.StoredRecord) {
 	if save.HardState != nil {
-		if err := s.setMessage(tx, hardKey(save.Group), save.HardState); err != nil {
-			return err
-		}
+		records = append(records, &rpc.StoredRecord{Group: save.Group, HardState: save.HardState})
 	}
 	if save.Snapshot != nil {
-		if err := s.setMessage(tx, snapshotKey(save.Group), save.Snapshot); err != nil {
-			return err
-		}
-		for index := save.FirstKept; index <= save.Snapshot.Index && index <= save.LastIndex; index++ {
-			if err := s.remove(tx, entryKey(save.Group, index)); err != nil {
-				return err
-			}
-		}
+		records = append(records, &rpc.StoredRecord{Group: save.Group, Snapshot: save.Snapshot})
 	}
 	for _, entry := range save.Entries {
-		if err := s.setMessage(tx, entryKey(save.Group, entry.Index), entry); err != nil {
-			return err
-		}
-	}
-	if n := len(save.Entries); n > 0 {
-		for index := save.Entries[n-1].Index + 1; index <= save.LastIndex; index++ {
-			if err := s.remove(tx, entryKey(save.Group, index)); err != nil {
-				return err
-			}
-		}
-	}
-	return nil
-}
-
-func (s *Store) setMessage(tx *buntdb.Tx, key string, m proto.Message) error {
-	value, err := proto.Marshal(m)
-	if err != nil {
-		return err
-	}
-	return s.set(tx, key, value)
-}
-
-func (s *Store) remove(tx *buntdb.Tx, key string) error {
-	_, err := tx.Delete(key)
-	s.forget(key)
-	if errors.Is(err, buntdb.ErrNotFound) {
-		return nil
-	}
-	return err
-}
-
-// rewrite puts what is still of use into a new file, which takes the old one's place once it is whole on disk.
-func (s *Store) rewrite() error {
-	path := filepath.Join(s.folder, rewriteName)
-	f, err := os.Create(path)
-	if err != nil {
-		return err
-	}
-	err = s.db.Save(f)
-	err = errors.Join(err, f.Sync(), f.Close())
-	if err != nil {
-		os.Remove(path)
-		return fmt.Errorf("replica: rewrite store: %w", err)
+		records = append(records, &rpc.StoredRecord{Group: save.Group, Entry: entry})
 	}
-	if err := s.db.Close(); err != nil {
-		return err
-	}
-	if err := os.Rename(path, s.path()); err != nil {
-		return err
-	}
-	return s.open()
+	return records
 }
 
-// cutTornTail cuts a file behind its last whole record.
-func cutTornTail(path string) error {
-	f, err := os.OpenFile(path, os.O_RDWR, 0)
-	if errors.Is(err, os.ErrNotExist) {
-		return nil
+// Persist stores all of it with one sync. After an error nothing of it counts, and it can be tried again.
+func (s *Store) Persist(saves []Save) error {
+	var records []*rpc.StoredRecord
+	for i := range saves {
+		records = append(records, saves[i].records()...)
 	}
+	spans, err := s.log.append(records)
 	if err != nil {
 		return err
 	}
-	defer f.Close()
-	whole, err := wholeLength(bufio.NewReaderSize(f, 256<<10))
-	if err != nil {
-		return err
+	for i, r := range records {
+		s.note(r, spans[i])
 	}
-	info, err := f.Stat()
-	if err != nil || info.Size() == whole {
-		return err
+	if s.log.size > rewriteAfter && s.log.size > 2*s.live() {
+		return s.rewrite()
 	}
-	if err := f.Truncate(whole); err != nil {
-		return err
-	}
-	return f.Sync()
+	return nil
 }
 
-// wholeLength is the length of the whole records at the start of buntdb's append-only file. A record is a command in the Redis protocol.
-func wholeLength(r *bufio.Reader) (length int64, err error) {
-	for {
-		n, words, err := readCommand(r)
-		if err != nil {
-			if errors.Is(err, errTorn) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
-				return length, nil
-			}
-			return length, err
-		}
-		if len(words) == 0 || !slices.Contains([]string{"set", "del", "flushdb"}, string(words[0])) {
-			return length, nil
+// live is the number of bytes that are still of use.
+func (s *Store) live() (bytes int64) {
+	for _, g := range s.groups {
+		bytes += g.hard.length + g.snapshot.length
+		for _, at := range g.entries {
+			bytes += at.length
 		}
-		if string(words[0]) == "set" {
-			if len(words) < 3 {
-				return length, nil
-			}
-			if _, err := unseal(string(words[2])); err != nil {
-				return length, nil
-			}
-		}
-		length += n
 	}
+	return bytes
 }
 
-var errTorn = errors.New("torn record")
-
-const maxWord = 256 << 20
-
-func readCommand(r *bufio.Reader) (length int64, words [][]byte, err error) {
-	count, n, err := readNumber(r, '*')
-	if err != nil || count < 1 || count > 16 {
-		return 0, nil, errors.Join(errTorn, err)
-	}
-	length = n
-	for range count {
-		size, n, err := readNumber(r, '$')
-		if err != nil || size < 0 || size > maxWord {
-			return 0, nil, errors.Join(errTorn, err)
-		}
-		word := make([]byte, size+2)
-		if _, err := io.ReadFull(r, word); err != nil {
-			return 0, nil, err
-		}
-		if !bytes.HasSuffix(word, []byte("\r\n")) {
-			return 0, nil, errTorn
+// rewrite puts what is still of use into a new log, which takes the old one's place once it is whole on disk.
+func (s *Store) rewrite() error {
+	var keep []span
+	for _, g := range s.groups {
+		for _, at := range append([]span{g.hard, g.snapshot}, g.entries...) {
+			if at.length > 0 {
+				keep = append(keep, at)
+			}
 		}
-		words = append(words, word[:size])
-		length += n + int64(size) + 2
 	}
-	return length, words, nil
-}
-
-func readNumber(r *bufio.Reader, kind byte) (value int, length int64, err error) {
-	line, err := r.ReadSlice('\n')
+	old := s.groups
+	s.groups = map[string]*storedGroup{}
+	log, err := s.log.rewrite(keep, s.replay)
 	if err != nil {
-		return 0, 0, err
-	}
-	if len(line) < 4 || line[0] != kind || line[len(line)-2] != '\r' {
-		return 0, 0, errTorn
+		s.groups = old
+		return err
 	}
-	value, err = strconv.Atoi(string(line[1 : len(line)-2]))
-	return value, int64(len(line)), err
+	s.log = log
+	return nil
 }
--- a/internal/system/steward/shard.go
+++ b/internal/system/steward/shard.go
@@ -33,7 +33,7 @@
 	if status == nil {
 		return &rpc.HeartbeatResponse{Outcome: rpc.Outcome_UNAVAILABLE}
 	}
-	if !status.Lease {
+	if !status.Lease(sh.steward.host.Now()) {
 		return &rpc.HeartbeatResponse{Outcome: rpc.Outcome_NOT_LEADER, LeaderAddress: status.LeaderAddress}
 	}
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
@@ -71,7 +71,7 @@
 // tick declares workers lost whose heartbeats have ceased.
 func (sh *shard) tick(ctx context.Context) {
 	status := sh.status()
-	if status == nil || !status.Lease {
+	if status == nil || !status.Lease(sh.steward.host.Now()) {
 		return
 	}
 	sh.begin(status)
@@ -98,7 +98,7 @@
 	if status == nil {
 		return 0, false
 	}
-	return status.Epoch, status.Lease
+	return status.Epoch, status.Lease(sh.steward.host.Now())
 }
 
 // Owned implements weights.Shard.
--- a/internal/system/steward/steward.go
+++ b/internal/system/steward/steward.go
@@ -188,7 +188,7 @@
 func (st *Steward) fresh() bool {
 	for _, name := range groups() {
 		status := st.host.Status(name)
-		if status == nil || st.host.Now()-status.HeardAt > freshWithin {
+		if status == nil || !status.InTouch(st.host.Now(), freshWithin) {
 			return false
 		}
 	}
@@ -240,7 +240,7 @@
 		for _, sh := range st.shards {
 			sh.tick(ctx)
 		}
-		if status := st.host.Status(directory.Shard); status != nil && status.Lease {
+		if status := st.host.Status(directory.Shard); status != nil && status.Lease(st.host.Now()) {
 			st.place(ctx)
 			st.retire(ctx)
 		}
