--- a/cmd/saffronquay-system/main.go
+++ b/cmd/saffronquay-system/main.go
@@ -8,9 +8,11 @@
 	"log/slog"
 	"os"
 	"os/signal"
+	"runtime"
 	"runtime/debug"
 	"slices"
 	"syscall"
+	"time"
 
 	"github.com/urfave/cli/v3"
 
@@ -65,6 +67,9 @@
 		defer stop()
 		signal.Ignore(syscall.SIGHUP, syscall.SIGPIPE) // the settings file is looked at again without a signal
 		log.Info("starting", "command", name)
+		if log.Enabled(ctx, slog.LevelDebug) {
+			go reportMemory(ctx, log)
+		}
 		return run(ctx, source, log)
 	}}
 }
@@ -117,3 +122,21 @@
 		debug.SetMemoryLimit(int64(memoryShare * float64(s.Limits.MemoryMB<<20)))
 	}
 }
+
+const reportEach = 2 * time.Second
+
+// reportMemory logs what the runtime holds, until the context ends.
+func reportMemory(ctx context.Context, log *slog.Logger) {
+	ticker := time.NewTicker(reportEach)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			var m runtime.MemStats
+			runtime.ReadMemStats(&m)
+			log.Debug("memory", "heap_mb", m.HeapAlloc>>20, "in_use_mb", m.HeapInuse>>20, "idle_mb", (m.HeapIdle-m.HeapReleased)>>20, "stack_mb", m.StackInuse>>20, "collections", m.NumGC, "goroutines", runtime.NumGoroutine())
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- a/internal/system/agent/agent.go
+++ b/internal/system/agent/agent.go
@@ -139,3 +139,8 @@
 	}
 	return &rpc.NotePolicyResponse{}, nil
 }
+
+// NoteDemand implements rpc.Control; the demand is the stewards' business.
+func (a *Agent) NoteDemand(context.Context, *rpc.Demand) (*rpc.NoteDemandResponse, error) {
+	return &rpc.NoteDemandResponse{}, nil
+}
--- a/internal/system/batch/item.go
+++ b/internal/system/batch/item.go
@@ -48,6 +48,16 @@
 // run works on an item until its result is known; nil where the lease was taken back.
 func (r *Runner) run(ctx context.Context, lease *rpc.Lease) *rpc.Report {
 	made := &text{lastID: -1}
+	waiting := true
+	placed := func() {
+		if waiting {
+			waiting = false
+			r.mu.Lock()
+			r.unplaced--
+			r.mu.Unlock()
+		}
+	}
+	defer placed()
 	for range triesMost {
 		table := r.Table()
 		route := table.Find(lease.Host, lease.Item.Path)
@@ -55,6 +65,7 @@
 			return &rpc.Report{Result: &rpc.Result{}} // its route has ended
 		}
 		ticket := r.place(ctx, route, lease, made)
+		placed()
 		if ticket == nil {
 			return &rpc.Report{Released: true}
 		}
--- a/internal/system/batch/runner.go
+++ b/internal/system/batch/runner.go
@@ -29,7 +29,8 @@
 	epochs      map[string]uint64    // of the owners that know what this gatherer holds
 	heardAt     map[string]time.Time // when a shard's owner last answered
 	toldAt      map[string]time.Time // when it was last told what this gatherer holds
-	outstanding map[string]int       // items asked for by calls under way
+	outstanding map[string]int       // items asked for by calls under way, by shard
+	unplaced    int                  // leases that wait for a place at a worker
 	reports     map[string]chan *rpc.Report
 	stopping    bool
 	active      sync.WaitGroup
@@ -125,26 +126,23 @@
 	return table.DeploymentServices()
 }
 
-// room is what this gatherer could begin now, less what calls under way have asked for.
-func (r *Runner) room() (want int, rooms []*rpc.Room) {
+// room is what this gatherer could begin now, less what waits for a place already and what other calls to the shard have asked for. Calls to
+// other shards don't count: most of them bring nothing, and what is too much waits for a place for a moment.
+func (r *Runner) room(shard string) (want int, rooms []*rpc.Room) {
 	rooms, want = r.Forwarder.Table.Rooms(r.Forwarder.Clock(), r.services(), r.Slots)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.stopping {
 		return 0, nil
 	}
-	waiting := 0
-	for _, n := range r.outstanding {
-		waiting += n
-	}
-	return max(0, want-waiting), rooms
+	return max(0, want-r.unplaced-r.outstanding[shard]), rooms
 }
 
 // poll asks a shard's owner for items whenever there is room.
 func (r *Runner) poll(ctx, work context.Context, shard string) {
 	for ctx.Err() == nil {
 		changed := r.Forwarder.Table.Changed()
-		want, rooms := r.room()
+		want, rooms := r.room(shard)
 		if want == 0 {
 			select {
 			case <-changed:
@@ -245,6 +243,7 @@
 		itemCtx, cancel := context.WithCancel(work)
 		r.leases[lease.Number] = &running{shard, lease, cancel}
 		r.active.Add(1)
+		r.unplaced++
 		go r.workOn(itemCtx, shard, lease)
 	}
 }
@@ -300,7 +299,7 @@
 
 func (r *Runner) deliver(ctx context.Context, shard string, batch []*rpc.Report) {
 	for ctx.Err() == nil {
-		want, rooms := r.room()
+		want, rooms := r.room(shard)
 		if response := r.ask(ctx, ctx, shard, &rpc.WorkRequest{Reports: batch, Rooms: rooms}, want); response != nil && response.ReportsTaken {
 			return
 		}
--- a/internal/system/ledger/scheduler.go
+++ b/internal/system/ledger/scheduler.go
@@ -19,6 +19,7 @@
 	order     []*openJob // by urgency
 	gatherers map[string]*gatherer
 	leases    map[uint64]*itemState
+	itemMS    map[string]float64 // moving average of how long an item of a model takes
 }
 
 const (
@@ -63,6 +64,7 @@
 	failures uint32
 	number   uint64
 	gatherer string
+	leasedAt int64
 }
 
 type gatherer struct {
@@ -73,7 +75,7 @@
 
 // NewScheduler returns a scheduler for an owner's epoch that knows the jobs of the ledger. wall is the time of day.
 func NewScheduler(epoch uint64, now, wall int64, jobs []Stored) *Scheduler {
-	s := &Scheduler{epoch: epoch, begunAt: now, jobs: map[string]*openJob{}, gatherers: map[string]*gatherer{}, leases: map[uint64]*itemState{}}
+	s := &Scheduler{epoch: epoch, begunAt: now, jobs: map[string]*openJob{}, gatherers: map[string]*gatherer{}, leases: map[uint64]*itemState{}, itemMS: map[string]float64{}}
 	for _, stored := range jobs {
 		if !stored.Ended {
 			s.open(stored.Job, now-max(0, wall-stored.Job.SentUnixMs), stored.Settled)
@@ -208,6 +210,7 @@
 			continue
 		}
 		s.grant(x, name, h.Number)
+		x.leasedAt = g.seenAt
 	}
 }
 
@@ -233,7 +236,7 @@
 }
 
 // Report takes in what became of a lease, and returns the result to be listed, if there is one.
-func (s *Scheduler) Report(r *rpc.Report) *rpc.Result {
+func (s *Scheduler) Report(now int64, r *rpc.Report) *rpc.Result {
 	j := s.jobs[r.Job]
 	if j == nil {
 		return nil
@@ -246,6 +249,7 @@
 	switch {
 	case r.Result != nil:
 		if x.number != 0 {
+			s.learn(j.create.Model, float64(now-x.leasedAt))
 			s.drop(x)
 		}
 		x.stage = settling
@@ -427,6 +431,7 @@
 	s.sequence++
 	number := s.epoch<<32 | s.sequence
 	s.grant(x, name, number)
+	x.leasedAt = now
 	c := x.job.create
 	return &rpc.Lease{Job: c.Id, Number: number, Item: x.item, Host: c.Host, Model: c.Model, MinVersion: c.MinVersion, DueInMs: x.job.dueAt - now,
 		Failures: x.failures, MaxAttempts: c.MaxAttempts, SingleVersion: c.SingleVersion}
--- a/internal/system/ledger/service.go
+++ b/internal/system/ledger/service.go
@@ -17,7 +17,8 @@
 type Service struct {
 	Host        *replica.Host
 	Log         *slog.Logger
-	KeepResults time.Duration // after a job was sent
+	KeepResults time.Duration                                // after a job was sent
+	Demand      func(shard string, slots map[string]float64) // is told now and then what the open jobs of an owned shard need
 
 	mu     sync.Mutex
 	shards map[string]*shard
@@ -30,6 +31,7 @@
 	mu        sync.Mutex
 	scheduler *Scheduler    // nil while this process doesn't own the shard
 	wake      chan struct{} // closed when there may be something to hand out
+	demandAt  int64         // when the demand was told last
 }
 
 const (
@@ -37,6 +39,7 @@
 	tickEach       = 100 * time.Millisecond
 	maxWait        = 5 * time.Second
 	forgetEach     = 5 * time.Second
+	demandEach     = 500 * time.Millisecond
 )
 
 // Machine returns the state machine of a shard.
@@ -242,7 +245,7 @@
 	scheduler.Heard(now(), r.Gatherer)
 	scheduler.Adopt(r.Gatherer, r.Held)
 	for _, report := range r.Reports {
-		if result := scheduler.Report(report); result != nil {
+		if result := scheduler.Report(now(), report); result != nil {
 			byJob[report.Job] = append(byJob[report.Job], result)
 		}
 	}
@@ -305,11 +308,20 @@
 		return
 	}
 	sh.mu.Lock()
-	expired, freed := sh.schedule(status.Epoch).Tick(now())
+	scheduler := sh.schedule(status.Epoch)
+	expired, freed := scheduler.Tick(now())
 	if freed {
 		sh.signal()
 	}
+	var demand map[string]float64
+	if now()-sh.demandAt >= demandEach.Milliseconds() {
+		sh.demandAt = now()
+		demand = scheduler.Demand(now())
+	}
 	sh.mu.Unlock()
+	if s.Demand != nil && len(demand) > 0 {
+		s.Demand(name, demand)
+	}
 	for job, items := range expired {
 		var results []*rpc.Result
 		for _, item := range items {
--- a/internal/system/steward/steward.go
+++ b/internal/system/steward/steward.go
@@ -40,6 +40,7 @@
 	directory  *directory.Directory
 	shards     map[string]*shard
 	membership *membership.Membership
+	demand     weights.Demand
 	control    *fasthttp.Server
 
 	mu      sync.Mutex
@@ -140,7 +141,7 @@
 	for _, sh := range st.shards {
 		holder := &weights.Holder{Node: st.settings.NodeName, Lease: settings.Milliseconds(st.settings.Bounds.LeaseMS),
 			Fenced: st.settings.Bounds.Fencing, Shard: sh, Wanted: st.directory.Models,
-			Single: st.singleVersion, Log: st.log}
+			Single: st.singleVersion, Slots: func(model string) float64 { return st.demand.Slots(st.host.Now(), model) }, Log: st.log}
 		go holder.Run(ctx)
 	}
 	select {
@@ -208,6 +209,12 @@
 	return &rpc.NotePolicyResponse{Taken: st.submit(ctx, directory.Shard, command).Outcome == rpc.Outcome_DONE}, nil
 }
 
+// NoteDemand implements rpc.Control.
+func (st *Steward) NoteDemand(_ context.Context, d *rpc.Demand) (*rpc.NoteDemandResponse, error) {
+	st.demand.Note(st.host.Now(), d.Shard, d.Slots)
+	return &rpc.NoteDemandResponse{}, nil
+}
+
 func (st *Steward) submit(ctx context.Context, group string, command []byte) replica.Proposed {
 	return replica.Submit(ctx, st.host, st.client, group, command)
 }
--- a/internal/system/storage/storage.go
+++ b/internal/system/storage/storage.go
@@ -42,7 +42,7 @@
 	if st.identity, err = replica.Identify(store, s); err != nil {
 		return err
 	}
-	st.service = &ledger.Service{Log: log, KeepResults: settings.Seconds(s.Bounds.StatusIntervalS + keepSlackS)}
+	st.service = &ledger.Service{Log: log, KeepResults: settings.Seconds(s.Bounds.StatusIntervalS + keepSlackS), Demand: st.demand}
 	sender := replica.NewSender(st.client)
 	if st.host, err = replica.NewHost(replica.Config{Identity: st.identity, Store: store, Machine: st.service.Machine, Send: sender.Send, Log: log}); err != nil {
 		return err
@@ -78,6 +78,20 @@
 	return nil
 }
 
+// demandTimeout bounds a call that tells a steward of the demand.
+const demandTimeout = 400 * time.Millisecond
+
+// demand tells the stewards what the open jobs need, so that enough workers hold the models' newest weights.
+func (st *Storage) demand(shard string, slots map[string]float64) {
+	for _, m := range st.membership.View().Alive(settings.ServesControlPlane) {
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), demandTimeout)
+			defer cancel()
+			rpc.NewControlProtobufClient("http://"+m.Address, st.client).NoteDemand(ctx, &rpc.Demand{Shard: shard, Slots: slots})
+		}()
+	}
+}
+
 // keepSlackS is added to the time that results have to be kept.
 const keepSlackS = 30
 
--- a/internal/system/weights/holder.go
+++ b/internal/system/weights/holder.go
@@ -36,6 +36,7 @@
 	Shard  Shard
 	Wanted func() map[string]uint64
 	Single func(model string) bool
+	Slots  func(model string) float64 // that the model's open jobs need
 	Log    *slog.Logger
 
 	mu       sync.Mutex
@@ -84,7 +85,7 @@
 		busy[id] = true
 	}
 	h.mu.Unlock()
-	orders := Plan(h.Shard.Instances(), wanted, busy, h.Single, func(workers int) int { return (workers + shareAtOnce - 1) / shareAtOnce })
+	orders := Plan(h.Shard.Instances(), wanted, busy, h.Single, func(workers int) int { return (workers + shareAtOnce - 1) / shareAtOnce }, h.Slots)
 	if len(orders) == 0 {
 		return
 	}
--- a/internal/system/weights/plan.go
+++ b/internal/system/weights/plan.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"hash/fnv"
+	"math"
 	"slices"
 
 	"saffronquay/internal/system/rpc"
@@ -28,8 +29,9 @@
 }
 
 // Plan returns the orders to send now. wanted holds the newest named version by model, busy the workers that an order is under way at,
-// single whether a model's texts must be made by one version. atOnce bounds the orders under way in a service.
-func Plan(instances []*rpc.Instance, wanted map[string]uint64, busy map[string]bool, single func(model string) bool, atOnce func(workers int) int) []Order {
+// single whether a model's texts must be made by one version. atOnce bounds the orders under way in a service; slots is how many requests
+// of a model its open jobs need to run at once.
+func Plan(instances []*rpc.Instance, wanted map[string]uint64, busy map[string]bool, single func(model string) bool, atOnce func(workers int) int, slots func(model string) float64) []Order {
 	services := map[string][]*rpc.Instance{}
 	for _, i := range instances {
 		if !i.Lost {
@@ -38,12 +40,12 @@
 	}
 	var orders []Order
 	for _, workers := range services {
-		orders = append(orders, planService(workers, wanted, busy, single, atOnce(len(workers)))...)
+		orders = append(orders, planService(workers, wanted, busy, single, atOnce(len(workers)), slots)...)
 	}
 	return orders
 }
 
-func planService(workers []*rpc.Instance, wanted map[string]uint64, busy map[string]bool, single func(string) bool, most int) (orders []Order) {
+func planService(workers []*rpc.Instance, wanted map[string]uint64, busy map[string]bool, single func(string) bool, most int, slots func(string) float64) (orders []Order) {
 	room := most
 	for _, w := range workers {
 		if busy[w.Id] {
@@ -56,7 +58,7 @@
 		done   int // workers that have this version already
 	}
 	var candidates []candidate
-	homes := assign(workers)
+	homes := assign(workers, slots)
 	for _, w := range workers {
 		if busy[w.Id] || w.Draining {
 			continue
@@ -100,19 +102,25 @@
 	return n
 }
 
-// spareHomes is the number of workers that serve a model beyond its even share.
-const spareHomes = 1
+const (
+	// spareHomes is the number of workers that serve a model beyond those that its open jobs need.
+	spareHomes = 1
+	// headroom is how much more than that is reckoned with: items differ in length, and workers slow down when they are full.
+	headroom = 1.5
+)
 
-// assign divides the workers of a service among their models: each model is kept up to date on its share of the workers and a few more,
-// so that a new version interrupts and costs as little as it can. Each worker serves about as many models as any other.
-func assign(workers []*rpc.Instance) map[string]map[string]bool {
+// assign chooses the workers that each model of a service is kept up to date on: as many as its open jobs need and a few more, but at least
+// its even share, so that a new version interrupts and costs as little as it can. Each worker serves about as many models as any other.
+func assign(workers []*rpc.Instance, slots func(model string) float64) map[string]map[string]bool {
 	var models []string
 	var fit []*rpc.Instance
+	capacity := 0
 	for _, w := range workers {
 		if w.Draining {
 			continue
 		}
 		fit = append(fit, w)
+		capacity += int(w.Capacity)
 		for _, m := range w.Models {
 			if !slices.Contains(models, m.Name) {
 				models = append(models, m.Name)
@@ -124,8 +132,10 @@
 	load := map[string]int{}
 	for i, model := range models {
 		share := len(fit)
-		if len(models) > 1 {
-			share = min((len(fit)+len(models)-1)/len(models)+spareHomes, len(fit))
+		if len(models) > 1 && len(fit) > 0 {
+			each := float64(max(capacity, 1)) / float64(len(fit))
+			needed := int(math.Ceil(headroom*slots(model)/each)) + spareHomes
+			share = min(max((len(fit)+len(models)-1)/len(models), needed), len(fit))
 		}
 		homes[model] = map[string]bool{}
 		order := slices.Clone(fit)
