Strip applied entries of their data in memory: stores hold texts and bodies once

Cause: the log kept each entry's bytes beside the ledger's (2.14 times the data; protobuf's alias flag does nothing for bytes fields).

--- a/internal/system/consensus/log.go
+++ b/internal/system/consensus/log.go
@@ -1,6 +1,10 @@
 package consensus
 
-import "saffronquay/internal/system/rpc"
+import (
+	"slices"
+
+	"saffronquay/internal/system/rpc"
+)
 
 // log is the part of a group's log that is kept in memory: everything after the last snapshot.
 type log struct {
@@ -30,14 +34,15 @@
 		return nil
 	}
 	rest := l.entries[index-l.snapshotIndex-1:]
-	size := 0
+	size, count := 0, len(rest)
 	for i, entry := range rest {
-		size += len(entry.Data)
+		size += len(entry.Data) + int(entry.Stored)
 		if i > 0 && size > maxBytes {
-			return rest[:i:i]
+			count = i
+			break
 		}
 	}
-	return rest[:len(rest):len(rest)]
+	return slices.Clone(rest[:count]) // entries may be stripped while these are on their way
 }
 
 func (l *log) entry(index uint64) *rpc.Entry { return l.entries[index-l.snapshotIndex-1] }
@@ -60,3 +65,15 @@
 	}
 	l.snapshotIndex, l.snapshotEpoch = index, epoch
 }
+
+// strip drops the data of an entry, which is applied and on disk, from memory. The entry itself may be on its way to other replicas, so
+// another one takes its place.
+func (l *log) strip(index uint64) {
+	if index <= l.snapshotIndex || index > l.lastIndex() {
+		return
+	}
+	old := l.entries[index-l.snapshotIndex-1]
+	if old.Kind == rpc.EntryKind_ENTRY_COMMAND && len(old.Data) > 0 {
+		l.entries[index-l.snapshotIndex-1] = &rpc.Entry{Index: old.Index, Epoch: old.Epoch, Kind: old.Kind, Stored: uint32(len(old.Data))}
+	}
+}
--- a/internal/system/consensus/messages.go
+++ b/internal/system/consensus/messages.go
@@ -311,7 +311,7 @@
 		c.advanceCommit() // of a group of one; otherwise the followers' answers do it
 	}
 	if c.handedOut < c.commit {
-		r.Committed = c.log.entries[c.handedOut-c.log.snapshotIndex : c.commit-c.log.snapshotIndex : c.commit-c.log.snapshotIndex]
+		r.Committed = slices.Clone(c.log.entries[c.handedOut-c.log.snapshotIndex : c.commit-c.log.snapshotIndex])
 		c.handedOut = c.commit
 	}
 	return r
@@ -321,6 +321,14 @@
 	return &rpc.HardState{Epoch: c.epoch, Vote: c.vote, Commit: c.commit}
 }
 
+// Strip drops the data of entries up to an index, which the driver has applied and holds on disk, from memory. Where such an entry has to be
+// sent, it comes out of Ready without its data, and the driver fills it in.
+func (c *Core) Strip(from, to uint64) {
+	for index := from; index <= to && index <= c.handedOut; index++ {
+		c.log.strip(index)
+	}
+}
+
 // Compact records that the driver has persisted a snapshot of the state after an index that was handed out.
 func (c *Core) Compact(index uint64, state []byte) *rpc.Snapshot {
 	epoch, ok := c.log.epochAt(index)
--- a/internal/system/ledger/ledger.go
+++ b/internal/system/ledger/ledger.go
@@ -5,7 +5,6 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"saffronquay/internal/system/replica"
 	"saffronquay/internal/system/rpc"
 )
 
@@ -58,7 +57,7 @@
 	c := &rpc.LedgerCommand{}
 	result := &rpc.LedgerResult{Unknown: true}
 	var change Change
-	if replica.DecodeAliased(command, c) == nil {
+	if proto.Unmarshal(command, c) == nil {
 		l.mu.Lock()
 		result, change = l.apply(c)
 		l.mu.Unlock()
@@ -130,7 +129,7 @@
 // Restore implements replica.StateMachine.
 func (l *Ledger) Restore(_ uint64, state []byte) error {
 	s := &rpc.LedgerSnapshot{}
-	if err := replica.DecodeAliased(state, s); err != nil {
+	if err := proto.Unmarshal(state, s); err != nil {
 		return err
 	}
 	l.mu.Lock()
--- /dev/null
+++ b/internal/system/ledger/memory_test.go
@@ -0,0 +1,57 @@
+package ledger
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"saffronquay/internal/system/replica"
+	"saffronquay/internal/system/rpc"
+)
+
+// TestMemoryOfAJob holds what a ledger keeps in memory against the bytes of the texts and bodies: they lie there once. (The log's entries
+// are stripped of theirs once they are applied: see package replica.)
+func TestMemoryOfAJob(t *testing.T) {
+	is := is.New(t)
+	const jobs, items, bodyBytes, textBytes = 8, 400, 2000, 3000
+	random := rand.New(rand.NewPCG(1, 2))
+	fill := func(n int) []byte {
+		b := make([]byte, n)
+		for i := range b {
+			b[i] = byte(random.IntN(256))
+		}
+		return b
+	}
+	l := New(nil)
+	index := uint64(0)
+	apply := func(c *rpc.LedgerCommand) {
+		index++
+		l.Apply(index, replica.Marshal(c))
+	}
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	for j := range jobs {
+		create := &rpc.CreateJob{Id: fmt.Sprintf("job%d", j), Model: "m"}
+		for i := range items {
+			create.Items = append(create.Items, &rpc.Item{Id: fmt.Sprintf("item%d-%d", j, i), Path: "/p", Body: fill(bodyBytes), Group: fmt.Sprint(i / 8)})
+		}
+		apply(&rpc.LedgerCommand{Command: &rpc.LedgerCommand_Create{Create: create}})
+		for i := range items {
+			apply(&rpc.LedgerCommand{Command: &rpc.LedgerCommand_Append{Append: &rpc.AppendResults{Job: create.Id,
+				Results: []*rpc.Result{{Item: create.Items[i].Id, Completed: true, Text: fill(textBytes)}}}}})
+		}
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	held := after.HeapAlloc - before.HeapAlloc
+	data := uint64(jobs * items * (bodyBytes + textBytes))
+	t.Logf("data %d KB, held %d KB, %.2f of it", data>>10, held>>10, float64(held)/float64(data))
+	is.True(held < data*13/10)
+	_, results, _, found := l.Read("job1", 0)
+	is.True(found && bytes.Equal(results[0].Text, results[0].Text))
+}
--- a/internal/system/replica/host.go
+++ b/internal/system/replica/host.go
@@ -47,6 +47,7 @@
 	snapshotMinBytes = 48 << 20
 	snapshotEntries  = 20000
 	idle             = 200 * time.Millisecond
+	keptEntries      = 64 // whose data stays in memory after they are applied
 	diskRetry        = 200 * time.Millisecond
 	// leaseMS is how long after its last contact with a majority a leader may answer reads; it is less than the shortest silence after
 	// which another one can be elected.
@@ -99,6 +100,7 @@
 	waiters  map[uint64]waiter
 	wanted   []*rpc.Replica
 	applied  uint64
+	stripped uint64 // entries up to it have their data on disk only
 	logBytes int64
 	status   *atomic.Pointer[Status]
 	dirty    bool
@@ -385,6 +387,9 @@
 			h.address[replica.Id] = replica.Address
 		}
 		for _, m := range w.r.Messages {
+			if !h.fill(w.g, m) {
+				continue
+			}
 			if address := h.address[m.To]; address != "" {
 				outgoing[address] = append(outgoing[address], m)
 			}
@@ -401,6 +406,31 @@
 	return len(works) > 0
 }
 
+// fill gives a message's entries the data that lies on disk only. It returns false where that can't be read.
+func (h *Host) fill(g *group, m *rpc.Message) bool {
+	for i, entry := range m.Entries {
+		if entry.Stored == 0 {
+			continue
+		}
+		stored, err := h.cfg.Store.Entry(g.name, entry.Index)
+		if err != nil {
+			h.cfg.Log.Error("entry can't be read", "group", g.name, "index", entry.Index, "error", err)
+			return false
+		}
+		m.Entries[i] = stored
+	}
+	return true
+}
+
+// strip drops the data of entries that are applied from memory, but for the newest, which slower replicas still have to be sent.
+func (h *Host) strip(g *group) {
+	if g.applied > g.stripped+2*keptEntries {
+		to := g.applied - keptEntries
+		g.core.Strip(g.stripped+1, to)
+		g.stripped = to
+	}
+}
+
 func (h *Host) save(g *group, r *consensus.Ready) Save {
 	if r.Snapshot != nil {
 		g.logBytes = 0
@@ -470,6 +500,7 @@
 			delete(g.waiters, index)
 		}
 	}
+	h.strip(g)
 	h.compact(g)
 }
 
--- a/internal/system/replica/store.go
+++ b/internal/system/replica/store.go
@@ -151,6 +151,22 @@
 	return stored, nil
 }
 
+// Entry reads one entry of a group.
+func (s *Store) Entry(name string, index uint64) (*rpc.Entry, error) {
+	g := s.group(name)
+	if index < g.first || index >= g.first+uint64(len(g.entries)) {
+		return nil, fmt.Errorf("replica: group %s has no entry %d", name, index)
+	}
+	r, err := s.read(g.entries[index-g.first])
+	if err == nil && r.Entry == nil {
+		err = ErrDamaged
+	}
+	if err != nil {
+		return nil, err
+	}
+	return r.Entry, nil
+}
+
 // read reads one record; an empty one where there is none.
 func (s *Store) read(at span) (*rpc.StoredRecord, error) {
 	r := &rpc.StoredRecord{}
@@ -161,7 +177,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return r, DecodeAliased(payload, r)
+	return r, proto.Unmarshal(payload, r)
 }
 
 // Save is what is to be stored of one group.
--- a/internal/system/replica/wal.go
+++ b/internal/system/replica/wal.go
@@ -11,7 +11,6 @@
 	"path/filepath"
 
 	"google.golang.org/protobuf/proto"
-	"google.golang.org/protobuf/runtime/protoiface"
 
 	"saffronquay/internal/system/rpc"
 )
@@ -175,18 +174,3 @@
 	defer f.Close()
 	return f.Sync()
 }
-
-// decodeDepth bounds how deep messages may lie in each other.
-const decodeDepth = 100
-
-// DecodeAliased decodes a message whose byte fields stay where they are in the text, so that they lie in memory once.
-func DecodeAliased(text []byte, into proto.Message) error {
-	m := into.ProtoReflect()
-	methods := m.ProtoMethods()
-	if methods == nil || methods.Unmarshal == nil {
-		return proto.Unmarshal(text, into)
-	}
-	_, err := methods.Unmarshal(protoiface.UnmarshalInput{Message: m, Buf: text, Depth: decodeDepth,
-		Flags: protoiface.UnmarshalAliasBuffer | protoiface.UnmarshalCheckRequired})
-	return err
-}
