--- a/internal/system/consensus/model/faults.go
+++ b/internal/system/consensus/model/faults.go
@@ -59,7 +59,7 @@
 	w.report.Wipes++
 	w.trace("wipe %s", m.id)
 	founded := m.disk.snapshot
-	m.disk = disk{}
+	m.disk, m.synced = disk{}, disk{}
 	if w.options.Bug != KeepIdentity {
 		m.id = fmt.Sprintf("%s/%d", m.name, m.lives)
 	}
--- /dev/null
+++ b/internal/system/directory/directory_test.go
@@ -0,0 +1,81 @@
+package directory
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+
+	"saffronquay/internal/system/feed"
+	"saffronquay/internal/system/replica"
+	"saffronquay/internal/system/rpc"
+)
+
+type bench struct {
+	*Directory
+	table *feed.Table
+	index uint64
+}
+
+func newBench() *bench {
+	table := feed.NewTable()
+	return &bench{Directory: New(table), table: table}
+}
+
+func text(version uint64, service string) []byte {
+	return fmt.Appendf(nil, `{"version":%d,"routes":[{"name":"r","host":"h","pathPrefix":"/","timeoutMs":5,"service":%q}],"services":[{"name":"s"}]}`, version, service)
+}
+
+func (b *bench) apply(c *rpc.DirectoryCommand) *rpc.DirectoryResult {
+	b.index++
+	result := &rpc.DirectoryResult{}
+	if err := proto.Unmarshal(b.Apply(b.index, replica.Marshal(c)), result); err != nil {
+		panic(err)
+	}
+	return result
+}
+
+func (b *bench) replace(base, version uint64, body []byte) rpc.DirectoryStatus {
+	return b.apply(&rpc.DirectoryCommand{Command: &rpc.DirectoryCommand_Replace{Replace: &rpc.ReplaceConfiguration{Base: base, Version: version, Body: body,
+		Digest: Digest(base, false, body)}}}).Status
+}
+
+// Of two changes on top of one version one is taken; what was taken is acknowledged again however often it is sent, also after others.
+func TestRacesAndRepetitions(t *testing.T) {
+	is := is.New(t)
+	b := newBench()
+	is.Equal(b.replace(0, 3, text(3, "s")), rpc.DirectoryStatus_DIRECTORY_OK)
+	is.Equal(b.replace(0, 4, text(4, "s")), rpc.DirectoryStatus_DIRECTORY_CONFLICT)
+	is.Equal(b.replace(0, 3, text(3, "s")), rpc.DirectoryStatus_DIRECTORY_OK)
+	is.Equal(b.replace(3, 3, text(3, "s")), rpc.DirectoryStatus_DIRECTORY_INVALID) // not above the current one
+	is.Equal(b.replace(3, 5, text(5, "unknown")), rpc.DirectoryStatus_DIRECTORY_INVALID)
+	is.Equal(b.replace(3, 6, text(6, "s")), rpc.DirectoryStatus_DIRECTORY_OK)
+	is.Equal(b.replace(0, 3, text(3, "s")), rpc.DirectoryStatus_DIRECTORY_OK)
+	is.Equal(b.Table().Version, uint64(6))
+	read := b.apply(&rpc.DirectoryCommand{Command: &rpc.DirectoryCommand_Read{Read: &rpc.Read{}}})
+	is.Equal(string(read.Configuration), string(text(6, "s")))
+}
+
+// A directory that is restored from a snapshot is the same, and feeds the same.
+func TestSnapshot(t *testing.T) {
+	is := is.New(t)
+	b := newBench()
+	is.Equal(b.replace(0, 3, text(3, "s")), rpc.DirectoryStatus_DIRECTORY_OK)
+	b.apply(&rpc.DirectoryCommand{Command: &rpc.DirectoryCommand_NameVersion{NameVersion: &rpc.NameVersion{Model: "m", Version: 4}}})
+	b.apply(&rpc.DirectoryCommand{Command: &rpc.DirectoryCommand_NameVersion{NameVersion: &rpc.NameVersion{Model: "m", Version: 2}}}) // late: no step back
+	b.apply(&rpc.DirectoryCommand{Command: &rpc.DirectoryCommand_Place{Place: &rpc.Placement{Group: "g", Replicas: []*rpc.Replica{{Id: "a"}}}}})
+	b.apply(&rpc.DirectoryCommand{Command: &rpc.DirectoryCommand_Retire{Retire: &rpc.RetireState{Node: "n", Completed: true}}})
+	b.apply(&rpc.DirectoryCommand{Command: &rpc.DirectoryCommand_Retire{Retire: &rpc.RetireState{Node: "n"}}}) // sent again
+	b.apply(&rpc.DirectoryCommand{Command: &rpc.DirectoryCommand_Policy{Policy: &rpc.ModelPolicy{Model: "m", SingleVersion: true}}})
+	state, err := b.Snapshot()
+	is.NoErr(err)
+	c := newBench()
+	is.NoErr(c.Restore(b.index, state))
+	is.Equal(c.Models()["m"], uint64(4))
+	is.Equal(c.Retirements()["n"], true)
+	is.Equal(len(c.Placements()["g"].Replicas), 1)
+	single, known := c.Policy("m")
+	is.True(single && known)
+	is.Equal(c.replace(0, 3, text(3, "s")), rpc.DirectoryStatus_DIRECTORY_OK)
+}
--- /dev/null
+++ b/internal/system/ledger/scheduler_test.go
@@ -0,0 +1,192 @@
+package ledger
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"saffronquay/internal/system/rpc"
+)
+
+func newCreate(id string, groups, size int, desired uint32, dueMS uint32) *rpc.CreateJob {
+	c := &rpc.CreateJob{Id: id, Host: "h", Model: "m", MinVersion: 2, Desired: desired, DeadlineMs: dueMS, GiveUpMs: 2 * dueMS, MaxAttempts: 3}
+	for g := range groups {
+		for i := range size {
+			c.Items = append(c.Items, &rpc.Item{Id: fmt.Sprintf("%s-%d-%d", id, g, i), Group: fmt.Sprint(g)})
+		}
+	}
+	return c
+}
+
+// begun is a scheduler that hands out.
+func begun(jobs ...*rpc.CreateJob) *Scheduler {
+	s := NewScheduler(1, 0, 0, nil)
+	s.Heard(adoptMS, "g")
+	s.Tick(adoptMS)
+	for _, j := range jobs {
+		s.Open(adoptMS, j)
+	}
+	return s
+}
+
+func room(n uint32) []*rpc.Room { return []*rpc.Room{{Model: "m", Version: 2, Free: n}} }
+
+// The job that is due first goes first, begun groups before others, and spare groups only when no job wants more.
+func TestOrder(t *testing.T) {
+	is := is.New(t)
+	s := begun(newCreate("late", 4, 2, 4, 9000), newCreate("soon", 16, 2, 8, 5000))
+	leases := s.Take(adoptMS, "g", 30, room(30))
+	is.Equal(len(leases), 30)
+	for i, l := range leases {
+		switch {
+		case i < 18: // 8 groups and one to spare
+			is.Equal(l.Job, "soon")
+		case i < 26:
+			is.Equal(l.Job, "late")
+		default:
+			is.Equal(l.Job, "soon")
+		}
+	}
+}
+
+// A job whose results are worth nothing any more waits for all others.
+func TestWorthlessJobsGoLast(t *testing.T) {
+	is := is.New(t)
+	s := begun(newCreate("old", 2, 1, 2, 1000))
+	now := int64(adoptMS + 2001)
+	s.Heard(now, "g")
+	s.Open(now, newCreate("new", 2, 1, 2, 9000))
+	leases := s.Take(now, "g", 3, room(3))
+	is.Equal(leases[0].Job, "new")
+	is.Equal(leases[1].Job, "new")
+	is.Equal(leases[2].Job, "old")
+	is.Equal(len(s.Demand(now)), 1)
+}
+
+// Items go only where weights fit.
+func TestWeightsMustFit(t *testing.T) {
+	is := is.New(t)
+	s := begun(newCreate("j", 4, 1, 4, 9000))
+	is.Equal(len(s.Take(adoptMS, "g", 9, []*rpc.Room{{Model: "m", Version: 1, Free: 9}, {Model: "x", Version: 9, Free: 9}})), 0)
+	is.Equal(len(s.Take(adoptMS, "g", 9, []*rpc.Room{{Model: "m", Version: 1, Free: 9}, {Model: "m", Version: 3, Free: 2}})), 2)
+}
+
+// What a lost gatherer held is handed to another one; its late result still counts, and only one does.
+func TestLostGatherer(t *testing.T) {
+	is := is.New(t)
+	s := begun(newCreate("j", 1, 1, 1, 9000))
+	first := s.Take(adoptMS, "g", 1, room(1))[0]
+	now := int64(adoptMS + gathererLostMS + 1)
+	s.Heard(now, "other")
+	_, freed := s.Tick(now)
+	is.True(freed)
+	second := s.Take(now, "other", 1, room(1))
+	is.Equal(second[0].Item.Id, first.Item.Id)
+	is.True(s.Report(now, &rpc.Report{Job: "j", Item: first.Item.Id, Number: first.Number, Result: &rpc.Result{Item: first.Item.Id}}) != nil)
+	is.True(s.Report(now, &rpc.Report{Job: "j", Item: first.Item.Id, Number: second[0].Number, Result: &rpc.Result{Item: first.Item.Id}}) == nil)
+}
+
+// A new owner lets gatherers go on with what they hold, and cancels what has ended meanwhile. A cancellation that was lost is told again.
+func TestAdoption(t *testing.T) {
+	is := is.New(t)
+	create := newCreate("j", 2, 1, 2, 9000)
+	s := NewScheduler(2, 0, 1000, []Stored{{Job: create, Settled: map[string]bool{create.Items[0].Id: true}}, {Job: newCreate("ended", 1, 1, 1, 9000), Ended: true}})
+	s.Heard(1, "g")
+	s.Adopt("g", []*rpc.HeldLease{{Job: "j", Item: create.Items[0].Id, Number: 11}, {Job: "j", Item: create.Items[1].Id, Number: 12}, {Job: "ended", Item: "x", Number: 13}})
+	is.Equal(s.Cancelled("g"), []uint64{11, 13})
+	s.Tick(adoptMS)
+	is.Equal(len(s.Take(adoptMS, "g", 5, room(5))), 0) // the only open item is adopted
+	s.Close("j")
+	is.Equal(s.Cancelled("g"), []uint64{12})
+	s.Adopt("g", []*rpc.HeldLease{{Job: "j", Item: create.Items[1].Id, Number: 12}}) // the answer was lost
+	is.Equal(s.Cancelled("g"), []uint64{12})
+}
+
+// An item that fails too often is abandoned, one whose time is over too.
+func TestAbandoned(t *testing.T) {
+	is := is.New(t)
+	create := newCreate("j", 2, 1, 2, 9000)
+	create.MaxQueueMs = 20000
+	s := begun(create)
+	for i := range 3 {
+		lease := s.Take(adoptMS, "g", 1, room(1))[0]
+		result := s.Report(adoptMS, &rpc.Report{Job: "j", Item: lease.Item.Id, Number: lease.Number, Failed: true})
+		is.Equal(result != nil, i == 2)
+	}
+	expired, _ := s.Tick(adoptMS + 20000)
+	is.Equal(len(expired["j"]), 1)
+	s.Unsettled("j", expired["j"])
+	expired, _ = s.Tick(adoptMS + 20000)
+	is.Equal(len(expired["j"]), 1)
+}
+
+// In random histories of gatherers that come, go, fail and report, every item is settled once, and no lease is held by two.
+func TestHistories(t *testing.T) {
+	for seed := uint64(1); seed <= 60; seed++ {
+		playHistory(t, seed)
+	}
+}
+
+func playHistory(t *testing.T, seed uint64) {
+	random := rand.New(rand.NewPCG(seed, 3))
+	l := New(nil)
+	create := newCreate("j", 12, 3, 12, 60_000)
+	l.apply(&rpc.LedgerCommand{Command: &rpc.LedgerCommand_Create{Create: create}})
+	epoch := uint64(1)
+	s := NewScheduler(epoch, 0, 0, l.Jobs())
+	held := map[string][]*rpc.Lease{}
+	now := int64(0)
+	for ; now < 400_000 && len(l.jobs["j"].results) < len(create.Items); now += 100 {
+		s.Tick(now)
+		name := fmt.Sprint("g", random.IntN(4))
+		if random.IntN(60) == 0 { // the owner changes
+			epoch++
+			s = NewScheduler(epoch, now, now, l.Jobs())
+		}
+		if random.IntN(40) == 0 {
+			delete(held, name) // it restarts
+			continue
+		}
+		s.Heard(now, name)
+		var told []*rpc.HeldLease
+		for _, lease := range held[name] {
+			told = append(told, &rpc.HeldLease{Job: "j", Item: lease.Item.Id, Number: lease.Number})
+		}
+		s.Adopt(name, told)
+		for _, number := range s.Cancelled(name) {
+			for i, lease := range held[name] {
+				if lease.Number == number {
+					held[name] = append(held[name][:i:i], held[name][i+1:]...)
+					break
+				}
+			}
+		}
+		held[name] = append(held[name], s.Take(now, name, random.IntN(4), room(4))...)
+		if len(held[name]) > 0 && random.IntN(2) == 0 {
+			lease := held[name][0]
+			held[name] = held[name][1:]
+			result := s.Report(now, &rpc.Report{Job: "j", Item: lease.Item.Id, Number: lease.Number, Result: &rpc.Result{Item: lease.Item.Id, Completed: true}})
+			if result == nil {
+				continue
+			}
+			if random.IntN(8) == 0 { // it could not be listed
+				s.Unsettled("j", []string{result.Item})
+				continue
+			}
+			_, change := l.apply(&rpc.LedgerCommand{Command: &rpc.LedgerCommand_Append{Append: &rpc.AppendResults{Job: "j", Results: []*rpc.Result{result, result}}}})
+			s.Settled(change.Settled, change.Items)
+		}
+	}
+	seen := map[string]bool{}
+	for _, result := range l.jobs["j"].results {
+		if seen[result.Item] {
+			t.Fatalf("seed %d: %s stands at two positions", seed, result.Item)
+		}
+		seen[result.Item] = true
+	}
+	if len(seen) != len(create.Items) {
+		t.Fatalf("seed %d: %d of %d items are listed", seed, len(seen), len(create.Items))
+	}
+}
--- a/internal/system/proxy/handler.go
+++ b/internal/system/proxy/handler.go
@@ -120,7 +120,7 @@
 	switch {
 	case result.Verdict == verdict.NotRun:
 		refuse(ctx, "no worker takes the request now")
-	case errors.Is(result.Err, context.DeadlineExceeded):
+	case verdict.IsTimeout(result.Err):
 		answer(ctx, fasthttp.StatusGatewayTimeout, "the time of the request is over")
 	default:
 		answer(ctx, fasthttp.StatusBadGateway, "no worker has answered the request whole")
--- /dev/null
+++ b/internal/system/registry/registry_test.go
@@ -0,0 +1,58 @@
+package registry
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"saffronquay/internal/system/feed"
+	"saffronquay/internal/system/replica"
+	"saffronquay/internal/system/rpc"
+)
+
+func put(r *Registry, index uint64, i *rpc.Instance) {
+	r.Apply(index, replica.Marshal(&rpc.RegistryCommand{Command: &rpc.RegistryCommand_Put{Put: i}}))
+}
+
+func worker(sequence, version uint64, draining bool) *rpc.Instance {
+	return &rpc.Instance{Id: "i", Service: "s", Address: "1.1.1.1:1", Sequence: sequence, Draining: draining, Models: []*rpc.ModelWeights{{Name: "m", Version: version}}}
+}
+
+// A late heartbeat changes nothing, a draining worker goes on draining, weights don't step back, and who has left doesn't come back.
+func TestLateHeartbeats(t *testing.T) {
+	is := is.New(t)
+	r := New("registry-0", feed.NewTable())
+	put(r, 1, worker(5, 3, true))
+	put(r, 2, worker(4, 9, false))
+	is.Equal(r.Instance("i").Models[0].Version, uint64(3))
+	put(r, 3, worker(6, 2, false))
+	is.True(r.Instance("i").Draining)
+	is.Equal(r.Instance("i").Models[0].Version, uint64(3))
+	r.Apply(4, replica.Marshal(&rpc.RegistryCommand{Command: &rpc.RegistryCommand_Remove{Remove: "i"}}))
+	put(r, 5, worker(9, 9, false))
+	is.True(r.Instance("i") == nil && r.Gone("i"))
+	state, err := r.Snapshot()
+	is.NoErr(err)
+	again := New("registry-0", feed.NewTable())
+	is.NoErr(again.Restore(5, state))
+	put(again, 6, worker(10, 9, false))
+	is.True(again.Instance("i") == nil)
+}
+
+// Only changes are logged; a worker is lost after three silent intervals, and never because the owner is new.
+func TestOwnerFollowsHeartbeats(t *testing.T) {
+	is := is.New(t)
+	o := NewOwner(1000)
+	known := []*rpc.Instance{worker(1, 1, false)}
+	o.Begin(100_000, known)
+	is.Equal(len(o.Lost(103_000, known)), 0)
+	is.Equal(o.Lost(103_001, known), []string{"i"})
+	is.True(!o.Heard(103_100, known[0], worker(2, 1, false)))
+	is.True(o.Heard(103_100, known[0], worker(2, 2, false)))
+	is.True(o.Heard(103_100, known[0], worker(2, 1, true)))
+	is.True(o.Heard(103_100, nil, worker(2, 1, true)))
+	is.Equal(len(o.Lost(104_000, known)), 0)
+	is.True(o.Silent(105_000, "i"))
+	o.Begin(200_000, known)
+	is.Equal(len(o.Lost(200_500, known)), 0)
+}
--- /dev/null
+++ b/internal/system/replica/host_test.go
@@ -0,0 +1,122 @@
+package replica
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"saffronquay/internal/system/rpc"
+)
+
+// journal is a state machine that keeps its commands.
+type journal struct {
+	mu       sync.Mutex
+	commands []string
+	wake     chan struct{}
+}
+
+func newJournal() *journal { return &journal{wake: make(chan struct{}, 1)} }
+
+func (j *journal) Apply(_ uint64, command []byte) []byte {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.commands = append(j.commands, string(command))
+	select {
+	case j.wake <- struct{}{}:
+	default:
+	}
+	return command
+}
+
+func (j *journal) Snapshot() ([]byte, error) { return nil, nil }
+
+func (j *journal) Restore(uint64, []byte) error { return nil }
+
+func (j *journal) count() int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return len(j.commands)
+}
+
+// network passes messages between hosts in one process.
+type network struct {
+	mu    sync.Mutex
+	hosts map[string]*Host
+}
+
+func (n *network) send(address string, messages []*rpc.Message) {
+	n.mu.Lock()
+	host := n.hosts[address]
+	n.mu.Unlock()
+	if host != nil {
+		host.Step(messages)
+	}
+}
+
+func (n *network) start(t *testing.T, name string, machine *journal) *Host {
+	t.Helper()
+	store, err := OpenStore(t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	host, err := NewHost(Config{Identity: Identity{ID: name, Address: name, Node: name}, Store: store, Send: n.send, Log: slog.New(slog.DiscardHandler),
+		Machine: func(string) StateMachine { return machine }})
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.mu.Lock()
+	n.hosts[name] = host
+	n.mu.Unlock()
+	go host.Run()
+	t.Cleanup(func() { host.Stop(); store.Close() })
+	return host
+}
+
+// A replica that starts late is sent everything, also what the leader holds on disk only; and a replaced member leaves.
+func TestHostsAgreeAndCatchUp(t *testing.T) {
+	is := is.New(t)
+	n := &network{hosts: map[string]*Host{}}
+	machines := map[string]*journal{}
+	var founders []*rpc.Replica
+	for _, name := range []string{"a", "b", "c", "d"} {
+		machines[name] = newJournal()
+		founders = append(founders, &rpc.Replica{Id: name, Address: name, Node: name})
+	}
+	hosts := []*Host{n.start(t, "a", machines["a"]), n.start(t, "b", machines["b"])}
+	for _, host := range hosts {
+		host.Found("g", founders[:3])
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 60*time.Second)
+	defer cancel()
+	const commands = 4 * keptEntries
+	for i := range commands {
+		command := fmt.Appendf(nil, "command %d", i)
+		for done := false; !done && ctx.Err() == nil; {
+			for _, host := range hosts {
+				if result := host.Propose(ctx, "g", command); result.Outcome == rpc.Outcome_DONE {
+					is.Equal(string(result.Result), string(command))
+					done = true
+					break
+				}
+			}
+		}
+	}
+	n.start(t, "d", machines["d"]) // takes c's place
+	for _, host := range hosts {
+		host.SetWanted("g", []*rpc.Replica{founders[0], founders[1], founders[3]})
+	}
+	for machines["d"].count() < commands {
+		select {
+		case <-machines["d"].wake:
+		case <-ctx.Done():
+			t.Fatalf("d has %d of %d commands", machines["d"].count(), commands)
+		}
+	}
+	is.Equal(machines["d"].commands[0], "command 0")
+	is.Equal(machines["d"].commands[commands-1], fmt.Sprintf("command %d", commands-1))
+}
--- /dev/null
+++ b/internal/system/replica/store_test.go
@@ -0,0 +1,139 @@
+package replica
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"saffronquay/internal/system/rpc"
+)
+
+func entry(index, epoch uint64, data string) *rpc.Entry {
+	return &rpc.Entry{Index: index, Epoch: epoch, Kind: rpc.EntryKind_ENTRY_COMMAND, Data: []byte(data)}
+}
+
+func founded(group string) Save {
+	return Save{Group: group, Snapshot: &rpc.Snapshot{Index: 1, Epoch: 1}, HardState: &rpc.HardState{Epoch: 1}}
+}
+
+func openStore(t *testing.T, folder string) *Store {
+	t.Helper()
+	s, err := OpenStore(folder)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { s.Close() })
+	return s
+}
+
+// What was persisted is there after a restart, and later entries replace those at and after their index.
+func TestStoreKeepsTheLog(t *testing.T) {
+	is := is.New(t)
+	folder := t.TempDir()
+	s := openStore(t, folder)
+	is.NoErr(s.SetIdentity("me"))
+	is.NoErr(s.Persist([]Save{founded("a"), founded("b")}))
+	is.NoErr(s.Persist([]Save{{Group: "a", Entries: []*rpc.Entry{entry(2, 1, "x"), entry(3, 1, "y"), entry(4, 1, "z")}}}))
+	is.NoErr(s.Persist([]Save{{Group: "a", HardState: &rpc.HardState{Epoch: 2, Vote: "v"}, Entries: []*rpc.Entry{entry(3, 2, "w")}}}))
+	is.NoErr(s.Close())
+	s = openStore(t, folder)
+	id, err := s.Identity()
+	is.NoErr(err)
+	is.Equal(id, "me")
+	is.Equal(len(s.Groups()), 2)
+	stored, err := s.Load("a")
+	is.NoErr(err)
+	is.Equal(stored.HardState.Vote, "v")
+	is.Equal(len(stored.Entries), 2)
+	is.Equal(string(stored.Entries[1].Data), "w")
+	one, err := s.Entry("a", 3)
+	is.NoErr(err)
+	is.Equal(string(one.Data), "w")
+}
+
+// A loss of power may tear the last append anywhere: what was synced before stays, and the log goes on behind it.
+func TestStoreWithATornTail(t *testing.T) {
+	folder := t.TempDir()
+	s := openStore(t, folder)
+	must := func(err error) {
+		t.Helper()
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	must(s.Persist([]Save{founded("a")}))
+	must(s.Persist([]Save{{Group: "a", Entries: []*rpc.Entry{entry(2, 1, "kept")}}}))
+	synced := s.log.size
+	must(s.Persist([]Save{{Group: "a", Entries: []*rpc.Entry{entry(3, 1, "torn one"), entry(4, 1, "torn two")}}}))
+	must(s.Close())
+	whole, err := os.ReadFile(filepath.Join(folder, logName))
+	must(err)
+	for cut := synced; cut < int64(len(whole)); cut++ {
+		for _, damage := range []string{"missing", "zeros", "flipped"} {
+			torn := append([]byte(nil), whole...)
+			switch damage {
+			case "missing":
+				torn = torn[:cut]
+			case "zeros":
+				clear(torn[cut:])
+			case "flipped":
+				torn[cut] ^= 0xff
+			}
+			broken := t.TempDir()
+			must(os.WriteFile(filepath.Join(broken, logName), torn, 0o644))
+			s := openStore(t, broken)
+			stored, err := s.Load("a")
+			must(err)
+			if len(stored.Entries) == 0 || string(stored.Entries[0].Data) != "kept" || len(stored.Entries) > 3 {
+				t.Fatalf("%s at %d: %d entries", damage, cut, len(stored.Entries))
+			}
+			must(s.Persist([]Save{{Group: "a", Entries: []*rpc.Entry{entry(uint64(len(stored.Entries))+2, 1, "on")}}}))
+			s.Close()
+		}
+	}
+}
+
+// A rewritten log holds what is of use, and the old one's place is taken by a whole file.
+func TestStoreRewrites(t *testing.T) {
+	is := is.New(t)
+	folder := t.TempDir()
+	s := openStore(t, folder)
+	is.NoErr(s.Persist([]Save{founded("a")}))
+	for i := uint64(2); i < 50; i++ {
+		is.NoErr(s.Persist([]Save{{Group: "a", Entries: []*rpc.Entry{entry(i, 1, "some data of an entry")}}}))
+	}
+	is.NoErr(s.Persist([]Save{{Group: "a", Snapshot: &rpc.Snapshot{Index: 45, Epoch: 1, State: []byte("state")}}}))
+	before := s.log.size
+	is.NoErr(s.rewrite())
+	is.True(s.log.size < before/2)
+	is.NoErr(s.Persist([]Save{{Group: "a", Entries: []*rpc.Entry{entry(50, 1, "new")}}}))
+	is.NoErr(s.Close())
+	s = openStore(t, folder)
+	stored, err := s.Load("a")
+	is.NoErr(err)
+	is.Equal(stored.Snapshot.Index, uint64(45))
+	is.Equal(string(stored.Snapshot.State), "state")
+	is.Equal(len(stored.Entries), 5)
+	is.Equal(string(stored.Entries[4].Data), "new")
+}
+
+// After a write that fails the log is as it was, and takes the same again.
+func TestStoreAfterAFailedWrite(t *testing.T) {
+	is := is.New(t)
+	folder := t.TempDir()
+	s := openStore(t, folder)
+	is.NoErr(s.Persist([]Save{founded("a")}))
+	good := s.log.file
+	readOnly, err := os.Open(filepath.Join(folder, logName))
+	is.NoErr(err)
+	defer readOnly.Close()
+	s.log.file = readOnly
+	is.True(s.Persist([]Save{{Group: "a", Entries: []*rpc.Entry{entry(2, 1, "x")}}}) != nil)
+	s.log.file = good
+	is.NoErr(s.Persist([]Save{{Group: "a", Entries: []*rpc.Entry{entry(2, 1, "x")}}}))
+	stored, err := s.Load("a")
+	is.NoErr(err)
+	is.Equal(len(stored.Entries), 1)
+}
--- /dev/null
+++ b/internal/system/routing/routing_test.go
@@ -0,0 +1,109 @@
+package routing
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"saffronquay/internal/system/rpc"
+)
+
+func table(workers ...*rpc.Instance) *Table {
+	t := NewTable(rand.New(rand.NewPCG(1, 1)))
+	for _, w := range workers {
+		t.Put(w)
+	}
+	return t
+}
+
+func instance(id string, version uint64) *rpc.Instance {
+	return &rpc.Instance{Id: id, Service: "s", Address: id, Capacity: 4, Models: []*rpc.ModelWeights{{Name: "m", Version: version}}}
+}
+
+var anywhere = &Query{Services: []string{"s"}}
+
+// The least predicted backlog is picked, not the fewest requests; any outcome clears what sending has charged.
+func TestLeastPredictedBacklog(t *testing.T) {
+	is := is.New(t)
+	x := table(instance("a", 1), instance("b", 1))
+	long := x.Pick(0, anywhere, 100)
+	for range 3 {
+		is.True(x.Pick(0, anywhere, 10).Worker != long.Worker)
+	}
+	long.Clear()
+	long.Clear() // once only
+	is.Equal(x.Pick(0, anywhere, 10).Worker, long.Worker)
+}
+
+func TestTiesAreBrokenAtRandom(t *testing.T) {
+	is := is.New(t)
+	x := table(instance("a", 1), instance("b", 1), instance("c", 1))
+	count := map[string]int{}
+	for range 3000 {
+		k := x.Pick(0, anywhere, 1)
+		count[k.Worker.ID]++
+		k.Clear()
+	}
+	for _, id := range []string{"a", "b", "c"} {
+		is.True(count[id] > 850 && count[id] < 1150)
+	}
+}
+
+// A request goes only where it may: to its services, to no draining worker, to fitting weights, and not twice to the same worker.
+func TestFilter(t *testing.T) {
+	is := is.New(t)
+	draining := instance("d", 9)
+	draining.Draining = true
+	other := instance("o", 9)
+	other.Service = "other"
+	x := table(instance("a", 1), instance("b", 2), instance("c", 3), draining, other)
+	q := &Query{Services: []string{"s"}, Model: "m", MinVersion: 2}
+	is.Equal(x.Pick(0, &Query{Services: []string{"s"}, Model: "m", MinVersion: 2, Exact: 2}, 1).Worker.ID, "b")
+	is.Equal(x.Pick(0, q, 1).Worker.ID, "c")
+	q.Without = map[string]bool{"b": true, "c": true}
+	is.True(x.Pick(0, q, 1) == nil)
+	is.True(x.Pick(0, &Query{Services: []string{"s"}, Model: "unknown"}, 1) == nil)
+	x.Remove("c")
+	is.True(x.Pick(0, &Query{Services: []string{"s"}, Model: "m", MinVersion: 3}, 1) == nil)
+}
+
+// A worker that fails is avoided for a while that grows, but taken where there is no other.
+func TestAvoidance(t *testing.T) {
+	is := is.New(t)
+	x := table(instance("a", 1), instance("b", 1))
+	a := x.byID["a"]
+	x.Failed(1000, a)
+	for range 20 {
+		is.Equal(x.Pick(1001, anywhere, 1).Worker.ID, "b")
+	}
+	is.Equal(x.Pick(1001, &Query{Services: []string{"s"}, Without: map[string]bool{"b": true}}, 1).Worker.ID, "a")
+	is.True(x.Pick(1001, &Query{Services: []string{"s"}, Without: map[string]bool{"b": true}, MostItems: func(*Worker) int { return 9 }}, 1) == nil)
+	x.Served(a)
+	is.True(a.avoidUntil == 0)
+}
+
+// Costs follow the class's latency and the tokens of the request; a report of the load takes the place of the sum.
+func TestCosts(t *testing.T) {
+	is := is.New(t)
+	x := table(instance("a", 1))
+	is.Equal(x.Cost("r", 150, Usage{}), 150.0)
+	x.Learn("r", 150, 40, Usage{Output: 100})
+	is.Equal(x.Cost("r", 150, Usage{Output: 200}), 80.0)
+	x.Reported(x.byID["a"], 3, 2, 40)
+	is.Equal(x.byID["a"].backlog, 200.0)
+}
+
+func TestRooms(t *testing.T) {
+	is := is.New(t)
+	x := table(instance("a", 1), instance("b", 2))
+	two := func(*Worker) int { return 2 }
+	k := x.Pick(0, &Query{Services: []string{"s"}, Model: "m", MinVersion: 2, MostItems: two}, 1)
+	is.Equal(k.Worker.ID, "b")
+	rooms, want := x.Rooms(0, []string{"s"}, two)
+	is.Equal(want, 3)
+	is.Equal(len(rooms), 2)
+	x.Refused(0, k.Worker, "m")
+	_, want = x.Rooms(1, []string{"s"}, two)
+	is.Equal(want, 2)
+}
--- /dev/null
+++ b/internal/system/settings/settings_test.go
@@ -0,0 +1,57 @@
+package settings
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+const good = `
+nodeName = "edge-a-1"
+ip = "10.1.0.38"
+zone = "a"
+portRange = [7380,7395]
+seeds = ["10.1.0.41:8144"]
+somethingNew = { x = 1 }
+[listen]
+frontend = "10.1.0.38:8149"
+[bounds]
+graceS = 8
+leaseMs = 3000
+fencing = true
+`
+
+func TestParse(t *testing.T) {
+	is := is.New(t)
+	s, err := Parse([]byte(good))
+	is.NoErr(err)
+	is.Equal(s.PeerAddress(), "10.1.0.38:7380")
+	is.Equal(s.GossipOf("10.9.0.1:8144"), "10.9.0.1:7381")
+	is.Equal(s.GroupSize(), 3)
+	is.True(s.Bounds.Fencing)
+}
+
+// All faults are named at once, each with its key.
+func TestFaultsNameTheirKeys(t *testing.T) {
+	is := is.New(t)
+	_, err := Parse([]byte(`
+nodeName = ""
+ip = "nowhere"
+portRange = [7380]
+seeds = ["10.1.0.41"]
+[listen]
+frontend = "x"
+[bounds]
+graceS = 0
+`))
+	is.True(err != nil)
+	for _, key := range []string{"nodeName", "ip", "portRange", "seeds[0]", "listen.frontend", "bounds.graceS"} {
+		if !strings.Contains(err.Error(), key+":") {
+			t.Errorf("%s is not named: %v", key, err)
+		}
+	}
+	_, err = Parse([]byte("nodeName = 3\n"))
+	is.True(err != nil)
+	is.True(strings.Contains(err.Error(), "nodeName"))
+}
--- a/internal/system/verdict/verdict.go
+++ b/internal/system/verdict/verdict.go
@@ -54,3 +54,6 @@
 	}
 	return kind.Wrap(err, message, values...).WithProperty(property, v)
 }
+
+// IsTimeout tells whether an error says that time ran out.
+func IsTimeout(err error) bool { return errorx.IsTimeout(err) }
--- /dev/null
+++ b/internal/system/weights/weights_test.go
@@ -0,0 +1,83 @@
+package weights
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"saffronquay/internal/system/rpc"
+)
+
+func workers(n int, models ...string) (list []*rpc.Instance) {
+	for i := range n {
+		w := &rpc.Instance{Id: fmt.Sprintf("i%d", i), Service: "s", Capacity: 10}
+		for _, m := range models {
+			w.Models = append(w.Models, &rpc.ModelWeights{Name: m, Version: 1})
+		}
+		list = append(list, w)
+	}
+	return list
+}
+
+func none(string) float64 { return 0 }
+func never(string) bool   { return false }
+func third(n int) int     { return (n + 2) / 3 }
+
+// A version reaches its model's share of the workers a few at a time, and the plan ends.
+func TestRollOut(t *testing.T) {
+	is := is.New(t)
+	list := workers(9, "a", "b", "c")
+	wanted := map[string]uint64{"a": 2}
+	loads := 0
+	for range 10 {
+		orders := Plan(list, wanted, nil, never, third, none)
+		is.True(len(orders) <= 3)
+		for _, o := range orders {
+			is.Equal(o.Mode, Retain)
+			o.Instance.Models[0].Version = o.Version
+			loads++
+		}
+	}
+	is.Equal(loads, 3)
+}
+
+// More demand brings more workers, up to all; a worker with an order under way gets no second one.
+func TestDemandWidensTheShare(t *testing.T) {
+	is := is.New(t)
+	for slots, want := range map[float64]int{0: 3, 20: 4, 40: 7, 1000: 9} {
+		homes := assign(workers(9, "a", "b", "c"), func(model string) float64 {
+			if model == "a" {
+				return slots
+			}
+			return 0
+		})
+		is.Equal(len(homes["a"]), want)
+	}
+	busy := map[string]bool{}
+	for _, w := range workers(9, "a") {
+		busy[w.Id] = true
+	}
+	is.Equal(len(Plan(workers(9, "a"), map[string]uint64{"a": 2}, busy, never, third, none)), 0)
+}
+
+// Texts of one version are not mixed: their model's workers end what runs before they load.
+func TestModes(t *testing.T) {
+	is := is.New(t)
+	orders := Plan(workers(3, "a"), map[string]uint64{"a": 2}, nil, func(string) bool { return true }, third, none)
+	is.Equal(orders[0].Mode, Wait)
+	lost := workers(1, "a")
+	lost[0].Lost = true
+	is.Equal(len(Plan(lost, map[string]uint64{"a": 2}, nil, never, third, none)), 0)
+}
+
+func TestDemandHoldsOnToThePeak(t *testing.T) {
+	is := is.New(t)
+	var d Demand
+	d.Note(1000, "x", map[string]float64{"a": 30})
+	d.Note(2000, "x", map[string]float64{"a": 5})
+	d.Note(2000, "y", map[string]float64{"a": 7})
+	is.Equal(d.Slots(3000, "a"), 37.0)
+	d.Note(1000+holdMS+1, "x", map[string]float64{"a": 5})
+	is.Equal(d.Slots(1000+holdMS+1, "a"), 12.0)
+}
--- /dev/null
+++ b/internal/system/worker/worker_test.go
@@ -0,0 +1,152 @@
+package worker
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"saffronquay/internal/system/verdict"
+)
+
+// serve answers each request on each connection with the next text; an empty text closes the connection.
+func serve(t *testing.T, answers ...string) string {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	texts := make(chan string, len(answers))
+	for _, a := range answers {
+		texts <- a
+	}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go answer(conn, texts)
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func answer(conn net.Conn, texts <-chan string) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for {
+		for {
+			line, err := reader.ReadString('\n')
+			if err != nil {
+				return
+			}
+			if line == "\r\n" {
+				break
+			}
+		}
+		text, ok := <-texts
+		if !ok || text == "" {
+			return
+		}
+		body, closing := strings.CutSuffix(text, "<close>")
+		if _, err := io.WriteString(conn, body); err != nil || closing {
+			return
+		}
+	}
+}
+
+func call(address string) *Call { return &Call{Address: address, Method: "GET", URI: "/x", Host: "h"} }
+
+func TestFramings(t *testing.T) {
+	is := is.New(t)
+	address := serve(t, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2;x=y\r\nde\r\n0\r\nT: v\r\n\r\n",
+		"HTTP/1.1 103 Early\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n")
+	pool := NewPool()
+	for _, want := range []string{"hello", "abcde", ""} {
+		a, err := pool.Do(context.Background(), call(address))
+		is.NoErr(err)
+		body, err := a.ReadAll()
+		is.NoErr(err)
+		is.Equal(string(body), want)
+		a.Close()
+		is.Equal(len(pool.idle[address]), 1) // one connection serves them all
+	}
+}
+
+// An answer that breaks off never looks whole.
+func TestBrokenAnswers(t *testing.T) {
+	is := is.New(t)
+	for _, text := range []string{"HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nhello<close>", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n<close>",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n0\r\n\r\n"} {
+		address := serve(t, text)
+		pool := NewPool()
+		a, err := pool.Do(context.Background(), call(address))
+		is.NoErr(err)
+		_, err = a.ReadAll()
+		is.True(err != nil)
+		a.Close()
+		is.Equal(len(pool.idle[address]), 0)
+	}
+}
+
+// Bytes behind a whole answer belong to no request: the connection isn't used again.
+func TestSurplusBytes(t *testing.T) {
+	is := is.New(t)
+	address := serve(t, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ngood")
+	pool := NewPool()
+	for _, want := range []string{"ok", "good"} {
+		a, err := pool.Do(context.Background(), call(address))
+		is.NoErr(err)
+		body, err := a.ReadAll()
+		is.NoErr(err)
+		is.Equal(string(body), want)
+		a.Close()
+	}
+}
+
+// The verdict is that nothing has run only where nothing was sent.
+func TestVerdicts(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	is.NoErr(err)
+	dead := listener.Addr().String()
+	listener.Close()
+	_, err = NewPool().Do(context.Background(), call(dead))
+	is.Equal(verdict.Of(err), verdict.NotRun)
+	_, err = NewPool().Do(context.Background(), call(serve(t, "")))
+	is.Equal(verdict.Of(err), verdict.MayHaveRun)
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	_, err = NewPool().Do(ctx, call(serve(t, "HTTP/1.1 200")))
+	is.Equal(verdict.Of(err), verdict.MayHaveRun)
+	is.True(verdict.IsTimeout(err))
+}
+
+func TestEvents(t *testing.T) {
+	is := is.New(t)
+	events := NewEvents(strings.NewReader("id: 1\ndata: a\n\nweight-versions: 7\nid: 2\ndata: b\ndata: c\n\n: note\nid:3\ndata:\n\nid: 4\nda"))
+	first, err := events.Next()
+	is.NoErr(err)
+	is.Equal(string(first.Data), "a")
+	second, err := events.Next()
+	is.NoErr(err)
+	is.Equal(second.Version, uint64(7))
+	is.Equal(string(second.Data), "b\nc")
+	third, err := events.Next()
+	is.NoErr(err)
+	is.Equal(third.ID, int64(3))
+	_, err = events.Next()
+	is.Equal(err, io.ErrUnexpectedEOF) // an event that breaks off is none
+	_, err = NewEvents(strings.NewReader("id: x\n\n")).Next()
+	is.True(errors.Is(err, ErrEvent))
+	_, err = NewEvents(strings.NewReader("")).Next()
+	is.Equal(err, io.EOF)
+}
