--- a/internal/system/batch/item.go
+++ b/internal/system/batch/item.go
@@ -28,12 +28,15 @@
 	// cancelled.
 	itemSlack = 10 * time.Second
 	itemLeast = 5 * time.Second
-	// A worker that is silent for so long before the first event, or between two, is taken for lost, and the text is taken up at another
-	// one. A load of weights, during which a worker may pause, takes less.
-	silenceFirst   = 2500 * time.Millisecond
-	silenceBetween = 1400 * time.Millisecond
 )
 
+// Patience is how long a worker may be silent before the first event of a text, and between two, before it is taken for lost and the text is
+// taken up at another one.
+type Patience struct{ First, Between time.Duration }
+
+// UsualPatience is longer than a load of weights, during which a worker may pause.
+var UsualPatience = Patience{First: 2500 * time.Millisecond, Between: 1400 * time.Millisecond}
+
 // text is what has been made of an item so far.
 type text struct {
 	data     []byte
@@ -147,7 +150,7 @@
 	resumed := made.events > 0
 	tryCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	silence := time.AfterFunc(silenceFirst, cancel)
+	silence := time.AfterFunc(r.Patience.First, cancel)
 	defer silence.Stop()
 	answer, err := r.Forwarder.Pool.Do(tryCtx, &worker.Call{Address: w.Address, Method: fasthttp.MethodPost, URI: lease.Item.Path, Host: lease.Host,
 		Headers: itemHeaders(lease, w.ID, made), Body: lease.Item.Body})
@@ -245,7 +248,7 @@
 		if err != nil {
 			return err
 		}
-		silence.Reset(silenceBetween)
+		silence.Reset(r.Patience.Between)
 		if event.Version != 0 && event.Version != made.current {
 			r.Forwarder.Table.SawVersion(w, lease.Model, event.Version)
 			if lease.SingleVersion && made.events > 0 {
--- /dev/null
+++ b/internal/system/batch/item_test.go
@@ -0,0 +1,130 @@
+package batch
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/textproto"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"saffronquay/internal/system/configuration"
+	"saffronquay/internal/system/forward"
+	"saffronquay/internal/system/ledger"
+	"saffronquay/internal/system/routing"
+	"saffronquay/internal/system/rpc"
+	"saffronquay/internal/system/worker"
+)
+
+// standIn answers one request on each connection with a text, and then says nothing more or closes.
+func standIn(t *testing.T, heads chan<- textproto.MIMEHeader, answer string, hang bool) string {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan struct{})
+	t.Cleanup(func() { close(done); listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				reader := textproto.NewReader(bufio.NewReader(conn))
+				if _, err := reader.ReadLine(); err != nil {
+					return
+				}
+				head, err := reader.ReadMIMEHeader()
+				if err != nil {
+					return
+				}
+				heads <- head
+				io.WriteString(conn, answer)
+				if hang {
+					<-done
+				}
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+const (
+	stream    = "HTTP/1.1 200 OK\r\nRequest-Id: item\r\nWeight-Versions: 3\r\nTransfer-Encoding: chunked\r\n\r\n"
+	firstPart = stream + "f\r\nid: 1\ndata: a\n\n\r\n"
+	lastPart  = stream + "f\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n"
+)
+
+func runner(t *testing.T, addresses ...string) *Runner {
+	t.Helper()
+	document, err := configuration.Parse([]byte(`{"version":1,"routes":[{"name":"r","host":"h","pathPrefix":"/","type":"deployment","timeoutMs":9000,"service":"s"}],"services":[{"name":"s"}]}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	config := configuration.NewTable(document)
+	table := routing.NewTable(rand.New(rand.NewPCG(1, 1)))
+	for i, address := range addresses {
+		table.Put(&rpc.Instance{Id: address, Service: "s", Address: address, Capacity: 4, Models: []*rpc.ModelWeights{{Name: "m", Version: uint64(3 + i)}}})
+	}
+	start := time.Now()
+	return &Runner{Forwarder: &forward.Forwarder{Table: table, Pool: worker.NewPool(), Clock: func() int64 { return time.Since(start).Milliseconds() + 1_000_000 }},
+		Table: func() *configuration.Table { return config }, Slots: func(*routing.Worker) int { return 4 },
+		Patience: Patience{First: time.Second, Between: 30 * time.Millisecond}, Log: slog.New(slog.DiscardHandler)}
+}
+
+func lease(min uint64) *rpc.Lease {
+	return &rpc.Lease{Job: "j", Number: 1, Host: "h", Model: "m", MinVersion: min, DueInMs: 9000, Item: &rpc.Item{Id: "item", Path: "/x", Body: []byte("b")}}
+}
+
+// A worker falls silent in the middle of a text: the text is taken up at another one, behind its last event.
+func TestSilentWorker(t *testing.T) {
+	is := is.New(t)
+	heads := make(chan textproto.MIMEHeader, 8)
+	silent := standIn(t, heads, firstPart, true)
+	r := runner(t, silent)
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	result := make(chan *rpc.Report, 1)
+	go func() { result <- r.run(ctx, lease(0)) }()
+	first := <-heads
+	is.Equal(first.Get("Last-Event-Id"), "")
+	healthy := standIn(t, heads, lastPart, false)
+	r.Forwarder.Table.Put(&rpc.Instance{Id: "healthy", Service: "s", Address: healthy, Capacity: 4, Models: []*rpc.ModelWeights{{Name: "m", Version: 3}}})
+	report := <-result
+	text, err := ledger.UnpackText(report.Result.Text)
+	is.NoErr(err)
+	is.Equal(text, "a\nb")
+	is.Equal(report.Result.WeightVersions, []uint64{3})
+	is.Equal((<-heads).Get("Last-Event-Id"), "1")
+}
+
+// Tokens of weights that are too old are not used, although the table said otherwise.
+func TestOldWeights(t *testing.T) {
+	is := is.New(t)
+	heads := make(chan textproto.MIMEHeader, 8)
+	old := standIn(t, heads, lastPart, false)
+	r := runner(t, "", old) // the table says version 4, the worker has 3
+	r.Forwarder.Table.Remove("")
+	report := r.run(context.Background(), lease(4))
+	is.True(report.Released)
+	is.True(report.Result == nil)
+}
+
+// A worker that fails says so once; one that can't do the item ends it.
+func TestFailures(t *testing.T) {
+	is := is.New(t)
+	heads := make(chan textproto.MIMEHeader, 8)
+	failing := standIn(t, heads, "HTTP/1.1 500 Oh\r\nRequest-Id: item\r\nContent-Length: 0\r\n\r\n", false)
+	is.True(runner(t, failing).run(context.Background(), lease(0)).Failed)
+	never := standIn(t, heads, "HTTP/1.1 422 No\r\nRequest-Id: item\r\nContent-Length: 0\r\n\r\n", false)
+	report := runner(t, never).run(context.Background(), lease(0))
+	is.True(report.Result != nil && !report.Result.Completed)
+}
--- a/internal/system/batch/runner.go
+++ b/internal/system/batch/runner.go
@@ -22,6 +22,7 @@
 	Ledger    *ledgerclient.Client
 	Table     func() *configuration.Table // nil while no configuration is known
 	Slots     func(w *routing.Worker) int // this gatherer's part of a worker's places
+	Patience  Patience
 	Log       *slog.Logger
 
 	mu          sync.Mutex
