--- a/internal/system/ledger/service.go
+++ b/internal/system/ledger/service.go
@@ -118,6 +118,18 @@
 	return sh, status, rpc.Outcome_DONE, ""
 }
 
+// inTouchMS is how long ago its leader may have been heard for a follower to answer reads. What it lacks is younger than that.
+const inTouchMS = 400
+
+// follower returns a shard that follows a live leader and knows a job; nil where it can't be sure.
+func (s *Service) follower(name, job string) *shard {
+	sh, status := s.shard(name), s.Host.Status(name)
+	if sh == nil || status == nil || !status.InTouch(s.Host.Now(), inTouchMS) || !sh.ledger.Known(job) {
+		return nil
+	}
+	return sh
+}
+
 // schedule returns the shard's scheduler; the caller holds the shard's lock.
 func (sh *shard) schedule(epoch uint64) *Scheduler {
 	if sh.scheduler == nil || sh.scheduler.Epoch() != epoch {
@@ -156,7 +168,10 @@
 	defer wait.Stop()
 	for {
 		sh, _, outcome, leader := s.lead(r.Shard)
-		if outcome != rpc.Outcome_DONE {
+		if outcome != rpc.Outcome_DONE && r.Near {
+			sh = s.follower(r.Shard, r.Job)
+		}
+		if outcome != rpc.Outcome_DONE && (!r.Near || sh == nil) {
 			return &rpc.ReadResponse{Outcome: outcome, LeaderAddress: leader}, nil
 		}
 		total, results, more, found := sh.ledger.Read(r.Job, int(r.After))
--- a/internal/system/ledgerclient/client.go
+++ b/internal/system/ledgerclient/client.go
@@ -15,16 +15,18 @@
 // Client finds the owner of each shard and calls it.
 type Client struct {
 	HTTP *transport.Client
+	Zone string // of this process
 
 	mu         sync.Mutex
 	placements map[string]*rpc.Placement
 	leaders    map[string]string
+	zones      map[string]string // of replicas, by address
 	turn       int
 }
 
 // New returns a client that knows no shards yet.
-func New(http *transport.Client) *Client {
-	return &Client{HTTP: http, placements: map[string]*rpc.Placement{}, leaders: map[string]string{}}
+func New(http *transport.Client, zone string) *Client {
+	return &Client{HTTP: http, Zone: zone, zones: map[string]string{}, placements: map[string]*rpc.Placement{}, leaders: map[string]string{}}
 }
 
 // Errors of calls.
@@ -47,6 +49,25 @@
 	c.placements[p.Group] = p
 }
 
+// Locate notes the zone of an address.
+func (c *Client) Locate(address, zone string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.zones[address] = zone
+}
+
+// Near is a replica of a shard in this process's zone; empty where there is none, or where it leads and is called anyway.
+func (c *Client) Near(shard string) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, r := range c.placements[shard].GetReplicas() {
+		if c.zones[r.Address] == c.Zone && r.Address != c.leaders[shard] {
+			return r.Address
+		}
+	}
+	return ""
+}
+
 // Shards are the names of the shards; none while they are not placed yet.
 func (c *Client) Shards() (names []string) {
 	c.mu.Lock()
--- a/internal/system/proxy/jobs.go
+++ b/internal/system/proxy/jobs.go
@@ -20,6 +20,7 @@
 	submitTimeout = 2500 * time.Millisecond
 	readTimeoutMS = 1500 // beyond what the client lets a read be held
 	maxHoldMS     = 2000
+	nearSlackMS   = 300 // beyond the hold, that a replica of the own zone may take
 	noteTimeout   = 2 * time.Second
 )
 
@@ -106,7 +107,13 @@
 		hold = 0
 	}
 	hold = min(hold, maxHoldMS)
-	var page *rpc.ReadResponse
+	begun := time.Now()
+	page := p.readNear(shard, id, after, hold)
+	if page != nil {
+		writePage(ctx, page, after)
+		return
+	}
+	hold = max(0, hold-int(time.Since(begun).Milliseconds()))
 	within, cancel := context.WithTimeout(context.Background(), time.Duration(hold+readTimeoutMS)*time.Millisecond)
 	defer cancel()
 	err = p.ledger.Call(within, shard, time.Duration(hold)*time.Millisecond, func(ctx context.Context, l rpc.Ledger) (rpc.Outcome, string, error) {
@@ -123,18 +130,37 @@
 	case !page.Found:
 		answer(ctx, fasthttp.StatusNotFound, "no such batch job")
 	default:
-		results, err := ledger.NewPage(page, after)
-		var text []byte
-		if err == nil {
-			text, err = easyjson.Marshal(results)
-		}
-		if err != nil {
-			answer(ctx, fasthttp.StatusInternalServerError, err.Error())
-			return
-		}
-		ctx.SetContentType("application/json")
-		ctx.SetBody(text)
+		writePage(ctx, page, after)
+	}
+}
+
+// readNear reads from a replica of this zone, which spares the bytes between zones; nil where there is none that can answer.
+func (p *Proxy) readNear(shard, id string, after, hold int) *rpc.ReadResponse {
+	address := p.ledger.Near(shard)
+	if address == "" {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(hold+nearSlackMS)*time.Millisecond)
+	defer cancel()
+	page, err := rpc.NewLedgerProtobufClient("http://"+address, p.client).Read(ctx, &rpc.ReadRequest{Shard: shard, Job: id, After: uint32(after), WaitMs: uint32(hold), Near: true})
+	if err != nil || page.Outcome != rpc.Outcome_DONE || !page.Found {
+		return nil
+	}
+	return page
+}
+
+func writePage(ctx *fasthttp.RequestCtx, page *rpc.ReadResponse, after int) {
+	results, err := ledger.NewPage(page, after)
+	var text []byte
+	if err == nil {
+		text, err = easyjson.Marshal(results)
+	}
+	if err != nil {
+		answer(ctx, fasthttp.StatusInternalServerError, err.Error())
+		return
 	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(text)
 }
 
 func (p *Proxy) endJob(ctx *fasthttp.RequestCtx, shard, id string) {
--- a/internal/system/proxy/proxy.go
+++ b/internal/system/proxy/proxy.go
@@ -63,7 +63,7 @@
 func Run(ctx context.Context, source *settings.Source, log *slog.Logger) error {
 	s := source.Current()
 	p := &Proxy{settings: s, log: log, client: transport.NewClient(), edges: map[string][]string{}, known: make(chan struct{}), policies: map[string]bool{}, noting: map[string]bool{}}
-	p.ledger = ledgerclient.New(p.client)
+	p.ledger = ledgerclient.New(p.client, s.Zone)
 	p.forwarder = &forward.Forwarder{Table: routing.NewTable(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))), Pool: worker.NewPool(), Clock: clock}
 	front, err := transport.ListenTCP(s.Listen.Frontend)
 	if err != nil {
@@ -156,8 +156,11 @@
 			p.policies[x.Policy.Model] = x.Policy.SingleVersion
 			p.mu.Unlock()
 		case *rpc.FeedEvent_Member:
-			if x.Member.Kind == settings.ServesEdge {
+			switch x.Member.Kind {
+			case settings.ServesEdge:
 				p.setEdge(x.Member.Name, x.Member.Zone)
+			case settings.ServesStorage:
+				p.ledger.Locate(x.Member.Address, x.Member.Zone)
 			}
 		case *rpc.FeedEvent_Left:
 			p.dropEdge(x.Left)
