--- a/internal/system/replica/host.go
+++ b/internal/system/replica/host.go
@@ -149,7 +149,7 @@
 		g.applied = stored.Snapshot.Index
 	}
 	for _, entry := range stored.Entries {
-		g.logBytes += int64(len(entry.Data))
+		g.logBytes += int64(len(entry.Data)) + int64(entry.Stored)
 	}
 	g.core = consensus.New(consensus.Config{Group: name, ID: h.cfg.Identity.ID, Address: h.cfg.Identity.Address,
 		ElectionMS: electionMS, HeartbeatMS: heartbeatMS, Random: h.random}, stored, h.Now())
@@ -409,19 +409,24 @@
 // fill gives a message's entries the data that lies on disk only. It returns false where that can't be read.
 func (h *Host) fill(g *group, m *rpc.Message) bool {
 	for i, entry := range m.Entries {
-		if entry.Stored == 0 {
-			continue
-		}
-		stored, err := h.cfg.Store.Entry(g.name, entry.Index)
+		whole, err := h.whole(g, entry)
 		if err != nil {
 			h.cfg.Log.Error("entry can't be read", "group", g.name, "index", entry.Index, "error", err)
 			return false
 		}
-		m.Entries[i] = stored
+		m.Entries[i] = whole
 	}
 	return true
 }
 
+// whole returns an entry with its data.
+func (h *Host) whole(g *group, entry *rpc.Entry) (*rpc.Entry, error) {
+	if entry.Stored == 0 {
+		return entry, nil
+	}
+	return h.cfg.Store.Entry(g.name, entry.Index)
+}
+
 // strip drops the data of entries that are applied from memory, but for the newest, which slower replicas still have to be sent.
 func (h *Host) strip(g *group) {
 	if g.applied > g.stripped+2*keptEntries {
@@ -482,7 +487,11 @@
 	for _, entry := range r.Committed {
 		var result []byte
 		if entry.Kind == rpc.EntryKind_ENTRY_COMMAND {
-			result = g.machine.Apply(entry.Index, entry.Data)
+			whole, err := h.whole(g, entry)
+			if !h.check(err) {
+				return
+			}
+			result = g.machine.Apply(whole.Index, whole.Data)
 		}
 		g.applied = entry.Index
 		if w, ok := g.waiters[entry.Index]; ok {
--- a/internal/system/replica/store.go
+++ b/internal/system/replica/store.go
@@ -27,7 +27,15 @@
 	hard     span
 	snapshot span
 	first    uint64 // index of entries[0]
-	entries  []span
+	entries  []storedEntry
+}
+
+// storedEntry says where an entry lies, and what is known of it without reading it again.
+type storedEntry struct {
+	span
+	epoch uint64
+	kind  rpc.EntryKind
+	size  uint32 // of its data
 }
 
 // ErrDamaged says that a stored record is not what was written.
@@ -113,7 +121,7 @@
 			g.first = next
 		}
 	case r.Entry != nil && r.Entry.Index >= g.first && r.Entry.Index <= g.first+uint64(len(g.entries)):
-		g.entries = append(g.entries[:r.Entry.Index-g.first], at)
+		g.entries = append(g.entries[:r.Entry.Index-g.first], storedEntry{at, r.Entry.Epoch, r.Entry.Kind, uint32(len(r.Entry.Data))})
 	}
 }
 
@@ -127,7 +135,7 @@
 	return names
 }
 
-// Load reads what is stored of a group.
+// Load reads what is stored of a group. Commands stay on disk: their entries say only how long they are.
 func (s *Store) Load(name string) (stored consensus.Stored, err error) {
 	g := s.group(name)
 	stored.HardState, stored.Snapshot = &rpc.HardState{}, &rpc.Snapshot{}
@@ -141,12 +149,17 @@
 	} else if r.Snapshot != nil {
 		stored.Snapshot = r.Snapshot
 	}
-	for _, at := range g.entries {
-		r, err := s.read(at)
+	for i, e := range g.entries {
+		index := g.first + uint64(i)
+		if e.kind == rpc.EntryKind_ENTRY_COMMAND && e.size > 0 {
+			stored.Entries = append(stored.Entries, &rpc.Entry{Index: index, Epoch: e.epoch, Kind: e.kind, Stored: e.size})
+			continue
+		}
+		entry, err := s.Entry(name, index)
 		if err != nil {
 			return stored, err
 		}
-		stored.Entries = append(stored.Entries, r.Entry)
+		stored.Entries = append(stored.Entries, entry)
 	}
 	return stored, nil
 }
@@ -157,7 +170,7 @@
 	if index < g.first || index >= g.first+uint64(len(g.entries)) {
 		return nil, fmt.Errorf("replica: group %s has no entry %d", name, index)
 	}
-	r, err := s.read(g.entries[index-g.first])
+	r, err := s.read(g.entries[index-g.first].span)
 	if err == nil && r.Entry == nil {
 		err = ErrDamaged
 	}
@@ -225,8 +238,8 @@
 func (s *Store) live() (bytes int64) {
 	for _, g := range s.groups {
 		bytes += g.hard.length + g.snapshot.length
-		for _, at := range g.entries {
-			bytes += at.length
+		for _, e := range g.entries {
+			bytes += e.length
 		}
 	}
 	return bytes
@@ -236,11 +249,14 @@
 func (s *Store) rewrite() error {
 	var keep []span
 	for _, g := range s.groups {
-		for _, at := range append([]span{g.hard, g.snapshot}, g.entries...) {
+		for _, at := range []span{g.hard, g.snapshot} {
 			if at.length > 0 {
 				keep = append(keep, at)
 			}
 		}
+		for _, e := range g.entries {
+			keep = append(keep, e.span)
+		}
 	}
 	old := s.groups
 	s.groups = map[string]*storedGroup{}
