--- a/internal/system/ledger/ledger.go
+++ b/internal/system/ledger/ledger.go
@@ -47,6 +47,17 @@
 	return j
 }
 
+// end drops what nobody may ask for any more: bodies, headers and reward calls. Whoever still holds the old items keeps them.
+func (j *job) end() {
+	j.ended = true
+	bare := &rpc.CreateJob{Id: j.create.Id, Host: j.create.Host, Model: j.create.Model, SentUnixMs: j.create.SentUnixMs, DeadlineMs: j.create.DeadlineMs,
+		MaxQueueMs: j.create.MaxQueueMs, Items: make([]*rpc.Item, 0, len(j.create.Items))}
+	for _, item := range j.create.Items {
+		bare.Items = append(bare.Items, &rpc.Item{Id: item.Id})
+	}
+	j.create, j.body = bare, nil
+}
+
 func (j *job) signal() {
 	close(j.wake)
 	j.wake = make(chan struct{})
@@ -90,7 +101,7 @@
 			return &rpc.LedgerResult{Unknown: true}, Change{}
 		}
 		if !j.ended {
-			j.ended = true
+			j.end()
 			j.signal()
 		}
 		return done, Change{Ended: x.End.Job}
@@ -139,7 +150,10 @@
 	l.jobs = map[string]*job{}
 	for _, stored := range s.Jobs {
 		j := newJob(stored.Job)
-		j.results, j.ended = stored.Results, stored.Ended
+		j.results = stored.Results
+		if stored.Ended {
+			j.end()
+		}
 		for _, r := range stored.Results {
 			j.settled[r.Item] = true
 		}
--- a/internal/system/ledger/memory_test.go
+++ b/internal/system/ledger/memory_test.go
@@ -1,7 +1,6 @@
 package ledger
 
 import (
-	"bytes"
 	"fmt"
 	"math/rand/v2"
 	"runtime"
@@ -52,6 +51,16 @@
 	data := uint64(jobs * items * (bodyBytes + textBytes))
 	t.Logf("data %d KB, held %d KB, %.2f of it", data>>10, held>>10, float64(held)/float64(data))
 	is.True(held < data*13/10)
-	_, results, _, found := l.Read("job1", 0)
-	is.True(found && bytes.Equal(results[0].Text, results[0].Text))
+	for j := range jobs {
+		apply(&rpc.LedgerCommand{Command: &rpc.LedgerCommand_End{End: &rpc.EndJob{Job: fmt.Sprintf("job%d", j)}}})
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	ended := after.HeapAlloc - before.HeapAlloc
+	t.Logf("held %d KB once the jobs have ended", ended>>10)
+	is.True(ended < jobs*items*textBytes*13/10) // the bodies are gone
+	total, results, _, found := l.Read("job1", 0)
+	is.True(found && total == items && len(results[0].Text) == textBytes)
+	_, found = l.Body("job1", "item1-0")
+	is.True(!found)
 }
--- a/internal/system/replica/host.go
+++ b/internal/system/replica/host.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"math/rand/v2"
@@ -44,7 +45,7 @@
 	electionMS       = 550
 	heartbeatMS      = 110
 	queueLength      = 4096
-	snapshotMinBytes = 48 << 20
+	snapshotBytes    = 16 << 20
 	snapshotEntries  = 20000
 	idle             = 200 * time.Millisecond
 	keptEntries      = 64 // whose data stays in memory after they are applied
@@ -525,12 +526,13 @@
 
 // compact replaces the log by a snapshot of the state once the log is much longer than that.
 func (h *Host) compact(g *group) {
-	if g.logBytes < snapshotMinBytes && g.core.LogLength() < snapshotEntries {
+	least := cmp.Or(h.cfg.SnapshotBytes, snapshotBytes)
+	if g.logBytes < least && g.core.LogLength() < snapshotEntries {
 		return
 	}
 	state, err := g.machine.Snapshot()
 	if err != nil || g.logBytes < int64(len(state)) && g.core.LogLength() < snapshotEntries {
-		g.logBytes = min(g.logBytes, snapshotMinBytes/2) // later
+		g.logBytes = min(g.logBytes, least/2) // later
 		return
 	}
 	snapshot := g.core.Compact(g.applied, state)
--- a/internal/system/replica/sender.go
+++ b/internal/system/replica/sender.go
@@ -22,11 +22,13 @@
 	client *transport.Client
 	mu     sync.Mutex
 	queues map[string]chan []*rpc.Message
+	// sending holds a token while a snapshot is on its way: one at a time, since each takes as much memory as the state.
+	sending chan struct{}
 }
 
 // NewSender returns a sender over a client.
 func NewSender(client *transport.Client) *Sender {
-	return &Sender{client: client, queues: map[string]chan []*rpc.Message{}}
+	return &Sender{client: client, queues: map[string]chan []*rpc.Message{}, sending: make(chan struct{}, 1)}
 }
 
 // Send queues messages for an address; it doesn't block.
@@ -42,7 +44,7 @@
 	var rest []*rpc.Message
 	for _, m := range messages {
 		if m.Kind == rpc.MessageKind_SNAPSHOT {
-			go s.call(rpc.NewReplicationProtobufClient("http://"+address, s.client), []*rpc.Message{m}, snapshotTimeout)
+			go s.sendSnapshot(address, m)
 			continue
 		}
 		rest = append(rest, m)
@@ -56,6 +58,16 @@
 	}
 }
 
+// sendSnapshot sends a snapshot unless another one is on its way; the protocol sends it again.
+func (s *Sender) sendSnapshot(address string, m *rpc.Message) {
+	select {
+	case s.sending <- struct{}{}:
+		defer func() { <-s.sending }()
+		s.call(rpc.NewReplicationProtobufClient("http://"+address, s.client), []*rpc.Message{m}, snapshotTimeout)
+	default:
+	}
+}
+
 func (s *Sender) run(address string, queue chan []*rpc.Message) {
 	client := rpc.NewReplicationProtobufClient("http://"+address, s.client)
 	for messages := range queue {
--- a/internal/system/storage/storage.go
+++ b/internal/system/storage/storage.go
@@ -44,7 +44,8 @@
 	}
 	st.service = &ledger.Service{Log: log, KeepResults: settings.Seconds(s.Bounds.StatusIntervalS + keepSlackS), Demand: st.demand}
 	sender := replica.NewSender(st.client)
-	if st.host, err = replica.NewHost(replica.Config{Identity: st.identity, Store: store, Machine: st.service.Machine, Send: sender.Send, Log: log}); err != nil {
+	if st.host, err = replica.NewHost(replica.Config{Identity: st.identity, Store: store, Machine: st.service.Machine, Send: sender.Send, Log: log,
+		SnapshotBytes: s.Limits.DiskMB << 20 / diskShare}); err != nil {
 		return err
 	}
 	st.service.Host = st.host
@@ -92,6 +93,9 @@
 	}
 }
 
+// diskShare is the part of the disk, one in so many, that the log of one shard may take before it is replaced by a snapshot.
+const diskShare = 4
+
 // keepSlackS is added to the time that results have to be kept.
 const keepSlackS = 30
 
