--- a/internal/system/replica/host.go
+++ b/internal/system/replica/host.go
@@ -37,19 +37,22 @@
 	Machine  func(group string) StateMachine // nil for groups that this process doesn't hold
 	Send     func(address string, messages []*rpc.Message)
 	Log      *slog.Logger
+	// SnapshotBytes is the length from which on a group's log is replaced by a snapshot; 0: 16 MB. The log costs no memory, a snapshot of
+	// the state does while it is written or sent: it should be as long as the disk allows.
+	SnapshotBytes int64
 	// Changed is told on the host's goroutine that a group's status or state has changed; it must not block.
 	Changed func(group string)
 }
 
 const (
-	electionMS       = 550
-	heartbeatMS      = 110
-	queueLength      = 4096
-	snapshotBytes    = 16 << 20
-	snapshotEntries  = 20000
-	idle             = 200 * time.Millisecond
-	keptEntries      = 64 // whose data stays in memory after they are applied
-	diskRetry        = 200 * time.Millisecond
+	electionMS      = 550
+	heartbeatMS     = 110
+	queueLength     = 4096
+	snapshotBytes   = 16 << 20
+	snapshotEntries = 20000
+	idle            = 200 * time.Millisecond
+	keptEntries     = 64 // whose data stays in memory after they are applied
+	diskRetry       = 200 * time.Millisecond
 	// leaseMS is how long after its last contact with a majority a leader may answer reads; it is less than the shortest silence after
 	// which another one can be elected.
 	leaseMS = electionMS * 8 / 10
