--- a/internal/system/replica/host.go
+++ b/internal/system/replica/host.go
@@ -1,7 +1,6 @@
 package replica
 
 import (
-	"cmp"
 	"context"
 	"log/slog"
 	"math/rand/v2"
@@ -58,30 +57,6 @@
 	leaseMS = electionMS * 8 / 10
 )
 
-// Status is how a replica saw its group when something last changed.
-type Status struct {
-	Leader        bool
-	Ready         bool  // it leads, and knows everything that earlier leaders acknowledged
-	ContactAt     int64 // when a majority was last known to follow this leader, as Host.Now
-	LeaderID      string
-	LeaderAddress string
-	Epoch         uint64
-	Commit        uint64
-	Applied       uint64
-	HeardAt       int64 // when the leader was last heard
-	LedSince      int64
-	Membership    *rpc.Membership
-	Settled       bool // the membership is agreed on
-}
-
-// Lease tells whether this replica is the leader and no other can have been elected yet, so that what it has applied is up to date.
-func (s *Status) Lease(now int64) bool { return s.Leader && s.Ready && now-s.ContactAt < leaseMS }
-
-// InTouch tells whether the leader was heard lately, or is this replica and holds its lease.
-func (s *Status) InTouch(now, within int64) bool {
-	return s.Lease(now) || !s.Leader && s.LeaderID != "" && now-s.HeardAt < within
-}
-
 // Host runs the replicas of one process: it tells the cores the time, persists, sends and applies.
 type Host struct {
 	cfg     Config
@@ -260,23 +235,6 @@
 	return Proposed{Outcome: rpc.Outcome_OUTCOME_UNKNOWN}
 }
 
-// Status is how this replica sees a group; nil where it holds none. It doesn't wait for anything.
-func (h *Host) Status(name string) *Status {
-	if status, ok := h.statuses.Load(name); ok {
-		return status.Load()
-	}
-	return nil
-}
-
-// Groups names the groups of this process.
-func (h *Host) Groups() (names []string) {
-	h.statuses.Range(func(name string, _ *atomic.Pointer[Status]) bool {
-		names = append(names, name)
-		return true
-	})
-	return names
-}
-
 func (h *Host) do(f func()) {
 	select {
 	case h.in <- f:
@@ -410,36 +368,6 @@
 	return len(works) > 0
 }
 
-// fill gives a message's entries the data that lies on disk only. It returns false where that can't be read.
-func (h *Host) fill(g *group, m *rpc.Message) bool {
-	for i, entry := range m.Entries {
-		whole, err := h.whole(g, entry)
-		if err != nil {
-			h.cfg.Log.Error("entry can't be read", "group", g.name, "index", entry.Index, "error", err)
-			return false
-		}
-		m.Entries[i] = whole
-	}
-	return true
-}
-
-// whole returns an entry with its data.
-func (h *Host) whole(g *group, entry *rpc.Entry) (*rpc.Entry, error) {
-	if entry.Stored == 0 {
-		return entry, nil
-	}
-	return h.cfg.Store.Entry(g.name, entry.Index)
-}
-
-// strip drops the data of entries that are applied from memory, but for the newest, which slower replicas still have to be sent.
-func (h *Host) strip(g *group) {
-	if g.applied > g.stripped+2*keptEntries {
-		to := g.applied - keptEntries
-		g.core.Strip(g.stripped+1, to)
-		g.stripped = to
-	}
-}
-
 func (h *Host) save(g *group, r *consensus.Ready) Save {
 	if r.Snapshot != nil {
 		g.logBytes = 0
@@ -482,87 +410,6 @@
 // Done is closed when the host has ended.
 func (h *Host) Done() <-chan struct{} { return h.done }
 
-func (h *Host) apply(g *group, r *consensus.Ready) {
-	if r.Restore != nil {
-		h.check(g.machine.Restore(r.Restore.Index, r.Restore.State))
-		g.applied = r.Restore.Index
-		h.answerOld(g)
-	}
-	for _, entry := range r.Committed {
-		var result []byte
-		if entry.Kind == rpc.EntryKind_ENTRY_COMMAND {
-			whole, err := h.whole(g, entry)
-			if !h.check(err) {
-				return
-			}
-			result = g.machine.Apply(whole.Index, whole.Data)
-		}
-		g.applied = entry.Index
-		if w, ok := g.waiters[entry.Index]; ok {
-			delete(g.waiters, entry.Index)
-			if w.epoch == entry.Epoch {
-				w.done <- Proposed{Outcome: rpc.Outcome_DONE, Result: result}
-			} else {
-				w.done <- Proposed{Outcome: rpc.Outcome_NOT_LEADER} // another entry stands in its place
-			}
-		}
-	}
-	if !g.core.IsLeader() && len(g.waiters) > 0 {
-		for index, w := range g.waiters {
-			w.done <- Proposed{Outcome: rpc.Outcome_OUTCOME_UNKNOWN}
-			delete(g.waiters, index)
-		}
-	}
-	h.strip(g)
-	h.compact(g)
-}
-
-// answerOld answers waiters whose entries a snapshot has passed over.
-func (h *Host) answerOld(g *group) {
-	for index, w := range g.waiters {
-		if index <= g.applied {
-			w.done <- Proposed{Outcome: rpc.Outcome_OUTCOME_UNKNOWN}
-			delete(g.waiters, index)
-		}
-	}
-}
-
-// compact replaces the log by a snapshot of the state once the log is much longer than that.
-func (h *Host) compact(g *group) {
-	least := cmp.Or(h.cfg.SnapshotBytes, snapshotBytes)
-	if g.logBytes < least && g.core.LogLength() < snapshotEntries {
-		return
-	}
-	state, err := g.machine.Snapshot()
-	if err != nil || g.logBytes < int64(len(state)) && g.core.LogLength() < snapshotEntries {
-		g.logBytes = min(g.logBytes, least/2) // later
-		return
-	}
-	snapshot := g.core.Compact(g.applied, state)
-	if snapshot == nil {
-		return
-	}
-	if h.persist([]Save{{Group: g.name, Snapshot: snapshot}}) {
-		g.logBytes = 0
-	}
-}
-
-// publish tells readers how the group stands.
-func (h *Host) publish(g *group) {
-	leaderID, leaderAddress := g.core.Leader()
-	ready, contact := g.core.Leading()
-	status := &Status{Leader: g.core.IsLeader(), Ready: ready, ContactAt: contact, LeaderID: leaderID, LeaderAddress: leaderAddress, Epoch: g.core.Epoch(),
-		Commit: g.core.Commit(), Applied: g.applied, HeardAt: g.core.HeardAt(), LedSince: g.core.LedSince(), Membership: g.core.Membership(), Settled: g.core.Settled()}
-	old := g.status.Swap(status)
-	h.statuses.Store(g.name, g.status)
-	if old != nil && (old.Leader != status.Leader || old.LeaderID != status.LeaderID) {
-		h.cfg.Log.Info("leader", "group", g.name, "epoch", status.Epoch, "leader", status.LeaderID, "self", status.Leader)
-	}
-	if h.cfg.Changed != nil && (old == nil || old.Applied != status.Applied || old.Leader != status.Leader || old.LeaderID != status.LeaderID) {
-		h.cfg.Changed(g.name)
-	}
-}
-
 // Stop ends Run.
 func (h *Host) Stop() {
 	close(h.stop)
--- /dev/null
+++ b/internal/system/replica/status.go
@@ -0,0 +1,64 @@
+package replica
+
+import (
+	"sync/atomic"
+
+	"saffronquay/internal/system/rpc"
+)
+
+// Status is how a replica saw its group when something last changed.
+type Status struct {
+	Leader        bool
+	Ready         bool  // it leads, and knows everything that earlier leaders acknowledged
+	ContactAt     int64 // when a majority was last known to follow this leader, as Host.Now
+	LeaderID      string
+	LeaderAddress string
+	Epoch         uint64
+	Commit        uint64
+	Applied       uint64
+	HeardAt       int64 // when the leader was last heard
+	LedSince      int64
+	Membership    *rpc.Membership
+	Settled       bool // the membership is agreed on
+}
+
+// Lease tells whether this replica is the leader and no other can have been elected yet, so that what it has applied is up to date.
+func (s *Status) Lease(now int64) bool { return s.Leader && s.Ready && now-s.ContactAt < leaseMS }
+
+// InTouch tells whether the leader was heard lately, or is this replica and holds its lease.
+func (s *Status) InTouch(now, within int64) bool {
+	return s.Lease(now) || !s.Leader && s.LeaderID != "" && now-s.HeardAt < within
+}
+
+// Status is how this replica sees a group; nil where it holds none. It doesn't wait for anything.
+func (h *Host) Status(name string) *Status {
+	if status, ok := h.statuses.Load(name); ok {
+		return status.Load()
+	}
+	return nil
+}
+
+// Groups names the groups of this process.
+func (h *Host) Groups() (names []string) {
+	h.statuses.Range(func(name string, _ *atomic.Pointer[Status]) bool {
+		names = append(names, name)
+		return true
+	})
+	return names
+}
+
+// publish tells readers how the group stands.
+func (h *Host) publish(g *group) {
+	leaderID, leaderAddress := g.core.Leader()
+	ready, contact := g.core.Leading()
+	status := &Status{Leader: g.core.IsLeader(), Ready: ready, ContactAt: contact, LeaderID: leaderID, LeaderAddress: leaderAddress, Epoch: g.core.Epoch(),
+		Commit: g.core.Commit(), Applied: g.applied, HeardAt: g.core.HeardAt(), LedSince: g.core.LedSince(), Membership: g.core.Membership(), Settled: g.core.Settled()}
+	old := g.status.Swap(status)
+	h.statuses.Store(g.name, g.status)
+	if old != nil && (old.Leader != status.Leader || old.LeaderID != status.LeaderID) {
+		h.cfg.Log.Info("leader", "group", g.name, "epoch", status.Epoch, "leader", status.LeaderID, "self", status.Leader)
+	}
+	if h.cfg.Changed != nil && (old == nil || old.Applied != status.Applied || old.Leader != status.Leader || old.LeaderID != status.LeaderID) {
+		h.cfg.Changed(g.name)
+	}
+}
