Exchange who is held for dead, so that a lost word of a departure is made good

That a dead member was forgotten, or had left, was told by a few datagrams only. The digest of a view leaves the dead out, so where all of those were lost no exchange ever found the difference: that member was reckoned with until Reckon was over (300 s). Ruled out: a lagging process that tells of it again (Left prevails over Dead in Record.over; forced in the test, it does not come back); waiting longer (it never ends before Reckon). Change: exchanges carry a digest of the members that are held for dead and reckoned with; where it differs both sides send the records of all that are gone. The view's digest stays as it was.

--- /dev/null
+++ b/internal/fleet/departure_test.go
@@ -0,0 +1,92 @@
+package fleet
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+)
+
+// trio is three live members and one that all of them hold for dead.
+func trio(t *testing.T) []*Core {
+	t.Helper()
+	cores := []*Core{newCore(t, "m0", 0), newCore(t, "m1", 1), newCore(t, "m2", 2)}
+	for _, c := range cores {
+		for i := range cores {
+			c.apply(2*second, Record{Name: fmt.Sprintf("m%d", i), Start: 100, State: Alive, Address: addr(i)}, 0)
+		}
+		c.apply(2*second, Record{Name: "gone", Start: 100, State: Alive, Address: addr(8)}, 0)
+		m := c.members["gone"]
+		dead := m.Record
+		dead.State = Dead
+		c.put(2*second, m, dead, 0)
+	}
+	return cores
+}
+
+// play runs the cores until a time; whatever they send arrives at once.
+func play(cores []*Core, from, until int64) {
+	at := map[netip.AddrPort]*Core{}
+	for i, c := range cores {
+		at[addr(i)] = c
+	}
+	for now := from; now < until; now += 10_000 {
+		for _, c := range cores {
+			if now >= c.Next() {
+				c.Tick(now)
+			}
+			out := c.Out()
+			for _, d := range out.Datagrams {
+				if to := at[d.To]; to != nil {
+					to.Receive(now, d.Bytes)
+				}
+			}
+			for _, open := range out.Opens {
+				to := at[open.To]
+				if to == nil {
+					continue
+				}
+				if answer, err := to.Frame(now, open.Frame); err == nil && answer != nil {
+					if rest, err := c.Frame(now, answer); err == nil && rest != nil {
+						to.Frame(now, rest)
+					}
+				}
+			}
+		}
+	}
+}
+
+// The word that a dead member was forgotten is told a few times by datagrams. Where all of them are lost, the next exchange brings it: nobody
+// goes on reckoning with that member.
+func TestForgottenAlthoughEveryDatagramIsLost(t *testing.T) {
+	for _, x := range []struct {
+		name      string
+		forgetter int
+	}{{"the first opens exchanges too", 0}, {"the last", 2}} {
+		t.Run(x.name, func(t *testing.T) {
+			cores := trio(t)
+			if err := cores[x.forgetter].Forget(2*second, "gone"); err != nil {
+				t.Fatal(err)
+			}
+			c := cores[x.forgetter]
+			c.news.drop(c.members["gone"]) // all that is told of it is lost
+			play(cores, 2*second, 42*second)
+			for i, c := range cores {
+				if a, r := c.Alive(), c.Reckon(42*second); a != 3 || r != 3 {
+					t.Errorf("m%d: alive %d, reckoned with %d", i, a, r)
+				}
+			}
+		})
+	}
+}
+
+// Members that hold the same ones for dead send no more than the digests.
+func TestEqualDeadAreNotTold(t *testing.T) {
+	cores := trio(t)
+	answer, err := cores[1].Frame(3*second, cores[0].Hello(3*second))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if rest, err := cores[0].Frame(3*second, answer); err != nil || rest != nil {
+		t.Errorf("%v: the exchange goes on with %d bytes", err, len(rest))
+	}
+}
--- a/internal/fleet/exchange.go
+++ b/internal/fleet/exchange.go
@@ -28,7 +28,7 @@
 
 // Hello is the frame by which this process begins an exchange.
 func (c *Core) Hello(now int64) []byte {
-	return c.frame(now, &wire.Frame{Kind: sums, Sums: c.sums[:], First: !c.joined}, nil)
+	return c.frame(now, &wire.Frame{Kind: sums, Sums: c.sums[:], Dead: c.deadDigest(now), First: !c.joined}, nil)
 }
 
 // frame words a frame with this process's own record and others.
@@ -154,7 +154,8 @@
 				d.Differ = append(d.Differ, uint32(i))
 			}
 		}
-		return c.frame(now, d, c.within(differ, told)), nil
+		d.DeadDiffer = f.Dead != c.deadDigest(now)
+		return c.frame(now, d, c.within(differ, d.DeadDiffer, told)), nil
 	case difference:
 		differ := [buckets]bool{}
 		for _, i := range f.Differ {
@@ -162,22 +163,36 @@
 				differ[i] = true
 			}
 		}
-		if len(f.Differ) == 0 {
+		if len(f.Differ) == 0 && !f.DeadDiffer {
 			return nil, nil
 		}
-		return c.frame(now, &wire.Frame{Kind: rest}, c.within(differ, told)), nil
+		return c.frame(now, &wire.Frame{Kind: rest}, c.within(differ, f.DeadDiffer, told)), nil
 	}
 	return nil, nil
 }
 
-// within are the members whose names fall into some of the sums, but for some.
-func (c *Core) within(differ [buckets]bool, but map[string]bool) (out []*member) {
-	for _, list := range [][]*member{c.present, c.gone} {
-		for _, m := range list {
-			if differ[bucket(m.Name)] && !but[m.Name] {
-				out = append(out, m)
-			}
+// within are the members whose names fall into some of the sums, and all that are gone where wanted, but for some.
+func (c *Core) within(differ [buckets]bool, gone bool, but map[string]bool) (out []*member) {
+	for _, m := range c.present {
+		if differ[bucket(m.Name)] && !but[m.Name] {
+			out = append(out, m)
+		}
+	}
+	for _, m := range c.gone {
+		if (gone || differ[bucket(m.Name)]) && !but[m.Name] {
+			out = append(out, m)
 		}
 	}
 	return out
 }
+
+// deadDigest is a digest of the members held for dead that are reckoned with. The digest of the view leaves the dead out, so a word that
+// one of them has left, or was forgotten, could be lost for good: exchanges compare this one too. It costs O(gone).
+func (c *Core) deadDigest(now int64) (digest uint64) {
+	for _, m := range c.gone {
+		if c.reckoned(now, m) {
+			digest ^= m.hash()
+		}
+	}
+	return digest
+}
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -45,13 +45,18 @@
 func (c *Core) Reckon(now int64) int {
 	n := c.Alive()
 	for _, m := range c.gone {
-		if m.State == Dead && now-m.since < c.cfg.Reckon {
+		if c.reckoned(now, m) {
 			n++
 		}
 	}
 	return n
 }
 
+// reckoned tells whether a member that is gone has to be reckoned with.
+func (c *Core) reckoned(now int64, m *member) bool {
+	return m.State == Dead && now-m.since < c.cfg.Reckon
+}
+
 // State is how a member stands in this view; ok is false of one that is unknown. since is the time of its last change of state.
 func (c *Core) State(name string) (r Record, since int64, ok bool) {
 	if name == c.self.Name && !c.later {
