--- a/cmd/saffronquay-system/main.go
+++ b/cmd/saffronquay-system/main.go
@@ -18,6 +18,7 @@
 
 	"saffronquay/internal/system/agent"
 	"saffronquay/internal/system/proxy"
+	"saffronquay/internal/system/replica"
 	"saffronquay/internal/system/settings"
 	"saffronquay/internal/system/steward"
 	"saffronquay/internal/system/storage"
@@ -42,8 +43,8 @@
 		Commands: []*cli.Command{
 			roleCommand("proxy", "carry the traffic of an edge machine", proxy.Run),
 			roleCommand("agent", "link the proxy of an edge machine to the control plane", agent.Run),
-			roleCommand("steward", "serve control on a core machine", steward.Run),
-			roleCommand("store", "keep batch jobs on a storage machine", storage.Run),
+			replicaCommand("steward", "serve control on a core machine", steward.Run),
+			replicaCommand("store", "keep batch jobs on a storage machine", storage.Run),
 			checkCommand(),
 		},
 	}
@@ -53,7 +54,29 @@
 type role func(context.Context, *settings.Source, *slog.Logger) error
 
 func roleCommand(name, usage string, run role) *cli.Command {
-	return &cli.Command{Name: name, Usage: usage, Action: func(ctx context.Context, c *cli.Command) error {
+	return &cli.Command{Name: name, Usage: usage, Action: action(func(*cli.Command) role { return run })}
+}
+
+// replicaRole is a role that holds replicas.
+type replicaRole func(context.Context, *settings.Source, replica.Options, *slog.Logger) error
+
+func replicaCommand(name, usage string, run replicaRole) *cli.Command {
+	return &cli.Command{Name: name, Usage: usage,
+		Flags: []cli.Flag{
+			&cli.IntFlag{Name: "snapshot-entries", Usage: "entries from which on a group's log is replaced by a snapshot; 0: the usual"},
+			&cli.Int64Flag{Name: "snapshot-bytes", Usage: "bytes from which on a group's log is replaced by a snapshot; 0: the usual"},
+		},
+		Action: action(func(c *cli.Command) role {
+			options := replica.Options{SnapshotEntries: c.Int("snapshot-entries"), SnapshotBytes: c.Int64("snapshot-bytes")}
+			return func(ctx context.Context, source *settings.Source, log *slog.Logger) error {
+				return run(ctx, source, options, log)
+			}
+		})}
+}
+
+// action runs a role with the settings that the command line names.
+func action(chosen func(*cli.Command) role) cli.ActionFunc {
+	return func(ctx context.Context, c *cli.Command) error {
 		source, err := open(c)
 		if err != nil {
 			return err
@@ -66,12 +89,12 @@
 		ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 		defer stop()
 		signal.Ignore(syscall.SIGHUP, syscall.SIGPIPE) // the settings file is looked at again without a signal
-		log.Info("starting", "command", name)
+		log.Info("starting", "command", c.Name)
 		if log.Enabled(ctx, slog.LevelDebug) {
 			go reportMemory(ctx, log)
 		}
-		return run(ctx, source, log)
-	}}
+		return chosen(c)(ctx, source, log)
+	}
 }
 
 func checkCommand() *cli.Command {
--- a/internal/store/simdisk/simdisk.go
+++ b/internal/store/simdisk/simdisk.go
@@ -115,12 +115,13 @@
 	mu      sync.Mutex
 	names   map[string]*inode
 	durable map[string]*inode // the names that outlast a crash
+	renamed map[string]bool   // names that a file took over since the last Sync
 	locks   map[string]bool
 }
 
 // New makes an empty directory.
 func New(name string, plan *Plan) *Disk {
-	return &Disk{plan: plan, name: name, names: map[string]*inode{}, durable: map[string]*inode{}, locks: map[string]bool{}}
+	return &Disk{plan: plan, name: name, names: map[string]*inode{}, durable: map[string]*inode{}, renamed: map[string]bool{}, locks: map[string]bool{}}
 }
 
 func (d *Disk) String() string { return d.name }
@@ -188,7 +189,11 @@
 
 // Sync makes the names last.
 func (d *Disk) Sync() error {
-	return d.do(func() error { d.durable = maps.Clone(d.names); return nil })
+	return d.do(func() error {
+		d.durable = maps.Clone(d.names)
+		clear(d.renamed)
+		return nil
+	})
 }
 
 // Lock takes a file, until it is let go or the disk crashes.
@@ -274,8 +279,12 @@
 		out.names[name], out.durable[name] = m, m
 	}
 	for _, name := range slices.Sorted(maps.Keys(d.durable)) {
-		if n := d.durable[name]; d.names[name] == n || rng.IntN(2) == 0 {
+		n := d.durable[name]
+		switch taken := d.names[name]; {
+		case taken == n || rng.IntN(2) == 0:
 			keep(name, n)
+		case d.renamed[name]: // one of the two files has the name, whatever happens
+			keep(name, taken)
 		}
 	}
 	for _, name := range slices.Sorted(maps.Keys(d.names)) {
--- a/internal/system/agent/agent.go
+++ b/internal/system/agent/agent.go
@@ -126,6 +126,11 @@
 	return &rpc.HeartbeatResponse{Outcome: rpc.Outcome_UNAVAILABLE}, nil
 }
 
+// Retire implements rpc.Control; emptying machines is the stewards' business.
+func (a *Agent) Retire(context.Context, *rpc.RetireRequest) (*rpc.RetireResponse, error) {
+	return &rpc.RetireResponse{Outcome: rpc.Outcome_UNAVAILABLE}, nil
+}
+
 // NotePolicy implements rpc.Control: it passes the note on to a steward.
 func (a *Agent) NotePolicy(ctx context.Context, p *rpc.ModelPolicy) (*rpc.NotePolicyResponse, error) {
 	for _, steward := range a.stewards() {
--- a/internal/system/batch/item_test.go
+++ b/internal/system/batch/item_test.go
@@ -128,3 +128,50 @@
 	report := runner(t, never).run(context.Background(), lease(0))
 	is.True(report.Result != nil && !report.Result.Completed)
 }
+
+// Each shard's owner numbers its leases by itself. Leases of two shards under one number are two leases, and a cancellation of the one
+// leaves the other alone.
+func TestEqualNumbersOfTwoShards(t *testing.T) {
+	is := is.New(t)
+	heads := make(chan textproto.MIMEHeader, 8)
+	r := runner(t, standIn(t, heads, firstPart, true))
+	r.begin()
+	r.Patience = Patience{First: time.Minute, Between: time.Minute}
+	ctx, cancel := context.WithCancel(context.Background())
+	for _, shard := range []string{"ledger-0", "ledger-1"} {
+		r.take(ctx, shard, &rpc.WorkResponse{Epoch: 2, Leases: []*rpc.Lease{lease(0)}})
+		<-heads
+	}
+	first, told := r.held("ledger-0")
+	is.True(told)
+	is.Equal(len(first), 1)
+	second, _ := r.held("ledger-1")
+	is.Equal(len(second), 1)
+	cut := r.leases[leaseKey{"ledger-1", 1}]
+	r.take(ctx, "ledger-0", &rpc.WorkResponse{Epoch: 2, Cancelled: []uint64{1}})
+	is.True(r.leases[leaseKey{"ledger-1", 1}] == cut) // still worked on
+	cancel()
+	r.active.Wait()
+	is.Equal(len(r.leases), 0)
+}
+
+// A lease counts as held until the owner has taken its report, so that the owner doesn't hand the item out once more.
+func TestHeldUntilReported(t *testing.T) {
+	is := is.New(t)
+	heads := make(chan textproto.MIMEHeader, 8)
+	r := runner(t, standIn(t, heads, "HTTP/1.1 500 Oh\r\nRequest-Id: item\r\nContent-Length: 0\r\n\r\n", false))
+	r.begin()
+	queue := make(chan outcome, 1)
+	r.reports["s"] = queue
+	r.take(context.Background(), "s", &rpc.WorkResponse{Epoch: 2, Leases: []*rpc.Lease{lease(0)}})
+	reported := <-queue
+	is.True(reported.report.Failed)
+	held, _ := r.held("s")
+	is.Equal(len(held), 1)
+	r.letGo(reported.key)
+	r.active.Wait()
+	delete(r.toldAt, "s")
+	held, told := r.held("s")
+	is.True(told)
+	is.Equal(len(held), 0)
+}
--- a/internal/system/batch/runner.go
+++ b/internal/system/batch/runner.go
@@ -26,24 +26,35 @@
 	Log       *slog.Logger
 
 	mu          sync.Mutex
-	leases      map[uint64]*running
+	leases      map[leaseKey]*running
 	epochs      map[string]uint64    // of the owners that know what this gatherer holds
 	heardAt     map[string]time.Time // when a shard's owner last answered
 	toldAt      map[string]time.Time // when it was last told what this gatherer holds
 	outstanding map[string]int       // items asked for by calls under way, by shard
 	unplaced    int                  // leases that wait for a place at a worker
-	reports     map[string]chan *rpc.Report
+	reports     map[string]chan outcome
 	stopping    bool
-	active      sync.WaitGroup
+	active      sync.WaitGroup // leases that are worked on, or whose reports are not taken yet
+}
+
+// leaseKey identifies a lease. Each shard's owner numbers its leases by itself, so the number alone may stand for several.
+type leaseKey struct {
+	shard  string
+	number uint64
 }
 
 // running is a lease that is worked on.
 type running struct {
-	shard  string
 	lease  *rpc.Lease
 	cancel context.CancelFunc
 }
 
+// outcome is a report on its way to the owner of its lease's shard. The lease counts as held until the owner has taken the report.
+type outcome struct {
+	key    leaseKey
+	report *rpc.Report
+}
+
 const (
 	pollWait    = 400 * time.Millisecond
 	noRoomPause = 50 * time.Millisecond
@@ -57,28 +68,30 @@
 	tellEach = 1 * time.Second
 )
 
+// begin empties the state.
+func (r *Runner) begin() {
+	r.leases, r.epochs, r.outstanding = map[leaseKey]*running{}, map[string]uint64{}, map[string]int{}
+	r.heardAt, r.toldAt = map[string]time.Time{}, map[string]time.Time{}
+	r.reports = map[string]chan outcome{}
+}
+
 // Run works until the context ends, then finishes what it holds, for so long at most, and hands back the rest.
 func (r *Runner) Run(ctx context.Context, finish time.Duration) {
-	r.leases, r.epochs, r.heardAt, r.toldAt, r.outstanding, r.reports = map[uint64]*running{}, map[string]uint64{}, map[string]time.Time{}, map[string]time.Time{}, map[string]int{}, map[string]chan *rpc.Report{}
+	r.begin()
 	work, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	known := map[string]bool{}
-	var pollers sync.WaitGroup
 	for ctx.Err() == nil {
 		for _, shard := range r.Ledger.Shards() {
 			if known[shard] {
 				continue
 			}
 			known[shard] = true
-			queue := make(chan *rpc.Report, reportQueue)
+			queue := make(chan outcome, reportQueue)
 			r.mu.Lock()
 			r.reports[shard] = queue
 			r.mu.Unlock()
-			pollers.Add(1)
-			go func() {
-				defer pollers.Done()
-				r.poll(ctx, work, shard)
-			}()
+			go r.poll(work, shard) // also while this gatherer drains: the owner would take it for lost
 			go r.report(work, shard, queue)
 		}
 		r.expire(time.Now())
@@ -93,6 +106,7 @@
 	case <-done:
 	case <-time.After(finish):
 	}
+	cancel()
 	for shard := range known {
 		leave, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
 		r.call(leave, shard, &rpc.WorkRequest{Leaving: true})
@@ -111,8 +125,8 @@
 func (r *Runner) expire(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, l := range r.leases {
-		if at, ok := r.heardAt[l.shard]; ok && now.Sub(at) > leaseTime {
+	for key, l := range r.leases {
+		if at, ok := r.heardAt[key.shard]; ok && now.Sub(at) > leaseTime {
 			l.cancel()
 		}
 	}
@@ -140,7 +154,7 @@
 }
 
 // poll asks a shard's owner for items whenever there is room.
-func (r *Runner) poll(ctx, work context.Context, shard string) {
+func (r *Runner) poll(ctx context.Context, shard string) {
 	for ctx.Err() == nil {
 		changed := r.Forwarder.Table.Changed()
 		want, rooms := r.room(shard)
@@ -148,19 +162,19 @@
 			select {
 			case <-changed:
 			case <-time.After(pollWait):
-				r.ask(ctx, work, shard, &rpc.WorkRequest{}, 0) // still alive
+				r.ask(ctx, shard, &rpc.WorkRequest{}, 0) // still alive
 			case <-ctx.Done():
 			}
 			continue
 		}
-		if r.ask(ctx, work, shard, &rpc.WorkRequest{Rooms: rooms, WaitMs: uint32(pollWait.Milliseconds())}, want) == nil {
+		if r.ask(ctx, shard, &rpc.WorkRequest{Rooms: rooms, WaitMs: uint32(pollWait.Milliseconds())}, want) == nil {
 			pause(ctx, noRoomPause)
 		}
 	}
 }
 
 // ask calls a shard's owner and begins what it hands out.
-func (r *Runner) ask(ctx, work context.Context, shard string, request *rpc.WorkRequest, want int) *rpc.WorkResponse {
+func (r *Runner) ask(ctx context.Context, shard string, request *rpc.WorkRequest, want int) *rpc.WorkResponse {
 	request.Want = uint32(want)
 	r.mu.Lock()
 	r.outstanding[shard] += want
@@ -170,7 +184,7 @@
 	r.outstanding[shard] -= want
 	r.mu.Unlock()
 	if response != nil {
-		r.take(work, shard, response)
+		r.take(ctx, shard, response)
 	}
 	return response
 }
@@ -182,7 +196,7 @@
 	callCtx, cancel := context.WithTimeout(ctx, callMost)
 	defer cancel()
 	err := r.Ledger.Call(callCtx, shard, time.Duration(request.WaitMs)*time.Millisecond, func(ctx context.Context, l rpc.Ledger) (rpc.Outcome, string, error) {
-		request.Held = r.held(shard)
+		request.Held, request.HeldTold = r.held(shard)
 		answer, err := l.Work(ctx, request)
 		if err != nil {
 			r.forgetEpoch(shard)
@@ -206,24 +220,25 @@
 	delete(r.epochs, shard)
 }
 
-// held lists what is worked on, where the owner may not know, and now and then in any case: a word of a cancelled lease may be lost.
-func (r *Runner) held(shard string) (held []*rpc.HeldLease) {
+// held lists what this gatherer holds, where the owner may not know, and now and then in any case: a grant or a cancellation may have been
+// lost on its way. told is false where it is not listed this time.
+func (r *Runner) held(shard string) (held []*rpc.HeldLease, told bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.epochs[shard] != 0 && time.Since(r.toldAt[shard]) < tellEach {
-		return nil
+		return nil, false
 	}
 	r.toldAt[shard] = time.Now()
-	for number, l := range r.leases {
-		if l.shard == shard {
-			held = append(held, &rpc.HeldLease{Job: l.lease.Job, Item: l.lease.Item.Id, Number: number})
+	for key, l := range r.leases {
+		if key.shard == shard {
+			held = append(held, &rpc.HeldLease{Job: l.lease.Job, Item: l.lease.Item.Id, Number: key.number})
 		}
 	}
-	return held
+	return held, true
 }
 
 // take begins the leases of a response and gives up what it cancels.
-func (r *Runner) take(work context.Context, shard string, response *rpc.WorkResponse) {
+func (r *Runner) take(ctx context.Context, shard string, response *rpc.WorkResponse) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.heardAt[shard] = time.Now()
@@ -233,52 +248,62 @@
 		r.epochs[shard] = response.Epoch
 	}
 	for _, number := range response.Cancelled {
-		if l := r.leases[number]; l != nil {
+		if l := r.leases[leaseKey{shard, number}]; l != nil {
 			l.cancel()
 		}
 	}
 	for _, lease := range response.Leases {
-		if r.leases[lease.Number] != nil {
+		key := leaseKey{shard, lease.Number}
+		if r.leases[key] != nil {
 			continue
 		}
-		itemCtx, cancel := context.WithCancel(work)
-		r.leases[lease.Number] = &running{shard, lease, cancel}
+		itemCtx, cancel := context.WithCancel(ctx)
+		r.leases[key] = &running{lease, cancel}
 		r.active.Add(1)
 		r.unplaced++
 		go r.workOn(itemCtx, shard, lease)
 	}
 }
 
-// workOn runs one lease and reports.
+// workOn runs one lease and has its outcome reported.
 func (r *Runner) workOn(ctx context.Context, shard string, lease *rpc.Lease) {
-	defer r.active.Done()
+	key := leaseKey{shard, lease.Number}
 	report := r.run(ctx, lease)
 	cancelled := ctx.Err() != nil
-	r.mu.Lock()
-	if l := r.leases[lease.Number]; l != nil {
-		l.cancel()
-	}
-	delete(r.leases, lease.Number)
-	queue := r.reports[shard]
-	r.mu.Unlock()
 	if report == nil || cancelled && report.Result == nil {
+		r.letGo(key)
 		return
 	}
 	report.Job, report.Item, report.Number = lease.Job, lease.Item.Id, lease.Number
 	if report.Result != nil {
 		report.Result.Item = lease.Item.Id
 	}
+	r.mu.Lock()
+	queue := r.reports[shard]
+	r.mu.Unlock()
 	select {
-	case queue <- report:
+	case queue <- outcome{key, report}:
 	default:
 		r.Log.Warn("report dropped: too many wait", "shard", shard)
+		r.letGo(key)
+	}
+}
+
+// letGo ends a lease: this gatherer holds it no longer.
+func (r *Runner) letGo(key leaseKey) {
+	r.mu.Lock()
+	if l := r.leases[key]; l != nil {
+		l.cancel()
+		delete(r.leases, key)
 	}
+	r.mu.Unlock()
+	r.active.Done()
 }
 
 // report delivers reports until each is taken, and asks for new items with them.
-func (r *Runner) report(ctx context.Context, shard string, queue chan *rpc.Report) {
+func (r *Runner) report(ctx context.Context, shard string, queue chan outcome) {
 	for {
-		var batch []*rpc.Report
+		var batch []outcome
 		select {
 		case first := <-queue:
 			batch = append(batch, first)
@@ -298,10 +323,17 @@
 	}
 }
 
-func (r *Runner) deliver(ctx context.Context, shard string, batch []*rpc.Report) {
+func (r *Runner) deliver(ctx context.Context, shard string, batch []outcome) {
+	reports := make([]*rpc.Report, 0, len(batch))
+	for _, o := range batch {
+		reports = append(reports, o.report)
+	}
 	for ctx.Err() == nil {
 		want, rooms := r.room(shard)
-		if response := r.ask(ctx, ctx, shard, &rpc.WorkRequest{Reports: batch, Rooms: rooms}, want); response != nil && response.ReportsTaken {
+		if response := r.ask(ctx, shard, &rpc.WorkRequest{Reports: reports, Rooms: rooms}, want); response != nil && response.ReportsTaken {
+			for _, o := range batch {
+				r.letGo(o.key)
+			}
 			return
 		}
 		pause(ctx, noRoomPause)
--- a/internal/system/consensus/core.go
+++ b/internal/system/consensus/core.go
@@ -27,19 +27,22 @@
 	Entries   []*rpc.Entry
 }
 
-// Ready is what a driver has to do, in this order: persist Snapshot, HardState and Entries (with one sync); send Messages; apply
+// Ready is what a driver has to do, in this order: persist HardState, Pieces, Snapshot and Entries (with one sync); send Messages; apply
 // Restore and Committed.
 type Ready struct {
 	HardState *rpc.HardState
-	Snapshot  *rpc.Snapshot // replaces the whole log
-	Entries   []*rpc.Entry  // replace whatever the log holds at and after the first of them
+	Pieces    []*rpc.SnapshotPiece // of a snapshot that is being received; number 0 begins a new one
+	Snapshot  *rpc.Snapshot        // whose pieces are all there; it replaces the whole log
+	Entries   []*rpc.Entry         // replace whatever the log holds at and after the first of them
 	Messages  []*rpc.Message
 	Restore   *rpc.Snapshot // for the state machine
 	Committed []*rpc.Entry
 }
 
 // MustSync tells whether something has to be on disk before the messages leave.
-func (r *Ready) MustSync() bool { return r.HardState != nil || r.Snapshot != nil || len(r.Entries) > 0 }
+func (r *Ready) MustSync() bool {
+	return r.HardState != nil || r.Snapshot != nil || len(r.Pieces) > 0 || len(r.Entries) > 0
+}
 
 // Empty tells whether there is nothing to do.
 func (r *Ready) Empty() bool {
@@ -73,7 +76,10 @@
 	probing     bool  // where its log ends is not known: one append at a time, until one is accepted
 	contactAt   int64 // when the newest heartbeat was sent that it has answered
 	heardAt     int64
-	snapshotAt  int64 // when a snapshot was sent that has not been answered; 0: none
+
+	snapshotIndex uint64 // of the snapshot that is sent
+	pieces        uint32 // of it that the replica holds
+	pieceAt       int64  // when the last piece was sent; 0: none
 }
 
 // Core is one replica's state. It is for one goroutine.
@@ -102,22 +108,25 @@
 	round       uint64
 	firstIndex  uint64 // of the leader's own epoch
 	elected     int64  // when it became leader
+	quietUntil  int64  // until then it helps nobody to replace a leader that it may have followed before it started
 
 	messages      []*rpc.Message
 	hardChanged   bool
 	unstableFrom  uint64 // first index that isn't persisted; 0: none
 	newSnapshot   *rpc.Snapshot
+	newPieces     []*rpc.SnapshotPiece
 	restoreNeeded *rpc.Snapshot
-	snapshotState []byte // of the newest snapshot, to send
+	snapshot      *rpc.Snapshot // the newest
+	receipt       *receipt      // of a snapshot that is being received
 }
 
 // New starts a replica with what it finds on disk. A replica that founds a group has a snapshot at index 0 with the founders.
 func New(cfg Config, stored Stored, now int64) *Core {
-	c := &Core{cfg: cfg, now: now, membership: &rpc.Membership{}, base: &rpc.Membership{}, peers: map[string]*progress{}, rounds: map[uint64]int64{}}
+	c := &Core{cfg: cfg, now: now, membership: &rpc.Membership{}, base: &rpc.Membership{}, snapshot: &rpc.Snapshot{}, peers: map[string]*progress{}, rounds: map[uint64]int64{}}
 	if stored.Snapshot != nil {
 		c.log.snapshotIndex, c.log.snapshotEpoch = stored.Snapshot.Index, stored.Snapshot.Epoch
 		c.commit, c.handedOut = stored.Snapshot.Index, stored.Snapshot.Index
-		c.snapshotState = stored.Snapshot.State
+		c.snapshot = stored.Snapshot
 		if stored.Snapshot.Membership != nil {
 			c.base = stored.Snapshot.Membership
 		}
@@ -130,9 +139,21 @@
 	c.findMembership()
 	// Whoever has just started waits less: where all replicas start together, nobody leads.
 	c.electionAt = c.now + cfg.ElectionMS/4 + cfg.Random.Int64N(cfg.ElectionMS/2)
+	if c.epoch > foundingEpoch {
+		// It may have answered a leader just before it stopped, which counts on that until its lease is over.
+		c.quietUntil = c.now + LeaseMS(cfg.ElectionMS)
+		c.electionAt = c.quietUntil + cfg.Random.Int64N(cfg.ElectionMS/4)
+	}
 	return c
 }
 
+// foundingEpoch is the epoch of a group in which nobody has led yet.
+const foundingEpoch = 1
+
+// LeaseMS is how long after its last contact with a majority a leader may answer reads. It is shorter than the shortest silence after
+// which followers let another one be elected.
+func LeaseMS(electionMS int64) int64 { return electionMS * 65 / 100 }
+
 // ID is the replica's own id.
 func (c *Core) ID() string { return c.cfg.ID }
 
@@ -175,7 +196,7 @@
 	if c.role != leader || c.commit < c.firstIndex {
 		return false
 	}
-	return now-c.quorumContact() < c.cfg.ElectionMS*8/10
+	return now-c.quorumContact() < LeaseMS(c.cfg.ElectionMS)
 }
 
 // LedSince is when this replica became leader.
@@ -234,6 +255,9 @@
 	c.role, c.leaderID, c.leaderAddress = as, "", ""
 	c.votes = map[string]bool{c.cfg.ID: true}
 	c.resetElection()
+	if as == preCandidate { // asking again costs nothing: no epoch is raised
+		c.electionAt = c.now + c.cfg.ElectionMS/2 + c.cfg.Random.Int64N(c.cfg.ElectionMS/2)
+	}
 	kind, epoch := rpc.MessageKind_PRE_VOTE, c.epoch+1
 	if as == candidate {
 		c.epoch++
@@ -338,12 +362,26 @@
 // CaughtUp tells whether a replica holds almost everything that the leader holds.
 func (c *Core) CaughtUp(id string) bool {
 	p := c.peers[id]
-	return p != nil && c.now-p.heardAt < 3*c.cfg.HeartbeatMS && p.match > c.log.snapshotIndex && p.match >= c.since && p.match+caughtUpWithin >= c.log.lastIndex()
+	return p != nil && c.now-p.heardAt < 3*c.cfg.HeartbeatMS && p.match >= c.log.snapshotIndex && p.match > 0 && p.match >= c.since && p.match+caughtUpWithin >= c.log.lastIndex()
 }
 
 // caughtUpWithin is how many entries a replica may lack to count as caught up.
 const caughtUpWithin = 8
 
+// HeldByAll tells whether each voter is known to hold on its disk all that was there when the membership last changed.
+func (c *Core) HeldByAll() bool {
+	if c.role != leader || c.since > c.commit {
+		return false
+	}
+	for _, voter := range c.membership.Voters {
+		p := c.peers[voter.Id]
+		if voter.Id != c.cfg.ID && (p == nil || p.match < c.since) {
+			return false
+		}
+	}
+	return true
+}
+
 // Reachable tells whether a replica has answered this leader lately.
 func (c *Core) Reachable(id string) bool {
 	p := c.peers[id]
--- a/internal/system/consensus/membership.go
+++ b/internal/system/consensus/membership.go
@@ -20,11 +20,15 @@
 // none to make now. A replica becomes a learner first and a voter once it is caught up. A live voter stays until its successor is admitted,
 // so that the number of copies never falls on the way; one that is gone leaves just before, since with it and its successor both the group
 // would need more live voters than it does without.
-func (c *Core) NextMembership(wanted []*rpc.Replica) *rpc.Membership {
-	if c.role != leader || c.commit < c.firstIndex || c.since > c.commit || len(wanted) == 0 {
+//
+// revision is that of the placement which wants these voters. A leader that lags behind may have been told an older one than the membership
+// was changed for already; that changes nothing any more, or it would undo a repair, or bring back a member that was emptied.
+func (c *Core) NextMembership(wanted []*rpc.Replica, revision uint64) *rpc.Membership {
+	if c.role != leader || c.commit < c.firstIndex || c.since > c.commit || len(wanted) == 0 || revision < c.membership.Revision {
 		return nil
 	}
 	current := proto.Clone(c.membership).(*rpc.Membership)
+	current.Revision = revision
 	has := func(list []*rpc.Replica, id string) bool {
 		return slices.ContainsFunc(list, func(r *rpc.Replica) bool { return r.Id == id })
 	}
--- a/internal/system/consensus/messages.go
+++ b/internal/system/consensus/messages.go
@@ -52,6 +52,12 @@
 		} else if c.role == leader {
 			c.onAppendReply(m)
 		}
+	case rpc.MessageKind_SNAPSHOT_REPLY:
+		if m.Epoch > c.epoch {
+			c.follow(m.Epoch, "", "")
+		} else if c.role == leader {
+			c.onSnapshotReply(m)
+		}
 	}
 }
 
@@ -65,7 +71,7 @@
 	}
 	current := m.LogEpoch > c.log.lastEpoch() || m.LogEpoch == c.log.lastEpoch() && m.LogIndex >= c.log.lastIndex()
 	// Whoever follows a live leader doesn't help to replace it: the leader's lease rests on that.
-	led := c.role == leader && c.now-c.quorumContact() < c.cfg.ElectionMS ||
+	led := c.now < c.quietUntil || c.role == leader && c.now-c.quorumContact() < c.cfg.ElectionMS ||
 		c.role != leader && c.leaderID != "" && c.now-c.leaderHeardAt < c.cfg.ElectionMS
 	// A replica may vote without knowing yet that it is a voter: the entry that says so may have reached only the others. Whether its vote
 	// counts is for the candidate to say.
@@ -136,27 +142,12 @@
 	c.send(reply)
 }
 
-func (c *Core) onSnapshot(m *rpc.Message) {
-	s := m.Snapshot
-	if s != nil && s.Index > c.commit {
-		c.log = log{snapshotIndex: s.Index, snapshotEpoch: s.Epoch}
-		c.commit, c.handedOut, c.unstableFrom = s.Index, s.Index, 0
-		c.newSnapshot, c.restoreNeeded, c.snapshotState = s, s, s.State
-		c.base = s.Membership
-		c.findMembership()
-	}
-	c.send(&rpc.Message{Kind: rpc.MessageKind_APPEND_REPLY, To: m.From, Epoch: c.epoch, LogIndex: c.commit, Round: m.Round})
-}
-
 func (c *Core) onAppendReply(m *rpc.Message) {
 	p := c.peers[m.From]
 	if p == nil {
 		return
 	}
-	p.heardAt = c.now
-	if sent, ok := c.rounds[m.Round]; ok {
-		p.contactAt = max(p.contactAt, sent)
-	}
+	c.heardFrom(p, m.Round)
 	p.inFlight = max(0, p.inFlight-1)
 	if m.Reject {
 		// Of appends that were sent in a row, all behind a lost one are refused: only the answer to the newest probe counts.
@@ -167,7 +158,7 @@
 		}
 		return
 	}
-	p.snapshotAt, p.probing = 0, false
+	p.probing = false
 	p.match = max(p.match, m.LogIndex)
 	p.next = max(p.next, p.match+1)
 	c.advanceCommit()
@@ -176,6 +167,14 @@
 	}
 }
 
+// heardFrom notes that a replica has answered a round of heartbeats.
+func (c *Core) heardFrom(p *progress, round uint64) {
+	p.heardAt = c.now
+	if sent, ok := c.rounds[round]; ok {
+		p.contactAt = max(p.contactAt, sent)
+	}
+}
+
 // advanceCommit finds the newest entry of its own epoch that a majority holds on disk.
 func (c *Core) advanceCommit() {
 	matches := make([]uint64, 0, len(c.membership.Voters))
@@ -239,21 +238,12 @@
 		p.next, p.inFlight, p.probing = p.match+1, 0, true
 	}
 	if p.next <= c.log.snapshotIndex {
-		if p.snapshotAt != 0 && c.now-p.snapshotAt < snapshotRetryMS {
-			if always {
-				c.sendAppend(id, c.log.snapshotIndex, nil)
-			}
-			return
+		if always {
+			c.sendAppend(id, c.log.snapshotIndex, nil)
 		}
-		if silent && p.snapshotAt != 0 {
-			if always {
-				c.sendAppend(id, c.log.snapshotIndex, nil)
-			}
-			return
+		if waited := c.now - p.pieceAt; p.pieceAt == 0 || p.snapshotIndex != c.snapshot.Index || !silent && waited >= pieceRetryMS {
+			c.sendPiece(id, p)
 		}
-		p.snapshotAt = c.now
-		c.send(&rpc.Message{Kind: rpc.MessageKind_SNAPSHOT, To: id, Epoch: c.epoch, Round: c.round,
-			Snapshot: &rpc.Snapshot{Index: c.log.snapshotIndex, Epoch: c.log.snapshotEpoch, Membership: c.base, State: c.snapshotState}})
 		return
 	}
 	for sent := false; ; sent = true {
@@ -276,9 +266,6 @@
 	}
 }
 
-// snapshotRetryMS is how long a snapshot may take before it is sent once more.
-const snapshotRetryMS = 3000
-
 func (c *Core) sendAppend(id string, before uint64, entries []*rpc.Entry) {
 	epoch, _ := c.log.epochAt(before)
 	c.send(&rpc.Message{Kind: rpc.MessageKind_APPEND, To: id, Epoch: c.epoch, LogIndex: before, LogEpoch: epoch, Commit: c.commit, Entries: entries, Round: c.round})
@@ -298,8 +285,8 @@
 		r.HardState = c.hardState()
 		c.hardChanged = false
 	}
-	r.Snapshot, r.Restore = c.newSnapshot, c.restoreNeeded
-	c.newSnapshot, c.restoreNeeded = nil, nil
+	r.Pieces, r.Snapshot, r.Restore = c.newPieces, c.newSnapshot, c.restoreNeeded
+	c.newPieces, c.newSnapshot, c.restoreNeeded = nil, nil, nil
 	if c.unstableFrom != 0 {
 		r.Entries = c.log.from(c.unstableFrom, int(^uint(0)>>1))
 		c.unstableFrom = 0
@@ -328,22 +315,3 @@
 		c.log.strip(index)
 	}
 }
-
-// Compact records that the driver has persisted a snapshot of the state after an index that was handed out.
-func (c *Core) Compact(index uint64, state []byte) *rpc.Snapshot {
-	epoch, ok := c.log.epochAt(index)
-	if !ok || index > c.handedOut || index <= c.log.snapshotIndex {
-		return nil
-	}
-	membership := c.base
-	for i := c.log.snapshotIndex + 1; i <= index; i++ {
-		if entry := c.log.entry(i); entry.Kind == rpc.EntryKind_ENTRY_MEMBERSHIP {
-			membership = decodeMembership(entry.Data, membership)
-		}
-	}
-	c.base = membership
-	c.log.compact(index, epoch)
-	c.snapshotState = state
-	c.findMembership()
-	return &rpc.Snapshot{Index: index, Epoch: epoch, Membership: membership, State: state}
-}
--- a/internal/system/consensus/model/faults.go
+++ b/internal/system/consensus/model/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 
 	"saffronquay/internal/system/rpc"
@@ -93,11 +94,19 @@
 	w.lose(m, until)
 }
 
-func encode(commands []string) []byte { return []byte(strings.Join(commands, ",")) }
+// commandsInPiece is the number of commands in one piece of a snapshot.
+const commandsInPiece = 16
 
-func decode(state []byte) []string {
-	if len(state) == 0 {
-		return nil
+func encode(commands []string) (pieces [][]byte) {
+	for some := range slices.Chunk(commands, commandsInPiece) {
+		pieces = append(pieces, []byte(strings.Join(some, ",")))
 	}
-	return strings.Split(string(state), ",")
+	return pieces
+}
+
+func decode(pieces [][]byte) (commands []string) {
+	for _, piece := range pieces {
+		commands = append(commands, strings.Split(string(piece), ",")...)
+	}
+	return commands
 }
--- a/internal/system/consensus/model/model.go
+++ b/internal/system/consensus/model/model.go
@@ -9,6 +9,8 @@
 	"math/rand/v2"
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
+
 	"saffronquay/internal/system/consensus"
 	"saffronquay/internal/system/placement"
 	"saffronquay/internal/system/rpc"
@@ -45,8 +47,8 @@
 
 // Report is what came of it.
 type Report struct {
-	Acknowledged, Elections, Crashes, Wipes, Swaps, Reads int
-	Unfinished                                            bool // no command was acknowledged at the end, with all machines well
+	Acknowledged, Elections, Crashes, Wipes, Swaps, Reads, Snapshots int
+	Unfinished                                                       bool // no command was acknowledged at the end, with all machines well
 }
 
 // Violation says which promise was broken.
@@ -82,6 +84,8 @@
 type disk struct {
 	hard     *rpc.HardState
 	snapshot *rpc.Snapshot
+	pieces   [][]byte // of the snapshot
+	received [][]byte // pieces of a snapshot that is being received
 	entries  []*rpc.Entry
 }
 
@@ -166,8 +170,9 @@
 	if n := len(stored.Entries); w.options.Bug == ForgetEntries && m.lives > 0 && n > 0 {
 		stored.Entries = stored.Entries[:n/2]
 	}
+	m.disk.received = nil
 	m.core = consensus.New(consensus.Config{Group: "g", ID: m.id, Address: m.name, ElectionMS: electionMS, HeartbeatMS: heartbeatMS, Random: w.random}, stored, w.now)
-	m.applied, m.appliedN = decode(stored.Snapshot.State), stored.Snapshot.Index
+	m.applied, m.appliedN = decode(m.disk.pieces), stored.Snapshot.Index
 	m.up, m.inbox, m.leads = true, nil, 0
 	m.lives++
 	w.trace("start %s log %d..%d hard %v", m.id, stored.Snapshot.Index, stored.Snapshot.Index+uint64(len(stored.Entries)), stored.HardState)
@@ -200,7 +205,7 @@
 	m.inbox = nil
 	m.core.Tick(w.now)
 	if m.core.IsLeader() {
-		if next := m.core.NextMembership(w.wanted); next != nil {
+		if next := m.core.NextMembership(w.wanted, uint64(w.report.Swaps)); next != nil {
 			w.trace("%s changes the members to %v", m.id, next)
 			m.core.ProposeMembership(next)
 		}
@@ -240,7 +245,8 @@
 func (w *world) carryOut(m *machine, r *consensus.Ready) bool {
 	crash := w.now < w.options.Length-quietMS && w.mayLose(m) && w.random.IntN(4000) == 0
 	if w.options.Bug == SendBeforeSync {
-		m.synced = disk{m.disk.hard, m.disk.snapshot, slices.Clone(m.disk.entries)}
+		m.synced = m.disk
+		m.synced.entries = slices.Clone(m.disk.entries)
 		w.send(m, r.Messages)
 	}
 	if crash && w.random.IntN(2) == 0 {
@@ -259,8 +265,11 @@
 }
 
 func persist(d *disk, r *consensus.Ready, bug Bug) {
+	for _, piece := range r.Pieces {
+		d.received = append(slices.Clone(d.received[:piece.Number]), piece.Data)
+	}
 	if r.Snapshot != nil && bug != ApplyUnstored {
-		d.snapshot, d.entries = r.Snapshot, nil
+		d.snapshot, d.pieces, d.entries = r.Snapshot, d.received, nil
 	}
 	if r.HardState != nil {
 		d.hard = r.HardState
@@ -280,6 +289,12 @@
 
 func (w *world) send(m *machine, messages []*rpc.Message) {
 	for _, message := range messages {
+		if number := message.GetPiece().GetNumber(); message.Piece != nil {
+			if int(number) >= len(m.disk.pieces) {
+				continue
+			}
+			message.Piece = &rpc.SnapshotPiece{Number: number, Data: m.disk.pieces[number]}
+		}
 		to := w.holder(message.To)
 		if to == nil || w.now < w.cut[[2]string{m.name, to.name}] || w.random.IntN(40) == 0 {
 			continue
@@ -324,7 +339,8 @@
 
 func (w *world) apply(m *machine, r *consensus.Ready) error {
 	if r.Restore != nil {
-		m.applied, m.appliedN = decode(r.Restore.State), r.Restore.Index
+		w.report.Snapshots++
+		m.applied, m.appliedN = decode(m.disk.received), r.Restore.Index
 	}
 	for _, entry := range r.Committed {
 		if entry.Index != m.appliedN+1 {
@@ -344,15 +360,29 @@
 			}
 		}
 	}
-	if m.core.LogLength() > compactAt && len(r.Committed) > 0 {
-		if s := m.core.Compact(m.appliedN, encode(m.applied)); s != nil {
-			m.disk.snapshot = s
-			m.disk.entries = slices.DeleteFunc(slices.Clone(m.disk.entries), func(e *rpc.Entry) bool { return e.Index <= s.Index })
-		}
+	if length := m.core.LogLength(); length > compactAt && len(r.Committed) > 0 && (length > 3*compactAt || !m.core.Sending() && !m.core.Behind(m.appliedN)) {
+		m.compact()
 	}
 	return nil
 }
 
+// compact replaces the log by a snapshot.
+func (m *machine) compact() {
+	s := m.core.PrepareSnapshot(m.appliedN)
+	if s == nil {
+		return
+	}
+	pieces := encode(m.applied)
+	digest := xxhash.New()
+	for _, piece := range pieces {
+		digest.Write(piece)
+	}
+	s.Pieces, s.Checksum = uint32(len(pieces)), digest.Sum64()
+	m.disk.snapshot, m.disk.pieces = s, pieces
+	m.disk.entries = slices.DeleteFunc(slices.Clone(m.disk.entries), func(e *rpc.Entry) bool { return e.Index <= s.Index })
+	m.core.Compact(s)
+}
+
 // observe checks what a machine's leadership and reads promise.
 func (w *world) observe(m *machine) error {
 	if !m.core.IsLeader() {
--- a/internal/system/consensus/model/proof_test.go
+++ b/internal/system/consensus/model/proof_test.go
@@ -10,7 +10,7 @@
 const length = 40_000 // ms of virtual time
 
 // first is a history that shows each bug soon: the search begins there, so that it doesn't take minutes.
-var first = map[Bug]uint64{KeepIdentity: 146, FoundTwice: 152, TrustLease: 68}
+var first = map[Bug]uint64{KeepIdentity: 200, FoundTwice: 273, TrustLease: 80}
 
 func seeds() uint64 {
 	if os.Getenv("SAFFRONQUAY_LONG") != "" {
@@ -39,6 +39,7 @@
 		total.Wipes += report.Wipes
 		total.Swaps += report.Swaps
 		total.Reads += report.Reads
+		total.Snapshots += report.Snapshots
 		if report.Unfinished {
 			t.Logf("seed %d: no leader at the end", seed)
 			unfinished++
@@ -53,10 +54,10 @@
 			t.Errorf("not noticed: %s", bug)
 		}
 	}
-	t.Logf("proof: seeds=%d acknowledged=%d elections=%d crashes=%d wipes=%d swaps=%d reads=%d lost=0 unfinished=%d bugs_caught=%d/%d", seeds(),
-		total.Acknowledged, total.Elections, total.Crashes, total.Wipes, total.Swaps, total.Reads, unfinished, caught, len(Bugs))
+	t.Logf("proof: seeds=%d acknowledged=%d elections=%d crashes=%d wipes=%d swaps=%d reads=%d snapshots_installed=%d lost=0 unfinished=%d bugs_caught=%d/%d", seeds(),
+		total.Acknowledged, total.Elections, total.Crashes, total.Wipes, total.Swaps, total.Reads, total.Snapshots, unfinished, caught, len(Bugs))
 	is.Equal(unfinished, 0)
-	is.True(total.Wipes > 0 && total.Swaps > 0 && total.Reads > 0)
+	is.True(total.Wipes > 0 && total.Swaps > 0 && total.Reads > 0 && total.Snapshots > 0)
 }
 
 // hunt plays with a seeded bug until it is noticed.
--- a/internal/system/directory/directory.go
+++ b/internal/system/directory/directory.go
@@ -3,24 +3,32 @@
 package directory
 
 import (
-	"bytes"
+	"bufio"
 	"crypto/sha256"
 	"encoding/binary"
+	"errors"
+	"io"
+	"maps"
 	"sync"
 
 	"google.golang.org/protobuf/proto"
 
 	"saffronquay/internal/system/configuration"
 	"saffronquay/internal/system/feed"
+	"saffronquay/internal/system/replica"
 	"saffronquay/internal/system/rpc"
 )
 
 // Shard is the name of the shard and of its group.
 const Shard = "directory"
 
-// takenMost is the number of taken configurations that are known again when they are sent once more.
+// takenMost is the number of taken configurations that are known again when they are sent once more. Of older ones nobody can say whether they
+// were taken: such an order is neither acknowledged nor refused.
 const takenMost = 8192
 
+// takenInRecord is the number of taken configurations in one record of a snapshot.
+const takenInRecord = 1024
+
 // Directory is the state. Apply, Snapshot and Restore are for the replica's goroutine; the rest may be called by any.
 type Directory struct {
 	feed *feed.Table
@@ -29,7 +37,9 @@
 	version       uint64
 	configuration []byte
 	table         *configuration.Table
-	taken         []*rpc.TakenConfiguration
+	taken         []*rpc.TakenConfiguration // in order
+	known         map[string]bool           // digests of taken
+	forgotten     uint64                    // the highest version that was taken and is no longer in taken
 	models        map[string]uint64
 	placements    map[string]*rpc.Placement
 	retirements   map[string]bool // machine: completed
@@ -38,7 +48,7 @@
 
 // New returns an empty directory that publishes its changes.
 func New(table *feed.Table) *Directory {
-	return &Directory{feed: table, models: map[string]uint64{}, placements: map[string]*rpc.Placement{}, retirements: map[string]bool{}, policies: map[string]bool{},
+	return &Directory{feed: table, known: map[string]bool{}, models: map[string]uint64{}, placements: map[string]*rpc.Placement{}, retirements: map[string]bool{}, policies: map[string]bool{},
 		table: configuration.NewTable(&configuration.Document{})}
 }
 
@@ -62,7 +72,7 @@
 	var event *rpc.FeedEvent
 	if proto.Unmarshal(command, c) == nil {
 		d.mu.Lock()
-		result, event = d.apply(c)
+		result, event = d.apply(index, c)
 		d.mu.Unlock()
 	}
 	if event != nil {
@@ -74,7 +84,7 @@
 	return encoded
 }
 
-func (d *Directory) apply(c *rpc.DirectoryCommand) (*rpc.DirectoryResult, *rpc.FeedEvent) {
+func (d *Directory) apply(index uint64, c *rpc.DirectoryCommand) (*rpc.DirectoryResult, *rpc.FeedEvent) {
 	done := &rpc.DirectoryResult{}
 	switch x := c.Command.(type) {
 	case *rpc.DirectoryCommand_Replace:
@@ -86,6 +96,7 @@
 		d.models[x.NameVersion.Model] = x.NameVersion.Version
 		return done, &rpc.FeedEvent{Event: &rpc.FeedEvent_Version{Version: x.NameVersion}}
 	case *rpc.DirectoryCommand_Place:
+		x.Place.Revision = index
 		d.placements[x.Place.Group] = x.Place
 		return done, &rpc.FeedEvent{Event: &rpc.FeedEvent_Placement{Placement: x.Place}}
 	case *rpc.DirectoryCommand_Retire:
@@ -105,10 +116,11 @@
 
 // replace takes a configuration where it builds on the current one. One that was taken before is acknowledged once more.
 func (d *Directory) replace(r *rpc.ReplaceConfiguration) (*rpc.DirectoryResult, *rpc.FeedEvent) {
-	for _, taken := range d.taken {
-		if taken.Version == r.Version && bytes.Equal(taken.Digest, r.Digest) {
-			return &rpc.DirectoryResult{}, nil
-		}
+	switch {
+	case d.known[string(r.Digest)]:
+		return &rpc.DirectoryResult{}, nil
+	case r.Version <= d.forgotten:
+		return &rpc.DirectoryResult{Status: rpc.DirectoryStatus_DIRECTORY_UNCERTAIN, Message: "an order of that version may have been taken long ago"}, nil
 	}
 	if r.Base != d.version {
 		return &rpc.DirectoryResult{Status: rpc.DirectoryStatus_DIRECTORY_CONFLICT, Message: "another version is current"}, nil
@@ -129,49 +141,104 @@
 		return &rpc.DirectoryResult{Status: rpc.DirectoryStatus_DIRECTORY_INVALID, Message: "version: is not above the current one"}, nil
 	}
 	d.version, d.configuration, d.table = document.Version, body, configuration.NewTable(document)
-	d.taken = append(d.taken, &rpc.TakenConfiguration{Version: r.Version, Digest: r.Digest})
-	if len(d.taken) > takenMost {
-		d.taken = append([]*rpc.TakenConfiguration(nil), d.taken[len(d.taken)-takenMost/2:]...)
-	}
+	d.remember(&rpc.TakenConfiguration{Version: r.Version, Digest: r.Digest})
 	return &rpc.DirectoryResult{}, &rpc.FeedEvent{Event: &rpc.FeedEvent_Configuration{Configuration: &rpc.ConfigurationEvent{Version: d.version, Body: body}}}
 }
 
+// remember notes what was taken, and forgets the older half once there is too much.
+func (d *Directory) remember(taken *rpc.TakenConfiguration) {
+	d.taken = append(d.taken, taken)
+	d.known[string(taken.Digest)] = true
+	if len(d.taken) <= takenMost {
+		return
+	}
+	old := d.taken[:len(d.taken)-takenMost/2]
+	d.taken = append([]*rpc.TakenConfiguration(nil), d.taken[len(old):]...)
+	for _, t := range old {
+		delete(d.known, string(t.Digest))
+		d.forgotten = max(d.forgotten, t.Version)
+	}
+}
+
 // Snapshot implements replica.StateMachine.
-func (d *Directory) Snapshot() ([]byte, error) {
+func (d *Directory) Snapshot() (next func() proto.Message) {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
-	s := &rpc.DirectorySnapshot{Version: d.version, Configuration: d.configuration, Taken: d.taken, Models: d.models}
+	first := &rpc.DirectorySnapshot{Version: d.version, Configuration: d.configuration, Models: maps.Clone(d.models), Forgotten: d.forgotten}
 	for _, p := range d.placements {
-		s.Placements = append(s.Placements, p)
+		first.Placements = append(first.Placements, p)
 	}
 	for node, completed := range d.retirements {
-		s.Retirements = append(s.Retirements, &rpc.RetireState{Node: node, Completed: completed})
+		first.Retirements = append(first.Retirements, &rpc.Retirement{Node: node, Completed: completed})
 	}
 	for model, single := range d.policies {
-		s.Policies = append(s.Policies, &rpc.ModelPolicy{Model: model, SingleVersion: single})
+		first.Policies = append(first.Policies, &rpc.ModelPolicy{Model: model, SingleVersion: single})
+	}
+	taken := d.taken // it is only ever appended to, or replaced
+	return func() proto.Message {
+		if first != nil {
+			record := first
+			first = nil
+			return record
+		}
+		if len(taken) == 0 {
+			return nil
+		}
+		some := taken[:min(len(taken), takenInRecord)]
+		taken = taken[len(some):]
+		return &rpc.DirectorySnapshot{Taken: some}
 	}
-	return proto.Marshal(s)
 }
 
 // Restore implements replica.StateMachine.
-func (d *Directory) Restore(index uint64, state []byte) error {
-	s := &rpc.DirectorySnapshot{}
-	if err := proto.Unmarshal(state, s); err != nil {
+func (d *Directory) Restore(index uint64, state *bufio.Reader) error {
+	s, err := readSnapshot(state)
+	if err != nil {
 		return err
 	}
-	document, err := &configuration.Document{}, error(nil)
+	document := &configuration.Document{}
 	if len(s.Configuration) > 0 {
 		if document, err = configuration.Parse(s.Configuration); err != nil {
 			return err
 		}
 	}
 	d.mu.Lock()
-	d.version, d.configuration, d.table, d.taken = s.Version, s.Configuration, configuration.NewTable(document), s.Taken
-	d.models = map[string]uint64{}
-	for model, version := range s.Models {
-		d.models[model] = version
+	d.set(s, document)
+	events := d.events()
+	d.mu.Unlock()
+	d.feed.Replace(Shard, index, events)
+	return nil
+}
+
+// readSnapshot joins the records of a snapshot. There are none in the one that a group is founded with.
+func readSnapshot(state *bufio.Reader) (*rpc.DirectorySnapshot, error) {
+	whole := &rpc.DirectorySnapshot{}
+	for first := true; ; first = false {
+		record := &rpc.DirectorySnapshot{}
+		err := replica.ReadRecord(state, record)
+		switch {
+		case errors.Is(err, io.EOF):
+			return whole, nil
+		case err != nil:
+			return nil, err
+		case first:
+			whole = record
+		default:
+			whole.Taken = append(whole.Taken, record.Taken...)
+		}
+	}
+}
+
+// set replaces the state.
+func (d *Directory) set(s *rpc.DirectorySnapshot, document *configuration.Document) {
+	d.version, d.configuration, d.table = s.Version, s.Configuration, configuration.NewTable(document)
+	d.taken, d.forgotten, d.known = s.Taken, s.Forgotten, make(map[string]bool, len(s.Taken))
+	for _, t := range s.Taken {
+		d.known[string(t.Digest)] = true
 	}
-	d.placements, d.retirements, d.policies = map[string]*rpc.Placement{}, map[string]bool{}, map[string]bool{}
+	d.models, d.placements = map[string]uint64{}, map[string]*rpc.Placement{}
+	maps.Copy(d.models, s.Models)
+	d.retirements, d.policies = map[string]bool{}, map[string]bool{}
 	for _, p := range s.Policies {
 		d.policies[p.Model] = p.SingleVersion
 	}
@@ -181,10 +248,6 @@
 	for _, r := range s.Retirements {
 		d.retirements[r.Node] = r.Completed
 	}
-	events := d.events()
-	d.mu.Unlock()
-	d.feed.Replace(Shard, index, events)
-	return nil
 }
 
 func (d *Directory) events() (events []*rpc.FeedEvent) {
--- a/internal/system/directory/directory_test.go
+++ b/internal/system/directory/directory_test.go
@@ -1,6 +1,8 @@
 package directory
 
 import (
+	"bufio"
+	"bytes"
 	"fmt"
 	"testing"
 
@@ -65,10 +67,10 @@
 	b.apply(&rpc.DirectoryCommand{Command: &rpc.DirectoryCommand_NameVersion{NameVersion: &rpc.NameVersion{Model: "m", Version: 4}}})
 	b.apply(&rpc.DirectoryCommand{Command: &rpc.DirectoryCommand_NameVersion{NameVersion: &rpc.NameVersion{Model: "m", Version: 2}}}) // late: no step back
 	b.apply(&rpc.DirectoryCommand{Command: &rpc.DirectoryCommand_Place{Place: &rpc.Placement{Group: "g", Replicas: []*rpc.Replica{{Id: "a"}}}}})
-	b.apply(&rpc.DirectoryCommand{Command: &rpc.DirectoryCommand_Retire{Retire: &rpc.RetireState{Node: "n", Completed: true}}})
-	b.apply(&rpc.DirectoryCommand{Command: &rpc.DirectoryCommand_Retire{Retire: &rpc.RetireState{Node: "n"}}}) // sent again
+	b.apply(&rpc.DirectoryCommand{Command: &rpc.DirectoryCommand_Retire{Retire: &rpc.Retirement{Node: "n", Completed: true}}})
+	b.apply(&rpc.DirectoryCommand{Command: &rpc.DirectoryCommand_Retire{Retire: &rpc.Retirement{Node: "n"}}}) // sent again
 	b.apply(&rpc.DirectoryCommand{Command: &rpc.DirectoryCommand_Policy{Policy: &rpc.ModelPolicy{Model: "m", SingleVersion: true}}})
-	state, err := b.Snapshot()
+	state, err := replica.EncodeState(b.Snapshot())
 	is.NoErr(err)
 	c := newBench()
 	is.NoErr(c.Restore(b.index, state))
@@ -79,3 +81,35 @@
 	is.True(single && known)
 	is.Equal(c.replace(0, 3, text(3, "s")), rpc.DirectoryStatus_DIRECTORY_OK)
 }
+
+// Of what was taken so long ago that nobody remembers it cannot be said whether it was taken: it is neither acknowledged nor refused. What is
+// still remembered is acknowledged, also after a restore.
+func TestForgottenOrders(t *testing.T) {
+	is := is.New(t)
+	b := newBench()
+	for version := uint64(1); version <= takenMost+1; version++ {
+		is.Equal(b.replace(version-1, version, text(version, "s")), rpc.DirectoryStatus_DIRECTORY_OK)
+	}
+	state, err := replica.EncodeState(b.Snapshot())
+	is.NoErr(err)
+	restored := newBench()
+	is.NoErr(restored.Restore(b.index, state))
+	for _, d := range []*bench{b, restored} {
+		is.Equal(len(d.taken), takenMost/2)
+		is.Equal(len(d.known), takenMost/2)
+		is.Equal(d.replace(0, 1, text(1, "s")), rpc.DirectoryStatus_DIRECTORY_UNCERTAIN)
+		is.Equal(d.replace(takenMost, takenMost+1, text(takenMost+1, "s")), rpc.DirectoryStatus_DIRECTORY_OK)
+		is.Equal(d.replace(takenMost, takenMost+2, text(takenMost+2, "s")), rpc.DirectoryStatus_DIRECTORY_CONFLICT)
+	}
+}
+
+// A member that joins is sent the snapshot that the group was founded with, whose state is empty.
+func TestRestoreOfTheFoundingSnapshot(t *testing.T) {
+	is := is.New(t)
+	b := newBench()
+	is.NoErr(b.Restore(1, bufio.NewReader(bytes.NewReader(nil))))
+	b.index = 1
+	is.Equal(b.replace(0, 3, text(3, "s")), rpc.DirectoryStatus_DIRECTORY_OK)
+	is.NoErr(b.Restore(1, bufio.NewReader(bytes.NewReader(nil))))
+	is.Equal(b.Table().Version, uint64(0))
+}
--- a/internal/system/ledger/job_test.go
+++ b/internal/system/ledger/job_test.go
@@ -1,12 +1,15 @@
 package ledger
 
 import (
+	"bufio"
+	"bytes"
 	"strings"
 	"testing"
 
 	"github.com/mailru/easyjson"
 	"github.com/matryer/is"
 
+	"saffronquay/internal/system/replica"
 	"saffronquay/internal/system/rpc"
 )
 
@@ -54,3 +57,34 @@
 	has["ledger-0"] = true
 	is.Equal(ShardsIn(func(g string) bool { return has[g] }), 2)
 }
+
+// A restored ledger holds all jobs, items and results, each at its position, also those that take several records; the snapshot that a group
+// was founded with holds none.
+func TestSnapshotOfLongJobs(t *testing.T) {
+	is := is.New(t)
+	l := New(nil)
+	create := newCreate("long", 50, 4, 50, 9000)
+	l.apply(&rpc.LedgerCommand{Command: &rpc.LedgerCommand_Create{Create: create}})
+	l.apply(&rpc.LedgerCommand{Command: &rpc.LedgerCommand_Create{Create: newCreate("ended", 2, 1, 2, 9000)}})
+	for _, item := range create.Items[:150] {
+		l.apply(&rpc.LedgerCommand{Command: &rpc.LedgerCommand_Append{Append: &rpc.AppendResults{Job: "long", Results: []*rpc.Result{{Item: item.Id, Completed: true}}}}})
+	}
+	l.apply(&rpc.LedgerCommand{Command: &rpc.LedgerCommand_End{End: &rpc.EndJob{Job: "ended"}}})
+	next := l.Snapshot()
+	l.apply(&rpc.LedgerCommand{Command: &rpc.LedgerCommand_Append{Append: &rpc.AppendResults{Job: "long", Results: []*rpc.Result{{Item: create.Items[150].Id}}}}})
+	state, err := replica.EncodeState(next)
+	is.NoErr(err)
+	again := New(nil)
+	is.NoErr(again.Restore(9, state))
+	total, _, _, found := again.Read("long", 0)
+	is.True(found && total == 200)
+	is.Equal(len(again.jobs["long"].results), 150) // as it stood when the snapshot was begun
+	for i, r := range again.jobs["long"].results {
+		is.Equal(r.Item, create.Items[i].Id)
+	}
+	body, found := again.Body("long", create.Items[199].Id)
+	is.True(found && len(body) == 0)
+	is.True(again.jobs["ended"].ended)
+	is.NoErr(again.Restore(1, bufio.NewReader(bytes.NewReader(nil))))
+	is.Equal(len(again.jobs), 0)
+}
--- a/internal/system/ledger/ledger.go
+++ b/internal/system/ledger/ledger.go
@@ -1,10 +1,14 @@
 package ledger
 
 import (
+	"bufio"
+	"errors"
+	"io"
 	"sync"
 
 	"google.golang.org/protobuf/proto"
 
+	"saffronquay/internal/system/replica"
 	"saffronquay/internal/system/rpc"
 )
 
@@ -126,38 +130,80 @@
 	return items
 }
 
-// Snapshot implements replica.StateMachine.
-func (l *Ledger) Snapshot() ([]byte, error) {
+// partsInRecord is the number of items, and of results, in one record of a snapshot.
+const partsInRecord = 64
+
+// Snapshot implements replica.StateMachine. Jobs, items and results never change once they are there, so it copies only where they are.
+func (l *Ledger) Snapshot() (next func() proto.Message) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	s := &rpc.LedgerSnapshot{}
+	var records []*rpc.StoredJob
 	for _, j := range l.jobs {
-		s.Jobs = append(s.Jobs, &rpc.StoredJob{Job: j.create, Results: j.results, Ended: j.ended})
+		records = append(records, storedParts(j)...)
+	}
+	return func() proto.Message {
+		if len(records) == 0 {
+			return nil
+		}
+		record := records[0]
+		records = records[1:]
+		return record
+	}
+}
+
+// storedParts are the records of a job.
+func storedParts(j *job) (records []*rpc.StoredJob) {
+	head := &rpc.CreateJob{Id: j.create.Id, Host: j.create.Host, Path: j.create.Path, Model: j.create.Model, MinVersion: j.create.MinVersion,
+		Step: j.create.Step, Desired: j.create.Desired, SentUnixMs: j.create.SentUnixMs, DeadlineMs: j.create.DeadlineMs, MaxQueueMs: j.create.MaxQueueMs,
+		MaxAttempts: j.create.MaxAttempts, SingleVersion: j.create.SingleVersion, Priority: j.create.Priority, GiveUpMs: j.create.GiveUpMs}
+	items, results := j.create.Items, j.results
+	for {
+		some := items[:min(len(items), partsInRecord)]
+		listed := results[:min(len(results), partsInRecord)]
+		items, results = items[len(some):], results[len(listed):]
+		head.Items = some
+		records = append(records, &rpc.StoredJob{Job: head, Results: listed, Ended: j.ended, Continued: len(records) > 0})
+		if len(items) == 0 && len(results) == 0 {
+			return records
+		}
+		head = &rpc.CreateJob{Id: j.create.Id}
 	}
-	return proto.Marshal(s)
 }
 
 // Restore implements replica.StateMachine.
-func (l *Ledger) Restore(_ uint64, state []byte) error {
-	s := &rpc.LedgerSnapshot{}
-	if err := proto.Unmarshal(state, s); err != nil {
-		return err
+func (l *Ledger) Restore(_ uint64, state *bufio.Reader) error {
+	stored := map[string]*rpc.StoredJob{}
+	for {
+		record := &rpc.StoredJob{}
+		err := replica.ReadRecord(state, record)
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			return err
+		}
+		if whole := stored[record.Job.GetId()]; record.Continued && whole != nil {
+			whole.Job.Items = append(whole.Job.Items, record.Job.Items...)
+			whole.Results = append(whole.Results, record.Results...)
+			continue
+		}
+		stored[record.Job.GetId()] = record
 	}
 	l.mu.Lock()
 	for _, j := range l.jobs {
 		j.signal()
 	}
 	l.jobs = map[string]*job{}
-	for _, stored := range s.Jobs {
-		j := newJob(stored.Job)
-		j.results = stored.Results
-		if stored.Ended {
+	for id, s := range stored {
+		j := newJob(s.Job)
+		j.results = s.Results
+		if s.Ended {
 			j.end()
 		}
-		for _, r := range stored.Results {
+		for _, r := range s.Results {
 			j.settled[r.Item] = true
 		}
-		l.jobs[stored.Job.Id] = j
+		l.jobs[id] = j
 	}
 	l.mu.Unlock()
 	if l.changed != nil {
--- a/internal/system/ledger/scheduler.go
+++ b/internal/system/ledger/scheduler.go
@@ -27,6 +27,9 @@
 	gathererLostMS = 1500
 	// adoptMS is how long a new owner waits for gatherers to say what they work on before it hands anything out.
 	adoptMS = 500
+	// lostGrantMS is how long ago a lease must have been handed out for a gatherer that doesn't list it to count as not having got it. It is
+	// longer than the answer of a call and the next call together can be on their way.
+	lostGrantMS = 2500
 	// spareShare is the part of the wanted groups that is begun beyond them, since some take long.
 	spareShare = 8
 )
@@ -192,12 +195,26 @@
 	g.seenAt = now
 }
 
-// Adopt compares what a gatherer works on with what it has leases for. It may go on with what nobody else has, as after a change of the
-// owner; the rest is to be cancelled.
-func (s *Scheduler) Adopt(name string, held []*rpc.HeldLease) {
+// Adopt compares what a gatherer says it holds with what it has leases for. It may go on with what nobody else has, as after a change of
+// the owner; the rest is to be cancelled. Leases that it doesn't list were lost on their way to it and are taken back; freed tells whether
+// there were any.
+func (s *Scheduler) Adopt(now int64, name string, held []*rpc.HeldLease) (freed bool) {
 	g := s.gatherers[name]
+	if g == nil {
+		return false
+	}
+	listed := make(map[uint64]bool, len(held))
+	for _, h := range held {
+		listed[h.Number] = true
+	}
+	for number := range g.numbers {
+		if x := s.leases[number]; x != nil && !listed[number] && now-x.leasedAt > lostGrantMS {
+			s.drop(x)
+			freed = true
+		}
+	}
 	for _, h := range held {
-		if g == nil || g.numbers[h.Number] {
+		if g.numbers[h.Number] {
 			continue
 		}
 		j := s.jobs[h.Job]
@@ -212,6 +229,7 @@
 		s.grant(x, name, h.Number)
 		x.leasedAt = g.seenAt
 	}
+	return freed
 }
 
 func (s *Scheduler) grant(x *itemState, name string, number uint64) {
--- a/internal/system/ledger/scheduler_test.go
+++ b/internal/system/ledger/scheduler_test.go
@@ -94,16 +94,34 @@
 	create := newCreate("j", 2, 1, 2, 9000)
 	s := NewScheduler(2, 0, 1000, []Stored{{Job: create, Settled: map[string]bool{create.Items[0].Id: true}}, {Job: newCreate("ended", 1, 1, 1, 9000), Ended: true}})
 	s.Heard(1, "g")
-	s.Adopt("g", []*rpc.HeldLease{{Job: "j", Item: create.Items[0].Id, Number: 11}, {Job: "j", Item: create.Items[1].Id, Number: 12}, {Job: "ended", Item: "x", Number: 13}})
+	s.Adopt(1, "g", []*rpc.HeldLease{{Job: "j", Item: create.Items[0].Id, Number: 11}, {Job: "j", Item: create.Items[1].Id, Number: 12}, {Job: "ended", Item: "x", Number: 13}})
 	is.Equal(s.Cancelled("g"), []uint64{11, 13})
 	s.Tick(adoptMS)
 	is.Equal(len(s.Take(adoptMS, "g", 5, room(5))), 0) // the only open item is adopted
 	s.Close("j")
 	is.Equal(s.Cancelled("g"), []uint64{12})
-	s.Adopt("g", []*rpc.HeldLease{{Job: "j", Item: create.Items[1].Id, Number: 12}}) // the answer was lost
+	s.Adopt(adoptMS, "g", []*rpc.HeldLease{{Job: "j", Item: create.Items[1].Id, Number: 12}}) // the answer was lost
 	is.Equal(s.Cancelled("g"), []uint64{12})
 }
 
+// A lease whose grant was lost on its way is taken back once the gatherer has not listed it for long enough, and not before: the grant may
+// still arrive.
+func TestLostGrant(t *testing.T) {
+	is := is.New(t)
+	s := begun(newCreate("j", 2, 1, 2, 90_000))
+	leases := s.Take(adoptMS, "g", 2, room(2))
+	is.Equal(len(leases), 2)
+	kept := []*rpc.HeldLease{{Job: "j", Item: leases[0].Item.Id, Number: leases[0].Number}}
+	s.Heard(adoptMS+lostGrantMS, "g")
+	is.True(!s.Adopt(adoptMS+lostGrantMS, "g", kept))
+	is.Equal(len(s.Take(adoptMS+lostGrantMS, "g", 2, room(2))), 0)
+	is.True(s.Adopt(adoptMS+lostGrantMS+1, "g", kept))
+	again := s.Take(adoptMS+lostGrantMS+1, "g", 2, room(2))
+	is.Equal(len(again), 1)
+	is.Equal(again[0].Item.Id, leases[1].Item.Id)
+	is.Equal(s.Cancelled("g"), nil) // the other one goes on
+}
+
 // An item that fails too often is abandoned, one whose time is over too.
 func TestAbandoned(t *testing.T) {
 	is := is.New(t)
@@ -154,7 +172,7 @@
 		for _, lease := range held[name] {
 			told = append(told, &rpc.HeldLease{Job: "j", Item: lease.Item.Id, Number: lease.Number})
 		}
-		s.Adopt(name, told)
+		s.Adopt(now, name, told)
 		for _, number := range s.Cancelled(name) {
 			for i, lease := range held[name] {
 				if lease.Number == number {
--- a/internal/system/ledger/service.go
+++ b/internal/system/ledger/service.go
@@ -258,7 +258,9 @@
 	sh.mu.Lock()
 	scheduler := sh.schedule(epoch)
 	scheduler.Heard(now(), r.Gatherer)
-	scheduler.Adopt(r.Gatherer, r.Held)
+	if r.HeldTold && scheduler.Adopt(now(), r.Gatherer, r.Held) {
+		sh.signal()
+	}
 	for _, report := range r.Reports {
 		if result := scheduler.Report(now(), report); result != nil {
 			byJob[report.Job] = append(byJob[report.Job], result)
--- a/internal/system/registry/registry.go
+++ b/internal/system/registry/registry.go
@@ -3,13 +3,18 @@
 package registry
 
 import (
+	"bufio"
+	"errors"
 	"fmt"
 	"hash/fnv"
+	"io"
+	"slices"
 	"sync"
 
 	"google.golang.org/protobuf/proto"
 
 	"saffronquay/internal/system/feed"
+	"saffronquay/internal/system/replica"
 	"saffronquay/internal/system/rpc"
 )
 
@@ -140,31 +145,54 @@
 	return &rpc.FeedEvent{Event: &rpc.FeedEvent_Instance{Instance: i}}
 }
 
+// inRecord is the number of workers in one record of a snapshot.
+const inRecord = 256
+
 // Snapshot implements replica.StateMachine.
-func (r *Registry) Snapshot() ([]byte, error) {
+func (r *Registry) Snapshot() (next func() proto.Message) {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
-	s := &rpc.RegistrySnapshot{Gone: r.goneOrder, Holder: r.holder}
-	for _, i := range r.instances {
-		s.Instances = append(s.Instances, i)
+	gone, holder := slices.Clone(r.goneOrder), r.holder
+	instances := make([]*rpc.Instance, 0, len(r.instances))
+	for _, i := range r.instances { // an instance is replaced, never changed
+		instances = append(instances, i)
+	}
+	ended := false
+	return func() proto.Message {
+		if ended {
+			return nil
+		}
+		some := instances[:min(len(instances), inRecord)]
+		instances = instances[len(some):]
+		if ended = len(instances) == 0; !ended {
+			return &rpc.RegistrySnapshot{Instances: some}
+		}
+		return &rpc.RegistrySnapshot{Instances: some, Gone: gone, Holder: holder}
 	}
-	return proto.Marshal(s)
 }
 
 // Restore implements replica.StateMachine.
-func (r *Registry) Restore(index uint64, state []byte) error {
-	s := &rpc.RegistrySnapshot{}
-	if err := proto.Unmarshal(state, s); err != nil {
-		return err
+func (r *Registry) Restore(index uint64, state *bufio.Reader) error {
+	whole := &rpc.RegistrySnapshot{}
+	for {
+		s := &rpc.RegistrySnapshot{}
+		err := replica.ReadRecord(state, s)
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			return err
+		}
+		proto.Merge(whole, s)
 	}
 	r.mu.Lock()
-	r.instances, r.gone, r.goneOrder, r.holder = map[string]*rpc.Instance{}, map[string]bool{}, s.Gone, s.Holder
+	r.instances, r.gone, r.goneOrder, r.holder = map[string]*rpc.Instance{}, map[string]bool{}, whole.Gone, whole.Holder
 	var events []*rpc.FeedEvent
-	for _, i := range s.Instances {
+	for _, i := range whole.Instances {
 		r.instances[i.Id] = i
 		events = append(events, instanceEvent(i))
 	}
-	for _, id := range s.Gone {
+	for _, id := range whole.Gone {
 		r.gone[id] = true
 	}
 	r.mu.Unlock()
--- a/internal/system/registry/registry_test.go
+++ b/internal/system/registry/registry_test.go
@@ -1,6 +1,8 @@
 package registry
 
 import (
+	"bufio"
+	"bytes"
 	"testing"
 
 	"github.com/matryer/is"
@@ -31,7 +33,7 @@
 	r.Apply(4, replica.Marshal(&rpc.RegistryCommand{Command: &rpc.RegistryCommand_Remove{Remove: "i"}}))
 	put(r, 5, worker(9, 9, false))
 	is.True(r.Instance("i") == nil && r.Gone("i"))
-	state, err := r.Snapshot()
+	state, err := replica.EncodeState(r.Snapshot())
 	is.NoErr(err)
 	again := New("registry-0", feed.NewTable())
 	is.NoErr(again.Restore(5, state))
@@ -56,3 +58,12 @@
 	o.Begin(200_000, known)
 	is.Equal(len(o.Lost(200_500, known)), 0)
 }
+
+// A member that joins is sent the snapshot that the group was founded with, whose state is empty.
+func TestRestoreOfTheFoundingSnapshot(t *testing.T) {
+	is := is.New(t)
+	r := New("registry-0", feed.NewTable())
+	put(r, 1, worker(5, 3, false))
+	is.NoErr(r.Restore(1, bufio.NewReader(bytes.NewReader(nil))))
+	is.Equal(len(r.Instances()), 0)
+}
--- /dev/null
+++ b/internal/system/replica/engine.go
@@ -0,0 +1,416 @@
+package replica
+
+import (
+	"bufio"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"slices"
+	"sync/atomic"
+
+	"github.com/puzpuzpuz/xsync/v4"
+	"google.golang.org/protobuf/proto"
+
+	"saffronquay/internal/system/consensus"
+	"saffronquay/internal/system/rpc"
+)
+
+// StateMachine is what a group agrees on. Its methods are called by one goroutine, in the order of the log.
+type StateMachine interface {
+	// Apply carries a command out and returns what its proposer is told.
+	Apply(index uint64, command []byte) []byte
+	// Snapshot returns the state as it stands now, record after record, nil at its end. The records are asked for while further commands
+	// are applied; these must not alter them.
+	Snapshot() (next func() proto.Message)
+	// Restore sets the state to a snapshot: its records, each behind its length (package protodelim).
+	Restore(index uint64, state *bufio.Reader) error
+}
+
+// Identity is who a process's replicas are.
+type Identity struct {
+	ID      string // bound to the disk
+	Address string // of the peer service
+	Node    string
+}
+
+// Config is what an engine, and the host around it, is made of.
+type Config struct {
+	Identity Identity
+	Store    *Store
+	Machine  func(group string) StateMachine // nil for groups that this process doesn't hold
+	Send     func(address string, messages []*rpc.Message)
+	Log      *slog.Logger
+	Random   *rand.Rand // nil: seeded by chance
+	Options  Options
+	// Changed is told that a group's status or state has changed; it must not block.
+	Changed func(group string)
+}
+
+// Options are what an operator may set.
+type Options struct {
+	// SnapshotBytes and SnapshotEntries are the length from which on a group's log is replaced by a snapshot; 0: the usual. The log costs no
+	// memory, so it should be as long as the disk allows.
+	SnapshotBytes   int64
+	SnapshotEntries int
+}
+
+const (
+	electionMS      = 550
+	heartbeatMS     = 110
+	snapshotBytes   = 16 << 20
+	snapshotEntries = 20000
+	idleMS          = 200
+	keptEntries     = 64 // whose data stays in memory after they are applied
+	diskRetryMS     = 200
+)
+
+// Engine runs the replicas of one process: it tells the cores the time, persists, sends and applies. It is for one goroutine, never blocks but
+// for the disk, and has no clock: times are milliseconds that the caller gives.
+type Engine struct {
+	cfg      Config
+	groups   map[string]*group
+	names    []string          // of the groups, in order
+	address  map[string]string // of replicas, by id
+	founding []foundation
+	pending  *work // what the disk has not taken yet
+	failed   error
+	counts   Counts
+	// statuses can be read by any goroutine.
+	statuses *xsync.Map[string, *atomic.Pointer[Status]]
+}
+
+// Counts are what an engine has done.
+type Counts struct {
+	SnapshotsMade, SnapshotsReceived int
+}
+
+type group struct {
+	name     string
+	core     *consensus.Core
+	machine  StateMachine
+	waiters  map[uint64]waiter
+	wanted   *rpc.Placement
+	applied  uint64
+	stripped uint64 // entries up to it have their data on disk only
+	logBytes int64
+	making   *snapshotMaker
+	status   *atomic.Pointer[Status]
+	dirty    bool
+}
+
+type waiter struct {
+	epoch uint64
+	done  func(Proposed)
+}
+
+// Proposed is what became of a proposal.
+type Proposed struct {
+	Outcome rpc.Outcome
+	Result  []byte
+}
+
+// foundation is a group that is to be founded.
+type foundation struct {
+	name     string
+	founders []*rpc.Replica
+}
+
+// work is one round of what the cores want done.
+type work struct {
+	saves []Save
+	tasks []task
+}
+
+type task struct {
+	group *group
+	ready consensus.Ready
+}
+
+// NewEngine returns an engine that holds what its store holds.
+func NewEngine(cfg Config, now int64) (*Engine, error) {
+	if cfg.Random == nil {
+		cfg.Random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
+	e := &Engine{cfg: cfg, groups: map[string]*group{}, address: map[string]string{}, statuses: xsync.NewMap[string, *atomic.Pointer[Status]]()}
+	for _, name := range cfg.Store.Groups() {
+		stored, err := cfg.Store.Load(name)
+		if err != nil {
+			return nil, err
+		}
+		if machine := cfg.Machine(name); machine != nil {
+			if err := e.open(now, name, machine, stored); err != nil {
+				return nil, err
+			}
+		}
+	}
+	return e, nil
+}
+
+func (e *Engine) open(now int64, name string, machine StateMachine, stored consensus.Stored) error {
+	g := &group{name: name, machine: machine, waiters: map[uint64]waiter{}, status: &atomic.Pointer[Status]{}}
+	if stored.Snapshot != nil {
+		if stored.Snapshot.Pieces > 0 {
+			if err := machine.Restore(stored.Snapshot.Index, e.cfg.Store.State(name)); err != nil {
+				return err
+			}
+		}
+		g.applied = stored.Snapshot.Index
+	}
+	for _, entry := range stored.Entries {
+		g.logBytes += int64(len(entry.Data)) + int64(entry.Stored)
+	}
+	g.core = consensus.New(consensus.Config{Group: name, ID: e.cfg.Identity.ID, Address: e.cfg.Identity.Address,
+		ElectionMS: electionMS, HeartbeatMS: heartbeatMS, Random: e.cfg.Random}, stored, now)
+	g.dirty = true
+	e.groups[name] = g
+	e.names = append(e.names, name)
+	slices.Sort(e.names)
+	e.publish(g)
+	return nil
+}
+
+// Counts are what it has done so far.
+func (e *Engine) Counts() Counts { return e.counts }
+
+// Failed is why the engine has ended; nil while it works. What it would say without its state would be wrong.
+func (e *Engine) Failed() error { return e.failed }
+
+// Stalled tells whether the disk has not taken what the cores have promised. Until it has, nothing else is done: messages that come are
+// lost, and leases run out.
+func (e *Engine) Stalled() bool { return e.pending != nil }
+
+// Found starts a group with these founders, of whom this replica is one. Where the group exists already, nothing happens.
+func (e *Engine) Found(name string, founders []*rpc.Replica) {
+	e.founding = append(e.founding, foundation{name, founders})
+}
+
+func (e *Engine) foundGroups(now int64) {
+	for len(e.founding) > 0 {
+		f := e.founding[0]
+		machine := e.cfg.Machine(f.name)
+		if e.groups[f.name] == nil && machine != nil {
+			// The founders stand in a snapshot, so that whoever joins later is sent them.
+			snapshot := &rpc.Snapshot{Index: 1, Epoch: 1, Membership: &rpc.Membership{Voters: f.founders}}
+			hard := &rpc.HardState{Epoch: 1}
+			if !e.persist([]Save{{Group: f.name, Snapshot: snapshot, HardState: hard}}) {
+				return
+			}
+			e.check(e.open(now, f.name, machine, consensus.Stored{Snapshot: snapshot, HardState: hard}))
+		}
+		e.founding = e.founding[1:]
+	}
+}
+
+// SetWanted says which voters a group should have. The group's leader brings it there, one replica at a time.
+func (e *Engine) SetWanted(wanted *rpc.Placement) {
+	if g := e.groups[wanted.Group]; g != nil && (g.wanted == nil || wanted.Revision >= g.wanted.Revision) {
+		g.wanted = wanted
+		g.dirty = true
+	}
+}
+
+// Step takes messages of other replicas in.
+func (e *Engine) Step(now int64, messages []*rpc.Message) {
+	for _, m := range messages {
+		if m.To != e.cfg.Identity.ID || e.Stalled() || e.failed != nil {
+			continue
+		}
+		e.address[m.From] = m.FromAddress
+		g := e.groups[m.Group]
+		if g == nil {
+			if g = e.join(now, m); g == nil {
+				continue
+			}
+		}
+		g.core.Step(now, m)
+		g.dirty = true
+	}
+}
+
+// join starts an empty replica of a group whose leader addresses this process.
+func (e *Engine) join(now int64, m *rpc.Message) *group {
+	if m.Kind != rpc.MessageKind_APPEND && m.Kind != rpc.MessageKind_SNAPSHOT {
+		return nil
+	}
+	machine := e.cfg.Machine(m.Group)
+	if machine == nil {
+		return nil
+	}
+	empty := consensus.Stored{Snapshot: &rpc.Snapshot{Membership: &rpc.Membership{}}, HardState: &rpc.HardState{}}
+	if !e.persist([]Save{{Group: m.Group, Snapshot: empty.Snapshot, HardState: empty.HardState}}) {
+		return nil // the leader sends it again
+	}
+	e.check(e.open(now, m.Group, machine, empty))
+	return e.groups[m.Group]
+}
+
+// Propose has a command agreed on by a group that this replica leads. done is called once, from this call or a later one.
+func (e *Engine) Propose(name string, command []byte, done func(Proposed)) {
+	g := e.groups[name]
+	if g == nil || e.Stalled() || e.failed != nil {
+		done(Proposed{Outcome: rpc.Outcome_UNAVAILABLE})
+		return
+	}
+	index, epoch, err := g.core.Propose(command)
+	if err != nil {
+		done(Proposed{Outcome: rpc.Outcome_NOT_LEADER})
+		return
+	}
+	g.waiters[index] = waiter{epoch, done}
+	g.dirty = true
+}
+
+// Turn does what is due, and returns when it has to be called again if nothing happens before.
+func (e *Engine) Turn(now int64) (next int64) {
+	if e.failed != nil {
+		return now + idleMS
+	}
+	if !e.flush() {
+		return now + diskRetryMS
+	}
+	e.foundGroups(now)
+	for _, name := range e.names {
+		g := e.groups[name]
+		if now >= g.core.NextAt() {
+			g.core.Tick(now)
+			g.dirty = true
+		}
+		if g.dirty && g.wanted != nil {
+			e.steer(g)
+		}
+	}
+	for e.round() {
+	}
+	if e.Stalled() {
+		return now + diskRetryMS
+	}
+	e.makeSnapshots()
+	next = now + idleMS
+	for _, g := range e.groups {
+		next = min(next, g.core.NextAt())
+		if g.making != nil {
+			next = now + 1
+		}
+	}
+	return max(next, now+1)
+}
+
+// steer makes the next change of membership that leads to the wanted one.
+func (e *Engine) steer(g *group) {
+	next := g.core.NextMembership(g.wanted.Replicas, g.wanted.Revision)
+	if next == nil {
+		return
+	}
+	if err := g.core.ProposeMembership(next); err == nil {
+		e.cfg.Log.Info("membership change", "group", g.name, "epoch", g.core.Epoch(), "voters", nodeNames(next.Voters), "learners", nodeNames(next.Learners))
+	}
+}
+
+func nodeNames(replicas []*rpc.Replica) (list []string) {
+	for _, replica := range replicas {
+		list = append(list, replica.Node)
+	}
+	return list
+}
+
+// round does one round of what the cores want done; it tells whether there may be more.
+func (e *Engine) round() bool {
+	w := &work{}
+	for _, name := range e.names {
+		g := e.groups[name]
+		if !g.dirty {
+			continue
+		}
+		g.dirty = false
+		r := g.core.Ready()
+		if r.Empty() {
+			e.publish(g)
+			continue
+		}
+		w.tasks = append(w.tasks, task{g, r})
+		if r.MustSync() {
+			w.saves = append(w.saves, e.save(g, &r))
+		}
+	}
+	if len(w.tasks) == 0 {
+		return false
+	}
+	e.pending = w
+	return e.flush()
+}
+
+// flush persists what waits for the disk, then sends and applies what depends on it. It returns false where the disk takes nothing.
+func (e *Engine) flush() bool {
+	w := e.pending
+	if w == nil {
+		return true
+	}
+	if len(w.saves) > 0 && !e.persist(w.saves) {
+		return false
+	}
+	e.pending = nil
+	e.send(w)
+	for _, t := range w.tasks {
+		e.apply(t.group, &t.ready)
+		t.group.dirty = true
+		e.publish(t.group)
+	}
+	return e.failed == nil
+}
+
+// send passes the messages of a round on, in one batch for each address.
+func (e *Engine) send(w *work) {
+	outgoing := map[string][]*rpc.Message{}
+	var addresses []string
+	for _, t := range w.tasks {
+		members := t.group.core.Membership()
+		for _, replica := range slices.Concat(members.GetVoters(), members.GetLearners()) {
+			e.address[replica.Id] = replica.Address
+		}
+		for _, m := range t.ready.Messages {
+			address := e.address[m.To]
+			if address == "" || !e.fill(t.group, m) {
+				continue
+			}
+			if outgoing[address] == nil {
+				addresses = append(addresses, address)
+			}
+			outgoing[address] = append(outgoing[address], m)
+		}
+	}
+	for _, address := range addresses {
+		e.cfg.Send(address, outgoing[address])
+	}
+}
+
+func (e *Engine) save(g *group, r *consensus.Ready) Save {
+	if r.Snapshot != nil {
+		g.logBytes = 0
+		e.counts.SnapshotsReceived++
+	}
+	for _, entry := range r.Entries {
+		g.logBytes += int64(len(entry.Data))
+	}
+	return Save{Group: g.name, HardState: r.HardState, Pieces: r.Pieces, Snapshot: r.Snapshot, Received: r.Snapshot != nil, Entries: r.Entries}
+}
+
+// persist stores what was promised. It returns false where the disk takes nothing: it has to be tried again.
+func (e *Engine) persist(saves []Save) bool {
+	err := e.cfg.Store.Persist(saves)
+	if errors.Is(err, ErrDamaged) {
+		return e.check(err)
+	}
+	if err != nil {
+		e.cfg.Log.Error("the disk takes nothing", "error", err)
+	}
+	return err == nil
+}
+
+// check ends the engine where its state can't be read.
+func (e *Engine) check(err error) bool {
+	if err != nil && e.failed == nil {
+		e.cfg.Log.Error("replica state can't be read", "error", err)
+		e.failed = err
+	}
+	return err == nil
+}
--- a/internal/system/replica/host_test.go
+++ b/internal/system/replica/host_test.go
@@ -1,14 +1,18 @@
 package replica
 
 import (
+	"bufio"
 	"context"
+	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
 
 	"saffronquay/internal/system/rpc"
 )
@@ -33,9 +37,41 @@
 	return command
 }
 
-func (j *journal) Snapshot() ([]byte, error) { return nil, nil }
+func (j *journal) Snapshot() func() proto.Message {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	commands := j.commands
+	return func() proto.Message {
+		if len(commands) == 0 {
+			return nil
+		}
+		record := &rpc.Instances{Ids: commands[:1]}
+		commands = commands[1:]
+		return record
+	}
+}
 
-func (j *journal) Restore(uint64, []byte) error { return nil }
+func (j *journal) Restore(_ uint64, state *bufio.Reader) error {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.commands = nil
+	for {
+		record := &rpc.Instances{}
+		err := ReadRecord(state, record)
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			return err
+		}
+		j.commands = append(j.commands, record.Ids...)
+	}
+	select {
+	case j.wake <- struct{}{}:
+	default:
+	}
+	return nil
+}
 
 func (j *journal) count() int {
 	j.mu.Lock()
@@ -58,13 +94,13 @@
 	}
 }
 
-func (n *network) start(t *testing.T, name string, machine *journal) *Host {
+func (n *network) start(t *testing.T, name string, machine *journal, options Options) *Host {
 	t.Helper()
 	store, err := OpenStore(t.TempDir())
 	if err != nil {
 		t.Fatal(err)
 	}
-	host, err := NewHost(Config{Identity: Identity{ID: name, Address: name, Node: name}, Store: store, Send: n.send, Log: slog.New(slog.DiscardHandler),
+	host, err := NewHost(Config{Identity: Identity{ID: name, Address: name, Node: name}, Store: store, Send: n.send, Log: slog.New(slog.DiscardHandler), Options: options,
 		Machine: func(string) StateMachine { return machine }})
 	if err != nil {
 		t.Fatal(err)
@@ -77,8 +113,14 @@
 	return host
 }
 
-// A replica that starts late is sent everything, also what the leader holds on disk only; and a replaced member leaves.
+// A replica that starts late is sent everything, also what the leader holds on disk only; and a replaced member leaves. With short logs it is
+// sent a snapshot in many pieces.
 func TestHostsAgreeAndCatchUp(t *testing.T) {
+	t.Run("by the log", func(t *testing.T) { agreeAndCatchUp(t, Options{}) })
+	t.Run("by snapshots", func(t *testing.T) { agreeAndCatchUp(t, Options{SnapshotEntries: 20}) })
+}
+
+func agreeAndCatchUp(t *testing.T, options Options) {
 	is := is.New(t)
 	n := &network{hosts: map[string]*Host{}}
 	machines := map[string]*journal{}
@@ -87,7 +129,7 @@
 		machines[name] = newJournal()
 		founders = append(founders, &rpc.Replica{Id: name, Address: name, Node: name})
 	}
-	hosts := []*Host{n.start(t, "a", machines["a"]), n.start(t, "b", machines["b"])}
+	hosts := []*Host{n.start(t, "a", machines["a"], options), n.start(t, "b", machines["b"], options)}
 	for _, host := range hosts {
 		host.Found("g", founders[:3])
 	}
@@ -106,9 +148,9 @@
 			}
 		}
 	}
-	n.start(t, "d", machines["d"]) // takes c's place
+	n.start(t, "d", machines["d"], options) // takes c's place
 	for _, host := range hosts {
-		host.SetWanted("g", []*rpc.Replica{founders[0], founders[1], founders[3]})
+		host.SetWanted(&rpc.Placement{Group: "g", Replicas: []*rpc.Replica{founders[0], founders[1], founders[3]}, Revision: 1})
 	}
 	for machines["d"].count() < commands {
 		select {
--- a/internal/system/replica/identity.go
+++ b/internal/system/replica/identity.go
@@ -14,8 +14,8 @@
 
 // Identify returns who a process's replicas are. The id is bound to the disk: an empty disk gets a new one, which nobody has heard any
 // promise from. Only at the very first start do the seeds' machines take the ids that the others know them by.
-func Identify(store *Store, s *settings.Settings) (Identity, error) {
-	id, err := store.Identity()
+func Identify(facts *Facts, s *settings.Settings) (Identity, error) {
+	id, err := facts.Identity()
 	if err != nil {
 		return Identity{}, err
 	}
@@ -24,7 +24,7 @@
 		if s.Bootstrap && s.Listen.ControlPlane != "" && slices.Contains(s.Seeds, s.Listen.ControlPlane) {
 			id = FounderID(s.Listen.ControlPlane)
 		}
-		if err := store.SetIdentity(id); err != nil {
+		if err := facts.SetIdentity(id); err != nil {
 			return Identity{}, err
 		}
 	}
--- a/internal/system/replica/sender.go
+++ b/internal/system/replica/sender.go
@@ -10,10 +10,9 @@
 )
 
 const (
-	sendTimeout     = 500 * time.Millisecond
-	snapshotTimeout = 4 * time.Second
-	outbox          = 256
-	maxBatch        = 128
+	sendTimeout = 500 * time.Millisecond
+	outbox      = 256
+	maxBatch    = 128
 )
 
 // Sender carries messages to other replicas. Each address has a queue of its own, so that one that is silent holds up nobody else;
@@ -22,13 +21,11 @@
 	client *transport.Client
 	mu     sync.Mutex
 	queues map[string]chan []*rpc.Message
-	// sending holds a token while a snapshot is on its way: one at a time, since each takes as much memory as the state.
-	sending chan struct{}
 }
 
 // NewSender returns a sender over a client.
 func NewSender(client *transport.Client) *Sender {
-	return &Sender{client: client, queues: map[string]chan []*rpc.Message{}, sending: make(chan struct{}, 1)}
+	return &Sender{client: client, queues: map[string]chan []*rpc.Message{}}
 }
 
 // Send queues messages for an address; it doesn't block.
@@ -41,29 +38,8 @@
 		go s.run(address, queue)
 	}
 	s.mu.Unlock()
-	var rest []*rpc.Message
-	for _, m := range messages {
-		if m.Kind == rpc.MessageKind_SNAPSHOT {
-			go s.sendSnapshot(address, m)
-			continue
-		}
-		rest = append(rest, m)
-	}
-	if len(rest) == 0 {
-		return
-	}
-	select {
-	case queue <- rest:
-	default:
-	}
-}
-
-// sendSnapshot sends a snapshot unless another one is on its way; the protocol sends it again.
-func (s *Sender) sendSnapshot(address string, m *rpc.Message) {
 	select {
-	case s.sending <- struct{}{}:
-		defer func() { <-s.sending }()
-		s.call(rpc.NewReplicationProtobufClient("http://"+address, s.client), []*rpc.Message{m}, snapshotTimeout)
+	case queue <- messages:
 	default:
 	}
 }
--- a/internal/system/replica/service.go
+++ b/internal/system/replica/service.go
@@ -35,7 +35,8 @@
 	for _, name := range s.Host.Groups() {
 		if status := s.Host.Status(name); status != nil {
 			response.Groups = append(response.Groups, &rpc.GroupStatus{Group: name, Leader: status.LeaderID, LeaderAddress: status.LeaderAddress,
-				Epoch: status.Epoch, Commit: status.Commit, Applied: status.Applied, Membership: status.Membership, Replica: s.Host.cfg.Identity.ID, Settled: status.Settled})
+				Epoch: status.Epoch, Commit: status.Commit, Applied: status.Applied, Membership: status.Membership, Replica: s.Host.cfg.Identity.ID, Settled: status.Settled,
+				Leads: status.Lease(s.Host.Now()), HeldByAll: status.HeldByAll})
 		}
 	}
 	return response, nil
--- /dev/null
+++ b/internal/system/replica/snapshots.go
@@ -0,0 +1,121 @@
+package replica
+
+import (
+	"bytes"
+	"cmp"
+
+	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
+
+	"saffronquay/internal/system/rpc"
+)
+
+const (
+	// pieceBytes is the length of all pieces of a snapshot but the last.
+	pieceBytes = 256 << 10
+	// piecesATurn bounds the pieces that are made in one turn, so that heartbeats go on meanwhile.
+	piecesATurn = 2
+	// patienceShare is the part of its bound, one in so many, by which a log may outgrow it while cutting it would cost a replica that
+	// answers a snapshot; patienceFactor is the same for the number of entries, which cost next to nothing.
+	patienceShare  = 4
+	patienceFactor = 3
+)
+
+// snapshotMaker writes a snapshot of a group's state to the disk, some pieces a turn, while the group goes on.
+type snapshotMaker struct {
+	snapshot *rpc.Snapshot
+	next     func() proto.Message
+	buffer   bytes.Buffer
+	digest   *xxhash.Digest
+	ended    bool
+	logBytes int64 // of the group's log when it was begun
+}
+
+// piece returns the next piece; nil once there are no more.
+func (m *snapshotMaker) piece() (*rpc.SnapshotPiece, error) {
+	for !m.ended && m.buffer.Len() < pieceBytes {
+		record := m.next()
+		if record == nil {
+			m.ended = true
+			break
+		}
+		if err := writeRecord(&m.buffer, record); err != nil {
+			return nil, err
+		}
+	}
+	if m.buffer.Len() == 0 {
+		return nil, nil
+	}
+	data := bytes.Clone(m.buffer.Next(pieceBytes))
+	m.digest.Write(data)
+	piece := &rpc.SnapshotPiece{Number: m.snapshot.Pieces, Data: data}
+	m.snapshot.Pieces++
+	return piece, nil
+}
+
+// makeSnapshots begins snapshots of groups whose logs have grown long, and goes on with those that are begun.
+func (e *Engine) makeSnapshots() {
+	for _, name := range e.names {
+		g := e.groups[name]
+		if g.making == nil && e.snapshotDue(g) {
+			if snapshot := g.core.PrepareSnapshot(g.applied); snapshot != nil {
+				g.making = &snapshotMaker{snapshot: snapshot, next: g.machine.Snapshot(), digest: xxhash.New(), logBytes: g.logBytes}
+			}
+		}
+		if g.making != nil {
+			e.makeSome(g)
+		}
+	}
+}
+
+// snapshotDue tells whether a group's log should be replaced by a snapshot. A leader waits a while for replicas that are about to catch up
+// from the log, or whose snapshot is on its way: they would have to begin with a new one.
+func (e *Engine) snapshotDue(g *group) bool {
+	bytes, entries := cmp.Or(e.cfg.Options.SnapshotBytes, snapshotBytes), cmp.Or(e.cfg.Options.SnapshotEntries, snapshotEntries)
+	length := g.core.LogLength()
+	switch {
+	case g.logBytes < bytes && length < entries || g.core.Receiving():
+		return false
+	case g.logBytes >= bytes+bytes/patienceShare || length >= patienceFactor*entries:
+		return true
+	}
+	return !g.core.Sending() && !g.core.Behind(g.applied)
+}
+
+// makeSome makes the next pieces of a snapshot. Once all are written the snapshot takes the place of the log.
+func (e *Engine) makeSome(g *group) {
+	m := g.making
+	if g.core.Receiving() { // a newer one is coming in
+		g.making = nil
+		return
+	}
+	for range piecesATurn {
+		piece, err := m.piece()
+		if err != nil {
+			e.check(err)
+			return
+		}
+		if piece == nil {
+			e.finish(g)
+			return
+		}
+		if err := e.cfg.Store.StagePiece(g.name, piece); err != nil {
+			e.cfg.Log.Error("the disk takes no snapshot", "group", g.name, "error", err)
+			g.making = nil // it is begun anew
+			return
+		}
+	}
+}
+
+func (e *Engine) finish(g *group) {
+	m := g.making
+	g.making = nil
+	m.snapshot.Checksum = m.digest.Sum64()
+	if !g.core.Useful(m.snapshot) || !e.persist([]Save{{Group: g.name, Snapshot: m.snapshot}}) {
+		return
+	}
+	g.core.Compact(m.snapshot)
+	g.logBytes = max(0, g.logBytes-m.logBytes)
+	e.counts.SnapshotsMade++
+	e.cfg.Log.Info("snapshot", "group", g.name, "index", m.snapshot.Index, "pieces", m.snapshot.Pieces)
+}
--- a/internal/system/replica/status.go
+++ b/internal/system/replica/status.go
@@ -3,6 +3,7 @@
 import (
 	"sync/atomic"
 
+	"saffronquay/internal/system/consensus"
 	"saffronquay/internal/system/rpc"
 )
 
@@ -20,27 +21,30 @@
 	LedSince      int64
 	Membership    *rpc.Membership
 	Settled       bool // the membership is agreed on
+	HeldByAll     bool // each voter holds on its disk what was there when the membership last changed
 }
 
 // Lease tells whether this replica is the leader and no other can have been elected yet, so that what it has applied is up to date.
 func (s *Status) Lease(now int64) bool { return s.Leader && s.Ready && now-s.ContactAt < leaseMS }
 
+var leaseMS = consensus.LeaseMS(electionMS)
+
 // InTouch tells whether the leader was heard lately, or is this replica and holds its lease.
 func (s *Status) InTouch(now, within int64) bool {
 	return s.Lease(now) || !s.Leader && s.LeaderID != "" && now-s.HeardAt < within
 }
 
 // Status is how this replica sees a group; nil where it holds none. It doesn't wait for anything.
-func (h *Host) Status(name string) *Status {
-	if status, ok := h.statuses.Load(name); ok {
+func (e *Engine) Status(name string) *Status {
+	if status, ok := e.statuses.Load(name); ok {
 		return status.Load()
 	}
 	return nil
 }
 
 // Groups names the groups of this process.
-func (h *Host) Groups() (names []string) {
-	h.statuses.Range(func(name string, _ *atomic.Pointer[Status]) bool {
+func (e *Engine) Groups() (names []string) {
+	e.statuses.Range(func(name string, _ *atomic.Pointer[Status]) bool {
 		names = append(names, name)
 		return true
 	})
@@ -48,17 +52,18 @@
 }
 
 // publish tells readers how the group stands.
-func (h *Host) publish(g *group) {
+func (e *Engine) publish(g *group) {
 	leaderID, leaderAddress := g.core.Leader()
 	ready, contact := g.core.Leading()
 	status := &Status{Leader: g.core.IsLeader(), Ready: ready, ContactAt: contact, LeaderID: leaderID, LeaderAddress: leaderAddress, Epoch: g.core.Epoch(),
-		Commit: g.core.Commit(), Applied: g.applied, HeardAt: g.core.HeardAt(), LedSince: g.core.LedSince(), Membership: g.core.Membership(), Settled: g.core.Settled()}
+		Commit: g.core.Commit(), Applied: g.applied, HeardAt: g.core.HeardAt(), LedSince: g.core.LedSince(), Membership: g.core.Membership(), Settled: g.core.Settled(),
+		HeldByAll: g.core.HeldByAll()}
 	old := g.status.Swap(status)
-	h.statuses.Store(g.name, g.status)
+	e.statuses.Store(g.name, g.status)
 	if old != nil && (old.Leader != status.Leader || old.LeaderID != status.LeaderID) {
-		h.cfg.Log.Info("leader", "group", g.name, "epoch", status.Epoch, "leader", status.LeaderID, "self", status.Leader)
+		e.cfg.Log.Info("leader", "group", g.name, "epoch", status.Epoch, "leader", status.LeaderID, "self", status.Leader)
 	}
-	if h.cfg.Changed != nil && (old == nil || old.Applied != status.Applied || old.Leader != status.Leader || old.LeaderID != status.LeaderID) {
-		h.cfg.Changed(g.name)
+	if e.cfg.Changed != nil && (old == nil || old.Applied != status.Applied || old.Leader != status.Leader || old.LeaderID != status.LeaderID) {
+		e.cfg.Changed(g.name)
 	}
 }
--- a/internal/system/replica/store.go
+++ b/internal/system/replica/store.go
@@ -1,31 +1,33 @@
 package replica
 
 import (
+	"bufio"
 	"errors"
 	"fmt"
-	"os"
-	"path/filepath"
+	"io"
+	"slices"
 
-	"github.com/tidwall/buntdb"
 	"google.golang.org/protobuf/proto"
 
 	"saffronquay/internal/system/consensus"
 	"saffronquay/internal/system/rpc"
 )
 
-// Store keeps what the replicas of a process have promised. What is small and hardly ever changes (the identity) lies in buntdb. The
-// groups' logs and snapshots lie in a write-ahead log of this package, because buntdb holds its whole set in memory a second time.
+// Store keeps what the replicas of a process have promised: the logs and snapshots of all its groups, in one write-ahead log.
 type Store struct {
-	folder string
-	facts  *buntdb.DB
-	log    *writeAheadLog
-	groups map[string]*storedGroup
+	log         *writeAheadLog
+	groups      map[string]*storedGroup
+	rewriteFrom int64 // size of the log from which on it is rewritten where its larger part is of no use
+	lookAt      int64 // size at which that is looked at next
 }
 
 // storedGroup says where the records of a group lie that are still of use.
 type storedGroup struct {
 	hard     span
 	snapshot span
+	pieces   []span // of the snapshot
+	made     []span // pieces of a snapshot that is being made
+	received []span // pieces of a snapshot that is being received
 	first    uint64 // index of entries[0]
 	entries  []storedEntry
 }
@@ -41,54 +43,34 @@
 // ErrDamaged says that a stored record is not what was written.
 var ErrDamaged = errors.New("replica: a stored record is damaged")
 
-const (
-	factsName   = "facts.db"
-	identityKey = "identity"
-	// rewriteAfter is the size in bytes from which on a log whose larger part is of no use any more is rewritten.
-	rewriteAfter = 32 << 20
-)
+// rewriteAfter is the size in bytes from which on a log whose larger part is of no use any more is rewritten.
+const rewriteAfter = 32 << 20
 
-// OpenStore opens the store in a folder. An empty folder gives an empty store.
-func OpenStore(folder string) (*Store, error) {
-	if err := os.MkdirAll(folder, 0o755); err != nil {
+// OpenStore opens the store in a folder of the operating system. An empty folder gives an empty store.
+func OpenStore(path string) (*Store, error) {
+	store, err := OpenStoreOn(folder(path), rewriteAfter)
+	if err != nil {
 		return nil, err
 	}
-	facts, err := buntdb.Open(filepath.Join(folder, factsName))
+	return store, folder(path).Sync()
+}
+
+// OpenStoreOn opens the store on a disk. Its log is rewritten from a size in bytes on.
+func OpenStoreOn(disk Disk, rewriteFrom int64) (*Store, error) {
+	s := &Store{groups: map[string]*storedGroup{}, rewriteFrom: rewriteFrom, lookAt: rewriteFrom}
+	log, err := openLog(disk, s.replay)
 	if err != nil {
-		return nil, fmt.Errorf("replica: open store: %w", err)
-	}
-	if err := facts.SetConfig(buntdb.Config{SyncPolicy: buntdb.Always, AutoShrinkDisabled: true}); err != nil {
 		return nil, err
 	}
-	s := &Store{folder: folder, facts: facts, groups: map[string]*storedGroup{}}
-	if s.log, err = openLog(folder, s.replay); err != nil {
-		return nil, err
+	s.log = log
+	for _, g := range s.groups { // what was being made or received has to begin anew
+		g.made, g.received = nil, nil
 	}
-	return s, syncFolder(folder)
+	return s, nil
 }
 
-// Close closes the files.
-func (s *Store) Close() error { return errors.Join(s.facts.Close(), s.log.close()) }
-
-// Identity returns the id that is bound to this disk, empty where the disk has none yet.
-func (s *Store) Identity() (id string, err error) {
-	err = s.facts.View(func(tx *buntdb.Tx) error {
-		id, err = tx.Get(identityKey)
-		if errors.Is(err, buntdb.ErrNotFound) {
-			return nil
-		}
-		return err
-	})
-	return id, err
-}
-
-// SetIdentity binds an id to this disk.
-func (s *Store) SetIdentity(id string) error {
-	return s.facts.Update(func(tx *buntdb.Tx) error {
-		_, _, err := tx.Set(identityKey, id, nil)
-		return err
-	})
-}
+// Close closes the file.
+func (s *Store) Close() error { return s.log.close() }
 
 func (s *Store) group(name string) *storedGroup {
 	g := s.groups[name]
@@ -105,33 +87,64 @@
 	if err := proto.Unmarshal(payload, r); err != nil {
 		return err
 	}
-	s.note(r, at)
-	return nil
+	return s.note(r, at)
 }
 
-func (s *Store) note(r *rpc.StoredRecord, at span) {
+func (s *Store) note(r *rpc.StoredRecord, at span) error {
 	g := s.group(r.Group)
 	switch {
 	case r.HardState != nil:
 		g.hard = at
-	case r.Snapshot != nil:
-		g.snapshot = at
-		if next := r.Snapshot.Index + 1; next > g.first {
-			g.entries = g.entries[min(int(next-g.first), len(g.entries)):]
-			g.first = next
+	case r.Piece != nil:
+		stage := g.stage(r.Received)
+		if int(r.Piece.Number) <= len(*stage) {
+			*stage = append((*stage)[:r.Piece.Number], at)
 		}
+	case r.Snapshot != nil:
+		return g.noteSnapshot(r, at)
 	case r.Entry != nil && r.Entry.Index >= g.first && r.Entry.Index <= g.first+uint64(len(g.entries)):
 		g.entries = append(g.entries[:r.Entry.Index-g.first], storedEntry{at, r.Entry.Epoch, r.Entry.Kind, uint32(len(r.Entry.Data))})
 	}
+	return nil
+}
+
+// stage are the pieces of a snapshot that is being made, or received.
+func (g *storedGroup) stage(received bool) *[]span {
+	if received {
+		return &g.received
+	}
+	return &g.made
+}
+
+// noteSnapshot puts a snapshot in force whose pieces are all there. One that was made takes the place of the entries that it covers. One that
+// was received takes the place of the whole log: what stands behind its index may be what the leader has given up, and with it the replica
+// would vote for candidates that lack what the snapshot holds.
+func (g *storedGroup) noteSnapshot(r *rpc.StoredRecord, at span) error {
+	stage := g.stage(r.Received)
+	if len(*stage) < int(r.Snapshot.Pieces) {
+		return fmt.Errorf("%w: snapshot of group %s at %d: %d of %d pieces", ErrDamaged, r.Group, r.Snapshot.Index, len(*stage), r.Snapshot.Pieces)
+	}
+	g.snapshot, g.pieces = at, (*stage)[:r.Snapshot.Pieces]
+	g.made, g.received = nil, nil
+	next := r.Snapshot.Index + 1
+	switch {
+	case r.Received:
+		g.entries, g.first = nil, next
+	case next > g.first:
+		g.entries = g.entries[min(int(next-g.first), len(g.entries)):]
+		g.first = next
+	}
+	return nil
 }
 
-// Groups names the groups that the store holds something of.
+// Groups names the groups that the store holds something of, in order.
 func (s *Store) Groups() (names []string) {
 	for name, g := range s.groups {
 		if g.snapshot.length > 0 {
 			names = append(names, name)
 		}
 	}
+	slices.Sort(names)
 	return names
 }
 
@@ -180,6 +193,52 @@
 	return r.Entry, nil
 }
 
+// Piece reads one piece of a group's snapshot.
+func (s *Store) Piece(name string, number uint32) (*rpc.SnapshotPiece, error) {
+	g := s.group(name)
+	if int(number) >= len(g.pieces) {
+		return nil, fmt.Errorf("replica: the snapshot of group %s has no piece %d", name, number)
+	}
+	r, err := s.read(g.pieces[number])
+	if err == nil && r.Piece == nil {
+		err = ErrDamaged
+	}
+	if err != nil {
+		return nil, err
+	}
+	return r.Piece, nil
+}
+
+// State reads the state of a group's snapshot, one piece at a time.
+func (s *Store) State(name string) *bufio.Reader {
+	return bufio.NewReader(&pieceReader{store: s, group: name})
+}
+
+// pieceReader reads the pieces of a snapshot one after the other.
+type pieceReader struct {
+	store *Store
+	group string
+	next  uint32
+	rest  []byte
+}
+
+func (r *pieceReader) Read(b []byte) (int, error) {
+	for len(r.rest) == 0 {
+		if int(r.next) >= len(r.store.group(r.group).pieces) {
+			return 0, io.EOF
+		}
+		piece, err := r.store.Piece(r.group, r.next)
+		if err != nil {
+			return 0, err
+		}
+		r.next++
+		r.rest = piece.Data
+	}
+	n := copy(b, r.rest)
+	r.rest = r.rest[n:]
+	return n, nil
+}
+
 // read reads one record; an empty one where there is none.
 func (s *Store) read(at span) (*rpc.StoredRecord, error) {
 	r := &rpc.StoredRecord{}
@@ -197,7 +256,9 @@
 type Save struct {
 	Group     string
 	HardState *rpc.HardState
+	Pieces    []*rpc.SnapshotPiece // of a snapshot that is being received
 	Snapshot  *rpc.Snapshot
+	Received  bool // the snapshot comes from the leader
 	Entries   []*rpc.Entry
 }
 
@@ -206,8 +267,11 @@
 	if save.HardState != nil {
 		records = append(records, &rpc.StoredRecord{Group: save.Group, HardState: save.HardState})
 	}
+	for _, piece := range save.Pieces {
+		records = append(records, &rpc.StoredRecord{Group: save.Group, Piece: piece, Received: true})
+	}
 	if save.Snapshot != nil {
-		records = append(records, &rpc.StoredRecord{Group: save.Group, Snapshot: save.Snapshot})
+		records = append(records, &rpc.StoredRecord{Group: save.Group, Snapshot: save.Snapshot, Received: save.Received})
 	}
 	for _, entry := range save.Entries {
 		records = append(records, &rpc.StoredRecord{Group: save.Group, Entry: entry})
@@ -221,50 +285,72 @@
 	for i := range saves {
 		records = append(records, saves[i].records()...)
 	}
-	spans, err := s.log.append(records)
-	if err != nil {
+	if err := s.append(records, true); err != nil {
 		return err
 	}
-	for i, r := range records {
-		s.note(r, spans[i])
+	s.tidy()
+	return nil
+}
+
+// tidy rewrites the log where most of it is of no use any more. Where that fails the old one goes on, and it is tried again once that has
+// grown.
+func (s *Store) tidy() {
+	if s.log.size <= s.lookAt {
+		return
 	}
-	if s.log.size > rewriteAfter && s.log.size > 2*s.live() {
-		return s.rewrite()
+	if s.log.size > 2*s.live() {
+		s.log.rewrite(s.spans())
 	}
-	return nil
+	s.lookAt = max(s.rewriteFrom, s.log.size+s.log.size/8)
 }
 
-// live is the number of bytes that are still of use.
-func (s *Store) live() (bytes int64) {
-	for _, g := range s.groups {
-		bytes += g.hard.length + g.snapshot.length
-		for _, e := range g.entries {
-			bytes += e.length
+// StagePiece writes a piece of a snapshot that is being made. It need not last before the snapshot itself is persisted.
+func (s *Store) StagePiece(group string, piece *rpc.SnapshotPiece) error {
+	return s.append([]*rpc.StoredRecord{{Group: group, Piece: piece}}, false)
+}
+
+func (s *Store) append(records []*rpc.StoredRecord, sync bool) error {
+	spans, err := s.log.append(records, sync)
+	if err != nil {
+		return err
+	}
+	for i, r := range records {
+		if err := s.note(r, spans[i]); err != nil {
+			return err
 		}
 	}
-	return bytes
+	return nil
 }
 
-// rewrite puts what is still of use into a new log, which takes the old one's place once it is whole on disk.
-func (s *Store) rewrite() error {
-	var keep []span
+// spans are all records that are still of use, in the order in which they have to be replayed.
+func (s *Store) spans() (keep []*span) {
 	for _, g := range s.groups {
-		for _, at := range []span{g.hard, g.snapshot} {
+		single := []*span{&g.hard}
+		for i := range g.pieces {
+			single = append(single, &g.pieces[i])
+		}
+		single = append(single, &g.snapshot)
+		for _, at := range single {
 			if at.length > 0 {
 				keep = append(keep, at)
 			}
 		}
-		for _, e := range g.entries {
-			keep = append(keep, e.span)
+		for i := range g.entries {
+			keep = append(keep, &g.entries[i].span)
+		}
+		for _, stage := range [][]span{g.made, g.received} {
+			for i := range stage {
+				keep = append(keep, &stage[i])
+			}
 		}
 	}
-	old := s.groups
-	s.groups = map[string]*storedGroup{}
-	log, err := s.log.rewrite(keep, s.replay)
-	if err != nil {
-		s.groups = old
-		return err
+	return keep
+}
+
+// live is the number of bytes that are still of use.
+func (s *Store) live() (bytes int64) {
+	for _, at := range s.spans() {
+		bytes += at.length + recordHead
 	}
-	s.log = log
-	return nil
+	return bytes
 }
--- a/internal/system/replica/store_test.go
+++ b/internal/system/replica/store_test.go
@@ -1,6 +1,8 @@
 package replica
 
 import (
+	"errors"
+	"io"
 	"os"
 	"path/filepath"
 	"testing"
@@ -33,15 +35,11 @@
 	is := is.New(t)
 	folder := t.TempDir()
 	s := openStore(t, folder)
-	is.NoErr(s.SetIdentity("me"))
 	is.NoErr(s.Persist([]Save{founded("a"), founded("b")}))
 	is.NoErr(s.Persist([]Save{{Group: "a", Entries: []*rpc.Entry{entry(2, 1, "x"), entry(3, 1, "y"), entry(4, 1, "z")}}}))
 	is.NoErr(s.Persist([]Save{{Group: "a", HardState: &rpc.HardState{Epoch: 2, Vote: "v"}, Entries: []*rpc.Entry{entry(3, 2, "w")}}}))
 	is.NoErr(s.Close())
 	s = openStore(t, folder)
-	id, err := s.Identity()
-	is.NoErr(err)
-	is.Equal(id, "me")
 	is.Equal(len(s.Groups()), 2)
 	stored, err := s.Load("a")
 	is.NoErr(err)
@@ -106,9 +104,11 @@
 	for i := uint64(2); i < 50; i++ {
 		is.NoErr(s.Persist([]Save{{Group: "a", Entries: []*rpc.Entry{entry(i, 1, "some data of an entry")}}}))
 	}
-	is.NoErr(s.Persist([]Save{{Group: "a", Snapshot: &rpc.Snapshot{Index: 45, Epoch: 1, State: []byte("state")}}}))
+	is.NoErr(s.StagePiece("a", &rpc.SnapshotPiece{Data: []byte("sta")}))
+	is.NoErr(s.StagePiece("a", &rpc.SnapshotPiece{Number: 1, Data: []byte("te")}))
+	is.NoErr(s.Persist([]Save{{Group: "a", Snapshot: &rpc.Snapshot{Index: 45, Epoch: 1, Pieces: 2}}}))
 	before := s.log.size
-	is.NoErr(s.rewrite())
+	is.NoErr(s.log.rewrite(s.spans()))
 	is.True(s.log.size < before/2)
 	is.NoErr(s.Persist([]Save{{Group: "a", Entries: []*rpc.Entry{entry(50, 1, "new")}}}))
 	is.NoErr(s.Close())
@@ -116,7 +116,9 @@
 	stored, err := s.Load("a")
 	is.NoErr(err)
 	is.Equal(stored.Snapshot.Index, uint64(45))
-	is.Equal(string(stored.Snapshot.State), "state")
+	state, err := io.ReadAll(s.State("a"))
+	is.NoErr(err)
+	is.Equal(string(state), "state")
 	is.Equal(len(stored.Entries), 5)
 	newest, err := s.Entry("a", 50)
 	is.NoErr(err)
@@ -133,7 +135,7 @@
 	readOnly, err := os.Open(filepath.Join(folder, logName))
 	is.NoErr(err)
 	defer readOnly.Close()
-	s.log.file = readOnly
+	s.log.file = diskFile{readOnly}
 	is.True(s.Persist([]Save{{Group: "a", Entries: []*rpc.Entry{entry(2, 1, "x")}}}) != nil)
 	s.log.file = good
 	is.NoErr(s.Persist([]Save{{Group: "a", Entries: []*rpc.Entry{entry(2, 1, "x")}}}))
@@ -141,3 +143,57 @@
 	is.NoErr(err)
 	is.Equal(len(stored.Entries), 1)
 }
+
+// The identity is bound to the folder.
+func TestIdentityStays(t *testing.T) {
+	is := is.New(t)
+	folder := t.TempDir()
+	facts, err := OpenFacts(folder)
+	is.NoErr(err)
+	is.NoErr(facts.SetIdentity("me"))
+	is.NoErr(facts.Close())
+	facts, err = OpenFacts(folder)
+	is.NoErr(err)
+	defer facts.Close()
+	id, err := facts.Identity()
+	is.NoErr(err)
+	is.Equal(id, "me")
+}
+
+// A snapshot that was received takes the place of the whole log. Were entries behind it kept, which the leader has given up, a restarted
+// replica would take itself for one with an older log than it has, and vote for candidates that lack what the snapshot holds.
+func TestReceivedSnapshotReplacesTheLog(t *testing.T) {
+	is := is.New(t)
+	folder := t.TempDir()
+	s := openStore(t, folder)
+	is.NoErr(s.Persist([]Save{founded("a")}))
+	var entries []*rpc.Entry
+	for i := uint64(2); i <= 30; i++ {
+		entries = append(entries, entry(i, 1, "given up"))
+	}
+	is.NoErr(s.Persist([]Save{{Group: "a", Entries: entries}}))
+	is.NoErr(s.Persist([]Save{{Group: "a", Pieces: []*rpc.SnapshotPiece{{Data: []byte("state")}}, Snapshot: &rpc.Snapshot{Index: 20, Epoch: 4, Pieces: 1}, Received: true}}))
+	is.NoErr(s.Close())
+	s = openStore(t, folder)
+	stored, err := s.Load("a")
+	is.NoErr(err)
+	is.Equal(stored.Snapshot.Index, uint64(20))
+	is.Equal(len(stored.Entries), 0)
+}
+
+// Pieces of a snapshot that was not finished count for nothing after a restart.
+func TestUnfinishedSnapshot(t *testing.T) {
+	is := is.New(t)
+	folder := t.TempDir()
+	s := openStore(t, folder)
+	is.NoErr(s.Persist([]Save{founded("a")}))
+	is.NoErr(s.Persist([]Save{{Group: "a", Entries: []*rpc.Entry{entry(2, 1, "x")}, Pieces: []*rpc.SnapshotPiece{{Data: []byte("old")}}}}))
+	is.NoErr(s.Close())
+	s = openStore(t, folder)
+	stored, err := s.Load("a")
+	is.NoErr(err)
+	is.Equal(stored.Snapshot.Index, uint64(1))
+	is.Equal(len(stored.Entries), 1)
+	err = s.Persist([]Save{{Group: "a", Snapshot: &rpc.Snapshot{Index: 2, Epoch: 1, Pieces: 2}, Received: true}})
+	is.True(errors.Is(err, ErrDamaged)) // its pieces aren't there
+}
--- a/internal/system/replica/wal.go
+++ b/internal/system/replica/wal.go
@@ -7,21 +7,22 @@
 	"fmt"
 	"hash/crc32"
 	"io"
-	"os"
-	"path/filepath"
 
 	"google.golang.org/protobuf/proto"
 
 	"saffronquay/internal/system/rpc"
 )
 
-// writeAheadLog is a file of records, each behind its length and checksum. Whatever is appended is synced before it counts, so a loss of
-// power can tear only the last append: the file is cut where it stops being whole.
+// writeAheadLog is a file of records, each behind its length and checksum. What counts is synced before it counts, so a loss of power can
+// tear only what was written after the last sync: the file is cut where it stops being whole.
 type writeAheadLog struct {
-	folder string
-	file   *os.File
+	disk   Disk
+	file   File
 	size   int64
 	buffer []byte
+	// renamed says that the file took the place of an older one and that its name may not last yet. Nothing counts before it does: a loss
+	// of power could bring the older file back.
+	renamed bool
 }
 
 // span is where a record's payload lies in the file.
@@ -35,14 +36,14 @@
 	bufferKept  = 1 << 20
 )
 
-// openLog opens the log in a folder and shows its records in order.
-func openLog(folder string, show func(payload []byte, at span) error) (*writeAheadLog, error) {
-	os.Remove(filepath.Join(folder, rewriteName))
-	file, err := os.OpenFile(filepath.Join(folder, logName), os.O_RDWR|os.O_CREATE, 0o644)
+// openLog opens the log on a disk and shows its records in order.
+func openLog(disk Disk, show func(payload []byte, at span) error) (*writeAheadLog, error) {
+	disk.Remove(rewriteName) // of a rewrite that was not finished; mostly there is none
+	file, err := disk.Open(logName)
 	if err != nil {
 		return nil, fmt.Errorf("replica: open log: %w", err)
 	}
-	l := &writeAheadLog{folder: folder, file: file}
+	l := &writeAheadLog{disk: disk, file: file}
 	if err := l.scan(show); err != nil {
 		file.Close()
 		return nil, err
@@ -52,26 +53,30 @@
 
 // scan shows the whole records and cuts off what stands behind them.
 func (l *writeAheadLog) scan(show func(payload []byte, at span) error) error {
-	reader := bufio.NewReaderSize(l.file, 256<<10)
+	size, err := l.file.Size()
+	if err != nil {
+		return fmt.Errorf("replica: read log: %w", err)
+	}
+	reader := bufio.NewReaderSize(io.NewSectionReader(l.file, 0, size), 256<<10)
 	var payload []byte
 	for {
 		var head [recordHead]byte
 		if _, err := io.ReadFull(reader, head[:]); err != nil {
-			return l.cut(err)
+			return l.cut(size, err)
 		}
 		length := int64(binary.BigEndian.Uint32(head[:]))
 		if length == 0 || length > recordMost {
-			return l.cut(io.EOF)
+			return l.cut(size, io.EOF)
 		}
 		if int64(cap(payload)) < length {
 			payload = make([]byte, length)
 		}
 		payload = payload[:length]
 		if _, err := io.ReadFull(reader, payload); err != nil {
-			return l.cut(err)
+			return l.cut(size, err)
 		}
 		if crc32.ChecksumIEEE(payload) != binary.BigEndian.Uint32(head[4:]) {
-			return l.cut(io.EOF)
+			return l.cut(size, io.EOF)
 		}
 		if err := show(payload, span{l.size + recordHead, length}); err != nil {
 			return err
@@ -81,13 +86,12 @@
 }
 
 // cut ends a scan at the last whole record.
-func (l *writeAheadLog) cut(err error) error {
+func (l *writeAheadLog) cut(size int64, err error) error {
 	if !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
 		return fmt.Errorf("replica: read log: %w", err)
 	}
-	info, err := l.file.Stat()
-	if err != nil || info.Size() == l.size {
-		return err
+	if size == l.size {
+		return nil
 	}
 	if err := l.file.Truncate(l.size); err != nil {
 		return err
@@ -95,8 +99,11 @@
 	return l.file.Sync()
 }
 
-// append writes records behind the others and syncs. After an error the file is as it was.
-func (l *writeAheadLog) append(records []*rpc.StoredRecord) (spans []span, err error) {
+// append writes records behind the others and, where sync is set, has them last. After an error the file is as it was.
+func (l *writeAheadLog) append(records []*rpc.StoredRecord, sync bool) (spans []span, err error) {
+	if err := l.keepName(); err != nil {
+		return nil, err
+	}
 	buffer := l.buffer[:0]
 	for _, r := range records {
 		start := len(buffer)
@@ -112,7 +119,7 @@
 	if cap(buffer) <= bufferKept {
 		l.buffer = buffer
 	}
-	if _, err = l.file.WriteAt(buffer, l.size); err == nil {
+	if _, err = l.file.WriteAt(buffer, l.size); err == nil && sync {
 		err = l.file.Sync()
 	}
 	if err != nil {
@@ -122,6 +129,18 @@
 	return spans, nil
 }
 
+// keepName makes the name of a rewritten file last.
+func (l *writeAheadLog) keepName() error {
+	if !l.renamed {
+		return nil
+	}
+	if err := l.disk.Sync(); err != nil {
+		return fmt.Errorf("replica: sync folder: %w", err)
+	}
+	l.renamed = false
+	return nil
+}
+
 func (l *writeAheadLog) read(at span) ([]byte, error) {
 	payload := make([]byte, at.length)
 	if _, err := l.file.ReadAt(payload, at.offset); err != nil {
@@ -130,47 +149,59 @@
 	return payload, nil
 }
 
-// rewrite writes a new log of some records, puts it in this one's place, and shows its records.
-func (l *writeAheadLog) rewrite(keep []span, show func(payload []byte, at span) error) (*writeAheadLog, error) {
-	path := filepath.Join(l.folder, rewriteName)
-	file, err := os.Create(path)
+// rewrite puts a file of some records in this one's place and moves their spans to where they lie there. After an error everything is as it
+// was.
+func (l *writeAheadLog) rewrite(keep []*span) error {
+	l.disk.Remove(rewriteName)
+	file, err := l.disk.Open(rewriteName)
 	if err != nil {
-		return nil, err
+		return fmt.Errorf("replica: rewrite log: %w", err)
+	}
+	size, err := l.copyTo(file, keep)
+	if err == nil {
+		err = file.Sync()
 	}
-	err = l.copyTo(file, keep)
-	err = errors.Join(err, file.Sync(), file.Close())
 	if err == nil {
-		err = errors.Join(os.Rename(path, filepath.Join(l.folder, logName)), syncFolder(l.folder))
+		err = l.disk.Rename(rewriteName, logName)
 	}
 	if err != nil {
-		os.Remove(path)
-		return nil, fmt.Errorf("replica: rewrite log: %w", err)
+		file.Close()
+		l.disk.Remove(rewriteName)
+		return fmt.Errorf("replica: rewrite log: %w", err)
 	}
-	fresh, err := openLog(l.folder, show)
-	if err == nil {
-		l.file.Close()
+	l.file.Close()
+	l.file, l.size, l.renamed = file, size, true
+	offset := int64(recordHead)
+	for _, at := range keep {
+		at.offset = offset
+		offset += at.length + recordHead
 	}
-	return fresh, err
+	return nil
+}
+
+// offsetWriter writes to a file from its beginning on.
+type offsetWriter struct {
+	file   File
+	offset int64
+}
+
+func (w *offsetWriter) Write(b []byte) (int, error) {
+	n, err := w.file.WriteAt(b, w.offset)
+	w.offset += int64(n)
+	return n, err
 }
 
-func (l *writeAheadLog) copyTo(file *os.File, keep []span) error {
-	writer := bufio.NewWriterSize(file, 256<<10)
+func (l *writeAheadLog) copyTo(file File, keep []*span) (size int64, err error) {
+	to := &offsetWriter{file: file}
+	writer := bufio.NewWriterSize(to, 256<<10)
 	for _, at := range keep {
-		head := io.NewSectionReader(l.file, at.offset-recordHead, recordHead+at.length)
-		if _, err := io.Copy(writer, head); err != nil {
-			return err
+		whole := io.NewSectionReader(l.file, at.offset-recordHead, recordHead+at.length)
+		if _, err := io.Copy(writer, whole); err != nil {
+			return 0, err
 		}
 	}
-	return writer.Flush()
+	err = writer.Flush()
+	return to.offset, err
 }
 
 func (l *writeAheadLog) close() error { return l.file.Close() }
-
-func syncFolder(folder string) error {
-	f, err := os.Open(folder)
-	if err != nil {
-		return err
-	}
-	defer f.Close()
-	return f.Sync()
-}
--- a/internal/system/steward/api.go
+++ b/internal/system/steward/api.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/fasthttp/router"
@@ -13,20 +12,15 @@
 
 	"saffronquay/internal/system/configuration"
 	"saffronquay/internal/system/directory"
-	"saffronquay/internal/system/registry"
 	"saffronquay/internal/system/replica"
 	"saffronquay/internal/system/rpc"
-	"saffronquay/internal/system/settings"
 )
 
 const (
 	maxBody       = 64 << 20
 	submitTimeout = 1500 * time.Millisecond
-	passTimeout   = 850 * time.Millisecond
 )
 
-func registryShard(service string) string { return registry.ShardOf(service) }
-
 // routes are the calls of the operator, the trainers and the workers.
 func (st *Steward) routes() fasthttp.RequestHandler {
 	r := router.New()
@@ -105,6 +99,8 @@
 		reply(ctx, fasthttp.StatusOK, answer{})
 	case result.Status == rpc.DirectoryStatus_DIRECTORY_CONFLICT:
 		fail(ctx, fasthttp.StatusPreconditionFailed, result.Message)
+	case result.Status == rpc.DirectoryStatus_DIRECTORY_UNCERTAIN:
+		fail(ctx, fasthttp.StatusServiceUnavailable, result.Message)
 	default:
 		fail(ctx, fasthttp.StatusBadRequest, result.Message)
 	}
@@ -139,140 +135,3 @@
 		reply(ctx, fasthttp.StatusOK, answer{})
 	}
 }
-
-// startRetire asks for a storage machine to be emptied.
-func (st *Steward) startRetire(ctx *fasthttp.RequestCtx) {
-	node := ctx.UserValue("node").(string)
-	retirements := st.directory.Retirements()
-	if _, begun := retirements[node]; begun {
-		reply(ctx, fasthttp.StatusOK, answer{})
-		return
-	}
-	known, staying := false, 0
-	for _, m := range st.machines(settings.ServesStorage) {
-		known = known || m.Node == node
-		if m.Node != node && m.Alive && !m.Retiring {
-			staying++
-		}
-	}
-	for _, p := range st.directory.Placements() {
-		for _, r := range p.Replicas {
-			known = known || r.Node == node && st.machine(p.Group) == nil
-		}
-	}
-	switch {
-	case !known:
-		fail(ctx, fasthttp.StatusNotFound, "no such storage machine")
-		return
-	case staying < st.settings.GroupSize():
-		fail(ctx, fasthttp.StatusConflict, "too few storage machines would be left")
-		return
-	}
-	if st.decide(ctx, &rpc.DirectoryCommand{Command: &rpc.DirectoryCommand_Retire{Retire: &rpc.RetireState{Node: node}}}) != nil {
-		reply(ctx, fasthttp.StatusOK, answer{})
-	}
-}
-
-// getRetire tells how far the emptying of a storage machine is.
-func (st *Steward) getRetire(ctx *fasthttp.RequestCtx) {
-	completed, begun := st.directory.Retirements()[ctx.UserValue("node").(string)]
-	if !begun {
-		fail(ctx, fasthttp.StatusNotFound, "this machine is not being emptied")
-		return
-	}
-	state := "active"
-	if completed {
-		state = "completed"
-	}
-	reply(ctx, fasthttp.StatusOK, struct {
-		State string `json:"state"`
-	}{state})
-}
-
-// heartbeatBody is what a worker says of itself.
-type heartbeatBody struct {
-	Service  string `json:"service"`
-	Address  string `json:"address"`
-	Zone     string `json:"zone"`
-	Capacity uint32 `json:"capacity"`
-	State    string `json:"state"`
-	Sequence uint64 `json:"sequence"`
-	Models   []struct {
-		Name    string `json:"name"`
-		Version uint64 `json:"version"`
-	} `json:"models"`
-}
-
-// heartbeatAnswer names the steward that owns the worker's shard, so that later heartbeats go there at once.
-type heartbeatAnswer struct {
-	Endpoint string `json:"heartbeatEndpoint,omitempty"`
-}
-
-// instance takes a worker's heartbeat or its leave.
-func (st *Steward) instance(ctx *fasthttp.RequestCtx, leaving bool) {
-	id := ctx.UserValue("id").(string)
-	instance, err := readHeartbeat(id, ctx.PostBody())
-	if err != nil && !leaving {
-		fail(ctx, fasthttp.StatusBadRequest, err.Error())
-		return
-	}
-	if leaving {
-		instance = st.known(id)
-		if instance == nil {
-			instance = &rpc.Instance{Id: id}
-		}
-	}
-	outcome, owner := st.pass(&rpc.HeartbeatRequest{Instance: instance, Leaving: leaving})
-	if outcome != rpc.Outcome_DONE {
-		fail(ctx, fasthttp.StatusServiceUnavailable, "the owner of the service's shard doesn't answer")
-		return
-	}
-	reply(ctx, fasthttp.StatusOK, heartbeatAnswer{st.controlAddress(owner)})
-}
-
-func readHeartbeat(id string, text []byte) (*rpc.Instance, error) {
-	var b heartbeatBody
-	if err := json.Unmarshal(text, &b); err != nil {
-		return nil, err
-	}
-	instance := &rpc.Instance{Id: id, Service: b.Service, Address: b.Address, Zone: b.Zone, Capacity: b.Capacity, Sequence: b.Sequence,
-		Draining: strings.EqualFold(b.State, "draining")}
-	for _, m := range b.Models {
-		instance.Models = append(instance.Models, &rpc.ModelWeights{Name: m.Name, Version: m.Version})
-	}
-	return instance, nil
-}
-
-// known finds a worker by its id alone.
-func (st *Steward) known(id string) *rpc.Instance {
-	for _, sh := range st.shards {
-		if i := sh.registry.Instance(id); i != nil {
-			return i
-		}
-	}
-	return nil
-}
-
-// pass gives a heartbeat to the owner of the service's shard, and tells who that is.
-func (st *Steward) pass(r *rpc.HeartbeatRequest) (outcome rpc.Outcome, owner string) {
-	ctx, cancel := context.WithTimeout(context.Background(), passTimeout)
-	defer cancel()
-	sh := st.shards[registryShard(r.Instance.Service)]
-	for {
-		response := sh.heartbeat(ctx, r)
-		if response.Outcome == rpc.Outcome_DONE {
-			return response.Outcome, st.identity.Address
-		}
-		if address := response.LeaderAddress; address != "" && address != st.identity.Address {
-			passed, err := rpc.NewControlProtobufClient("http://"+address, st.client).Heartbeat(ctx, r)
-			if err == nil && passed.Outcome == rpc.Outcome_DONE {
-				return passed.Outcome, address
-			}
-		}
-		select {
-		case <-time.After(50 * time.Millisecond):
-		case <-ctx.Done():
-			return rpc.Outcome_UNAVAILABLE, ""
-		}
-	}
-}
--- a/internal/system/steward/shard.go
+++ b/internal/system/steward/shard.go
@@ -1,11 +1,13 @@
 package steward
 
 import (
+	"cmp"
 	"context"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
+	"saffronquay/internal/system/registry"
 	"saffronquay/internal/system/replica"
 	"saffronquay/internal/system/rpc"
 )
@@ -20,7 +22,7 @@
 
 // Heartbeat implements rpc.Control: it takes in what another steward passes on.
 func (st *Steward) Heartbeat(ctx context.Context, r *rpc.HeartbeatRequest) (*rpc.HeartbeatResponse, error) {
-	sh := st.shards[registryShard(r.Instance.Service)]
+	sh := st.shards[cmp.Or(r.Shard, registry.ShardOf(r.Instance.Service))]
 	if sh == nil {
 		return &rpc.HeartbeatResponse{Outcome: rpc.Outcome_UNAVAILABLE}, nil
 	}
@@ -39,6 +41,9 @@
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
 	if r.Leaving {
+		if sh.registry.Gone(r.Instance.Id) {
+			return &rpc.HeartbeatResponse{Outcome: rpc.Outcome_DONE}
+		}
 		return sh.propose(ctx, &rpc.RegistryCommand{Command: &rpc.RegistryCommand_Remove{Remove: r.Instance.Id}})
 	}
 	if sh.registry.Gone(r.Instance.Id) {
--- a/internal/system/steward/steward.go
+++ b/internal/system/steward/steward.go
@@ -33,6 +33,8 @@
 	log      *slog.Logger
 	identity replica.Identity
 
+	options    replica.Options
+	facts      *replica.Facts
 	store      *replica.Store
 	host       *replica.Host
 	client     *transport.Client
@@ -63,12 +65,13 @@
 const freshWithin = 700 // ms
 
 // Run serves until the context ends, then closes what is open.
-func Run(ctx context.Context, source *settings.Source, log *slog.Logger) error {
-	st := &Steward{source: source, settings: source.Current(), log: log, client: transport.NewClient(), feed: feed.NewTable(), shards: map[string]*shard{},
+func Run(ctx context.Context, source *settings.Source, options replica.Options, log *slog.Logger) error {
+	st := &Steward{source: source, settings: source.Current(), options: options, log: log, client: transport.NewClient(), feed: feed.NewTable(), shards: map[string]*shard{},
 		changed: make(chan struct{}), begun: time.Now()}
 	if err := st.open(); err != nil {
 		return err
 	}
+	defer st.facts.Close()
 	defer st.store.Close()
 	return st.serve(ctx)
 }
@@ -83,10 +86,13 @@
 }
 
 func (st *Steward) open() (err error) {
-	if st.store, err = replica.OpenStore(st.settings.DataDir); err != nil {
+	if st.facts, err = replica.OpenFacts(st.settings.DataDir); err != nil {
+		return err
+	}
+	if st.identity, err = replica.Identify(st.facts, st.settings); err != nil {
 		return err
 	}
-	if st.identity, err = replica.Identify(st.store, st.settings); err != nil {
+	if st.store, err = replica.OpenStore(st.settings.DataDir); err != nil {
 		return err
 	}
 	st.directory = directory.New(st.feed)
@@ -95,7 +101,7 @@
 		st.shards[name] = &shard{steward: st, name: name, registry: registry.New(name, st.feed), owner: registry.NewOwner(st.settings.HeartbeatMS)}
 	}
 	sender := replica.NewSender(st.client)
-	st.host, err = replica.NewHost(replica.Config{Identity: st.identity, Store: st.store, Machine: st.machine, Send: sender.Send, Log: st.log, Changed: st.groupChanged})
+	st.host, err = replica.NewHost(replica.Config{Identity: st.identity, Store: st.store, Machine: st.machine, Send: sender.Send, Log: st.log, Options: st.options, Changed: st.groupChanged})
 	return err
 }
 
@@ -241,7 +247,7 @@
 		}
 		for name, placement := range st.directory.Placements() {
 			if st.machine(name) != nil {
-				st.host.SetWanted(name, placement.Replicas)
+				st.host.SetWanted(placement)
 			}
 		}
 		for _, sh := range st.shards {
--- a/internal/system/storage/storage.go
+++ b/internal/system/storage/storage.go
@@ -3,6 +3,7 @@
 package storage
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"log/slog"
@@ -31,21 +32,27 @@
 }
 
 // Run serves until the context ends.
-func Run(ctx context.Context, source *settings.Source, log *slog.Logger) error {
+func Run(ctx context.Context, source *settings.Source, options replica.Options, log *slog.Logger) error {
 	s := source.Current()
+	facts, err := replica.OpenFacts(s.DataDir)
+	if err != nil {
+		return err
+	}
+	defer facts.Close()
 	store, err := replica.OpenStore(s.DataDir)
 	if err != nil {
 		return err
 	}
 	defer store.Close()
 	st := &Storage{source: source, log: log, client: transport.NewClient()}
-	if st.identity, err = replica.Identify(store, s); err != nil {
+	if st.identity, err = replica.Identify(facts, s); err != nil {
 		return err
 	}
 	st.service = &ledger.Service{Log: log, KeepResults: settings.Seconds(s.Bounds.StatusIntervalS + keepSlackS), Demand: st.demand}
 	sender := replica.NewSender(st.client)
+	options.SnapshotBytes = cmp.Or(options.SnapshotBytes, s.Limits.DiskMB<<20/diskShare)
 	if st.host, err = replica.NewHost(replica.Config{Identity: st.identity, Store: store, Machine: st.service.Machine, Send: sender.Send, Log: log,
-		SnapshotBytes: s.Limits.DiskMB << 20 / diskShare}); err != nil {
+		Options: options}); err != nil {
 		return err
 	}
 	st.service.Host = st.host
@@ -124,6 +131,6 @@
 		if p.Founding && own {
 			st.host.Found(p.Group, p.Replicas)
 		}
-		st.host.SetWanted(p.Group, p.Replicas)
+		st.host.SetWanted(p)
 	}
 }
