Notice departed clients, give up foreign answers, trust no time of day

Ruled out: another HTTP server for the front (a look at the connection does, after 80 ms of a request). Figures: TestAnswersAndRuns (480 requests against workers that spoil their answers in 15 ways) fails where foreign answers are not discarded.

--- a/internal/system/agent/agent.go
+++ b/internal/system/agent/agent.go
@@ -118,6 +118,9 @@
 
 // Watch implements rpc.Control.
 func (a *Agent) Watch(ctx context.Context, r *rpc.WatchRequest) (*rpc.WatchResponse, error) {
+	if seen := r.Offsets[MembersShard]; seen > a.feed.Offset(MembersShard) {
+		a.feed.Overtake(MembersShard, seen) // this process was started anew, by a clock that has stepped back
+	}
 	return feed.Watch(ctx, a.feed, func() bool { return a.tail.Fresh(freshWithin) }, r), nil
 }
 
--- a/internal/system/batch/item.go
+++ b/internal/system/batch/item.go
@@ -162,11 +162,13 @@
 		return tryAgain
 	}
 	defer answer.Close()
-	r.Log.Debug("answer", "item", lease.Item.Id, "worker", w.ID, "status", answer.Status, "weights", answer.Header.Peek("Weight-Versions"), "length", answer.Header.ContentLength(), "not", answer.Header.Peek("Not-Executed"))
-	switch {
-	case string(answer.Header.Peek("Request-Id")) != lease.Item.Id && len(answer.Header.Peek("Request-Id")) > 0:
+	if !answer.Belongs(lease.Item.Id) {
+		answer.Discard()
 		r.Forwarder.Pool.Forget(w.Address)
 		return tryAgain
+	}
+	r.Log.Debug("answer", "item", lease.Item.Id, "worker", w.ID, "status", answer.Status, "weights", answer.Header.Peek("Weight-Versions"), "length", answer.Header.ContentLength(), "not", answer.Header.Peek("Not-Executed"))
+	switch {
 	case answer.Status == fasthttp.StatusMisdirectedRequest:
 		r.noteVersion(w, lease.Model, answer)
 		table.Refused(clock(), w, lease.Model)
@@ -273,8 +275,14 @@
 	}
 }
 
-// scoreTries bounds how often a text's reward call is made anew.
-const scoreTries = 8
+const (
+	// scoreTries bounds how often a text's reward call is made anew.
+	scoreTries = 8
+	// scoreLeast is the least time that one of these tries has, and scoreTimeouts the time for all of them, in timeouts of the route. Workers are
+	// told the end of that whole time each time: a call that is sent once more must not be given more time than the first.
+	scoreLeast    = 500 // ms
+	scoreTimeouts = 3
+)
 
 // score has a whole text scored, where the item asks for that.
 func (r *Runner) score(ctx context.Context, lease *rpc.Lease, made *text) *rpc.Report {
@@ -284,14 +292,20 @@
 		return &rpc.Report{Result: result}
 	}
 	errors500 := 0
+	var end time.Time
 	for range scoreTries {
 		route := r.Table().Find(scorer.Host, scorer.Path)
 		if route == nil {
 			return &rpc.Report{Result: &rpc.Result{}}
 		}
-		left := time.Duration(max(route.TimeoutMS, 500)) * time.Millisecond
+		left := time.Duration(max(route.TimeoutMS, scoreLeast)) * time.Millisecond
+		if end.IsZero() {
+			end = time.Now().Add(scoreTimeouts * left)
+		} else if time.Now().After(end) {
+			break
+		}
 		answer := r.Forwarder.Do(ctx, &forward.Request{ID: scorer.Id, Method: fasthttp.MethodPost, URI: scorer.Path, Host: scorer.Host, Body: scorer.Body,
-			Route: route, Deadline: time.Now().Add(left)})
+			Route: route, Deadline: earlier(time.Now().Add(left), end), WorkerDeadline: end})
 		errors500 += answer.Errors
 		if answer.Err == nil && answer.Status < 300 {
 			result.Score = string(answer.Answer.Header.Peek("Response-Stamp"))
@@ -310,3 +324,10 @@
 	}
 	return &rpc.Report{Released: true}
 }
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
--- a/internal/system/batch/item_test.go
+++ b/internal/system/batch/item_test.go
@@ -147,9 +147,10 @@
 	is.Equal(len(first), 1)
 	second, _ := r.held("ledger-1")
 	is.Equal(len(second), 1)
-	cut := r.leases[leaseKey{"ledger-1", 1}]
 	r.take(ctx, "ledger-0", &rpc.WorkResponse{Epoch: 2, Cancelled: []uint64{1}})
-	is.True(r.leases[leaseKey{"ledger-1", 1}] == cut) // still worked on
+	delete(r.toldAt, "ledger-1")
+	second, _ = r.held("ledger-1")
+	is.Equal(len(second), 1) // still worked on
 	cancel()
 	r.active.Wait()
 	is.Equal(len(r.leases), 0)
--- a/internal/system/feed/client.go
+++ b/internal/system/feed/client.go
@@ -27,6 +27,8 @@
 	watchWait  = 600 * time.Millisecond
 	watchSlack = 500 * time.Millisecond
 	pauseAfter = 50 * time.Millisecond
+	// roundPause is how long to wait once no source was good: all may be waiting for the same leader.
+	roundPause = 150 * time.Millisecond
 )
 
 // Fresh tells whether a source that is itself in touch has answered not longer ago than this.
@@ -37,23 +39,49 @@
 
 // Run asks until the context ends.
 func (c *Client) Run(ctx context.Context) {
-	for turn := 0; ctx.Err() == nil; {
-		sources := c.Sources()
-		if len(sources) == 0 {
-			c.pause(ctx)
+	var rotation Rotation
+	for ctx.Err() == nil {
+		source := rotation.Next(c.Sources())
+		if source == "" {
+			c.pause(ctx, roundPause)
 			continue
 		}
-		source := sources[turn%len(sources)]
-		if !c.ask(ctx, source) {
-			turn++
-			c.pause(ctx)
+		if good := c.ask(ctx, source); !good {
+			c.pause(ctx, rotation.Failed())
+		} else {
+			rotation.Good()
 		}
 	}
 }
 
-func (c *Client) pause(ctx context.Context) {
+// Rotation says which source to ask next: the same one as long as it is good, else the one behind it. The zero value begins with the first.
+type Rotation struct {
+	turn, failed, sources int
+}
+
+// Next is the source to ask; empty where there is none.
+func (r *Rotation) Next(sources []string) string {
+	if r.sources = len(sources); r.sources == 0 {
+		return ""
+	}
+	return sources[r.turn%r.sources]
+}
+
+// Good notes that the source was good.
+func (r *Rotation) Good() { r.failed = 0 }
+
+// Failed goes on to the next source and tells how long to wait before.
+func (r *Rotation) Failed() time.Duration {
+	r.turn++
+	if r.failed++; r.failed%max(r.sources, 1) == 0 {
+		return roundPause
+	}
+	return pauseAfter
+}
+
+func (c *Client) pause(ctx context.Context, d time.Duration) {
 	select {
-	case <-time.After(pauseAfter):
+	case <-time.After(d):
 	case <-ctx.Done():
 	}
 }
--- a/internal/system/feed/table.go
+++ b/internal/system/feed/table.go
@@ -119,6 +119,19 @@
 	return removed
 }
 
+// Overtake has a shard's offset exceed another one, and whoever is at that given a snapshot. It is for shards whose offsets are not indices of
+// a log: a process that started anew may count from a lower one than a watcher has seen.
+func (t *Table) Overtake(name string, offset uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.shard(name)
+	if offset < s.offset {
+		return
+	}
+	s.offset, s.floor, s.events = offset+1, offset+1, nil
+	t.wake()
+}
+
 // Offset is the index of a shard's log up to which the table has its changes.
 func (t *Table) Offset(name string) uint64 {
 	t.mu.Lock()
--- a/internal/system/feed/table_test.go
+++ b/internal/system/feed/table_test.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -81,3 +82,56 @@
 	feeds, _ = table.Since(map[string]uint64{"s": 9}) // somebody who knows more
 	is.Equal(len(feeds), 0)
 }
+
+// A source that was started anew and counts from a lower offset than a watcher has seen overtakes it: the watcher is given all that there is.
+func TestOvertake(t *testing.T) {
+	is := is.New(t)
+	source, own, seen := NewTable(), NewTable(), view{}
+	source.Publish("members", 1000, instance("a", 1), instance("b", 1))
+	feeds, _ := source.Since(own.Offsets())
+	seen.take(own.Take(feeds))
+	again := NewTable()
+	again.Publish("members", 500, instance("b", 2))
+	feeds, _ = again.Since(own.Offsets())
+	is.Equal(len(feeds), 0)
+	again.Overtake("members", own.Offset("members"))
+	feeds, _ = again.Since(own.Offsets())
+	seen.take(own.Take(feeds))
+	is.Equal(seen, view{"b": 2})
+	again.Overtake("members", 7) // it is ahead already
+	is.Equal(again.Offset("members"), uint64(1001))
+	again.Publish("members", 1002, instance("c", 1))
+	feeds, _ = again.Since(own.Offsets())
+	seen.take(own.Take(feeds))
+	is.Equal(seen, view{"b": 2, "c": 1})
+}
+
+// A watcher is not held by a process that has lost touch, and is let go when that happens while it waits.
+func TestWatchOfAStaleSource(t *testing.T) {
+	is := is.New(t)
+	table := NewTable()
+	table.Publish("s", 3, instance("a", 1))
+	request := &rpc.WatchRequest{Offsets: map[string]uint64{"s": 3}, WaitMs: 60_000}
+	response := Watch(context.Background(), table, func() bool { return false }, request)
+	is.True(!response.Fresh)
+	asked := 0
+	response = Watch(context.Background(), table, func() bool { asked++; return asked < 3 }, request)
+	is.True(!response.Fresh)
+	is.Equal(asked, 3)
+}
+
+// Sources are asked by turns while they fail, with a longer pause after each round; a good one is asked again.
+func TestRotation(t *testing.T) {
+	is := is.New(t)
+	var r Rotation
+	is.Equal(r.Next(nil), "")
+	sources := []string{"a", "b"}
+	is.Equal(r.Next(sources), "a")
+	is.Equal(r.Failed(), pauseAfter)
+	is.Equal(r.Next(sources), "b")
+	is.Equal(r.Failed(), roundPause)
+	is.Equal(r.Next(sources), "a")
+	r.Good()
+	is.Equal(r.Next(sources), "a")
+	is.Equal(r.Failed(), pauseAfter)
+}
--- a/internal/system/forward/forward.go
+++ b/internal/system/forward/forward.go
@@ -24,7 +24,8 @@
 	Headers               []worker.Header
 	Body                  []byte
 	Route                 *configuration.Route
-	Deadline              time.Time
+	Deadline              time.Time // until which an answer is waited for
+	WorkerDeadline        time.Time // that workers are told, where it is later
 	Usage                 routing.Usage
 	Model                 string
 }
@@ -215,7 +216,7 @@
 	}
 	if err != nil {
 		if answer != nil {
-			answer.Close()
+			answer.Discard()
 		}
 		ticket.Clear()
 		cancel()
@@ -269,7 +270,7 @@
 // judge tells whether an answer is this request's and can be passed on.
 func (f *Forwarder) judge(r *Request, w *routing.Worker, answer *worker.Answer) error {
 	switch {
-	case len(answer.Header.Peek("Request-Id")) > 0 && string(answer.Header.Peek("Request-Id")) != r.ID:
+	case !answer.Belongs(r.ID):
 		f.Pool.Forget(w.Address)
 		return verdict.Wrap(verdict.Failed, verdict.MayHaveRun, errStrange, "worker %s", w.ID)
 	case len(answer.Header.Peek("Not-Executed")) > 0 || answer.Status == fasthttp.StatusMisdirectedRequest:
@@ -285,7 +286,11 @@
 
 // headers are those of the request with what is added for a worker.
 func (r *Request) headers(instance string) []worker.Header {
-	left := max(time.Until(r.Deadline).Milliseconds(), 1)
+	until := r.Deadline
+	if r.WorkerDeadline.After(until) {
+		until = r.WorkerDeadline
+	}
+	left := max(time.Until(until).Milliseconds(), 1)
 	headers := make([]worker.Header, 0, len(r.Headers)+3)
 	headers = append(headers, r.Headers...)
 	return append(headers, worker.Header{Name: "Request-Id", Value: r.ID}, worker.Header{Name: "Deadline-Ms", Value: strconv.FormatInt(left, 10)},
--- /dev/null
+++ b/internal/system/forward/forward_test.go
@@ -0,0 +1,199 @@
+package forward
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/textproto"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"saffronquay/internal/system/configuration"
+	"saffronquay/internal/system/routing"
+	"saffronquay/internal/system/rpc"
+	"saffronquay/internal/system/verdict"
+	"saffronquay/internal/system/worker"
+)
+
+// misdeeds are what a worker of these tests may do with a request.
+var misdeeds = []string{"serve", "serve", "serve", "decline", "reset unread", "run and reset", "run and be silent", "surplus answer", "late surplus", "another's answer first",
+	"another's empty answer first", "no stamp", "no id", "cut short", "serve and close"}
+
+// ledger notes which worker ran which request.
+type ledger struct {
+	mu   sync.Mutex
+	runs map[string][]string
+}
+
+func (l *ledger) note(id, worker string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.runs[id] = append(l.runs[id], worker)
+}
+
+func (l *ledger) of(id string) []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]string(nil), l.runs[id]...)
+}
+
+func bodyOf(id string) string { return "the body for " + id }
+
+func wholeAnswer(id string) string {
+	body := bodyOf(id)
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Stamp: stamp-%s\r\nContent-Length: %d\r\n\r\n%s", id, id, len(body), body)
+}
+
+// spiteful is a worker that does all of that by chance.
+func spiteful(t *testing.T, name string, seed uint64, l *ledger) string {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for n := uint64(0); ; n++ {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go behave(conn.(*net.TCPConn), name, rand.New(rand.NewPCG(seed, n)), l)
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func behave(conn *net.TCPConn, name string, random *rand.Rand, l *ledger) {
+	defer conn.Close()
+	reader := textproto.NewReader(bufio.NewReader(conn))
+	previous := "nobody"
+	for {
+		if _, err := reader.ReadLine(); err != nil {
+			return
+		}
+		head, err := reader.ReadMIMEHeader()
+		if err != nil {
+			return
+		}
+		id := head.Get("Request-Id")
+		say := func(text string) { io.WriteString(conn, text) }
+		deed := misdeeds[random.IntN(len(misdeeds))]
+		if deed != "decline" && deed != "reset unread" {
+			l.note(id, name)
+		}
+		switch deed {
+		case "serve":
+			say(wholeAnswer(id))
+		case "decline":
+			say("HTTP/1.1 503 Full\r\nRequest-Id: " + id + "\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+		case "reset unread", "run and reset":
+			conn.SetLinger(0)
+			return
+		case "run and be silent":
+			io.Copy(io.Discard, conn) // until the caller gives up
+			return
+		case "surplus answer":
+			say(wholeAnswer(id) + wholeAnswer(previous))
+		case "late surplus":
+			say(wholeAnswer(id))
+			say(wholeAnswer(previous))
+		case "another's answer first":
+			say(wholeAnswer(previous) + wholeAnswer(id))
+		case "another's empty answer first":
+			say("HTTP/1.1 500 Oh\r\nRequest-Id: " + previous + "\r\nContent-Length: 0\r\n\r\n" + wholeAnswer(id))
+		case "no stamp":
+			say("HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nContent-Length: 2\r\n\r\nno")
+		case "no id":
+			say("HTTP/1.1 200 OK\r\nResponse-Stamp: s\r\nContent-Length: 2\r\n\r\nno")
+		case "cut short":
+			text := wholeAnswer(id)
+			say(text[:len(text)-1-random.IntN(len(text)-1)])
+			return
+		case "serve and close":
+			say(strings.Replace(wholeAnswer(id), "\r\n\r\n", "\r\nConnection: close\r\n\r\n", 1))
+			return
+		}
+		previous = id
+	}
+}
+
+// Whatever workers do, an answer goes to the call that it is for, a request that may not be repeated runs once at most, one that is given up as
+// not run has not run nor will, and no request runs at more workers than its route allows.
+func TestAnswersAndRuns(t *testing.T) {
+	is := is.New(t)
+	l := &ledger{runs: map[string][]string{}}
+	table := routing.NewTable(rand.New(rand.NewPCG(1, 1)))
+	for i := range 4 {
+		name := fmt.Sprint("worker", i)
+		table.Put(&rpc.Instance{Id: name, Service: "s", Capacity: 64, Address: spiteful(t, name, uint64(i), l)})
+	}
+	start := time.Now()
+	f := &Forwarder{Table: table, Pool: worker.NewPool(), Clock: func() int64 { return time.Since(start).Milliseconds() + 1_000_000 }}
+	const callers, calls, attempts = 8, 60, 3
+	var served, refused, unsure atomic.Int64
+	var wait sync.WaitGroup
+	for caller := range callers {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			for n := range calls {
+				id := fmt.Sprintf("r%d-%d", caller, n)
+				route := &configuration.Route{Name: "r", Service: "s", Type: configuration.Idempotent, MaxAttempts: attempts, TimeoutMS: 200, TargetLatencyMS: 20}
+				if n%2 == 1 {
+					route.Type = "non_idempotent"
+				}
+				result := f.Do(context.Background(), &Request{ID: id, Method: "POST", URI: "/x", Host: "h", Route: route, Deadline: time.Now().Add(200 * time.Millisecond)})
+				switch {
+				case result.Err == nil:
+					served.Add(1)
+					if string(result.Body) != bodyOf(id) || string(result.Answer.Header.Peek("Response-Stamp")) != "stamp-"+id {
+						t.Errorf("%s got %q", id, result.Body)
+					}
+				case result.Verdict == verdict.NotRun:
+					refused.Add(1)
+					defer func() { // also not later
+						if runs := l.of(id); len(runs) > 0 {
+							t.Errorf("%s was refused and ran at %v", id, runs)
+						}
+					}()
+				default:
+					unsure.Add(1)
+				}
+				result.Release()
+				if runs := l.of(id); len(runs) > attempts || len(runs) > 1 && !route.Repeatable() {
+					t.Errorf("%s (%s) ran at %v", id, route.Type, runs)
+				}
+			}
+		}()
+	}
+	wait.Wait()
+	t.Logf("served %d, refused %d, unsure %d", served.Load(), refused.Load(), unsure.Load())
+	is.True(served.Load() > 0 && unsure.Load() > 0)
+}
+
+// Calls that are sent once more don't get more time than the first: workers are told the end of the whole.
+func TestWorkerDeadline(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	value := func(r *Request) (ms int) {
+		for _, h := range r.headers("w") {
+			if h.Name == "Deadline-Ms" {
+				fmt.Sscan(h.Value, &ms)
+			}
+		}
+		return ms
+	}
+	is.True(value(&Request{Deadline: now.Add(time.Second)}) <= 1000)
+	got := value(&Request{Deadline: now.Add(time.Second), WorkerDeadline: now.Add(3 * time.Second)})
+	is.True(got > 2000 && got <= 3000)
+	is.True(value(&Request{Deadline: now.Add(3 * time.Second), WorkerDeadline: now.Add(time.Second)}) > 2000)
+}
--- a/internal/system/ledger/job_test.go
+++ b/internal/system/ledger/job_test.go
@@ -62,7 +62,7 @@
 // was founded with holds none.
 func TestSnapshotOfLongJobs(t *testing.T) {
 	is := is.New(t)
-	l := New(nil)
+	l := New(nil, now)
 	create := newCreate("long", 50, 4, 50, 9000)
 	l.apply(&rpc.LedgerCommand{Command: &rpc.LedgerCommand_Create{Create: create}})
 	l.apply(&rpc.LedgerCommand{Command: &rpc.LedgerCommand_Create{Create: newCreate("ended", 2, 1, 2, 9000)}})
@@ -74,7 +74,7 @@
 	l.apply(&rpc.LedgerCommand{Command: &rpc.LedgerCommand_Append{Append: &rpc.AppendResults{Job: "long", Results: []*rpc.Result{{Item: create.Items[150].Id}}}}})
 	state, err := replica.EncodeState(next)
 	is.NoErr(err)
-	again := New(nil)
+	again := New(nil, now)
 	is.NoErr(again.Restore(9, state))
 	total, _, _, found := again.Read("long", 0)
 	is.True(found && total == 200)
--- a/internal/system/ledger/ledger.go
+++ b/internal/system/ledger/ledger.go
@@ -17,6 +17,7 @@
 	mu      sync.Mutex
 	jobs    map[string]*job
 	changed func(Change) // told under no lock, in the order of the log
+	clock   func() int64 // milliseconds; it never steps
 }
 
 // job is one batch job.
@@ -25,6 +26,7 @@
 	results []*rpc.Result
 	settled map[string]bool
 	ended   bool
+	seenAt  int64         // when this process heard of it first: it is at least as old as that tells, whatever the time of day says
 	wake    chan struct{} // closed when a result is added or the job ends
 	body    map[string]*rpc.Item
 }
@@ -38,13 +40,13 @@
 	Restored bool
 }
 
-// New returns an empty ledger. changed is told of every change, on the replica's goroutine.
-func New(changed func(Change)) *Ledger {
-	return &Ledger{jobs: map[string]*job{}, changed: changed}
+// New returns an empty ledger. changed is told of every change, on the replica's goroutine; clock gives milliseconds and never steps.
+func New(changed func(Change), clock func() int64) *Ledger {
+	return &Ledger{jobs: map[string]*job{}, changed: changed, clock: clock}
 }
 
-func newJob(create *rpc.CreateJob) *job {
-	j := &job{create: create, settled: map[string]bool{}, wake: make(chan struct{}), body: make(map[string]*rpc.Item, len(create.Items))}
+func newJob(create *rpc.CreateJob, seenAt int64) *job {
+	j := &job{create: create, seenAt: seenAt, settled: map[string]bool{}, wake: make(chan struct{}), body: make(map[string]*rpc.Item, len(create.Items))}
 	for _, item := range create.Items {
 		j.body[item.Id] = item
 	}
@@ -91,7 +93,7 @@
 		if l.jobs[x.Create.Id] != nil {
 			return done, Change{}
 		}
-		l.jobs[x.Create.Id] = newJob(x.Create)
+		l.jobs[x.Create.Id] = newJob(x.Create, l.clock())
 		return done, Change{Created: x.Create}
 	case *rpc.LedgerCommand_Append:
 		j := l.jobs[x.Append.Job]
@@ -193,9 +195,12 @@
 	for _, j := range l.jobs {
 		j.signal()
 	}
-	l.jobs = map[string]*job{}
+	jobs := map[string]*job{}
 	for id, s := range stored {
-		j := newJob(s.Job)
+		j := newJob(s.Job, l.clock())
+		if old := l.jobs[id]; old != nil {
+			j.seenAt = old.seenAt
+		}
 		j.results = s.Results
 		if s.Ended {
 			j.end()
@@ -203,8 +208,9 @@
 		for _, r := range s.Results {
 			j.settled[r.Item] = true
 		}
-		l.jobs[id] = j
+		jobs[id] = j
 	}
+	l.jobs = jobs
 	l.mu.Unlock()
 	if l.changed != nil {
 		l.changed(Change{Restored: true})
@@ -257,6 +263,7 @@
 	Job     *rpc.CreateJob
 	Settled map[string]bool
 	Ended   bool
+	SeenAt  int64 // when this process heard of it first, by the ledger's clock
 }
 
 // Jobs returns all jobs as they stand.
@@ -268,7 +275,7 @@
 		for id := range j.settled {
 			settled[id] = true
 		}
-		list = append(list, Stored{j.create, settled, j.ended})
+		list = append(list, Stored{j.create, settled, j.ended, j.seenAt})
 	}
 	return list
 }
--- a/internal/system/ledger/memory_test.go
+++ b/internal/system/ledger/memory_test.go
@@ -25,7 +25,7 @@
 		}
 		return b
 	}
-	l := New(nil)
+	l := New(nil, now)
 	index := uint64(0)
 	apply := func(c *rpc.LedgerCommand) {
 		index++
--- a/internal/system/ledger/scheduler.go
+++ b/internal/system/ledger/scheduler.go
@@ -76,12 +76,13 @@
 	cancelled []uint64
 }
 
-// NewScheduler returns a scheduler for an owner's epoch that knows the jobs of the ledger. wall is the time of day.
+// NewScheduler returns a scheduler for an owner's epoch that knows the jobs of the ledger. wall is the time of day, which may be wrong: what is
+// due follows from it, but an item is given up only after the time that this process has known its job for.
 func NewScheduler(epoch uint64, now, wall int64, jobs []Stored) *Scheduler {
 	s := &Scheduler{epoch: epoch, begunAt: now, jobs: map[string]*openJob{}, gatherers: map[string]*gatherer{}, leases: map[uint64]*itemState{}, itemMS: map[string]float64{}}
 	for _, stored := range jobs {
 		if !stored.Ended {
-			s.open(stored.Job, now-max(0, wall-stored.Job.SentUnixMs), stored.Settled)
+			s.open(stored.Job, now-max(0, wall-stored.Job.SentUnixMs), min(stored.SeenAt, now), stored.Settled)
 		}
 	}
 	return s
@@ -93,12 +94,12 @@
 // Open begins a job that was just accepted.
 func (s *Scheduler) Open(now int64, create *rpc.CreateJob) {
 	if s.jobs[create.Id] == nil {
-		s.open(create, now, nil)
+		s.open(create, now, now, nil)
 	}
 }
 
-func (s *Scheduler) open(create *rpc.CreateJob, sentAt int64, done map[string]bool) {
-	j := &openJob{create: create, dueAt: sentAt + int64(create.DeadlineMs), overAt: sentAt + int64(max(create.GiveUpMs, create.DeadlineMs)), lastAt: sentAt + int64(create.MaxQueueMs), items: map[string]*itemState{}}
+func (s *Scheduler) open(create *rpc.CreateJob, sentAt, seenAt int64, done map[string]bool) {
+	j := &openJob{create: create, dueAt: sentAt + int64(create.DeadlineMs), overAt: sentAt + int64(max(create.GiveUpMs, create.DeadlineMs)), lastAt: seenAt + int64(create.MaxQueueMs), items: map[string]*itemState{}}
 	groups := map[string]*group{}
 	for _, item := range create.Items {
 		name := cmp.Or(item.Group, item.Id)
--- a/internal/system/ledger/scheduler_test.go
+++ b/internal/system/ledger/scheduler_test.go
@@ -149,7 +149,7 @@
 
 func playHistory(t *testing.T, seed uint64) {
 	random := rand.New(rand.NewPCG(seed, 3))
-	l := New(nil)
+	l := New(nil, now)
 	create := newCreate("j", 12, 3, 12, 60_000)
 	l.apply(&rpc.LedgerCommand{Command: &rpc.LedgerCommand_Create{Create: create}})
 	epoch := uint64(1)
@@ -208,3 +208,15 @@
 		t.Fatalf("seed %d: %d of %d items are listed", seed, len(seen), len(create.Items))
 	}
 }
+
+// A new owner whose time of day runs ahead gives nothing up too soon.
+func TestNothingIsGivenUpByAWrongClock(t *testing.T) {
+	is := is.New(t)
+	create := newCreate("j", 1, 1, 1, 9000)
+	create.MaxQueueMs, create.SentUnixMs = 20_000, 1_000_000
+	s := NewScheduler(2, 5000, 1_000_000+3_600_000, []Stored{{Job: create, SeenAt: 4000}})
+	expired, _ := s.Tick(23_999)
+	is.Equal(len(expired), 0)
+	expired, _ = s.Tick(24_000)
+	is.Equal(len(expired["j"]), 1)
+}
--- a/internal/system/ledger/service.go
+++ b/internal/system/ledger/service.go
@@ -56,7 +56,7 @@
 		return sh.ledger
 	}
 	sh := &shard{name: name, wake: make(chan struct{})}
-	sh.ledger = New(sh.changed)
+	sh.ledger = New(sh.changed, now)
 	s.shards[name] = sh
 	return sh.ledger
 }
@@ -349,9 +349,9 @@
 	if !forget {
 		return
 	}
-	wall := time.Now().UnixMilli()
 	for _, stored := range sh.ledger.Jobs() {
-		age := time.Duration(wall-stored.Job.SentUnixMs) * time.Millisecond
+		// The time of day may step; how long this process has known the job can't.
+		age := time.Duration(now()-stored.SeenAt) * time.Millisecond
 		if stored.Ended && age > s.KeepResults || age > 2*s.KeepResults+time.Duration(stored.Job.MaxQueueMs)*time.Millisecond {
 			s.propose(ctx, name, &rpc.LedgerCommand{Command: &rpc.LedgerCommand_Forget{Forget: stored.Job.Id}})
 		}
--- a/internal/system/proxy/handler.go
+++ b/internal/system/proxy/handler.go
@@ -101,11 +101,13 @@
 	}
 	request := &forward.Request{ID: id, Method: string(ctx.Method()), URI: path, Host: host, Body: ctx.PostBody(), Route: route,
 		Headers: endToEnd(ctx), Deadline: deadline(ctx, route), Usage: usage(ctx), Model: string(ctx.Request.Header.Peek("Model"))}
+	within, stop := untilDeparture(ctx, watchAfter)
 	if route.Type == configuration.Streaming {
-		p.stream(ctx, request)
+		p.stream(ctx, within, stop, request)
 		return
 	}
-	result := p.forwarder.Do(context.Background(), request)
+	result := p.forwarder.Do(within, request)
+	stop()
 	defer result.Release()
 	if result.Err != nil {
 		giveUp(ctx, &result)
@@ -178,13 +180,14 @@
 	}
 }
 
-// stream passes a stream on event by event.
-func (p *Proxy) stream(ctx *fasthttp.RequestCtx, request *forward.Request) {
+// stream passes a stream on event by event. Until its first event the client's departure ends it; then the writes to it tell.
+func (p *Proxy) stream(ctx *fasthttp.RequestCtx, within context.Context, stop func(), request *forward.Request) {
 	if last := ctx.Request.Header.Peek("Last-Event-Id"); len(last) > 0 && !request.Route.Resumable {
+		stop()
 		answer(ctx, fasthttp.StatusBadRequest, "Last-Event-Id: streams of this route can't be taken up again")
 		return
 	}
-	result := p.forwarder.Open(context.Background(), request)
+	result := p.open(within, stop, request)
 	if result.Err != nil {
 		defer result.Release()
 		giveUp(ctx, &result)
@@ -207,6 +210,19 @@
 	ctx.Response.SetBodyStream(&relay{proxy: p, request: request, result: result}, -1)
 }
 
+// open sends a stream's request under a context that outlasts the watch of its client.
+func (p *Proxy) open(within context.Context, stop func(), request *forward.Request) forward.Result {
+	whole, cancel := context.WithCancel(context.Background())
+	unlink := context.AfterFunc(within, cancel)
+	result := p.forwarder.Open(whole, request)
+	unlink()
+	stop()
+	if result.Err != nil {
+		cancel()
+	}
+	return result
+}
+
 // relay reads a stream from its worker, and goes on at another one where the route allows that.
 type relay struct {
 	proxy   *Proxy
--- a/internal/system/registry/owner.go
+++ b/internal/system/registry/owner.go
@@ -11,6 +11,7 @@
 type Owner struct {
 	heartbeatMS int64
 	heardAt     map[string]int64
+	sequences   map[string]uint64 // of the newest heartbeat of each worker
 }
 
 // lostAfter is the number of heartbeat intervals of silence after which a worker counts as lost.
@@ -18,20 +19,26 @@
 
 // NewOwner returns an owner that has heard of nobody yet.
 func NewOwner(heartbeatMS int64) *Owner {
-	return &Owner{heartbeatMS: heartbeatMS, heardAt: map[string]int64{}}
+	return &Owner{heartbeatMS: heartbeatMS, heardAt: map[string]int64{}, sequences: map[string]uint64{}}
 }
 
 // Begin starts ownership: everybody known counts as heard just now.
 func (o *Owner) Begin(now int64, known []*rpc.Instance) {
 	clear(o.heardAt)
+	clear(o.sequences)
 	for _, i := range known {
 		o.heardAt[i.Id] = now
+		o.sequences[i.Id] = i.Sequence
 	}
 }
 
-// Heard takes a heartbeat in and tells whether it changes what the shard knows.
+// Heard takes a heartbeat in and tells whether it changes what the shard knows. One that comes later than a newer one says nothing: neither
+// how the worker is now nor that it is alive.
 func (o *Owner) Heard(now int64, known, heard *rpc.Instance) (changes bool) {
-	o.heardAt[heard.Id] = now
+	if heard.Sequence < o.sequences[heard.Id] {
+		return false
+	}
+	o.heardAt[heard.Id], o.sequences[heard.Id] = now, heard.Sequence
 	return known == nil || known.Lost || !known.Draining && heard.Draining || known.Address != heard.Address || known.Service != heard.Service ||
 		known.Capacity != heard.Capacity || !sameModels(known.Models, heard.Models)
 }
--- a/internal/system/registry/registry_test.go
+++ b/internal/system/registry/registry_test.go
@@ -67,3 +67,43 @@
 	is.NoErr(r.Restore(1, bufio.NewReader(bytes.NewReader(nil))))
 	is.Equal(len(r.Instances()), 0)
 }
+
+// A heartbeat that comes later than a newer one does not keep a worker alive, nor bring it back.
+func TestLateHeartbeatIsNoSignOfLife(t *testing.T) {
+	is := is.New(t)
+	o := NewOwner(1000)
+	known := []*rpc.Instance{worker(5, 1, false)}
+	o.Begin(100_000, known)
+	is.True(!o.Heard(100_500, known[0], worker(8, 1, false)))
+	is.True(!o.Heard(103_000, known[0], worker(7, 2, false))) // it was on its way for long
+	is.Equal(o.Lost(103_501, known), []string{"i"})
+	lost := worker(5, 1, false)
+	lost.Lost = true
+	is.True(!o.Heard(104_000, lost, worker(7, 1, false)))
+	is.True(o.Heard(104_100, lost, worker(9, 1, false)))
+}
+
+// A process that doesn't own the shard decides nothing; a leave is agreed on once, and late heartbeats after it change nothing.
+func TestDesk(t *testing.T) {
+	is := is.New(t)
+	r := New("registry-0", feed.NewTable())
+	desk := NewDesk(r, 1000)
+	beat := &rpc.HeartbeatRequest{Instance: worker(1, 1, false)}
+	outcome, command := desk.Decide(Ownership{Now: 1000, Epoch: 2}, beat)
+	is.True(outcome == rpc.Outcome_NOT_LEADER && command == nil)
+	owner := Ownership{Now: 1000, Epoch: 2, Leased: true}
+	outcome, command = desk.Decide(owner, beat)
+	is.True(outcome == rpc.Outcome_DONE && command.GetPut() != nil)
+	r.Apply(1, replica.Marshal(command))
+	outcome, command = desk.Decide(owner, beat)
+	is.True(outcome == rpc.Outcome_DONE && command == nil)
+	leave := &rpc.HeartbeatRequest{Instance: &rpc.Instance{Id: "i"}, Leaving: true}
+	outcome, command = desk.Decide(Ownership{Now: 1000, Epoch: 2}, leave)
+	is.True(outcome == rpc.Outcome_NOT_LEADER && command == nil)
+	_, command = desk.Decide(owner, leave)
+	r.Apply(2, replica.Marshal(command))
+	outcome, command = desk.Decide(owner, leave)
+	is.True(outcome == rpc.Outcome_DONE && command == nil)
+	outcome, command = desk.Decide(owner, &rpc.HeartbeatRequest{Instance: worker(2, 1, false)})
+	is.True(outcome == rpc.Outcome_DONE && command == nil)
+}
--- a/internal/system/replica/service.go
+++ b/internal/system/replica/service.go
@@ -47,18 +47,30 @@
 	retryPause     = 60 * time.Millisecond
 )
 
+// NextHop tells where a command for a group has to go now, as its replica here sees it: to this process itself, to the leader's, or, where
+// neither is set, nowhere yet.
+func (s *Status) NextHop() (self bool, address string) {
+	switch {
+	case s == nil:
+		return false, ""
+	case s.Leader:
+		return true, ""
+	}
+	return false, s.LeaderAddress
+}
+
 // Submit has a command agreed on, by whoever leads the group. The command must do no harm when it is carried out twice: it is sent
 // again where its first try may have been lost.
 func Submit(ctx context.Context, h *Host, client *transport.Client, group string, command []byte) Proposed {
 	result := Proposed{Outcome: rpc.Outcome_UNAVAILABLE}
 	for {
 		status := h.Status(group)
+		self, address := status.NextHop()
 		switch {
-		case status == nil:
-		case status.Leader:
+		case self:
 			result = h.Propose(ctx, group, command)
-		case status.LeaderAddress != "":
-			result = forward(ctx, client, status.LeaderAddress, group, command)
+		case address != "":
+			result = forward(ctx, h, client, address, group, command)
 		}
 		if result.Outcome == rpc.Outcome_DONE {
 			return result
@@ -71,12 +83,30 @@
 	}
 }
 
-func forward(ctx context.Context, client *transport.Client, address, group string, command []byte) Proposed {
+// forward has the leader at an address decide. It gives that up where this replica hears of another leader, or of none: the old one may be
+// without power and would hold the call up to its end.
+func forward(ctx context.Context, h *Host, client *transport.Client, address, group string, command []byte) Proposed {
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
-	response, err := rpc.NewReplicationProtobufClient("http://"+address, client).Propose(ctx, &rpc.ProposeRequest{Group: group, Command: command})
-	if err != nil {
-		return Proposed{Outcome: rpc.Outcome_OUTCOME_UNKNOWN}
+	answered := make(chan Proposed, 1)
+	go func() {
+		response, err := rpc.NewReplicationProtobufClient("http://"+address, client).Propose(ctx, &rpc.ProposeRequest{Group: group, Command: command})
+		if err != nil {
+			answered <- Proposed{Outcome: rpc.Outcome_OUTCOME_UNKNOWN}
+			return
+		}
+		answered <- Proposed{Outcome: response.Outcome, Result: response.Result}
+	}()
+	look := time.NewTicker(retryPause)
+	defer look.Stop()
+	for {
+		select {
+		case result := <-answered:
+			return result
+		case <-look.C:
+			if _, now := h.Status(group).NextHop(); now != address {
+				return Proposed{Outcome: rpc.Outcome_OUTCOME_UNKNOWN}
+			}
+		}
 	}
-	return Proposed{Outcome: response.Outcome, Result: response.Result}
 }
--- a/internal/system/steward/shard.go
+++ b/internal/system/steward/shard.go
@@ -29,71 +29,45 @@
 	return sh.heartbeat(ctx, r), nil
 }
 
+// ownership is how this steward stands towards the shard now.
+func (sh *shard) ownership(status *replica.Status) registry.Ownership {
+	now := sh.steward.host.Now()
+	return registry.Ownership{Now: now, Epoch: status.Epoch, Leased: status.Lease(now)}
+}
+
 // heartbeat takes a heartbeat in where this steward owns the shard.
 func (sh *shard) heartbeat(ctx context.Context, r *rpc.HeartbeatRequest) *rpc.HeartbeatResponse {
 	status := sh.status()
 	if status == nil {
 		return &rpc.HeartbeatResponse{Outcome: rpc.Outcome_UNAVAILABLE}
 	}
-	if !status.Lease(sh.steward.host.Now()) {
-		return &rpc.HeartbeatResponse{Outcome: rpc.Outcome_NOT_LEADER, LeaderAddress: status.LeaderAddress}
+	outcome, command := sh.desk.Decide(sh.ownership(status), r)
+	if outcome != rpc.Outcome_DONE {
+		return &rpc.HeartbeatResponse{Outcome: outcome, LeaderAddress: status.LeaderAddress}
+	}
+	if command == nil {
+		return &rpc.HeartbeatResponse{Outcome: outcome}
 	}
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
-	if r.Leaving {
-		if sh.registry.Gone(r.Instance.Id) {
-			return &rpc.HeartbeatResponse{Outcome: rpc.Outcome_DONE}
-		}
-		return sh.propose(ctx, &rpc.RegistryCommand{Command: &rpc.RegistryCommand_Remove{Remove: r.Instance.Id}})
-	}
-	if sh.registry.Gone(r.Instance.Id) {
-		return &rpc.HeartbeatResponse{Outcome: rpc.Outcome_DONE}
-	}
-	sh.begin(status)
-	sh.mu.Lock()
-	changes := sh.owner.Heard(sh.steward.host.Now(), sh.registry.Instance(r.Instance.Id), r.Instance)
-	sh.mu.Unlock()
-	if !changes {
-		return &rpc.HeartbeatResponse{Outcome: rpc.Outcome_DONE}
-	}
-	return sh.propose(ctx, &rpc.RegistryCommand{Command: &rpc.RegistryCommand_Put{Put: r.Instance}})
+	return sh.propose(ctx, command)
 }
 
 func (sh *shard) propose(ctx context.Context, command *rpc.RegistryCommand) *rpc.HeartbeatResponse {
 	return &rpc.HeartbeatResponse{Outcome: sh.steward.host.Propose(ctx, sh.name, replica.Marshal(command)).Outcome}
 }
 
-// begin starts following the heartbeats when this steward has become the owner.
-func (sh *shard) begin(status *replica.Status) {
-	sh.mu.Lock()
-	defer sh.mu.Unlock()
-	if sh.epoch != status.Epoch {
-		sh.epoch = status.Epoch
-		sh.owner.Begin(sh.steward.host.Now(), sh.registry.Instances())
-	}
-}
-
 // tick declares workers lost whose heartbeats have ceased.
 func (sh *shard) tick(ctx context.Context) {
 	status := sh.status()
-	if status == nil || !status.Lease(sh.steward.host.Now()) {
+	if status == nil {
 		return
 	}
-	sh.begin(status)
-	known := sh.registry.Instances()
-	now := sh.steward.host.Now()
-	sh.mu.Lock()
-	lost := sh.owner.Lost(now, known)
-	forgotten := sh.owner.Forgotten(now, known, forgetAfterMS)
-	sh.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
 	defer cancel()
-	if len(lost) > 0 {
-		sh.steward.log.Info("workers lost", "shard", sh.name, "instances", lost)
-		sh.propose(ctx, &rpc.RegistryCommand{Command: &rpc.RegistryCommand_MarkLost{MarkLost: &rpc.Instances{Ids: lost}}})
-	}
-	for _, id := range forgotten {
-		sh.propose(ctx, &rpc.RegistryCommand{Command: &rpc.RegistryCommand_Remove{Remove: id}})
+	for _, command := range sh.desk.Overdue(sh.ownership(status), forgetAfterMS) {
+		sh.steward.log.Info("worker overdue", "shard", sh.name, "command", command)
+		sh.propose(ctx, command)
 	}
 }
 
@@ -129,17 +103,7 @@
 
 // Instances implements weights.Shard. Workers that have missed a heartbeat are left out: an order to them would only wait.
 func (sh *shard) Instances() []*rpc.Instance {
-	known := sh.registry.Instances()
-	now := sh.steward.host.Now()
-	sh.mu.Lock()
-	defer sh.mu.Unlock()
-	list := make([]*rpc.Instance, 0, len(known))
-	for _, i := range known {
-		if !sh.owner.Silent(now, i.Id) {
-			list = append(list, i)
-		}
-	}
-	return list
+	return sh.desk.Present(sh.steward.host.Now())
 }
 
 // Record implements weights.Shard.
--- a/internal/system/steward/steward.go
+++ b/internal/system/steward/steward.go
@@ -55,10 +55,7 @@
 	steward  *Steward
 	name     string
 	registry *registry.Registry
-
-	mu    sync.Mutex
-	owner *registry.Owner
-	epoch uint64 // under which owner has begun
+	desk     *registry.Desk
 }
 
 // freshWithin is how long ago a leader may have been heard for a steward to count as in touch.
@@ -98,7 +95,8 @@
 	st.directory = directory.New(st.feed)
 	for n := range registry.Shards {
 		name := registry.ShardName(n)
-		st.shards[name] = &shard{steward: st, name: name, registry: registry.New(name, st.feed), owner: registry.NewOwner(st.settings.HeartbeatMS)}
+		state := registry.New(name, st.feed)
+		st.shards[name] = &shard{steward: st, name: name, registry: state, desk: registry.NewDesk(state, st.settings.HeartbeatMS)}
 	}
 	sender := replica.NewSender(st.client)
 	st.host, err = replica.NewHost(replica.Config{Identity: st.identity, Store: st.store, Machine: st.machine, Send: sender.Send, Log: st.log, Options: st.options, Changed: st.groupChanged})
--- a/internal/system/worker/pool.go
+++ b/internal/system/worker/pool.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -67,8 +68,12 @@
 	body    io.Reader
 	whole   bool // the body was read to its end
 	stop    func() bool
+	sent    *atomic.Bool // the whole request was; nil: before the answer was read
 }
 
+// directMost is the longest request that is sent before its answer is looked for. A worker may answer a longer one before it has read it.
+const directMost = 16 << 10
+
 // Do sends a request and reads the head of its answer. When the context ends, the connection is closed and whatever waits for it fails.
 func (p *Pool) Do(ctx context.Context, call *Call) (*Answer, error) {
 	conn, err := p.connect(call)
@@ -84,15 +89,16 @@
 		}
 		return verdict.Wrap(verdict.Failed, v, err, "%s %s", what, call.Address)
 	}
-	sent, err := conn.Write(call.encode())
-	if err != nil {
+	a := &Answer{pool: p, address: call.Address, conn: conn, stop: stop}
+	if encoded := call.encode(); len(encoded) > directMost {
+		a.sendBeside(encoded)
+	} else if sent, err := conn.Write(encoded); err != nil {
 		v := verdict.MayHaveRun
 		if sent == 0 {
 			v = verdict.NotRun
 		}
 		return nil, fail(v, err, "send to")
 	}
-	a := &Answer{pool: p, address: call.Address, conn: conn, stop: stop}
 	for {
 		a.Header.Reset()
 		if err := a.Header.Read(conn.reader); err != nil {
@@ -106,6 +112,17 @@
 	return a, nil
 }
 
+// sendBeside sends a request while its answer is read.
+func (a *Answer) sendBeside(encoded []byte) {
+	a.sent = &atomic.Bool{}
+	conn, sent := a.conn, a.sent
+	go func() {
+		if _, err := conn.Write(encoded); err == nil {
+			sent.Store(true)
+		}
+	}()
+}
+
 // encode writes the request as it goes over the connection.
 func (c *Call) encode() []byte {
 	var b bytes.Buffer
@@ -214,7 +231,8 @@
 	}
 	conn := a.conn
 	a.conn = nil
-	if !a.stop() || !a.whole || a.Header.ConnectionClose() || conn.reader.Buffered() > 0 {
+	unsent := a.sent != nil && !a.sent.Load() // nothing else may stand where the rest of the request is due
+	if !a.stop() || !a.whole || unsent || a.Header.ConnectionClose() || conn.reader.Buffered() > 0 {
 		conn.Close()
 		return
 	}
@@ -229,6 +247,18 @@
 	conn.Close()
 }
 
+// Discard ends an answer that is not this call's, or can't be trusted, and its connection with it: the right answer may still come there.
+func (a *Answer) Discard() {
+	a.whole = false
+	a.Close()
+}
+
+// Belongs tells whether an answer is to the request with an id. A success has to name it.
+func (a *Answer) Belongs(id string) bool {
+	named := string(a.Header.Peek("Request-Id"))
+	return named == id || named == "" && a.Status >= fasthttp.StatusMultipleChoices
+}
+
 // idleTime is how long the worker keeps the connection, less a margin.
 func (a *Answer) idleTime() time.Duration {
 	for _, part := range strings.Split(string(a.Header.Peek("Keep-Alive")), ",") {
--- a/internal/system/worker/worker_test.go
+++ b/internal/system/worker/worker_test.go
@@ -150,3 +150,48 @@
 	_, err = NewEvents(strings.NewReader("")).Next()
 	is.Equal(err, io.EOF)
 }
+
+// A worker may answer a long request before it has read it. The answer is taken at once, and the connection is not used again: the worker would
+// take the next request for the rest of that one.
+func TestAnswerBeforeTheRequestIsRead(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	is.NoErr(err)
+	defer listener.Close()
+	held := make(chan net.Conn, 1)
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		conn.(*net.TCPConn).SetReadBuffer(4 << 10)
+		io.WriteString(conn, "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+		held <- conn
+	}()
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	pool := NewPool()
+	c := call(listener.Addr().String())
+	c.Method, c.Body = "POST", make([]byte, 32<<20) // more than the buffers between them hold
+	a, err := pool.Do(ctx, c)
+	is.NoErr(err)
+	is.Equal(a.Status, 503)
+	a.Close()
+	is.Equal(len(pool.idle[c.Address]), 0)
+	(<-held).Close()
+}
+
+// The connection of an answer that belongs to another request is given up, also where its body is empty and so read to its end.
+func TestDiscardedAnswer(t *testing.T) {
+	is := is.New(t)
+	address := serve(t, "HTTP/1.1 500 Oh\r\nRequest-Id: other\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+	pool := NewPool()
+	a, err := pool.Do(context.Background(), call(address))
+	is.NoErr(err)
+	is.True(!a.Belongs("mine") && a.Belongs("other"))
+	a.Discard()
+	is.Equal(len(pool.idle[address]), 0)
+	a, err = pool.Do(context.Background(), call(address))
+	is.NoErr(err)
+	is.True(!a.Belongs("mine")) // a success that names no request
+}
