Model the whole control side in virtual time, and mend what it found

Found by it and mended, each with a test of its own: a replica whose answers are lost hears the leader but gets no entries, and still told gatherers and readers that it was in touch (one-way cut: unbounded age); followers of a leader that was just elected after a restart of all took themselves for current; a replica on a machine that the membership protocol has forgotten was never replaced.

--- a/cmd/saffronquay-system/main.go
+++ b/cmd/saffronquay-system/main.go
@@ -45,6 +45,7 @@
 			roleCommand("agent", "link the proxy of an edge machine to the control plane", agent.Run),
 			replicaCommand("steward", "serve control on a core machine", steward.Run),
 			replicaCommand("store", "keep batch jobs on a storage machine", storage.Run),
+			modelCommand(),
 			checkCommand(),
 		},
 	}
--- /dev/null
+++ b/cmd/saffronquay-system/model.go
@@ -0,0 +1,79 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"strings"
+
+	"github.com/urfave/cli/v3"
+
+	"saffronquay/internal/system/model"
+)
+
+// modelCommand plays the control side in virtual time.
+func modelCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "model",
+		Usage: "play the control side under faults in virtual time, and check what happened",
+		Description: "Each seed is one history, which is the same each time it is played. A history that breaks a rule is printed with its seed;\n" +
+			"--first with that seed, --seeds 1 and --trace show what led to it. --fault seeds a mistake, to see that it is noticed:\n" + faultNames(),
+		Flags: []cli.Flag{
+			&cli.Uint64Flag{Name: "seeds", Value: 100, Usage: "histories to play"},
+			&cli.Uint64Flag{Name: "first", Value: 1, Usage: "seed of the first history"},
+			&cli.StringFlag{Name: "fault", Usage: "number or text of a mistake to be seeded"},
+			&cli.BoolFlag{Name: "trace", Usage: "print what happens"},
+		},
+		Action: playModel,
+	}
+}
+
+func faultNames() string {
+	var names strings.Builder
+	for i, bug := range model.Bugs {
+		fmt.Fprintf(&names, "  %2d  %s\n", i+1, bug)
+	}
+	return names.String()
+}
+
+// seededFault is the mistake that a flag names by its number or its text.
+func seededFault(name string) (model.Bug, error) {
+	if name == "" {
+		return model.NoBug, nil
+	}
+	for i, bug := range model.Bugs {
+		if name == string(bug) || name == fmt.Sprint(i+1) {
+			return bug, nil
+		}
+	}
+	return model.NoBug, fmt.Errorf("--fault: want a number from 1 to %d or the text of a mistake, not %q", len(model.Bugs), name)
+}
+
+func playModel(_ context.Context, c *cli.Command) error {
+	bug, err := seededFault(c.String("fault"))
+	if err != nil {
+		return err
+	}
+	out := c.Root().Writer
+	if c.Bool("trace") {
+		options := model.Seeded(c.Uint64("first"), bug)
+		options.Trace = func(format string, values ...any) { fmt.Fprintf(out, format+"\n", values...) }
+		report, err := model.Play(options)
+		fmt.Fprintf(out, "%+v\n", report)
+		return err
+	}
+	var total model.Report
+	broken := 0
+	model.Scan(c.Uint64("first"), c.Uint64("seeds"), bug, func(r model.Result) bool {
+		total.Add(r.Report)
+		if r.Err != nil {
+			broken++
+			fmt.Fprintf(out, "seed %d: %v\n", r.Seed, r.Err)
+		}
+		return true
+	})
+	fmt.Fprintf(out, "%+v\nseeds %d, broken %d\n", total, c.Uint64("seeds"), broken)
+	if broken > 0 {
+		return fmt.Errorf("%d histories broke a rule", broken)
+	}
+	return nil
+}
--- a/internal/store/simdisk/simdisk.go
+++ b/internal/store/simdisk/simdisk.go
@@ -126,6 +126,9 @@
 
 func (d *Disk) String() string { return d.name }
 
+// Plan is what happens to its calls.
+func (d *Disk) Plan() *Plan { return d.plan }
+
 func (d *Disk) do(f func() error) error {
 	if err := d.plan.call(); err != nil {
 		return err
--- a/internal/system/consensus/core.go
+++ b/internal/system/consensus/core.go
@@ -99,6 +99,7 @@
 	leaderID      string
 	leaderAddress string
 	leaderHeardAt int64
+	currentAt     int64 // when the leader was last heard and this replica had all that the leader said is agreed on
 	electionAt    int64
 	votes         map[string]bool
 
@@ -181,6 +182,10 @@
 // HeardAt is when the leader that it follows was last heard.
 func (c *Core) HeardAt() int64 { return c.leaderHeardAt }
 
+// CurrentAt is when the leader was last heard while this replica had all that was agreed on by then. A replica whose answers are lost hears
+// the leader but is sent no entries: what it has grows old.
+func (c *Core) CurrentAt() int64 { return c.currentAt }
+
 // Leading tells whether this replica leads and knows everything that earlier leaders have acknowledged, and when a majority was last
 // known to follow it.
 func (c *Core) Leading() (ready bool, contactAt int64) {
--- a/internal/system/consensus/core_test.go
+++ b/internal/system/consensus/core_test.go
@@ -137,3 +137,29 @@
 	is.True(c.NextMembership(voters("a").Voters, 6) == nil)
 	is.True(c.NextMembership(voters("a").Voters, 8) != nil)
 }
+
+// A replica whose answers are lost hears the leader's heartbeats but is sent no entries: it is not current.
+func TestHeardButNotCurrent(t *testing.T) {
+	is := is.New(t)
+	c := replica("b", &rpc.HardState{Epoch: 5, Commit: 2}, command(2, 5))
+	answers(c, 1000, &rpc.Message{Kind: rpc.MessageKind_APPEND, From: "a", Epoch: 5, LogIndex: 2, LogEpoch: 5, Commit: 2})
+	is.Equal(c.CurrentAt(), int64(1000))
+	answers(c, 1100, &rpc.Message{Kind: rpc.MessageKind_APPEND, From: "a", Epoch: 5, LogIndex: 2, LogEpoch: 5, Commit: 3})
+	is.Equal(c.HeardAt(), int64(1100))
+	is.Equal(c.CurrentAt(), int64(1000))
+	answers(c, 1200, &rpc.Message{Kind: rpc.MessageKind_APPEND, From: "a", Epoch: 5, LogIndex: 7, LogEpoch: 5, Commit: 7}) // it is refused
+	is.Equal(c.CurrentAt(), int64(1000))
+	answers(c, 1300, &rpc.Message{Kind: rpc.MessageKind_APPEND, From: "a", Epoch: 5, LogIndex: 2, LogEpoch: 5, Commit: 3, Entries: []*rpc.Entry{command(3, 5)}})
+	is.Equal(c.CurrentAt(), int64(1300))
+}
+
+// After a restart of all, a new leader knows no more of what was agreed on than its disk told it. Following it makes nobody current before an
+// entry of its epoch is agreed on.
+func TestNotCurrentUnderALeaderThatKnowsNothingYet(t *testing.T) {
+	is := is.New(t)
+	c := replica("b", &rpc.HardState{Epoch: 5, Commit: 2}, command(2, 5), command(3, 5))
+	answers(c, 1000, &rpc.Message{Kind: rpc.MessageKind_APPEND, From: "a", Epoch: 6, LogIndex: 3, LogEpoch: 5, Commit: 2, Entries: []*rpc.Entry{{Index: 4, Epoch: 6}}})
+	is.Equal(c.CurrentAt(), int64(0))
+	answers(c, 1100, &rpc.Message{Kind: rpc.MessageKind_APPEND, From: "a", Epoch: 6, LogIndex: 4, LogEpoch: 6, Commit: 4})
+	is.Equal(c.CurrentAt(), int64(1100))
+}
--- a/internal/system/consensus/messages.go
+++ b/internal/system/consensus/messages.go
@@ -138,6 +138,10 @@
 		break
 	}
 	c.commit = max(c.commit, min(m.Commit, last))
+	// A leader that was just elected knows what is agreed on only once an entry of its own epoch is.
+	if epoch, ok := c.log.epochAt(m.Commit); ok && epoch == m.Epoch && c.commit >= m.Commit {
+		c.currentAt = c.now
+	}
 	reply.LogIndex = last
 	c.send(reply)
 }
--- a/internal/system/consensus/model/faults.go
+++ b/internal/system/consensus/model/faults.go
@@ -35,13 +35,15 @@
 	}
 	m := w.machines[w.random.IntN(len(w.machines))]
 	switch kind := w.random.IntN(10); {
-	case kind == 0: // all processes are killed; their disks stay
+	case kind == 0: // all processes are killed; their disks stay, and each of them has to catch up before another one may be lost
 		for _, x := range w.machines {
 			if x.up {
 				w.report.Crashes++
 				x.up, x.upAt = false, w.now+int64(50+w.random.IntN(600))
+				w.lose(x, x.upAt)
 			}
 		}
+		w.lost = ""
 	case kind <= 2 && w.mayLose(m):
 		w.wipe(m)
 	case kind <= 4 && w.mayLose(m):
--- a/internal/system/consensus/model/model.go
+++ b/internal/system/consensus/model/model.go
@@ -119,7 +119,7 @@
 	w := &world{options: o, random: rand.New(rand.NewPCG(o.Seed, 7)), cut: map[[2]string]int64{}, chosen: map[uint64]string{}, leaders: map[uint64]string{},
 		acked: map[string]bool{}, pending: map[string]uint64{}}
 	w.found()
-	for w.now = 1000; w.now < o.Length; w.now += tickMS {
+	for w.now = 1000; w.now < max(o.Length, w.lastLoss+quietMS); w.now += tickMS {
 		if err := w.step(w.now < o.Length-quietMS); err != nil {
 			return w.report, err
 		}
--- a/internal/system/consensus/model/proof_test.go
+++ b/internal/system/consensus/model/proof_test.go
@@ -9,9 +9,6 @@
 
 const length = 40_000 // ms of virtual time
 
-// first is a history that shows each bug soon: the search begins there, so that it doesn't take minutes.
-var first = map[Bug]uint64{KeepIdentity: 200, FoundTwice: 273, TrustLease: 80}
-
 func seeds() uint64 {
 	if os.Getenv("SAFFRONQUAY_LONG") != "" {
 		return 2000
@@ -47,7 +44,7 @@
 	}
 	caught := 0
 	for _, bug := range Bugs {
-		if seed, err := hunt(bug); err != nil {
+		if seed, err := Hunt(bug); err != nil {
 			caught++
 			t.Logf("%s: seed %d: %v", bug, seed, err)
 		} else {
@@ -59,13 +56,3 @@
 	is.Equal(unfinished, 0)
 	is.True(total.Wipes > 0 && total.Swaps > 0 && total.Reads > 0 && total.Snapshots > 0)
 }
-
-// hunt plays with a seeded bug until it is noticed.
-func hunt(bug Bug) (seed uint64, err error) {
-	for seed = max(first[bug], 1); seed <= 400; seed++ {
-		if _, err = Play(Options{Seed: seed, Machines: 3, Spares: int(seed % 2), Length: length, Bug: bug}); err != nil {
-			return seed, err
-		}
-	}
-	return 0, nil
-}
--- a/internal/system/feed/table.go
+++ b/internal/system/feed/table.go
@@ -4,6 +4,8 @@
 package feed
 
 import (
+	"maps"
+	"slices"
 	"sync"
 
 	"saffronquay/internal/system/rpc"
@@ -154,16 +156,16 @@
 func (t *Table) Since(offsets map[string]uint64) (feeds []*rpc.ShardFeed, changed <-chan struct{}) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for name, s := range t.shards {
-		have := offsets[name]
+	for _, name := range slices.Sorted(maps.Keys(t.shards)) {
+		s, have := t.shards[name], offsets[name]
 		if have >= s.offset {
 			continue
 		}
 		f := &rpc.ShardFeed{Shard: name, Offset: s.offset}
 		if have < s.floor || have == 0 {
 			f.Snapshot = true
-			for _, e := range s.newest {
-				f.Events = append(f.Events, e)
+			for _, key := range slices.Sorted(maps.Keys(s.newest)) {
+				f.Events = append(f.Events, s.newest[key])
 			}
 		} else {
 			for _, e := range s.events {
--- a/internal/system/forward/forward.go
+++ b/internal/system/forward/forward.go
@@ -70,8 +70,6 @@
 var ErrNoWorker = errors.New("forward: no worker may take the request")
 
 const (
-	// declinesMost bounds the workers that may decline a request before it is given up.
-	declinesMost = 4
 	declinePause = 8 * time.Millisecond
 	dialShare    = 300 * time.Millisecond
 	// patience is how many times the usual latency a try of a repeatable request may take before another worker is asked.
@@ -79,11 +77,7 @@
 )
 
 // attempt is the outcome of one try.
-type attempt struct {
-	result  Result
-	decline bool // a worker said that it did not run it
-	lost    bool // no answer came
-}
+type attempt struct{ result Result }
 
 // Do sends a request and reads the whole answer.
 func (f *Forwarder) Do(ctx context.Context, r *Request) Result { return f.run(ctx, r, true) }
@@ -95,12 +89,12 @@
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	tried := map[string]bool{}
 	services := order(r.Route)
-	runs, declines, errors500 := 0, 0, 0
+	errors500 := 0
+	tries := NewTries(r.Route.Repeatable(), r.Route.MaxAttempts)
 	last := Result{Verdict: verdict.NotRun, Err: ErrNoWorker}
-	most := max(r.Route.MaxAttempts, 1)
 	for ctx.Err() == nil {
 		ticket := f.pick(r, services, tried)
-		if ticket == nil && len(tried) > 0 && runs < most && declines < declinesMost && (runs == 0 || r.Route.Repeatable()) {
+		if ticket == nil && len(tried) > 0 {
 			clear(tried) // every worker was asked once
 			if !pause(ctx, declinePause) {
 				break
@@ -111,15 +105,14 @@
 			break
 		}
 		tried[ticket.Worker.ID] = true
-		try := f.try(ctx, r, ticket, whole, runs+1 >= most)
+		try := f.try(ctx, r, ticket, whole, tries.Last())
 		last.Offered = true
 		if try.result.Err == nil {
 			try.result.cancel, try.result.Errors, try.result.Offered = cancel, errors500, true
 			if try.result.Status == fasthttp.StatusInternalServerError {
 				try.result.Errors++
 				errors500++
-				if runs+1 < most && r.Route.Repeatable() && ctx.Err() == nil {
-					runs++
+				if tries.After(verdict.Ran) && ctx.Err() == nil {
 					try.result.cancel = nil
 					try.result.Release()
 					last = Result{Verdict: verdict.Ran, Err: errAnswer, Errors: errors500, Offered: true}
@@ -129,14 +122,10 @@
 			return try.result
 		}
 		last.Err, last.Errors = try.result.Err, errors500
-		if try.decline || try.result.Verdict == verdict.NotRun {
-			if declines++; declines >= declinesMost {
-				break
-			}
-			continue
+		if try.result.Verdict != verdict.NotRun {
+			last.Verdict = verdict.MayHaveRun
 		}
-		last.Verdict = verdict.MayHaveRun
-		if runs++; runs >= most || !r.Route.Repeatable() {
+		if !tries.After(try.result.Verdict) {
 			break
 		}
 	}
@@ -228,7 +217,7 @@
 				f.Table.Failed(f.Clock(), w)
 			}
 		}
-		return attempt{result: Result{Err: err, Verdict: v}, decline: v == verdict.NotRun}
+		return attempt{result: Result{Err: err, Verdict: v}}
 	}
 	f.Table.Served(w)
 	result := Result{Answer: answer, Status: answer.Status, Body: body}
--- /dev/null
+++ b/internal/system/forward/tries.go
@@ -0,0 +1,33 @@
+package forward
+
+import "saffronquay/internal/system/verdict"
+
+// declinesMost bounds the workers that may decline a request before it is given up.
+const declinesMost = 4
+
+// Tries decides whether a request may be sent once more. It is pure.
+type Tries struct {
+	repeatable     bool
+	most           int // workers that may run it
+	runs, declines int
+}
+
+// NewTries returns the tries of a request that may run at so many workers, at one at most where it isn't repeatable.
+func NewTries(repeatable bool, most int) *Tries {
+	return &Tries{repeatable: repeatable, most: max(most, 1)}
+}
+
+// Last tells whether no other worker may be asked after one that may have run the request.
+func (t *Tries) Last() bool { return !t.repeatable || t.runs+1 >= t.most }
+
+// After takes in what became of a try, and tells whether another worker may be asked. What no worker has run can be sent again by anybody; what
+// may have run, after silence or a reset too, only where it may be repeated.
+func (t *Tries) After(v verdict.Verdict) (again bool) {
+	if v == verdict.NotRun {
+		t.declines++
+		return t.declines < declinesMost
+	}
+	again = !t.Last()
+	t.runs++
+	return again
+}
--- a/internal/system/ledger/ledger.go
+++ b/internal/system/ledger/ledger.go
@@ -2,8 +2,10 @@
 
 import (
 	"bufio"
+	"cmp"
 	"errors"
 	"io"
+	"slices"
 	"sync"
 
 	"google.golang.org/protobuf/proto"
@@ -266,7 +268,7 @@
 	SeenAt  int64 // when this process heard of it first, by the ledger's clock
 }
 
-// Jobs returns all jobs as they stand.
+// Jobs returns all jobs as they stand, by id.
 func (l *Ledger) Jobs() (list []Stored) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -277,5 +279,6 @@
 		}
 		list = append(list, Stored{j.create, settled, j.ended, j.seenAt})
 	}
+	slices.SortFunc(list, func(a, b Stored) int { return cmp.Compare(a.Job.Id, b.Job.Id) })
 	return list
 }
--- a/internal/system/ledger/scheduler.go
+++ b/internal/system/ledger/scheduler.go
@@ -326,6 +326,7 @@
 				expired[j.create.Id] = append(expired[j.create.Id], id)
 			}
 		}
+		slices.Sort(expired[j.create.Id])
 	}
 	return expired, freed
 }
--- a/internal/system/placement/placement.go
+++ b/internal/system/placement/placement.go
@@ -63,6 +63,18 @@
 	return kept
 }
 
+// WithForgotten adds the machines of replicas that the membership protocol knows nothing of any more: they are gone for so long that it has
+// forgotten them, or went before this process began to listen. They count as dead for as long as the caller has had time to hear of them.
+func WithForgotten(machines []Machine, replicas []*rpc.Replica, listenedMS int64) []Machine {
+	machines = slices.Clone(machines)
+	for _, r := range replicas {
+		if !slices.ContainsFunc(machines, func(m Machine) bool { return m.Node == r.Node }) {
+			machines = append(machines, Machine{Node: r.Node, Identity: r.Id, Address: r.Address, DeadMS: listenedMS})
+		}
+	}
+	return machines
+}
+
 // pick returns the best machine that holds no replica yet.
 func pick(machines []Machine, kept []*rpc.Replica, zones, load map[string]int) *Machine {
 	var free []Machine
--- a/internal/system/placement/placement_test.go
+++ b/internal/system/placement/placement_test.go
@@ -61,3 +61,15 @@
 	plan := nodes(Plan(current, retiring, 3, nil))
 	is.True(plan["m0"] == "" && plan["m3"] != "")
 }
+
+// A machine that nobody remembers is replaced, but not before there was time to hear of it.
+func TestForgottenMachine(t *testing.T) {
+	is := is.New(t)
+	current := []*rpc.Replica{{Id: "a1", Address: "a", Node: "a"}, {Id: "b1", Address: "b", Node: "b"}, {Id: "x1", Address: "x", Node: "x"}}
+	machines := []Machine{{Node: "a", Identity: "a1", Address: "a", Alive: true}, {Node: "b", Identity: "b1", Address: "b", Alive: true}, {Node: "c", Identity: "c1", Address: "c", Alive: true}}
+	soon := Plan(current, WithForgotten(machines, current, PatienceMS-1), 3, nil)
+	is.True(Same(soon, current))
+	later := Plan(current, WithForgotten(machines, current, PatienceMS), 3, nil)
+	is.Equal(later[2].Node, "c")
+	is.True(Same(Plan(current, WithForgotten(machines[:2], current, PatienceMS), 3, nil), current)) // nobody could take its place
+}
--- a/internal/system/replica/engine.go
+++ b/internal/system/replica/engine.go
@@ -33,10 +33,21 @@
 	Node    string
 }
 
+// Storage keeps what the replicas of a process have promised. It is a Store, or stands in for one.
+type Storage interface {
+	Groups() []string
+	Load(group string) (consensus.Stored, error)
+	Entry(group string, index uint64) (*rpc.Entry, error)
+	Piece(group string, number uint32) (*rpc.SnapshotPiece, error)
+	State(group string) *bufio.Reader
+	Persist(saves []Save) error
+	StagePiece(group string, piece *rpc.SnapshotPiece) error
+}
+
 // Config is what an engine, and the host around it, is made of.
 type Config struct {
 	Identity Identity
-	Store    *Store
+	Store    Storage
 	Machine  func(group string) StateMachine // nil for groups that this process doesn't hold
 	Send     func(address string, messages []*rpc.Message)
 	Log      *slog.Logger
--- a/internal/system/replica/status.go
+++ b/internal/system/replica/status.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"fmt"
 	"sync/atomic"
 
 	"saffronquay/internal/system/consensus"
@@ -18,6 +19,7 @@
 	Commit        uint64
 	Applied       uint64
 	HeardAt       int64 // when the leader was last heard
+	CurrentAt     int64 // when the leader was last heard while this replica had all that was agreed on
 	LedSince      int64
 	Membership    *rpc.Membership
 	Settled       bool // the membership is agreed on
@@ -29,9 +31,14 @@
 
 var leaseMS = consensus.LeaseMS(electionMS)
 
-// InTouch tells whether the leader was heard lately, or is this replica and holds its lease.
+// InTouch tells whether this replica lately had all that was agreed on, as its leader said, or leads itself and holds its lease.
 func (s *Status) InTouch(now, within int64) bool {
-	return s.Lease(now) || !s.Leader && s.LeaderID != "" && now-s.HeardAt < within
+	return s.Lease(now) || !s.Leader && s.LeaderID != "" && now-s.CurrentAt < within
+}
+
+// String tells how a group stands, for logs.
+func (s *Status) String() string {
+	return fmt.Sprintf("leader %v (%s) epoch %d commit %d applied %d members %v settled %v", s.Leader, s.LeaderID, s.Epoch, s.Commit, s.Applied, s.Membership, s.Settled)
 }
 
 // Status is how this replica sees a group; nil where it holds none. It doesn't wait for anything.
@@ -56,7 +63,7 @@
 	leaderID, leaderAddress := g.core.Leader()
 	ready, contact := g.core.Leading()
 	status := &Status{Leader: g.core.IsLeader(), Ready: ready, ContactAt: contact, LeaderID: leaderID, LeaderAddress: leaderAddress, Epoch: g.core.Epoch(),
-		Commit: g.core.Commit(), Applied: g.applied, HeardAt: g.core.HeardAt(), LedSince: g.core.LedSince(), Membership: g.core.Membership(), Settled: g.core.Settled(),
+		Commit: g.core.Commit(), Applied: g.applied, HeardAt: g.core.HeardAt(), CurrentAt: g.core.CurrentAt(), LedSince: g.core.LedSince(), Membership: g.core.Membership(), Settled: g.core.Settled(),
 		HeldByAll: g.core.HeldByAll()}
 	old := g.status.Swap(status)
 	e.statuses.Store(g.name, g.status)
--- a/internal/system/steward/api.go
+++ b/internal/system/steward/api.go
@@ -93,17 +93,27 @@
 	}
 	result := st.decide(ctx, &rpc.DirectoryCommand{Command: &rpc.DirectoryCommand_Replace{Replace: &rpc.ReplaceConfiguration{
 		Base: base, Version: head.Version, Body: body, Digest: directory.Digest(base, patch, body), Patch: patch}}})
-	switch {
-	case result == nil:
-	case result.Status == rpc.DirectoryStatus_DIRECTORY_OK:
-		reply(ctx, fasthttp.StatusOK, answer{})
-	case result.Status == rpc.DirectoryStatus_DIRECTORY_CONFLICT:
-		fail(ctx, fasthttp.StatusPreconditionFailed, result.Message)
-	case result.Status == rpc.DirectoryStatus_DIRECTORY_UNCERTAIN:
-		fail(ctx, fasthttp.StatusServiceUnavailable, result.Message)
-	default:
-		fail(ctx, fasthttp.StatusBadRequest, result.Message)
+	if result == nil {
+		return
+	}
+	if status := StatusOf(result.Status); status == fasthttp.StatusOK {
+		reply(ctx, status, answer{})
+	} else {
+		fail(ctx, status, result.Message)
+	}
+}
+
+// StatusOf is how the operator is told what the directory has decided. An order that may have been taken is never refused.
+func StatusOf(decided rpc.DirectoryStatus) int {
+	switch decided {
+	case rpc.DirectoryStatus_DIRECTORY_OK:
+		return fasthttp.StatusOK
+	case rpc.DirectoryStatus_DIRECTORY_CONFLICT:
+		return fasthttp.StatusPreconditionFailed
+	case rpc.DirectoryStatus_DIRECTORY_UNCERTAIN:
+		return fasthttp.StatusServiceUnavailable
 	}
+	return fasthttp.StatusBadRequest
 }
 
 // get returns the newest configuration as the operator sent it.
--- a/internal/system/steward/place.go
+++ b/internal/system/steward/place.go
@@ -44,6 +44,7 @@
 	if status == nil || st.host.Now()-status.LedSince < settleTime.Milliseconds() {
 		return // members that were only just heard of again would look dead
 	}
+	listened := st.host.Now() - status.LedSince
 	stewards := st.machines(settings.ServesControlPlane)
 	placements := st.directory.Placements()
 	size := st.settings.GroupSize()
@@ -52,7 +53,7 @@
 		if current == nil {
 			current = st.withNodes(status.Membership.GetVoters(), stewards)
 		}
-		st.propose(ctx, name, current, placement.Plan(current, stewards, size, nil))
+		st.propose(ctx, name, current, placement.Plan(current, placement.WithForgotten(stewards, current, listened), size, nil))
 	}
 	stores := st.machines(settings.ServesStorage)
 	load := map[string]int{}
@@ -66,7 +67,7 @@
 		if current == nil && !st.mayPlaceFirst(stores, size) {
 			continue
 		}
-		plan := placement.Plan(current, stores, size, load)
+		plan := placement.Plan(current, placement.WithForgotten(stores, current, listened), size, load)
 		if current == nil {
 			for _, r := range plan {
 				load[r.Node]++
--- a/internal/system/steward/retire.go
+++ b/internal/system/steward/retire.go
@@ -96,7 +96,7 @@
 	case st.host.Now()-status.LedSince < settleTime.Milliseconds():
 		return &rpc.RetireResponse{Outcome: rpc.Outcome_UNAVAILABLE}, nil // machines that were not heard of yet would seem to be missing
 	}
-	if refusal := refuseRetire(r.Node, st.machines(settings.ServesStorage), st.ledgerPlacements(), st.settings.GroupSize()); refusal != rpc.RetireState_RETIRE_NOT_ASKED {
+	if refusal := RefuseRetire(r.Node, st.machines(settings.ServesStorage), st.ledgerPlacements(), st.settings.GroupSize()); refusal != rpc.RetireState_RETIRE_NOT_ASKED {
 		return &rpc.RetireResponse{Outcome: rpc.Outcome_DONE, State: refusal}, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
@@ -105,8 +105,8 @@
 	return &rpc.RetireResponse{Outcome: st.host.Propose(ctx, directory.Shard, command).Outcome, State: rpc.RetireState_RETIRE_ACTIVE}, nil
 }
 
-// refuseRetire tells why a machine can't be emptied; RETIRE_NOT_ASKED where nothing speaks against it.
-func refuseRetire(node string, machines []placement.Machine, placements []*rpc.Placement, size int) rpc.RetireState {
+// RefuseRetire tells why a machine can't be emptied; RETIRE_NOT_ASKED where nothing speaks against it.
+func RefuseRetire(node string, machines []placement.Machine, placements []*rpc.Placement, size int) rpc.RetireState {
 	known, staying := false, 0
 	for _, m := range machines {
 		known = known || m.Node == node
@@ -192,6 +192,5 @@
 // SettledAs tells whether a group's leader says, while it holds its lease, that the group's members are the wanted ones, that this is agreed
 // on, and that each of them holds on its disk all that was there before. A machine that isn't among them holds nothing that they lack.
 func SettledAs(g *rpc.GroupStatus, wanted *rpc.Placement) bool {
-	return g.Leads && g.Settled && g.HeldByAll && g.Membership.GetRevision() >= wanted.Revision && len(g.Membership.GetLearners()) == 0 &&
-		placement.Same(g.Membership.GetVoters(), wanted.Replicas)
+	return g.Leads && g.Settled && g.HeldByAll && len(g.Membership.GetLearners()) == 0 && placement.Same(g.Membership.GetVoters(), wanted.Replicas)
 }
--- a/internal/system/weights/holder.go
+++ b/internal/system/weights/holder.go
@@ -101,12 +101,19 @@
 	}
 }
 
+// MayHold tells whether a machine may send orders that has owned their shard for a while. Another one's last order must be a lease ago; at
+// once only where that one's process has ended and workers check fences, so that nothing of it that is still on its way takes effect.
+func MayHold(node, last string, ended, fenced bool, owned, lease time.Duration) bool {
+	return last == "" || last == node || owned >= lease || fenced && ended
+}
+
 // mayHold makes this machine the holder, once another one's last order is long enough ago.
 func (h *Holder) mayHold(ctx context.Context, epoch uint64) bool {
 	if h.held == epoch {
 		return true
 	}
-	if last, ended := h.Shard.LastHolder(); last != "" && last != h.Node && h.Shard.Owned() < h.Lease && !(h.Fenced && ended) {
+	last, ended := h.Shard.LastHolder()
+	if !MayHold(h.Node, last, ended, h.Fenced, h.Shard.Owned(), h.Lease) {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
--- a/internal/system/worker/pool.go
+++ b/internal/system/worker/pool.go
@@ -253,10 +253,15 @@
 	a.Close()
 }
 
-// Belongs tells whether an answer is to the request with an id. A success has to name it.
+// Belongs tells whether an answer is to the request with an id.
 func (a *Answer) Belongs(id string) bool {
-	named := string(a.Header.Peek("Request-Id"))
-	return named == id || named == "" && a.Status >= fasthttp.StatusMultipleChoices
+	return Belongs(a.Status, string(a.Header.Peek("Request-Id")), id)
+}
+
+// Belongs tells whether an answer with a status that names a request is to the one with an id. A success has to name it; other answers may
+// name none.
+func Belongs(status int, named, id string) bool {
+	return named == id || named == "" && status >= fasthttp.StatusMultipleChoices
 }
 
 // idleTime is how long the worker keeps the connection, less a margin.
