--- a/internal/system/forward/forward.go
+++ b/internal/system/forward/forward.go
@@ -204,7 +204,11 @@
 		}
 	}
 	if err != nil {
-		if answer != nil {
+		switch {
+		case answer == nil:
+		case declined(err):
+			answer.Close() // it is this call's, and the connection is as good as before
+		default:
 			answer.Discard()
 		}
 		ticket.Clear()
--- a/internal/system/proxy/handler.go
+++ b/internal/system/proxy/handler.go
@@ -106,9 +106,9 @@
 		p.stream(ctx, within, stop, request)
 		return
 	}
+	defer stop()
 	result := p.forwarder.Do(within, request)
-	stop()
-	defer result.Release()
+	defer result.Release() // before stop: the end of its context would take the worker's connection with it
 	if result.Err != nil {
 		giveUp(ctx, &result)
 		return
--- /dev/null
+++ b/internal/system/proxy/pass_test.go
@@ -0,0 +1,120 @@
+package proxy
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/textproto"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/valyala/fasthttp"
+
+	"saffronquay/internal/system/configuration"
+	"saffronquay/internal/system/forward"
+	"saffronquay/internal/system/routing"
+	"saffronquay/internal/system/rpc"
+	"saffronquay/internal/system/worker"
+)
+
+// standInWorker answers requests, but for those to /silent, and tells of its connections as they are opened and closed.
+func standInWorker(t *testing.T) (address string, opened, closed chan struct{}) {
+	t.Helper()
+	opened, closed = make(chan struct{}, 16), make(chan struct{}, 16)
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			opened <- struct{}{}
+			go func() {
+				defer func() { closed <- struct{}{} }()
+				defer conn.Close()
+				reader := textproto.NewReader(bufio.NewReader(conn))
+				for {
+					line, err := reader.ReadLine()
+					if err != nil {
+						return
+					}
+					head, err := reader.ReadMIMEHeader()
+					if err != nil {
+						return
+					}
+					if line != "GET /silent HTTP/1.1" {
+						fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Stamp: s\r\nContent-Length: 2\r\n\r\nok", head.Get("Request-Id"))
+					}
+				}
+			}()
+		}
+	}()
+	return listener.Addr().String(), opened, closed
+}
+
+// front serves a proxy with one worker.
+func front(t *testing.T, workerAddress string) (address string) {
+	t.Helper()
+	document, err := configuration.Parse([]byte(`{"version":1,"routes":[{"name":"r","host":"h","pathPrefix":"/","type":"idempotent","timeoutMs":60000,"targetLatencyMs":30000,"service":"s"}],"services":[{"name":"s"}]}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	table := routing.NewTable(rand.New(rand.NewPCG(1, 1)))
+	table.Put(&rpc.Instance{Id: "w", Service: "s", Address: workerAddress, Capacity: 4})
+	p := &Proxy{log: slog.New(slog.DiscardHandler), known: make(chan struct{}), forwarder: &forward.Forwarder{Table: table, Pool: worker.NewPool(), Clock: clock}}
+	p.config.Store(configuration.NewTable(document))
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	go (&fasthttp.Server{Handler: p.handle, NoDefaultContentType: true}).Serve(listener)
+	return listener.Addr().String()
+}
+
+func requestFor(path, id string) string {
+	return "GET " + path + " HTTP/1.1\r\nHost: h\r\nRequest-Id: " + id + "\r\nDeadline-Ms: 60000\r\n\r\n"
+}
+
+// The connection to a worker is kept for the next request: it outlasts the watch of the client that the first one came from.
+func TestWorkersConnectionIsKept(t *testing.T) {
+	is := is.New(t)
+	workerAddress, opened, _ := standInWorker(t)
+	address := front(t, workerAddress)
+	for n := range 5 {
+		conn, err := net.Dial("tcp4", address)
+		is.NoErr(err)
+		_, err = io.WriteString(conn, requestFor("/x", fmt.Sprint("r", n)))
+		is.NoErr(err)
+		var response fasthttp.Response
+		is.NoErr(response.Read(bufio.NewReader(conn)))
+		is.Equal(string(response.Body()), "ok")
+		conn.Close()
+	}
+	is.Equal(len(opened), 1)
+}
+
+// A worker is let go once the client of its request has left.
+func TestWorkerIsLetGoWhenTheClientLeaves(t *testing.T) {
+	is := is.New(t)
+	workerAddress, opened, closed := standInWorker(t)
+	conn, err := net.Dial("tcp4", front(t, workerAddress))
+	is.NoErr(err)
+	_, err = io.WriteString(conn, requestFor("/silent", "r"))
+	is.NoErr(err)
+	<-opened
+	conn.Close()
+	select {
+	case <-closed:
+	case <-time.After(20 * time.Second):
+		t.Fatal("the worker is still at work")
+	}
+}
