--- a/internal/system/configuration/configuration_test.go
+++ b/internal/system/configuration/configuration_test.go
@@ -58,3 +58,19 @@
 	_, err = Apply([]byte(whole), []byte(`{"version":9,"upsert":{"routes":[{"host":"x"}]}}`))
 	is.True(err != nil)
 }
+
+// A configuration lies in a buffer that may be used again: nothing of what was read may point into it.
+func TestConfigurationOutlivesItsBuffer(t *testing.T) {
+	is := is.New(t)
+	text := `{"version":3,"routes":[{"name":"r","host":"h.example","pathPrefix":"/p/","timeoutMs":5,"service":"s"}],"services":[{"name":"s","healthPath":"/healthz"}]}`
+	buffer := []byte(text)
+	document, err := Parse(buffer)
+	is.NoErr(err)
+	table := NewTable(document)
+	for i := range buffer {
+		buffer[i] = '#'
+	}
+	route := table.Find("h.example", "/p/x")
+	is.True(route != nil && route.Service == "s" && route.Name == "r")
+	is.Equal(table.Service("s").HealthPath, "/healthz")
+}
--- a/internal/system/ledger/job_test.go
+++ b/internal/system/ledger/job_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/mailru/easyjson"
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
 
 	"saffronquay/internal/system/replica"
 	"saffronquay/internal/system/rpc"
@@ -88,3 +89,17 @@
 	is.NoErr(again.Restore(1, bufio.NewReader(bytes.NewReader(nil))))
 	is.Equal(len(again.jobs), 0)
 }
+
+// The body of a request lies in a buffer that is used again: nothing of a job may point into it.
+func TestSubmissionOutlivesItsBuffer(t *testing.T) {
+	is := is.New(t)
+	buffer := []byte(submission)
+	job, err := ParseSubmission(buffer)
+	is.NoErr(err)
+	before := proto.Clone(job)
+	for i := range buffer {
+		buffer[i] = '#'
+	}
+	is.True(proto.Equal(job, before))
+	is.Equal(job.Items[0].Id, "e5")
+}
--- /dev/null
+++ b/internal/system/transport/transport_test.go
@@ -0,0 +1,134 @@
+package transport
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func post(t *testing.T, c *Client, address, body string, timeout time.Duration) (string, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/echo", strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	response, err := c.Do(request)
+	if err != nil {
+		return "", err
+	}
+	text, err := io.ReadAll(response.Body)
+	return string(text), err
+}
+
+// echo is a server that answers each call with its body.
+func echo(t *testing.T) string {
+	t.Helper()
+	server, err := Listen("127.0.0.1:0", map[string]http.Handler{"/echo": http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		w.Write(body)
+	})})
+	if err != nil {
+		t.Fatal(err)
+	}
+	go server.Serve()
+	t.Cleanup(func() { server.Close(context.Background()) })
+	return server.listener.Addr().String()
+}
+
+// Buffers are used again for other calls. What a call was answered stays as it was, however many calls follow, also at the same time.
+func TestAnswersOutliveTheBuffers(t *testing.T) {
+	is := is.New(t)
+	address, client := echo(t), NewClient()
+	var wait sync.WaitGroup
+	for caller := range 8 {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			kept := map[string]*http.Response{}
+			for n := range 40 {
+				body := strings.Repeat(fmt.Sprintf("%d-%d ", caller, n), 1+n)
+				ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+				request, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/echo", strings.NewReader(body))
+				response, err := client.Do(request)
+				cancel()
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				kept[body] = response
+			}
+			for body, response := range kept {
+				if text, _ := io.ReadAll(response.Body); !bytes.Equal(text, []byte(body)) {
+					t.Errorf("a call was answered %q, and kept %q", body, text)
+				}
+			}
+		}()
+	}
+	wait.Wait()
+	is.True(!t.Failed())
+}
+
+// A call is sent once, whatever becomes of it: also over a kept connection that the server closes, and after silence.
+func TestCallsAreSentOnce(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	is.NoErr(err)
+	defer listener.Close()
+	received := make(chan string, 64)
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				reader := bufio.NewReader(conn)
+				for {
+					request, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					body, _ := io.ReadAll(request.Body)
+					received <- string(body)
+					switch {
+					case strings.HasPrefix(string(body), "reset"):
+						conn.(*net.TCPConn).SetLinger(0)
+						return
+					case strings.HasPrefix(string(body), "close"):
+						return
+					case strings.HasPrefix(string(body), "silence"):
+						io.Copy(io.Discard, conn)
+						return
+					}
+					io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+				}
+			}()
+		}
+	}()
+	client, address := NewClient(), listener.Addr().String()
+	sent := 0
+	for _, how := range []string{"reset", "close", "silence"} {
+		_, err := post(t, client, address, "good before "+how, 20*time.Second) // so that a connection is kept
+		is.NoErr(err)
+		_, err = post(t, client, address, how, 100*time.Millisecond)
+		is.True(err != nil)
+		sent += 2
+	}
+	_, err = post(t, client, address, "good", 20*time.Second)
+	is.NoErr(err)
+	sent++
+	is.Equal(len(received), sent)
+}
