--- a/cmd/saffronquay-system/main.go
+++ b/cmd/saffronquay-system/main.go
@@ -11,12 +11,15 @@
 	"runtime"
 	"runtime/debug"
 	"slices"
+	"strings"
 	"syscall"
 	"time"
 
 	"github.com/urfave/cli/v3"
 
 	"saffronquay/internal/system/agent"
+	"saffronquay/internal/system/decisions"
+	"saffronquay/internal/system/metrics"
 	"saffronquay/internal/system/proxy"
 	"saffronquay/internal/system/replica"
 	"saffronquay/internal/system/settings"
@@ -39,6 +42,9 @@
 			&cli.StringFlag{Name: "settings", Usage: "path of the settings file (TOML)", Sources: cli.EnvVars(settings.Variable)},
 			&cli.StringFlag{Name: "log-level", Value: "warn", Usage: "debug, info, warn or error"},
 			&cli.StringFlag{Name: "log-format", Value: "text", Usage: "text or json"},
+			&cli.StringFlag{Name: "metrics", Usage: "PORT/PATH where the role tells its figures in Prometheus' text format; empty: nowhere"},
+			&cli.StringFlag{Name: "policy", Usage: "how workers are chosen, for measurements; overrules decisions.policy of the settings file"},
+			&cli.StringSliceFlag{Name: "without", Usage: "switch a mechanism off, for measurements: " + strings.Join(decisions.Names(), ", ")},
 		},
 		Commands: []*cli.Command{
 			roleCommand("proxy", "carry the traffic of an edge machine", proxy.Run),
@@ -87,6 +93,9 @@
 			return err
 		}
 		limitMemory(source.Current())
+		if err := serveMetrics(c, source.Current()); err != nil {
+			return err
+		}
 		ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 		defer stop()
 		signal.Ignore(syscall.SIGHUP, syscall.SIGPIPE) // the settings file is looked at again without a signal
@@ -98,6 +107,18 @@
 	}
 }
 
+// serveMetrics tells the process's figures, where the command line says so.
+func serveMetrics(c *cli.Command, s *settings.Settings) error {
+	if c.String("metrics") == "" {
+		return nil
+	}
+	endpoint, err := metrics.ParseEndpoint(c.String("metrics"))
+	if err != nil {
+		return err
+	}
+	return endpoint.Serve(s.IP)
+}
+
 func checkCommand() *cli.Command {
 	return &cli.Command{Name: "check", Usage: "check a settings file", Action: func(_ context.Context, c *cli.Command) error {
 		source, err := open(c)
@@ -113,7 +134,29 @@
 	if path == "" {
 		return nil, fmt.Errorf("no settings file: set --settings or %s", settings.Variable)
 	}
-	return settings.NewSource(path)
+	overrule, err := overrules(c)
+	if err != nil {
+		return nil, err
+	}
+	return settings.NewSource(path, overrule)
+}
+
+// overrules are the decisions that the command line takes in place of the settings file.
+func overrules(c *cli.Command) (settings.Overrule, error) {
+	policy, without := decisions.Policy(c.String("policy")), c.StringSlice("without")
+	apply := func(s *decisions.Switches) error {
+		if policy != "" {
+			s.Policy = policy
+		}
+		for _, name := range without {
+			if err := s.Without(name); err != nil {
+				return err
+			}
+		}
+		return s.Check()
+	}
+	probe := decisions.All()
+	return func(s *settings.Settings) { apply(&s.Decisions) }, apply(&probe)
 }
 
 func logger(c *cli.Command, s *settings.Settings) (*slog.Logger, error) {
@@ -138,9 +181,15 @@
 // storeGarbage is the garbage that a store may hold, in percent of what it keeps: it keeps much, and collecting costs it little.
 const storeGarbage = 25
 
+// edgeGarbage is the same for the processes of a gatherer, which are many and hold little.
+const edgeGarbage = 40
+
 func limitMemory(s *settings.Settings) {
-	if slices.Contains(s.Serves, settings.ServesStorage) {
+	switch {
+	case slices.Contains(s.Serves, settings.ServesStorage):
 		debug.SetGCPercent(storeGarbage)
+	case !slices.Contains(s.Serves, settings.ServesControlPlane):
+		debug.SetGCPercent(edgeGarbage)
 	}
 	if s.Limits.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(s.Limits.MemoryMB<<20)))
@@ -159,6 +208,7 @@
 			var m runtime.MemStats
 			runtime.ReadMemStats(&m)
 			log.Debug("memory", "heap_mb", m.HeapAlloc>>20, "in_use_mb", m.HeapInuse>>20, "idle_mb", (m.HeapIdle-m.HeapReleased)>>20, "stack_mb", m.StackInuse>>20, "collections", m.NumGC, "goroutines", runtime.NumGoroutine())
+			log.Debug("metrics", "text", metrics.Text())
 		case <-ctx.Done():
 			return
 		}
--- a/internal/system/agent/agent.go
+++ b/internal/system/agent/agent.go
@@ -15,6 +15,7 @@
 
 	"saffronquay/internal/system/feed"
 	"saffronquay/internal/system/membership"
+	"saffronquay/internal/system/metrics"
 	"saffronquay/internal/system/rpc"
 	"saffronquay/internal/system/settings"
 	"saffronquay/internal/system/transport"
@@ -58,7 +59,8 @@
 	if a.member, err = membership.Start(s, settings.ServesEdge, "", log, a.members); err != nil {
 		return err
 	}
-	a.tail = &feed.Client{Table: a.feed, HTTP: a.client, Node: s.NodeName, Sources: a.stewards, Heard: func([]*rpc.FeedEvent) {}, Log: log}
+	a.tail = &feed.Client{Wait: feed.UsualWait, Table: a.feed, HTTP: a.client, Node: s.NodeName, Sources: a.stewards, Heard: func([]*rpc.FeedEvent) {}, Log: log}
+	metrics.Gauge("in_touch", a.inTouch)
 	go server.Serve()
 	go a.tail.Run(ctx)
 	<-ctx.Done()
@@ -68,6 +70,14 @@
 	return server.Close(end)
 }
 
+// inTouch is 1 while a steward that is in touch answers, else 0.
+func (a *Agent) inTouch() float64 {
+	if a.tail.Fresh(freshWithin) {
+		return 1
+	}
+	return 0
+}
+
 // stewards are the addresses to tail: those of the own zone first, live members before the seeds.
 func (a *Agent) stewards() (addresses []string) {
 	s := a.source.Current()
@@ -121,7 +131,9 @@
 	if seen := r.Offsets[MembersShard]; seen > a.feed.Offset(MembersShard) {
 		a.feed.Overtake(MembersShard, seen) // this process was started anew, by a clock that has stepped back
 	}
-	return feed.Watch(ctx, a.feed, func() bool { return a.tail.Fresh(freshWithin) }, r), nil
+	// The proxy has nobody else to ask: it is held also while no steward is in touch.
+	source := feed.Source{Table: a.feed}
+	return source.Watch(ctx, r), nil
 }
 
 // Heartbeat implements rpc.Control; workers' heartbeats are the stewards' business.
--- a/internal/system/batch/item.go
+++ b/internal/system/batch/item.go
@@ -12,7 +12,8 @@
 
 	"saffronquay/internal/system/configuration"
 	"saffronquay/internal/system/forward"
-	"saffronquay/internal/system/ledger"
+	"saffronquay/internal/system/metrics"
+	"saffronquay/internal/system/packing"
 	"saffronquay/internal/system/routing"
 	"saffronquay/internal/system/rpc"
 	"saffronquay/internal/system/worker"
@@ -30,13 +31,6 @@
 	itemLeast = 5 * time.Second
 )
 
-// Patience is how long a worker may be silent before the first event of a text, and between two, before it is taken for lost and the text is
-// taken up at another one.
-type Patience struct{ First, Between time.Duration }
-
-// UsualPatience is longer than a load of weights, during which a worker may pause.
-var UsualPatience = Patience{First: 2500 * time.Millisecond, Between: 1400 * time.Millisecond}
-
 // text is what has been made of an item so far.
 type text struct {
 	data     []byte
@@ -74,6 +68,7 @@
 		}
 		outcome := r.try(ctx, route, lease, ticket, made)
 		ticket.Clear()
+		countTry(outcome)
 		switch {
 		case ctx.Err() != nil:
 			return nil
@@ -91,7 +86,7 @@
 
 // place waits for a place at a worker that fits.
 func (r *Runner) place(ctx context.Context, route *configuration.Route, lease *rpc.Lease, made *text) *routing.Ticket {
-	query := &routing.Query{Model: lease.Model, MinVersion: lease.MinVersion, MostItems: r.Slots}
+	query := &routing.Query{Model: lease.Model, MinVersion: lease.MinVersion, Item: true}
 	for _, target := range route.Targets() {
 		if target.Weight > 0 {
 			query.Services = append(query.Services, target.Service)
@@ -101,6 +96,8 @@
 		query.Exact = made.current
 	}
 	cost := r.Forwarder.Table.Cost(route.Name, route.TargetLatencyMS, usage(lease.Item))
+	begun := time.Now()
+	defer func() { placeWaits.UpdateDuration(begun) }()
 	deadline := time.NewTimer(placeWait)
 	defer deadline.Stop()
 	for {
@@ -143,6 +140,17 @@
 	tryImpossible
 )
 
+func (o tryOutcome) String() string {
+	return [...]string{"again", "whole", "failed", "impossible"}[o]
+}
+
+// placeWaits are the times that leased items wait for a place at a worker.
+var placeWaits = metrics.Durations("item_place_wait_seconds")
+
+func countTry(outcome tryOutcome) {
+	metrics.Counter("tries_total", metrics.Label{Name: "kind", Value: "item"}, metrics.Label{Name: "verdict", Value: outcome.String()}).Inc()
+}
+
 // try sends an item to one worker and reads its events.
 func (r *Runner) try(ctx context.Context, route *configuration.Route, lease *rpc.Lease, ticket *routing.Ticket, made *text) tryOutcome {
 	table, clock, w := r.Forwarder.Table, r.Forwarder.Clock, ticket.Worker
@@ -150,7 +158,7 @@
 	resumed := made.events > 0
 	tryCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	silence := time.AfterFunc(r.Patience.First, cancel)
+	silence := time.AfterFunc(r.Patience.before(&r.first), cancel)
 	defer silence.Stop()
 	answer, err := r.Forwarder.Pool.Do(tryCtx, &worker.Call{Address: w.Address, Method: fasthttp.MethodPost, URI: lease.Item.Path, Host: lease.Host,
 		Headers: itemHeaders(lease, w.ID, made), Body: lease.Item.Body})
@@ -192,7 +200,7 @@
 		return tryAgain
 	}
 	made.current = version
-	switch err := r.read(answer, lease, w, made, silence); {
+	switch err := r.read(answer, lease, w, made, begun, silence); {
 	case err == nil:
 		table.Served(w)
 		if !resumed {
@@ -237,8 +245,9 @@
 )
 
 // read adds an answer's events to the text; no error says that the text is whole.
-func (r *Runner) read(answer *worker.Answer, lease *rpc.Lease, w *routing.Worker, made *text, silence *time.Timer) error {
+func (r *Runner) read(answer *worker.Answer, lease *rpc.Lease, w *routing.Worker, made *text, begun time.Time, silence *time.Timer) error {
 	events := worker.NewEvents(answer)
+	last, seen := begun, &r.first
 	for {
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) {
@@ -250,7 +259,10 @@
 		if err != nil {
 			return err
 		}
-		silence.Reset(r.Patience.Between)
+		now := time.Now()
+		seen.note(now.Sub(last))
+		last, seen = now, &r.between
+		silence.Reset(r.Patience.between(&r.between))
 		if event.Version != 0 && event.Version != made.current {
 			r.Forwarder.Table.SawVersion(w, lease.Model, event.Version)
 			if lease.SingleVersion && made.events > 0 {
@@ -286,7 +298,7 @@
 
 // score has a whole text scored, where the item asks for that.
 func (r *Runner) score(ctx context.Context, lease *rpc.Lease, made *text) *rpc.Report {
-	result := &rpc.Result{Completed: true, Text: ledger.PackText(made.data), WeightVersions: made.versions}
+	result := &rpc.Result{Completed: true, Text: packing.Texts.Pack(made.data), WeightVersions: made.versions}
 	scorer := lease.Item.Scorer
 	if scorer == nil {
 		return &rpc.Report{Result: result}
--- a/internal/system/batch/item_test.go
+++ b/internal/system/batch/item_test.go
@@ -14,8 +14,9 @@
 	"github.com/matryer/is"
 
 	"saffronquay/internal/system/configuration"
+	"saffronquay/internal/system/decisions"
 	"saffronquay/internal/system/forward"
-	"saffronquay/internal/system/ledger"
+	"saffronquay/internal/system/packing"
 	"saffronquay/internal/system/routing"
 	"saffronquay/internal/system/rpc"
 	"saffronquay/internal/system/worker"
@@ -70,13 +71,13 @@
 		t.Fatal(err)
 	}
 	config := configuration.NewTable(document)
-	table := routing.NewTable(rand.New(rand.NewPCG(1, 1)))
+	table := routing.NewTable(routing.Gatherer{Name: "g"}, decisions.All(), rand.New(rand.NewPCG(1, 1)))
 	for i, address := range addresses {
 		table.Put(&rpc.Instance{Id: address, Service: "s", Address: address, Capacity: 4, Models: []*rpc.ModelWeights{{Name: "m", Version: uint64(3 + i)}}})
 	}
 	start := time.Now()
 	return &Runner{Forwarder: &forward.Forwarder{Table: table, Pool: worker.NewPool(), Clock: func() int64 { return time.Since(start).Milliseconds() + 1_000_000 }},
-		Table: func() *configuration.Table { return config }, Slots: func(*routing.Worker) int { return 4 },
+		Table:    func() *configuration.Table { return config },
 		Patience: Patience{First: time.Second, Between: 30 * time.Millisecond}, Log: slog.New(slog.DiscardHandler)}
 }
 
@@ -99,9 +100,9 @@
 	healthy := standIn(t, heads, lastPart, false)
 	r.Forwarder.Table.Put(&rpc.Instance{Id: "healthy", Service: "s", Address: healthy, Capacity: 4, Models: []*rpc.ModelWeights{{Name: "m", Version: 3}}})
 	report := <-result
-	text, err := ledger.UnpackText(report.Result.Text)
+	text, err := packing.Texts.Unpack(report.Result.Text)
 	is.NoErr(err)
-	is.Equal(text, "a\nb")
+	is.Equal(string(text), "a\nb")
 	is.Equal(report.Result.WeightVersions, []uint64{3})
 	is.Equal((<-heads).Get("Last-Event-Id"), "1")
 }
--- a/internal/system/batch/runner.go
+++ b/internal/system/batch/runner.go
@@ -11,7 +11,6 @@
 	"saffronquay/internal/system/configuration"
 	"saffronquay/internal/system/forward"
 	"saffronquay/internal/system/ledgerclient"
-	"saffronquay/internal/system/routing"
 	"saffronquay/internal/system/rpc"
 )
 
@@ -21,10 +20,11 @@
 	Forwarder *forward.Forwarder
 	Ledger    *ledgerclient.Client
 	Table     func() *configuration.Table // nil while no configuration is known
-	Slots     func(w *routing.Worker) int // this gatherer's part of a worker's places
-	Patience  Patience
+	Patience  Patience                    // at most
 	Log       *slog.Logger
 
+	first, between silences // that were seen before answers, and between events
+
 	mu          sync.Mutex
 	leases      map[leaseKey]*running
 	epochs      map[string]uint64    // of the owners that know what this gatherer holds
@@ -144,7 +144,7 @@
 // room is what this gatherer could begin now, less what waits for a place already and what other calls to the shard have asked for. Calls to
 // other shards don't count: most of them bring nothing, and what is too much waits for a place for a moment.
 func (r *Runner) room(shard string) (want int, rooms []*rpc.Room) {
-	rooms, want = r.Forwarder.Table.Rooms(r.Forwarder.Clock(), r.services(), r.Slots)
+	rooms, want = r.Forwarder.Table.Rooms(r.Forwarder.Clock(), r.services())
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.stopping {
--- a/internal/system/configuration/check.go
+++ b/internal/system/configuration/check.go
@@ -8,14 +8,23 @@
 	"github.com/mailru/easyjson"
 )
 
+// Read reads a configuration that was checked before, as gatherers do: what the directory holds is valid.
+func Read(body []byte) (*Document, error) {
+	d := &Document{}
+	if err := easyjson.Unmarshal(body, d); err != nil {
+		return nil, fmt.Errorf("configuration: %w", err)
+	}
+	return d, nil
+}
+
 // Parse reads a whole configuration and checks it by itself. All faults are named at once, each with where it stands.
 func Parse(body []byte) (*Document, error) {
 	if !json.Valid(body) {
 		return nil, errors.New("configuration: not valid JSON")
 	}
-	d := &Document{}
-	if err := easyjson.Unmarshal(body, d); err != nil {
-		return nil, fmt.Errorf("configuration: %w", err)
+	d, err := Read(body)
+	if err != nil {
+		return nil, err
 	}
 	return d, d.check()
 }
--- /dev/null
+++ b/internal/system/decisions/decisions_test.go
@@ -0,0 +1,37 @@
+package decisions
+
+import (
+	"reflect"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// Every switch is on by default and can be switched off by its name; the file and the command line use the same names.
+func TestEachSwitchHasItsName(t *testing.T) {
+	is := is.New(t)
+	all := All()
+	is.NoErr(all.Check())
+	fields := reflect.TypeFor[Switches]()
+	switches := 0
+	for i := range fields.NumField() {
+		field := fields.Field(i)
+		if field.Type.Kind() != reflect.Bool {
+			continue
+		}
+		switches++
+		on := All()
+		is.True(reflect.ValueOf(on).Field(i).Bool())
+		is.NoErr(on.Without(field.Tag.Get("toml")))
+		is.True(!reflect.ValueOf(on).Field(i).Bool())
+	}
+	is.Equal(len(Names()), switches)
+}
+
+func TestUnknownNames(t *testing.T) {
+	is := is.New(t)
+	s := All()
+	is.True(s.Without("nothing") != nil)
+	s.Policy = "luck"
+	is.True(s.Check() != nil)
+}
--- a/internal/system/directory/directory.go
+++ b/internal/system/directory/directory.go
@@ -15,6 +15,7 @@
 
 	"saffronquay/internal/system/configuration"
 	"saffronquay/internal/system/feed"
+	"saffronquay/internal/system/packing"
 	"saffronquay/internal/system/replica"
 	"saffronquay/internal/system/rpc"
 )
@@ -35,7 +36,7 @@
 
 	mu            sync.RWMutex
 	version       uint64
-	configuration []byte
+	configuration []byte // packed
 	table         *configuration.Table
 	taken         []*rpc.TakenConfiguration // in order
 	known         map[string]bool           // digests of taken
@@ -52,6 +53,12 @@
 		table: configuration.NewTable(&configuration.Document{})}
 }
 
+// Replace is the command for an operator's order: a whole configuration, or a change of named items, on top of a version.
+func Replace(base, version uint64, patch bool, body []byte) *rpc.DirectoryCommand {
+	return &rpc.DirectoryCommand{Command: &rpc.DirectoryCommand_Replace{Replace: &rpc.ReplaceConfiguration{
+		Base: base, Version: version, Body: packing.Documents.Pack(body), Digest: Digest(base, patch, body), Patch: patch}}}
+}
+
 // Digest identifies what an operator sent.
 func Digest(base uint64, patch bool, body []byte) []byte {
 	h := sha256.New()
@@ -125,24 +132,37 @@
 	if r.Base != d.version {
 		return &rpc.DirectoryResult{Status: rpc.DirectoryStatus_DIRECTORY_CONFLICT, Message: "another version is current"}, nil
 	}
-	body := r.Body
-	if r.Patch {
-		changed, err := configuration.Apply(d.configuration, r.Body)
-		if err != nil {
-			return &rpc.DirectoryResult{Status: rpc.DirectoryStatus_DIRECTORY_INVALID, Message: err.Error()}, nil
-		}
-		body = changed
-	}
-	document, err := configuration.Parse(body)
+	packed, document, err := d.build(r)
 	if err != nil {
 		return &rpc.DirectoryResult{Status: rpc.DirectoryStatus_DIRECTORY_INVALID, Message: err.Error()}, nil
 	}
 	if document.Version <= d.version || document.Version != r.Version {
 		return &rpc.DirectoryResult{Status: rpc.DirectoryStatus_DIRECTORY_INVALID, Message: "version: is not above the current one"}, nil
 	}
-	d.version, d.configuration, d.table = document.Version, body, configuration.NewTable(document)
+	d.version, d.configuration, d.table = document.Version, packed, configuration.NewTable(document)
 	d.remember(&rpc.TakenConfiguration{Version: r.Version, Digest: r.Digest})
-	return &rpc.DirectoryResult{}, &rpc.FeedEvent{Event: &rpc.FeedEvent_Configuration{Configuration: &rpc.ConfigurationEvent{Version: d.version, Body: body}}}
+	return &rpc.DirectoryResult{}, &rpc.FeedEvent{Event: &rpc.FeedEvent_Configuration{Configuration: &rpc.ConfigurationEvent{Version: d.version, Body: packed}}}
+}
+
+// build returns the configuration that an order leads to, packed and read.
+func (d *Directory) build(r *rpc.ReplaceConfiguration) (packed []byte, document *configuration.Document, err error) {
+	body, err := packing.Documents.Unpack(r.Body)
+	if err != nil {
+		return nil, nil, err
+	}
+	packed = r.Body
+	if r.Patch {
+		current, err := packing.Documents.Unpack(d.configuration)
+		if err != nil {
+			return nil, nil, err
+		}
+		if body, err = configuration.Apply(current, body); err != nil {
+			return nil, nil, err
+		}
+		packed = packing.Documents.Pack(body)
+	}
+	document, err = configuration.Parse(body)
+	return packed, document, err
 }
 
 // remember notes what was taken, and forgets the older half once there is too much.
@@ -198,7 +218,11 @@
 	}
 	document := &configuration.Document{}
 	if len(s.Configuration) > 0 {
-		if document, err = configuration.Parse(s.Configuration); err != nil {
+		text, err := packing.Documents.Unpack(s.Configuration)
+		if err != nil {
+			return err
+		}
+		if document, err = configuration.Parse(text); err != nil {
 			return err
 		}
 	}
--- a/internal/system/directory/directory_test.go
+++ b/internal/system/directory/directory_test.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"saffronquay/internal/system/feed"
+	"saffronquay/internal/system/packing"
 	"saffronquay/internal/system/replica"
 	"saffronquay/internal/system/rpc"
 )
@@ -39,8 +40,7 @@
 }
 
 func (b *bench) replace(base, version uint64, body []byte) rpc.DirectoryStatus {
-	return b.apply(&rpc.DirectoryCommand{Command: &rpc.DirectoryCommand_Replace{Replace: &rpc.ReplaceConfiguration{Base: base, Version: version, Body: body,
-		Digest: Digest(base, false, body)}}}).Status
+	return b.apply(Replace(base, version, false, body)).Status
 }
 
 // Of two changes on top of one version one is taken; what was taken is acknowledged again however often it is sent, also after others.
@@ -56,7 +56,9 @@
 	is.Equal(b.replace(0, 3, text(3, "s")), rpc.DirectoryStatus_DIRECTORY_OK)
 	is.Equal(b.Table().Version, uint64(6))
 	read := b.apply(&rpc.DirectoryCommand{Command: &rpc.DirectoryCommand_Read{Read: &rpc.Read{}}})
-	is.Equal(string(read.Configuration), string(text(6, "s")))
+	back, err := packing.Documents.Unpack(read.Configuration)
+	is.NoErr(err)
+	is.Equal(string(back), string(text(6, "s")))
 }
 
 // A directory that is restored from a snapshot is the same, and feeds the same.
--- a/internal/system/feed/client.go
+++ b/internal/system/feed/client.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"saffronquay/internal/system/metrics"
 	"saffronquay/internal/system/rpc"
 	"saffronquay/internal/system/transport"
 )
@@ -18,15 +19,19 @@
 	Node    string
 	Sources func() []string // addresses to ask, the best first
 	Heard   func(events []*rpc.FeedEvent)
+	Wait    time.Duration // that a source may hold a watch; it is how long a silent one goes unnoticed, less a margin
 	Log     *slog.Logger
 
 	freshAt atomic.Int64 // nanoseconds
 }
 
 const (
-	watchWait  = 600 * time.Millisecond
-	watchSlack = 500 * time.Millisecond
-	pauseAfter = 50 * time.Millisecond
+	// UsualWait lets a source that has fallen silent be left within watchSlack more.
+	UsualWait = 600 * time.Millisecond
+	// LoopbackWait is for a source on the same machine: it breaks its connections when it ends, and stands still only together with the caller.
+	LoopbackWait = 5 * time.Second
+	watchSlack   = 500 * time.Millisecond
+	pauseAfter   = 50 * time.Millisecond
 	// roundPause is how long to wait once no source was good: all may be waiting for the same leader.
 	roundPause = 150 * time.Millisecond
 )
@@ -54,11 +59,15 @@
 	}
 }
 
-// Rotation says which source to ask next: the same one as long as it is good, else the one behind it. The zero value begins with the first.
+// Rotation says which source to ask next: the same one as long as it is good, else the one behind it. Now and then the first one, which is the
+// best, is tried again. The zero value begins with it.
 type Rotation struct {
-	turn, failed, sources int
+	turn, failed, good, sources int
 }
 
+// homeAfter is the number of good answers of another source after which the first one is tried again.
+const homeAfter = 16
+
 // Next is the source to ask; empty where there is none.
 func (r *Rotation) Next(sources []string) string {
 	if r.sources = len(sources); r.sources == 0 {
@@ -68,11 +77,17 @@
 }
 
 // Good notes that the source was good.
-func (r *Rotation) Good() { r.failed = 0 }
+func (r *Rotation) Good() {
+	r.failed = 0
+	if r.good++; r.good >= homeAfter {
+		r.turn, r.good = 0, 0
+	}
+}
 
 // Failed goes on to the next source and tells how long to wait before.
 func (r *Rotation) Failed() time.Duration {
 	r.turn++
+	r.good = 0
 	if r.failed++; r.failed%max(r.sources, 1) == 0 {
 		return roundPause
 	}
@@ -88,9 +103,9 @@
 
 // ask watches once and tells whether the source is good to ask again.
 func (c *Client) ask(ctx context.Context, source string) bool {
-	ctx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
+	ctx, cancel := context.WithTimeout(ctx, c.Wait+watchSlack)
 	defer cancel()
-	request := &rpc.WatchRequest{Offsets: c.Table.Offsets(), WaitMs: uint32(watchWait.Milliseconds()), Node: c.Node}
+	request := &rpc.WatchRequest{Offsets: c.Table.Offsets(), WaitMs: uint32(c.Wait.Milliseconds()), Node: c.Node}
 	response, err := rpc.NewControlProtobufClient("http://"+source, c.HTTP).Watch(ctx, request)
 	if err != nil {
 		c.Log.Debug("watch failed", "source", source, "error", err)
@@ -100,6 +115,9 @@
 		c.Heard(news)
 	}
 	if response.Fresh {
+		if c.freshAt.Load() == 0 {
+			metrics.Phase("in_touch")
+		}
 		c.freshAt.Store(time.Now().UnixNano())
 	}
 	return response.Fresh
--- a/internal/system/feed/service.go
+++ b/internal/system/feed/service.go
@@ -7,34 +7,66 @@
 	"saffronquay/internal/system/rpc"
 )
 
-// maxWait bounds how long a watcher may be held.
-const maxWait = 10 * time.Second
+const (
+	// maxWait bounds how long a watcher may be held.
+	maxWait = 10 * time.Second
+	// lookEach is how often a held watch looks whether this process is still in touch.
+	lookEach = 150 * time.Millisecond
+)
 
-// lookEach is how often a held watch looks whether this process is still in touch.
-const lookEach = 150 * time.Millisecond
+// Source answers watchers from a table.
+type Source struct {
+	Table *Table
+	// Fresh tells whether this process is in touch itself; nil: its watchers have nobody else to ask, and are held in any case.
+	Fresh func() bool
+	// Gather is how long a change waits for others to be told with it. Who begins, or is behind by a snapshot, is told at once.
+	Gather time.Duration
+}
 
 // Watch answers a watcher at once where something is new to it, or where this process has lost touch: the watcher should go elsewhere. Else it
 // answers when something changes or the wait ends.
-func Watch(ctx context.Context, t *Table, fresh func() bool, r *rpc.WatchRequest) *rpc.WatchResponse {
-	wait := time.NewTimer(min(time.Duration(r.WaitMs)*time.Millisecond, maxWait))
-	defer wait.Stop()
-	look := time.NewTicker(lookEach)
-	defer look.Stop()
+func (s *Source) Watch(ctx context.Context, r *rpc.WatchRequest) *rpc.WatchResponse {
+	ctx, cancel := context.WithTimeout(ctx, min(time.Duration(r.WaitMs)*time.Millisecond, maxWait))
+	defer cancel()
+	var look <-chan time.Time
+	if s.Fresh != nil {
+		ticker := time.NewTicker(lookEach)
+		defer ticker.Stop()
+		look = ticker.C
+	}
 	for {
-		feeds, changed := t.Since(r.Offsets)
+		feeds, changed := s.Table.Since(r.Offsets)
 		if len(feeds) > 0 {
-			return &rpc.WatchResponse{Fresh: fresh(), Feeds: feeds}
+			return &rpc.WatchResponse{Fresh: s.fresh(), Feeds: s.gather(ctx, r, feeds)}
 		}
-		if !fresh() {
+		if !s.fresh() {
 			return &rpc.WatchResponse{}
 		}
 		select {
 		case <-changed:
-		case <-look.C:
-		case <-wait.C:
-			return &rpc.WatchResponse{Fresh: fresh()}
+		case <-look:
 		case <-ctx.Done():
-			return &rpc.WatchResponse{Fresh: fresh()}
+			return &rpc.WatchResponse{Fresh: s.fresh()}
+		}
+	}
+}
+
+func (s *Source) fresh() bool { return s.Fresh == nil || s.Fresh() }
+
+// gather waits for further changes, where nobody waits for a snapshot.
+func (s *Source) gather(ctx context.Context, r *rpc.WatchRequest, feeds []*rpc.ShardFeed) []*rpc.ShardFeed {
+	for _, f := range feeds {
+		if f.Snapshot {
+			return feeds
 		}
 	}
+	if s.Gather == 0 {
+		return feeds
+	}
+	select {
+	case <-time.After(s.Gather):
+	case <-ctx.Done():
+	}
+	feeds, _ = s.Table.Since(r.Offsets)
+	return feeds
 }
--- a/internal/system/feed/table.go
+++ b/internal/system/feed/table.go
@@ -11,14 +11,15 @@
 	"saffronquay/internal/system/rpc"
 )
 
-// retained is the number of changes of a shard that can be asked for; whoever is further behind gets a snapshot.
+// retained is the number of changes of a shard that can be asked for.
 const retained = 2048
 
 // Table holds the newest event for each key, by shard.
 type Table struct {
-	mu      sync.Mutex
-	shards  map[string]*shard
-	changed chan struct{}
+	mu       sync.Mutex
+	shards   map[string]*shard
+	changed  chan struct{}
+	retained int // changes of a shard that can be asked for; whoever is further behind gets a snapshot
 }
 
 type shard struct {
@@ -29,7 +30,16 @@
 }
 
 // NewTable returns an empty table.
-func NewTable() *Table { return &Table{shards: map[string]*shard{}, changed: make(chan struct{})} }
+func NewTable() *Table {
+	return &Table{shards: map[string]*shard{}, changed: make(chan struct{}), retained: retained}
+}
+
+// NewTail returns an empty table that nobody watches, so that it keeps no changes.
+func NewTail() *Table {
+	t := NewTable()
+	t.retained = 0
+	return t
+}
 
 func (t *Table) shard(name string) *shard {
 	s := t.shards[name]
@@ -75,19 +85,23 @@
 	s := t.shard(name)
 	for _, e := range events {
 		e.Offset = index
-		s.put(e)
+		s.put(e, t.retained)
 	}
 	s.offset = index
 	t.wake()
 }
 
-func (s *shard) put(e *rpc.FeedEvent) {
+func (s *shard) put(e *rpc.FeedEvent, retained int) {
 	switch e.Event.(type) {
 	case *rpc.FeedEvent_Gone, *rpc.FeedEvent_Left:
 		delete(s.newest, key(e))
 	default:
 		s.newest[key(e)] = e
 	}
+	if retained == 0 {
+		s.floor = e.Offset
+		return
+	}
 	s.events = append(s.events, e)
 	if len(s.events) > 2*retained {
 		s.floor = s.events[retained-1].Offset
@@ -194,7 +208,7 @@
 		s := t.shard(f.Shard)
 		for _, e := range f.Events {
 			if e.Offset > s.offset {
-				s.put(e)
+				s.put(e, t.retained)
 				news = append(news, e)
 			}
 		}
--- a/internal/system/feed/table_test.go
+++ b/internal/system/feed/table_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -112,10 +113,12 @@
 	table := NewTable()
 	table.Publish("s", 3, instance("a", 1))
 	request := &rpc.WatchRequest{Offsets: map[string]uint64{"s": 3}, WaitMs: 60_000}
-	response := Watch(context.Background(), table, func() bool { return false }, request)
+	source := &Source{Table: table, Fresh: func() bool { return false }}
+	response := source.Watch(context.Background(), request)
 	is.True(!response.Fresh)
 	asked := 0
-	response = Watch(context.Background(), table, func() bool { asked++; return asked < 3 }, request)
+	source.Fresh = func() bool { asked++; return asked < 3 }
+	response = source.Watch(context.Background(), request)
 	is.True(!response.Fresh)
 	is.Equal(asked, 3)
 }
@@ -134,4 +137,51 @@
 	r.Good()
 	is.Equal(r.Next(sources), "a")
 	is.Equal(r.Failed(), pauseAfter)
+	for range homeAfter {
+		is.Equal(r.Next(sources), "b")
+		r.Good()
+	}
+	is.Equal(r.Next(sources), "a") // the first one is the best
+}
+
+// A source whose watchers have nobody else to ask holds them although it isn't in touch with anybody.
+func TestWatchOfTheOnlySource(t *testing.T) {
+	is := is.New(t)
+	table := NewTable()
+	table.Publish("s", 3, instance("a", 1))
+	source := &Source{Table: table}
+	response := source.Watch(context.Background(), &rpc.WatchRequest{Offsets: map[string]uint64{"s": 3}, WaitMs: 1})
+	is.True(response.Fresh)
+	is.Equal(len(response.Feeds), 0)
+}
+
+// Changes that follow each other soon are told together; who begins isn't kept waiting.
+func TestChangesAreGathered(t *testing.T) {
+	is := is.New(t)
+	table := NewTable()
+	table.Publish("s", 3, instance("a", 1))
+	source := &Source{Table: table, Gather: time.Hour}
+	request := &rpc.WatchRequest{WaitMs: 60_000}
+	is.True(source.Watch(context.Background(), request).Feeds[0].Snapshot)
+	table.Publish("s", 4, instance("a", 2))
+	ctx, cancel := context.WithCancel(context.Background())
+	request.Offsets = map[string]uint64{"s": 3}
+	told := make(chan *rpc.WatchResponse)
+	go func() { told <- source.Watch(ctx, request) }()
+	table.Publish("s", 5, instance("b", 1))
+	cancel() // as the end of the time for gathering
+	is.Equal((<-told).Feeds[0].Offset, uint64(5))
+}
+
+// A table that nobody watches keeps the newest of each, and no changes.
+func TestTailKeepsNoChanges(t *testing.T) {
+	is := is.New(t)
+	source, tail, seen := NewTable(), NewTail(), view{}
+	for version := range uint64(9) {
+		source.Publish("s", version+1, instance("a", version), instance("b", version))
+		feeds, _ := source.Since(tail.Offsets())
+		seen.take(tail.Take(feeds))
+	}
+	is.Equal(seen, view{"a": 8, "b": 8})
+	is.Equal(len(tail.shards["s"].events), 0)
 }
--- a/internal/system/forward/forward.go
+++ b/internal/system/forward/forward.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"saffronquay/internal/system/configuration"
+	"saffronquay/internal/system/metrics"
 	"saffronquay/internal/system/routing"
 	"saffronquay/internal/system/verdict"
 	"saffronquay/internal/system/worker"
@@ -214,6 +215,7 @@
 		ticket.Clear()
 		cancel()
 		v := verdict.Of(err)
+		countTry(v.String())
 		if ctx.Err() == nil || v == verdict.NotRun && !declined(err) {
 			if declined(err) {
 				f.Table.Refused(f.Clock(), w, r.Model)
@@ -224,6 +226,7 @@
 		return attempt{result: Result{Err: err, Verdict: v}}
 	}
 	f.Table.Served(w)
+	countTry(served)
 	result := Result{Answer: answer, Status: answer.Status, Body: body}
 	if whole {
 		took := time.Since(begun)
@@ -240,6 +243,13 @@
 	return attempt{result: result}
 }
 
+// served is the verdict of tries that brought an answer.
+const served = "served"
+
+func countTry(verdict string) {
+	metrics.Counter("tries_total", metrics.Label{Name: "kind", Value: "request"}, metrics.Label{Name: "verdict", Value: verdict}).Inc()
+}
+
 // load resets a worker's backlog to what it says of its load.
 func (f *Forwarder) load(r *Request, w *routing.Worker, answer *worker.Answer) {
 	parts := strings.Split(string(answer.Header.Peek("Instance-Load")), ",")
--- a/internal/system/forward/forward_test.go
+++ b/internal/system/forward/forward_test.go
@@ -17,6 +17,7 @@
 	"github.com/matryer/is"
 
 	"saffronquay/internal/system/configuration"
+	"saffronquay/internal/system/decisions"
 	"saffronquay/internal/system/routing"
 	"saffronquay/internal/system/rpc"
 	"saffronquay/internal/system/verdict"
@@ -131,7 +132,7 @@
 func TestAnswersAndRuns(t *testing.T) {
 	is := is.New(t)
 	l := &ledger{runs: map[string][]string{}}
-	table := routing.NewTable(rand.New(rand.NewPCG(1, 1)))
+	table := routing.NewTable(routing.Gatherer{Name: "g"}, decisions.All(), rand.New(rand.NewPCG(1, 1)))
 	for i := range 4 {
 		name := fmt.Sprint("worker", i)
 		table.Put(&rpc.Instance{Id: name, Service: "s", Capacity: 64, Address: spiteful(t, name, uint64(i), l)})
--- a/internal/system/ledger/job.go
+++ b/internal/system/ledger/job.go
@@ -10,6 +10,7 @@
 
 	"github.com/mailru/easyjson"
 
+	"saffronquay/internal/system/packing"
 	"saffronquay/internal/system/rpc"
 )
 
@@ -126,11 +127,11 @@
 		if versions == nil {
 			versions = []uint64{}
 		}
-		text, err := UnpackText(result.Text)
+		text, err := packing.Texts.Unpack(result.Text)
 		if err != nil {
 			return nil, err
 		}
-		page.Results = append(page.Results, PageResult{ID: result.Item, State: state, Text: text, WeightVersions: versions, Score: result.Score})
+		page.Results = append(page.Results, PageResult{ID: result.Item, State: state, Text: string(text), WeightVersions: versions, Score: result.Score})
 	}
 	return page, nil
 }
--- a/internal/system/ledger/job_test.go
+++ b/internal/system/ledger/job_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 	"google.golang.org/protobuf/proto"
 
+	"saffronquay/internal/system/packing"
 	"saffronquay/internal/system/replica"
 	"saffronquay/internal/system/rpc"
 )
@@ -34,7 +35,7 @@
 func TestPage(t *testing.T) {
 	is := is.New(t)
 	text := "a.1.2\nb \"quoted\" \\ \x01"
-	page, err := NewPage(&rpc.ReadResponse{Total: 9, Results: []*rpc.Result{{Item: "x", Completed: true, Text: PackText([]byte(text)), WeightVersions: []uint64{6, 7}, Score: "s"},
+	page, err := NewPage(&rpc.ReadResponse{Total: 9, Results: []*rpc.Result{{Item: "x", Completed: true, Text: packing.Texts.Pack([]byte(text)), WeightVersions: []uint64{6, 7}, Score: "s"},
 		{Item: "y"}}}, 4)
 	is.NoErr(err)
 	is.Equal(page.NextToken, 6)
@@ -45,7 +46,7 @@
 	is.Equal(again.Results[0].Text, text)
 	is.Equal(again.Results[1].State, Abandoned)
 	is.Equal(again.Results[1].Text, "")
-	_, err = UnpackText([]byte("nothing that was packed"))
+	_, err = packing.Texts.Unpack([]byte("nothing that was packed"))
 	is.True(err != nil)
 }
 
--- /dev/null
+++ b/internal/system/metrics/metrics_test.go
@@ -0,0 +1,42 @@
+package metrics
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/valyala/fasthttp"
+)
+
+func TestFiguresAreTold(t *testing.T) {
+	is := is.New(t)
+	Counter("test_total", Label{"cause", `a "quoted" one`}).Inc()
+	Counter("test_total", Label{"cause", `a "quoted" one`}).Inc()
+	e, err := ParseEndpoint("9464/metrics")
+	is.NoErr(err)
+	ctx := &fasthttp.RequestCtx{}
+	ctx.Request.SetRequestURI("/metrics")
+	e.answer(ctx)
+	is.True(strings.Contains(string(ctx.Response.Body()), `saffronquay_test_total{cause="a \"quoted\" one"} 2`))
+	ctx.Request.SetRequestURI("/other")
+	e.answer(ctx)
+	is.Equal(ctx.Response.StatusCode(), fasthttp.StatusNotFound)
+}
+
+// A phase is noted once: what happens again later is no part of the start.
+func TestPhaseIsNotedOnce(t *testing.T) {
+	is := is.New(t)
+	Phase("test")
+	first := Text()
+	Phase("test")
+	is.Equal(Text(), first)
+	is.True(strings.Contains(first, `saffronquay_phase_seconds{phase="test"}`))
+}
+
+func TestEndpointsThatAreNone(t *testing.T) {
+	is := is.New(t)
+	for _, text := range []string{"", "9464", "x/metrics", "0/metrics", "70000/m", "9464/"} {
+		_, err := ParseEndpoint(text)
+		is.True(err != nil)
+	}
+}
--- a/internal/system/model/clients.go
+++ b/internal/system/model/clients.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 
+	"saffronquay/internal/system/packing"
 	"saffronquay/internal/system/registry"
 	"saffronquay/internal/system/rpc"
 )
@@ -158,7 +159,11 @@
 			return
 		}
 		w.report.Reads++
-		o.known = max(o.known, w.history.read(name, w.now, result.Configuration))
+		body, err := packing.Documents.Unpack(result.Configuration)
+		if err != nil {
+			panic(err) // what the directory holds is whole
+		}
+		o.known = max(o.known, w.history.read(name, w.now, body))
 		done()
 	})
 }
--- a/internal/system/model/control.go
+++ b/internal/system/model/control.go
@@ -144,9 +144,7 @@
 
 // replaceConfiguration takes an operator's order and answers with a status.
 func (m *machine) replaceConfiguration(o *configurationOrder, answer func(int)) {
-	command := &rpc.DirectoryCommand{Command: &rpc.DirectoryCommand_Replace{Replace: &rpc.ReplaceConfiguration{Base: o.base, Version: o.version, Body: o.body,
-		Patch: o.patch, Digest: directory.Digest(o.base, o.patch, o.body)}}}
-	m.decide(command, func(result *rpc.DirectoryResult) {
+	m.decide(directory.Replace(o.base, o.version, o.patch, o.body), func(result *rpc.DirectoryResult) {
 		if result == nil {
 			answer(503)
 			return
@@ -351,7 +349,8 @@
 	wanted := m.directory.Models()
 	present := m.desks[shard].Present(w.now)
 	slices.SortFunc(present, func(a, b *rpc.Instance) int { return cmp.Compare(a.Id, b.Id) })
-	orders := weights.Plan(present, wanted, nil, func(string) bool { return false }, func(n int) int { return n }, func(string) float64 { return 100 })
+	orders := weights.Plan(present, wanted, nil, &weights.Rules{Single: func(string) bool { return false }, AtOnce: func(n int) int { return n },
+		Slots: func(string) float64 { return 100 }, DemandedHomes: true})
 	if len(orders) == 0 {
 		return
 	}
--- /dev/null
+++ b/internal/system/packing/packing_test.go
@@ -0,0 +1,38 @@
+package packing
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func TestWhatIsPackedComesBack(t *testing.T) {
+	is := is.New(t)
+	for _, p := range []*Packer{Texts, Documents} {
+		for _, text := range [][]byte{nil, []byte("a"), bytes.Repeat([]byte("asiento 0123 "), 10_000)} {
+			for range 2 { // writers and readers are used again
+				back, err := p.Unpack(p.Pack(text))
+				is.NoErr(err)
+				is.True(bytes.Equal(back, text))
+			}
+		}
+		_, err := p.Unpack([]byte("no such thing"))
+		is.True(err != nil)
+		back, err := p.Unpack(p.Pack([]byte("after an error")))
+		is.NoErr(err)
+		is.Equal(string(back), "after an error")
+	}
+}
+
+// A configuration of many routes takes less than a quarter.
+func TestRoutesRepeatThemselves(t *testing.T) {
+	is := is.New(t)
+	var b bytes.Buffer
+	for i := range 500 {
+		fmt.Fprintf(&b, `{"name":"r-%x","host":"h%x.example","pathPrefix":"/%x/","type":"idempotent","timeoutMs":1200,"targetLatencyMs":150,"priority":2,"service":"huvo11a","maxAttempts":2},`,
+			i*7919, i*104729, i*1299709)
+	}
+	is.True(len(Documents.Pack(b.Bytes())) < b.Len()/4)
+}
--- a/internal/system/proxy/handler.go
+++ b/internal/system/proxy/handler.go
@@ -19,8 +19,10 @@
 
 const (
 	retryAfter = "0.25" // seconds
-	jobsPath   = "/api/lots/"
-	itemsPath  = "/api/items/"
+	// startRetryAfter is for requests that meet a process which has just started: most know a configuration by then.
+	startRetryAfter = "0.6"
+	jobsPath        = "/api/lots/"
+	itemsPath       = "/api/items/"
 	// answerMargin is left between the end of a worker's time and the answer that the client waits for.
 	answerMargin = 4 * time.Millisecond
 	// startWait is how long a request may wait for the first configuration after the process has started.
@@ -36,7 +38,7 @@
 	}
 	table := p.configured(ctx)
 	if table == nil {
-		refuse(ctx, "no configuration is known yet")
+		refuseFor(ctx, startRetryAfter, "no configuration is known yet")
 		return
 	}
 	path, host := string(ctx.RequestURI()), string(ctx.Host())
@@ -59,9 +61,10 @@
 	}
 }
 
-// configured returns the configuration in force. Right after the start it waits for one for a while, as long as the client has time.
+// configured returns the configuration in force; nil right after the start. A request that is refused at once and comes back is worth more
+// than one that waits. Where that is switched off, it waits for a configuration for a while, as long as the client has time.
 func (p *Proxy) configured(ctx *fasthttp.RequestCtx) *configuration.Table {
-	if table := p.config.Load(); table != nil {
+	if table := p.config.Load(); table != nil || p.settings.Decisions.QuickRefusal {
 		return table
 	}
 	wait := startWait
@@ -87,8 +90,11 @@
 }
 
 // refuse answers that the request has not run and never will.
-func refuse(ctx *fasthttp.RequestCtx, message string) {
-	ctx.Response.Header.Set("Retry-After", retryAfter)
+func refuse(ctx *fasthttp.RequestCtx, message string) { refuseFor(ctx, retryAfter, message) }
+
+// refuseFor refuses and tells after how many seconds to come back.
+func refuseFor(ctx *fasthttp.RequestCtx, seconds, message string) {
+	ctx.Response.Header.Set("Retry-After", seconds)
 	answer(ctx, fasthttp.StatusServiceUnavailable, message)
 }
 
--- a/internal/system/proxy/proxy.go
+++ b/internal/system/proxy/proxy.go
@@ -19,6 +19,8 @@
 	"saffronquay/internal/system/feed"
 	"saffronquay/internal/system/forward"
 	"saffronquay/internal/system/ledgerclient"
+	"saffronquay/internal/system/metrics"
+	"saffronquay/internal/system/packing"
 	"saffronquay/internal/system/routing"
 	"saffronquay/internal/system/rpc"
 	"saffronquay/internal/system/settings"
@@ -39,8 +41,6 @@
 	active    atomic.Int64
 
 	mu       sync.Mutex
-	edges    map[string][]string // names of the live gatherers by zone, in order
-	allEdges []string
 	policies map[string]bool
 	noting   map[string]bool
 }
@@ -62,9 +62,9 @@
 // Run serves until the context ends, then drains.
 func Run(ctx context.Context, source *settings.Source, log *slog.Logger) error {
 	s := source.Current()
-	p := &Proxy{settings: s, log: log, client: transport.NewClient(), edges: map[string][]string{}, known: make(chan struct{}), policies: map[string]bool{}, noting: map[string]bool{}}
+	p := &Proxy{settings: s, log: log, client: transport.NewClient(), known: make(chan struct{}), policies: map[string]bool{}, noting: map[string]bool{}}
 	p.ledger = ledgerclient.New(p.client, s.Zone)
-	p.forwarder = &forward.Forwarder{Table: routing.NewTable(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))), Pool: worker.NewPool(), Clock: clock}
+	p.forwarder = &forward.Forwarder{Table: routing.NewTable(routing.Gatherer{Name: s.NodeName, Zone: s.Zone}, s.Decisions, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))), Pool: worker.NewPool(), Clock: clock}
 	front, err := transport.ListenTCP(s.Listen.Frontend)
 	if err != nil {
 		return err
@@ -73,7 +73,7 @@
 	if err != nil {
 		return err
 	}
-	tail := &feed.Client{Table: feed.NewTable(), HTTP: p.client, Node: s.NodeName, Sources: func() []string { return []string{agent.Address(s)} }, Heard: p.heard, Log: log}
+	tail := &feed.Client{Wait: feed.LoopbackWait, Table: feed.NewTail(), HTTP: p.client, Node: s.NodeName, Sources: func() []string { return []string{agent.Address(s)} }, Heard: p.heard, Log: log}
 	tailCtx, stopTail := context.WithCancel(context.Background())
 	defer stopTail()
 	go tail.Run(tailCtx)
@@ -84,7 +84,7 @@
 	server := &fasthttp.Server{Handler: p.handle, ReadBufferSize: readBuffer, MaxRequestBodySize: maxBody, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
 		NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true, CloseOnShutdown: true, DisablePreParseMultipartForm: true}
 	go server.Serve(front)
-	runner := &batch.Runner{Name: s.NodeName, Forwarder: p.forwarder, Ledger: p.ledger, Table: p.config.Load, Slots: p.slots, Patience: batch.UsualPatience, Log: log}
+	runner := &batch.Runner{Name: s.NodeName, Forwarder: p.forwarder, Ledger: p.ledger, Table: p.config.Load, Patience: batch.UsualPatience(s.Decisions.LearnedPatience), Log: log}
 	finished := make(chan struct{})
 	grace := settings.Seconds(s.Bounds.GraceS)
 	go func() {
@@ -158,12 +158,12 @@
 		case *rpc.FeedEvent_Member:
 			switch x.Member.Kind {
 			case settings.ServesEdge:
-				p.setEdge(x.Member.Name, x.Member.Zone)
+				p.forwarder.Table.PutGatherer(routing.Gatherer{Name: x.Member.Name, Zone: x.Member.Zone})
 			case settings.ServesStorage:
 				p.ledger.Locate(x.Member.Address, x.Member.Zone)
 			}
 		case *rpc.FeedEvent_Left:
-			p.dropEdge(x.Left)
+			p.forwarder.Table.RemoveGatherer(x.Left)
 		}
 	}
 }
@@ -173,13 +173,19 @@
 	if old := p.config.Load(); old != nil && old.Version >= e.Version {
 		return
 	}
-	document, err := configuration.Parse(e.Body)
+	text, err := packing.Documents.Unpack(e.Body)
+	if err != nil {
+		p.log.Error("configuration can't be used", "version", e.Version, "error", err)
+		return
+	}
+	document, err := configuration.Read(text)
 	if err != nil {
 		p.log.Error("configuration can't be used", "version", e.Version, "error", err)
 		return
 	}
 	if p.config.Swap(configuration.NewTable(document)) == nil {
 		close(p.known)
+		metrics.Phase("configuration")
 	}
 	p.log.Info("configuration", "version", e.Version, "routes", len(document.Routes))
 }
--- a/internal/system/replica/engine.go
+++ b/internal/system/replica/engine.go
@@ -107,6 +107,7 @@
 	making   *snapshotMaker
 	status   *atomic.Pointer[Status]
 	dirty    bool
+	joined   bool // it was in touch with its group once
 }
 
 type waiter struct {
--- a/internal/system/replica/status.go
+++ b/internal/system/replica/status.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 
 	"saffronquay/internal/system/consensus"
+	"saffronquay/internal/system/metrics"
 	"saffronquay/internal/system/rpc"
 )
 
@@ -65,6 +66,10 @@
 	status := &Status{Leader: g.core.IsLeader(), Ready: ready, ContactAt: contact, LeaderID: leaderID, LeaderAddress: leaderAddress, Epoch: g.core.Epoch(),
 		Commit: g.core.Commit(), Applied: g.applied, HeardAt: g.core.HeardAt(), CurrentAt: g.core.CurrentAt(), LedSince: g.core.LedSince(), Membership: g.core.Membership(), Settled: g.core.Settled(),
 		HeldByAll: g.core.HeldByAll()}
+	if !g.joined && (status.Ready || status.LeaderID != "" && !status.Leader && status.CurrentAt > 0) {
+		g.joined = true
+		metrics.Phase("group " + g.name)
+	}
 	old := g.status.Swap(status)
 	e.statuses.Store(g.name, g.status)
 	if old != nil && (old.Leader != status.Leader || old.LeaderID != status.LeaderID) {
--- /dev/null
+++ b/internal/system/routing/avoidance_test.go
@@ -0,0 +1,41 @@
+package routing
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"saffronquay/internal/system/decisions"
+)
+
+// A worker that declines again right after it was left alone is left alone for twice as long, up to a bound; refusals that were on their way
+// when the first came don't count, nor does one that comes much later.
+func TestRefusalsInARow(t *testing.T) {
+	is := is.New(t)
+	x := newFleet(decisions.All(), 1, 1, 1, 6)[0]
+	w := x.byID["w00"]
+	refuse := func(now int64) int64 {
+		x.Refused(now, w, "m")
+		return w.refusals["m"].until - now
+	}
+	is.Equal(refuse(1000), int64(refusedMS))
+	x.Refused(1050, w, "m")
+	is.Equal(w.refusals["m"].until, int64(1100))
+	is.Equal(refuse(1110), int64(2*refusedMS))
+	is.Equal(refuse(1320), int64(4*refusedMS))
+	is.Equal(refuse(1730), int64(refusedMostMS))
+	is.Equal(refuse(9000), int64(refusedMS))
+	is.True(!w.avoided(9010, "another"))
+}
+
+func TestRefusalBackoffSwitchedOff(t *testing.T) {
+	is := is.New(t)
+	use := decisions.All()
+	use.RefusalBackoff = false
+	x := newFleet(use, 1, 1, 1, 6)[0]
+	w := x.byID["w00"]
+	for _, now := range []int64{1000, 1110, 1220} {
+		x.Refused(now, w, "m")
+		is.Equal(w.refusals["m"].until, now+refusedMS)
+	}
+}
--- /dev/null
+++ b/internal/system/routing/filter.go
@@ -0,0 +1,28 @@
+package routing
+
+// Query says where a request may go.
+type Query struct {
+	Services   []string
+	Model      string
+	MinVersion uint64
+	Exact      uint64          // the only version that fits; 0: any from MinVersion on
+	Without    map[string]bool // workers that were asked already
+	Item       bool            // an item of a batch job: it goes only where this gatherer has a place, and can wait for one
+}
+
+// allows tells whether the request may go to a worker.
+func (q *Query) allows(w *Worker) bool {
+	return !w.draining && !q.Without[w.ID] && q.fits(w)
+}
+
+// fits tells whether a worker's weights fit.
+func (q *Query) fits(w *Worker) bool {
+	if q.Model == "" || len(w.versions) == 0 {
+		return true
+	}
+	version, ok := w.versions[q.Model]
+	if !ok || version < q.MinVersion {
+		return false
+	}
+	return q.Exact == 0 || version == q.Exact
+}
--- /dev/null
+++ b/internal/system/routing/subset_test.go
@@ -0,0 +1,76 @@
+package routing
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"saffronquay/internal/system/decisions"
+	"saffronquay/internal/system/rpc"
+)
+
+// spread counts where a table's requests go when each is over before the next.
+func spread(x *Table, q *Query, requests int) map[string]int {
+	zones := map[string]int{}
+	for range requests {
+		k := x.Pick(0, q, 10)
+		zones[k.Worker.Zone]++
+		k.Clear()
+	}
+	return zones
+}
+
+// Requests stay in their zone while it is no busier than others by more than one request.
+func TestRequestsStayNear(t *testing.T) {
+	is := is.New(t)
+	x := newFleet(decisions.All(), 8, 8, 4, 6)[0]
+	is.Equal(spread(x, anywhere, 100)["z0"], 100)
+	var out []*Ticket
+	for range 2 {
+		out = append(out, x.Pick(0, anywhere, 10))
+	}
+	for _, k := range out {
+		is.Equal(k.Worker.Zone, "z0")
+	}
+	var far int
+	for range 8 {
+		if k := x.Pick(0, anywhere, 10); k.Worker.Zone != "z0" {
+			far++
+		}
+	}
+	is.True(far >= 4) // each near worker has one out: the others are as good
+}
+
+// Where the workers of the zone fail, decline or are asked already, others are asked at once.
+func TestRequestsLeaveTheirZone(t *testing.T) {
+	is := is.New(t)
+	x := newFleet(decisions.All(), 8, 8, 4, 6)[0]
+	x.Failed(0, x.byID["w00"])
+	x.Refused(0, x.byID["w04"], "")
+	is.Equal(spread(x, anywhere, 50)["z0"], 0)
+	y := newFleet(decisions.All(), 8, 8, 4, 6)[0]
+	is.Equal(spread(y, &Query{Services: []string{"s"}, Without: map[string]bool{"w00": true, "w04": true}}, 50)["z0"], 0)
+}
+
+// A zone with many gatherers and few workers prefers none: its workers would be overrun.
+func TestStarvedZonePrefersNone(t *testing.T) {
+	is := is.New(t)
+	x := newFleet(decisions.All(), 1, 0, 1, 6)[0]
+	for i := range 9 {
+		x.PutGatherer(Gatherer{Name: fmt.Sprintf("more%d", i), Zone: "z0"})
+	}
+	x.PutGatherer(Gatherer{Name: "other", Zone: "z1"})
+	for i := range 4 {
+		x.Put(&rpc.Instance{Id: fmt.Sprintf("w%d", i), Service: "s", Zone: []string{"z0", "z1"}[min(i, 1)], Capacity: 6})
+	}
+	is.True(spread(x, anywhere, 400)["z1"] > 200)
+}
+
+// Without the mechanism every worker is as good as any other.
+func TestNearbyWorkersSwitchedOff(t *testing.T) {
+	is := is.New(t)
+	use := decisions.All()
+	use.NearbyWorkers = false
+	is.True(spread(newFleet(use, 8, 8, 4, 6)[0], anywhere, 400)["z0"] < 200)
+}
--- a/internal/system/routing/routing_test.go
+++ b/internal/system/routing/table_test.go
@@ -6,11 +6,12 @@
 
 	"github.com/matryer/is"
 
+	"saffronquay/internal/system/decisions"
 	"saffronquay/internal/system/rpc"
 )
 
 func table(workers ...*rpc.Instance) *Table {
-	t := NewTable(rand.New(rand.NewPCG(1, 1)))
+	t := NewTable(Gatherer{Name: "g"}, decisions.All(), rand.New(rand.NewPCG(1, 1)))
 	for _, w := range workers {
 		t.Put(w)
 	}
@@ -78,7 +79,7 @@
 		is.Equal(x.Pick(1001, anywhere, 1).Worker.ID, "b")
 	}
 	is.Equal(x.Pick(1001, &Query{Services: []string{"s"}, Without: map[string]bool{"b": true}}, 1).Worker.ID, "a")
-	is.True(x.Pick(1001, &Query{Services: []string{"s"}, Without: map[string]bool{"b": true}, MostItems: func(*Worker) int { return 9 }}, 1) == nil)
+	is.True(x.Pick(1001, &Query{Services: []string{"s"}, Without: map[string]bool{"b": true}, Item: true}, 1) == nil)
 	x.Served(a)
 	is.True(a.avoidUntil == 0)
 }
@@ -94,16 +95,16 @@
 	is.Equal(x.byID["a"].backlog, 200.0)
 }
 
+// A gatherer that is alone has all places of a worker of four slots: the slots and one that waits.
 func TestRooms(t *testing.T) {
 	is := is.New(t)
 	x := table(instance("a", 1), instance("b", 2))
-	two := func(*Worker) int { return 2 }
-	k := x.Pick(0, &Query{Services: []string{"s"}, Model: "m", MinVersion: 2, MostItems: two}, 1)
+	k := x.Pick(0, &Query{Services: []string{"s"}, Model: "m", MinVersion: 2, Item: true}, 1)
 	is.Equal(k.Worker.ID, "b")
-	rooms, want := x.Rooms(0, []string{"s"}, two)
-	is.Equal(want, 3)
+	rooms, want := x.Rooms(0, []string{"s"})
+	is.Equal(want, 9)
 	is.Equal(len(rooms), 2)
 	x.Refused(0, k.Worker, "m")
-	_, want = x.Rooms(1, []string{"s"}, two)
-	is.Equal(want, 2)
+	_, want = x.Rooms(1, []string{"s"})
+	is.Equal(want, 5)
 }
--- a/internal/system/settings/settings.go
+++ b/internal/system/settings/settings.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/pelletier/go-toml/v2"
+
+	"saffronquay/internal/system/decisions"
 )
 
 // Variable names the environment variable that holds the file's path.
@@ -26,25 +28,26 @@
 
 // Settings are what the file says.
 type Settings struct {
-	NodeName        string            `toml:"nodeName"`
-	Role            string            `toml:"role"`
-	MachineClass    string            `toml:"machineClass"`
-	Serves          []string          `toml:"serves"`
-	IP              string            `toml:"ip"`
-	Zone            string            `toml:"zone"`
-	Region          string            `toml:"region"`
-	PortRange       []int             `toml:"portRange"`
-	Seeds           []string          `toml:"seeds"`
-	Bootstrap       bool              `toml:"bootstrap"`
-	CountsForQuorum bool              `toml:"countsForQuorum"`
-	DataDir         string            `toml:"dataDir"`
-	HeartbeatMS     int64             `toml:"heartbeatMs"`
-	Contracts       []string          `toml:"contracts"`
-	Zones           map[string]string `toml:"zones"`
-	Listen          Listen            `toml:"listen"`
-	Limits          Limits            `toml:"limits"`
-	Tolerance       Tolerance         `toml:"faultTolerance"`
-	Bounds          Bounds            `toml:"bounds"`
+	NodeName        string             `toml:"nodeName"`
+	Role            string             `toml:"role"`
+	MachineClass    string             `toml:"machineClass"`
+	Serves          []string           `toml:"serves"`
+	IP              string             `toml:"ip"`
+	Zone            string             `toml:"zone"`
+	Region          string             `toml:"region"`
+	PortRange       []int              `toml:"portRange"`
+	Seeds           []string           `toml:"seeds"`
+	Bootstrap       bool               `toml:"bootstrap"`
+	CountsForQuorum bool               `toml:"countsForQuorum"`
+	DataDir         string             `toml:"dataDir"`
+	HeartbeatMS     int64              `toml:"heartbeatMs"`
+	Contracts       []string           `toml:"contracts"`
+	Zones           map[string]string  `toml:"zones"`
+	Listen          Listen             `toml:"listen"`
+	Limits          Limits             `toml:"limits"`
+	Tolerance       Tolerance          `toml:"faultTolerance"`
+	Bounds          Bounds             `toml:"bounds"`
+	Decisions       decisions.Switches `toml:"decisions"`
 }
 
 // Listen holds the addresses for what the role serves.
@@ -100,7 +103,7 @@
 // Parse reads and checks a file's text. All faults are named at once, each with its key.
 func Parse(text []byte) (*Settings, error) {
 	s := &Settings{HeartbeatMS: 1000, Bounds: Bounds{ContactMS: 3000, CatchUpS: 5, DrainMS: 2000, GraceS: 8, PropagationMS: 2000,
-		StatusIntervalS: 120, CancelMS: 3000, LeaseMS: 3000}}
+		StatusIntervalS: 120, CancelMS: 3000, LeaseMS: 3000}, Decisions: decisions.All()}
 	if err := toml.Unmarshal(text, s); err != nil {
 		var at *toml.DecodeError
 		if errors.As(err, &at) {
@@ -144,6 +147,9 @@
 	if s.Tolerance.Machines < 0 {
 		fault("faultTolerance.machines", "want 0 or more, not %d", s.Tolerance.Machines)
 	}
+	if err := s.Decisions.Check(); err != nil {
+		fault("decisions.policy", "%v", err)
+	}
 	return errors.Join(faults...)
 }
 
--- a/internal/system/settings/settings_test.go
+++ b/internal/system/settings/settings_test.go
@@ -5,6 +5,8 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	"saffronquay/internal/system/decisions"
 )
 
 const good = `
@@ -30,6 +32,16 @@
 	is.Equal(s.GossipOf("10.9.0.1:8144"), "10.9.0.1:7381")
 	is.Equal(s.GroupSize(), 3)
 	is.True(s.Bounds.Fencing)
+	is.Equal(s.Decisions, decisions.All())
+}
+
+func TestDecisionsAreSwitchedOffOneByOne(t *testing.T) {
+	is := is.New(t)
+	s, err := Parse([]byte(good + "[decisions]\nnearbyWorkers = false\n"))
+	is.NoErr(err)
+	want := decisions.All()
+	want.NearbyWorkers = false
+	is.Equal(s.Decisions, want)
 }
 
 // All faults are named at once, each with its key.
@@ -44,9 +56,11 @@
 frontend = "x"
 [bounds]
 graceS = 0
+[decisions]
+policy = "luck"
 `))
 	is.True(err != nil)
-	for _, key := range []string{"nodeName", "ip", "portRange", "seeds[0]", "listen.frontend", "bounds.graceS"} {
+	for _, key := range []string{"nodeName", "ip", "portRange", "seeds[0]", "listen.frontend", "bounds.graceS", "decisions.policy"} {
 		if !strings.Contains(err.Error(), key+":") {
 			t.Errorf("%s is not named: %v", key, err)
 		}
--- a/internal/system/settings/source.go
+++ b/internal/system/settings/source.go
@@ -8,7 +8,8 @@
 
 // Source gives the settings as the file has them now: it is looked at again where it has changed, which may happen without any signal.
 type Source struct {
-	path string
+	path     string
+	overrule Overrule
 
 	mu       sync.Mutex
 	current  *Settings
@@ -19,13 +20,17 @@
 // lookEach bounds how often the file is looked at.
 const lookEach = time.Second
 
+// Overrule changes settings after they were read, as the command line says.
+type Overrule func(*Settings)
+
 // NewSource reads a file for the first time.
-func NewSource(path string) (*Source, error) {
+func NewSource(path string, overrule Overrule) (*Source, error) {
 	s, err := Load(path)
 	if err != nil {
 		return nil, err
 	}
-	return &Source{path: path, current: s, looked: time.Now()}, nil
+	overrule(s)
+	return &Source{path: path, overrule: overrule, current: s, looked: time.Now()}, nil
 }
 
 // Current returns the newest settings that could be read.
@@ -42,6 +47,7 @@
 	}
 	s.modified = info.ModTime()
 	if changed, err := Load(s.path); err == nil {
+		s.overrule(changed)
 		s.current = changed
 	}
 	return s.current
--- a/internal/system/steward/api.go
+++ b/internal/system/steward/api.go
@@ -12,6 +12,7 @@
 
 	"saffronquay/internal/system/configuration"
 	"saffronquay/internal/system/directory"
+	"saffronquay/internal/system/packing"
 	"saffronquay/internal/system/replica"
 	"saffronquay/internal/system/rpc"
 )
@@ -91,8 +92,7 @@
 			return
 		}
 	}
-	result := st.decide(ctx, &rpc.DirectoryCommand{Command: &rpc.DirectoryCommand_Replace{Replace: &rpc.ReplaceConfiguration{
-		Base: base, Version: head.Version, Body: body, Digest: directory.Digest(base, patch, body), Patch: patch}}})
+	result := st.decide(ctx, directory.Replace(base, head.Version, patch, body))
 	if result == nil {
 		return
 	}
@@ -126,8 +126,13 @@
 		fail(ctx, fasthttp.StatusNotFound, "no configuration has been taken yet")
 		return
 	}
+	text, err := packing.Documents.Unpack(result.Configuration)
+	if err != nil {
+		fail(ctx, fasthttp.StatusInternalServerError, err.Error())
+		return
+	}
 	ctx.SetContentType("application/json")
-	ctx.SetBody(result.Configuration)
+	ctx.SetBody(text)
 }
 
 // nameVersion notes a version of weights.
--- a/internal/system/steward/steward.go
+++ b/internal/system/steward/steward.go
@@ -58,6 +58,10 @@
 	desk     *registry.Desk
 }
 
+// gatherChanges is how long a change waits to be told to gatherers together with others: workers change their weights in bursts. It is small
+// beside the time within which a change must be in force everywhere.
+const gatherChanges = 40 * time.Millisecond
+
 // freshWithin is how long ago a leader may have been heard for a steward to count as in touch.
 const freshWithin = 700 // ms
 
@@ -145,7 +149,7 @@
 	for _, sh := range st.shards {
 		holder := &weights.Holder{Node: st.settings.NodeName, Lease: settings.Milliseconds(st.settings.Bounds.LeaseMS),
 			Fenced: st.settings.Bounds.Fencing, Shard: sh, Wanted: st.directory.Models,
-			Single: st.singleVersion, Slots: func(model string) float64 { return st.demand.Slots(st.host.Now(), model) }, Log: st.log}
+			Rules: weights.Rules{Single: st.singleVersion, AtOnce: weights.ShareAtOnce, Slots: st.slots, DemandedHomes: st.settings.Decisions.DemandedHomes}, Log: st.log}
 		go holder.Run(ctx)
 	}
 	select {
@@ -189,6 +193,9 @@
 	return single || !known
 }
 
+// slots is how many requests of a model its open jobs need to run at once.
+func (st *Steward) slots(model string) float64 { return st.demand.Slots(st.host.Now(), model) }
+
 // fresh tells whether this steward is in touch with the leaders of all groups.
 func (st *Steward) fresh() bool {
 	for _, name := range groups() {
@@ -202,7 +209,11 @@
 
 // Watch implements rpc.Control.
 func (st *Steward) Watch(ctx context.Context, r *rpc.WatchRequest) (*rpc.WatchResponse, error) {
-	return feed.Watch(ctx, st.feed, st.fresh, r), nil
+	source := feed.Source{Table: st.feed, Fresh: st.fresh}
+	if st.settings.Decisions.GatheredChanges {
+		source.Gather = gatherChanges
+	}
+	return source.Watch(ctx, r), nil
 }
 
 // NotePolicy implements rpc.Control.
--- a/internal/system/storage/storage.go
+++ b/internal/system/storage/storage.go
@@ -66,7 +66,7 @@
 	if st.membership, err = membership.Start(s, settings.ServesStorage, st.identity.ID, log, nil); err != nil {
 		return err
 	}
-	tail := &feed.Client{Table: feed.NewTable(), HTTP: st.client, Node: s.NodeName, Sources: st.stewards, Heard: st.heard, Log: log}
+	tail := &feed.Client{Wait: feed.UsualWait, Table: feed.NewTail(), HTTP: st.client, Node: s.NodeName, Sources: st.stewards, Heard: st.heard, Log: log}
 	go st.host.Run()
 	go server.Serve()
 	go st.service.Run(ctx)
--- a/internal/system/transport/transport.go
+++ b/internal/system/transport/transport.go
@@ -14,6 +14,8 @@
 
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fasthttp/fasthttpadaptor"
+
+	"saffronquay/internal/system/metrics"
 )
 
 const (
@@ -86,14 +88,24 @@
 		deadline = time.Now().Add(defaultTimeout)
 	}
 	if err := c.http.DoDeadline(request, response, deadline); err != nil {
+		countCall(r.URL.Path, "failed", len(request.Body()), 0)
 		return nil, err
 	}
+	countCall(r.URL.Path, "answered", len(request.Body()), len(response.Body()))
 	header := http.Header{}
 	header.Set("Content-Type", string(response.Header.ContentType()))
 	body := bytes.Clone(response.Body())
 	return &http.Response{StatusCode: response.StatusCode(), Header: header, Body: io.NopCloser(bytes.NewReader(body)), ContentLength: int64(len(body))}, nil
 }
 
+// countCall counts calls of the internal protocol and the bytes of their bodies, by method.
+func countCall(method, outcome string, sent, received int) {
+	call := metrics.Label{Name: "call", Value: method}
+	metrics.Counter("calls_total", call, metrics.Label{Name: "outcome", Value: outcome}).Inc()
+	metrics.Counter("sent_bytes_total", call).Add(sent)
+	metrics.Counter("received_bytes_total", call).Add(received)
+}
+
 // Server answers calls of the internal protocol.
 type Server struct {
 	http     fasthttp.Server
--- a/internal/system/weights/holder.go
+++ b/internal/system/weights/holder.go
@@ -5,10 +5,12 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
+	"strconv"
 	"sync"
 	"time"
 
 	"github.com/valyala/fasthttp"
+	"saffronquay/internal/system/metrics"
 	"saffronquay/internal/system/rpc"
 	"saffronquay/internal/system/transport"
 )
@@ -35,8 +37,7 @@
 	Fenced bool          // workers check fences, so that nothing late of an ended holder takes effect
 	Shard  Shard
 	Wanted func() map[string]uint64
-	Single func(model string) bool
-	Slots  func(model string) float64 // that the model's open jobs need
+	Rules  Rules
 	Log    *slog.Logger
 
 	mu       sync.Mutex
@@ -56,6 +57,9 @@
 	shareAtOnce   = 3 // one in so many workers loads at a time
 )
 
+// ShareAtOnce is how many workers of a service load weights at a time.
+func ShareAtOnce(workers int) int { return (workers + shareAtOnce - 1) / shareAtOnce }
+
 // Run works until the context ends.
 func (h *Holder) Run(ctx context.Context) {
 	h.busy, h.loadTime = map[string]bool{}, firstGuess
@@ -85,7 +89,7 @@
 		busy[id] = true
 	}
 	h.mu.Unlock()
-	orders := Plan(h.Shard.Instances(), wanted, busy, h.Single, func(workers int) int { return (workers + shareAtOnce - 1) / shareAtOnce }, h.Slots)
+	orders := Plan(h.Shard.Instances(), wanted, busy, &h.Rules)
 	if len(orders) == 0 {
 		return
 	}
@@ -146,6 +150,7 @@
 	}
 	begun := time.Now()
 	status, err := h.order(order, epoch)
+	countOrder(order, status)
 	h.Log.Info("order", "instance", order.Instance.Id, "model", order.Model, "version", order.Version, "mode", order.Mode, "fence", epoch, "status", status)
 	defer func() {
 		h.Log.Info("order over", "instance", order.Instance.Id, "model", order.Model, "version", order.Version, "took", time.Since(begun))
@@ -178,6 +183,12 @@
 	}
 }
 
+// countOrder counts orders by mode and by what the worker said; status 0: nothing.
+func countOrder(order Order, status int) {
+	metrics.Counter("orders_total", metrics.Label{Name: "model", Value: order.Model}, metrics.Label{Name: "mode", Value: string(order.Mode)},
+		metrics.Label{Name: "status", Value: strconv.Itoa(status)}).Inc()
+}
+
 func (h *Holder) pause(ctx context.Context, d time.Duration) bool {
 	select {
 	case <-time.After(d):
--- a/internal/system/weights/plan.go
+++ b/internal/system/weights/plan.go
@@ -28,10 +28,17 @@
 	Mode     Mode
 }
 
-// Plan returns the orders to send now. wanted holds the newest named version by model, busy the workers that an order is under way at,
-// single whether a model's texts must be made by one version. atOnce bounds the orders under way in a service; slots is how many requests
-// of a model its open jobs need to run at once.
-func Plan(instances []*rpc.Instance, wanted map[string]uint64, busy map[string]bool, single func(model string) bool, atOnce func(workers int) int, slots func(model string) float64) []Order {
+// Rules are what a plan follows.
+type Rules struct {
+	Single func(model string) bool    // whether a model's texts must be made by one version
+	AtOnce func(workers int) int      // bounds the orders under way in a service of so many workers
+	Slots  func(model string) float64 // how many requests of a model its open jobs need to run at once; 0 where that isn't known
+	// DemandedHomes keeps a model up to date on as many workers as that needs, also where an even share of the workers is more.
+	DemandedHomes bool
+}
+
+// Plan returns the orders to send now. wanted holds the newest named version by model, busy the workers that an order is under way at.
+func Plan(instances []*rpc.Instance, wanted map[string]uint64, busy map[string]bool, rules *Rules) []Order {
 	services := map[string][]*rpc.Instance{}
 	for _, i := range instances {
 		if !i.Lost {
@@ -40,13 +47,13 @@
 	}
 	var orders []Order
 	for _, workers := range services {
-		orders = append(orders, planService(workers, wanted, busy, single, atOnce(len(workers)), slots)...)
+		orders = append(orders, planService(workers, wanted, busy, rules)...)
 	}
 	return orders
 }
 
-func planService(workers []*rpc.Instance, wanted map[string]uint64, busy map[string]bool, single func(string) bool, most int, slots func(string) float64) (orders []Order) {
-	room := most
+func planService(workers []*rpc.Instance, wanted map[string]uint64, busy map[string]bool, rules *Rules) (orders []Order) {
+	room := rules.AtOnce(len(workers))
 	for _, w := range workers {
 		if busy[w.Id] {
 			room--
@@ -58,7 +65,7 @@
 		done   int // workers that have this version already
 	}
 	var candidates []candidate
-	homes := assign(workers, slots)
+	homes := assign(workers, rules)
 	for _, w := range workers {
 		if busy[w.Id] || w.Draining {
 			continue
@@ -68,7 +75,7 @@
 				continue
 			}
 			mode := Retain
-			if single(m.Name) {
+			if rules.Single(m.Name) {
 				mode = Wait
 			}
 			candidates = append(candidates, candidate{Order{w, m.Name, wanted[m.Name], mode}, wanted[m.Name] - m.Version, holding(workers, m.Name, wanted[m.Name])})
@@ -109,9 +116,10 @@
 	headroom = 1.5
 )
 
-// assign chooses the workers that each model of a service is kept up to date on: as many as its open jobs need and a few more, but at least
-// its even share, so that a new version interrupts and costs as little as it can. Each worker serves about as many models as any other.
-func assign(workers []*rpc.Instance, slots func(model string) float64) map[string]map[string]bool {
+// assign chooses the workers that each model of a service is kept up to date on: as many as its open jobs need and a few more, so that a new
+// version interrupts and costs as little as it can; an even share where the need isn't known. Each worker serves about as many models as any
+// other.
+func assign(workers []*rpc.Instance, rules *Rules) map[string]map[string]bool {
 	var models []string
 	var fit []*rpc.Instance
 	capacity := 0
@@ -134,8 +142,12 @@
 		share := len(fit)
 		if len(models) > 1 && len(fit) > 0 {
 			each := float64(max(capacity, 1)) / float64(len(fit))
-			needed := int(math.Ceil(headroom*slots(model)/each)) + spareHomes
-			share = min(max((len(fit)+len(models)-1)/len(models), needed), len(fit))
+			slots := rules.Slots(model)
+			share = int(math.Ceil(headroom*slots/each)) + spareHomes
+			if slots == 0 || !rules.DemandedHomes {
+				share = max(share, (len(fit)+len(models)-1)/len(models))
+			}
+			share = min(share, len(fit))
 		}
 		homes[model] = map[string]bool{}
 		order := slices.Clone(fit)
--- a/internal/system/weights/weights_test.go
+++ b/internal/system/weights/weights_test.go
@@ -20,9 +20,9 @@
 	return list
 }
 
-func none(string) float64 { return 0 }
-func never(string) bool   { return false }
-func third(n int) int     { return (n + 2) / 3 }
+func rules() *Rules {
+	return &Rules{Single: func(string) bool { return false }, AtOnce: ShareAtOnce, Slots: func(string) float64 { return 0 }, DemandedHomes: true}
+}
 
 // A version reaches its model's share of the workers a few at a time, and the plan ends.
 func TestRollOut(t *testing.T) {
@@ -31,7 +31,7 @@
 	wanted := map[string]uint64{"a": 2}
 	loads := 0
 	for range 10 {
-		orders := Plan(list, wanted, nil, never, third, none)
+		orders := Plan(list, wanted, nil, rules())
 		is.True(len(orders) <= 3)
 		for _, o := range orders {
 			is.Equal(o.Mode, Retain)
@@ -42,33 +42,46 @@
 	is.Equal(loads, 3)
 }
 
+// A model whose jobs need little is kept up to date on few workers; without the mechanism, on an even share all the same.
+func TestLittleDemandSparesLoads(t *testing.T) {
+	is := is.New(t)
+	r := rules()
+	r.Slots = func(string) float64 { return 5 }
+	is.Equal(len(assign(workers(9, "a", "b", "c"), r)["a"]), 2)
+	r.DemandedHomes = false
+	is.Equal(len(assign(workers(9, "a", "b", "c"), r)["a"]), 3)
+}
+
 // More demand brings more workers, up to all; a worker with an order under way gets no second one.
 func TestDemandWidensTheShare(t *testing.T) {
 	is := is.New(t)
 	for slots, want := range map[float64]int{0: 3, 20: 4, 40: 7, 1000: 9} {
-		homes := assign(workers(9, "a", "b", "c"), func(model string) float64 {
+		r := rules()
+		r.Slots = func(model string) float64 {
 			if model == "a" {
 				return slots
 			}
 			return 0
-		})
-		is.Equal(len(homes["a"]), want)
+		}
+		is.Equal(len(assign(workers(9, "a", "b", "c"), r)["a"]), want)
 	}
 	busy := map[string]bool{}
 	for _, w := range workers(9, "a") {
 		busy[w.Id] = true
 	}
-	is.Equal(len(Plan(workers(9, "a"), map[string]uint64{"a": 2}, busy, never, third, none)), 0)
+	is.Equal(len(Plan(workers(9, "a"), map[string]uint64{"a": 2}, busy, rules())), 0)
 }
 
 // Texts of one version are not mixed: their model's workers end what runs before they load.
 func TestModes(t *testing.T) {
 	is := is.New(t)
-	orders := Plan(workers(3, "a"), map[string]uint64{"a": 2}, nil, func(string) bool { return true }, third, none)
+	single := rules()
+	single.Single = func(string) bool { return true }
+	orders := Plan(workers(3, "a"), map[string]uint64{"a": 2}, nil, single)
 	is.Equal(orders[0].Mode, Wait)
 	lost := workers(1, "a")
 	lost[0].Lost = true
-	is.Equal(len(Plan(lost, map[string]uint64{"a": 2}, nil, never, third, none)), 0)
+	is.Equal(len(Plan(lost, map[string]uint64{"a": 2}, nil, rules())), 0)
 }
 
 func TestDemandHoldsOnToThePeak(t *testing.T) {
--- a/internal/system/worker/pool.go
+++ b/internal/system/worker/pool.go
@@ -15,8 +15,10 @@
 	"syscall"
 	"time"
 
+	victoria "github.com/VictoriaMetrics/metrics"
 	"github.com/valyala/fasthttp"
 
+	"saffronquay/internal/system/metrics"
 	"saffronquay/internal/system/transport"
 	"saffronquay/internal/system/verdict"
 )
@@ -145,6 +147,7 @@
 // connect takes a kept connection, or opens one.
 func (p *Pool) connect(call *Call) (*connection, error) {
 	now := time.Now()
+	cause := openedNoneIdle
 	for {
 		conn := p.take(call.Address)
 		if conn == nil {
@@ -153,8 +156,10 @@
 		if now.Before(conn.expires) && conn.reader.Buffered() == 0 && quiet(conn.Conn) {
 			return conn, nil
 		}
+		cause = openedClosed
 		conn.Close()
 	}
+	opened[cause].Inc()
 	wait := call.DialTime
 	if wait == 0 {
 		wait = transport.DialTimeout
@@ -166,6 +171,21 @@
 	return &connection{Conn: raw, reader: bufio.NewReaderSize(raw, readBuffer)}, nil
 }
 
+// openCause is why a connection is opened.
+type openCause string
+
+const (
+	openedNoneIdle openCause = "none_idle" // there is none to the worker that isn't in use
+	openedClosed   openCause = "closed"    // the ones that were kept have expired, or the worker has closed them
+)
+
+// opened counts new connections.
+var opened = map[openCause]*victoria.Counter{openedNoneIdle: openedCounter(openedNoneIdle), openedClosed: openedCounter(openedClosed)}
+
+func openedCounter(cause openCause) *victoria.Counter {
+	return metrics.Counter("connections_opened_total", metrics.Label{Name: "cause", Value: string(cause)})
+}
+
 func (p *Pool) take(address string) *connection {
 	p.mu.Lock()
 	defer p.mu.Unlock()
