--- a/cmd/saffronquay-system/main.go
+++ b/cmd/saffronquay-system/main.go
@@ -52,6 +52,7 @@
 			replicaCommand("steward", "serve control on a core machine", steward.Run),
 			replicaCommand("store", "keep batch jobs on a storage machine", storage.Run),
 			modelCommand(),
+			accountCommand(),
 			checkCommand(),
 		},
 	}
