--- a/internal/system/ledger/demand.go
+++ b/internal/system/ledger/demand.go
@@ -10,13 +10,18 @@
 )
 
 func (s *Scheduler) learn(model string, tookMS float64) {
-	old, ok := s.itemMS[model]
-	if !ok {
-		old = firstItemMS
-	}
+	old := s.usualMS(model)
 	s.itemMS[model] = old + itemWeight*(tookMS-old)
 }
 
+// usualMS is how long an item of a model takes.
+func (s *Scheduler) usualMS(model string) float64 {
+	if each, ok := s.itemMS[model]; ok {
+		return each
+	}
+	return firstItemMS
+}
+
 // Demand is how many items of each model have to run at once for the open jobs to have the groups that are wanted in time.
 func (s *Scheduler) Demand(now int64) map[string]float64 {
 	demand := map[string]float64{}
@@ -25,10 +30,7 @@
 			continue
 		}
 		model := j.create.Model
-		each, ok := s.itemMS[model]
-		if !ok {
-			each = firstItemMS
-		}
+		each := s.usualMS(model)
 		left := max(float64(j.dueAt-now-handMS), leastMS)
 		demand[model] += float64(j.wantedItems()) * each / left
 	}
--- a/internal/system/ledger/scheduler.go
+++ b/internal/system/ledger/scheduler.go
@@ -11,20 +11,29 @@
 // Scheduler hands out the items of a shard's open jobs while its process owns the shard. It is pure: times are milliseconds that the
 // caller gives, and what it knows of jobs comes from the ledger.
 type Scheduler struct {
-	epoch     uint64
-	sequence  uint64
-	begunAt   int64
-	begun     bool // items may be handed out
-	jobs      map[string]*openJob
-	order     []*openJob // by urgency
-	gatherers map[string]*gatherer
-	leases    map[uint64]*itemState
-	itemMS    map[string]float64 // moving average of how long an item of a model takes
+	epoch      uint64
+	sequence   uint64
+	begunAt    int64
+	begun      bool // items may be handed out
+	backups    bool
+	jobs       map[string]*openJob
+	order      []*openJob // by urgency
+	gatherers  map[string]*gatherer
+	lives      map[string]string // of gatherers, by their machine
+	leases     map[uint64]*lease
+	stragglers []*itemState       // that a backup may be begun of
+	itemMS     map[string]float64 // moving average of how long an item of a model takes
+}
+
+// Options are the mechanisms that may be switched off.
+type Options struct {
+	// Backups lets an item that takes much longer than usual be run once more by another gatherer.
+	Backups bool
 }
 
 const (
-	// gathererLostMS is how long a gatherer may be silent before its items are handed to others.
-	gathererLostMS = 1500
+	// gathererLostMS is how long a gatherer may be silent before its items are handed to others: two and a half polls.
+	gathererLostMS = 1000
 	// adoptMS is how long a new owner waits for gatherers to say what they work on before it hands anything out.
 	adoptMS = 500
 	// lostGrantMS is how long ago a lease must have been handed out for a gatherer that doesn't list it to count as not having got it. It is
@@ -51,6 +60,7 @@
 	groups []*group
 	items  map[string]*itemState
 	whole  int
+	extra  int // backups that were begun
 }
 
 type group struct {
@@ -65,21 +75,14 @@
 	item     *rpc.Item
 	stage    stage
 	failures uint32
-	number   uint64
-	gatherer string
-	leasedAt int64
-}
-
-type gatherer struct {
-	seenAt    int64
-	numbers   map[uint64]bool
-	cancelled []uint64
+	leases   []*lease // one, or two with a backup; while it is settled, those whose gatherers have not reported
 }
 
 // NewScheduler returns a scheduler for an owner's epoch that knows the jobs of the ledger. wall is the time of day, which may be wrong: what is
 // due follows from it, but an item is given up only after the time that this process has known its job for.
-func NewScheduler(epoch uint64, now, wall int64, jobs []Stored) *Scheduler {
-	s := &Scheduler{epoch: epoch, begunAt: now, jobs: map[string]*openJob{}, gatherers: map[string]*gatherer{}, leases: map[uint64]*itemState{}, itemMS: map[string]float64{}}
+func NewScheduler(epoch uint64, now, wall int64, jobs []Stored, options Options) *Scheduler {
+	s := &Scheduler{epoch: epoch, begunAt: now, backups: options.Backups, jobs: map[string]*openJob{}, gatherers: map[string]*gatherer{}, lives: map[string]string{},
+		leases: map[uint64]*lease{}, itemMS: map[string]float64{}}
 	for _, stored := range jobs {
 		if !stored.Ended {
 			s.open(stored.Job, now-max(0, wall-stored.Job.SentUnixMs), min(stored.SeenAt, now), stored.Settled)
@@ -138,123 +141,32 @@
 	delete(s.jobs, id)
 	s.order = slices.DeleteFunc(s.order, func(o *openJob) bool { return o == j })
 	for _, x := range j.items {
-		if x.stage == leased {
-			if g := s.gatherers[x.gatherer]; g != nil {
-				g.cancelled = append(g.cancelled, x.number)
-			}
-			s.drop(x)
-		}
+		s.cancelAll(x)
 	}
 }
 
-// drop takes a lease back.
-func (s *Scheduler) drop(x *itemState) {
-	if g := s.gatherers[x.gatherer]; g != nil {
-		delete(g.numbers, x.number)
-	}
-	delete(s.leases, x.number)
-	x.number, x.gatherer = 0, ""
-	if x.stage == leased {
-		x.stage = pending
-	}
-}
-
-// Settled records that items of a job are listed.
-func (s *Scheduler) Settled(id string, items []string) {
+// Settled records that items of a job are listed. It tells whether any gatherer is to give something up.
+func (s *Scheduler) Settled(id string, items []string) (cancelled bool) {
 	j := s.jobs[id]
 	if j == nil {
-		return
+		return false
 	}
 	for _, name := range items {
 		x := j.items[name]
 		if x == nil || x.stage == settled {
 			continue
 		}
-		if x.number != 0 {
-			if x.stage == leased { // somebody else has finished it meanwhile
-				if g := s.gatherers[x.gatherer]; g != nil {
-					g.cancelled = append(g.cancelled, x.number)
-				}
-			}
-			s.drop(x)
-		}
+		cancelled = s.cancelAll(x) || cancelled // somebody else has finished it meanwhile
 		x.stage = settled
 		x.group.left--
 		if x.group.left == 0 {
 			j.whole++
 		}
 	}
+	return cancelled
 }
 
-// Heard notes that a gatherer is alive, and returns whether this scheduler hadn't known it.
-func (s *Scheduler) Heard(now int64, name string) {
-	g := s.gatherers[name]
-	if g == nil {
-		g = &gatherer{numbers: map[uint64]bool{}}
-		s.gatherers[name] = g
-	}
-	g.seenAt = now
-}
-
-// Adopt compares what a gatherer says it holds with what it has leases for. It may go on with what nobody else has, as after a change of
-// the owner; the rest is to be cancelled. Leases that it doesn't list were lost on their way to it and are taken back; freed tells whether
-// there were any.
-func (s *Scheduler) Adopt(now int64, name string, held []*rpc.HeldLease) (freed bool) {
-	g := s.gatherers[name]
-	if g == nil {
-		return false
-	}
-	listed := make(map[uint64]bool, len(held))
-	for _, h := range held {
-		listed[h.Number] = true
-	}
-	for number := range g.numbers {
-		if x := s.leases[number]; x != nil && !listed[number] && now-x.leasedAt > lostGrantMS {
-			s.drop(x)
-			freed = true
-		}
-	}
-	for _, h := range held {
-		if g.numbers[h.Number] {
-			continue
-		}
-		j := s.jobs[h.Job]
-		var x *itemState
-		if j != nil {
-			x = j.items[h.Item]
-		}
-		if x == nil || x.stage != pending {
-			g.cancelled = append(g.cancelled, h.Number)
-			continue
-		}
-		s.grant(x, name, h.Number)
-		x.leasedAt = g.seenAt
-	}
-	return freed
-}
-
-func (s *Scheduler) grant(x *itemState, name string, number uint64) {
-	x.stage, x.number, x.gatherer = leased, number, name
-	x.group.begun = true
-	s.leases[number] = x
-	s.gatherers[name].numbers[number] = true
-}
-
-// Leave takes back what a gatherer holds that goes or is lost.
-func (s *Scheduler) Leave(name string) {
-	g := s.gatherers[name]
-	if g == nil {
-		return
-	}
-	for number := range g.numbers {
-		if x := s.leases[number]; x != nil {
-			s.drop(x)
-		}
-	}
-	delete(s.gatherers, name)
-}
-
-// Report takes in what became of a lease, and returns the result to be listed, if there is one.
+// Report takes in what became of a lease, and returns the result to be listed, if there is one. Other runs of the item go on until it is listed.
 func (s *Scheduler) Report(now int64, r *rpc.Report) *rpc.Result {
 	j := s.jobs[r.Job]
 	if j == nil {
@@ -264,29 +176,29 @@
 	if x == nil || x.stage == settled || x.stage == settling {
 		return nil
 	}
-	current := x.number == r.Number
+	own := s.leases[r.Number]
+	if own != nil && own.item != x {
+		own = nil
+	}
 	switch {
 	case r.Result != nil:
-		if x.number != 0 {
-			s.learn(j.create.Model, float64(now-x.leasedAt))
-			s.drop(x)
+		if own != nil {
+			s.learn(j.create.Model, float64(now-own.at))
+			s.drop(own)
 		}
 		x.stage = settling
 		return r.Result
 	case r.Failed:
 		x.failures++
-		if current {
-			s.drop(x)
+		if own != nil {
+			s.drop(own)
 		}
 		if x.failures >= max(j.create.MaxAttempts, 1) {
-			if x.number != 0 {
-				s.drop(x)
-			}
 			x.stage = settling
 			return &rpc.Result{Item: r.Item}
 		}
-	case current:
-		s.drop(x)
+	case own != nil:
+		s.drop(own)
 	}
 	return nil
 }
@@ -297,6 +209,9 @@
 		for _, name := range items {
 			if x := j.items[name]; x != nil && x.stage == settling {
 				x.stage = pending
+				if len(x.leases) > 0 {
+					x.stage = leased
+				}
 			}
 		}
 	}
@@ -313,6 +228,8 @@
 	if now-s.begunAt >= adoptMS && !s.begun {
 		s.begun, freed = true, true
 	}
+	s.stragglers = s.findStragglers(now)
+	freed = freed || len(s.stragglers) > 0
 	for _, j := range s.order {
 		if j.create.MaxQueueMs == 0 || now < j.lastAt {
 			continue
@@ -334,17 +251,6 @@
 // Gatherers is the number of those that were heard lately.
 func (s *Scheduler) Gatherers() int { return len(s.gatherers) }
 
-// Cancelled returns the leases that a gatherer should give up, once.
-func (s *Scheduler) Cancelled(name string) []uint64 {
-	g := s.gatherers[name]
-	if g == nil {
-		return nil
-	}
-	list := g.cancelled
-	g.cancelled = nil
-	return list
-}
-
 // rooms holds what a gatherer could begin, by model.
 type rooms map[string][]*rpc.Room
 
@@ -386,7 +292,7 @@
 			}
 		}
 	}
-	return leases
+	return s.takeBackups(now, name, want, room, leases)
 }
 
 // hope is what a job's results may still be worth.
@@ -437,7 +343,7 @@
 				if len(leases) >= want || !room.fit(j.create.Model, j.create.MinVersion) {
 					return leases
 				}
-				leases = append(leases, s.lease(x, now, name))
+				leases = append(leases, s.handOut(x, now, name))
 			}
 			if g.begun && !was {
 				begun++
@@ -447,11 +353,10 @@
 	return leases
 }
 
-func (s *Scheduler) lease(x *itemState, now int64, name string) *rpc.Lease {
+func (s *Scheduler) handOut(x *itemState, now int64, name string) *rpc.Lease {
 	s.sequence++
 	number := s.epoch<<32 | s.sequence
-	s.grant(x, name, number)
-	x.leasedAt = now
+	s.grant(x, name, number, now)
 	c := x.job.create
 	return &rpc.Lease{Job: c.Id, Number: number, Item: x.item, Host: c.Host, Model: c.Model, MinVersion: c.MinVersion, DueInMs: x.job.dueAt - now,
 		Failures: x.failures, MaxAttempts: c.MaxAttempts, SingleVersion: c.SingleVersion}
--- a/internal/system/ledger/scheduler_test.go
+++ b/internal/system/ledger/scheduler_test.go
@@ -22,7 +22,7 @@
 
 // begun is a scheduler that hands out.
 func begun(jobs ...*rpc.CreateJob) *Scheduler {
-	s := NewScheduler(1, 0, 0, nil)
+	s := NewScheduler(1, 0, 0, nil, Options{Backups: true})
 	s.Heard(adoptMS, "g")
 	s.Tick(adoptMS)
 	for _, j := range jobs {
@@ -92,7 +92,7 @@
 func TestAdoption(t *testing.T) {
 	is := is.New(t)
 	create := newCreate("j", 2, 1, 2, 9000)
-	s := NewScheduler(2, 0, 1000, []Stored{{Job: create, Settled: map[string]bool{create.Items[0].Id: true}}, {Job: newCreate("ended", 1, 1, 1, 9000), Ended: true}})
+	s := NewScheduler(2, 0, 1000, []Stored{{Job: create, Settled: map[string]bool{create.Items[0].Id: true}}, {Job: newCreate("ended", 1, 1, 1, 9000), Ended: true}}, Options{Backups: true})
 	s.Heard(1, "g")
 	s.Adopt(1, "g", []*rpc.HeldLease{{Job: "j", Item: create.Items[0].Id, Number: 11}, {Job: "j", Item: create.Items[1].Id, Number: 12}, {Job: "ended", Item: "x", Number: 13}})
 	is.Equal(s.Cancelled("g"), []uint64{11, 13})
@@ -153,7 +153,7 @@
 	create := newCreate("j", 12, 3, 12, 60_000)
 	l.apply(&rpc.LedgerCommand{Command: &rpc.LedgerCommand_Create{Create: create}})
 	epoch := uint64(1)
-	s := NewScheduler(epoch, 0, 0, l.Jobs())
+	s := NewScheduler(epoch, 0, 0, l.Jobs(), Options{Backups: true})
 	held := map[string][]*rpc.Lease{}
 	now := int64(0)
 	for ; now < 400_000 && len(l.jobs["j"].results) < len(create.Items); now += 100 {
@@ -161,7 +161,7 @@
 		name := fmt.Sprint("g", random.IntN(4))
 		if random.IntN(60) == 0 { // the owner changes
 			epoch++
-			s = NewScheduler(epoch, now, now, l.Jobs())
+			s = NewScheduler(epoch, now, now, l.Jobs(), Options{Backups: true})
 		}
 		if random.IntN(40) == 0 {
 			delete(held, name) // it restarts
@@ -214,9 +214,79 @@
 	is := is.New(t)
 	create := newCreate("j", 1, 1, 1, 9000)
 	create.MaxQueueMs, create.SentUnixMs = 20_000, 1_000_000
-	s := NewScheduler(2, 5000, 1_000_000+3_600_000, []Stored{{Job: create, SeenAt: 4000}})
+	s := NewScheduler(2, 5000, 1_000_000+3_600_000, []Stored{{Job: create, SeenAt: 4000}}, Options{Backups: true})
 	expired, _ := s.Tick(23_999)
 	is.Equal(len(expired), 0)
 	expired, _ = s.Tick(24_000)
 	is.Equal(len(expired["j"]), 1)
 }
+
+// straggling is a scheduler with one item of a job that takes longer than usual at gatherer g, while other has room.
+func straggling(backups bool) (s *Scheduler, first *rpc.Lease, now int64) {
+	s = NewScheduler(1, 0, 0, nil, Options{Backups: backups})
+	s.Heard(adoptMS, "g")
+	s.Tick(adoptMS)
+	s.Open(adoptMS, newCreate("j", 1, 1, 1, 9000))
+	first = s.Take(adoptMS, "g", 1, room(1))[0]
+	now = adoptMS + backupAfter*firstItemMS + 1
+	s.Heard(now, "g")
+	s.Heard(now, "other")
+	s.Tick(now)
+	return s, first, now
+}
+
+// An item that takes long is begun once more by another gatherer. The run that ends first counts, the other is cancelled once it is listed.
+func TestBackups(t *testing.T) {
+	is := is.New(t)
+	s, first, now := straggling(true)
+	is.Equal(len(s.Take(now, "g", 1, room(1))), 0) // it has it already
+	second := s.Take(now, "other", 2, room(2))
+	is.Equal(len(second), 1)
+	is.Equal(second[0].Item.Id, first.Item.Id)
+	s.Heard(now, "third")
+	is.Equal(len(s.Take(now, "third", 1, room(1))), 0) // one backup is enough
+	is.True(s.Report(now, &rpc.Report{Job: "j", Item: first.Item.Id, Number: second[0].Number, Result: &rpc.Result{Item: first.Item.Id}}) != nil)
+	is.True(s.Settled("j", []string{first.Item.Id}))
+	is.Equal(s.Cancelled("g"), []uint64{first.Number})
+	is.Equal(s.Cancelled("other"), nil)
+}
+
+// A result that could not be listed leaves the other run going; where that is handed back, too, the item is open again.
+func TestBackupOutlastsAnUnlistedResult(t *testing.T) {
+	is := is.New(t)
+	s, first, now := straggling(true)
+	second := s.Take(now, "other", 1, room(1))[0]
+	is.True(s.Report(now, &rpc.Report{Job: "j", Item: first.Item.Id, Number: first.Number, Result: &rpc.Result{Item: first.Item.Id}}) != nil)
+	s.Unsettled("j", []string{first.Item.Id})
+	is.Equal(len(s.Take(now, "g", 1, room(1))), 0)
+	is.True(s.Report(now, &rpc.Report{Job: "j", Item: first.Item.Id, Number: second.Number, Released: true}) == nil)
+	is.Equal(len(s.Take(now, "g", 1, room(1))), 1)
+}
+
+func TestBackupsSwitchedOff(t *testing.T) {
+	is := is.New(t)
+	s, _, now := straggling(false)
+	is.Equal(len(s.Take(now, "other", 1, room(1))), 0)
+}
+
+// A gatherer that was started anew holds nothing of what its last process held: that is handed out at once.
+func TestRestartedGatherer(t *testing.T) {
+	is := is.New(t)
+	s := begun(newCreate("j", 1, 1, 1, 9000))
+	s.Heard(adoptMS, "edge/1")
+	first := s.Take(adoptMS, "edge/1", 1, room(1))
+	is.Equal(len(first), 1)
+	s.Heard(adoptMS+100, "edge/2")
+	second := s.Take(adoptMS+100, "edge/2", 1, room(1))
+	is.Equal(len(second), 1)
+	is.Equal(second[0].Item.Id, first[0].Item.Id)
+}
+
+// Who waits is woken by a result only where something is to be given up.
+func TestSettledTellsOfCancellations(t *testing.T) {
+	is := is.New(t)
+	s := begun(newCreate("j", 2, 1, 2, 9000))
+	lease := s.Take(adoptMS, "g", 1, room(1))[0]
+	s.Report(adoptMS, &rpc.Report{Job: "j", Item: lease.Item.Id, Number: lease.Number, Result: &rpc.Result{Item: lease.Item.Id}})
+	is.True(!s.Settled("j", []string{lease.Item.Id}))
+}
--- a/internal/system/ledger/service.go
+++ b/internal/system/ledger/service.go
@@ -19,14 +19,16 @@
 	Log         *slog.Logger
 	KeepResults time.Duration                                // after a job was sent
 	Demand      func(shard string, slots map[string]float64) // is told now and then what the open jobs of an owned shard need
+	Options     Options
 
 	mu     sync.Mutex
 	shards map[string]*shard
 }
 
 type shard struct {
-	name   string
-	ledger *Ledger
+	name    string
+	ledger  *Ledger
+	options Options
 
 	mu        sync.Mutex
 	scheduler *Scheduler    // nil while this process doesn't own the shard
@@ -55,7 +57,7 @@
 	if sh := s.shards[name]; sh != nil {
 		return sh.ledger
 	}
-	sh := &shard{name: name, wake: make(chan struct{})}
+	sh := &shard{name: name, options: s.Options, wake: make(chan struct{})}
 	sh.ledger = New(sh.changed, now)
 	s.shards[name] = sh
 	return sh.ledger
@@ -80,7 +82,9 @@
 	case c.Created != nil:
 		sh.scheduler.Open(now(), c.Created)
 	case c.Settled != "":
-		sh.scheduler.Settled(c.Settled, c.Items)
+		if !sh.scheduler.Settled(c.Settled, c.Items) {
+			return // nothing for those who wait
+		}
 	case c.Ended != "":
 		sh.scheduler.Close(c.Ended)
 	}
@@ -133,7 +137,7 @@
 // schedule returns the shard's scheduler; the caller holds the shard's lock.
 func (sh *shard) schedule(epoch uint64) *Scheduler {
 	if sh.scheduler == nil || sh.scheduler.Epoch() != epoch {
-		sh.scheduler = NewScheduler(epoch, now(), time.Now().UnixMilli(), sh.ledger.Jobs())
+		sh.scheduler = NewScheduler(epoch, now(), time.Now().UnixMilli(), sh.ledger.Jobs(), sh.options)
 	}
 	return sh.scheduler
 }
@@ -264,6 +268,8 @@
 	for _, report := range r.Reports {
 		if result := scheduler.Report(now(), report); result != nil {
 			byJob[report.Job] = append(byJob[report.Job], result)
+		} else {
+			sh.signal() // it may be free again
 		}
 	}
 	sh.mu.Unlock()
--- a/internal/system/proxy/proxy.go
+++ b/internal/system/proxy/proxy.go
@@ -6,6 +6,7 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,6 +19,7 @@
 	"saffronquay/internal/system/configuration"
 	"saffronquay/internal/system/feed"
 	"saffronquay/internal/system/forward"
+	"saffronquay/internal/system/ledger"
 	"saffronquay/internal/system/ledgerclient"
 	"saffronquay/internal/system/metrics"
 	"saffronquay/internal/system/packing"
@@ -84,7 +86,7 @@
 	server := &fasthttp.Server{Handler: p.handle, ReadBufferSize: readBuffer, MaxRequestBodySize: maxBody, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
 		NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true, CloseOnShutdown: true, DisablePreParseMultipartForm: true}
 	go server.Serve(front)
-	runner := &batch.Runner{Name: s.NodeName, Forwarder: p.forwarder, Ledger: p.ledger, Table: p.config.Load, Patience: batch.UsualPatience(s.Decisions.LearnedPatience), Log: log}
+	runner := &batch.Runner{Name: gathererName(s.NodeName), Forwarder: p.forwarder, Ledger: p.ledger, Table: p.config.Load, Patience: batch.UsualPatience(s.Decisions.LearnedPatience), Log: log}
 	finished := make(chan struct{})
 	grace := settings.Seconds(s.Bounds.GraceS)
 	go func() {
@@ -100,6 +102,11 @@
 	return nil
 }
 
+// gathererName names this life of the gatherer, so that owners of batch jobs know what an earlier one can't hold any more.
+func gathererName(node string) string {
+	return node + ledger.LifeSeparator + strconv.FormatUint(rand.Uint64(), 36)
+}
+
 // drain goes on serving while new connections may come and requests are open.
 func (p *Proxy) drain(grace time.Duration, finished <-chan struct{}) {
 	p.stopping.Store(true)
--- a/internal/system/replica/engine.go
+++ b/internal/system/replica/engine.go
@@ -63,6 +63,9 @@
 	// memory, so it should be as long as the disk allows.
 	SnapshotBytes   int64
 	SnapshotEntries int
+	// Gather has a host take in what comes within gatherTime of the first call or message at once, so that one sync and one message to each replica
+	// serve it all.
+	Gather bool
 }
 
 const (
--- a/internal/system/replica/host.go
+++ b/internal/system/replica/host.go
@@ -106,13 +106,34 @@
 	}
 }
 
-// drain takes in what else waits, so that one sync serves it all.
+const (
+	// gatherTime is small beside the way between zones, the time that an item takes, and the time between heartbeats.
+	gatherTime = 3 * time.Millisecond
+	gatherMost = 256
+)
+
+// drain takes in what else waits or comes soon, so that one sync serves it all.
 func (h *Host) drain() {
-	for range 256 {
+	var end <-chan time.Time
+	if h.cfg.Options.Gather {
+		timer := time.NewTimer(gatherTime)
+		defer timer.Stop()
+		end = timer.C
+	}
+	for range gatherMost {
 		select {
 		case f := <-h.in:
 			f(h.Now())
+			continue
 		default:
+		}
+		if end == nil {
+			return
+		}
+		select {
+		case f := <-h.in:
+			f(h.Now())
+		case <-end:
 			return
 		}
 	}
--- a/internal/system/steward/steward.go
+++ b/internal/system/steward/steward.go
@@ -103,6 +103,7 @@
 		st.shards[name] = &shard{steward: st, name: name, registry: state, desk: registry.NewDesk(state, st.settings.HeartbeatMS)}
 	}
 	sender := replica.NewSender(st.client)
+	st.options.Gather = st.settings.Decisions.GatheredWrites
 	st.host, err = replica.NewHost(replica.Config{Identity: st.identity, Store: st.store, Machine: st.machine, Send: sender.Send, Log: st.log, Options: st.options, Changed: st.groupChanged})
 	return err
 }
--- a/internal/system/weights/holder.go
+++ b/internal/system/weights/holder.go
@@ -48,7 +48,10 @@
 }
 
 const (
-	round         = 50 * time.Millisecond
+	round = 50 * time.Millisecond
+	// idleMost is how long a connection to a worker is kept for the next order: versions follow each other within seconds. It is shorter than
+	// workers keep theirs.
+	idleMost      = 9 * time.Second
 	orderTimeout  = 800 * time.Millisecond
 	reportTimeout = 500 * time.Millisecond
 	reportEach    = 200 * time.Millisecond
@@ -63,7 +66,7 @@
 // Run works until the context ends.
 func (h *Holder) Run(ctx context.Context) {
 	h.busy, h.loadTime = map[string]bool{}, firstGuess
-	h.client = fasthttp.Client{Dial: transport.Dial, MaxIdemponentCallAttempts: 1, MaxIdleConnDuration: 4 * time.Second, NoDefaultUserAgentHeader: true,
+	h.client = fasthttp.Client{Dial: transport.Dial, MaxIdemponentCallAttempts: 1, MaxIdleConnDuration: idleMost, NoDefaultUserAgentHeader: true,
 		RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false }}
 	ticker := time.NewTicker(round)
 	defer ticker.Stop()
