--- a/internal/system/model/control.go
+++ b/internal/system/model/control.go
@@ -153,8 +153,21 @@
 	})
 }
 
+// localRead is the mistake of answering a read without asking the leader.
+func (m *machine) localRead() *rpc.DirectoryResult {
+	record, ok := m.directory.Snapshot()().(*rpc.DirectorySnapshot)
+	if !ok {
+		return nil
+	}
+	return &rpc.DirectoryResult{Configuration: record.Configuration}
+}
+
 // decide has the directory decide on a command; nil where it can't.
 func (m *machine) decide(command *rpc.DirectoryCommand, done func(*rpc.DirectoryResult)) {
+	if m.w.bug(LocalReads) && command.GetRead() != nil {
+		done(m.localRead())
+		return
+	}
 	m.submit(directory.Shard, replica.Marshal(command), m.w.now+submitMS, func(p replica.Proposed) {
 		result := &rpc.DirectoryResult{}
 		if p.Outcome != rpc.Outcome_DONE || proto.Unmarshal(p.Result, result) != nil {
--- a/internal/system/model/faults.go
+++ b/internal/system/model/faults.go
@@ -84,11 +84,15 @@
 		w.report.ClockStep++
 		w.trace("the clock of %s steps", m.name)
 	}
-	switch kind := w.random.IntN(12); kind {
+	switch kind := w.random.IntN(14); kind {
 	case 0:
 		w.allDown()
 	case 1, 2:
 		w.emptyOne(w.chance(2))
+	case 12:
+		w.halve()
+	case 13:
+		w.overlap()
 	default:
 		count := 1 + w.random.IntN(w.options.Tolerance)
 		for i := range count {
@@ -212,6 +216,57 @@
 	}
 }
 
+// halve cuts the counted machines into two halves, whatever the tolerance. All others reach both.
+func (w *world) halve() {
+	w.report.Halves++
+	until := w.now + w.between(800, 7000)
+	half := map[string]bool{}
+	var names []string
+	for _, m := range w.machines {
+		if !m.removed {
+			names = append(names, m.name)
+		}
+	}
+	for i, at := range w.random.Perm(len(names)) {
+		half[names[at]] = i < len(names)/2
+	}
+	for _, a := range names {
+		for _, b := range names {
+			if half[a] != half[b] {
+				w.cuts[link{a, b}] = until
+			}
+		}
+	}
+	w.lasts(until)
+	w.trace("the counted machines are cut into halves until %d", until)
+}
+
+// disturbed notes that the counted machines are not stable now: nobody is in touch for a while.
+func (w *world) disturbed() { w.eventAt = w.now }
+
+// overlap has more machines lose power than the tolerance allows, one after the other while the ones before are down; no more disks are lost than it
+// allows.
+func (w *world) overlap() {
+	w.report.Overlaps++
+	disks := w.random.IntN(w.options.Tolerance + 1)
+	for range 2*w.options.Tolerance + 1 {
+		w.after(w.between(0, 1500), func() {
+			m := w.machines[w.random.IntN(len(w.machines))]
+			switch {
+			case m.removed || !m.up:
+			case disks > 0:
+				disks--
+				w.wipe(m)
+			default:
+				m.stop(true, w.between(500, 2500))
+			}
+			w.disturbed()
+			w.after(max(m.upAt-w.now, 0), w.disturbed)
+		})
+	}
+	w.lasts(w.now + 1500)
+}
+
 // replace has a machine go for good; an empty one comes at another address.
 func (w *world) replace(m *machine) {
 	w.report.Replacements++
--- a/internal/system/model/options.go
+++ b/internal/system/model/options.go
@@ -14,6 +14,7 @@
 	LocalRefusals Bug = "any steward refuses retirements by what it knows itself"
 	HolderAtOnce  Bug = "whoever owns a shard sends its workers orders at once"
 	LeaseIgnored  Bug = "a steward that was cut off acknowledges what workers say"
+	LocalReads    Bug = "any steward answers reads of the configuration by what it has itself"
 
 	// Two operators, and orders that are sent again.
 	ForgetTaken   Bug = "a restored directory does not know which orders were taken"
@@ -36,7 +37,7 @@
 )
 
 // Bugs are all that can be seeded.
-var Bugs = []Bug{StaleFeed, LocalRefusals, HolderAtOnce, LeaseIgnored, ForgetTaken, AckOnPropose, RepeatChecked, EmptiedEarly, DiskForgiven, NoRepair, HeardOnly, SkipRestore, Unsynced,
+var Bugs = []Bug{StaleFeed, LocalRefusals, HolderAtOnce, LeaseIgnored, LocalReads, ForgetTaken, AckOnPropose, RepeatChecked, EmptiedEarly, DiskForgiven, NoRepair, HeardOnly, SkipRestore, Unsynced,
 	KeepConnection, RepeatAnyCall}
 
 // Options say what is played.
@@ -62,7 +63,7 @@
 type Report struct {
 	Orders, Refused, Repeated, Reads     int
 	Jobs, Results, Heartbeats, Calls     int
-	Kills, Wipes, Cuts                   int
+	Kills, Wipes, Cuts, Halves, Overlaps int
 	Replacements, Retirements, ClockStep int
 	SnapshotsMade, SnapshotsReceived     int
 }
@@ -80,6 +81,8 @@
 	r.Kills += o.Kills
 	r.Wipes += o.Wipes
 	r.Cuts += o.Cuts
+	r.Halves += o.Halves
+	r.Overlaps += o.Overlaps
 	r.Replacements += o.Replacements
 	r.Retirements += o.Retirements
 	r.ClockStep += o.ClockStep
--- a/internal/system/model/proof_test.go
+++ b/internal/system/model/proof_test.go
@@ -62,7 +62,7 @@
 		broken[Lost], broken[Refused], broken[Twice], broken[TwoWinners], broken[TwoHolders], broken[Back], broken[WrongCaller], broken[Stuck],
 		total.SnapshotsMade, total.SnapshotsReceived, caught, len(Bugs)+len(consensusmodel.Bugs))
 	is.True(total.Orders > 0 && total.Repeated > 0 && total.Jobs > 0 && total.Calls > 0 && total.SnapshotsReceived > 0)
-	is.True(total.Wipes > 0 && total.Cuts > 0 && total.Replacements > 0 && total.Retirements > 0 && total.ClockStep > 0)
+	is.True(total.Wipes > 0 && total.Cuts > 0 && total.Halves > 0 && total.Overlaps > 0 && total.Replacements > 0 && total.Retirements > 0 && total.ClockStep > 0)
 }
 
 // noticed looks for a history that shows a seeded mistake.
