--- a/internal/system/ledger/demand.go
+++ b/internal/system/ledger/demand.go
@@ -4,9 +4,11 @@
 	// firstItemMS is how long an item is taken to last before any was seen.
 	firstItemMS = 1000
 	itemWeight  = 0.05 // of a new item in the moving average
-	// Time that a job keeps in hand before it is due, and the least that is left to it in the reckoning.
-	handMS  = 1500
-	leastMS = 1000
+	// handMS is kept in hand before a job is due.
+	handMS = 1500
+	// leastLeft is the part, one in so many, of a job's time that is left to it in the reckoning at least: what is late already gains little by
+	// more workers, each of which has to load its model's weights first.
+	leastLeft = 4
 )
 
 func (s *Scheduler) learn(model string, tookMS float64) {
@@ -22,17 +24,18 @@
 	return firstItemMS
 }
 
-// Demand is how many items of each model have to run at once for the open jobs to have the groups that are wanted in time.
+// Demand is how many items of each model have to run at once for the open jobs to have the groups that are wanted in time: enough for the work
+// of all jobs that are due by each of their deadlines, since the job that is due first goes first.
 func (s *Scheduler) Demand(now int64) map[string]float64 {
-	demand := map[string]float64{}
-	for _, j := range s.order {
+	demand, work := map[string]float64{}, map[string]float64{}
+	for _, j := range s.order { // by when they are due
 		if j.hope(now) == worthless {
 			continue
 		}
 		model := j.create.Model
-		each := s.usualMS(model)
-		left := max(float64(j.dueAt-now-handMS), leastMS)
-		demand[model] += float64(j.wantedItems()) * each / left
+		work[model] += float64(j.wantedItems()) * s.usualMS(model)
+		left := max(float64(j.dueAt-now-handMS), float64(j.create.DeadlineMs)/leastLeft)
+		demand[model] = max(demand[model], work[model]/left)
 	}
 	return demand
 }
--- a/internal/system/ledger/scheduler_test.go
+++ b/internal/system/ledger/scheduler_test.go
@@ -290,3 +290,17 @@
 	s.Report(adoptMS, &rpc.Report{Job: "j", Item: lease.Item.Id, Number: lease.Number, Result: &rpc.Result{Item: lease.Item.Id}})
 	is.True(!s.Settled("j", []string{lease.Item.Id}))
 }
+
+// The demand is enough for the work that is due by each deadline, not the sum of what each job would need alone; a late job doesn't ask for
+// more than it could use.
+func TestDemand(t *testing.T) {
+	is := is.New(t)
+	s := begun(newCreate("soon", 10, 1, 10, 5000), newCreate("later", 60, 1, 60, 10_000))
+	near := float64(10*firstItemMS) / (5000 - handMS)
+	both := float64(70*firstItemMS) / (10_000 - handMS)
+	is.True(near < both)
+	is.Equal(s.Demand(adoptMS)["m"], both)
+	s.Close("later")
+	is.Equal(s.Demand(adoptMS)["m"], near)
+	is.Equal(s.Demand(adoptMS + 4900)["m"], float64(10*firstItemMS)/(5000.0/leastLeft))
+}
--- a/internal/system/weights/plan.go
+++ b/internal/system/weights/plan.go
@@ -113,7 +113,7 @@
 	// spareHomes is the number of workers that serve a model beyond those that its open jobs need.
 	spareHomes = 1
 	// headroom is how much more than that is reckoned with: items differ in length, and workers slow down when they are full.
-	headroom = 1.5
+	headroom = 1.25
 )
 
 // assign chooses the workers that each model of a service is kept up to date on: as many as its open jobs need and a few more, so that a new
