Learn how long loads take, load for the model that lacks workers, back up by spread

Change: the time until the first report is learned; models go first of whose workers the smallest part has the version; a backup begins after the usual time and four times the usual difference. Ruled out: sizes from Token-Usage, which is the same for all items of a class.

--- a/internal/system/ledger/backups.go
+++ b/internal/system/ledger/backups.go
@@ -3,8 +3,8 @@
 import "saffronquay/internal/system/rpc"
 
 const (
-	// backupAfter is how many times the usual time of its model's items an item may take before a backup of it is begun.
-	backupAfter = 2
+	// backupSpread is how many times the usual difference from it an item may take beyond the usual time before a backup of it is begun.
+	backupSpread = 4
 	// backupShare is the part of a job's items, one in so many, that backups may be begun of.
 	backupShare = 8
 )
@@ -19,10 +19,10 @@
 		if j.hope(now) == worthless || j.wantedItems() == 0 {
 			continue
 		}
-		late := now - int64(backupAfter*s.usualMS(j.create.Model))
+		longest := s.longestMS(j.create.Model)
 		for _, g := range j.groups {
 			for _, x := range g.items {
-				if x.stage == leased && len(x.leases) == 1 && x.leases[0].at < late {
+				if x.stage == leased && len(x.leases) == 1 && float64(now-x.leases[0].at) > longest {
 					list = append(list, x)
 				}
 			}
@@ -31,6 +31,14 @@
 	return list
 }
 
+// longestMS is how long an item of a model may take before it is a straggler.
+func (s *Scheduler) longestMS(model string) float64 {
+	if t := s.times[model]; t != nil {
+		return t.usual + backupSpread*t.spread
+	}
+	return firstItemMS * (1 + backupSpread)
+}
+
 // takeBackups leases stragglers to a gatherer that has room left. Whichever run ends first counts; the other is cancelled.
 func (s *Scheduler) takeBackups(now int64, name string, want int, room rooms, leases []*rpc.Lease) []*rpc.Lease {
 	for _, x := range s.stragglers {
--- a/internal/system/ledger/demand.go
+++ b/internal/system/ledger/demand.go
@@ -1,5 +1,7 @@
 package ledger
 
+import "math"
+
 const (
 	// firstItemMS is how long an item is taken to last before any was seen.
 	firstItemMS = 1000
@@ -11,15 +13,27 @@
 	leastLeft = 4
 )
 
+// learn takes in how long an item of a model took.
 func (s *Scheduler) learn(model string, tookMS float64) {
-	old := s.usualMS(model)
-	s.itemMS[model] = old + itemWeight*(tookMS-old)
+	t := s.times[model]
+	if t == nil {
+		t = &itemTime{usual: firstItemMS, spread: firstItemMS}
+		s.times[model] = t
+	}
+	t.spread += itemWeight * (math.Abs(tookMS-t.usual) - t.spread)
+	t.usual += itemWeight * (tookMS - t.usual)
+}
+
+// itemTime is how long the items of a model take, in milliseconds.
+type itemTime struct {
+	usual  float64 // moving average
+	spread float64 // of the differences from it
 }
 
 // usualMS is how long an item of a model takes.
 func (s *Scheduler) usualMS(model string) float64 {
-	if each, ok := s.itemMS[model]; ok {
-		return each
+	if t := s.times[model]; t != nil {
+		return t.usual
 	}
 	return firstItemMS
 }
--- a/internal/system/ledger/scheduler.go
+++ b/internal/system/ledger/scheduler.go
@@ -21,8 +21,8 @@
 	gatherers  map[string]*gatherer
 	lives      map[string]string // of gatherers, by their machine
 	leases     map[uint64]*lease
-	stragglers []*itemState       // that a backup may be begun of
-	itemMS     map[string]float64 // moving average of how long an item of a model takes
+	stragglers []*itemState         // that a backup may be begun of
+	times      map[string]*itemTime // by model
 }
 
 // Options are the mechanisms that may be switched off.
@@ -82,7 +82,7 @@
 // due follows from it, but an item is given up only after the time that this process has known its job for.
 func NewScheduler(epoch uint64, now, wall int64, jobs []Stored, options Options) *Scheduler {
 	s := &Scheduler{epoch: epoch, begunAt: now, backups: options.Backups, jobs: map[string]*openJob{}, gatherers: map[string]*gatherer{}, lives: map[string]string{},
-		leases: map[uint64]*lease{}, itemMS: map[string]float64{}}
+		leases: map[uint64]*lease{}, times: map[string]*itemTime{}}
 	for _, stored := range jobs {
 		if !stored.Ended {
 			s.open(stored.Job, now-max(0, wall-stored.Job.SentUnixMs), min(stored.SeenAt, now), stored.Settled)
--- a/internal/system/weights/holder.go
+++ b/internal/system/weights/holder.go
@@ -44,7 +44,7 @@
 	busy     map[string]bool
 	held     uint64 // epoch under which this machine is recorded as the holder
 	client   fasthttp.Client
-	loadTime time.Duration // learned
+	loadTime loadTime
 }
 
 const (
@@ -54,9 +54,9 @@
 	idleMost      = 9 * time.Second
 	orderTimeout  = 800 * time.Millisecond
 	reportTimeout = 500 * time.Millisecond
-	reportEach    = 200 * time.Millisecond
+	reportEach    = 100 * time.Millisecond
+	refusedPause  = 200 * time.Millisecond
 	loadMost      = 8 * time.Second
-	firstGuess    = 500 * time.Millisecond
 	shareAtOnce   = 3 // one in so many workers loads at a time
 )
 
@@ -65,7 +65,7 @@
 
 // Run works until the context ends.
 func (h *Holder) Run(ctx context.Context) {
-	h.busy, h.loadTime = map[string]bool{}, firstGuess
+	h.busy = map[string]bool{}
 	h.client = fasthttp.Client{Dial: transport.Dial, MaxIdemponentCallAttempts: 1, MaxIdleConnDuration: idleMost, NoDefaultUserAgentHeader: true,
 		RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false }}
 	ticker := time.NewTicker(round)
@@ -161,19 +161,20 @@
 	switch {
 	case err != nil:
 		h.Log.Warn("order unanswered", "instance", order.Instance.Id, "error", err)
-		h.pause(ctx, reportEach)
+		h.pause(ctx, refusedPause)
 	case status == fasthttp.StatusOK:
 		h.record(ctx, order)
 		return
 	case status != fasthttp.StatusAccepted && status != fasthttp.StatusConflict:
 		h.Log.Warn("order refused", "instance", order.Instance.Id, "model", order.Model, "version", order.Version, "status", status)
-		h.pause(ctx, reportEach)
+		h.pause(ctx, refusedPause)
 		return
 	}
-	h.pause(ctx, h.loadTime)
-	for time.Since(begun) < loadMost {
+	h.pause(ctx, h.loadTime.guess())
+	for first := true; time.Since(begun) < loadMost; first = false {
 		version, busy, err := h.report(order.Instance, order.Model)
 		if err == nil && version >= order.Version {
+			h.loadTime.learn(first, time.Since(begun))
 			h.record(ctx, order)
 			return
 		}
--- a/internal/system/weights/plan.go
+++ b/internal/system/weights/plan.go
@@ -62,10 +62,14 @@
 	type candidate struct {
 		Order
 		behind uint64
-		done   int // workers that have this version already
+		done   float64 // part of the model's workers that have this version already
 	}
 	var candidates []candidate
 	homes := assign(workers, rules)
+	held := map[string]float64{}
+	for model, ids := range homes {
+		held[model] = float64(holding(workers, model, wanted[model])) / float64(max(len(ids), 1))
+	}
 	for _, w := range workers {
 		if busy[w.Id] || w.Draining {
 			continue
@@ -78,12 +82,12 @@
 			if rules.Single(m.Name) {
 				mode = Wait
 			}
-			candidates = append(candidates, candidate{Order{w, m.Name, wanted[m.Name], mode}, wanted[m.Name] - m.Version, holding(workers, m.Name, wanted[m.Name])})
+			candidates = append(candidates, candidate{Order{w, m.Name, wanted[m.Name], mode}, wanted[m.Name] - m.Version, held[m.Name]})
 		}
 	}
-	// The models that lag most go first, and of these the ones that fewest workers hold.
+	// The models go first of whose workers the smallest part has the version, and of these the workers that lag most.
 	slices.SortStableFunc(candidates, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(b.behind, a.behind), cmp.Compare(a.done, b.done), cmp.Compare(a.Model, b.Model), cmp.Compare(a.Instance.Id, b.Instance.Id))
+		return cmp.Or(cmp.Compare(a.done, b.done), cmp.Compare(b.behind, a.behind), cmp.Compare(a.Model, b.Model), cmp.Compare(a.Instance.Id, b.Instance.Id))
 	})
 	taken := map[string]bool{}
 	for _, c := range candidates {
