--- a/cmd/saffronquay-system/main.go
+++ b/cmd/saffronquay-system/main.go
@@ -94,7 +94,7 @@
 			return err
 		}
 		limitMemory(source.Current())
-		if err := serveMetrics(c, source.Current()); err != nil {
+		if err := serveMetrics(c, source.Current(), log); err != nil {
 			return err
 		}
 		ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
@@ -108,8 +108,8 @@
 	}
 }
 
-// serveMetrics tells the process's figures, where the command line says so.
-func serveMetrics(c *cli.Command, s *settings.Settings) error {
+// serveMetrics tells the process's figures, where the command line says so. A port that is taken is no reason not to serve.
+func serveMetrics(c *cli.Command, s *settings.Settings, log *slog.Logger) error {
 	if c.String("metrics") == "" {
 		return nil
 	}
@@ -117,7 +117,10 @@
 	if err != nil {
 		return err
 	}
-	return endpoint.Serve(s.IP)
+	if err := endpoint.Serve(s.IP); err != nil {
+		log.Warn("figures are not told", "error", err)
+	}
+	return nil
 }
 
 func checkCommand() *cli.Command {
