--- a/internal/system/batch/item.go
+++ b/internal/system/batch/item.go
@@ -158,7 +158,7 @@
 	resumed := made.events > 0
 	tryCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	silence := time.AfterFunc(r.Patience.before(&r.first), cancel)
+	silence := time.AfterFunc(r.Patience.First, cancel)
 	defer silence.Stop()
 	answer, err := r.Forwarder.Pool.Do(tryCtx, &worker.Call{Address: w.Address, Method: fasthttp.MethodPost, URI: lease.Item.Path, Host: lease.Host,
 		Headers: itemHeaders(lease, w.ID, made), Body: lease.Item.Body})
@@ -200,7 +200,7 @@
 		return tryAgain
 	}
 	made.current = version
-	switch err := r.read(answer, lease, w, made, begun, silence); {
+	switch err := r.read(answer, lease, w, made, silence); {
 	case err == nil:
 		table.Served(w)
 		if !resumed {
@@ -245,9 +245,8 @@
 )
 
 // read adds an answer's events to the text; no error says that the text is whole.
-func (r *Runner) read(answer *worker.Answer, lease *rpc.Lease, w *routing.Worker, made *text, begun time.Time, silence *time.Timer) error {
+func (r *Runner) read(answer *worker.Answer, lease *rpc.Lease, w *routing.Worker, made *text, silence *time.Timer) error {
 	events := worker.NewEvents(answer)
-	last, seen := begun, &r.first
 	for {
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) {
@@ -259,10 +258,7 @@
 		if err != nil {
 			return err
 		}
-		now := time.Now()
-		seen.note(now.Sub(last))
-		last, seen = now, &r.between
-		silence.Reset(r.Patience.between(&r.between))
+		silence.Reset(r.Patience.Between)
 		if event.Version != 0 && event.Version != made.current {
 			r.Forwarder.Table.SawVersion(w, lease.Model, event.Version)
 			if lease.SingleVersion && made.events > 0 {
--- a/internal/system/batch/runner.go
+++ b/internal/system/batch/runner.go
@@ -20,11 +20,9 @@
 	Forwarder *forward.Forwarder
 	Ledger    *ledgerclient.Client
 	Table     func() *configuration.Table // nil while no configuration is known
-	Patience  Patience                    // at most
+	Patience  Patience
 	Log       *slog.Logger
 
-	first, between silences // that were seen before answers, and between events
-
 	mu          sync.Mutex
 	leases      map[leaseKey]*running
 	epochs      map[string]uint64    // of the owners that know what this gatherer holds
--- a/internal/system/decisions/decisions.go
+++ b/internal/system/decisions/decisions.go
@@ -33,19 +33,18 @@
 	DemandedHomes   bool   `toml:"demandedHomes"`   // as many workers load a model's weights as its jobs need, in place of an even share
 	Backups         bool   `toml:"backups"`         // an item that takes much longer than usual is run once more by another gatherer
 	GatheredWrites  bool   `toml:"gatheredWrites"`  // a replica takes in what comes within a few milliseconds at once
-	LearnedPatience bool   `toml:"learnedPatience"` // how long a worker may be silent follows from how long workers usually are
 }
 
 // All has every mechanism in use.
 func All() Switches {
 	return Switches{Policy: Predicted, NearbyWorkers: true, CompactPlaces: true, RefusalBackoff: true, GatheredChanges: true, QuickRefusal: true,
-		DemandedHomes: true, Backups: true, GatheredWrites: true, LearnedPatience: true}
+		DemandedHomes: true, Backups: true, GatheredWrites: true}
 }
 
 // byName are the switches by the names that the settings file gives them.
 func (s *Switches) byName() map[string]*bool {
 	return map[string]*bool{"nearbyWorkers": &s.NearbyWorkers, "compactPlaces": &s.CompactPlaces, "refusalBackoff": &s.RefusalBackoff,
-		"gatheredChanges": &s.GatheredChanges, "quickRefusal": &s.QuickRefusal, "demandedHomes": &s.DemandedHomes, "learnedPatience": &s.LearnedPatience,
+		"gatheredChanges": &s.GatheredChanges, "quickRefusal": &s.QuickRefusal, "demandedHomes": &s.DemandedHomes,
 		"backups": &s.Backups, "gatheredWrites": &s.GatheredWrites}
 }
 
--- a/internal/system/proxy/proxy.go
+++ b/internal/system/proxy/proxy.go
@@ -86,7 +86,7 @@
 	server := &fasthttp.Server{Handler: p.handle, ReadBufferSize: readBuffer, MaxRequestBodySize: maxBody, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
 		NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true, CloseOnShutdown: true, DisablePreParseMultipartForm: true}
 	go server.Serve(front)
-	runner := &batch.Runner{Name: gathererName(s.NodeName), Forwarder: p.forwarder, Ledger: p.ledger, Table: p.config.Load, Patience: batch.UsualPatience(s.Decisions.LearnedPatience), Log: log}
+	runner := &batch.Runner{Name: gathererName(s.NodeName), Forwarder: p.forwarder, Ledger: p.ledger, Table: p.config.Load, Patience: batch.UsualPatience, Log: log}
 	finished := make(chan struct{})
 	grace := settings.Seconds(s.Bounds.GraceS)
 	go func() {
