Refuse at once after a start only where the client has time to come back

Change: refused at once only where a third of the client's time is 0.6 s or more, else it waits as before. Ruled out: taking the mechanism out; a shorter Retry-After, within which small machines don't know a configuration yet.

--- a/internal/system/proxy/handler.go
+++ b/internal/system/proxy/handler.go
@@ -19,8 +19,10 @@
 
 const (
 	retryAfter = "0.25" // seconds
-	// startRetryAfter is for requests that meet a process which has just started: most know a configuration by then.
-	startRetryAfter = "0.6"
+	// startRetryAfter is for requests that meet a process which has just started: most know a configuration by then. Clients wait for a third of
+	// the time that remains to them at most.
+	startRetryAfter = 600 * time.Millisecond
+	clientsWait     = 3
 	jobsPath        = "/api/lots/"
 	itemsPath       = "/api/items/"
 	// answerMargin is left between the end of a worker's time and the answer that the client waits for.
@@ -38,7 +40,7 @@
 	}
 	table := p.configured(ctx)
 	if table == nil {
-		refuseFor(ctx, startRetryAfter, "no configuration is known yet")
+		refuseFor(ctx, seconds(startRetryAfter), "no configuration is known yet")
 		return
 	}
 	path, host := string(ctx.RequestURI()), string(ctx.Host())
@@ -62,14 +64,19 @@
 }
 
 // configured returns the configuration in force; nil right after the start. A request that is refused at once and comes back is worth more
-// than one that waits. Where that is switched off, it waits for a configuration for a while, as long as the client has time.
+// than one that waits; where its client would come back too soon, it waits for a configuration for a while.
 func (p *Proxy) configured(ctx *fasthttp.RequestCtx) *configuration.Table {
-	if table := p.config.Load(); table != nil || p.settings.Decisions.QuickRefusal {
+	table := p.config.Load()
+	if table != nil {
 		return table
 	}
 	wait := startWait
 	if ms, err := strconv.ParseFloat(string(ctx.Request.Header.Peek("Deadline-Ms")), 64); err == nil && ms > 0 {
-		wait = min(wait, time.Duration(ms*float64(time.Millisecond))/2)
+		left := time.Duration(ms * float64(time.Millisecond))
+		if p.settings.Decisions.QuickRefusal && worthComingBack(left) {
+			return nil
+		}
+		wait = min(wait, left/2)
 	}
 	select {
 	case <-p.known:
@@ -78,6 +85,12 @@
 	return p.config.Load()
 }
 
+// worthComingBack tells whether a client with so much time left waits for as long as a process needs to know a configuration.
+func worthComingBack(left time.Duration) bool { return left/clientsWait >= startRetryAfter }
+
+// seconds writes a time as Retry-After has it.
+func seconds(d time.Duration) string { return strconv.FormatFloat(d.Seconds(), 'f', -1, 64) }
+
 func pathID(path, prefix string) string {
 	id, _, _ := strings.Cut(strings.TrimPrefix(path, prefix), "?")
 	return id
--- /dev/null
+++ b/internal/system/proxy/start_test.go
@@ -0,0 +1,40 @@
+package proxy
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/valyala/fasthttp"
+
+	"saffronquay/internal/system/decisions"
+	"saffronquay/internal/system/settings"
+)
+
+// unconfigured asks a process that knows no configuration yet, and returns its answer and how long it took.
+func unconfigured(use decisions.Switches, deadlineMS string) (*fasthttp.Response, time.Duration) {
+	p := &Proxy{settings: &settings.Settings{Decisions: use}, known: make(chan struct{})}
+	ctx := &fasthttp.RequestCtx{}
+	ctx.Request.SetRequestURI("http://h/x")
+	ctx.Request.Header.Set("Deadline-Ms", deadlineMS)
+	begun := time.Now()
+	p.handle(ctx)
+	return &ctx.Response, time.Since(begun)
+}
+
+// A client that has the time to come back once a configuration is known is told so at once. One that would come back too soon waits for it, for
+// half of its time at most.
+func TestRefusedAtOnceAfterAStart(t *testing.T) {
+	is := is.New(t)
+	answer, took := unconfigured(decisions.All(), "2000")
+	is.Equal(answer.StatusCode(), fasthttp.StatusServiceUnavailable)
+	is.Equal(string(answer.Header.Peek("Retry-After")), "0.6")
+	is.True(took < 100*time.Millisecond)
+	answer, took = unconfigured(decisions.All(), "300")
+	is.Equal(answer.StatusCode(), fasthttp.StatusServiceUnavailable)
+	is.True(took >= 150*time.Millisecond)
+	use := decisions.All()
+	is.NoErr(use.Without("quickRefusal"))
+	_, took = unconfigured(use, "2000")
+	is.True(took >= startWait)
+}
