--- a/internal/system/model/control.go
+++ b/internal/system/model/control.go
@@ -363,7 +363,7 @@
 	present := m.desks[shard].Present(w.now)
 	slices.SortFunc(present, func(a, b *rpc.Instance) int { return cmp.Compare(a.Id, b.Id) })
 	orders := weights.Plan(present, wanted, nil, &weights.Rules{Single: func(string) bool { return false }, AtOnce: func(n int) int { return n },
-		Slots: func(string) float64 { return 100 }, DemandedHomes: true})
+		Slots: func(string) float64 { return 100 }})
 	if len(orders) == 0 {
 		return
 	}
--- a/internal/system/steward/steward.go
+++ b/internal/system/steward/steward.go
@@ -150,7 +150,7 @@
 	for _, sh := range st.shards {
 		holder := &weights.Holder{Node: st.settings.NodeName, Lease: settings.Milliseconds(st.settings.Bounds.LeaseMS),
 			Fenced: st.settings.Bounds.Fencing, Shard: sh, Wanted: st.directory.Models,
-			Rules: weights.Rules{Single: st.singleVersion, AtOnce: weights.ShareAtOnce, Slots: st.slots, DemandedHomes: st.settings.Decisions.DemandedHomes}, Log: st.log}
+			Rules: weights.Rules{Single: st.singleVersion, AtOnce: weights.ShareAtOnce, Slots: st.slots}, Log: st.log}
 		go holder.Run(ctx)
 	}
 	select {
--- a/internal/system/weights/plan.go
+++ b/internal/system/weights/plan.go
@@ -33,8 +33,6 @@
 	Single func(model string) bool    // whether a model's texts must be made by one version
 	AtOnce func(workers int) int      // bounds the orders under way in a service of so many workers
 	Slots  func(model string) float64 // how many requests of a model its open jobs need to run at once; 0 where that isn't known
-	// DemandedHomes keeps a model up to date on as many workers as that needs, also where an even share of the workers is more.
-	DemandedHomes bool
 }
 
 // Plan returns the orders to send now. wanted holds the newest named version by model, busy the workers that an order is under way at.
@@ -120,9 +118,8 @@
 	headroom = 1.25
 )
 
-// assign chooses the workers that each model of a service is kept up to date on: as many as its open jobs need and a few more, so that a new
-// version interrupts and costs as little as it can; an even share where the need isn't known. Each worker serves about as many models as any
-// other.
+// assign chooses the workers that each model of a service is kept up to date on: as many as its open jobs need and a few more, but at least
+// its even share, so that a new version interrupts and costs as little as it can. Each worker serves about as many models as any other.
 func assign(workers []*rpc.Instance, rules *Rules) map[string]map[string]bool {
 	var models []string
 	var fit []*rpc.Instance
@@ -146,12 +143,8 @@
 		share := len(fit)
 		if len(models) > 1 && len(fit) > 0 {
 			each := float64(max(capacity, 1)) / float64(len(fit))
-			slots := rules.Slots(model)
-			share = int(math.Ceil(headroom*slots/each)) + spareHomes
-			if slots == 0 || !rules.DemandedHomes {
-				share = max(share, (len(fit)+len(models)-1)/len(models))
-			}
-			share = min(share, len(fit))
+			needed := int(math.Ceil(headroom*rules.Slots(model)/each)) + spareHomes
+			share = min(max((len(fit)+len(models)-1)/len(models), needed), len(fit))
 		}
 		homes[model] = map[string]bool{}
 		order := slices.Clone(fit)
--- a/internal/system/weights/weights_test.go
+++ b/internal/system/weights/weights_test.go
@@ -21,7 +21,7 @@
 }
 
 func rules() *Rules {
-	return &Rules{Single: func(string) bool { return false }, AtOnce: ShareAtOnce, Slots: func(string) float64 { return 0 }, DemandedHomes: true}
+	return &Rules{Single: func(string) bool { return false }, AtOnce: ShareAtOnce, Slots: func(string) float64 { return 0 }}
 }
 
 // A version reaches its model's share of the workers a few at a time, and the plan ends.
@@ -42,16 +42,6 @@
 	is.Equal(loads, 3)
 }
 
-// A model whose jobs need little is kept up to date on few workers; without the mechanism, on an even share all the same.
-func TestLittleDemandSparesLoads(t *testing.T) {
-	is := is.New(t)
-	r := rules()
-	r.Slots = func(string) float64 { return 5 }
-	is.Equal(len(assign(workers(9, "a", "b", "c"), r)["a"]), 2)
-	r.DemandedHomes = false
-	is.Equal(len(assign(workers(9, "a", "b", "c"), r)["a"]), 3)
-}
-
 // More demand brings more workers, up to all; a worker with an order under way gets no second one.
 func TestDemandWidensTheShare(t *testing.T) {
 	is := is.New(t)
