Wake waiting gatherers once for a straggler, guess load times by mode

Cause, found on reading the change again: as long as any item straggled, each tick (100 ms) woke every waiting gatherer, and walked over all items of all jobs to find that out; one long load of the mode that waits for runs to end set the guess for all loads to up to 2 s; items whose results could not be listed were open again without a word to who waits; a watch's freshness was looked at before 40 ms of gathering; agents could try the first steward again each 0.6 s in busy times.

Change: stragglers are sought among leases, the most urgent first, and told once; load times are learned for each mode and move by 100 ms at most; the rest as said. Tests: stragglers told once and by urgency, a late word of an earlier process, one long load.

Ruled out: a wider bound in the test of the load time; the guess now meets the one that stood.

--- a/internal/system/feed/client.go
+++ b/internal/system/feed/client.go
@@ -66,7 +66,7 @@
 }
 
 // homeAfter is the number of good answers of another source after which the first one is tried again.
-const homeAfter = 16
+const homeAfter = 32
 
 // Next is the source to ask; empty where there is none.
 func (r *Rotation) Next(sources []string) string {
--- a/internal/system/feed/service.go
+++ b/internal/system/feed/service.go
@@ -37,7 +37,8 @@
 	for {
 		feeds, changed := s.Table.Since(r.Offsets)
 		if len(feeds) > 0 {
-			return &rpc.WatchResponse{Fresh: s.fresh(), Feeds: s.gather(ctx, r, feeds)}
+			feeds = s.gather(ctx, r, feeds)
+			return &rpc.WatchResponse{Fresh: s.fresh(), Feeds: feeds}
 		}
 		if !s.fresh() {
 			return &rpc.WatchResponse{}
--- a/internal/system/ledger/backups.go
+++ b/internal/system/ledger/backups.go
@@ -1,34 +1,44 @@
 package ledger
 
-import "saffronquay/internal/system/rpc"
+import (
+	"cmp"
+	"slices"
+
+	"saffronquay/internal/system/rpc"
+)
 
 const (
 	// backupSpread is how many times the usual difference from it an item may take beyond the usual time before a backup of it is begun.
 	backupSpread = 4
-	// backupShare is the part of a job's items, one in so many, that backups may be begun of.
+	// backupShare is the part of a job's items, one in so many, that backups may be begun of in all.
 	backupShare = 8
 )
 
-// findStragglers returns the items that take much longer than usual, at a worker or a gatherer that is slow or gone: only one gatherer works on
-// each, and their job's results are still worth something.
-func (s *Scheduler) findStragglers(now int64) (list []*itemState) {
+// findStragglers notes the items that take much longer than usual, at a worker or a gatherer that is slow or gone, while only one gatherer works
+// on each; the most urgent first. It tells whether there are any that were not known before.
+func (s *Scheduler) findStragglers(now int64) (more bool) {
 	if !s.backups {
-		return nil
+		return false
 	}
-	for _, j := range s.order {
-		if j.hope(now) == worthless || j.wantedItems() == 0 {
+	s.stragglers = s.stragglers[:0]
+	for _, l := range s.leases {
+		x := l.item
+		if float64(now-l.at) <= s.longestMS(x.job.create.Model) || !x.mayHaveBackup() || x.job.hope(now) == worthless {
 			continue
 		}
-		longest := s.longestMS(j.create.Model)
-		for _, g := range j.groups {
-			for _, x := range g.items {
-				if x.stage == leased && len(x.leases) == 1 && float64(now-x.leases[0].at) > longest {
-					list = append(list, x)
-				}
-			}
-		}
+		s.stragglers = append(s.stragglers, x)
+		more = more || !x.straggles
+		x.straggles = true
 	}
-	return list
+	slices.SortFunc(s.stragglers, func(a, b *itemState) int {
+		return cmp.Or(cmp.Compare(a.job.dueAt, b.job.dueAt), cmp.Compare(a.leases[0].number, b.leases[0].number))
+	})
+	return more
+}
+
+// mayHaveBackup tells whether another gatherer may be given an item that one works on.
+func (x *itemState) mayHaveBackup() bool {
+	return x.stage == leased && len(x.leases) == 1 && x.job.extra <= len(x.job.items)/backupShare
 }
 
 // longestMS is how long an item of a model may take before it is a straggler.
@@ -46,7 +56,7 @@
 			break
 		}
 		j := x.job
-		if x.stage != leased || len(x.leases) != 1 || x.leases[0].gatherer == name || j.extra > len(j.items)/backupShare {
+		if !x.mayHaveBackup() || x.leases[0].gatherer == name {
 			continue
 		}
 		if room.fit(j.create.Model, j.create.MinVersion) {
--- a/internal/system/ledger/scheduler.go
+++ b/internal/system/ledger/scheduler.go
@@ -70,12 +70,13 @@
 }
 
 type itemState struct {
-	job      *openJob
-	group    *group
-	item     *rpc.Item
-	stage    stage
-	failures uint32
-	leases   []*lease // one, or two with a backup; while it is settled, those whose gatherers have not reported
+	job       *openJob
+	group     *group
+	item      *rpc.Item
+	stage     stage
+	failures  uint32
+	straggles bool     // it was found to take much longer than usual
+	leases    []*lease // one, or two with a backup; while it is settled, those whose gatherers have not reported
 }
 
 // NewScheduler returns a scheduler for an owner's epoch that knows the jobs of the ledger. wall is the time of day, which may be wrong: what is
@@ -228,8 +229,7 @@
 	if now-s.begunAt >= adoptMS && !s.begun {
 		s.begun, freed = true, true
 	}
-	s.stragglers = s.findStragglers(now)
-	freed = freed || len(s.stragglers) > 0
+	freed = s.findStragglers(now) || freed
 	for _, j := range s.order {
 		if j.create.MaxQueueMs == 0 || now < j.lastAt {
 			continue
--- a/internal/system/ledger/scheduler_test.go
+++ b/internal/system/ledger/scheduler_test.go
@@ -317,3 +317,35 @@
 	is.True(s.longestMS("even") < 900)
 	is.True(s.longestMS("uneven") > 2000)
 }
+
+// Stragglers wake those who wait once, not as long as they straggle; only as many get a backup as a job's share allows; the most urgent go first.
+func TestStragglersAreToldOnce(t *testing.T) {
+	is := is.New(t)
+	s := begun(newCreate("later", 8, 1, 8, 60_000), newCreate("soon", 8, 1, 8, 30_000))
+	is.Equal(len(s.Take(adoptMS, "g", 16, room(16))), 16)
+	now := int64(adoptMS + (1+backupSpread)*firstItemMS + 1)
+	s.Heard(now, "g")
+	s.Heard(now, "other")
+	_, freed := s.Tick(now)
+	is.True(freed)
+	_, freed = s.Tick(now + 1)
+	is.True(!freed)
+	backups := s.Take(now+1, "other", 16, room(16))
+	is.Equal(len(backups), 4) // an eighth of each job's items and one
+	is.Equal(backups[0].Job, "soon")
+	is.Equal(backups[3].Job, "later")
+}
+
+// A word of an earlier process that comes late, when the next one works already, loses nothing: what it held is handed out, or reported all the same.
+func TestLateWordOfAnEarlierProcess(t *testing.T) {
+	is := is.New(t)
+	s := begun(newCreate("j", 1, 1, 1, 9000))
+	s.Heard(adoptMS, "edge/2")
+	lease := s.Take(adoptMS, "edge/2", 1, room(1))[0]
+	s.Heard(adoptMS+10, "edge/1")
+	s.Heard(adoptMS+20, "edge/2")
+	s.Adopt(adoptMS+20, "edge/2", []*rpc.HeldLease{{Job: "j", Item: lease.Item.Id, Number: lease.Number}})
+	is.Equal(s.Cancelled("edge/2"), nil) // it goes on
+	is.Equal(len(s.Take(adoptMS+20, "edge/2", 1, room(1))), 0)
+	is.True(s.Report(adoptMS+30, &rpc.Report{Job: "j", Item: lease.Item.Id, Number: lease.Number, Result: &rpc.Result{Item: lease.Item.Id}}) != nil)
+}
--- a/internal/system/ledger/service.go
+++ b/internal/system/ledger/service.go
@@ -294,6 +294,7 @@
 	defer sh.mu.Unlock()
 	if sh.scheduler != nil {
 		sh.scheduler.Unsettled(job, items)
+		sh.signal() // they are open again
 	}
 	return false
 }
--- a/internal/system/weights/holder.go
+++ b/internal/system/weights/holder.go
@@ -40,11 +40,11 @@
 	Rules  Rules
 	Log    *slog.Logger
 
-	mu       sync.Mutex
-	busy     map[string]bool
-	held     uint64 // epoch under which this machine is recorded as the holder
-	client   fasthttp.Client
-	loadTime loadTime
+	mu     sync.Mutex
+	busy   map[string]bool
+	held   uint64 // epoch under which this machine is recorded as the holder
+	client fasthttp.Client
+	loads  map[Mode]*loadTime // by mode: in the one, what runs ends first
 }
 
 const (
@@ -65,7 +65,7 @@
 
 // Run works until the context ends.
 func (h *Holder) Run(ctx context.Context) {
-	h.busy = map[string]bool{}
+	h.busy, h.loads = map[string]bool{}, map[Mode]*loadTime{Wait: {}, Retain: {}}
 	h.client = fasthttp.Client{Dial: transport.Dial, MaxIdemponentCallAttempts: 1, MaxIdleConnDuration: idleMost, NoDefaultUserAgentHeader: true,
 		RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false }}
 	ticker := time.NewTicker(round)
@@ -170,11 +170,12 @@
 		h.pause(ctx, refusedPause)
 		return
 	}
-	h.pause(ctx, h.loadTime.guess())
+	usual := h.loads[order.Mode]
+	h.pause(ctx, usual.guess())
 	for first := true; time.Since(begun) < loadMost; first = false {
 		version, busy, err := h.report(order.Instance, order.Model)
 		if err == nil && version >= order.Version {
-			h.loadTime.learn(first, time.Since(begun))
+			usual.learn(first, time.Since(begun))
 			h.record(ctx, order)
 			return
 		}
--- a/internal/system/weights/loadtime.go
+++ b/internal/system/weights/loadtime.go
@@ -16,8 +16,9 @@
 	firstLoad = 400 * time.Millisecond
 	leastLoad = 100 * time.Millisecond
 	mostLoad  = 2 * time.Second
-	// Each load that was over when the worker was first asked shortens the guess by so much; each that was not sets it to what it took.
-	shorten = 0.97
+	// Each load that was over when the worker was first asked shortens the guess by so much; each that was not moves it towards what it took, by
+	// the time between two reports at most, so that a single long load doesn't hold up the ones after it.
+	shorten = 0.98
 )
 
 func (l *loadTime) guess() time.Duration {
@@ -39,7 +40,7 @@
 	if first {
 		l.usual = time.Duration(shorten * float64(l.usual))
 	} else {
-		l.usual = took
+		l.usual += min(took-l.usual, reportEach)
 	}
 	l.usual = min(max(l.usual, leastLoad), mostLoad)
 }
--- a/internal/system/weights/loadtime_test.go
+++ b/internal/system/weights/loadtime_test.go
@@ -26,3 +26,12 @@
 		is.True(asked < loads*3/2)
 	}
 }
+
+// One load that takes very long, where runs had to end first, hardly delays what is known of the next ones.
+func TestOneLongLoad(t *testing.T) {
+	is := is.New(t)
+	var l loadTime
+	l.learn(false, firstLoad)
+	l.learn(false, mostLoad)
+	is.True(l.guess() <= 2*firstLoad)
+}
