Send the keyed request of TestKeys before the other one, so that its part is held

The test waits until any part is held, then sends the key again and wants 409. An unkeyed request was under way at the same moment: where its part was held first, the second send came before the first one, owned the key itself and ended by timeout. The program did what it should (one owner of a key, the other told 409).

Change: the keyed request is sent first and alone; the wait then is for its part. What is checked stays word for word.

--- a/internal/once/kill_test.go
+++ b/internal/once/kill_test.go
@@ -357,6 +357,9 @@
 	for _, s := range c.Servers {
 		s.Set(standin.Holds)
 	}
+	open := make(chan answer, 1)
+	go func() { open <- g.send("POST", "/filings/_search", "held", "held", body) }()
+	anyHolds(c) // nothing else is out: the part that is held is the keyed request's
 	gone := make(chan answer, 1)
 	go func() {
 		impatient := *client
@@ -364,9 +367,6 @@
 		_, err := impatient.Post("http://"+g.addr+"/filings/_search", "application/json", strings.NewReader(body))
 		gone <- answer{body: fmt.Sprint(err)}
 	}()
-	open := make(chan answer, 1)
-	go func() { open <- g.send("POST", "/filings/_search", "held", "held", body) }()
-	anyHolds(c)
 	if a := g.send("POST", "/filings/_search", "held", "held", body); a.status != 409 && a.status != 0 {
 		t.Errorf("while it is open: %+v", a)
 	}
