Tell declined requests from failed ones: the cause behind a wrapped error was never seen

Cause: errors of the errorx version in use have no Unwrap, so errors.Is does not see what verdict.Wrap wraps. forward.declined was false for every answer with Not-Executed or 421: the worker counted as failed (all requests of this gatherer avoided it for 150 ms to 2 s) and its connection was closed.

Change: verdict.Is looks behind both kinds of wraps; forward uses it.

What it is worth on the sites is not measured yet.

--- a/internal/system/forward/forward.go
+++ b/internal/system/forward/forward.go
@@ -268,7 +268,7 @@
 	errStrange  = errors.New("not this request's answer")
 )
 
-func declined(err error) bool { return errors.Is(err, errDeclined) }
+func declined(err error) bool { return verdict.Is(err, errDeclined) }
 
 // judge tells whether an answer is this request's and can be passed on.
 func (f *Forwarder) judge(r *Request, w *routing.Worker, answer *worker.Answer) error {
--- a/internal/system/forward/forward_test.go
+++ b/internal/system/forward/forward_test.go
@@ -181,6 +181,50 @@
 	is.True(served.Load() > 0 && unsure.Load() > 0)
 }
 
+// A worker that declines is asked again over the same connection, and does not count as failed.
+func TestDecliningWorkerKeepsItsConnection(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	is.NoErr(err)
+	t.Cleanup(func() { listener.Close() })
+	var connections, asked atomic.Int64
+	decline := func(conn net.Conn) {
+		defer conn.Close()
+		reader := textproto.NewReader(bufio.NewReader(conn))
+		for {
+			if _, err := reader.ReadLine(); err != nil {
+				return
+			}
+			head, err := reader.ReadMIMEHeader()
+			if err != nil {
+				return
+			}
+			asked.Add(1)
+			io.WriteString(conn, "HTTP/1.1 503 Full\r\nRequest-Id: "+head.Get("Request-Id")+"\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+		}
+	}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			connections.Add(1)
+			go decline(conn)
+		}
+	}()
+	table := routing.NewTable(routing.Gatherer{Name: "g"}, decisions.All(), rand.New(rand.NewPCG(1, 1)))
+	table.Put(&rpc.Instance{Id: "w", Service: "s", Capacity: 1, Address: listener.Addr().String()})
+	f := &Forwarder{Table: table, Pool: worker.NewPool(), Clock: func() int64 { return 1_000_000 }}
+	route := &configuration.Route{Name: "r", Service: "s", Type: configuration.Idempotent, MaxAttempts: 2, TimeoutMS: 5000, TargetLatencyMS: 20}
+	result := f.Do(context.Background(), &Request{ID: "r1", Method: "POST", URI: "/x", Host: "h", Route: route, Deadline: time.Now().Add(5 * time.Second)})
+	result.Release()
+	is.Equal(result.Verdict, verdict.NotRun)
+	is.Equal(asked.Load(), int64(declinesMost))
+	is.Equal(connections.Load(), int64(1))
+	is.True(verdict.Is(result.Err, errDeclined))
+}
+
 // Calls that are sent once more don't get more time than the first: workers are told the end of the whole.
 func TestWorkerDeadline(t *testing.T) {
 	is := is.New(t)
--- a/internal/system/verdict/verdict.go
+++ b/internal/system/verdict/verdict.go
@@ -55,5 +55,21 @@
 	return kind.Wrap(err, message, values...).WithProperty(property, v)
 }
 
+// Is tells whether an error is target or has it as a cause, also behind Wrap: errors of this version of errorx have no Unwrap, so errors.Is
+// does not see what they wrap.
+func Is(err, target error) bool {
+	for err != nil {
+		if errors.Is(err, target) {
+			return true
+		}
+		var x *errorx.Error
+		if !errors.As(err, &x) {
+			return false
+		}
+		err = x.Cause()
+	}
+	return false
+}
+
 // IsTimeout tells whether an error says that time ran out.
 func IsTimeout(err error) bool { return errorx.IsTimeout(err) }
