Count what the account of decisions still lacked; forward and batch in short steps

Cause: the metrics lacked refusals by worker, shared prompts met or missed, orders by cause and the waits of requests; forward.run, forward.try and batch.try each did five things in one function, and batch/item.go held the text, the score and the tries.

Change: refusals_total by service, worker, model and cause (they end with the worker, also where a refusal comes late), shared_prompts_total (the last 16 of a worker are remembered; counted only), orders_total by cause, request_wait_seconds. Counters of tries are looked up once, not by each try. forward: delivery (which worker next, what a try leads to), try.go (one try), counts.go. batch: item.go (tries), text.go, score.go. declineError takes the place of errDeclined and carries the cause; verdict.As beside verdict.Is.

Decisions are unchanged. Tests of all packages of internal/system pass (the model's proof too); new ones: refusals end with the worker, prompts that are remembered, causes of orders, loads that are read, typed causes.

--- a/internal/system/batch/item.go
+++ b/internal/system/batch/item.go
@@ -3,17 +3,15 @@
 import (
 	"context"
 	"errors"
-	"io"
-	"slices"
 	"strconv"
 	"time"
 
+	victoria "github.com/VictoriaMetrics/metrics"
 	"github.com/valyala/fasthttp"
 
 	"saffronquay/internal/system/configuration"
 	"saffronquay/internal/system/forward"
 	"saffronquay/internal/system/metrics"
-	"saffronquay/internal/system/packing"
 	"saffronquay/internal/system/routing"
 	"saffronquay/internal/system/rpc"
 	"saffronquay/internal/system/worker"
@@ -31,17 +29,6 @@
 	itemLeast = 5 * time.Second
 )
 
-// text is what has been made of an item so far.
-type text struct {
-	data     []byte
-	events   int
-	lastID   int64
-	versions []uint64
-	current  uint64
-}
-
-func (t *text) reset() { *t = text{lastID: -1} }
-
 // run works on an item until its result is known; nil where the lease was taken back.
 func (r *Runner) run(ctx context.Context, lease *rpc.Lease) *rpc.Report {
 	made := &text{lastID: -1}
@@ -86,7 +73,7 @@
 
 // place waits for a place at a worker that fits.
 func (r *Runner) place(ctx context.Context, route *configuration.Route, lease *rpc.Lease, made *text) *routing.Ticket {
-	query := &routing.Query{Model: lease.Model, MinVersion: lease.MinVersion, Item: true}
+	query := &routing.Query{Model: lease.Model, MinVersion: lease.MinVersion, Item: true, Prompt: forward.SharedPrompt(header(lease.Item, "Prefix-Hash"))}
 	for _, target := range route.Targets() {
 		if target.Weight > 0 {
 			query.Services = append(query.Services, target.Service)
@@ -122,13 +109,16 @@
 	}
 }
 
-func usage(item *rpc.Item) routing.Usage {
+func usage(item *rpc.Item) routing.Usage { return forward.ParseUsage(header(item, "Token-Usage")) }
+
+// header returns the value of an item's header field; empty where it has none.
+func header(item *rpc.Item, name string) string {
 	for _, h := range item.Headers {
-		if h.Name == "Token-Usage" {
-			return forward.ParseUsage(h.Value)
+		if h.Name == name {
+			return h.Value
 		}
 	}
-	return routing.Usage{}
+	return ""
 }
 
 type tryOutcome uint8
@@ -147,10 +137,16 @@
 // placeWaits are the times that leased items wait for a place at a worker.
 var placeWaits = metrics.Durations("item_place_wait_seconds")
 
-func countTry(outcome tryOutcome) {
-	metrics.Counter("tries_total", metrics.Label{Name: "kind", Value: "item"}, metrics.Label{Name: "verdict", Value: outcome.String()}).Inc()
+// tryCounts count tries by what became of them.
+var tryCounts = [...]*victoria.Counter{tryAgain: tryCounter(tryAgain), tryWhole: tryCounter(tryWhole), tryFailed: tryCounter(tryFailed),
+	tryImpossible: tryCounter(tryImpossible)}
+
+func tryCounter(outcome tryOutcome) *victoria.Counter {
+	return metrics.Counter("tries_total", metrics.Label{Name: "kind", Value: "item"}, metrics.Label{Name: "verdict", Value: outcome.String()})
 }
 
+func countTry(outcome tryOutcome) { tryCounts[outcome].Inc() }
+
 // try sends an item to one worker and reads its events.
 func (r *Runner) try(ctx context.Context, route *configuration.Route, lease *rpc.Lease, ticket *routing.Ticket, made *text) tryOutcome {
 	table, clock, w := r.Forwarder.Table, r.Forwarder.Clock, ticket.Worker
@@ -175,31 +171,14 @@
 		r.Forwarder.Pool.Forget(w.Address)
 		return tryAgain
 	}
-	r.Log.Debug("answer", "item", lease.Item.Id, "worker", w.ID, "status", answer.Status, "weights", answer.Header.Peek("Weight-Versions"), "length", answer.Header.ContentLength(), "not", answer.Header.Peek("Not-Executed"))
-	switch {
-	case answer.Status == fasthttp.StatusMisdirectedRequest:
-		r.noteVersion(w, lease.Model, answer)
-		table.Refused(clock(), w, lease.Model)
-		return tryAgain
-	case len(answer.Header.Peek("Not-Executed")) > 0:
-		table.Refused(clock(), w, lease.Model)
-		return tryAgain
-	case answer.Status == fasthttp.StatusUnprocessableEntity:
-		return tryImpossible
-	case answer.Status == fasthttp.StatusInternalServerError:
-		return tryFailed
-	case answer.Status >= 300:
-		table.Refused(clock(), w, lease.Model)
-		return tryAgain
+	r.Log.Debug("answer", "item", lease.Item.Id, "worker", w.ID, "status", answer.Status, "weights", answer.Header.Peek("Weight-Versions"),
+		"not", answer.Header.Peek("Not-Executed"))
+	if outcome, ended := r.judge(lease, w, answer); ended {
+		return outcome
 	}
-	version := r.noteVersion(w, lease.Model, answer)
-	if version < lease.MinVersion || lease.SingleVersion && made.events > 0 && version != made.current {
-		if version >= lease.MinVersion {
-			made.reset()
-		}
+	if !made.fits(lease, r.noteVersion(w, lease.Model, answer)) {
 		return tryAgain
 	}
-	made.current = version
 	switch err := r.read(answer, lease, w, made, silence); {
 	case err == nil:
 		table.Served(w)
@@ -214,6 +193,28 @@
 	return tryAgain
 }
 
+// judge tells what follows from an answer's head; ended is false where its events are to be read.
+func (r *Runner) judge(lease *rpc.Lease, w *routing.Worker, answer *worker.Answer) (outcome tryOutcome, ended bool) {
+	refused := func(cause routing.RefusalCause) (tryOutcome, bool) {
+		r.Forwarder.Table.Refused(r.Forwarder.Clock(), w, lease.Model, cause)
+		return tryAgain, true
+	}
+	switch {
+	case answer.Status == fasthttp.StatusMisdirectedRequest:
+		r.noteVersion(w, lease.Model, answer)
+		return refused(routing.RefusedMisdirected)
+	case len(answer.Header.Peek("Not-Executed")) > 0:
+		return refused(routing.RefusedNotExecuted)
+	case answer.Status == fasthttp.StatusUnprocessableEntity:
+		return tryImpossible, true
+	case answer.Status == fasthttp.StatusInternalServerError:
+		return tryFailed, true
+	case answer.Status >= 300:
+		return refused(routing.RefusedStatus)
+	}
+	return tryAgain, false
+}
+
 func (r *Runner) noteVersion(w *routing.Worker, model string, answer *worker.Answer) uint64 {
 	version, err := strconv.ParseUint(string(answer.Header.Peek("Weight-Versions")), 10, 64)
 	if err == nil {
@@ -238,104 +239,3 @@
 	}
 	return headers
 }
-
-var (
-	errVersion = errors.New("batch: the version of the weights changed within a text")
-	errOrder   = errors.New("batch: an event is missing or stands twice")
-)
-
-// read adds an answer's events to the text; no error says that the text is whole.
-func (r *Runner) read(answer *worker.Answer, lease *rpc.Lease, w *routing.Worker, made *text, silence *time.Timer) error {
-	events := worker.NewEvents(answer)
-	for {
-		event, err := events.Next()
-		if errors.Is(err, io.EOF) {
-			if made.events == 0 {
-				return io.ErrUnexpectedEOF
-			}
-			return nil
-		}
-		if err != nil {
-			return err
-		}
-		silence.Reset(r.Patience.Between)
-		if event.Version != 0 && event.Version != made.current {
-			r.Forwarder.Table.SawVersion(w, lease.Model, event.Version)
-			if lease.SingleVersion && made.events > 0 {
-				made.reset()
-				return errVersion
-			}
-			made.current = event.Version
-		}
-		if made.events > 0 && event.ID >= 0 && event.ID <= made.lastID {
-			made.reset()
-			return errOrder
-		}
-		if made.events > 0 {
-			made.data = append(made.data, '\n')
-		}
-		made.data = append(made.data, event.Data...)
-		made.events++
-		made.lastID = event.ID
-		if !slices.Contains(made.versions, made.current) {
-			made.versions = append(made.versions, made.current)
-		}
-	}
-}
-
-const (
-	// scoreTries bounds how often a text's reward call is made anew.
-	scoreTries = 8
-	// scoreLeast is the least time that one of these tries has, and scoreTimeouts the time for all of them, in timeouts of the route. Workers are
-	// told the end of that whole time each time: a call that is sent once more must not be given more time than the first.
-	scoreLeast    = 500 // ms
-	scoreTimeouts = 3
-)
-
-// score has a whole text scored, where the item asks for that.
-func (r *Runner) score(ctx context.Context, lease *rpc.Lease, made *text) *rpc.Report {
-	result := &rpc.Result{Completed: true, Text: packing.Texts.Pack(made.data), WeightVersions: made.versions}
-	scorer := lease.Item.Scorer
-	if scorer == nil {
-		return &rpc.Report{Result: result}
-	}
-	errors500 := 0
-	var end time.Time
-	for range scoreTries {
-		route := r.Table().Find(scorer.Host, scorer.Path)
-		if route == nil {
-			return &rpc.Report{Result: &rpc.Result{}}
-		}
-		left := time.Duration(max(route.TimeoutMS, scoreLeast)) * time.Millisecond
-		if end.IsZero() {
-			end = time.Now().Add(scoreTimeouts * left)
-		} else if time.Now().After(end) {
-			break
-		}
-		answer := r.Forwarder.Do(ctx, &forward.Request{ID: scorer.Id, Method: fasthttp.MethodPost, URI: scorer.Path, Host: scorer.Host, Body: scorer.Body,
-			Route: route, Deadline: earlier(time.Now().Add(left), end), WorkerDeadline: end})
-		errors500 += answer.Errors
-		if answer.Err == nil && answer.Status < 300 {
-			result.Score = string(answer.Answer.Header.Peek("Response-Stamp"))
-			answer.Release()
-			return &rpc.Report{Result: result}
-		}
-		answer.Release()
-		r.Log.Debug("reward call", "item", lease.Item.Id, "status", answer.Status, "error", answer.Err, "errors", answer.Errors)
-		if ctx.Err() != nil {
-			return nil
-		}
-		if errors500 >= max(route.MaxAttempts, 1) {
-			return &rpc.Report{Result: &rpc.Result{}}
-		}
-		pause(ctx, retryPause)
-	}
-	return &rpc.Report{Released: true}
-}
-
-func earlier(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
--- /dev/null
+++ b/internal/system/batch/score.go
@@ -0,0 +1,69 @@
+package batch
+
+import (
+	"context"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"saffronquay/internal/system/forward"
+	"saffronquay/internal/system/packing"
+	"saffronquay/internal/system/rpc"
+)
+
+const (
+	// scoreTries bounds how often a text's reward call is made anew.
+	scoreTries = 8
+	// scoreLeast is the least time that one of these tries has, and scoreTimeouts the time for all of them, in timeouts of the route. Workers are
+	// told the end of that whole time each time: a call that is sent once more must not be given more time than the first.
+	scoreLeast    = 500 // ms
+	scoreTimeouts = 3
+)
+
+// score has a whole text scored, where the item asks for that.
+func (r *Runner) score(ctx context.Context, lease *rpc.Lease, made *text) *rpc.Report {
+	result := &rpc.Result{Completed: true, Text: packing.Texts.Pack(made.data), WeightVersions: made.versions}
+	scorer := lease.Item.Scorer
+	if scorer == nil {
+		return &rpc.Report{Result: result}
+	}
+	errors500 := 0
+	var end time.Time
+	for range scoreTries {
+		route := r.Table().Find(scorer.Host, scorer.Path)
+		if route == nil {
+			return &rpc.Report{Result: &rpc.Result{}}
+		}
+		left := time.Duration(max(route.TimeoutMS, scoreLeast)) * time.Millisecond
+		if end.IsZero() {
+			end = time.Now().Add(scoreTimeouts * left)
+		} else if time.Now().After(end) {
+			break
+		}
+		answer := r.Forwarder.Do(ctx, &forward.Request{ID: scorer.Id, Method: fasthttp.MethodPost, URI: scorer.Path, Host: scorer.Host, Body: scorer.Body,
+			Route: route, Deadline: earlier(time.Now().Add(left), end), WorkerDeadline: end})
+		errors500 += answer.Errors
+		if answer.Err == nil && answer.Status < 300 {
+			result.Score = string(answer.Answer.Header.Peek("Response-Stamp"))
+			answer.Release()
+			return &rpc.Report{Result: result}
+		}
+		answer.Release()
+		r.Log.Debug("reward call", "item", lease.Item.Id, "status", answer.Status, "error", answer.Err, "errors", answer.Errors)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if errors500 >= max(route.MaxAttempts, 1) {
+			return &rpc.Report{Result: &rpc.Result{}}
+		}
+		pause(ctx, retryPause)
+	}
+	return &rpc.Report{Released: true}
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
--- a/internal/system/forward/forward.go
+++ b/internal/system/forward/forward.go
@@ -13,7 +13,6 @@
 	"github.com/valyala/fasthttp"
 
 	"saffronquay/internal/system/configuration"
-	"saffronquay/internal/system/metrics"
 	"saffronquay/internal/system/routing"
 	"saffronquay/internal/system/verdict"
 	"saffronquay/internal/system/worker"
@@ -29,6 +28,8 @@
 	WorkerDeadline        time.Time // that workers are told, where it is later
 	Usage                 routing.Usage
 	Model                 string
+	Prompt                string    // names the shared part that its prompt begins with; empty: none
+	Arrived               time.Time // from the client; zero: it comes from none
 }
 
 // Result is what became of it. Where Answer is set, its body hasn't been read; Release has to be called.
@@ -70,15 +71,8 @@
 // ErrNoWorker says that no worker may take the request now.
 var ErrNoWorker = errors.New("forward: no worker may take the request")
 
-const (
-	declinePause = 8 * time.Millisecond
-	dialShare    = 300 * time.Millisecond
-	// patience is how many times the usual latency a try of a repeatable request may take before another worker is asked.
-	patience = 5
-)
-
-// attempt is the outcome of one try.
-type attempt struct{ result Result }
+// declinePause is how long a request waits once every worker was asked.
+const declinePause = 8 * time.Millisecond
 
 // Do sends a request and reads the whole answer.
 func (f *Forwarder) Do(ctx context.Context, r *Request) Result { return f.run(ctx, r, true) }
@@ -88,53 +82,107 @@
 
 func (f *Forwarder) run(ctx context.Context, r *Request, whole bool) Result {
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
-	tried := map[string]bool{}
-	services := order(r.Route)
-	errors500 := 0
-	tries := NewTries(r.Route.Repeatable(), r.Route.MaxAttempts)
-	last := Result{Verdict: verdict.NotRun, Err: ErrNoWorker}
+	d := f.newDelivery(r, whole)
+	result, answered := d.work(ctx)
+	if answered {
+		result.cancel = cancel
+		return result
+	}
+	cancel()
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		result.Err = verdict.Wrap(verdict.TimedOut, result.Verdict, ctx.Err(), "out of time")
+	}
+	return result
+}
+
+// delivery is one request on its way to the workers.
+type delivery struct {
+	*Forwarder
+	request   *Request
+	whole     bool // the answer's body is read here
+	services  []string
+	tried     map[string]bool // workers
+	tries     *Tries
+	errors500 int
+	last      Result // what there is to tell if nothing better comes
+}
+
+func (f *Forwarder) newDelivery(r *Request, whole bool) *delivery {
+	return &delivery{Forwarder: f, request: r, whole: whole, services: order(r.Route), tried: map[string]bool{},
+		tries: NewTries(r.Route.Repeatable(), r.Route.MaxAttempts), last: Result{Verdict: verdict.NotRun, Err: ErrNoWorker}}
+}
+
+// work asks workers until one has answered, no more may be asked, or the context ends. answered is false where no answer can be passed on.
+func (d *delivery) work(ctx context.Context) (result Result, answered bool) {
 	for ctx.Err() == nil {
-		ticket := f.pick(r, services, tried)
-		if ticket == nil && len(tried) > 0 {
-			clear(tried) // every worker was asked once
-			if !pause(ctx, declinePause) {
-				break
-			}
-			ticket = f.pick(r, services, tried)
-		}
+		ticket := d.next(ctx)
 		if ticket == nil {
 			break
 		}
-		tried[ticket.Worker.ID] = true
-		try := f.try(ctx, r, ticket, whole, tries.Last())
-		last.Offered = true
-		if try.result.Err == nil {
-			try.result.cancel, try.result.Errors, try.result.Offered = cancel, errors500, true
-			if try.result.Status == fasthttp.StatusInternalServerError {
-				try.result.Errors++
-				errors500++
-				if tries.After(verdict.Ran) && ctx.Err() == nil {
-					try.result.cancel = nil
-					try.result.Release()
-					last = Result{Verdict: verdict.Ran, Err: errAnswer, Errors: errors500, Offered: true}
-					continue
-				}
+		d.countWait()
+		d.tried[ticket.Worker.ID] = true
+		d.last.Offered = true
+		result = d.try(ctx, ticket)
+		switch {
+		case result.Err != nil:
+			if !d.unanswered(&result) {
+				return d.last, false
 			}
-			return try.result
+		case !d.retriesError(ctx, &result):
+			result.Errors, result.Offered = d.errors500, true
+			return result, true
 		}
-		last.Err, last.Errors = try.result.Err, errors500
-		if try.result.Verdict != verdict.NotRun {
-			last.Verdict = verdict.MayHaveRun
-		}
-		if !tries.After(try.result.Verdict) {
-			break
+	}
+	return d.last, false
+}
+
+// next picks a worker that has not been asked yet; once all have been, after a pause any of them.
+func (d *delivery) next(ctx context.Context) *routing.Ticket {
+	ticket := d.pick()
+	if ticket != nil || len(d.tried) == 0 {
+		return ticket
+	}
+	clear(d.tried)
+	if !pause(ctx, declinePause) {
+		return nil
+	}
+	return d.pick()
+}
+
+// pick asks the services in turn: the others only where the drawn one has nobody.
+func (d *delivery) pick() *routing.Ticket {
+	r := d.request
+	cost := d.Table.Cost(r.Route.Name, r.Route.TargetLatencyMS, r.Usage)
+	for _, service := range d.services {
+		query := &routing.Query{Services: []string{service}, Model: r.Model, Without: d.tried, Prompt: r.Prompt}
+		if ticket := d.Table.Pick(d.Clock(), query, cost); ticket != nil {
+			return ticket
 		}
 	}
-	cancel()
-	if ctx.Err() != nil && errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		last.Err = verdict.Wrap(verdict.TimedOut, last.Verdict, ctx.Err(), "out of time")
+	return nil
+}
+
+// unanswered takes in a try without an answer, and tells whether another worker may be asked.
+func (d *delivery) unanswered(try *Result) (again bool) {
+	d.last.Err, d.last.Errors = try.Err, d.errors500
+	if try.Verdict != verdict.NotRun {
+		d.last.Verdict = verdict.MayHaveRun
 	}
-	return last
+	return d.tries.After(try.Verdict)
+}
+
+// retriesError takes in an answer, and tells whether it is an error of the worker after which another one is asked.
+func (d *delivery) retriesError(ctx context.Context, try *Result) bool {
+	if try.Status != fasthttp.StatusInternalServerError {
+		return false
+	}
+	d.errors500++
+	if !d.tries.After(verdict.Ran) || ctx.Err() != nil {
+		return false
+	}
+	try.Release()
+	d.last = Result{Verdict: verdict.Ran, Err: errAnswer, Errors: d.errors500, Offered: true}
+	return true
 }
 
 var errAnswer = errors.New("forward: the worker failed")
@@ -172,121 +220,6 @@
 	return names
 }
 
-// pick asks the services in turn: the others only where the drawn one has nobody.
-func (f *Forwarder) pick(r *Request, services []string, tried map[string]bool) *routing.Ticket {
-	cost := f.Table.Cost(r.Route.Name, r.Route.TargetLatencyMS, r.Usage)
-	for _, service := range services {
-		query := &routing.Query{Services: []string{service}, Model: r.Model, Without: tried}
-		if ticket := f.Table.Pick(f.Clock(), query, cost); ticket != nil {
-			return ticket
-		}
-	}
-	return nil
-}
-
-// try sends a request to one worker.
-func (f *Forwarder) try(ctx context.Context, r *Request, ticket *routing.Ticket, whole, final bool) attempt {
-	w := ticket.Worker
-	begun := time.Now()
-	tryCtx, cancel := context.WithCancel(ctx)
-	if !final && r.Route.Repeatable() && whole {
-		usual := f.Table.Average(r.Route.Name, r.Route.TargetLatencyMS)
-		timer := time.AfterFunc(time.Duration(max(patience*usual, 0.6*r.Route.TargetLatencyMS)*float64(time.Millisecond)), cancel)
-		defer timer.Stop()
-	}
-	answer, err := f.Pool.Do(tryCtx, &worker.Call{Address: w.Address, Method: r.Method, URI: r.URI, Host: r.Host, Headers: r.headers(w.ID), Body: r.Body, DialTime: dialShare})
-	if err == nil {
-		err = f.judge(r, w, answer)
-	}
-	var body []byte
-	if err == nil && whole {
-		if body, err = answer.ReadAll(); err != nil {
-			err = verdict.Wrap(verdict.Failed, verdict.MayHaveRun, err, "read the answer of %s", w.ID)
-		}
-	}
-	if err != nil {
-		switch {
-		case answer == nil:
-		case declined(err):
-			answer.Close() // it is this call's, and the connection is as good as before
-		default:
-			answer.Discard()
-		}
-		ticket.Clear()
-		cancel()
-		v := verdict.Of(err)
-		countTry(v.String())
-		if ctx.Err() == nil || v == verdict.NotRun && !declined(err) {
-			if declined(err) {
-				f.Table.Refused(f.Clock(), w, r.Model)
-			} else {
-				f.Table.Failed(f.Clock(), w)
-			}
-		}
-		return attempt{result: Result{Err: err, Verdict: v}}
-	}
-	f.Table.Served(w)
-	countTry(served)
-	result := Result{Answer: answer, Status: answer.Status, Body: body}
-	if whole {
-		took := time.Since(begun)
-		ticket.Clear()
-		if answer.Status < 300 {
-			f.Table.Learn(r.Route.Name, r.Route.TargetLatencyMS, float64(took.Microseconds())/1000, r.Usage)
-		}
-		f.load(r, w, answer)
-		result.stop = cancel
-		return attempt{result: result}
-	}
-	result.ticket = ticket
-	result.stop = cancel
-	return attempt{result: result}
-}
-
-// served is the verdict of tries that brought an answer.
-const served = "served"
-
-func countTry(verdict string) {
-	metrics.Counter("tries_total", metrics.Label{Name: "kind", Value: "request"}, metrics.Label{Name: "verdict", Value: verdict}).Inc()
-}
-
-// load resets a worker's backlog to what it says of its load.
-func (f *Forwarder) load(r *Request, w *routing.Worker, answer *worker.Answer) {
-	parts := strings.Split(string(answer.Header.Peek("Instance-Load")), ",")
-	if len(parts) < 2 {
-		return
-	}
-	running, err := strconv.Atoi(strings.TrimSpace(parts[0]))
-	waiting, err2 := strconv.Atoi(strings.TrimSpace(parts[1]))
-	if err == nil && err2 == nil {
-		f.Table.Reported(w, running, waiting, f.Table.Average(r.Route.Name, r.Route.TargetLatencyMS))
-	}
-}
-
-var (
-	errDeclined = errors.New("declined")
-	errStrange  = errors.New("not this request's answer")
-)
-
-func declined(err error) bool { return verdict.Is(err, errDeclined) }
-
-// judge tells whether an answer is this request's and can be passed on.
-func (f *Forwarder) judge(r *Request, w *routing.Worker, answer *worker.Answer) error {
-	switch {
-	case !answer.Belongs(r.ID):
-		f.Pool.Forget(w.Address)
-		return verdict.Wrap(verdict.Failed, verdict.MayHaveRun, errStrange, "worker %s", w.ID)
-	case len(answer.Header.Peek("Not-Executed")) > 0 || answer.Status == fasthttp.StatusMisdirectedRequest:
-		return verdict.Wrap(verdict.Failed, verdict.NotRun, errDeclined, "worker %s answered %d", w.ID, answer.Status)
-	case answer.Status < 300 && len(answer.Header.Peek("Response-Stamp")) == 0:
-		return verdict.Wrap(verdict.Failed, verdict.MayHaveRun, errStrange, "worker %s: no stamp", w.ID)
-	case answer.Status == fasthttp.StatusServiceUnavailable || answer.Status == fasthttp.StatusTooManyRequests || answer.Status == fasthttp.StatusRequestTimeout:
-		// These would promise the client that the request has not run, which the worker doesn't say.
-		return verdict.Wrap(verdict.Failed, verdict.MayHaveRun, nil, "worker %s answered %d", w.ID, answer.Status)
-	}
-	return nil
-}
-
 // headers are those of the request with what is added for a worker.
 func (r *Request) headers(instance string) []worker.Header {
 	until := r.Deadline
@@ -300,6 +233,13 @@
 		worker.Header{Name: "Expect-Instance", Value: instance})
 }
 
+// SharedPrompt names the shared part that a prompt begins with, from a Prefix-Hash header; empty where there is none.
+func SharedPrompt(value string) string {
+	first, _, _ := strings.Cut(value, ",")
+	name, _, _ := strings.Cut(first, ":")
+	return strings.TrimSpace(name)
+}
+
 // ParseUsage reads a Token-Usage header: tokens of the prompt, and the most that are generated.
 func ParseUsage(value string) (u routing.Usage) {
 	prompt, output, _ := strings.Cut(value, ",")
--- a/internal/system/forward/forward_test.go
+++ b/internal/system/forward/forward_test.go
@@ -222,7 +222,24 @@
 	is.Equal(result.Verdict, verdict.NotRun)
 	is.Equal(asked.Load(), int64(declinesMost))
 	is.Equal(connections.Load(), int64(1))
-	is.True(verdict.Is(result.Err, errDeclined))
+	is.True(declined(result.Err))
+}
+
+func TestSharedPrompt(t *testing.T) {
+	is := is.New(t)
+	is.Equal(SharedPrompt("9c2e41:300,5d07b8:240"), "9c2e41")
+	is.Equal(SharedPrompt(" 9c2e41:300"), "9c2e41")
+	is.Equal(SharedPrompt(""), "")
+}
+
+func TestParseLoad(t *testing.T) {
+	is := is.New(t)
+	running, waiting, ok := parseLoad("3, 4,0.5")
+	is.True(ok && running == 3 && waiting == 4)
+	for _, broken := range []string{"", "3", "x,4", "3,y"} {
+		_, _, ok = parseLoad(broken)
+		is.True(!ok)
+	}
 }
 
 // Calls that are sent once more don't get more time than the first: workers are told the end of the whole.
--- a/internal/system/metrics/metrics.go
+++ b/internal/system/metrics/metrics.go
@@ -36,6 +36,11 @@
 	return metrics.GetOrCreateCounter(series(name, labels))
 }
 
+// Forget ends the figure of a name and labels.
+func Forget(name string, labels ...Label) {
+	metrics.UnregisterMetric(series(name, labels))
+}
+
 // Durations returns the histogram of a name and labels, in seconds.
 func Durations(name string, labels ...Label) *metrics.Histogram {
 	return metrics.GetOrCreateHistogram(series(name, labels))
--- a/internal/system/proxy/handler.go
+++ b/internal/system/proxy/handler.go
@@ -119,7 +119,8 @@
 		return
 	}
 	request := &forward.Request{ID: id, Method: string(ctx.Method()), URI: path, Host: host, Body: ctx.PostBody(), Route: route,
-		Headers: endToEnd(ctx), Deadline: deadline(ctx, route), Usage: usage(ctx), Model: string(ctx.Request.Header.Peek("Model"))}
+		Headers: endToEnd(ctx), Deadline: deadline(ctx, route), Usage: usage(ctx), Model: string(ctx.Request.Header.Peek("Model")),
+		Prompt: forward.SharedPrompt(string(ctx.Request.Header.Peek("Prefix-Hash"))), Arrived: ctx.Time()}
 	within, stop := untilDeparture(ctx, watchAfter)
 	if route.Type == configuration.Streaming {
 		p.stream(ctx, within, stop, request)
--- a/internal/system/routing/avoidance.go
+++ b/internal/system/routing/avoidance.go
@@ -25,11 +25,21 @@
 	w.avoidUntil = now + int64(min(avoidFirstMS<<min(w.failures-1, 10), avoidMostMS))
 }
 
+// RefusalCause is what a worker's answer says of why it has declined a request.
+type RefusalCause string
+
+// The causes.
+const (
+	RefusedNotExecuted RefusalCause = "not_executed" // it is full, loads weights, or the request's time was over in its queue
+	RefusedMisdirected RefusalCause = "misdirected"  // another process has its address, or it has another version
+	RefusedStatus      RefusalCause = "status"       // any other status that is no success
+)
+
 // Refused notes that a worker has declined a request for a model; empty where the request names none.
-func (t *Table) Refused(now int64, w *Worker, model string) {
+func (t *Table) Refused(now int64, w *Worker, model string, cause RefusalCause) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	countRefusal(w, model)
+	w.refusalCounts.add(w, model, cause)
 	old := w.refusals[model]
 	if now < old.until {
 		return // it was on its way when the first of them was declined
--- a/internal/system/routing/choice.go
+++ b/internal/system/routing/choice.go
@@ -58,6 +58,9 @@
 		return nil
 	}
 	countPick(q.Item, best.avoided, ties)
+	if q.Prompt != "" {
+		sharedPrompts[best.worker.prompts.meet(q.Prompt)].Inc()
+	}
 	return t.charge(best.worker, cost, q.Item)
 }
 
--- a/internal/system/routing/counts.go
+++ b/internal/system/routing/counts.go
@@ -37,7 +37,45 @@
 	picks[item][reason].Inc()
 }
 
-// countRefusal counts what workers decline.
-func countRefusal(w *Worker, model string) {
-	metrics.Counter("refusals_total", metrics.Label{Name: "service", Value: w.Service}, metrics.Label{Name: "model", Value: model}).Inc()
+// refusalCounts count what one worker has declined. They end with the worker: each start of a worker has a name of its own.
+type refusalCounts map[refusalKind]*victoria.Counter
+
+// refusalKind is what refusals are counted by.
+type refusalKind struct {
+	model string
+	cause RefusalCause
+}
+
+// add counts a refusal; nothing where the worker is gone.
+func (c refusalCounts) add(w *Worker, model string, cause RefusalCause) {
+	if c == nil {
+		return
+	}
+	kind := refusalKind{model, cause}
+	counter := c[kind]
+	if counter == nil {
+		counter = metrics.Counter("refusals_total", kind.labels(w)...)
+		c[kind] = counter
+	}
+	counter.Inc()
+}
+
+// forget ends the counters of a worker that is gone.
+func (c refusalCounts) forget(w *Worker) {
+	for kind := range c {
+		metrics.Forget("refusals_total", kind.labels(w)...)
+	}
+	clear(c)
+}
+
+func (k refusalKind) labels(w *Worker) []metrics.Label {
+	return []metrics.Label{{Name: "service", Value: w.Service}, {Name: "worker", Value: w.ID}, {Name: "model", Value: k.model},
+		{Name: "cause", Value: string(k.cause)}}
+}
+
+// sharedPrompts counts requests with a shared part by whether this gatherer has sent that part to the worker lately.
+var sharedPrompts = map[bool]*victoria.Counter{true: sharedPromptCounter("met"), false: sharedPromptCounter("missed")}
+
+func sharedPromptCounter(outcome string) *victoria.Counter {
+	return metrics.Counter("shared_prompts_total", metrics.Label{Name: "outcome", Value: outcome})
 }
--- /dev/null
+++ b/internal/system/routing/counts_test.go
@@ -0,0 +1,30 @@
+package routing
+
+import (
+	"math/rand/v2"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"saffronquay/internal/system/decisions"
+	"saffronquay/internal/system/metrics"
+	"saffronquay/internal/system/rpc"
+)
+
+// What a worker has declined is told as long as the worker is there.
+func TestRefusalsAreToldByWorker(t *testing.T) {
+	is := is.New(t)
+	x := NewTable(Gatherer{Name: "g"}, decisions.All(), rand.New(rand.NewPCG(1, 1)))
+	x.Put(&rpc.Instance{Id: "counted", Service: "s", Capacity: 1})
+	w := x.byID["counted"]
+	told := func() bool {
+		return strings.Contains(metrics.Text(), `saffronquay_refusals_total{service="s",worker="counted",model="m",cause="misdirected"} 1`)
+	}
+	x.Refused(1000, w, "m", RefusedMisdirected)
+	is.True(told())
+	x.Remove("counted")
+	is.True(!told())
+	x.Refused(2000, w, "m", RefusedMisdirected) // it was on its way
+	is.True(!told())
+}
--- a/internal/system/routing/filter.go
+++ b/internal/system/routing/filter.go
@@ -8,6 +8,7 @@
 	Exact      uint64          // the only version that fits; 0: any from MinVersion on
 	Without    map[string]bool // workers that were asked already
 	Item       bool            // an item of a batch job: it goes only where this gatherer has a place, and can wait for one
+	Prompt     string          // names the shared part that the prompt begins with; empty: none. It is counted only
 }
 
 // allows tells whether the request may go to a worker.
--- a/internal/system/routing/subset_test.go
+++ b/internal/system/routing/subset_test.go
@@ -47,7 +47,7 @@
 	is := is.New(t)
 	x := newFleet(decisions.All(), 8, 8, 4, 6)[0]
 	x.Failed(0, x.byID["w00"])
-	x.Refused(0, x.byID["w04"], "")
+	x.Refused(0, x.byID["w04"], "", RefusedNotExecuted)
 	is.Equal(spread(x, anywhere, 50)["z0"], 0)
 	y := newFleet(decisions.All(), 8, 8, 4, 6)[0]
 	is.Equal(spread(y, &Query{Services: []string{"s"}, Without: map[string]bool{"w00": true, "w04": true}}, 50)["z0"], 0)
--- a/internal/system/routing/table.go
+++ b/internal/system/routing/table.go
@@ -22,6 +22,8 @@
 	failures       int     // in a row
 	avoidUntil     int64
 	refusals       map[string]refusal // by model
+	refusalCounts  refusalCounts
+	prompts        recentPrompts
 }
 
 // usable tells whether a worker takes part in the division of places and in subsets. All gatherers know that of a worker in the same way.
@@ -69,7 +71,7 @@
 	defer t.mu.Unlock()
 	w := t.byID[i.Id]
 	if w == nil {
-		w = &Worker{ID: i.Id, Service: i.Service, versions: map[string]uint64{}, refusals: map[string]refusal{}}
+		w = &Worker{ID: i.Id, Service: i.Service, versions: map[string]uint64{}, refusals: map[string]refusal{}, refusalCounts: refusalCounts{}}
 		t.byID[i.Id] = w
 		t.byService[i.Service] = append(t.byService[i.Service], w)
 		delete(t.shares, w.Service)
@@ -93,6 +95,8 @@
 		return
 	}
 	w.draining, w.lost = true, true
+	w.refusalCounts.forget(w)
+	w.refusalCounts = nil
 	delete(t.byID, id)
 	delete(t.shares, w.Service)
 	t.byService[w.Service] = slices.DeleteFunc(t.byService[w.Service], func(x *Worker) bool { return x == w })
--- a/internal/system/routing/table_test.go
+++ b/internal/system/routing/table_test.go
@@ -104,7 +104,7 @@
 	rooms, want := x.Rooms(0, []string{"s"})
 	is.Equal(want, 9)
 	is.Equal(len(rooms), 2)
-	x.Refused(0, k.Worker, "m")
+	x.Refused(0, k.Worker, "m", RefusedNotExecuted)
 	_, want = x.Rooms(1, []string{"s"})
 	is.Equal(want, 5)
 }
--- a/internal/system/verdict/verdict.go
+++ b/internal/system/verdict/verdict.go
@@ -55,18 +55,27 @@
 	return kind.Wrap(err, message, values...).WithProperty(property, v)
 }
 
-// Is tells whether an error is target or has it as a cause, also behind Wrap: errors of this version of errorx have no Unwrap, so errors.Is
-// does not see what they wrap.
+// Is is errors.Is that also looks behind Wrap: errors of this version of errorx have no Unwrap.
 func Is(err, target error) bool {
+	return anyCause(err, func(err error) bool { return errors.Is(err, target) })
+}
+
+// As is errors.As that also looks behind Wrap.
+func As(err error, target any) bool {
+	return anyCause(err, func(err error) bool { return errors.As(err, target) })
+}
+
+// anyCause tells whether an error or one that it wraps by errorx is as wanted.
+func anyCause(err error, wanted func(error) bool) bool {
 	for err != nil {
-		if errors.Is(err, target) {
+		if wanted(err) {
 			return true
 		}
-		var x *errorx.Error
-		if !errors.As(err, &x) {
+		var wrap *errorx.Error
+		if !errors.As(err, &wrap) {
 			return false
 		}
-		err = x.Cause()
+		err = wrap.Cause()
 	}
 	return false
 }
--- a/internal/system/verdict/verdict_test.go
+++ b/internal/system/verdict/verdict_test.go
@@ -8,6 +8,19 @@
 	"github.com/matryer/is"
 )
 
+type typed struct{ number int }
+
+func (typed) Error() string { return "typed" }
+
+// A cause of a type is found as it was given.
+func TestTypedCauseIsFoundBehindWraps(t *testing.T) {
+	is := is.New(t)
+	var found typed
+	is.True(As(Wrap(Failed, NotRun, fmt.Errorf("with: %w", typed{7}), "worker"), &found))
+	is.Equal(found.number, 7)
+	is.True(!As(Wrap(Failed, NotRun, errors.New("other"), "worker"), &found))
+}
+
 // The cause of an error is found behind any number of wraps of either kind.
 func TestCauseIsFoundBehindWraps(t *testing.T) {
 	is := is.New(t)
--- a/internal/system/weights/holder.go
+++ b/internal/system/weights/holder.go
@@ -188,10 +188,10 @@
 	}
 }
 
-// countOrder counts orders by mode and by what the worker said; status 0: nothing.
+// countOrder counts orders by why they are sent, by mode, and by what the worker said; status 0: nothing.
 func countOrder(order Order, status int) {
-	metrics.Counter("orders_total", metrics.Label{Name: "model", Value: order.Model}, metrics.Label{Name: "mode", Value: string(order.Mode)},
-		metrics.Label{Name: "status", Value: strconv.Itoa(status)}).Inc()
+	metrics.Counter("orders_total", metrics.Label{Name: "model", Value: order.Model}, metrics.Label{Name: "cause", Value: string(order.Cause)},
+		metrics.Label{Name: "mode", Value: string(order.Mode)}, metrics.Label{Name: "status", Value: strconv.Itoa(status)}).Inc()
 }
 
 func (h *Holder) pause(ctx context.Context, d time.Duration) bool {
--- a/internal/system/weights/plan.go
+++ b/internal/system/weights/plan.go
@@ -26,6 +26,27 @@
 	Model    string
 	Version  uint64
 	Mode     Mode
+	Cause    Cause
+}
+
+// Cause is why weights are ordered.
+type Cause string
+
+// The causes.
+const (
+	NextVersion Cause = "next_version" // the worker has the version before
+	Skips       Cause = "skips"        // it has one further back: the versions between were never loaded there
+	Empty       Cause = "empty"        // it has none
+)
+
+func causeOf(has, wanted uint64) Cause {
+	switch {
+	case has == 0:
+		return Empty
+	case wanted-has > 1:
+		return Skips
+	}
+	return NextVersion
 }
 
 // Rules are what a plan follows.
@@ -80,7 +101,8 @@
 			if rules.Single(m.Name) {
 				mode = Wait
 			}
-			candidates = append(candidates, candidate{Order{w, m.Name, wanted[m.Name], mode}, wanted[m.Name] - m.Version, held[m.Name]})
+			candidates = append(candidates, candidate{Order{w, m.Name, wanted[m.Name], mode, causeOf(m.Version, wanted[m.Name])},
+				wanted[m.Name] - m.Version, held[m.Name]})
 		}
 	}
 	// The models go first of whose workers the smallest part has the version, and of these the workers that lag most.
--- a/internal/system/weights/weights_test.go
+++ b/internal/system/weights/weights_test.go
@@ -84,3 +84,15 @@
 	d.Note(1000+holdMS+1, "x", map[string]float64{"a": 5})
 	is.Equal(d.Slots(1000+holdMS+1, "a"), 12.0)
 }
+
+// Orders tell why they are sent.
+func TestOrdersTellTheirCause(t *testing.T) {
+	is := is.New(t)
+	for has, want := range map[uint64]Cause{0: Empty, 4: NextVersion, 3: Skips} {
+		w := workers(1, "a")
+		w[0].Models[0].Version = has
+		orders := Plan(w, map[string]uint64{"a": 5}, nil, rules())
+		is.Equal(len(orders), 1)
+		is.Equal(orders[0].Cause, want)
+	}
+}
