--- a/internal/system/weights/holder.go
+++ b/internal/system/weights/holder.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
+	"maps"
 	"strconv"
 	"sync"
 	"time"
@@ -41,8 +42,8 @@
 	Log    *slog.Logger
 
 	mu     sync.Mutex
-	busy   map[string]bool
-	held   uint64 // epoch under which this machine is recorded as the holder
+	busy   map[string]string // the models of the orders under way, by worker
+	held   uint64            // epoch under which this machine is recorded as the holder
 	client fasthttp.Client
 	loads  map[Mode]*loadTime // by mode: in the one, what runs ends first
 }
@@ -65,7 +66,7 @@
 
 // Run works until the context ends.
 func (h *Holder) Run(ctx context.Context) {
-	h.busy, h.loads = map[string]bool{}, map[Mode]*loadTime{Wait: {}, Retain: {}}
+	h.busy, h.loads = map[string]string{}, map[Mode]*loadTime{Wait: {}, Retain: {}}
 	h.client = fasthttp.Client{Dial: transport.Dial, MaxIdemponentCallAttempts: 1, MaxIdleConnDuration: idleMost, NoDefaultUserAgentHeader: true,
 		RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false }}
 	ticker := time.NewTicker(round)
@@ -87,10 +88,7 @@
 		return
 	}
 	h.mu.Lock()
-	busy := make(map[string]bool, len(h.busy))
-	for id := range h.busy {
-		busy[id] = true
-	}
+	busy := maps.Clone(h.busy)
 	h.mu.Unlock()
 	orders := Plan(h.Shard.Instances(), wanted, busy, &h.Rules)
 	if len(orders) == 0 {
@@ -102,7 +100,7 @@
 	}
 	for _, order := range orders {
 		h.mu.Lock()
-		h.busy[order.Instance.Id] = true
+		h.busy[order.Instance.Id] = order.Model
 		h.mu.Unlock()
 		go h.carryOut(ctx, order, epoch)
 	}
--- a/internal/system/weights/plan.go
+++ b/internal/system/weights/plan.go
@@ -52,12 +52,13 @@
 // Rules are what a plan follows.
 type Rules struct {
 	Single func(model string) bool    // whether a model's texts must be made by one version
-	AtOnce func(workers int) int      // bounds the orders under way in a service of so many workers
+	AtOnce func(workers int) int      // bounds the orders under way for one model in a service of so many workers
 	Slots  func(model string) float64 // how many requests of a model its open jobs need to run at once; 0 where that isn't known
 }
 
-// Plan returns the orders to send now. wanted holds the newest named version by model, busy the workers that an order is under way at.
-func Plan(instances []*rpc.Instance, wanted map[string]uint64, busy map[string]bool, rules *Rules) []Order {
+// Plan returns the orders to send now. wanted holds the newest named version by model, busy the workers that an order is under way at and the
+// models that they load.
+func Plan(instances []*rpc.Instance, wanted map[string]uint64, busy map[string]string, rules *Rules) []Order {
 	services := map[string][]*rpc.Instance{}
 	for _, i := range instances {
 		if !i.Lost {
@@ -71,13 +72,13 @@
 	return orders
 }
 
-func planService(workers []*rpc.Instance, wanted map[string]uint64, busy map[string]bool, rules *Rules) (orders []Order) {
-	room := rules.AtOnce(len(workers))
+func planService(workers []*rpc.Instance, wanted map[string]uint64, busy map[string]string, rules *Rules) (orders []Order) {
+	// A load takes places of its own model only, so each model has its own bound.
+	loading := map[string]int{}
 	for _, w := range workers {
-		if busy[w.Id] {
-			room--
-		}
+		loading[busy[w.Id]]++
 	}
+	most := rules.AtOnce(len(workers))
 	type candidate struct {
 		Order
 		behind uint64
@@ -90,7 +91,7 @@
 		held[model] = float64(holding(workers, model, wanted[model])) / float64(max(len(ids), 1))
 	}
 	for _, w := range workers {
-		if busy[w.Id] || w.Draining {
+		if busy[w.Id] != "" || w.Draining {
 			continue
 		}
 		for _, m := range w.Models {
@@ -111,14 +112,11 @@
 	})
 	taken := map[string]bool{}
 	for _, c := range candidates {
-		if room <= 0 {
-			break
-		}
-		if taken[c.Instance.Id] {
+		if taken[c.Instance.Id] || loading[c.Model] >= most {
 			continue
 		}
 		taken[c.Instance.Id] = true
-		room--
+		loading[c.Model]++
 		orders = append(orders, c.Order)
 	}
 	return orders
--- a/internal/system/weights/weights_test.go
+++ b/internal/system/weights/weights_test.go
@@ -55,9 +55,9 @@
 		}
 		is.Equal(len(assign(workers(9, "a", "b", "c"), r)["a"]), want)
 	}
-	busy := map[string]bool{}
+	busy := map[string]string{}
 	for _, w := range workers(9, "a") {
-		busy[w.Id] = true
+		busy[w.Id] = "a"
 	}
 	is.Equal(len(Plan(workers(9, "a"), map[string]uint64{"a": 2}, busy, rules())), 0)
 }
@@ -96,3 +96,20 @@
 		is.Equal(orders[0].Cause, want)
 	}
 }
+
+// The bound on loads at a time holds for each model: those of one do not wait for those of another, at other workers.
+func TestModelsLoadBesideEachOther(t *testing.T) {
+	is := is.New(t)
+	list := workers(9, "a", "b")
+	busy := map[string]string{"i0": "a", "i1": "a"}
+	orders := Plan(list, map[string]uint64{"a": 2, "b": 2}, busy, rules())
+	count := map[string]int{}
+	at := map[string]bool{}
+	for _, o := range orders {
+		count[o.Model]++
+		is.True(!at[o.Instance.Id] && busy[o.Instance.Id] == "") // one order at a time for each worker
+		at[o.Instance.Id] = true
+	}
+	is.True(count["a"] <= 1) // two are under way
+	is.Equal(count["b"], 3)
+}
