--- a/internal/system/decisions/decisions.go
+++ b/internal/system/decisions/decisions.go
@@ -30,21 +30,19 @@
 	RefusalBackoff  bool   `toml:"refusalBackoff"`  // a worker that declines again is left alone for longer
 	GatheredChanges bool   `toml:"gatheredChanges"` // changes of workers are told to gatherers some at a time
 	QuickRefusal    bool   `toml:"quickRefusal"`    // a gatherer without a configuration refuses at once instead of waiting for it
-	Backups         bool   `toml:"backups"`         // an item that takes much longer than usual is run once more by another gatherer
 	GatheredWrites  bool   `toml:"gatheredWrites"`  // a replica takes in what comes within a few milliseconds at once
 }
 
 // All has every mechanism in use.
 func All() Switches {
-	return Switches{Policy: Predicted, NearbyWorkers: true, CompactPlaces: true, RefusalBackoff: true, GatheredChanges: true, QuickRefusal: true,
-		Backups: true, GatheredWrites: true}
+	return Switches{Policy: Predicted, NearbyWorkers: true, CompactPlaces: true, RefusalBackoff: true, GatheredChanges: true, QuickRefusal: true, GatheredWrites: true}
 }
 
 // byName are the switches by the names that the settings file gives them.
 func (s *Switches) byName() map[string]*bool {
 	return map[string]*bool{"nearbyWorkers": &s.NearbyWorkers, "compactPlaces": &s.CompactPlaces, "refusalBackoff": &s.RefusalBackoff,
 		"gatheredChanges": &s.GatheredChanges, "quickRefusal": &s.QuickRefusal,
-		"backups": &s.Backups, "gatheredWrites": &s.GatheredWrites}
+		"gatheredWrites": &s.GatheredWrites}
 }
 
 // Names are those of the switches, in order.
--- a/internal/system/ledger/demand.go
+++ b/internal/system/ledger/demand.go
@@ -1,7 +1,5 @@
 package ledger
 
-import "math"
-
 const (
 	// firstItemMS is how long an item is taken to last before any was seen.
 	firstItemMS = 1000
@@ -15,25 +13,14 @@
 
 // learn takes in how long an item of a model took.
 func (s *Scheduler) learn(model string, tookMS float64) {
-	t := s.times[model]
-	if t == nil {
-		t = &itemTime{usual: firstItemMS, spread: firstItemMS}
-		s.times[model] = t
-	}
-	t.spread += itemWeight * (math.Abs(tookMS-t.usual) - t.spread)
-	t.usual += itemWeight * (tookMS - t.usual)
-}
-
-// itemTime is how long the items of a model take, in milliseconds.
-type itemTime struct {
-	usual  float64 // moving average
-	spread float64 // of the differences from it
+	usual := s.usualMS(model)
+	s.itemMS[model] = usual + itemWeight*(tookMS-usual)
 }
 
 // usualMS is how long an item of a model takes.
 func (s *Scheduler) usualMS(model string) float64 {
-	if t := s.times[model]; t != nil {
-		return t.usual
+	if usual, ok := s.itemMS[model]; ok {
+		return usual
 	}
 	return firstItemMS
 }
--- a/internal/system/ledger/leases.go
+++ b/internal/system/ledger/leases.go
@@ -1,7 +1,6 @@
 package ledger
 
 import (
-	"slices"
 	"strings"
 
 	"saffronquay/internal/system/rpc"
@@ -25,7 +24,7 @@
 func (s *Scheduler) grant(x *itemState, name string, number uint64, at int64) {
 	l := &lease{number, x, name, at}
 	x.stage = leased
-	x.leases = append(x.leases, l)
+	x.lease = l
 	x.group.begun = true
 	s.leases[number] = l
 	s.gatherers[name].numbers[number] = true
@@ -38,23 +37,24 @@
 	}
 	delete(s.leases, l.number)
 	x := l.item
-	x.leases = slices.DeleteFunc(x.leases, func(other *lease) bool { return other == l })
-	if len(x.leases) == 0 && x.stage == leased {
+	x.lease = nil
+	if x.stage == leased {
 		x.stage = pending
 	}
 }
 
-// cancelAll takes an item's leases back and has their gatherers told. It tells whether there were any.
-func (s *Scheduler) cancelAll(x *itemState) (any bool) {
-	for len(x.leases) > 0 {
-		l := x.leases[0]
-		if g := s.gatherers[l.gatherer]; g != nil {
-			g.cancelled = append(g.cancelled, l.number)
-			any = true
-		}
-		s.drop(l)
+// cancel takes an item's lease back and has its gatherer told. It tells whether there was one to tell.
+func (s *Scheduler) cancel(x *itemState) (told bool) {
+	l := x.lease
+	if l == nil {
+		return false
+	}
+	if g := s.gatherers[l.gatherer]; g != nil {
+		g.cancelled = append(g.cancelled, l.number)
+		told = true
 	}
-	return any
+	s.drop(l)
+	return told
 }
 
 // LifeSeparator stands between the name of a gatherer's machine and what tells its process from earlier ones there.
--- a/internal/system/ledger/scheduler.go
+++ b/internal/system/ledger/scheduler.go
@@ -11,24 +11,16 @@
 // Scheduler hands out the items of a shard's open jobs while its process owns the shard. It is pure: times are milliseconds that the
 // caller gives, and what it knows of jobs comes from the ledger.
 type Scheduler struct {
-	epoch      uint64
-	sequence   uint64
-	begunAt    int64
-	begun      bool // items may be handed out
-	backups    bool
-	jobs       map[string]*openJob
-	order      []*openJob // by urgency
-	gatherers  map[string]*gatherer
-	lives      map[string]string // of gatherers, by their machine
-	leases     map[uint64]*lease
-	stragglers []*itemState         // that a backup may be begun of
-	times      map[string]*itemTime // by model
-}
-
-// Options are the mechanisms that may be switched off.
-type Options struct {
-	// Backups lets an item that takes much longer than usual be run once more by another gatherer.
-	Backups bool
+	epoch     uint64
+	sequence  uint64
+	begunAt   int64
+	begun     bool // items may be handed out
+	jobs      map[string]*openJob
+	order     []*openJob // by urgency
+	gatherers map[string]*gatherer
+	lives     map[string]string // of gatherers, by their machine
+	leases    map[uint64]*lease
+	itemMS    map[string]float64 // moving average of how long an item of a model takes
 }
 
 const (
@@ -60,7 +52,6 @@
 	groups []*group
 	items  map[string]*itemState
 	whole  int
-	extra  int // backups that were begun
 }
 
 type group struct {
@@ -70,20 +61,19 @@
 }
 
 type itemState struct {
-	job       *openJob
-	group     *group
-	item      *rpc.Item
-	stage     stage
-	failures  uint32
-	straggles bool     // it was found to take much longer than usual
-	leases    []*lease // one, or two with a backup; while it is settled, those whose gatherers have not reported
+	job      *openJob
+	group    *group
+	item     *rpc.Item
+	stage    stage
+	failures uint32
+	lease    *lease // nil where nobody works on it; it may outlast the result of an earlier one until that is listed
 }
 
 // NewScheduler returns a scheduler for an owner's epoch that knows the jobs of the ledger. wall is the time of day, which may be wrong: what is
 // due follows from it, but an item is given up only after the time that this process has known its job for.
-func NewScheduler(epoch uint64, now, wall int64, jobs []Stored, options Options) *Scheduler {
-	s := &Scheduler{epoch: epoch, begunAt: now, backups: options.Backups, jobs: map[string]*openJob{}, gatherers: map[string]*gatherer{}, lives: map[string]string{},
-		leases: map[uint64]*lease{}, times: map[string]*itemTime{}}
+func NewScheduler(epoch uint64, now, wall int64, jobs []Stored) *Scheduler {
+	s := &Scheduler{epoch: epoch, begunAt: now, jobs: map[string]*openJob{}, gatherers: map[string]*gatherer{}, lives: map[string]string{},
+		leases: map[uint64]*lease{}, itemMS: map[string]float64{}}
 	for _, stored := range jobs {
 		if !stored.Ended {
 			s.open(stored.Job, now-max(0, wall-stored.Job.SentUnixMs), min(stored.SeenAt, now), stored.Settled)
@@ -142,7 +132,7 @@
 	delete(s.jobs, id)
 	s.order = slices.DeleteFunc(s.order, func(o *openJob) bool { return o == j })
 	for _, x := range j.items {
-		s.cancelAll(x)
+		s.cancel(x)
 	}
 }
 
@@ -157,7 +147,7 @@
 		if x == nil || x.stage == settled {
 			continue
 		}
-		cancelled = s.cancelAll(x) || cancelled // somebody else has finished it meanwhile
+		cancelled = s.cancel(x) || cancelled // somebody else has finished it meanwhile
 		x.stage = settled
 		x.group.left--
 		if x.group.left == 0 {
@@ -210,7 +200,7 @@
 		for _, name := range items {
 			if x := j.items[name]; x != nil && x.stage == settling {
 				x.stage = pending
-				if len(x.leases) > 0 {
+				if x.lease != nil {
 					x.stage = leased
 				}
 			}
@@ -229,7 +219,6 @@
 	if now-s.begunAt >= adoptMS && !s.begun {
 		s.begun, freed = true, true
 	}
-	freed = s.findStragglers(now) || freed
 	for _, j := range s.order {
 		if j.create.MaxQueueMs == 0 || now < j.lastAt {
 			continue
@@ -292,7 +281,7 @@
 			}
 		}
 	}
-	return s.takeBackups(now, name, want, room, leases)
+	return leases
 }
 
 // hope is what a job's results may still be worth.
--- a/internal/system/ledger/scheduler_test.go
+++ b/internal/system/ledger/scheduler_test.go
@@ -22,7 +22,7 @@
 
 // begun is a scheduler that hands out.
 func begun(jobs ...*rpc.CreateJob) *Scheduler {
-	s := NewScheduler(1, 0, 0, nil, Options{Backups: true})
+	s := NewScheduler(1, 0, 0, nil)
 	s.Heard(adoptMS, "g")
 	s.Tick(adoptMS)
 	for _, j := range jobs {
@@ -92,7 +92,7 @@
 func TestAdoption(t *testing.T) {
 	is := is.New(t)
 	create := newCreate("j", 2, 1, 2, 9000)
-	s := NewScheduler(2, 0, 1000, []Stored{{Job: create, Settled: map[string]bool{create.Items[0].Id: true}}, {Job: newCreate("ended", 1, 1, 1, 9000), Ended: true}}, Options{Backups: true})
+	s := NewScheduler(2, 0, 1000, []Stored{{Job: create, Settled: map[string]bool{create.Items[0].Id: true}}, {Job: newCreate("ended", 1, 1, 1, 9000), Ended: true}})
 	s.Heard(1, "g")
 	s.Adopt(1, "g", []*rpc.HeldLease{{Job: "j", Item: create.Items[0].Id, Number: 11}, {Job: "j", Item: create.Items[1].Id, Number: 12}, {Job: "ended", Item: "x", Number: 13}})
 	is.Equal(s.Cancelled("g"), []uint64{11, 13})
@@ -153,7 +153,7 @@
 	create := newCreate("j", 12, 3, 12, 60_000)
 	l.apply(&rpc.LedgerCommand{Command: &rpc.LedgerCommand_Create{Create: create}})
 	epoch := uint64(1)
-	s := NewScheduler(epoch, 0, 0, l.Jobs(), Options{Backups: true})
+	s := NewScheduler(epoch, 0, 0, l.Jobs())
 	held := map[string][]*rpc.Lease{}
 	now := int64(0)
 	for ; now < 400_000 && len(l.jobs["j"].results) < len(create.Items); now += 100 {
@@ -161,7 +161,7 @@
 		name := fmt.Sprint("g", random.IntN(4))
 		if random.IntN(60) == 0 { // the owner changes
 			epoch++
-			s = NewScheduler(epoch, now, now, l.Jobs(), Options{Backups: true})
+			s = NewScheduler(epoch, now, now, l.Jobs())
 		}
 		if random.IntN(40) == 0 {
 			delete(held, name) // it restarts
@@ -214,48 +214,38 @@
 	is := is.New(t)
 	create := newCreate("j", 1, 1, 1, 9000)
 	create.MaxQueueMs, create.SentUnixMs = 20_000, 1_000_000
-	s := NewScheduler(2, 5000, 1_000_000+3_600_000, []Stored{{Job: create, SeenAt: 4000}}, Options{Backups: true})
+	s := NewScheduler(2, 5000, 1_000_000+3_600_000, []Stored{{Job: create, SeenAt: 4000}})
 	expired, _ := s.Tick(23_999)
 	is.Equal(len(expired), 0)
 	expired, _ = s.Tick(24_000)
 	is.Equal(len(expired["j"]), 1)
 }
 
-// straggling is a scheduler with one item of a job that takes longer than usual at gatherer g, while other has room.
-func straggling(backups bool) (s *Scheduler, first *rpc.Lease, now int64) {
-	s = NewScheduler(1, 0, 0, nil, Options{Backups: backups})
-	s.Heard(adoptMS, "g")
-	s.Tick(adoptMS)
-	s.Open(adoptMS, newCreate("j", 1, 1, 1, 9000))
-	first = s.Take(adoptMS, "g", 1, room(1))[0]
-	now = adoptMS + (1+backupSpread)*firstItemMS + 1
-	s.Heard(now, "g")
-	s.Heard(now, "other")
-	s.Tick(now)
-	return s, first, now
-}
-
-// An item that takes long is begun once more by another gatherer. The run that ends first counts, the other is cancelled once it is listed.
-func TestBackups(t *testing.T) {
+// A gatherer that was started anew holds nothing of what its last process held: that is handed out at once.
+func TestRestartedGatherer(t *testing.T) {
 	is := is.New(t)
-	s, first, now := straggling(true)
-	is.Equal(len(s.Take(now, "g", 1, room(1))), 0) // it has it already
-	second := s.Take(now, "other", 2, room(2))
+	s := begun(newCreate("j", 1, 1, 1, 9000))
+	s.Heard(adoptMS, "edge/1")
+	first := s.Take(adoptMS, "edge/1", 1, room(1))
+	is.Equal(len(first), 1)
+	s.Heard(adoptMS+100, "edge/2")
+	second := s.Take(adoptMS+100, "edge/2", 1, room(1))
 	is.Equal(len(second), 1)
-	is.Equal(second[0].Item.Id, first.Item.Id)
-	s.Heard(now, "third")
-	is.Equal(len(s.Take(now, "third", 1, room(1))), 0) // one backup is enough
-	is.True(s.Report(now, &rpc.Report{Job: "j", Item: first.Item.Id, Number: second[0].Number, Result: &rpc.Result{Item: first.Item.Id}}) != nil)
-	is.True(s.Settled("j", []string{first.Item.Id}))
-	is.Equal(s.Cancelled("g"), []uint64{first.Number})
-	is.Equal(s.Cancelled("other"), nil)
+	is.Equal(second[0].Item.Id, first[0].Item.Id)
 }
 
-// A result that could not be listed leaves the other run going; where that is handed back, too, the item is open again.
-func TestBackupOutlastsAnUnlistedResult(t *testing.T) {
+// A result of a gatherer that counted as lost, which could not be listed, leaves the lease that came after it going; where that is handed back,
+// too, the item is open again.
+func TestLeaseOutlastsAnUnlistedResult(t *testing.T) {
 	is := is.New(t)
-	s, first, now := straggling(true)
+	s := begun(newCreate("j", 1, 1, 1, 9000))
+	first := s.Take(adoptMS, "g", 1, room(1))[0]
+	now := int64(adoptMS + gathererLostMS + 1)
+	s.Tick(now)
+	s.Heard(now, "other")
 	second := s.Take(now, "other", 1, room(1))[0]
+	is.Equal(second.Item.Id, first.Item.Id)
+	s.Heard(now, "g")
 	is.True(s.Report(now, &rpc.Report{Job: "j", Item: first.Item.Id, Number: first.Number, Result: &rpc.Result{Item: first.Item.Id}}) != nil)
 	s.Unsettled("j", []string{first.Item.Id})
 	is.Equal(len(s.Take(now, "g", 1, room(1))), 0)
@@ -263,23 +253,18 @@
 	is.Equal(len(s.Take(now, "g", 1, room(1))), 1)
 }
 
-func TestBackupsSwitchedOff(t *testing.T) {
-	is := is.New(t)
-	s, _, now := straggling(false)
-	is.Equal(len(s.Take(now, "other", 1, room(1))), 0)
-}
-
-// A gatherer that was started anew holds nothing of what its last process held: that is handed out at once.
-func TestRestartedGatherer(t *testing.T) {
+// Where it is listed, the lease that came after it is cancelled.
+func TestListedResultCancelsTheLaterLease(t *testing.T) {
 	is := is.New(t)
 	s := begun(newCreate("j", 1, 1, 1, 9000))
-	s.Heard(adoptMS, "edge/1")
-	first := s.Take(adoptMS, "edge/1", 1, room(1))
-	is.Equal(len(first), 1)
-	s.Heard(adoptMS+100, "edge/2")
-	second := s.Take(adoptMS+100, "edge/2", 1, room(1))
-	is.Equal(len(second), 1)
-	is.Equal(second[0].Item.Id, first[0].Item.Id)
+	first := s.Take(adoptMS, "g", 1, room(1))[0]
+	now := int64(adoptMS + gathererLostMS + 1)
+	s.Tick(now)
+	s.Heard(now, "other")
+	second := s.Take(now, "other", 1, room(1))[0]
+	is.True(s.Report(now, &rpc.Report{Job: "j", Item: first.Item.Id, Number: first.Number, Result: &rpc.Result{Item: first.Item.Id}}) != nil)
+	is.True(s.Settled("j", []string{first.Item.Id}))
+	is.Equal(s.Cancelled("other"), []uint64{second.Number})
 }
 
 // Who waits is woken by a result only where something is to be given up.
@@ -305,37 +290,6 @@
 	is.Equal(s.Demand(adoptMS + 4900)["m"], float64(10*firstItemMS)/(5000.0/leastLeft))
 }
 
-// How long an item may take before it is a straggler follows from how long items take, and how much that differs.
-func TestLongestIsLearned(t *testing.T) {
-	is := is.New(t)
-	s := begun()
-	for range 300 {
-		s.learn("even", 800)
-		s.learn("uneven", 400)
-		s.learn("uneven", 1200)
-	}
-	is.True(s.longestMS("even") < 900)
-	is.True(s.longestMS("uneven") > 2000)
-}
-
-// Stragglers wake those who wait once, not as long as they straggle; only as many get a backup as a job's share allows; the most urgent go first.
-func TestStragglersAreToldOnce(t *testing.T) {
-	is := is.New(t)
-	s := begun(newCreate("later", 8, 1, 8, 60_000), newCreate("soon", 8, 1, 8, 30_000))
-	is.Equal(len(s.Take(adoptMS, "g", 16, room(16))), 16)
-	now := int64(adoptMS + (1+backupSpread)*firstItemMS + 1)
-	s.Heard(now, "g")
-	s.Heard(now, "other")
-	_, freed := s.Tick(now)
-	is.True(freed)
-	_, freed = s.Tick(now + 1)
-	is.True(!freed)
-	backups := s.Take(now+1, "other", 16, room(16))
-	is.Equal(len(backups), 4) // an eighth of each job's items and one
-	is.Equal(backups[0].Job, "soon")
-	is.Equal(backups[3].Job, "later")
-}
-
 // A word of an earlier process that comes late, when the next one works already, loses nothing: what it held is handed out, or reported all the same.
 func TestLateWordOfAnEarlierProcess(t *testing.T) {
 	is := is.New(t)
--- a/internal/system/ledger/service.go
+++ b/internal/system/ledger/service.go
@@ -19,16 +19,14 @@
 	Log         *slog.Logger
 	KeepResults time.Duration                                // after a job was sent
 	Demand      func(shard string, slots map[string]float64) // is told now and then what the open jobs of an owned shard need
-	Options     Options
 
 	mu     sync.Mutex
 	shards map[string]*shard
 }
 
 type shard struct {
-	name    string
-	ledger  *Ledger
-	options Options
+	name   string
+	ledger *Ledger
 
 	mu        sync.Mutex
 	scheduler *Scheduler    // nil while this process doesn't own the shard
@@ -57,7 +55,7 @@
 	if sh := s.shards[name]; sh != nil {
 		return sh.ledger
 	}
-	sh := &shard{name: name, options: s.Options, wake: make(chan struct{})}
+	sh := &shard{name: name, wake: make(chan struct{})}
 	sh.ledger = New(sh.changed, now)
 	s.shards[name] = sh
 	return sh.ledger
@@ -137,7 +135,7 @@
 // schedule returns the shard's scheduler; the caller holds the shard's lock.
 func (sh *shard) schedule(epoch uint64) *Scheduler {
 	if sh.scheduler == nil || sh.scheduler.Epoch() != epoch {
-		sh.scheduler = NewScheduler(epoch, now(), time.Now().UnixMilli(), sh.ledger.Jobs(), sh.options)
+		sh.scheduler = NewScheduler(epoch, now(), time.Now().UnixMilli(), sh.ledger.Jobs())
 	}
 	return sh.scheduler
 }
--- a/internal/system/model/ledgers.go
+++ b/internal/system/model/ledgers.go
@@ -49,7 +49,7 @@
 	if s := m.schedule[shard]; s != nil && s.Epoch() == status.Epoch {
 		return s
 	}
-	m.schedule[shard] = ledger.NewScheduler(status.Epoch, m.w.now, m.wallClock(), m.ledgers[shard].Jobs(), ledger.Options{Backups: true})
+	m.schedule[shard] = ledger.NewScheduler(status.Epoch, m.w.now, m.wallClock(), m.ledgers[shard].Jobs())
 	return m.schedule[shard]
 }
 
--- a/internal/system/storage/storage.go
+++ b/internal/system/storage/storage.go
@@ -48,7 +48,7 @@
 	if st.identity, err = replica.Identify(facts, s); err != nil {
 		return err
 	}
-	st.service = &ledger.Service{Log: log, KeepResults: settings.Seconds(s.Bounds.StatusIntervalS + keepSlackS), Demand: st.demand, Options: ledger.Options{Backups: s.Decisions.Backups}}
+	st.service = &ledger.Service{Log: log, KeepResults: settings.Seconds(s.Bounds.StatusIntervalS + keepSlackS), Demand: st.demand}
 	sender := replica.NewSender(st.client)
 	options.SnapshotBytes = cmp.Or(options.SnapshotBytes, s.Limits.DiskMB<<20/diskShare)
 	options.Gather = s.Decisions.GatheredWrites
