Contain panics to one request; a binary hit of blanks is malformed

Cause: addBinaryHit checked the length of the untrimmed text, so a hit of two or more blanks indexed an empty slice. The parser runs on a goroutine of its own without a recover: one server's answer ended the process. Ruled out: a caller that recovers (only readSketch did).

Change: the trimmed text is checked. Package panicguard contains a panic to the goroutine of one request, answer or operator's call in the broker: an answer counts as malformed (Errored), a request gets 500 and a query that must not run twice stays in doubt. Counted as svc.panics (shown once there is one), logged as event panic with its stack. Goroutines that own state are not covered.

TestBinaryHitsThatAreNoObjects panicked on the code before; TestPanicOfAFront and TestPanicOfAParser end the test's process without the change.

--- a/internal/broker/adminapi/metrics.go
+++ b/internal/broker/adminapi/metrics.go
@@ -12,6 +12,7 @@
 	OpenRequests                   atomic.Int64 // requests accepted and not yet answered
 	KnownServers, EjectedServers   atomic.Int64 // servers in the list, and those of them that are ejected now
 	ConfigAccepted, ConfigRejected atomic.Int64 // files at a reload
+	Panics                         atomic.Int64 // contained to the request, answer or call in whose goroutine they happened
 
 	// Cursors returns the number of open points in time; nil: there are none.
 	Cursors func() int
--- a/internal/broker/adminapi/stats.go
+++ b/internal/broker/adminapi/stats.go
@@ -46,6 +46,9 @@
 		stat{"cfg_accepted", counter, m.ConfigAccepted.Load()},
 		stat{"cfg_invalid", counter, m.ConfigRejected.Load()},
 	)
+	if panics := m.Panics.Load(); panics > 0 { // shown once there is one: each is a fault of the program
+		dst = appendStats(dst, "svc", stat{"panics", counter, panics})
+	}
 	if m.Cursors != nil {
 		dst = fmt.Appendf(dst, "svc.cursors.open:%d|g\n", m.Cursors())
 	}
--- a/internal/broker/logging/event.go
+++ b/internal/broker/logging/event.go
@@ -16,6 +16,7 @@
 	LayoutStalled    Name = "layout_stalled"
 	Leaving          Name = "leaving"
 	Note             Name = "note"
+	Panic            Name = "panic"
 	Peer             Name = "peer"
 	PeerDropped      Name = "peer_dropped"
 	PeerNap          Name = "peer_nap"
@@ -69,6 +70,7 @@
 	LayoutStalled:    {"change", "kind", "state", "for"},
 	Leaving:          {"held"},
 	Note:             {"text"},
+	Panic:            {"where", "error", "stack"},
 	Peer:             {"what", "name", "start", "address", "zone", "by"},
 	PeerDropped:      {"what", "from", "error"},
 	PeerNap:          {"for"},
@@ -111,6 +113,6 @@
 
 // maxPerSecond limits the lines of events that can be very frequent.
 var maxPerSecond = map[Name]int{
-	VrrpDiscard: 5, VrrpRead: 5, VrrpSend: 5, Accept: 5, DoorAccept: 5, Note: 20, StoreFails: 5,
+	VrrpDiscard: 5, VrrpRead: 5, VrrpSend: 5, Accept: 5, DoorAccept: 5, Note: 20, Panic: 5, StoreFails: 5,
 	Peer: 100, PeerDropped: 5, PeerNap: 2, RolloutApart: 2, RolloutJoined: 2,
 }
--- a/internal/broker/merge/part_binary.go
+++ b/internal/broker/merge/part_binary.go
@@ -55,7 +55,7 @@
 		return malformedf("hit %d has sort values that were not asked for", i)
 	}
 	part.texts[i] = bytes.TrimSpace(h.Json)
-	if len(h.Json) < 2 || part.texts[i][0] != '{' {
+	if !bytes.HasPrefix(part.texts[i], []byte("{")) {
 		return malformedf("hit %d is no object", i)
 	}
 	if h.Score != nil {
--- a/internal/broker/merge/state_test.go
+++ b/internal/broker/merge/state_test.go
@@ -8,12 +8,14 @@
 	"math/rand/v2"
 	"runtime/debug"
 	"saffronquay/internal/broker/layout"
+	"saffronquay/internal/broker/merge/partial"
 	"saffronquay/internal/testing/fakebackend"
 	"slices"
 	"strings"
 	"testing"
 
 	"github.com/valyala/fastjson"
+	"google.golang.org/protobuf/proto"
 )
 
 // randomStore returns random rows, in order of the key, and the keys at which they are split into parts.
@@ -336,6 +338,58 @@
 	}
 }
 
+// A hit whose text is no object makes the part malformed, whatever blanks it has.
+func TestBinaryHitsThatAreNoObjects(t *testing.T) {
+	p, err := NewPlan([]Key{{Field: "due"}}, 0, 3, nil, Exact)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, text := range []string{"", " ", "  ", " \n\t\r ", "x", "[]", " []", "7 ", "null"} {
+		_, err := p.ReadBinary(binaryAnswer(t, text))
+		if !errors.Is(err, ErrMalformedPart) || !strings.Contains(err.Error(), "hit 0 is no object") {
+			t.Errorf("%q: %v", text, err)
+		}
+	}
+	if _, err := p.ReadBinary(binaryAnswer(t, ` {"_id":"a"} `)); err != nil {
+		t.Error(err)
+	}
+}
+
+// binaryAnswer returns the binary form of a part with one hit that has a text.
+func binaryAnswer(tb testing.TB, text string) []byte {
+	tb.Helper()
+	sort := []*partial.Value{{Kind: &partial.Value_Whole{Whole: 3}}, {Kind: &partial.Value_Text{Text: "a"}}}
+	body, err := proto.Marshal(&partial.Answer{
+		Version: binaryVersion, Total: &partial.Total{Value: 1}, Hits: []*partial.Hit{{Json: []byte(text), Sort: sort}},
+	})
+	if err != nil {
+		tb.Fatal(err)
+	}
+	return body
+}
+
+// FuzzReadBinaryHits reads parts with hits; FuzzReadBinary has a plan that asks for aggregations only.
+func FuzzReadBinaryHits(f *testing.F) {
+	p, err := NewPlan([]Key{{Field: "due"}}, 0, 3, nil, Exact)
+	if err != nil {
+		f.Fatal(err)
+	}
+	for _, text := range []string{`{"_id":"a"}`, "  ", "{"} {
+		f.Add(binaryAnswer(f, text))
+	}
+	f.Fuzz(func(t *testing.T, body []byte) {
+		part, err := p.ReadBinary(body)
+		if err != nil {
+			return
+		}
+		s := NewState(p)
+		s.Add(part)
+		if _, err := s.Page(); err != nil {
+			t.Errorf("a part that was read makes no page: %v", err)
+		}
+	})
+}
+
 func FuzzReadBinary(f *testing.F) {
 	p := aggregationPlan(f, aggregationClauses[9]+`,"c":{"cardinality":{"field":"key"}},"p":{"percentiles":{"field":"due"}}`)
 	rows := []fakebackend.Row{{Key: 1, ID: "a", Fields: map[string]any{"desk": "x", "small": 1.5, "due": 0.1}}}
--- a/internal/broker/transport/admin.go
+++ b/internal/broker/transport/admin.go
@@ -6,6 +6,7 @@
 	"net"
 	"saffronquay/internal/broker/adminapi"
 	"saffronquay/internal/broker/logging"
+	"saffronquay/internal/panicguard"
 	"sync"
 	"time"
 )
@@ -72,6 +73,9 @@
 func (d *AdminListener) serve(conn net.Conn) {
 	defer d.wg.Done()
 	defer d.forget(conn)
+	defer panicguard.Contain(func(p *panicguard.Panic) { // the caller sees a closed connection, which says that its call has no answer
+		logging.Error(d.log, logging.Panic, "where", "call of an operator", "error", p.Error(), "stack", string(p.Stack))
+	})
 	setDeadline(conn, time.Now().Add(adminCallTimeout))
 	var call adminapi.Call
 	buf := make([]byte, 2*adminapi.MaxCall)
--- a/internal/broker/transport/engine.go
+++ b/internal/broker/transport/engine.go
@@ -10,6 +10,7 @@
 	"saffronquay/internal/broker/handover"
 	"saffronquay/internal/broker/layout"
 	"saffronquay/internal/broker/logging"
+	"saffronquay/internal/panicguard"
 	"slices"
 	"time"
 
@@ -71,10 +72,17 @@
 	e.pool = newPool(cfg, d, e.post)
 	e.pool.metrics = metrics
 	e.pool.onReply, e.pool.stopped = gatherer.HandleReply, e.stopped
+	e.pool.onPanic = func(p *panicguard.Panic) { e.recordPanic("answer of a server", p) }
 	e.queued = map[int64]*queuedQuery{}
 	return e
 }
 
+// recordPanic counts and logs a panic that was contained in the goroutine of one request, answer or call. It may be called from any goroutine.
+func (e *Engine) recordPanic(where string, p *panicguard.Panic) {
+	e.metrics.Panics.Add(1)
+	logging.Error(e.log, logging.Panic, "where", where, "error", p.Error(), "stack", string(p.Stack))
+}
+
 // post hands a function to the engine's goroutine. It waits while the inbox is full, and returns false where the engine has ended.
 func (e *Engine) post(f func(now int64)) bool {
 	select {
--- a/internal/broker/transport/listener_test.go
+++ b/internal/broker/transport/listener_test.go
@@ -1,10 +1,12 @@
 package transport
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"log/slog"
 	"net"
+	"net/http"
 	"saffronquay/internal/broker/adminapi"
 	"saffronquay/internal/broker/core"
 	"saffronquay/internal/broker/http1"
@@ -30,6 +32,9 @@
 type echo struct{}
 
 func (echo) Open(m *http1.Message, now int64, _ bool) (core.Query, func(core.Final, int64) http1.Response, *http1.Response) {
+	if m.Target == "/panic" {
+		panic("a fault of the front")
+	}
 	if m.Target == "/held" {
 		return core.Query{Class: "c", Deadline: now + 1<<40, Parts: []core.QueryPart{{Weight: 1}}}, nil, nil
 	}
@@ -57,6 +62,31 @@
 	return s, e
 }
 
+// A panic on one client's request is that request's answer, and is counted; the process and the connection go on.
+func TestPanicOfAFront(t *testing.T) {
+	s, e := serve(t, ListenerConfig{MaxConns: 8, MaxKeepAlive: 8, IdleTimeout: testTimeout, FirstRequestTimeout: testTimeout, RequestTimeout: testTimeout, MaxPartialBytes: 1 << 20})
+	conn, err := net.Dial("tcp", s.socket.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	fmt.Fprint(conn, "GET /panic HTTP/1.1\r\nHost: h\r\n\r\nGET /good HTTP/1.1\r\nHost: h\r\n\r\n")
+	reader := bufio.NewReader(conn)
+	for _, want := range []int{500, 200} {
+		answer, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		io.Copy(io.Discard, answer.Body)
+		if answer.StatusCode != want {
+			t.Errorf("%d, want %d", answer.StatusCode, want)
+		}
+	}
+	if n, open := e.metrics.Panics.Load(), e.metrics.OpenRequests.Load(); n != 1 || open != 0 {
+		t.Errorf("%d panics, %d open requests", n, open)
+	}
+}
+
 // Clients that go away with requests queued, open or half sent leave nothing on the listener's count: a
 // gatherer that is to end must come to rest.
 func TestComesToRest(t *testing.T) {
--- a/internal/broker/transport/pool_test.go
+++ b/internal/broker/transport/pool_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"saffronquay/internal/broker/core"
 	"saffronquay/internal/broker/platform"
+	"saffronquay/internal/panicguard"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -427,3 +428,19 @@
 		t.Errorf("relayed %d, ends %v", n, b.ends)
 	}
 }
+
+// A parser that panics on a server's answer ends that attempt as malformed; the process and the connection go on.
+func TestPanicOfAParser(t *testing.T) {
+	b := newBench()
+	b.fleet(0, sq.Ready, 0, "")
+	c := b.stalled(t)
+	panics := make(chan *panicguard.Panic, 1)
+	b.onPanic = func(p *panicguard.Panic) { panics <- p }
+	c.calls[1], c.sentAt[1] = nil, 0
+	b.byAttempt[1] = c
+	b.deliver(1, c, core.Reply{Attempt: 1, Outcome: sq.Served, Read: func() core.Reply { panic("a fault of the parser") }})
+	b.next(t, 2)
+	if b.ends[1] != sq.Errored || len(panics) != 1 || b.conns != 1 {
+		t.Errorf("%v, %d panics, %d connections", b.ends, len(panics), b.conns)
+	}
+}
--- a/internal/broker/transport/request.go
+++ b/internal/broker/transport/request.go
@@ -4,6 +4,7 @@
 	"errors"
 	"saffronquay/internal/broker/core"
 	"saffronquay/internal/broker/http1"
+	"saffronquay/internal/panicguard"
 	"time"
 )
 
@@ -16,9 +17,14 @@
 	ledger   core.IntentLog // of a query that must not run twice; else nil
 }
 
-// openQuery hands the query of a message to the engine.
-func (c *clientConn) openQuery(front Front, m *http1.Message, now int64) *openQuery {
-	a := &openQuery{class: front.Class(m)}
+// openQuery hands the query of a message to the engine. A panic of the front on these bytes is their answer: no query was opened.
+func (c *clientConn) openQuery(front Front, m *http1.Message, now int64) (a *openQuery) {
+	a = &openQuery{class: front.Class(m)}
+	defer panicguard.Contain(func(p *panicguard.Panic) {
+		c.listener.engine.recordPanic("query of a client", p)
+		fault := internalError(front)
+		a.response = &fault
+	})
 	if a.class != "" {
 		c.listener.engine.metrics.OpenRequests.Add(1)
 	}
@@ -30,11 +36,35 @@
 	return a
 }
 
+// internalError is the answer where the program itself failed. It promises nothing.
+func internalError(front Front) http1.Response {
+	return front.Fault(statusInternalError, "internal error")
+}
+
+// respondTo returns the answer to a query that has ended. A panic leaves a query that must not run twice in doubt, so that no retry runs it.
+func (c *clientConn) respondTo(front Front, a *openQuery, f core.Final) (r http1.Response) {
+	defer panicguard.Contain(func(p *panicguard.Panic) {
+		c.listener.engine.recordPanic("answer to a query", p)
+		if a.ledger != nil {
+			a.ledger.Abandon()
+		}
+		r = internalError(front)
+	})
+	return a.respond(f, c.listener.engine.clock.Now())
+}
+
 // serveRequest answers one request. last reports that the answer announced the connection's end, ok is false where the client is gone.
 // The queries of a split request are all opened before the first is waited for, and each ends by itself.
+//
+// A panic is answered 500, which promises nothing, and ends the connection. openQuery and respondTo contain those of a single query, so that no
+// query is open here.
 func (c *clientConn) serveRequest(m *http1.Message) (last, ok bool) {
 	now := c.listener.engine.clock.Now()
 	front := c.listener.settings.Load().front
+	defer panicguard.Contain(func(p *panicguard.Panic) {
+		c.listener.engine.recordPanic("request of a client", p)
+		last, ok = true, c.write(internalError(front), true)
+	})
 	parts := []*http1.Message{m}
 	var join func([]http1.Response, int64) http1.Response
 	if many, is := front.(Splitter); is {
@@ -103,7 +133,7 @@
 		defer c.listener.wg.Done()
 		select {
 		case f := <-a.ticket.Final:
-			_ = a.respond(f, c.listener.engine.clock.Now()) // records the end; nobody reads the response
+			_ = c.respondTo(c.listener.settings.Load().front, a, f) // records the end; nobody reads the response
 		case <-a.ticket.Err: //nolint:errcheck // the client that waited for it has left
 			a.ledger.Release()
 		case <-c.listener.engine.stopped:
@@ -131,6 +161,7 @@
 	statusForbidden      = 403
 	statusRequestTimeout = 408
 	statusConflict       = 409
+	statusInternalError  = 500
 	statusUnavailable    = 503
 )
 
@@ -148,7 +179,7 @@
 	for a.response == nil {
 		select {
 		case f := <-a.ticket.Final:
-			return a.respond(f, c.listener.engine.clock.Now()), answered
+			return c.respondTo(front, a, f), answered
 		case err := <-a.ticket.Err:
 			if a.ledger != nil {
 				a.ledger.Release()
--- a/internal/broker/transport/server_conn.go
+++ b/internal/broker/transport/server_conn.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"saffronquay/internal/broker/core"
+	"saffronquay/internal/panicguard"
 	"sync/atomic"
 	"time"
 
@@ -253,7 +254,16 @@
 	sent := c.sentAt[r.Attempt]
 	p.forget(c, r.Attempt)
 	go func() {
-		read := r.Read()
+		read := p.readReply(r)
 		p.post(func(now int64) { p.learn(now, c, read, sent); p.onReply(now, read) })
 	}()
 }
+
+// readReply parses a reply. An answer on which the parser panics counts as malformed: the attempt has run and failed.
+func (p *pool) readReply(r core.Reply) (read core.Reply) {
+	defer panicguard.Contain(func(panicked *panicguard.Panic) {
+		p.onPanic(panicked)
+		read = core.Reply{Attempt: r.Attempt, Outcome: sq.Errored}
+	})
+	return r.Read()
+}
