--- a/internal/broker/transport/admin.go
+++ b/internal/broker/transport/admin.go
@@ -73,7 +73,7 @@
 func (d *AdminListener) serve(conn net.Conn) {
 	defer d.wg.Done()
 	defer d.forget(conn)
-	defer panicguard.Contain(func(p *panicguard.Panic) { // the caller sees a closed connection, which says that its call has no answer
+	defer panicguard.Contain(func(p *panicguard.PanicError) { // the caller sees a closed connection, which says that its call has no answer
 		logging.Error(d.log, logging.Panic, "where", "call of an operator", "error", p.Error(), "stack", string(p.Stack))
 	})
 	setDeadline(conn, time.Now().Add(adminCallTimeout))
--- a/internal/broker/transport/engine.go
+++ b/internal/broker/transport/engine.go
@@ -72,13 +72,13 @@
 	e.pool = newPool(cfg, d, e.post)
 	e.pool.metrics = metrics
 	e.pool.onReply, e.pool.stopped = gatherer.HandleReply, e.stopped
-	e.pool.onPanic = func(p *panicguard.Panic) { e.recordPanic("answer of a server", p) }
+	e.pool.onPanic = func(p *panicguard.PanicError) { e.recordPanic("answer of a server", p) }
 	e.queued = map[int64]*queuedQuery{}
 	return e
 }
 
 // recordPanic counts and logs a panic that was contained in the goroutine of one request, answer or call. It may be called from any goroutine.
-func (e *Engine) recordPanic(where string, p *panicguard.Panic) {
+func (e *Engine) recordPanic(where string, p *panicguard.PanicError) {
 	e.metrics.Panics.Add(1)
 	logging.Error(e.log, logging.Panic, "where", where, "error", p.Error(), "stack", string(p.Stack))
 }
--- a/internal/broker/transport/pool.go
+++ b/internal/broker/transport/pool.go
@@ -30,7 +30,7 @@
 	dialect        core.Dialect
 	post           func(func(now int64)) bool // false: the engine has ended
 	onReply        func(now int64, r core.Reply)
-	onPanic        func(*panicguard.Panic) // called from any goroutine
+	onPanic        func(*panicguard.PanicError) // called from any goroutine
 	connect        func(address string, timeout time.Duration) (net.Conn, error)
 	afterFunc      func(time.Duration, func()) *time.Timer
 	servers        map[sq.ServerID]*server
@@ -60,7 +60,7 @@
 	}
 	return &pool{
 		cfg: cfg, dialect: d, post: post, connect: connect, afterFunc: time.AfterFunc, servers: map[sq.ServerID]*server{},
-		byAttempt: map[core.AttemptID]*serverConn{}, metrics: adminapi.NewMetrics(), onPanic: func(*panicguard.Panic) {},
+		byAttempt: map[core.AttemptID]*serverConn{}, metrics: adminapi.NewMetrics(), onPanic: func(*panicguard.PanicError) {},
 	}
 }
 
--- a/internal/broker/transport/request.go
+++ b/internal/broker/transport/request.go
@@ -20,7 +20,7 @@
 // openQuery hands the query of a message to the engine. A panic of the front on these bytes is their answer: no query was opened.
 func (c *clientConn) openQuery(front Front, m *http1.Message, now int64) (a *openQuery) {
 	a = &openQuery{class: front.Class(m)}
-	defer panicguard.Contain(func(p *panicguard.Panic) {
+	defer panicguard.Contain(func(p *panicguard.PanicError) {
 		c.listener.engine.recordPanic("query of a client", p)
 		fault := internalError(front)
 		a.response = &fault
@@ -43,7 +43,7 @@
 
 // respondTo returns the answer to a query that has ended. A panic leaves a query that must not run twice in doubt, so that no retry runs it.
 func (c *clientConn) respondTo(front Front, a *openQuery, f core.Final) (r http1.Response) {
-	defer panicguard.Contain(func(p *panicguard.Panic) {
+	defer panicguard.Contain(func(p *panicguard.PanicError) {
 		c.listener.engine.recordPanic("answer to a query", p)
 		if a.ledger != nil {
 			a.ledger.Abandon()
@@ -61,7 +61,7 @@
 func (c *clientConn) serveRequest(m *http1.Message) (last, ok bool) {
 	now := c.listener.engine.clock.Now()
 	front := c.listener.settings.Load().front
-	defer panicguard.Contain(func(p *panicguard.Panic) {
+	defer panicguard.Contain(func(p *panicguard.PanicError) {
 		c.listener.engine.recordPanic("request of a client", p)
 		last, ok = true, c.write(internalError(front), true)
 	})
--- a/internal/broker/transport/server_conn.go
+++ b/internal/broker/transport/server_conn.go
@@ -261,7 +261,7 @@
 
 // readReply parses a reply. An answer on which the parser panics counts as malformed: the attempt has run and failed.
 func (p *pool) readReply(r core.Reply) (read core.Reply) {
-	defer panicguard.Contain(func(panicked *panicguard.Panic) {
+	defer panicguard.Contain(func(panicked *panicguard.PanicError) {
 		p.onPanic(panicked)
 		read = core.Reply{Attempt: r.Attempt, Outcome: sq.Errored}
 	})
--- a/internal/scheduler/batchclient/client.go
+++ b/internal/scheduler/batchclient/client.go
@@ -21,6 +21,8 @@
 const (
 	// attemptTimeout bounds one attempt, without the time that the owner may wait before it answers.
 	attemptTimeout = 900 * time.Millisecond
+	// minAttemptTime is the time below which no further attempt is begun: cut off by the deadline, it would only make a clear outcome an unknown one.
+	minAttemptTime = 60 * time.Millisecond
 	// retryBackoff is the wait before the next attempt, unless a replica named another leader.
 	retryBackoff = 40 * time.Millisecond
 )
@@ -103,6 +105,8 @@
 			outcome, leader, err := attempt(attemptCtx, rpc.NewLedgerProtobufClient("http://"+address, c.http))
 			cancel()
 			switch {
+			case errors.Is(err, transport.ErrNotSent):
+				c.setLeader(shard, "")
 			case err != nil || outcome == rpc.Outcome_OUTCOME_UNKNOWN:
 				failure = ErrOutcomeUnknown
 				c.setLeader(shard, "")
@@ -118,6 +122,9 @@
 				c.setLeader(shard, "")
 			}
 		}
+		if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) < retryBackoff+minAttemptTime {
+			return failure
+		}
 		select {
 		case <-time.After(retryBackoff):
 		case <-ctx.Done():
--- a/internal/scheduler/batchjobs/job.go
+++ b/internal/scheduler/batchjobs/job.go
@@ -7,6 +7,7 @@
 	"saffronquay/internal/scheduler/rpc"
 	"slices"
 	"strings"
+	"unicode/utf8"
 
 	"github.com/mailru/easyjson"
 )
@@ -81,6 +82,9 @@
 // ParseSubmission decodes and checks a batch job. The returned job doesn't refer to body, which the caller may reuse. The error's text is
 // meant for the trainer.
 func ParseSubmission(body []byte) (*rpc.CreateJob, error) {
+	if !utf8.Valid(body) {
+		return nil, errors.New("batch job: the text is not UTF-8")
+	}
 	var submission Submission
 	if err := easyjson.Unmarshal(body, &submission); err != nil {
 		return nil, fmt.Errorf("batch job: %w", err)
--- a/internal/scheduler/batchjobs/service.go
+++ b/internal/scheduler/batchjobs/service.go
@@ -115,7 +115,7 @@
 func (s *Service) propose(ctx context.Context, shard string, command *rpc.LedgerCommand) rpc.Outcome {
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
-	proposed := s.Host.Propose(ctx, shard, replica.Marshal(command))
+	proposed := s.Host.ProposeMessage(ctx, shard, command)
 	if proposed.Outcome != rpc.Outcome_DONE {
 		return proposed.Outcome
 	}
--- a/internal/scheduler/batchrunner/report.go
+++ b/internal/scheduler/batchrunner/report.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"saffronquay/internal/panicguard"
+	"saffronquay/internal/scheduler/metrics"
 	"saffronquay/internal/scheduler/rpc"
 )
 
@@ -21,7 +23,7 @@
 // runLease executes the item of a lease and queues its report. A lease that was cancelled ends without a report, unless it has a result.
 func (r *Runner) runLease(ctx context.Context, shard string, lease *rpc.Lease) {
 	key := leaseKey{shard, lease.Number}
-	report := r.runItem(ctx, lease)
+	report := r.runItemContained(ctx, lease)
 	cancelled := ctx.Err() != nil
 	if report == nil || cancelled && report.Result == nil {
 		r.release(key)
@@ -42,6 +44,16 @@
 	}
 }
 
+// runItemContained is runItem, but that after a panic it hands the item back: another gatherer may run it.
+func (r *Runner) runItemContained(ctx context.Context, lease *rpc.Lease) (report *rpc.Report) {
+	defer panicguard.Contain(func(p *panicguard.PanicError) {
+		metrics.CountPanic("item")
+		r.Log.Error("panic", "job", lease.Job, "item", lease.Item.GetId(), "error", p, "stack", string(p.Stack))
+		report = &rpc.Report{}
+	})
+	return r.runItem(ctx, lease)
+}
+
 // release ends a lease: it is not listed to the owner any more.
 func (r *Runner) release(key leaseKey) {
 	r.mu.Lock()
--- a/internal/scheduler/consensus/core.go
+++ b/internal/scheduler/consensus/core.go
@@ -1,6 +1,7 @@
 package consensus
 
 import (
+	"math"
 	"math/rand/v2"
 	"saffronquay/internal/scheduler/rpc"
 )
@@ -153,11 +154,17 @@
 	}
 }
 
-// NextTickAt returns when Tick is due if no message arrives before. It stays in the past for a replica that is no voter and hears of no leader:
-// Tick does nothing there.
+// Never is a time that no clock reaches.
+const Never = math.MaxInt64
+
+// NextTickAt returns when Tick is due if no message arrives before; Never for a replica that is no voter, where Tick does nothing. After a call of
+// Tick it is in the future.
 func (c *Core) NextTickAt() int64 {
-	if c.role == leader {
+	switch {
+	case c.role == leader:
 		return c.heartbeatAt
+	case !c.isVoter(c.config.ID):
+		return Never
 	}
 	return c.electionAt
 }
--- a/internal/scheduler/consensus/election_test.go
+++ b/internal/scheduler/consensus/election_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
 )
 
 // A replica that has just started may have replied to a leader a moment ago. Until that leader's lease is over it grants no votes and starts no
@@ -36,3 +37,20 @@
 		is.True(startReplica(t, "b", newVoters("a", "b", "c"), &rpc.HardState{Epoch: 5}).NextTickAt() >= lease)
 	})
 }
+
+// Tick is never due at a replica that is no voter, so that its process doesn't wake for it; it is due again once the replica is a voter.
+func TestNoTickIsDueWithoutAVote(t *testing.T) {
+	is := is.New(t)
+	c := startReplica(t, "d", newVoters("a", "b", "c"), &rpc.HardState{Epoch: 5})
+	c.Tick(100 * electionTimeoutTestMS)
+	is.Equal(c.NextTickAt(), int64(Never))
+	data, err := proto.Marshal(newVoters("a", "b", "c", "d"))
+	is.NoErr(err)
+	now := int64(200 * electionTimeoutTestMS)
+	step(t, c, now, &rpc.Message{
+		Kind: rpc.MessageKind_APPEND, From: "a", Epoch: 5, LogIndex: 1, LogEpoch: 1,
+		Entries: []*rpc.Entry{{Index: 2, Epoch: 5, Kind: rpc.EntryKind_ENTRY_MEMBERSHIP, Data: data}},
+	})
+	is.True(c.NextTickAt() > now)
+	is.True(c.NextTickAt() <= now+2*electionTimeoutTestMS)
+}
--- a/internal/scheduler/consensus/replication.go
+++ b/internal/scheduler/consensus/replication.go
@@ -80,6 +80,9 @@
 
 // handleAppend takes over the leader's entries if they follow an entry that both logs hold, and replies how far the logs agree.
 func (c *Core) handleAppend(message *rpc.Message) {
+	if !areConsecutive(message) {
+		return
+	}
 	reply := &rpc.Message{Kind: rpc.MessageKind_APPEND_REPLY, To: message.From, Epoch: c.epoch, Round: message.Round}
 	entries, previousIndex, previousEpoch := message.Entries, message.LogIndex, message.LogEpoch
 	if previousIndex < c.log.snapshotIndex {
@@ -112,6 +115,16 @@
 	c.send(reply)
 }
 
+// areConsecutive reports whether the entries of an append follow its previous index without a gap, and none is of a later epoch than the leader's.
+func areConsecutive(message *rpc.Message) bool {
+	for i, entry := range message.Entries {
+		if entry.GetIndex() != message.LogIndex+1+uint64(i) || entry.GetEpoch() > message.Epoch {
+			return false
+		}
+	}
+	return true
+}
+
 // mergeEntries adds the leader's entries to the log. From the first one that differs on, they replace what the log holds. Entries that agree are
 // left alone: an append that arrives late must not drop those after it.
 func (c *Core) mergeEntries(entries []*rpc.Entry) {
--- a/internal/scheduler/consensus/replication_test.go
+++ b/internal/scheduler/consensus/replication_test.go
@@ -32,3 +32,23 @@
 	step(t, c, 1100, &rpc.Message{Kind: rpc.MessageKind_APPEND, From: "a", Epoch: 6, LogIndex: 4, LogEpoch: 6, Commit: 4})
 	is.Equal(c.CurrentAt(), int64(1100))
 }
+
+// Entries that don't follow the index that the append names are ignored: they would leave a gap in the log.
+func TestAppendWithAGapIsIgnored(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		entries []*rpc.Entry
+	}{
+		{"a gap before the first", []*rpc.Entry{newCommand(4, 5)}},
+		{"a gap between two", []*rpc.Entry{newCommand(3, 5), newCommand(5, 5)}},
+		{"a later epoch than the leader's", []*rpc.Entry{newCommand(3, 6)}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			c := startReplica(t, "b", newVoters("a", "b", "c"), &rpc.HardState{Epoch: 5}, newCommand(2, 5))
+			message := &rpc.Message{Kind: rpc.MessageKind_APPEND, From: "a", Epoch: 5, LogIndex: 2, LogEpoch: 5, Entries: test.entries}
+			is.Equal(len(step(t, c, 10, message)), 0)
+			is.Equal(c.log.lastIndex(), uint64(2))
+		})
+	}
+}
--- a/internal/scheduler/consensus/snapshot.go
+++ b/internal/scheduler/consensus/snapshot.go
@@ -2,6 +2,7 @@
 
 import (
 	"saffronquay/internal/scheduler/rpc"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -78,7 +79,7 @@
 // handleSnapshot takes a chunk of a snapshot. It acknowledges the chunk, or, when nothing more is needed, the log up to the commit index.
 func (c *Core) handleSnapshot(message *rpc.Message) {
 	snapshot := message.Snapshot
-	if snapshot == nil {
+	if !isInstallable(snapshot) {
 		return
 	}
 	epoch, known := c.log.epochAt(snapshot.Index)
@@ -101,6 +102,22 @@
 	c.send(&rpc.Message{Kind: rpc.MessageKind_APPEND_REPLY, To: message.From, Epoch: c.epoch, LogIndex: c.commit, Round: message.Round})
 }
 
+// isInstallable reports whether a received snapshot may replace the log: it needs voters, each with an id of its own. Without them the replica
+// would not know whose votes count, and with one twice it would count that vote twice.
+func isInstallable(snapshot *rpc.Snapshot) bool {
+	if snapshot.GetIndex() == 0 || len(snapshot.GetMembership().GetVoters()) == 0 {
+		return false
+	}
+	known := map[string]bool{}
+	for _, replica := range slices.Concat(snapshot.Membership.Voters, snapshot.Membership.Learners) {
+		if replica.GetId() == "" || known[replica.Id] {
+			return false
+		}
+		known[replica.Id] = true
+	}
+	return true
+}
+
 // receiveChunk takes the next chunk of a snapshot, and reports whether the snapshot is complete and its checksum right. With a wrong
 // checksum it begins again. A chunk of another snapshot than before discards those before.
 func (c *Core) receiveChunk(snapshot *rpc.Snapshot, chunk *rpc.SnapshotPiece) (complete bool) {
--- a/internal/scheduler/consensus/snapshot_test.go
+++ b/internal/scheduler/consensus/snapshot_test.go
@@ -97,3 +97,27 @@
 	}
 	is.Equal(c.Commit(), uint64(9))
 }
+
+// A snapshot whose members can't be a group's is ignored: the replica keeps its log and what it knows of the members.
+func TestSnapshotWithoutAMembershipIsIgnored(t *testing.T) {
+	for _, test := range []struct {
+		name       string
+		membership *rpc.Membership
+	}{
+		{"none", nil},
+		{"no voters", &rpc.Membership{Learners: newVoters("a").Voters}},
+		{"a voter without an id", newVoters("a", "", "c")},
+		{"a voter that stands twice", newVoters("a", "b", "a")},
+		{"a voter that is a learner too", &rpc.Membership{Voters: newVoters("a", "b").Voters, Learners: newVoters("b").Voters}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			c := startReplica(t, "b", newVoters("a", "b", "c"), &rpc.HardState{Epoch: 5, Commit: 1}, newCommand(2, 2))
+			snapshot := newSnapshot(t, 9, 4, "state")
+			snapshot.Membership = test.membership
+			is.Equal(len(step(t, c, 10, newChunkMessage(snapshot, 0, "state"))), 0)
+			is.Equal(c.log.lastIndex(), uint64(2))
+			is.Equal(len(c.Membership().Voters), 3)
+		})
+	}
+}
--- a/internal/scheduler/controlplane/api.go
+++ b/internal/scheduler/controlplane/api.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"encoding/json"
+	"saffronquay/internal/panicguard"
+	"saffronquay/internal/scheduler/metrics"
 	"time"
+	"unicode/utf8"
 
 	"github.com/fasthttp/router"
 	"github.com/valyala/fasthttp"
@@ -22,7 +25,18 @@
 // way are not bound to the end of the process: ctx must not end with it.
 func (s *Server) routes(ctx context.Context) fasthttp.RequestHandler {
 	bind := func(handle handler) fasthttp.RequestHandler {
-		return func(request *fasthttp.RequestCtx) { handle(ctx, request) }
+		return func(request *fasthttp.RequestCtx) {
+			defer panicguard.Contain(func(p *panicguard.PanicError) {
+				metrics.CountPanic("request")
+				s.log.Error("panic", "path", string(request.Path()), "error", p, "stack", string(p.Stack))
+				fail(request, fasthttp.StatusInternalServerError, "internal error")
+			})
+			if !utf8.ValidString(pathValue(request, "id")) || !utf8.ValidString(pathValue(request, "node")) {
+				fail(request, fasthttp.StatusBadRequest, "the path is not UTF-8")
+				return
+			}
+			handle(ctx, request)
+		}
 	}
 	r := router.New()
 	r.POST("/api/Config.Replace", bind(s.replaceConfiguration))
--- a/internal/scheduler/controlplane/control_service.go
+++ b/internal/scheduler/controlplane/control_service.go
@@ -45,7 +45,10 @@
 func (s *Server) NotePolicy(ctx context.Context, p *rpc.ModelPolicy) (*rpc.NotePolicyResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
 	defer cancel()
-	command := replica.Marshal(&rpc.DirectoryCommand{Command: &rpc.DirectoryCommand_Policy{Policy: p}})
+	command, err := replica.Marshal(&rpc.DirectoryCommand{Command: &rpc.DirectoryCommand_Policy{Policy: p}})
+	if err != nil {
+		return &rpc.NotePolicyResponse{}, nil // it is not taken, and never will be
+	}
 	return &rpc.NotePolicyResponse{Taken: s.submit(ctx, directory.Shard, command).Outcome == rpc.Outcome_DONE}, nil
 }
 
--- a/internal/scheduler/controlplane/operator_api.go
+++ b/internal/scheduler/controlplane/operator_api.go
@@ -10,6 +10,7 @@
 	"saffronquay/internal/scheduler/replica"
 	"saffronquay/internal/scheduler/rpc"
 	"strconv"
+	"unicode/utf8"
 
 	"github.com/valyala/fasthttp"
 	"google.golang.org/protobuf/proto"
@@ -19,7 +20,12 @@
 func (s *Server) decide(ctx context.Context, request *fasthttp.RequestCtx, command *rpc.DirectoryCommand) *rpc.DirectoryResult {
 	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
 	defer cancel()
-	proposed := s.submit(ctx, directory.Shard, replica.Marshal(command))
+	encoded, err := replica.Marshal(command)
+	if err != nil {
+		fail(request, fasthttp.StatusBadRequest, err.Error())
+		return nil
+	}
+	proposed := s.submit(ctx, directory.Shard, encoded)
 	if proposed.Outcome != rpc.Outcome_DONE {
 		fail(request, fasthttp.StatusServiceUnavailable, "no majority of the stewards answers")
 		return nil
@@ -69,6 +75,10 @@
 		return change, false
 	}
 	body := bytes.Clone(request.PostBody())
+	if !utf8.Valid(body) {
+		fail(request, fasthttp.StatusBadRequest, "configuration: the text is not UTF-8")
+		return change, false
+	}
 	var head struct {
 		Version uint64 `json:"version"`
 	}
--- a/internal/scheduler/controlplane/placements.go
+++ b/internal/scheduler/controlplane/placements.go
@@ -4,7 +4,6 @@
 	"context"
 	"saffronquay/internal/scheduler/directory"
 	"saffronquay/internal/scheduler/placement"
-	"saffronquay/internal/scheduler/replica"
 	"saffronquay/internal/scheduler/rpc"
 	"saffronquay/internal/scheduler/settings"
 	"time"
@@ -135,10 +134,10 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
 	defer cancel()
-	command := replica.Marshal(&rpc.DirectoryCommand{Command: &rpc.DirectoryCommand_Place{Place: &rpc.Placement{
+	command := &rpc.DirectoryCommand{Command: &rpc.DirectoryCommand_Place{Place: &rpc.Placement{
 		Group: group, Replicas: plan, Founding: current == nil,
-	}}})
-	if s.host.Propose(ctx, directory.Shard, command).Outcome == rpc.Outcome_DONE {
+	}}}
+	if s.host.ProposeMessage(ctx, directory.Shard, command).Outcome == rpc.Outcome_DONE {
 		s.log.Info("placement", "group", group, "replicas", nodeNames(plan))
 	}
 }
--- a/internal/scheduler/controlplane/retirements.go
+++ b/internal/scheduler/controlplane/retirements.go
@@ -5,7 +5,6 @@
 	"saffronquay/internal/scheduler/directory"
 	"saffronquay/internal/scheduler/lifecycle"
 	"saffronquay/internal/scheduler/placement"
-	"saffronquay/internal/scheduler/replica"
 	"saffronquay/internal/scheduler/rpc"
 	"saffronquay/internal/scheduler/settings"
 	"slices"
@@ -110,8 +109,8 @@
 func (s *Server) proposeRetirement(ctx context.Context, retirement *rpc.Retirement) rpc.Outcome {
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
 	defer cancel()
-	command := replica.Marshal(&rpc.DirectoryCommand{Command: &rpc.DirectoryCommand_Retire{Retire: retirement}})
-	return s.host.Propose(ctx, directory.Shard, command).Outcome
+	command := &rpc.DirectoryCommand{Command: &rpc.DirectoryCommand_Retire{Retire: retirement}}
+	return s.host.ProposeMessage(ctx, directory.Shard, command).Outcome
 }
 
 // RetireRefusal returns why a storage machine must not be emptied: it is unknown, or fewer machines than a group has replicas (size) would
--- a/internal/scheduler/controlplane/shard.go
+++ b/internal/scheduler/controlplane/shard.go
@@ -58,7 +58,7 @@
 
 // propose has the shard's group, which this process leads, decide on a command.
 func (sh *shard) propose(ctx context.Context, command *rpc.RegistryCommand) rpc.Outcome {
-	return sh.server.host.Propose(ctx, sh.name, replica.Marshal(command)).Outcome
+	return sh.server.host.ProposeMessage(ctx, sh.name, command).Outcome
 }
 
 // removeOverdue declares workers lost whose heartbeats have ceased, and removes those that were lost long ago. It does nothing where this
--- a/internal/scheduler/metrics/metrics.go
+++ b/internal/scheduler/metrics/metrics.go
@@ -31,6 +31,9 @@
 	return metrics.GetOrCreateCounter(series(name, labels))
 }
 
+// CountPanic counts a panic that was contained to the call, request, item or order that where names. Each is a fault of the program.
+func CountPanic(where string) { Counter("panics_total", Label{"where", where}).Inc() }
+
 // Unregister removes the metric of a name and labels from the export. A counter that a caller has kept counts on unseen.
 func Unregister(name string, labels ...Label) {
 	metrics.UnregisterMetric(series(name, labels))
--- a/internal/scheduler/proxy/doc.go
+++ b/internal/scheduler/proxy/doc.go
@@ -16,21 +16,24 @@
 //	                                                   were tried rejected the request or could not be reached, or
 //	                                                   its time ended before one took it
 //	503     batch jobs can't be kept yet               the placement of the shards is not known                      submitJob
-//	503     batch jobs can't be kept now               no replica of the shard was called, or each one answered      submitJob
-//	                                                   that the call had no effect
+//	503     batch jobs can't be kept now               no replica of the shard was called, or each one refused the   submitJob
+//	                                                   connection or answered that the call had no effect
 //	503     batch jobs can't be read yet               the placement of the shards is not known                      handleJob
 //	503     the batch job can't be read now            no replica answered in time                                   readJob
-//	503     items can't be read yet                    the placement is not known, or the method is not GET          readItemBody
+//	503     items can't be read yet                    the placement is not known                                    readItemBody
 //	503     the item can't be read now                 the owner did not answer in time                              readItemBody
+//	503     the batch job can't be ended now           no call was sent, or each one had no effect                   cancelJob
 //	502     no worker has answered the request whole   a worker may have run the request, none answered              failureStatus
 //	502     the worker's answer broke off              the error answer to a stream's request was incomplete         copyErrorBody
+//	502     internal error                             a panic of the program, counted in panics_total                handle
 //	504     the time of the request is over            a worker may have run the request, and the deadline passed    failureStatus
 //	                                                   or the last attempt timed out
-//	504     the batch job may have been taken          a call brought no clear answer: a lost one, a refused         submitJob
-//	                                                   connection, or one that was cut off by the timeout
+//	504     the batch job may have been taken          a call brought no clear answer: a lost one, or one that was   submitJob
+//	                                                   cut off by the timeout
 //	504     the end of the batch job is not certain    the owner did not confirm the cancellation in time            cancelJob
 //	500     (an error)                                 a page of results could not be encoded                        writePage
-//	405     want GET or DELETE                         another method for a batch job                                 handleJob
+//	405     want GET or DELETE                         another method for a batch job                                handleJob
+//	405     want GET                                   another method for an item                                    readItemBody
 //	404     no such route, batch job or item           the configuration in force has no route for it, or the owner   handle, jobs.go
 //	                                                   does not have it
 //	400     Request-Id: is missing                                                                                   forwardRequest
--- a/internal/scheduler/proxy/handler.go
+++ b/internal/scheduler/proxy/handler.go
@@ -1,7 +1,9 @@
 package proxy
 
 import (
+	"saffronquay/internal/panicguard"
 	"saffronquay/internal/scheduler/configuration"
+	"saffronquay/internal/scheduler/metrics"
 	"strconv"
 	"strings"
 	"time"
@@ -18,10 +20,22 @@
 	clientWaitDivisor = 3
 )
 
-// handle answers one request of a client. It dispatches by path and by the type of the route; the package's documentation lists the statuses.
+// handle answers one request of a client. A panic is answered 502: a worker may have run the request.
 func (p *Proxy) handle(ctx *fasthttp.RequestCtx) {
 	p.active.Add(1)
 	defer p.active.Add(-1)
+	defer panicguard.Contain(func(panicked *panicguard.PanicError) {
+		metrics.CountPanic("request")
+		p.log.Error("panic", "request", string(ctx.Request.Header.Peek("Request-Id")), "error", panicked, "stack", string(panicked.Stack))
+		ctx.Response.Reset()
+		ctx.SetConnectionClose()
+		answer(ctx, fasthttp.StatusBadGateway, "internal error")
+	})
+	p.dispatch(ctx)
+}
+
+// dispatch answers a request by its path and by the type of its route; the package's documentation lists the statuses.
+func (p *Proxy) dispatch(ctx *fasthttp.RequestCtx) {
 	if p.stopping.Load() {
 		ctx.SetConnectionClose()
 	}
--- a/internal/scheduler/proxy/handler_test.go
+++ b/internal/scheduler/proxy/handler_test.go
@@ -1,6 +1,8 @@
 package proxy
 
 import (
+	"log/slog"
+	"saffronquay/internal/scheduler/configuration"
 	"saffronquay/internal/scheduler/featuregate"
 	"saffronquay/internal/scheduler/settings"
 	"testing"
@@ -37,3 +39,20 @@
 	_, took = unconfigured(use, "2000")
 	is.True(took >= maxConfigurationWait)
 }
+
+// A panic on one request is that request's answer, which promises nothing; the process goes on, and nothing counts as under way.
+func TestPanicOfOneRequest(t *testing.T) {
+	is := is.New(t)
+	p := &Proxy{settings: &settings.Settings{}, configured: make(chan struct{}), log: slog.New(slog.DiscardHandler)}
+	p.config.Store(configuration.NewTable(&configuration.Document{Routes: []configuration.Route{{Host: "h", PathPrefix: "/", Type: configuration.TypeDeployment}}}))
+	ctx := &fasthttp.RequestCtx{} // the proxy has no client of the jobs' owners, so that submitting the job panics
+	ctx.Request.SetRequestURI("/x")
+	ctx.Request.Header.SetHost("h")
+	ctx.Request.Header.SetMethod(fasthttp.MethodPost)
+	ctx.Request.Header.Set("Request-Id", "r")
+	ctx.Request.SetBodyString(`{"requests":[{"id":"a","path":"/x"}]}`)
+	p.handle(ctx)
+	is.Equal(ctx.Response.StatusCode(), fasthttp.StatusBadGateway)
+	is.True(ctx.Response.ConnectionClose())
+	is.Equal(p.active.Load(), int64(0))
+}
--- a/internal/scheduler/proxy/jobs.go
+++ b/internal/scheduler/proxy/jobs.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"saffronquay/internal/scheduler/batchclient"
 	"saffronquay/internal/scheduler/batchjobs"
 	"saffronquay/internal/scheduler/rpc"
 	"strconv"
@@ -123,13 +125,15 @@
 	ctx.SetBody(text)
 }
 
-// cancelJob ends a batch job before its items are complete. Every failure is answered 504, also where the owner was not reached: the trainer
-// may repeat the cancellation in any case.
+// cancelJob ends a batch job before its items are complete. Without a clear answer it answers 504, and 503 where no call had an effect. The
+// trainer may repeat the cancellation in any case.
 func (p *Proxy) cancelJob(ctx *fasthttp.RequestCtx, shard, id string) {
 	response, err := callOwner(p, shard, submitTimeout, 0, func(ctx context.Context, owner rpc.Ledger) (*rpc.EndResponse, error) {
 		return owner.End(ctx, &rpc.EndRequest{Shard: shard, Job: id})
 	})
 	switch {
+	case errors.Is(err, batchclient.ErrUnavailable):
+		reject(ctx, "the batch job can't be ended now")
 	case err != nil:
 		answer(ctx, fasthttp.StatusGatewayTimeout, "the end of the batch job is not certain")
 	case !response.Found:
@@ -139,8 +143,12 @@
 
 // readItemBody answers with the body of an item, which the query names.
 func (p *Proxy) readItemBody(ctx *fasthttp.RequestCtx, host, id string) {
+	if !ctx.IsGet() {
+		answer(ctx, fasthttp.StatusMethodNotAllowed, "want GET")
+		return
+	}
 	shard := p.jobOwners.ShardOfHost(host)
-	if shard == "" || !ctx.IsGet() {
+	if shard == "" {
 		reject(ctx, "items can't be read yet")
 		return
 	}
--- a/internal/scheduler/proxy/submit.go
+++ b/internal/scheduler/proxy/submit.go
@@ -9,6 +9,7 @@
 	"saffronquay/internal/scheduler/configuration"
 	"saffronquay/internal/scheduler/rpc"
 	"time"
+	"unicode/utf8"
 
 	"github.com/valyala/fasthttp"
 )
@@ -22,7 +23,7 @@
 // after 503 and 504: the job is identified by its Request-Id.
 func (p *Proxy) submitJob(ctx *fasthttp.RequestCtx, route *configuration.Route, host string) {
 	id := string(ctx.Request.Header.Peek("Request-Id"))
-	if id == "" || !ctx.IsPost() {
+	if id == "" || !utf8.ValidString(id) || !ctx.IsPost() {
 		answer(ctx, fasthttp.StatusBadRequest, "a batch job is a POST with a Request-Id")
 		return
 	}
@@ -31,6 +32,10 @@
 		answer(ctx, fasthttp.StatusBadRequest, err.Error())
 		return
 	}
+	if !utf8.ValidString(host) || !utf8.Valid(ctx.Path()) {
+		answer(ctx, fasthttp.StatusBadRequest, "a batch job's host and path are UTF-8")
+		return
+	}
 	job.Id, job.Host, job.Path, job.SentUnixMs = id, host, string(ctx.Path()), time.Now().UnixMilli()
 	setLimits(job, route)
 	p.reportPolicy(job.Model, route.OnPolicy)
--- a/internal/scheduler/replica/host.go
+++ b/internal/scheduler/replica/host.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"saffronquay/internal/scheduler/rpc"
 	"sync/atomic"
 	"time"
@@ -80,11 +82,18 @@
 	}
 }
 
-// Propose has a group that this replica leads commit and apply a command, and waits for the result. The outcome is OUTCOME_UNKNOWN if ctx or
-// the host ends before. ctx does not bound the wait for a place in the queue.
+// Propose has a group that this replica leads commit and apply a command, and waits for the result. The outcome is UNAVAILABLE, without effect,
+// if ctx or the host ends before the command has a place in the queue, and OUTCOME_UNKNOWN if one of them ends after that.
 func (h *Host) Propose(ctx context.Context, name string, command []byte) ProposalResult {
 	done := make(chan ProposalResult, 1)
-	h.enqueue(func(int64) { h.engine.Propose(name, command, func(p ProposalResult) { done <- p }) })
+	propose := func(int64) { h.engine.Propose(name, command, func(p ProposalResult) { done <- p }) }
+	select {
+	case h.input <- propose:
+	case <-ctx.Done():
+		return ProposalResult{Outcome: rpc.Outcome_UNAVAILABLE}
+	case <-h.done:
+		return ProposalResult{Outcome: rpc.Outcome_UNAVAILABLE}
+	}
 	select {
 	case result := <-done:
 		return result
@@ -169,12 +178,24 @@
 	<-h.done
 }
 
-// Marshal encodes a command for Propose or Submit. It panics if the command can't be encoded, as with a string that is not UTF-8: the caller
-// must have checked that.
-func Marshal(m proto.Message) []byte {
+// ErrNotEncodable marks a command that can't be encoded, as with a string that is not UTF-8. It has had no effect.
+var ErrNotEncodable = errors.New("replica: command can't be encoded")
+
+// Marshal encodes a command for Propose or Submit. The error wraps ErrNotEncodable.
+func Marshal(m proto.Message) ([]byte, error) {
 	b, err := proto.Marshal(m)
 	if err != nil {
-		panic("replica: command can't be encoded: " + err.Error())
+		return nil, fmt.Errorf("%w: %w", ErrNotEncodable, err)
+	}
+	return b, nil
+}
+
+// ProposeMessage is Propose for a command that is not encoded yet. One that can't be encoded is UNAVAILABLE: it has had no effect.
+func (h *Host) ProposeMessage(ctx context.Context, name string, command proto.Message) ProposalResult {
+	encoded, err := Marshal(command)
+	if err != nil {
+		h.cfg.Log.Error("proposal", "group", name, "error", err)
+		return ProposalResult{Outcome: rpc.Outcome_UNAVAILABLE}
 	}
-	return b
+	return h.Propose(ctx, name, encoded)
 }
--- a/internal/scheduler/replica/host_test.go
+++ b/internal/scheduler/replica/host_test.go
@@ -7,12 +7,17 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"net/http/httptest"
 	"saffronquay/internal/scheduler/rpc"
+	"saffronquay/internal/scheduler/transport"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/puzpuzpuz/xsync/v4"
 	"google.golang.org/protobuf/proto"
 )
 
@@ -168,3 +173,81 @@
 	}
 	return nil
 }
+
+// A context bounds the wait for a place in the queue too. What had no place has had no effect.
+func TestProposeBoundsTheWaitForAPlace(t *testing.T) {
+	is := is.New(t)
+	host := &Host{input: make(chan func(int64)), stop: make(chan struct{}), done: make(chan struct{})} // its queue is full, and nobody empties it
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Millisecond)
+	defer cancel()
+	is.Equal(host.Propose(ctx, "g", nil).Outcome, rpc.Outcome_UNAVAILABLE)
+	close(host.done)
+	is.Equal(host.Propose(context.Background(), "g", nil).Outcome, rpc.Outcome_UNAVAILABLE)
+}
+
+// A command that can't be encoded is an error of its caller, and has no effect.
+func TestMarshalOfNoUTF8(t *testing.T) {
+	is := is.New(t)
+	_, err := Marshal(&rpc.Instance{Id: "\xff"})
+	is.True(errors.Is(err, ErrNotEncodable))
+	host := &Host{cfg: Config{Log: slog.New(slog.DiscardHandler)}}
+	is.Equal(host.ProposeMessage(context.Background(), "g", &rpc.Instance{Id: "\xff"}).Outcome, rpc.Outcome_UNAVAILABLE)
+}
+
+// leaderStub answers proposals with one outcome after the other, and the last one again and again.
+type leaderStub struct {
+	rpc.Replication
+	mu       sync.Mutex
+	outcomes []rpc.Outcome
+	calls    chan rpc.Outcome
+}
+
+func (l *leaderStub) Propose(context.Context, *rpc.ProposeRequest) (*rpc.ProposeResponse, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	outcome := l.outcomes[0]
+	if len(l.outcomes) > 1 {
+		l.outcomes = l.outcomes[1:]
+	}
+	l.calls <- outcome
+	return &rpc.ProposeResponse{Outcome: outcome}, nil
+}
+
+// A later attempt without effect doesn't hide that an earlier one may have had an effect.
+func TestSubmitKeepsAnUnknownOutcome(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		outcomes []rpc.Outcome
+		want     rpc.Outcome
+	}{
+		{"never an effect", []rpc.Outcome{rpc.Outcome_NOT_LEADER, rpc.Outcome_UNAVAILABLE}, rpc.Outcome_UNAVAILABLE},
+		{"unknown, then no effect", []rpc.Outcome{rpc.Outcome_OUTCOME_UNKNOWN, rpc.Outcome_UNAVAILABLE}, rpc.Outcome_OUTCOME_UNKNOWN},
+		{"unknown, then committed", []rpc.Outcome{rpc.Outcome_OUTCOME_UNKNOWN, rpc.Outcome_DONE}, rpc.Outcome_DONE},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			leader := &leaderStub{outcomes: test.outcomes, calls: make(chan rpc.Outcome, 1024)}
+			server := httptest.NewServer(rpc.NewReplicationServer(leader))
+			defer server.Close()
+			host := hostThatFollows(strings.TrimPrefix(server.URL, "http://"))
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			go func() { // the submission ends after three calls, between two of them
+				for range 3 {
+					<-leader.calls
+				}
+				time.AfterFunc(retryInterval/2, cancel)
+			}()
+			is.Equal(Submit(ctx, host, transport.NewClient(), "g", nil).Outcome, test.want)
+		})
+	}
+}
+
+// hostThatFollows returns a host that isn't run, with a group "g" that another process leads.
+func hostThatFollows(leader string) *Host {
+	statuses := xsync.NewMap[string, *atomic.Pointer[Status]]()
+	status := &atomic.Pointer[Status]{}
+	status.Store(&Status{LeaderID: "leader", LeaderAddress: leader})
+	statuses.Store("g", status)
+	return &Host{engine: &Engine{statuses: statuses}, done: make(chan struct{})}
+}
--- a/internal/scheduler/replica/submit.go
+++ b/internal/scheduler/replica/submit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"saffronquay/internal/scheduler/rpc"
 	"saffronquay/internal/scheduler/transport"
 	"time"
@@ -12,11 +13,12 @@
 const retryInterval = 60 * time.Millisecond
 
 // Submit has the leader of a group, wherever it is, commit and apply a command. It repeats the command until one attempt is DONE or ctx
-// ends, so the command must do no harm if it is applied twice. The result is that of the last attempt: if it is not DONE, an earlier attempt
-// may have taken effect nevertheless.
+// ends, so the command must do no harm if it is applied twice. Where no attempt is DONE, the outcome is OUTCOME_UNKNOWN if any of them may have
+// taken effect, whatever the later ones say; otherwise it is that of the last attempt, and the command has had no effect.
 func Submit(ctx context.Context, h *Host, client *transport.Client, group string, command []byte) ProposalResult {
 	s := submission{host: h, client: client, group: group, command: command}
 	result := ProposalResult{Outcome: rpc.Outcome_UNAVAILABLE}
+	uncertain := false // an attempt may have taken effect
 	for {
 		self, address := h.Status(group).NextHop()
 		switch {
@@ -28,9 +30,13 @@
 		if result.Outcome == rpc.Outcome_DONE {
 			return result
 		}
+		uncertain = uncertain || result.Outcome == rpc.Outcome_OUTCOME_UNKNOWN
 		select {
 		case <-time.After(retryInterval):
 		case <-ctx.Done():
+			if uncertain {
+				result.Outcome = rpc.Outcome_OUTCOME_UNKNOWN
+			}
 			return result
 		}
 	}
@@ -69,6 +75,9 @@
 func (s *submission) call(ctx context.Context, address string) ProposalResult {
 	client := rpc.NewReplicationProtobufClient("http://"+address, s.client)
 	response, err := client.Propose(ctx, &rpc.ProposeRequest{Group: s.group, Command: s.command})
+	if errors.Is(err, transport.ErrNotSent) {
+		return ProposalResult{Outcome: rpc.Outcome_UNAVAILABLE}
+	}
 	if err != nil {
 		return ProposalResult{Outcome: rpc.Outcome_OUTCOME_UNKNOWN}
 	}
--- a/internal/scheduler/simulation/controllers.go
+++ b/internal/scheduler/simulation/controllers.go
@@ -40,7 +40,7 @@
 		done(m.readLocally())
 		return
 	}
-	m.submit(directory.Shard, replica.Marshal(command), m.world.now+submitTimeoutMS, func(p replica.ProposalResult) {
+	m.submit(directory.Shard, encode(command), m.world.now+submitTimeoutMS, func(p replica.ProposalResult) {
 		result := &rpc.DirectoryResult{}
 		if p.Outcome != rpc.Outcome_DONE || proto.Unmarshal(p.Result, result) != nil {
 			done(nil)
@@ -130,7 +130,7 @@
 
 // retireCommand returns the command that begins or completes a retirement.
 func retireCommand(node string, completed bool) []byte {
-	return replica.Marshal(&rpc.DirectoryCommand{Command: &rpc.DirectoryCommand_Retire{Retire: &rpc.Retirement{Node: node, Completed: completed}}})
+	return encode(&rpc.DirectoryCommand{Command: &rpc.DirectoryCommand_Retire{Retire: &rpc.Retirement{Node: node, Completed: completed}}})
 }
 
 // handleHeartbeat handles a worker's heartbeat for a registry shard: here if this controller owns the shard, at the owner otherwise. It answers
@@ -178,12 +178,12 @@
 	result, command := m.heartbeatHandlers[shard].Decide(m.ownership(shard), r)
 	if result != rpc.Outcome_DONE || command == nil || m.world.bug(IgnoreLease) {
 		if command != nil {
-			m.proposeOnly(shard, replica.Marshal(command))
+			m.proposeOnly(shard, encode(command))
 		}
 		answer(result)
 		return
 	}
-	m.propose(shard, replica.Marshal(command), func(p replica.ProposalResult) { answer(p.Outcome) })
+	m.propose(shard, encode(command), func(p replica.ProposalResult) { answer(p.Outcome) })
 }
 
 // ownership returns what this controller knows of its ownership of a registry shard.
--- a/internal/scheduler/simulation/replication.go
+++ b/internal/scheduler/simulation/replication.go
@@ -134,7 +134,7 @@
 func (m *machine) propose(group string, command []byte, done func(replica.ProposalResult)) {
 	if self, _ := m.engine.Status(group).NextHop(); m.world.bug(AckOnPropose) && self && group == directory.Shard && isReplace(command) {
 		m.proposeOnly(group, command)
-		done(replica.ProposalResult{Outcome: rpc.Outcome_DONE, Result: replica.Marshal(&rpc.DirectoryResult{})})
+		done(replica.ProposalResult{Outcome: rpc.Outcome_DONE, Result: encode(&rpc.DirectoryResult{})})
 		return
 	}
 	m.engine.Propose(group, command, done)
--- a/internal/scheduler/simulation/seededbugs.go
+++ b/internal/scheduler/simulation/seededbugs.go
@@ -72,7 +72,7 @@
 		return command
 	}
 	c.GetReplace().Digest = append(c.GetReplace().Digest, place...)
-	return replica.Marshal(c)
+	return encode(c)
 }
 
 // Snapshot returns the state machine's snapshot; under ForgetAcceptedOrders without the orders that were accepted.
--- a/internal/scheduler/simulation/storage.go
+++ b/internal/scheduler/simulation/storage.go
@@ -71,7 +71,7 @@
 // commitResults commits results of a job. If that fails their items are open again. done gets whether it succeeded.
 func (m *machine) commitResults(shard, job string, results []*rpc.Result, done func(bool)) {
 	command := &rpc.LedgerCommand{Command: &rpc.LedgerCommand_Append{Append: &rpc.AppendResults{Job: job, Results: results}}}
-	m.propose(shard, replica.Marshal(command), func(p replica.ProposalResult) {
+	m.propose(shard, encode(command), func(p replica.ProposalResult) {
 		if p.Outcome == rpc.Outcome_DONE {
 			done(true)
 			return
@@ -122,7 +122,7 @@
 		return
 	}
 	command := &rpc.LedgerCommand{Command: &rpc.LedgerCommand_Create{Create: create}}
-	m.propose(shard, replica.Marshal(command), func(p replica.ProposalResult) { answer(ownerAnswer{outcome: p.Outcome}) })
+	m.propose(shard, encode(command), func(p replica.ProposalResult) { answer(ownerAnswer{outcome: p.Outcome}) })
 }
 
 // readJob reads a batch job from a position on. With anyReplica a follower that is in touch also answers.
--- a/internal/scheduler/transport/client.go
+++ b/internal/scheduler/transport/client.go
@@ -2,7 +2,10 @@
 
 import (
 	"bytes"
+	"errors"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"saffronquay/internal/scheduler/metrics"
 	"time"
@@ -30,7 +33,7 @@
 // NewClient returns a client without connections. A process needs only one.
 func NewClient() *Client {
 	return &Client{http: fasthttp.Client{
-		Dial:                      Dial,
+		Dial:                      dial,
 		MaxConnsPerHost:           maxConnectionsPerAddress,
 		MaxIdleConnDuration:       clientIdleTimeout,
 		MaxIdemponentCallAttempts: 1,
@@ -40,26 +43,69 @@
 	}}
 }
 
-// Do sends a request once and waits for its response until the deadline of the request's context, or for 2 s if that has none. A context that is
-// cancelled before its deadline does not end the wait. Of the headers only Content-Type is sent and returned. The response is complete in
-// memory, so its body needs no Close. After an error the server may or may not have executed the call.
+// ErrNotSent says that no byte of a call was sent: there was no connection to the server, and none free. The server has not executed the call
+// and will not.
+var ErrNotSent = errors.New("transport: the call was not sent")
+
+// Do sends a request once and waits for its response until the request's context ends, or for 2 s if that has no deadline. Of the headers only
+// Content-Type is sent and returned. The response is complete in memory, so its body needs no Close. After an error that is not ErrNotSent the
+// server may or may not have executed the call.
+//
+// The exchange itself can't be interrupted: after a cancellation its goroutine and its connection are in use until the deadline at the latest.
 func (c *Client) Do(r *http.Request) (*http.Response, error) {
-	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(request)
-	defer fasthttp.ReleaseResponse(response)
-	if err := copyRequest(request, r); err != nil {
-		return nil, err
+	ctx := r.Context()
+	if ctx.Err() != nil {
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, ctx.Err())
 	}
-	deadline, ok := r.Context().Deadline()
+	deadline, ok := ctx.Deadline()
 	if !ok {
 		deadline = time.Now().Add(defaultTimeout)
 	}
-	if err := c.http.DoDeadline(request, response, deadline); err != nil {
-		countCall(r.URL.Path, "failed", len(request.Body()), 0)
+	request := fasthttp.AcquireRequest()
+	if err := copyRequest(request, r); err != nil {
+		fasthttp.ReleaseRequest(request)
 		return nil, err
 	}
-	countCall(r.URL.Path, "answered", len(request.Body()), len(response.Body()))
-	return copyResponse(response), nil
+	exchanged := make(chan exchange, 1) // buffered, since the exchange may end after Do has returned
+	go func() { exchanged <- c.exchange(request, r.URL.Path, deadline) }()
+	select {
+	case e := <-exchanged:
+		return e.response, e.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// exchange is the end of one call: a response, or an error.
+type exchange struct {
+	response *http.Response
+	err      error
+}
+
+// exchange sends a request, waits for its response until a deadline, and counts the call by its path. It releases the request.
+func (c *Client) exchange(request *fasthttp.Request, path string, deadline time.Time) exchange {
+	response := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	err := c.http.DoDeadline(request, response, deadline)
+	if err != nil {
+		countCall(path, "failed", len(request.Body()), 0)
+		if errors.Is(err, fasthttp.ErrNoFreeConns) {
+			err = fmt.Errorf("%w: %w", ErrNotSent, err)
+		}
+		return exchange{err: err}
+	}
+	countCall(path, "answered", len(request.Body()), len(response.Body()))
+	return exchange{response: copyResponse(response)} //nolint:bodyclose // it is complete in memory
+}
+
+// dial is Dial for the client. Its errors wrap ErrNotSent.
+func dial(address string) (net.Conn, error) {
+	conn, err := Dial(address)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
+	return conn, nil
 }
 
 // copyRequest sets a fasthttp request to what a net/http request says.
--- a/internal/scheduler/transport/doc.go
+++ b/internal/scheduler/transport/doc.go
@@ -4,5 +4,6 @@
 // The package knows nothing of the calls' meaning, and repeats none: a call is sent at most once, so that the caller may decide whether a
 // repetition is harmless.
 //
-// Client, Server and the functions may be used by any goroutine. An error of Client.Do says nothing of whether the call was executed.
+// Client, Server and the functions may be used by any goroutine. An error of Client.Do says nothing of whether the call was executed,
+// unless it is ErrNotSent.
 package transport
--- a/internal/scheduler/transport/server.go
+++ b/internal/scheduler/transport/server.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"log/slog"
 	"net"
 	"net/http"
+	"saffronquay/internal/panicguard"
+	"saffronquay/internal/scheduler/metrics"
 	"strings"
 
 	"github.com/valyala/fasthttp"
@@ -43,12 +46,18 @@
 	return s, nil
 }
 
-// byPrefix returns a handler that passes a request to the one whose prefix its path has.
+// byPrefix returns a handler that passes a request to the one whose prefix its path has. A panic there is answered 500: the call may have been
+// executed.
 func byPrefix(handlers map[string]fasthttp.RequestHandler) fasthttp.RequestHandler {
 	return func(ctx *fasthttp.RequestCtx) {
 		path := string(ctx.Path())
 		for prefix, handler := range handlers {
 			if strings.HasPrefix(path, prefix) {
+				defer panicguard.Contain(func(p *panicguard.PanicError) {
+					metrics.CountPanic("call")
+					slog.Error("panic", "call", path, "error", p, "stack", string(p.Stack))
+					ctx.Error("internal error", fasthttp.StatusInternalServerError)
+				})
 				handler(ctx)
 				return
 			}
--- a/internal/scheduler/transport/transport_test.go
+++ b/internal/scheduler/transport/transport_test.go
@@ -4,10 +4,12 @@
 	"bufio"
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"saffronquay/internal/scheduler/rpc"
 	"strings"
 	"sync"
 	"testing"
@@ -140,3 +142,63 @@
 		io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
 	}
 }
+
+// A call ends with its context, also before the deadline; the server may still be at work on it.
+func TestCallsEndWithTheirContext(t *testing.T) {
+	is := is.New(t)
+	begun, release := make(chan struct{}), make(chan struct{})
+	server, err := Listen(context.Background(), "127.0.0.1:0", map[string]http.Handler{"/echo": http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		close(begun)
+		<-release
+	})})
+	is.NoErr(err)
+	go server.Serve()
+	t.Cleanup(func() { close(release); server.Close(context.Background()) })
+	ctx, cancel := context.WithTimeout(context.Background(), time.Hour)
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+server.listener.Addr().String()+"/echo", strings.NewReader("x"))
+	is.NoErr(err)
+	go func() { <-begun; cancel() }()
+	_, err = NewClient().Do(request)
+	is.True(errors.Is(err, context.Canceled))
+	is.True(!errors.Is(err, ErrNotSent))
+}
+
+// Calls of which nothing was sent say so, also through the client that twirp generates.
+func TestCallsThatWereNotSent(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	is.NoErr(err)
+	address := listener.Addr().String()
+	listener.Close()
+	_, err = post(t, NewClient(), address, "x", 20*time.Second)
+	is.True(errors.Is(err, ErrNotSent))
+	_, err = rpc.NewControlProtobufClient("http://"+address, NewClient()).Watch(context.Background(), &rpc.WatchRequest{})
+	is.True(errors.Is(err, ErrNotSent))
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	request, err := http.NewRequestWithContext(ended, http.MethodPost, "http://"+echo(t)+"/echo", strings.NewReader("x"))
+	is.NoErr(err)
+	_, err = NewClient().Do(request)
+	is.True(errors.Is(err, ErrNotSent) && errors.Is(err, context.Canceled))
+}
+
+// A panic of one call's handler is answered 500; the server goes on.
+func TestPanicOfOneCall(t *testing.T) {
+	is := is.New(t)
+	server, err := Listen(context.Background(), "127.0.0.1:0", map[string]http.Handler{"/echo": http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		if string(body) == "panic" {
+			panic("a fault of the handler")
+		}
+		w.Write(body)
+	})})
+	is.NoErr(err)
+	go server.Serve()
+	t.Cleanup(func() { server.Close(context.Background()) })
+	client, address := NewClient(), server.listener.Addr().String()
+	for _, body := range []string{"panic", "good"} {
+		text, err := post(t, client, address, body, 20*time.Second)
+		is.NoErr(err)
+		is.Equal(text == "good", body == "good")
+	}
+}
--- a/internal/scheduler/weights/dispatcher.go
+++ b/internal/scheduler/weights/dispatcher.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"maps"
+	"saffronquay/internal/panicguard"
 	"saffronquay/internal/scheduler/lifecycle"
 	"saffronquay/internal/scheduler/metrics"
 	"saffronquay/internal/scheduler/rpc"
@@ -136,6 +137,10 @@
 		delete(d.inFlight, order.Instance.Id)
 		d.mu.Unlock()
 	}()
+	defer panicguard.Contain(func(p *panicguard.PanicError) {
+		metrics.CountPanic("order")
+		d.Log.Error("panic", "instance", order.Instance.Id, "error", p, "stack", string(p.Stack))
+	})
 	if now, owned := d.Shard.Lease(); !owned || now != epoch {
 		return
 	}
