Worker addresses, zones and member offsets read and moved safely

Change: the address is an atomic pointer; put moves a gatherer; the zone counts as a change; feed.Table.PublishAfter takes the offset under the lock. An attempt on an item releases its reservation also where it panics.

--- a/internal/scheduler/agent/members.go
+++ b/internal/scheduler/agent/members.go
@@ -32,7 +32,6 @@
 	}
 	a.published = alive
 	if len(events) > 0 {
-		offset := max(uint64(time.Now().UnixMicro()), a.feed.Offset(membersShard)+1)
-		a.feed.Publish(membersShard, offset, events...)
+		a.feed.PublishAfter(membersShard, uint64(time.Now().UnixMicro()), events...)
 	}
 }
--- a/internal/scheduler/batchrunner/attempt.go
+++ b/internal/scheduler/batchrunner/attempt.go
@@ -32,7 +32,7 @@
 	timeout := time.AfterFunc(r.Timeouts.FirstEvent, cancel)
 	defer timeout.Stop()
 	answer, err := r.Forwarder.Pool.Do(attemptCtx, &worker.Call{
-		Address: w.Address, Method: fasthttp.MethodPost, URI: r.lease.Item.Path, Host: r.lease.Host,
+		Address: w.Address(), Method: fasthttp.MethodPost, URI: r.lease.Item.Path, Host: r.lease.Host,
 		Headers: requestHeaders(r.lease, w.ID, &r.text), Body: r.lease.Item.Body,
 	})
 	if err != nil {
@@ -45,7 +45,7 @@
 	defer answer.Close()
 	if !answer.IsFor(r.lease.Item.Id) {
 		answer.Discard()
-		r.Forwarder.Pool.CloseIdle(w.Address)
+		r.Forwarder.Pool.CloseIdle(w.Address())
 		return attemptRetry
 	}
 	r.Log.Debug("answer", "item", r.lease.Item.Id, "worker", w.ID, "status", answer.Status, "weights", answer.Header.Peek("Weight-Versions"),
--- a/internal/scheduler/batchrunner/item.go
+++ b/internal/scheduler/batchrunner/item.go
@@ -39,8 +39,7 @@
 		if reservation == nil {
 			return releaseReport()
 		}
-		outcome := run.attempt(ctx, route, reservation.Worker)
-		reservation.Release()
+		outcome := run.attemptAt(ctx, route, reservation)
 		countAttempt(outcome)
 		switch {
 		case ctx.Err() != nil:
@@ -57,6 +56,12 @@
 	return releaseReport()
 }
 
+// attemptAt makes an attempt at a reserved worker and releases the reservation, also where the attempt panics.
+func (r *itemRun) attemptAt(ctx context.Context, route *configuration.Route, reservation *routing.Reservation) attemptOutcome {
+	defer reservation.Release()
+	return r.attempt(ctx, route, reservation.Worker)
+}
+
 // incompleteReport ends an item for good, without a text: no attempt can complete it.
 func incompleteReport() *rpc.Report { return &rpc.Report{Result: &rpc.Result{}} }
 
--- a/internal/scheduler/batchrunner/report.go
+++ b/internal/scheduler/batchrunner/report.go
@@ -49,7 +49,7 @@
 	defer panicguard.Contain(func(p *panicguard.PanicError) {
 		metrics.CountPanic("item")
 		r.Log.Error("panic", "job", lease.Job, "item", lease.Item.GetId(), "error", p, "stack", string(p.Stack))
-		report = &rpc.Report{}
+		report = releaseReport()
 	})
 	return r.runItem(ctx, lease)
 }
--- a/internal/scheduler/feed/table.go
+++ b/internal/scheduler/feed/table.go
@@ -37,6 +37,11 @@
 func (t *Table) Publish(name string, index uint64, events ...*rpc.FeedEvent) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.publish(name, index, events)
+}
+
+// publish records changes and sets a shard's offset. The caller has locked mu.
+func (t *Table) publish(name string, index uint64, events []*rpc.FeedEvent) {
 	s := t.shard(name)
 	for _, e := range events {
 		e.Offset = index
@@ -46,6 +51,14 @@
 	t.notifyWatchers()
 }
 
+// PublishAfter is Publish for a shard whose offsets are not indexes of a log: the offset becomes least, or the one after the shard's offset where
+// that is higher, so that it never steps back, whatever AdvancePast does meanwhile.
+func (t *Table) PublishAfter(name string, least uint64, events ...*rpc.FeedEvent) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.publish(name, max(least, t.shard(name).offset+1), events)
+}
+
 // Replace sets a shard to a snapshot, whatever its offset was, and wakes the watchers. It returns the removals of workers and members that the
 // snapshot lacks. The table keeps the events; the caller must not change them afterwards.
 func (t *Table) Replace(name string, index uint64, events []*rpc.FeedEvent) (removed []*rpc.FeedEvent) {
--- a/internal/scheduler/feed/table_test.go
+++ b/internal/scheduler/feed/table_test.go
@@ -118,3 +118,16 @@
 	is.Equal(seen, view{"a": 8, "b": 8})
 	is.Equal(len(own.shards["s"].events), 0)
 }
+
+// Offsets that are times never step back, whatever a watch advances the shard to between two publications.
+func TestPublishAfterNeverStepsBack(t *testing.T) {
+	is := is.New(t)
+	table := NewTable()
+	table.PublishAfter("members", 100)
+	is.Equal(table.Offset("members"), uint64(100))
+	table.AdvancePast("members", 5000) // a watcher has seen that from an earlier process, whose clock was ahead
+	table.PublishAfter("members", 101)
+	is.Equal(table.Offset("members"), uint64(5002))
+	table.PublishAfter("members", 9000)
+	is.Equal(table.Offset("members"), uint64(9000))
+}
--- a/internal/scheduler/forward/answer.go
+++ b/internal/scheduler/forward/answer.go
@@ -29,7 +29,7 @@
 func (d *delivery) checkAnswer(w *routing.Worker, answer *worker.Answer) error {
 	switch {
 	case !answer.IsFor(d.request.ID):
-		d.Pool.CloseIdle(w.Address)
+		d.Pool.CloseIdle(w.Address())
 		return outcome.Errorf(outcome.Failed, outcome.MayHaveRun, errWrongAnswer, "worker %s", w.ID)
 	case answer.Status == fasthttp.StatusMisdirectedRequest:
 		return reject(w, answer, routing.RejectedMisdirected)
--- a/internal/scheduler/forward/attempt.go
+++ b/internal/scheduler/forward/attempt.go
@@ -61,7 +61,7 @@
 func (d *delivery) exchange(ctx context.Context, w *routing.Worker) (*worker.Answer, []byte, error) {
 	r := d.request
 	answer, err := d.Pool.Do(ctx, &worker.Call{
-		Address: w.Address, Method: r.Method, URI: r.URI, Host: r.Host, Headers: r.headers(w.ID), Body: r.Body,
+		Address: w.Address(), Method: r.Method, URI: r.URI, Host: r.Host, Headers: r.headers(w.ID), Body: r.Body,
 		DialTimeout: dialTimeout,
 	})
 	if err != nil {
--- a/internal/scheduler/registry/liveness.go
+++ b/internal/scheduler/registry/liveness.go
@@ -51,6 +51,7 @@
 	startsDraining := reported.Draining && !known.Draining
 	return startsDraining ||
 		known.Address != reported.Address ||
+		known.Zone != reported.Zone ||
 		known.Service != reported.Service ||
 		known.Capacity != reported.Capacity ||
 		hasNewerWeights(known.Models, reported.Models)
--- a/internal/scheduler/registry/registry_test.go
+++ b/internal/scheduler/registry/registry_test.go
@@ -118,3 +118,13 @@
 	}
 	return encoded
 }
+
+// A worker that reports another zone only is recorded: gatherers prefer workers of their zone.
+func TestAnotherZoneIsAChange(t *testing.T) {
+	is := is.New(t)
+	tracker := NewLivenessTracker(1000)
+	moved := worker(2, 1, false)
+	moved.Zone = "z"
+	is.True(tracker.Observe(0, worker(1, 1, false), moved))
+	is.True(!tracker.Observe(0, moved, moved))
+}
--- a/internal/scheduler/routing/gatherers.go
+++ b/internal/scheduler/routing/gatherers.go
@@ -8,7 +8,13 @@
 	all    []string
 }
 
+// put adds a gatherer. One that is known in another zone moves to this one.
 func (g *gatherers) put(x Gatherer) {
+	for zone, names := range g.byZone {
+		if zone != x.Zone {
+			g.byZone[zone] = removeName(names, x.Name)
+		}
+	}
 	g.byZone[x.Zone] = insertName(g.byZone[x.Zone], x.Name)
 	g.all = insertName(g.all, x.Name)
 }
--- a/internal/scheduler/routing/table.go
+++ b/internal/scheduler/routing/table.go
@@ -90,7 +90,7 @@
 	t.byService[w.Service] = slices.DeleteFunc(t.byService[w.Service], func(x *Worker) bool { return x == w })
 }
 
-// PutGatherer adds a gatherer that is alive; one that is known stays as it is.
+// PutGatherer adds a gatherer that is alive, or moves one that is known to another zone.
 func (t *Table) PutGatherer(g Gatherer) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/scheduler/routing/table_test.go
+++ b/internal/scheduler/routing/table_test.go
@@ -107,3 +107,40 @@
 	_, total = table.FreeSlots(1, []string{"s"})
 	is.Equal(total, 5)
 }
+
+// A worker may be announced again, at another address, while requests to it begin: its address is read without the table's lock.
+func TestAddressIsReadWhileAWorkerIsAnnounced(t *testing.T) {
+	is := is.New(t)
+	table := newTestTable(newInstance("a", 1))
+	reservation := table.Pick(0, anywhere, 1)
+	announced := make(chan struct{})
+	go func() {
+		defer close(announced)
+		for range 100 {
+			moved := newInstance("a", 1)
+			moved.Address = "b"
+			table.PutWorker(moved)
+		}
+	}()
+	for range 100 {
+		address := reservation.Worker.Address()
+		is.True(address == "a" || address == "b")
+	}
+	<-announced
+	is.Equal(reservation.Worker.Address(), "b")
+}
+
+// A gatherer that comes back in another zone divides the slots of that zone's workers, and no longer those of the old one's.
+func TestGathererMovesToAnotherZone(t *testing.T) {
+	is := is.New(t)
+	var known gatherers
+	known.byZone = map[string][]string{}
+	known.put(Gatherer{Name: "a", Zone: "x"})
+	known.put(Gatherer{Name: "b", Zone: "x"})
+	known.put(Gatherer{Name: "a", Zone: "y"})
+	is.Equal(known.serving("x"), []string{"b"})
+	is.Equal(known.serving("y"), []string{"a"})
+	is.Equal(known.all, []string{"a", "b"})
+	known.put(Gatherer{Name: "b", Zone: "y"})
+	is.Equal(known.serving("x"), []string{"a", "b"}) // the zone has none any more
+}
