A founder that lost its disk takes a new identity, whatever bootstrap says

Change: each steward records durably that a message of a founder has arrived, before any vote or acknowledgement in it counts (IdentityStore.RecordContact, Config.FirstContact). A founder with an empty disk asks the others (controlplane/founding.go, StatusRequest.founder); one that has met it decides. All ask at the first start, and answer meanwhile.

Ruled out: that a group has a leader, as the sign that it exists: at the first start two founders may have elected one before the third has started.

--- /dev/null
+++ b/internal/scheduler/controlplane/founding_test.go
@@ -0,0 +1,133 @@
+package controlplane
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"saffronquay/internal/scheduler/replica"
+	"saffronquay/internal/scheduler/rpc"
+	"saffronquay/internal/scheduler/settings"
+	"saffronquay/internal/scheduler/transport"
+	"strconv"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// A founder is asked until it answers; one that has met the asking founder decides.
+func TestAskFounders(t *testing.T) {
+	silent := errors.New("connection refused")
+	for _, test := range []struct {
+		name    string
+		answers map[string][]any // by address, in order: an error, or whether it has met the founder
+		met     bool
+	}{
+		{"first start", map[string][]any{"b": {silent, false}, "c": {silent, silent, false}}, false},
+		{"one has met it", map[string][]any{"b": {false}, "c": {silent, true}}, true},
+		{"both have", map[string][]any{"b": {true}, "c": {true}}, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			met := askFounders(context.Background(), []string{"b", "c"}, func(_ context.Context, address string) (bool, error) {
+				answer := test.answers[address][0]
+				test.answers[address] = test.answers[address][1:]
+				if err, failed := answer.(error); failed {
+					return false, err
+				}
+				return answer == true, nil
+			})
+			is.Equal(met, test.met)
+		})
+	}
+	is := is.New(t)
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	is.True(!askFounders(ended, []string{"b"}, func(context.Context, string) (bool, error) { return false, silent })) // it founds without that one
+}
+
+// A founder whose disk is empty gets its founder's id at the first start, and another one once its messages have arrived at another founder,
+// although the setting bootstrap is still true. The record outlasts a restart of that other one.
+func TestLostDiskOfAFounderIsANewIdentity(t *testing.T) {
+	is := is.New(t)
+	const self, other = "127.0.0.1:8144", "127.0.0.2:8144"
+	s := &settings.Settings{IP: "127.0.0.1", PortRange: []int{7380, 7395}, Bootstrap: true, Seeds: []string{self, other}, Listen: settings.Listen{ControlPlane: self}}
+	others := t.TempDir()
+	start := func() replica.Identity { // with an empty disk
+		record, err := replica.OpenIdentityStore(others)
+		is.NoErr(err)
+		defer record.Close()
+		own, err := replica.OpenIdentityStore(t.TempDir())
+		is.NoErr(err)
+		defer own.Close()
+		service := &replica.Service{Host: newTestHost(t, record), HasContact: func(founder string) bool {
+			met, err := record.HasContact(founder)
+			is.NoErr(err)
+			return met
+		}}
+		identity, err := replica.LoadOrCreateIdentity(own, s, func(founder string) bool {
+			response, err := service.Status(context.Background(), &rpc.StatusRequest{Founder: founder})
+			is.NoErr(err)
+			return response.FounderMet
+		})
+		is.NoErr(err)
+		// The new process takes part: it sends a message.
+		proposed := make(chan struct{})
+		go func() { defer close(proposed); service.Host.Run() }()
+		service.Host.Step([]*rpc.Message{{Kind: rpc.MessageKind_PRE_VOTE, Group: "g", From: identity.ID, To: "other", Epoch: 2}})
+		service.Host.Propose(context.Background(), "g", nil) // returns after the message was processed
+		service.Host.Stop()
+		<-proposed
+		return identity
+	}
+	is.Equal(start().ID, replica.FounderID(self))
+	again := start().ID
+	is.True(again != replica.FounderID(self))
+	is.True(start().ID != again)
+}
+
+// newTestHost returns a host without groups that records contacts. The caller runs it.
+func newTestHost(t *testing.T, record *replica.IdentityStore) *replica.Host {
+	t.Helper()
+	store, err := replica.OpenStore(t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { store.Close() })
+	host, err := replica.NewHost(replica.Config{
+		Identity: replica.Identity{ID: "other", Address: "other"}, Store: store, Machine: func(string) replica.StateMachine { return nil },
+		Send: func(string, []*rpc.Message) {}, Log: slog.New(slog.DiscardHandler), FirstContact: record.RecordContact,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return host
+}
+
+// At the first start all founders ask at once, and answer each other although none has a replica yet.
+func TestFoundersThatAskAnswer(t *testing.T) {
+	is := is.New(t)
+	probe, err := net.Listen("tcp4", "127.0.0.1:0")
+	is.NoErr(err)
+	_, port, err := net.SplitHostPort(probe.Addr().String())
+	is.NoErr(err)
+	is.NoErr(probe.Close())
+	first, err := strconv.Atoi(port)
+	is.NoErr(err)
+	newFounder := func(ip string) *Server {
+		return &Server{
+			settings: &settings.Settings{
+				IP: ip, PortRange: []int{first, first + 3}, Bootstrap: true,
+				Seeds: []string{"127.0.0.1:8144", "127.0.0.2:8144"}, Listen: settings.Listen{ControlPlane: ip + ":8144"},
+			},
+			log: slog.New(slog.DiscardHandler), client: transport.NewClient(),
+		}
+	}
+	answers := make(chan bool, 2)
+	for _, ip := range []string{"127.0.0.1", "127.0.0.2"} {
+		founder := newFounder(ip)
+		go func() { answers <- founder.tookPart(context.Background(), replica.FounderID(ip+":8144")) }()
+	}
+	is.True(!<-answers)
+	is.True(!<-answers)
+}
--- a/internal/scheduler/controlplane/server.go
+++ b/internal/scheduler/controlplane/server.go
@@ -58,23 +58,25 @@
 		settings: source.Current(), log: log, client: transport.NewClient(), started: time.Now(),
 		feed: feed.NewTable(), shards: map[string]*shard{},
 	}
-	if err := s.open(options); err != nil {
+	var err error
+	if s.identities, err = replica.OpenIdentityStore(s.settings.DataDir); err != nil {
 		return err
 	}
 	defer s.identities.Close()
-	defer s.store.Close()
-	return s.serve(ctx)
-}
-
-// open reads the disk, and prepares the state machines and the host of the replicas.
-func (s *Server) open(options replica.Options) (err error) {
-	if s.identities, err = replica.OpenIdentityStore(s.settings.DataDir); err != nil {
+	if s.store, err = replica.OpenStore(s.settings.DataDir); err != nil {
 		return err
 	}
-	if s.identity, err = replica.LoadOrCreateIdentity(s.identities, s.settings); err != nil {
+	defer s.store.Close()
+	if err := s.open(ctx, options); err != nil {
 		return err
 	}
-	if s.store, err = replica.OpenStore(s.settings.DataDir); err != nil {
+	return s.serve(ctx)
+}
+
+// open decides on the identity, and prepares the state machines and the host of the replicas.
+func (s *Server) open(ctx context.Context, options replica.Options) (err error) {
+	tookPart := func(founder string) bool { return s.tookPart(ctx, founder) }
+	if s.identity, err = replica.LoadOrCreateIdentity(s.identities, s.settings, tookPart); err != nil {
 		return err
 	}
 	s.directory = directory.New(s.feed)
@@ -86,14 +88,22 @@
 	options.BatchCalls = s.settings.FeatureGates.BatchedWrites
 	s.host, err = replica.NewHost(replica.Config{
 		Identity: s.identity, Store: s.store, Machine: s.stateMachine, Send: replica.NewSender(s.client).Send, Log: s.log, Options: options,
+		FirstContact: s.identities.RecordContact,
 	})
 	return err
 }
 
+// hasContact reports whether a message of a founder has arrived here once. It is assumed where the disk can't be read: a founder that is taken for one
+// that lost its disk takes another id, which does no harm.
+func (s *Server) hasContact(founder string) bool {
+	met, err := s.identities.HasContact(founder)
+	return met || err != nil
+}
+
 // serve runs the servers and loops until ctx ends or the disk fails.
 func (s *Server) serve(ctx context.Context) error {
 	peer, err := transport.Listen(ctx, s.settings.PeerAddress(), map[string]http.Handler{
-		rpc.ReplicationPathPrefix: rpc.NewReplicationServer(&replica.Service{Host: s.host}),
+		rpc.ReplicationPathPrefix: rpc.NewReplicationServer(&replica.Service{Host: s.host, HasContact: s.hasContact}),
 		rpc.ControlPathPrefix:     rpc.NewControlServer(s),
 	})
 	if err != nil {
--- a/internal/scheduler/replica/config.go
+++ b/internal/scheduler/replica/config.go
@@ -57,6 +57,9 @@
 	Send   func(address string, messages []*rpc.Message)
 	Log    *slog.Logger
 	Random *rand.Rand // draws the election timeouts; nil: seeded by chance
+	// FirstContact is called before the first message of a founder since the process started is acted on; nil: not called. After an error the
+	// message is dropped. What it records lets a founder that has lost its disk learn that it has taken part before.
+	FirstContact func(founder string) error
 	// Options may be left at their zero values.
 	Options Options
 	// Changed is called when a group's leader or applied index has changed; nil: not called. It must not block.
--- a/internal/scheduler/replica/engine.go
+++ b/internal/scheduler/replica/engine.go
@@ -18,6 +18,7 @@
 	groups    map[string]*group
 	names     []string          // of the groups, in order: they are visited in this order, so that simulations repeat
 	addresses map[string]string // of replicas, by id
+	contacts  map[string]bool   // founders whose first contact is recorded
 	creations []groupCreation   // in the order of CreateGroup
 	pending   *readyBatch       // not persisted yet, so neither sent nor applied; nil: none
 	err       error
@@ -69,6 +70,7 @@
 		cfg:       cfg,
 		groups:    map[string]*group{},
 		addresses: map[string]string{},
+		contacts:  map[string]bool{},
 		statuses:  xsync.NewMap[string, *atomic.Pointer[Status]](),
 	}
 	for _, name := range cfg.Store.Groups() {
@@ -132,6 +134,9 @@
 		if m.To != e.cfg.Identity.ID || e.Stalled() || e.err != nil {
 			continue
 		}
+		if !e.recordContact(m.From) {
+			continue
+		}
 		e.addresses[m.From] = m.FromAddress
 		g := e.groups[m.Group]
 		if g == nil {
@@ -145,6 +150,20 @@
 	}
 }
 
+// recordContact has the first contact with a founder recorded before any of its votes and acknowledgements counts here. It returns false where the
+// disk did not take that: the message counts as lost.
+func (e *Engine) recordContact(from string) bool {
+	if e.cfg.FirstContact == nil || !IsFounder(from) || e.contacts[from] {
+		return true
+	}
+	if err := e.cfg.FirstContact(from); err != nil {
+		e.cfg.Log.Error("write to disk failed", "error", err)
+		return false
+	}
+	e.contacts[from] = true
+	return true
+}
+
 // Propose has a group that this replica leads commit and apply a command. It calls done exactly once, from this call or from a later one of
 // Tick; never, if the engine ends before.
 func (e *Engine) Propose(name string, command []byte, done func(ProposalResult)) {
--- a/internal/scheduler/replica/identity_store.go
+++ b/internal/scheduler/replica/identity_store.go
@@ -12,6 +12,7 @@
 const (
 	identityFileName = "facts.db"
 	identityKey      = "identity"
+	metPrefix        = "met:" // before the id of a founder that has sent a message
 )
 
 // IdentityStore keeps the id that is bound to a disk. It is separate from the Store, so that the id is known before any group is. Its methods may
@@ -52,6 +53,27 @@
 	return id, err
 }
 
+// RecordContact records that a message of a founder has arrived. It is durable when RecordContact returns without an error.
+func (s *IdentityStore) RecordContact(founder string) error {
+	return s.db.Update(func(tx *buntdb.Tx) error {
+		_, _, err := tx.Set(metPrefix+founder, "1", nil)
+		return err
+	})
+}
+
+// HasContact reports whether a message of a founder was recorded.
+func (s *IdentityStore) HasContact(founder string) (met bool, err error) {
+	err = s.db.View(func(tx *buntdb.Tx) error {
+		_, err := tx.Get(metPrefix + founder)
+		if errors.Is(err, buntdb.ErrNotFound) {
+			return nil
+		}
+		met = err == nil
+		return err
+	})
+	return met, err
+}
+
 // SetIdentity binds an id to this disk. The id is durable when it returns without an error.
 func (s *IdentityStore) SetIdentity(id string) error {
 	return s.db.Update(func(tx *buntdb.Tx) error {
--- a/internal/scheduler/replica/service.go
+++ b/internal/scheduler/replica/service.go
@@ -10,7 +10,11 @@
 const proposeTimeout = 2 * time.Second
 
 // Service answers the replication calls of other processes. It implements rpc.Replication; its methods never return an error.
-type Service struct{ Host *Host }
+type Service struct {
+	Host *Host
+	// HasContact reports whether a message of a founder has arrived here once; nil: no such record is kept.
+	HasContact func(founder string) bool
+}
 
 // Step gives messages to the host. It returns before they are processed.
 func (s *Service) Step(_ context.Context, r *rpc.StepRequest) (*rpc.StepResponse, error) {
@@ -32,8 +36,11 @@
 }
 
 // Status returns this process's view of all its groups, in no order.
-func (s *Service) Status(context.Context, *rpc.StatusRequest) (*rpc.StatusResponse, error) {
+func (s *Service) Status(_ context.Context, r *rpc.StatusRequest) (*rpc.StatusResponse, error) {
 	response := &rpc.StatusResponse{Node: s.Host.cfg.Identity.Node}
+	if r.Founder != "" && s.HasContact != nil {
+		response.FounderMet = s.HasContact(r.Founder)
+	}
 	for _, name := range s.Host.Groups() {
 		if status := s.Host.Status(name); status != nil {
 			response.Groups = append(response.Groups, s.groupStatus(name, status))
--- a/internal/scheduler/storage/server.go
+++ b/internal/scheduler/storage/server.go
@@ -57,7 +57,7 @@
 	}
 	defer store.Close()
 	s := &Server{source: source, log: log, client: transport.NewClient()}
-	if s.identity, err = replica.LoadOrCreateIdentity(identities, current); err != nil {
+	if s.identity, err = replica.LoadOrCreateIdentity(identities, current, nil); err != nil {
 		return err
 	}
 	if err := s.open(store, options); err != nil {
