Broker: failed starts end what they began; ends, quotas and batches in order

Change: startComponents notes how to stop each component, abortStart does so in reverse. Abandon does nothing after End or Release. Batches are answered by their number. requestQuotas takes the quotas before its goroutine starts. ownMemoryLimit is used by both places.

--- a/internal/broker/idempotency/entry.go
+++ b/internal/broker/idempotency/entry.go
@@ -91,15 +91,11 @@
 
 // Abandon ends a query whose end will not be known. Where an intent was handed to the log, the key is InDoubt from now on; otherwise it is
 // Fresh.
+//
+// It does nothing after End or Release: the entry stays among those in progress until their record is durable, so that a retry in between is not
+// answered InDoubt.
 func (e *Entry) Abandon() {
-	e.mu.Lock()
-	hasIntent := e.hasIntent
-	if hasIntent {
-		e.ended = true
-	}
-	e.mu.Unlock()
-	if !hasIntent {
-		e.Release()
+	if alreadyEnded, _ := e.markEnded(); alreadyEnded {
 		return
 	}
 	e.tracker.drop(e)
--- a/internal/broker/idempotency/tracker_test.go
+++ b/internal/broker/idempotency/tracker_test.go
@@ -22,6 +22,55 @@
 func (f *faultyLog) Health() error                   { return f.health }
 func (f *faultyLog) Now() int64                      { return f.now }
 
+// A query that is given up while the record of its end is on its way to the disk stays in progress until it is there: a retry in between is not
+// told that the query is in doubt, and one after it gets the answer.
+func TestAbandonAfterEnd(t *testing.T) {
+	plan := &simdisk.FaultPlan{}
+	s, err := recordlog.Open([2]recordlog.Dir{simdisk.New("a", plan), simdisk.New("b", plan)}, recordlog.Options{ID: 1, Now: func() int64 { return 0 }, MaxRetention: retention}, false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	log := &slowLog{Log: s, release: make(chan struct{})}
+	tracker := idempotency.NewTracker(log, idempotency.Config{Retention: 1000, MaxBody: 10})
+	entry, _ := tracker.Begin("k", "label", 1)
+	recorded, ended := make(chan error, 1), make(chan error, 1)
+	if err := entry.Record([]core.Intent{{Shard: 1}}, 5, func(err error) { recorded <- err }); err != nil {
+		t.Fatal(err)
+	}
+	<-recorded
+	log.slow = true
+	entry.End(idempotency.Answer{Status: 200, Body: []byte("x")}, func(err error) { ended <- err })
+	entry.Abandon()
+	if _, d := tracker.Begin("k", "label", 1); d.State != idempotency.InProgress {
+		t.Errorf("state %d before the record is durable, want %d", d.State, idempotency.InProgress)
+	}
+	close(log.release)
+	if err := <-ended; err != nil {
+		t.Fatal(err)
+	}
+	if _, d := tracker.Begin("k", "label", 1); d.State != idempotency.Completed {
+		t.Errorf("state %d after it, want %d", d.State, idempotency.Completed)
+	}
+}
+
+// slowLog reports records as durable only after release is closed, while it is slow.
+type slowLog struct {
+	recordlog.Log
+	slow    bool
+	release chan struct{}
+}
+
+func (l *slowLog) Append(r recordlog.Record, done func(error)) error {
+	if !l.slow {
+		return l.Log.Append(r, done)
+	}
+	return l.Log.Append(r, func(err error) {
+		<-l.release
+		done(err)
+	})
+}
+
 // The states of a key, from its first query to the end of its retention.
 func TestKeyStates(t *testing.T) {
 	plan := &simdisk.FaultPlan{}
--- a/internal/broker/server/gatherer.go
+++ b/internal/broker/server/gatherer.go
@@ -52,6 +52,8 @@
 	loopStopped                 chan struct{} // closed: the gatherer's goroutine handles no more events
 	failure                     error         // why it ended without Stop; set before ended is closed
 
+	started []func() // stop what startComponents has started, in the order of the starts; used only where the start fails
+
 	mu        sync.Mutex // guards listener and onStandby
 	listener  *transport.Listener
 	onStandby bool
@@ -65,6 +67,20 @@
 		return nil, fmt.Errorf("configuration: log: %w", err)
 	}
 	debug.SetMemoryLimit(p.memoryLimit())
+	g := newGatherer(p, logger)
+	if err := g.startComponents(); err != nil {
+		g.abortStart()
+		return nil, err
+	}
+	go g.run()
+	if p := g.policyNode.Load(); p != nil {
+		go p.Run()
+	}
+	return g, nil
+}
+
+// newGatherer returns a gatherer of which nothing is started.
+func newGatherer(p Plan, logger *slog.Logger) *Gatherer {
 	g := &Gatherer{
 		Plan: p, logger: logger, clock: transport.NewClock(), listenerEnded: make(chan error, 1),
 		standbyChanged: make(chan struct{}, 1), siblingStates: make(chan []handover.State, 1),
@@ -96,15 +112,7 @@
 	if g.rollout != nil {
 		g.metrics.Rollout = g.rolloutMetrics
 	}
-	if err := g.startComponents(); err != nil {
-		g.durable.close()
-		return nil, err
-	}
-	go g.run()
-	if p := g.policyNode.Load(); p != nil {
-		go p.Run()
-	}
-	return g, nil
+	return g
 }
 
 // ClientAddress is the address at which clients connect.
--- a/internal/broker/server/quotas.go
+++ b/internal/broker/server/quotas.go
@@ -10,7 +10,7 @@
 )
 
 // budgetQuotas is what this gatherer may use of each team's budget, where budgets are divided by leases on quotas. The gatherer's goroutine owns it, but
-// for demands, which runs beside it while updating is set. Quotas are in millionths of the whole (quota.PPM).
+// for rejectedBefore, which demands uses beside it while updating is set. Quotas are in millionths of the whole (quota.PPM).
 type budgetQuotas struct {
 	tick               *time.Ticker
 	slots              uint64
@@ -161,9 +161,10 @@
 
 // demands is what this gatherer could use of each team's budget: what it has out, and more where queries are queued or were rejected. It costs O(teams
 // that have sent anything).
-func (p *budgetQuotas) demands(all []admission.TeamStatus, slots uint64) []quota.Demand {
+//
+// It runs beside the gatherer's goroutine: quotaOf was made there, by the method of that name, and of the fields only rejectedBefore is used.
+func (p *budgetQuotas) demands(all []admission.TeamStatus, quotaOf func(team string) float64) []quota.Demand {
 	var out []quota.Demand
-	quotaOf := p.quotaOf(slots)
 	rejectedNow := map[string]int64{}
 	for _, a := range all {
 		rejected := a.RejectedBacklog + a.RejectedQueueFull + a.Expired
@@ -194,9 +195,10 @@
 	}
 	p.updating = true
 	slots, ppm := uint64(op.Contracts.Gatherers), p.regionPPM
+	quotaOf := p.quotaOf(slots) // here: setRegion changes what it reads
 	go func() {
 		d := quotaUpdate{slots: slots, regionPPM: ppm}
-		d.teamQuotas, d.otherQuota, d.ok = policy.UpdateDemand(p.demands(g.engine.Accounts(1<<20), slots), leaseSafetyMargin)
+		d.teamQuotas, d.otherQuota, d.ok = policy.UpdateDemand(p.demands(g.engine.Accounts(1<<20), quotaOf), leaseSafetyMargin)
 		p.updates <- d
 	}()
 }
--- a/internal/broker/server/regions_test.go
+++ b/internal/broker/server/regions_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"saffronquay/internal/broker/admission"
 	"saffronquay/internal/broker/config"
 	"saffronquay/internal/cluster/quota"
 	"saffronquay/internal/cluster/rollout"
@@ -141,3 +142,18 @@
 		t.Error("budgets that are not divided have changed")
 	}
 }
+
+// What this gatherer demands is computed beside the gatherer's goroutine, on which a region's fraction may change meanwhile.
+func TestDemandsBesideAChangeOfTheRegion(t *testing.T) {
+	p := newBudgetQuotas(4, 500_000)
+	defer p.tick.Stop()
+	quotaOf := p.quotaOf(4)
+	demanded := make(chan int)
+	go func() {
+		demanded <- len(p.demands([]admission.TeamStatus{{Team: "a", Budget: 10, Out: 2, Queued: 3}}, quotaOf))
+	}()
+	p.setRegion(250_000)
+	if n := <-demanded; n != 1 {
+		t.Errorf("%d demands", n)
+	}
+}
--- a/internal/broker/server/reload.go
+++ b/internal/broker/server/reload.go
@@ -46,7 +46,7 @@
 		}
 	}
 	g.Plan = now
-	debug.SetMemoryLimit(g.memoryLimit())
+	debug.SetMemoryLimit(g.ownMemoryLimit())
 	g.engine.Reconfigure(g.coreTerms(), g.moduleSettings(), g.poolConfig(), g.dialect)
 	g.engine.SetContracts(g.dividedContracts())
 	g.listener.Reconfigure(g.listenerConfig(), g.front)
--- a/internal/broker/server/siblings.go
+++ b/internal/broker/server/siblings.go
@@ -55,6 +55,14 @@
 	return s, true
 }
 
+// ownMemoryLimit is this process's part of the limit on memory: half of it while another process of the gatherer runs.
+func (g *Gatherer) ownMemoryLimit() int64 {
+	if g.siblingSockets > 0 {
+		return g.memoryLimit() / 2
+	}
+	return g.memoryLimit()
+}
+
 // adjustToSiblings subtracts what the other processes of this gatherer use from the limits on memory and descriptors.
 func (g *Gatherer) adjustToSiblings(others []handover.State) {
 	sockets := 0
@@ -65,11 +73,7 @@
 		return
 	}
 	g.siblingSockets = sockets
-	limit := g.memoryLimit()
-	if sockets > 0 {
-		limit /= 2
-	}
-	debug.SetMemoryLimit(limit)
+	debug.SetMemoryLimit(g.ownMemoryLimit())
 	g.engine.SetPeers(others, g.maxServerConns())
 	if g.listener != nil {
 		g.listener.Reconfigure(g.listenerConfig(), g.front)
--- a/internal/broker/server/start.go
+++ b/internal/broker/server/start.go
@@ -8,6 +8,7 @@
 	"saffronquay/internal/broker/core"
 	"saffronquay/internal/broker/logging"
 	"saffronquay/internal/broker/transport"
+	"slices"
 	"time"
 
 	sq "saffronquay"
@@ -27,6 +28,7 @@
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
+	g.onAbort(func() { socket.Close() })
 	if d := g.durable; d != nil && d.store != nil {
 		g.engine.RestoreMemory(d.memory)
 	}
@@ -37,26 +39,37 @@
 	g.listener.Standby(g.onStandby)
 	g.mu.Unlock()
 	go g.engine.Run()
+	g.onAbort(g.engine.Stop)
 	g.currentFile.Store(g.file)
 	if err := g.openPolicyNode(); err != nil {
 		return err
 	}
+	if p := g.policyNode.Load(); p != nil {
+		g.onAbort(func() {
+			go p.Run() // Stop waits for it
+			p.Stop()
+		})
+	}
 	if g.siblings != nil {
 		go g.siblings.Run()
+		g.onAbort(g.siblings.Stop)
 	}
 	if d := g.durable; d != nil && d.store != nil {
 		d.start(g.engine, g.currentLayout)
+		g.onAbort(d.close)
 	}
 	g.startWatcher()
 	g.startRoutes()
 	if g.vrrp != nil {
 		g.virtual = &virtualService{clock: g.clock, config: *g.vrrp, engine: g.engine, log: g.logger}
+		g.onAbort(g.virtual.close)
 		g.virtual.reconfigure(bounds, g.front)
 		if err := g.competeForAddress(); err != nil && g.siblingSockets == 0 {
 			return err
 		}
 	}
 	go func() { g.listenerEnded <- g.listener.Serve() }()
+	g.onAbort(g.listener.Close)
 	if err := g.joinFleet(); err != nil {
 		return err
 	}
@@ -66,6 +79,19 @@
 	return nil
 }
 
+// onAbort notes how to stop a component that was started.
+func (g *Gatherer) onAbort(stop func()) { g.started = append(g.started, stop) }
+
+// abortStart stops what a failed start has started, the last first.
+func (g *Gatherer) abortStart() {
+	close(g.ended)       // what waits to start later gives up
+	close(g.loopStopped) // the gatherer's goroutine, for which the policy node may wait, never ran
+	for _, stop := range slices.Backward(g.started) {
+		stop()
+	}
+	g.durable.close()
+}
+
 // startAdmin starts the admin endpoint and returns its address; "off" where the plan has none.
 func (g *Gatherer) startAdmin() (address string, err error) {
 	if g.adminListen == "" {
@@ -81,6 +107,7 @@
 	}
 	g.admin = transport.NewAdminListener(l, program, g.logger)
 	go g.admin.Serve()
+	g.onAbort(g.admin.Close)
 	return l.Addr().String(), nil
 }
 
@@ -116,6 +143,7 @@
 		return
 	}
 	go g.routes.Run()
+	g.onAbort(g.routes.Stop)
 	if g.layout.Directory == "" {
 		return
 	}
@@ -134,6 +162,7 @@
 	if g.watcher == nil {
 		return
 	}
+	g.onAbort(g.watcher.Stop)
 	if g.passedSocket == 0 {
 		go g.watcher.Run()
 		return
--- a/internal/cluster/rollout/lease.go
+++ b/internal/cluster/rollout/lease.go
@@ -1,6 +1,10 @@
 package rollout
 
-import "saffronquay/internal/cluster/rollout/wire"
+import (
+	"maps"
+	"saffronquay/internal/cluster/rollout/wire"
+	"slices"
+)
 
 // handleLeaseRequest handles a holder's request, where this voter leads. It is answered once leadership is confirmed after it.
 func (v *voter) handleLeaseRequest(now int64, from string, identity uint64, request *wire.Ask) {
@@ -42,10 +46,11 @@
 		return
 	}
 	v.leaderHeardAt = now
-	for c, batch := range v.readBatches {
+	for _, c := range slices.Sorted(maps.Keys(v.readBatches)) { // in the order in which the requests came
 		if c > check {
-			continue
+			return
 		}
+		batch := v.readBatches[c]
 		delete(v.readBatches, c)
 		for _, request := range batch {
 			if request.request == nil {
--- a/internal/cluster/rollout/lease_test.go
+++ b/internal/cluster/rollout/lease_test.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"saffronquay/internal/cluster/rollout/wire"
+	"slices"
 	"testing"
 )
 
@@ -120,3 +121,24 @@
 		t.Errorf("back again: a lease is given: %t; %+v at %d", given, g, x.now)
 	}
 }
+
+// Where one confirmation serves several batches, their requests are answered in the order in which they came.
+func TestBatchesAreAnsweredInOrder(t *testing.T) {
+	x := newThreeVoters(t)
+	leader := x.awaitLeader()
+	const batches = 16
+	for n := range uint64(batches) {
+		request := leaseRequest{sender: "d", request: &wire.Ask{Nonce: n}, receivedAt: x.now}
+		leader.local.voter.readBatches[1000+n] = []leaseRequest{request}
+	}
+	leader.local.voter.handleConfirmed(x.now, 1000+batches)
+	var nonces []uint64
+	for _, m := range leader.local.voter.outbox {
+		if m.To == "d" {
+			nonces = append(nonces, m.Word.GetNonce())
+		}
+	}
+	if len(nonces) != batches || !slices.IsSorted(nonces) {
+		t.Errorf("answered in the order %v", nonces)
+	}
+}
