Leadership is handed over by leaders that leave or get SIGTERM

Cause: a leader that left its group, or whose process stopped, left the group without one until an election, 0.55 to 1.2 s.

Change: consensus.TransferLeadership has the most advanced voter that is caught up start an election at once (TIMEOUT_NOW), when it has the whole log and all is committed; proposals are refused meanwhile, for half an election timeout at most. The leader gives its lease up for good before that message leaves, and the engine withdraws its published status before it sends: without that TestHandOver sees a lease. Voters may ignore a live leader only in the election for the epoch directly after. A leader that its placement does not name hands over when all wanted ones are voters; steward and store do so at their end, 0.4 s at most.

Ruled out: handing over and going on to lead if the successor does not answer: a late message could have a second leader elected beside a lease.

--- a/internal/scheduler/agent/agent.go
+++ b/internal/scheduler/agent/agent.go
@@ -57,7 +57,7 @@
 	metrics.GaugeFunc("in_touch", a.inTouch)
 	var tasks lifecycle.Tasks
 	tasks.Serve(log, "agent", server.Serve)
-	go a.tail.Run(ctx) // not waited for: a watch under way can't be ended early, and changes nothing but this process's table
+	tasks.Go(func() { a.tail.Run(ctx) })
 	<-ctx.Done()
 	a.membership.Stop()
 	ending, cancel := context.WithTimeout(context.WithoutCancel(ctx), lifecycle.ShutdownTimeout)
--- a/internal/scheduler/consensus/core.go
+++ b/internal/scheduler/consensus/core.go
@@ -70,6 +70,7 @@
 	electionAt      int64           // when it starts an election unless it hears of a leader before
 	noVoteUntil     int64           // until then the lease of a leader that it followed before its restart may last
 	votes           map[string]bool // by voter: granted or rejected, in the election that it runs
+	afterTransfer   bool            // the election that it starts follows a transfer of the leadership
 
 	// Of a leader.
 	peers           map[string]*progress // each other member
@@ -78,6 +79,7 @@
 	heartbeatSentAt map[uint64]int64     // by round, for the newest heartbeatRoundsKept
 	epochStartIndex uint64               // of the first entry of its own epoch
 	leaderSince     int64
+	transfer        *transfer // nil: the leadership is not being handed over
 
 	latestSnapshot *rpc.Snapshot     // what a leader sends to replicas that need entries from before the log
 	incoming       *incomingSnapshot // nil: no snapshot is being received
@@ -140,6 +142,7 @@
 func (c *Core) Tick(now int64) {
 	c.now = max(c.now, now)
 	if c.role == leader {
+		c.expireTransfer()
 		if c.hasLostMajority() {
 			c.becomeFollower(c.epoch, "", "")
 			return
@@ -198,6 +201,8 @@
 	case rpc.MessageKind_SNAPSHOT:
 		c.becomeFollower(message.Epoch, message.From, message.FromAddress)
 		c.handleSnapshot(message)
+	case rpc.MessageKind_TIMEOUT_NOW:
+		c.handleTimeoutNow(message)
 	case rpc.MessageKind_VOTE_REPLY, rpc.MessageKind_APPEND_REPLY, rpc.MessageKind_SNAPSHOT_REPLY:
 		c.handleReply(message)
 	}
--- a/internal/scheduler/consensus/doc.go
+++ b/internal/scheduler/consensus/doc.go
@@ -25,6 +25,9 @@
 //
 // A leader that HasLease may answer reads from its own state: no other replica can have been elected yet.
 //
+// A leader that is about to leave calls TransferLeadership: it gives its lease up before the message leaves that has the most advanced voter start an
+// election at once. The driver has to stop answering under the lease before it sends the messages of that Ready.
+//
 // # Time
 //
 // Times are milliseconds of a clock of this process that never runs backwards. Clocks of different replicas are not compared, but they must
--- a/internal/scheduler/consensus/election.go
+++ b/internal/scheduler/consensus/election.go
@@ -24,7 +24,7 @@
 	if epoch > c.epoch {
 		c.epoch, c.vote, c.hardStateChanged = epoch, "", true
 	}
-	c.role, c.leaderID, c.leaderAddress = follower, leaderID, address
+	c.role, c.leaderID, c.leaderAddress, c.transfer = follower, leaderID, address, nil
 	if leaderID != "" {
 		c.leaderContactAt = c.now
 	}
@@ -47,7 +47,7 @@
 	}
 	for _, voter := range c.membership.Voters {
 		if voter.Id != c.config.ID {
-			c.send(&rpc.Message{Kind: kind, To: voter.Id, Epoch: epoch, LogIndex: c.log.lastIndex(), LogEpoch: c.log.lastEpoch()})
+			c.send(&rpc.Message{Kind: kind, To: voter.Id, Epoch: epoch, LogIndex: c.log.lastIndex(), LogEpoch: c.log.lastEpoch(), AfterTransfer: c.afterTransfer})
 		}
 	}
 	c.countVotes()
@@ -113,10 +113,10 @@
 	}
 }
 
-// handleVote votes for the sender unless this replica may have a live leader, has voted for another one in the epoch, or has a newer log. The vote
+// handleVote votes for the sender unless this replica may have a live leader that has not given its lease up, has voted for another one in the epoch, or has a newer log. The vote
 // is part of the hard state, which is persisted before the reply is sent.
 func (c *Core) handleVote(message *rpc.Message) {
-	if c.mayHaveLeader() || message.Epoch < c.epoch {
+	if c.mayHaveLeader() && !c.leaderGaveUp(message) || message.Epoch < c.epoch {
 		c.rejectVote(message, rpc.MessageKind_VOTE_REPLY)
 		return
 	}
--- a/internal/scheduler/consensus/proposal.go
+++ b/internal/scheduler/consensus/proposal.go
@@ -10,7 +10,7 @@
 
 // Why a proposal is rejected. A rejected proposal has no effect.
 var (
-	// ErrNotLeader says that this replica does not lead, or, for a change of the membership, has not committed an entry of its epoch yet.
+	// ErrNotLeader says that this replica does not lead or is handing its leadership over, or, for a change of the membership, has not committed an entry of its epoch yet.
 	ErrNotLeader = errors.New("consensus: this replica is not the leader")
 	// ErrBusy says that an earlier membership change is not committed yet.
 	ErrBusy = errors.New("consensus: an earlier membership change is under way")
@@ -20,7 +20,7 @@
 // epoch; if another epoch's entry comes out at the index, the command is lost. The core keeps data, which must not be changed afterwards. The error
 // is nil or ErrNotLeader.
 func (c *Core) Propose(data []byte) (index, epoch uint64, err error) {
-	if c.role != leader {
+	if c.role != leader || c.transfer != nil {
 		return 0, 0, ErrNotLeader
 	}
 	index = c.appendEntry(&rpc.Entry{Kind: rpc.EntryKind_ENTRY_COMMAND, Data: data})
@@ -31,7 +31,7 @@
 // present ones by one replica, which the caller ensures; NextMembership returns such changes. It returns ErrNotLeader or ErrBusy if no
 // change can begin now.
 func (c *Core) ProposeMembership(membership *rpc.Membership) error {
-	if c.role != leader || !c.hasCommittedOwnEntry() {
+	if c.role != leader || c.transfer != nil || !c.hasCommittedOwnEntry() {
 		return ErrNotLeader
 	}
 	if !c.MembershipCommitted() {
--- a/internal/scheduler/consensus/replication.go
+++ b/internal/scheduler/consensus/replication.go
@@ -163,9 +163,10 @@
 	peer.match = max(peer.match, message.LogIndex)
 	peer.next = max(peer.next, peer.match+1)
 	c.advanceCommit()
-	if peer.next <= c.log.lastIndex() {
+	if peer.next <= c.log.lastIndex() && c.role == leader {
 		c.replicate(message.From, peer, entriesOnly)
 	}
+	c.completeTransfer()
 }
 
 // advanceCommit commits the newest entry that a majority has persisted, if it is of the leader's own epoch: an entry of an
--- a/internal/scheduler/consensus/simulation/checks.go
+++ b/internal/scheduler/consensus/simulation/checks.go
@@ -8,6 +8,9 @@
 // checkLeader checks what leadership and the lease guarantee: one leader an epoch, and a read under a lease sees all that was
 // acknowledged.
 func (w *world) checkLeader(m *machine) error {
+	if w.options.Bug == KeepLease && w.now < m.keptLeaseUntil {
+		return w.checkRead(m)
+	}
 	if !m.core.IsLeader() {
 		return nil
 	}
@@ -27,6 +30,11 @@
 	if !m.core.HasLease(now) || w.random.IntN(readChance) != 0 {
 		return nil
 	}
+	return w.checkRead(m)
+}
+
+// checkRead checks that a read of a machine's state sees all that was acknowledged.
+func (w *world) checkRead(m *machine) error {
 	w.report.Reads++
 	for command := range w.acknowledged {
 		if w.options.Bug != AckOnAppend && !slices.Contains(m.applied, command) {
--- a/internal/scheduler/consensus/simulation/driver.go
+++ b/internal/scheduler/consensus/simulation/driver.go
@@ -16,6 +16,7 @@
 	proposeChance = 6    // in each tick, at each leader
 	crashChance   = 4000 // at each Ready
 	readChance    = 4    // in each tick, at each leader under its lease
+	handOverRatio = 400  // in each tick, at each leader: it hands its leadership over
 )
 
 var errGap = errors.New("model: applied entries are not contiguous")
@@ -33,12 +34,16 @@
 			_ = m.core.ProposeMembership(next) // a rejected change is proposed again in the next tick
 		}
 		w.propose(m)
+		if w.faultsEnabled() && w.random.IntN(handOverRatio) == 0 {
+			_ = m.core.TransferLeadership(func(string) bool { return true }) // without a successor it goes on leading
+		}
 	}
 	for range maxReadiesPerTick {
 		ready := m.core.Ready()
 		if ready.Empty() {
 			break
 		}
+		w.noteTransfer(m, ready.Messages)
 		if running := w.carryOut(m, &ready); !running {
 			return nil
 		}
@@ -49,6 +54,17 @@
 	return w.checkLeader(m)
 }
 
+// noteTransfer counts a leadership that was handed over.
+func (w *world) noteTransfer(m *machine, messages []*rpc.Message) {
+	for _, message := range messages {
+		if message.Kind == rpc.MessageKind_TIMEOUT_NOW {
+			w.report.Transfers++
+			w.trace("%s hands epoch %d over to %s", m.id, message.Epoch, message.To)
+			m.keptLeaseUntil = w.now + consensus.LeaseMS(electionTimeoutMS)
+		}
+	}
+}
+
 // propose has a client send a command with some chance.
 func (w *world) propose(m *machine) {
 	if w.random.IntN(proposeChance) != 0 {
--- a/internal/scheduler/consensus/simulation/machine.go
+++ b/internal/scheduler/consensus/simulation/machine.go
@@ -32,6 +32,8 @@
 
 	applied      []string // commands: the state
 	appliedIndex uint64
+
+	keptLeaseUntil int64 // until when it reads under the bug KeepLease
 }
 
 // disk is what remains when a machine's process ends.
--- a/internal/scheduler/consensus/simulation/options.go
+++ b/internal/scheduler/consensus/simulation/options.go
@@ -14,10 +14,11 @@
 	FoundTwice     Bug = "a machine that lost its disk founds the group anew"
 	TrustLease     Bug = "a leader that was frozen answers reads without looking at the time"
 	ApplyUnstored  Bug = "a snapshot is taken for the state without being stored"
+	KeepLease      Bug = "a leader that has handed its leadership over goes on answering reads under its lease"
 )
 
 // Bugs are all that can be seeded.
-var Bugs = []Bug{SendBeforeSync, KeepIdentity, ForgetVote, ForgetEntries, AckOnAppend, FoundTwice, TrustLease, ApplyUnstored}
+var Bugs = []Bug{SendBeforeSync, KeepIdentity, ForgetVote, ForgetEntries, AckOnAppend, FoundTwice, TrustLease, ApplyUnstored, KeepLease}
 
 // Options say what is played.
 type Options struct {
@@ -38,6 +39,7 @@
 	PlacementChanges int
 	Reads            int // under a lease
 	Snapshots        int // received and applied
+	Transfers        int // of the leadership, completed
 	NoLeaderAtEnd    bool
 }
 
--- a/internal/scheduler/consensus/simulation/proof_test.go
+++ b/internal/scheduler/consensus/simulation/proof_test.go
@@ -43,6 +43,7 @@
 		total.PlacementChanges += report.PlacementChanges
 		total.Reads += report.Reads
 		total.Snapshots += report.Snapshots
+		total.Transfers += report.Transfers
 		if report.NoLeaderAtEnd {
 			t.Logf("seed %d: no leader at the end", seed)
 			leaderless++
@@ -57,8 +58,8 @@
 			t.Errorf("not noticed: %s", bug)
 		}
 	}
-	t.Logf("proof: seeds=%d acknowledged=%d elections=%d crashes=%d wipes=%d swaps=%d reads=%d snapshots_installed=%d lost=0 unfinished=%d bugs_caught=%d/%d", lastProofSeed(),
-		total.Acknowledged, total.Elections, total.Crashes, total.DiskLosses, total.PlacementChanges, total.Reads, total.Snapshots, leaderless, detected, len(Bugs))
+	t.Logf("proof: seeds=%d acknowledged=%d elections=%d crashes=%d wipes=%d swaps=%d reads=%d snapshots_installed=%d transfers=%d lost=0 unfinished=%d bugs_caught=%d/%d", lastProofSeed(),
+		total.Acknowledged, total.Elections, total.Crashes, total.DiskLosses, total.PlacementChanges, total.Reads, total.Snapshots, total.Transfers, leaderless, detected, len(Bugs))
 	is.Equal(leaderless, 0)
-	is.True(total.DiskLosses > 0 && total.PlacementChanges > 0 && total.Reads > 0 && total.Snapshots > 0)
+	is.True(total.DiskLosses > 0 && total.PlacementChanges > 0 && total.Reads > 0 && total.Snapshots > 0 && total.Transfers > 0)
 }
--- a/internal/scheduler/controlplane/server.go
+++ b/internal/scheduler/controlplane/server.go
@@ -136,10 +136,18 @@
 	case <-s.host.Done():
 	}
 	s.log.Info("stopping")
+	s.handOver(ctx)
 	stop()
 	return s.shutdown(context.WithoutCancel(ctx), &tasks, api.ShutdownWithContext, peer.Close)
 }
 
+// handOver hands the leadership of all groups to other processes, so that none of them waits for an election. Calls are answered meanwhile.
+func (s *Server) handOver(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), lifecycle.HandOverTimeout)
+	defer cancel()
+	s.host.HandOver(ctx)
+}
+
 // shutdown closes the servers, waits for the tasks and stops the replicas.
 func (s *Server) shutdown(ctx context.Context, tasks *lifecycle.Tasks, closers ...func(context.Context) error) error {
 	ctx, cancel := context.WithTimeout(ctx, lifecycle.ShutdownTimeout)
--- a/internal/scheduler/lifecycle/tasks.go
+++ b/internal/scheduler/lifecycle/tasks.go
@@ -11,6 +11,9 @@
 // all the same: what it acknowledged is on disk.
 const ShutdownTimeout = time.Second
 
+// HandOverTimeout bounds how long a role takes before that to hand the leadership of its groups to other processes.
+const HandOverTimeout = 400 * time.Millisecond
+
 // Tasks are the goroutines of a role. The zero value is ready for use. Go and Serve must not be called after Wait.
 type Tasks struct {
 	running sync.WaitGroup
--- a/internal/scheduler/replica/engine.go
+++ b/internal/scheduler/replica/engine.go
@@ -16,11 +16,12 @@
 type Engine struct {
 	cfg       Config
 	groups    map[string]*group
-	names     []string          // of the groups, in order: they are visited in this order, so that simulations repeat
-	addresses map[string]string // of replicas, by id
-	contacts  map[string]bool   // founders whose first contact is recorded
-	creations []groupCreation   // in the order of CreateGroup
-	pending   *readyBatch       // not persisted yet, so neither sent nor applied; nil: none
+	names     []string                  // of the groups, in order: they are visited in this order, so that simulations repeat
+	addresses map[string]string         // of replicas, by id
+	contacts  map[string]bool           // founders whose first contact is recorded
+	creations []groupCreation           // in the order of CreateGroup
+	wanted    map[string]*rpc.Placement // the newest placement of each group, also of those that this process does not have
+	pending   *readyBatch               // not persisted yet, so neither sent nor applied; nil: none
 	err       error
 	counts    Counts
 	// statuses can be read by any goroutine.
@@ -38,7 +39,6 @@
 	core             *consensus.Core
 	machine          StateMachine
 	waiters          map[uint64]waiter // by the index of their proposals
-	wanted           *rpc.Placement    // nil: not known
 	applied          uint64            // index up to which the state machine has the log
 	released         uint64            // index up to which the data of entries is on disk only
 	logBytes         int64             // length of the log's data after the newest snapshot
@@ -71,6 +71,7 @@
 		groups:    map[string]*group{},
 		addresses: map[string]string{},
 		contacts:  map[string]bool{},
+		wanted:    map[string]*rpc.Placement{},
 		statuses:  xsync.NewMap[string, *atomic.Pointer[Status]](),
 	}
 	for _, name := range cfg.Store.Groups() {
@@ -210,7 +211,7 @@
 			g.core.Tick(now)
 			g.dirty = true
 		}
-		if g.dirty && g.wanted != nil {
+		if g.dirty && e.wanted[name] != nil {
 			e.changeMembership(g)
 		}
 	}
--- a/internal/scheduler/replica/groups.go
+++ b/internal/scheduler/replica/groups.go
@@ -3,6 +3,7 @@
 import (
 	"saffronquay/internal/scheduler/consensus"
 	"saffronquay/internal/scheduler/rpc"
+	"slices"
 )
 
 // groupCreation is a group that is to be created at the next Tick.
@@ -54,17 +55,25 @@
 }
 
 // SetWanted sets the voters that a group should have. Its leader changes the membership to them, one replica at a time. A placement older than
-// the newest one set is ignored, and so is one of a group that this process does not have.
+// the newest one set is ignored. One of a group that this process does not have is kept until it joins the group: it may come to lead it, and the
+// placement is announced once.
 func (e *Engine) SetWanted(wanted *rpc.Placement) {
-	if g := e.groups[wanted.Group]; g != nil && (g.wanted == nil || wanted.Revision >= g.wanted.Revision) {
-		g.wanted = wanted
+	if known := e.wanted[wanted.Group]; known != nil && wanted.Revision < known.Revision {
+		return
+	}
+	e.wanted[wanted.Group] = wanted
+	if g := e.groups[wanted.Group]; g != nil {
 		g.dirty = true
 	}
 }
 
 // changeMembership proposes the next step towards the wanted membership, if there is one and this replica may propose it.
 func (e *Engine) changeMembership(g *group) {
-	next := g.core.NextMembership(g.wanted.Replicas, g.wanted.Revision)
+	wanted := e.wanted[g.name]
+	if g.core.MustHandOver(wanted.Replicas) && e.handOver(g, wanted.Replicas) {
+		return // its successor removes it
+	}
+	next := g.core.NextMembership(wanted.Replicas, wanted.Revision)
 	if next == nil {
 		return
 	}
@@ -74,6 +83,34 @@
 	e.cfg.Log.Info("membership change", "group", g.name, "epoch", g.core.Epoch(), "voters", nodeNames(next.Voters), "learners", nodeNames(next.Learners))
 }
 
+// handOver hands the leadership of a group to one of the replicas, if this one leads and one of them can take it. It reports whether a transfer is
+// under way or done.
+func (e *Engine) handOver(g *group, to []*rpc.Replica) bool {
+	eligible := func(id string) bool {
+		return slices.ContainsFunc(to, func(replica *rpc.Replica) bool { return replica.Id == id })
+	}
+	if err := g.core.TransferLeadership(eligible); err != nil {
+		return false
+	}
+	g.dirty = true
+	return true
+}
+
+// HandOver hands the leadership of all groups that this replica leads to other voters, because its process is about to end. It reports how many it
+// still leads; a later call goes on. Of a group whose other voters don't reply it stays the leader.
+func (e *Engine) HandOver() (leading int) {
+	if e.Stalled() || e.err != nil {
+		return 0 // its leases run out
+	}
+	for _, name := range e.names {
+		g := e.groups[name]
+		if g.core.IsLeader() && e.handOver(g, g.core.Membership().Voters) {
+			leading++
+		}
+	}
+	return leading
+}
+
 func nodeNames(replicas []*rpc.Replica) (names []string) {
 	for _, replica := range replicas {
 		names = append(names, replica.Node)
--- a/internal/scheduler/replica/host.go
+++ b/internal/scheduler/replica/host.go
@@ -14,6 +14,8 @@
 const (
 	// inputQueueLength bounds the calls and messages that wait for the engine.
 	inputQueueLength = 4096
+	// handOverInterval is the wait before HandOver looks again whether a transfer is done.
+	handOverInterval = 5 * time.Millisecond
 	// clockStartMS is the first value of a host's clock.
 	clockStartMS = 1_000_000
 	// batchWindow is how long a host with Options.BatchCalls collects calls and messages. It is small beside the time that a message takes
@@ -166,6 +168,29 @@
 	}
 }
 
+// HandOver hands the leadership of all groups that this process leads to others, because the process is about to end. It returns when it leads none
+// that another one can take, or when ctx ends. The host has to run.
+func (h *Host) HandOver(ctx context.Context) {
+	for ctx.Err() == nil {
+		leading := make(chan int, 1)
+		h.enqueue(func(int64) { leading <- h.engine.HandOver() })
+		select {
+		case n := <-leading:
+			if n == 0 {
+				return
+			}
+		case <-ctx.Done():
+			return
+		case <-h.done:
+			return
+		}
+		select {
+		case <-time.After(handOverInterval):
+		case <-ctx.Done():
+		}
+	}
+}
+
 // Failed reports whether the host has ended because state could not be read. The process has to end then.
 func (h *Host) Failed() bool { return h.failed.Load() }
 
--- a/internal/scheduler/replica/host_test.go
+++ b/internal/scheduler/replica/host_test.go
@@ -85,13 +85,17 @@
 
 // network carries messages between the hosts of a test, by their addresses.
 type network struct {
-	mu    sync.Mutex
-	hosts map[string]*Host
+	mu      sync.Mutex
+	hosts   map[string]*Host
+	observe func(messages []*rpc.Message) // called with what is sent; nil: not called
 }
 
 func (n *network) send(address string, messages []*rpc.Message) {
 	n.mu.Lock()
 	host := n.hosts[address]
+	if n.observe != nil {
+		n.observe(messages)
+	}
 	n.mu.Unlock()
 	if host != nil {
 		host.Step(messages)
@@ -251,3 +255,77 @@
 	statuses.Store("g", status)
 	return &Host{engine: &Engine{statuses: statuses}, done: make(chan struct{})}
 }
+
+// A process that is about to end hands the leadership over. When the message leaves that has its successor elected, readers of its status see no lease
+// any more.
+func TestHandOver(t *testing.T) {
+	is := is.New(t)
+	n := &network{hosts: map[string]*Host{}}
+	var founders []*rpc.Replica
+	for _, name := range []string{"a", "b", "c"} {
+		founders = append(founders, &rpc.Replica{Id: name, Address: name, Node: name})
+	}
+	leases := make(chan bool, 16) // whether the sender seemed to have its lease when it had its successor elected
+	n.observe = func(messages []*rpc.Message) {
+		for _, m := range messages {
+			if m.Kind == rpc.MessageKind_TIMEOUT_NOW {
+				sender := n.hosts[m.From]
+				leases <- sender.Status("g").HasLease(sender.Now())
+			}
+		}
+	}
+	var hosts []*Host
+	for _, name := range []string{"a", "b", "c"} {
+		hosts = append(hosts, n.start(t, name, newJournal(), Options{}))
+	}
+	for _, host := range hosts {
+		host.CreateGroup("g", founders)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 60*time.Second)
+	defer cancel()
+	is.True(proposeAtLeader(ctx, hosts, []byte("before")) != nil)
+	handedOver := false
+	for !handedOver && ctx.Err() == nil { // others may not have caught up yet
+		for _, host := range hosts {
+			if !host.Status("g").Leader {
+				continue
+			}
+			host.HandOver(ctx)
+			select {
+			case hadLease := <-leases:
+				is.True(!hadLease)
+				handedOver = true
+			default:
+			}
+		}
+	}
+	is.True(handedOver)
+	is.True(proposeAtLeader(ctx, hosts, []byte("after")) != nil)
+}
+
+// A placement that is announced before its group is joined is acted on when the replica leads: it is announced once.
+func TestPlacementBeforeTheGroupIsKnown(t *testing.T) {
+	is := is.New(t)
+	store, err := OpenStore(t.TempDir())
+	is.NoErr(err)
+	defer store.Close()
+	engine, err := NewEngine(Config{
+		Identity: Identity{ID: "d", Address: "d"}, Store: store, Send: func(string, []*rpc.Message) {}, Log: slog.New(slog.DiscardHandler),
+		Machine: func(string) StateMachine { return newJournal() },
+	}, 0)
+	is.NoErr(err)
+	own, next := &rpc.Replica{Id: "d", Address: "d"}, &rpc.Replica{Id: "e", Address: "e"}
+	engine.SetWanted(&rpc.Placement{Group: "g", Replicas: []*rpc.Replica{own, next}, Revision: 7})
+	engine.SetWanted(&rpc.Placement{Group: "g", Replicas: []*rpc.Replica{own}, Revision: 6}) // late
+	engine.Step(10, []*rpc.Message{{
+		Kind: rpc.MessageKind_SNAPSHOT, Group: "g", From: "a", FromAddress: "a", To: "d", Epoch: 5,
+		Snapshot: &rpc.Snapshot{Index: 3, Epoch: 4, Membership: &rpc.Membership{Voters: []*rpc.Replica{own}}},
+	}})
+	for now := int64(20); now < 20*electionTimeoutMS; now += 10 {
+		engine.Tick(now)
+	}
+	status := engine.Status("g")
+	is.True(status.Leader)
+	is.Equal(len(status.Membership.Learners), 1)
+	is.Equal(status.Membership.Revision, uint64(7))
+}
--- a/internal/scheduler/replica/ready.go
+++ b/internal/scheduler/replica/ready.go
@@ -76,6 +76,7 @@
 		return false
 	}
 	e.pending = nil
+	e.withdrawLeadership(batch)
 	e.send(batch)
 	for _, task := range batch.tasks {
 		e.apply(task.group, &task.ready)
@@ -85,6 +86,18 @@
 	return e.err == nil
 }
 
+// withdrawLeadership tells readers that this replica no longer leads groups whose leadership it has given up, before the messages leave that have
+// another one elected: until then its lease would seem to last. It is not for replicas that follow another leader, whose status must not be newer
+// than what they have applied.
+func (e *Engine) withdrawLeadership(batch *readyBatch) {
+	for _, task := range batch.tasks {
+		g := task.group
+		if leaderID, _ := g.core.Leader(); leaderID == "" && g.status.Load().Leader && !g.core.IsLeader() {
+			e.publishStatus(g)
+		}
+	}
+}
+
 // persist stores writes durably. It returns false if the disk did not take them, so that the caller has to repeat them, or if the engine
 // has ended.
 func (e *Engine) persist(writes []GroupWrite) bool {
--- a/internal/scheduler/simulation/faults.go
+++ b/internal/scheduler/simulation/faults.go
@@ -6,6 +6,7 @@
 	replaceDelayMS = 1000           // after which a new machine takes the place of a removed one
 	overlapMS      = 1500           // in which the faults of an overlap begin
 	maxClockStepMS = 7_200_000
+	handOverMS     = 200 // within which a process that stops in order has ended
 
 	endUnknown = 1 << 60 // endAt before the last fault is over
 )
@@ -139,6 +140,10 @@
 	switch kind {
 	case faultKill:
 		w.report.Kills++
+		if w.oneIn(2) {
+			w.stopInOrder(m)
+			return
+		}
 		m.stopProcess(false, w.randomBetween(100, 1000))
 	case faultPowerLoss:
 		w.report.Kills++
@@ -192,6 +197,20 @@
 	w.schedule(until-w.now, func() { m.disk.Faults().SetWriteBudget(0) })
 }
 
+// stopInOrder has a machine hand its leaderships over before its process ends, as at a SIGTERM. The transfers may be cut off by the end.
+func (w *world) stopInOrder(m *machine) {
+	if m.engine.HandOver() > 0 {
+		w.report.HandOvers++
+	}
+	stopsAt := w.now + w.randomBetween(tickMS, handOverMS)
+	w.extendFault(stopsAt)
+	w.schedule(stopsAt-w.now, func() {
+		if m.up && !m.removed {
+			m.stopProcess(false, w.randomBetween(100, 1000))
+		}
+	})
+}
+
 // stopAll ends the processes of all machines, half of the time by a loss of power. Their disks stay.
 func (w *world) stopAll() {
 	powerLoss := w.oneIn(2)
--- a/internal/scheduler/simulation/options.go
+++ b/internal/scheduler/simulation/options.go
@@ -85,6 +85,7 @@
 	Overlaps          int // losses of power beyond the tolerance
 	Replacements      int // of machines
 	Retirements       int // of storage nodes, begun
+	HandOvers         int // of leaderships, by processes that stop in order
 	ClockStep         int // steps of a machine's time of day
 	SnapshotsMade     int
 	SnapshotsReceived int
@@ -107,6 +108,7 @@
 	r.Overlaps += o.Overlaps
 	r.Replacements += o.Replacements
 	r.Retirements += o.Retirements
+	r.HandOvers += o.HandOvers
 	r.ClockStep += o.ClockStep
 	r.SnapshotsMade += o.SnapshotsMade
 	r.SnapshotsReceived += o.SnapshotsReceived
--- a/internal/scheduler/simulation/retirements.go
+++ b/internal/scheduler/simulation/retirements.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"saffronquay/internal/scheduler/batchjobs"
 	"saffronquay/internal/scheduler/directory"
 )
 
@@ -49,7 +50,7 @@
 		return
 	}
 	if since = max(since, w.faultUntil); w.now-since > maxRetirementMS {
-		w.reportViolation(Stuck, "%s is not emptied %d ms after that was asked", node, maxRetirementMS)
+		w.reportViolation(Stuck, "%s is not emptied %d ms after that was asked: %s", node, maxRetirementMS, w.describeJobGroups())
 	}
 	w.schedule(retirementPollMS, func() { w.awaitRetirement(node, since, loseAnother) })
 }
@@ -77,3 +78,12 @@
 	w.addMachineLater(storageKind)
 	w.extendFault(w.now + replaceDelayMS)
 }
+
+// describeJobGroups describes the replicas of all batch job shards.
+func (w *world) describeJobGroups() (text string) {
+	for n := range jobShards {
+		name := batchjobs.ShardName(n)
+		text += name + ": " + w.describe(name) + " "
+	}
+	return text
+}
--- a/internal/scheduler/storage/server.go
+++ b/internal/scheduler/storage/server.go
@@ -103,16 +103,24 @@
 	go s.host.Run() // shutdown waits for it
 	s.tasks.Serve(s.log, "peer", server.Serve)
 	s.tasks.Go(func() { s.service.Run(ctx) })
-	go tail.Run(ctx) // not waited for: a watch under way can't be ended early, and a stopped host ignores what it brings
+	s.tasks.Go(func() { tail.Run(ctx) })
 	select {
 	case <-ctx.Done():
 	case <-s.host.Done():
 	}
 	s.log.Info("stopping")
+	s.handOver(ctx)
 	stop()
 	return s.shutdown(context.WithoutCancel(ctx), server)
 }
 
+// handOver hands the leadership of all groups to other processes, so that none of them waits for an election. Calls are answered meanwhile.
+func (s *Server) handOver(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), lifecycle.HandOverTimeout)
+	defer cancel()
+	s.host.HandOver(ctx)
+}
+
 // shutdown closes the server, waits for the tasks and stops the replicas.
 func (s *Server) shutdown(ctx context.Context, server *transport.Server) error {
 	ctx, cancel := context.WithTimeout(ctx, lifecycle.ShutdownTimeout)
