A gone voter is replaced through a joint membership

Cause: the gone voter was removed before its successor was admitted, so that a group of three stood with two voters for a moment, and a loss then left no majority, for good where it was of a disk.

Change: Membership.outgoing are the voters of before; elections, commits and the lease take a majority of both sets while there are any, and the leader ends the joint membership as soon as it is committed, whatever placement it knows.

--- a/internal/scheduler/consensus/core.go
+++ b/internal/scheduler/consensus/core.go
@@ -233,5 +233,6 @@
 
 func (c *Core) send(message *rpc.Message) {
 	message.Group, message.From, message.FromAddress = c.config.Group, c.config.ID, c.config.Address
+	message.Joint = message.Kind == rpc.MessageKind_APPEND_REPLY || message.Kind == rpc.MessageKind_SNAPSHOT_REPLY
 	c.messages = append(c.messages, message)
 }
--- a/internal/scheduler/consensus/election.go
+++ b/internal/scheduler/consensus/election.go
@@ -45,8 +45,8 @@
 		c.vote, c.hardStateChanged = c.config.ID, true
 		kind, epoch = rpc.MessageKind_VOTE, c.epoch
 	}
-	for _, voter := range c.membership.Voters {
-		if voter.Id != c.config.ID {
+	for _, voter := range membersOf(c.membership) {
+		if voter.Id != c.config.ID && c.isVoter(voter.Id) {
 			c.send(&rpc.Message{Kind: kind, To: voter.Id, Epoch: epoch, LogIndex: c.log.lastIndex(), LogEpoch: c.log.lastEpoch(), AfterTransfer: c.afterTransfer})
 		}
 	}
@@ -59,9 +59,29 @@
 	c.countVotes()
 }
 
+// countVotes goes on with the election that this replica runs, if it is decided. It takes a majority of each electorate to win it, and of one to
+// lose it.
 func (c *Core) countVotes() {
-	granted, rejected := 0, 0
-	for _, voter := range c.membership.Voters {
+	won, lost := true, false
+	for _, voters := range electorates(c.membership) {
+		granted, rejected := c.votesOf(voters)
+		quorum := len(voters)/2 + 1
+		won = won && granted >= quorum
+		lost = lost || rejected >= quorum
+	}
+	switch {
+	case won && c.role == preCandidate:
+		c.campaign(candidate)
+	case won && c.role == candidate:
+		c.becomeLeader()
+	case lost:
+		c.role = follower
+	}
+}
+
+// votesOf counts the votes of an electorate.
+func (c *Core) votesOf(voters []*rpc.Replica) (granted, rejected int) {
+	for _, voter := range voters {
 		grantedByVoter, replied := c.votes[voter.Id]
 		switch {
 		case !replied:
@@ -71,15 +91,7 @@
 			rejected++
 		}
 	}
-	quorum := len(c.membership.Voters)/2 + 1
-	switch {
-	case granted >= quorum && c.role == preCandidate:
-		c.campaign(candidate)
-	case granted >= quorum && c.role == candidate:
-		c.becomeLeader()
-	case rejected >= quorum:
-		c.role = follower
-	}
+	return granted, rejected
 }
 
 // becomeLeader begins the leadership with an entry of the new epoch: entries of earlier epochs are committed only together with one of its own.
--- a/internal/scheduler/consensus/lease.go
+++ b/internal/scheduler/consensus/lease.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"saffronquay/internal/scheduler/rpc"
 	"slices"
 )
 
@@ -49,12 +50,21 @@
 	return reachedByMajority(c, c.now, func(peer *progress) int64 { return peer.confirmedAt })
 }
 
-// reachedByMajority returns the greatest value that a majority of the voters has reached: own is this replica's value, ofPeer that of another
-// one, and a voter that the leader does not track has the zero value.
+// reachedByMajority returns the greatest value that a majority of the voters has reached, of both electorates while the membership is joint: own is
+// this replica's value, ofPeer that of another one, and a voter that the leader does not track has the zero value.
 func reachedByMajority[T cmp.Ordered](c *Core, own T, ofPeer func(*progress) T) T {
+	reached := reachedByMajorityOf(c, c.membership.Voters, own, ofPeer)
+	if isJoint(c.membership) {
+		reached = min(reached, reachedByMajorityOf(c, c.membership.Outgoing, own, ofPeer))
+	}
+	return reached
+}
+
+// reachedByMajorityOf is reachedByMajority for one electorate.
+func reachedByMajorityOf[T cmp.Ordered](c *Core, voters []*rpc.Replica, own T, ofPeer func(*progress) T) T {
 	var zero T
-	values := make([]T, 0, len(c.membership.Voters))
-	for _, voter := range c.membership.Voters {
+	values := make([]T, 0, len(voters))
+	for _, voter := range voters {
 		switch peer := c.peers[voter.Id]; {
 		case voter.Id == c.config.ID:
 			values = append(values, own)
--- a/internal/scheduler/consensus/membership.go
+++ b/internal/scheduler/consensus/membership.go
@@ -17,7 +17,10 @@
 // MembershipCommitted reports whether the newest membership is committed.
 func (c *Core) MembershipCommitted() bool { return c.membershipIndex <= c.commit }
 
-func (c *Core) isVoter(id string) bool { return hasReplica(c.membership.Voters, id) }
+// isVoter reports whether a replica votes; outgoing voters do.
+func (c *Core) isVoter(id string) bool {
+	return hasReplica(c.membership.Voters, id) || hasReplica(c.membership.Outgoing, id)
+}
 
 // refreshMembership takes the newest membership in the log, or that of the snapshot.
 func (c *Core) refreshMembership() {
@@ -44,8 +47,9 @@
 // if there is none to make now.
 //
 // A replica becomes a learner first, and a voter after it has caught up. A reachable voter stays until its successor is admitted, so that the number
-// of replicas never falls on the way. An unreachable one is removed immediately before: a group with both, the unreachable voter and its
-// successor, would need more live voters for a majority than one without the unreachable voter.
+// of replicas never falls on the way. An unreachable one is replaced by its successor in one change (joint.go): a group with both would need more live
+// voters for a majority, and one with neither could bear no loss. Where a member does not count joint memberships the unreachable voter is removed
+// immediately before.
 //
 // revision is that of the placement which wants these voters. A leader that lags behind may hold an older placement than the one that the
 // membership was last changed for. That one changes nothing: it would undo a repair, or bring back a replica whose disk was emptied.
@@ -53,6 +57,11 @@
 	if c.role != leader || !c.hasCommittedOwnEntry() || !c.MembershipCommitted() {
 		return nil
 	}
+	if isJoint(c.membership) { // whatever is wanted, the joint membership is ended first
+		next := proto.CloneOf(c.membership)
+		next.Outgoing = nil
+		return next
+	}
 	if len(wanted) == 0 || revision < c.membership.Revision {
 		return nil
 	}
@@ -85,7 +94,7 @@
 }
 
 // advanceAdmission makes the next step towards the voters that are wanted: it adds one as a learner, or makes a learner that is caught up a voter, or
-// removes an unreachable voter just before that. awaitsLearner reports that there is nothing to do before a learner is caught up.
+// replaces an unreachable voter by it. awaitsLearner reports that there is nothing to do before a learner is caught up.
 func (c *Core) advanceAdmission(membership *rpc.Membership, wanted []*rpc.Replica) (changed, awaitsLearner bool) {
 	for _, replica := range wanted {
 		switch {
@@ -95,7 +104,11 @@
 			return true, false
 		case c.isCaughtUp(replica.Id):
 			if unreachable := c.unreachableVoter(membership, wanted); unreachable != "" {
-				membership.Voters = withoutReplica(membership.Voters, unreachable)
+				if c.countJointMemberships() {
+					swapVoter(membership, unreachable, replica)
+				} else {
+					membership.Voters = withoutReplica(membership.Voters, unreachable)
+				}
 				return true, false
 			}
 			membership.Learners = withoutReplica(membership.Learners, replica.Id)
--- a/internal/scheduler/consensus/progress.go
+++ b/internal/scheduler/consensus/progress.go
@@ -1,6 +1,6 @@
 package consensus
 
-import "slices"
+import "saffronquay/internal/scheduler/rpc"
 
 // progress is what a leader knows of another replica.
 type progress struct {
@@ -10,6 +10,7 @@
 	probing     bool   // where its log agrees with the leader's is unknown: one append at a time, until one is accepted
 	confirmedAt int64  // when the newest heartbeat was sent that the replica has answered
 	lastReplyAt int64
+	joint       bool // the replica counts joint memberships
 
 	snapshotIndex      uint64 // of the snapshot that is being sent
 	chunksAcknowledged uint32 // of that snapshot
@@ -25,7 +26,7 @@
 // trackPeers keeps the progress of each other member, and only of those.
 func (c *Core) trackPeers() {
 	members := map[string]bool{}
-	for _, replica := range slices.Concat(c.membership.Voters, c.membership.Learners) {
+	for _, replica := range membersOf(c.membership) {
 		members[replica.Id] = true
 		if c.peers[replica.Id] == nil && replica.Id != c.config.ID {
 			c.peers[replica.Id] = &progress{next: c.log.lastIndex() + 1}
@@ -40,7 +41,7 @@
 
 // forEachPeer visits the other members in the membership's order, so that the same input gives the same messages.
 func (c *Core) forEachPeer(visit func(id string, peer *progress)) {
-	for _, replica := range slices.Concat(c.membership.Voters, c.membership.Learners) {
+	for _, replica := range membersOf(c.membership) {
 		if peer := c.peers[replica.Id]; peer != nil {
 			visit(replica.Id, peer)
 		}
@@ -48,9 +49,10 @@
 }
 
 // recordReply records that a replica has answered a message of a heartbeat round.
-func (c *Core) recordReply(peer *progress, round uint64) {
+func (c *Core) recordReply(peer *progress, reply *rpc.Message) {
 	peer.lastReplyAt = c.now
-	if sentAt, ok := c.heartbeatSentAt[round]; ok {
+	peer.joint = reply.Joint
+	if sentAt, ok := c.heartbeatSentAt[reply.Round]; ok {
 		peer.confirmedAt = max(peer.confirmedAt, sentAt)
 	}
 }
@@ -75,10 +77,11 @@
 	return hasSnapshot && peer.match >= c.membershipIndex && peer.match+caughtUpEntries >= c.log.lastIndex()
 }
 
-// FullyReplicated reports whether each voter is known to have persisted all entries up to the last change of the membership, which is committed.
+// FullyReplicated reports whether each voter is known to have persisted all entries up to the last change of the membership, which is committed and
+// not joint.
 // Only a leader knows; it is false on others.
 func (c *Core) FullyReplicated() bool {
-	if c.role != leader || !c.MembershipCommitted() {
+	if c.role != leader || !c.MembershipCommitted() || isJoint(c.membership) {
 		return false
 	}
 	for _, voter := range c.membership.Voters {
--- a/internal/scheduler/consensus/replication.go
+++ b/internal/scheduler/consensus/replication.go
@@ -148,7 +148,7 @@
 	if peer == nil {
 		return
 	}
-	c.recordReply(peer, message.Round)
+	c.recordReply(peer, message)
 	peer.inFlight = max(0, peer.inFlight-1)
 	if message.Reject {
 		// Of several appends in flight, all after a lost one are rejected. Only the first rejection, or that of the newest probe, counts.
@@ -179,7 +179,7 @@
 	}
 	c.commit = index
 	c.heartbeatAt = min(c.heartbeatAt, c.now+commitNoticeMS)
-	if c.MembershipCommitted() && !c.isVoter(c.config.ID) {
+	if c.MembershipCommitted() && !c.isVoter(c.config.ID) { // an outgoing voter leads until the joint membership has ended
 		c.sendHeartbeats() // with the commit index, before this replica leaves
 		c.becomeFollower(c.epoch, "", "")
 	}
--- a/internal/scheduler/consensus/simulation/detect.go
+++ b/internal/scheduler/consensus/simulation/detect.go
@@ -1,7 +1,7 @@
 package simulation
 
 // firstSeeds are seeds from which on each bug is detected soon; the search begins there to save minutes.
-var firstSeeds = map[Bug]uint64{KeepIdentity: 16, FoundTwice: 16, TrustLease: 12}
+var firstSeeds = map[Bug]uint64{KeepIdentity: 16, FoundTwice: 16, TrustLease: 12, SwapAtOnce: 250}
 
 const (
 	detectLengthMS = 40_000 // length of the histories in which a bug is looked for
--- a/internal/scheduler/consensus/simulation/driver.go
+++ b/internal/scheduler/consensus/simulation/driver.go
@@ -31,6 +31,9 @@
 	if m.core.IsLeader() {
 		if next := m.core.NextMembership(w.wanted, uint64(w.report.PlacementChanges)); next != nil {
 			w.trace("%s changes the members to %v", m.id, next)
+			if w.options.Bug == SwapAtOnce {
+				next.Outgoing = nil
+			}
 			_ = m.core.ProposeMembership(next) // a rejected change is proposed again in the next tick
 		}
 		w.propose(m)
--- a/internal/scheduler/consensus/simulation/options.go
+++ b/internal/scheduler/consensus/simulation/options.go
@@ -17,8 +17,11 @@
 	KeepLease      Bug = "a leader that has handed its leadership over goes on answering reads under its lease"
 )
 
+// SwapAtOnce is a mistake in the use of the core: a gone voter is replaced without a joint membership.
+const SwapAtOnce Bug = "a voter is replaced by another in one change without both majorities"
+
 // Bugs are all that can be seeded.
-var Bugs = []Bug{SendBeforeSync, KeepIdentity, ForgetVote, ForgetEntries, AckOnAppend, FoundTwice, TrustLease, ApplyUnstored, KeepLease}
+var Bugs = []Bug{SendBeforeSync, KeepIdentity, ForgetVote, ForgetEntries, AckOnAppend, FoundTwice, TrustLease, ApplyUnstored, KeepLease, SwapAtOnce}
 
 // Options say what is played.
 type Options struct {
--- a/internal/scheduler/consensus/snapshot.go
+++ b/internal/scheduler/consensus/snapshot.go
@@ -67,7 +67,7 @@
 	if peer == nil {
 		return
 	}
-	c.recordReply(peer, message.Round)
+	c.recordReply(peer, message)
 	needsSnapshot := peer.next <= c.log.snapshotIndex
 	if !needsSnapshot || message.LogIndex != c.latestSnapshot.Index || peer.snapshotIndex != c.latestSnapshot.Index {
 		return
--- a/internal/scheduler/consensus/transfer.go
+++ b/internal/scheduler/consensus/transfer.go
@@ -105,7 +105,7 @@
 // MustHandOver reports whether this replica leads, is not among the wanted voters, and has nothing else to change before it leaves: all wanted ones are
 // voters.
 func (c *Core) MustHandOver(wanted []*rpc.Replica) bool {
-	if c.role != leader || hasReplica(wanted, c.config.ID) || len(wanted) == 0 || !c.isVoter(c.config.ID) {
+	if c.role != leader || isJoint(c.membership) || hasReplica(wanted, c.config.ID) || len(wanted) == 0 || !c.isVoter(c.config.ID) {
 		return false
 	}
 	return !slices.ContainsFunc(wanted, func(replica *rpc.Replica) bool { return !c.isVoter(replica.Id) })
--- a/internal/scheduler/controlplane/retirements.go
+++ b/internal/scheduler/controlplane/retirements.go
@@ -195,5 +195,5 @@
 // committed, and each member has on its disk all that was there before. A machine that isn't among them then has nothing that they lack.
 // It is pure.
 func MatchesPlacement(g *rpc.GroupStatus, wanted *rpc.Placement) bool {
-	return g.Leads && g.Settled && g.HeldByAll && len(g.Membership.GetLearners()) == 0 && placement.Same(g.Membership.GetVoters(), wanted.Replicas)
+	return g.Leads && g.Settled && g.HeldByAll && len(g.Membership.GetLearners()) == 0 && len(g.Membership.GetOutgoing()) == 0 && placement.Same(g.Membership.GetVoters(), wanted.Replicas)
 }
--- a/internal/scheduler/replica/engine.go
+++ b/internal/scheduler/replica/engine.go
@@ -211,7 +211,7 @@
 			g.core.Tick(now)
 			g.dirty = true
 		}
-		if g.dirty && e.wanted[name] != nil {
+		if g.dirty && (e.wanted[name] != nil || len(g.core.Membership().Outgoing) > 0) {
 			e.changeMembership(g)
 		}
 	}
--- a/internal/scheduler/replica/groups.go
+++ b/internal/scheduler/replica/groups.go
@@ -70,6 +70,9 @@
 // changeMembership proposes the next step towards the wanted membership, if there is one and this replica may propose it.
 func (e *Engine) changeMembership(g *group) {
 	wanted := e.wanted[g.name]
+	if wanted == nil {
+		wanted = &rpc.Placement{} // only a joint membership is to be ended
+	}
 	if g.core.MustHandOver(wanted.Replicas) && e.handOver(g, wanted.Replicas) {
 		return // its successor removes it
 	}
@@ -80,7 +83,8 @@
 	if err := g.core.ProposeMembership(next); err != nil {
 		return // it does not lead any more, or another change is under way: a later Tick proposes again
 	}
-	e.cfg.Log.Info("membership change", "group", g.name, "epoch", g.core.Epoch(), "voters", nodeNames(next.Voters), "learners", nodeNames(next.Learners))
+	e.cfg.Log.Info("membership change", "group", g.name, "epoch", g.core.Epoch(), "voters", nodeNames(next.Voters), "learners", nodeNames(next.Learners),
+		"outgoing", nodeNames(next.Outgoing))
 }
 
 // handOver hands the leadership of a group to one of the replicas, if this one leads and one of them can take it. It reports whether a transfer is
--- a/internal/scheduler/replica/ready.go
+++ b/internal/scheduler/replica/ready.go
@@ -135,7 +135,7 @@
 
 // learnAddresses notes the addresses of a group's members.
 func (e *Engine) learnAddresses(membership *rpc.Membership) {
-	for _, replica := range slices.Concat(membership.GetVoters(), membership.GetLearners()) {
+	for _, replica := range slices.Concat(membership.GetVoters(), membership.GetLearners(), membership.GetOutgoing()) {
 		e.addresses[replica.Id] = replica.Address
 	}
 }
