Agents back off while no steward is in touch, with jitter

Cause: an agent that found no fresh steward went round with fixed delays (50 ms between two, 150 ms after a round), all agents alike.

Not done: a limit at the steward itself.

--- a/internal/scheduler/feed/client.go
+++ b/internal/scheduler/feed/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"saffronquay/internal/scheduler/metrics"
 	"saffronquay/internal/scheduler/rpc"
 	"saffronquay/internal/scheduler/transport"
@@ -42,7 +43,7 @@
 
 // Run watches the sources until the context ends.
 func (c *Client) Run(ctx context.Context) {
-	var rotation Rotation
+	rotation := Rotation{Random: rand.Float64}
 	for ctx.Err() == nil {
 		source := rotation.Next(c.Sources())
 		if source == "" {
