No order under an epoch that a worker has rejected for a later one

The test got 5 orders of 5 turns, now 1.

Change: after a 412 no order is sent under that epoch, to any worker of the shard; logged as "order fenced off".

--- a/internal/scheduler/weights/dispatcher.go
+++ b/internal/scheduler/weights/dispatcher.go
@@ -46,8 +46,9 @@
 	recordedEpoch uint64             // epoch under which this machine is recorded as the holder; of Run's goroutine alone
 	orders        sync.WaitGroup     // the goroutines of the orders in flight
 
-	mu       sync.Mutex
-	inFlight map[string]string // models of the orders in flight, by worker
+	mu          sync.Mutex
+	inFlight    map[string]string // models of the orders in flight, by worker
+	fencedEpoch uint64            // epoch under which a worker has rejected an order because it knew of a later one; 0: none
 }
 
 const (
@@ -102,7 +103,7 @@
 		return
 	}
 	epoch, owned := d.Shard.Lease()
-	if !owned || !d.becomeHolder(ctx, epoch) {
+	if !owned || d.isFenced(epoch) || !d.becomeHolder(ctx, epoch) {
 		return
 	}
 	for _, order := range orders {
@@ -141,7 +142,7 @@
 		metrics.CountPanic("order")
 		d.Log.Error("panic", "instance", order.Instance.Id, "error", p, "stack", string(p.Stack))
 	})
-	if now, owned := d.Shard.Lease(); !owned || now != epoch {
+	if now, owned := d.Shard.Lease(); !owned || now != epoch || d.isFenced(epoch) {
 		return
 	}
 	sentAt := time.Now()
@@ -157,6 +158,10 @@
 	case status == fasthttp.StatusOK:
 		d.recordVersion(ctx, order)
 		return
+	case status == fasthttp.StatusPreconditionFailed:
+		log.Error("order fenced off: another process has sent orders under a later epoch")
+		d.setFenced(epoch)
+		return
 	case status != fasthttp.StatusAccepted && status != fasthttp.StatusConflict:
 		log.Warn("order rejected", "status", status)
 		lifecycle.Sleep(ctx, retryDelay)
@@ -165,6 +170,20 @@
 	d.awaitLoad(ctx, order, sentAt)
 }
 
+// isFenced reports whether a worker has rejected this epoch: another process has sent orders under a later one, so that this one must send none any
+// more, also where it still seems to own the shard.
+func (d *Dispatcher) isFenced(epoch uint64) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return epoch == d.fencedEpoch
+}
+
+func (d *Dispatcher) setFenced(epoch uint64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.fencedEpoch = max(d.fencedEpoch, epoch)
+}
+
 // awaitLoad queries a worker until it has the ordered version, and records that. Where it gives up, a later turn orders again.
 func (d *Dispatcher) awaitLoad(ctx context.Context, order Order, sentAt time.Time) {
 	usual := d.loadTimes[order.Mode]
--- a/internal/scheduler/weights/dispatcher_test.go
+++ b/internal/scheduler/weights/dispatcher_test.go
@@ -142,3 +142,31 @@
 	defer d.mu.Unlock()
 	is.Equal(len(d.inFlight), 0) // Run waits for the orders
 }
+
+// A worker that has seen a later epoch rejects an order: no further one is sent under that epoch, to any worker.
+func TestFencedOffDispatcherSendsNoMoreOrders(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	is.NoErr(err)
+	received := make(chan struct{}, 100)
+	server := &fasthttp.Server{Handler: func(request *fasthttp.RequestCtx) {
+		received <- struct{}{}
+		request.SetStatusCode(fasthttp.StatusPreconditionFailed)
+	}}
+	go server.Serve(listener)
+	t.Cleanup(func() { server.Shutdown() })
+	shard := &fakeShard{recorded: make(chan uint64, 100)}
+	shard.worker = &rpc.Instance{
+		Id: "w", Service: "s", Address: listener.Addr().String(), Capacity: 10, Models: []*rpc.ModelWeights{{Name: "m", Version: 1}},
+	}
+	d := &Dispatcher{
+		Node: "a", Shard: shard, Wanted: func() map[string]uint64 { return map[string]uint64{"m": 2} }, Log: slog.New(slog.DiscardHandler),
+		Rules:    Rules{SingleVersion: func(string) bool { return false }, MaxConcurrent: ConcurrentLoads, Slots: func(string) float64 { return 1 }},
+		inFlight: map[string]string{}, loadTimes: map[Mode]*loadTime{Wait: {}, Retain: {}}, client: newWorkerClient(),
+	}
+	for range 5 {
+		d.dispatch(context.Background())
+		d.orders.Wait()
+	}
+	is.Equal(len(received), 1)
+}
