Streams contain panics too; a known contact takes no write

Found on reading the change again: a stream's body is read by the HTTP server after the handler has returned, so that a panic there would have ended the process (TestPanicOfAStream does without the change). The record of a contact with a founder was written again after each restart of a steward, on the engine's goroutine: now only where it is not there.

--- a/internal/scheduler/consensus/election.go
+++ b/internal/scheduler/consensus/election.go
@@ -125,8 +125,8 @@
 	}
 }
 
-// handleVote votes for the sender unless this replica may have a live leader that has not given its lease up, has voted for another one in the epoch, or has a newer log. The vote
-// is part of the hard state, which is persisted before the reply is sent.
+// handleVote votes for the sender unless this replica may have a live leader that has not given its lease up, has voted for another one in the
+// epoch, or has a newer log. The vote is part of the hard state, which is persisted before the reply is sent.
 func (c *Core) handleVote(message *rpc.Message) {
 	if c.mayHaveLeader() && !c.leaderGaveUp(message) || message.Epoch < c.epoch {
 		c.rejectVote(message, rpc.MessageKind_VOTE_REPLY)
--- a/internal/scheduler/consensus/proposal.go
+++ b/internal/scheduler/consensus/proposal.go
@@ -10,7 +10,8 @@
 
 // Why a proposal is rejected. A rejected proposal has no effect.
 var (
-	// ErrNotLeader says that this replica does not lead or is handing its leadership over, or, for a change of the membership, has not committed an entry of its epoch yet.
+	// ErrNotLeader says that this replica does not lead or is handing its leadership over, or, for a change of the membership, has not committed an
+	// entry of its epoch yet.
 	ErrNotLeader = errors.New("consensus: this replica is not the leader")
 	// ErrBusy says that an earlier membership change is not committed yet.
 	ErrBusy = errors.New("consensus: an earlier membership change is under way")
--- a/internal/scheduler/proxy/stream.go
+++ b/internal/scheduler/proxy/stream.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"io"
+	"saffronquay/internal/panicguard"
 	"saffronquay/internal/scheduler/forward"
+	"saffronquay/internal/scheduler/metrics"
 	"saffronquay/internal/scheduler/worker"
 	"time"
 
@@ -71,9 +73,23 @@
 	events  eventBuffer
 }
 
+// errPanicked ends a stream on which the program itself failed.
+var errPanicked = errors.New("proxy: internal error")
+
 // Read implements io.Reader. It returns complete events only, but for what follows the last event of a complete stream. On an error other than
-// io.EOF the server closes the client's connection without the end of the body, so that the client sees that the stream is incomplete.
-func (r *streamRelay) Read(b []byte) (int, error) {
+// io.EOF the server closes the client's connection without the end of the body, so that the client sees that the stream is incomplete. So does a
+// panic: the server calls Read outside of the request's handler.
+func (r *streamRelay) Read(b []byte) (n int, err error) {
+	defer panicguard.Contain(func(p *panicguard.PanicError) {
+		metrics.CountPanic("stream")
+		r.proxy.log.Error("panic", "request", r.request.ID, "error", p, "stack", string(p.Stack))
+		n, err = 0, errPanicked
+	})
+	return r.relay(b)
+}
+
+// relay reads on in the stream, at another worker where that is necessary and possible.
+func (r *streamRelay) relay(b []byte) (int, error) {
 	for {
 		if n := r.events.readComplete(b); n > 0 {
 			return n, nil
--- a/internal/scheduler/proxy/stream_test.go
+++ b/internal/scheduler/proxy/stream_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"log/slog"
 	"saffronquay/internal/scheduler/forward"
 	"saffronquay/internal/scheduler/worker"
 	"testing"
@@ -23,3 +24,11 @@
 	is.Equal(len(first.Headers), 1)
 	is.Equal(first.Arrived, time.Unix(1, 0))
 }
+
+// A panic while a stream is relayed ends that stream as incomplete, not the process.
+func TestPanicOfAStream(t *testing.T) {
+	is := is.New(t)
+	relay := &streamRelay{proxy: &Proxy{log: slog.New(slog.DiscardHandler)}, request: &forward.Request{ID: "r"}} // it has no answer to read
+	_, err := relay.Read(make([]byte, 9))
+	is.Equal(err, errPanicked)
+}
--- a/internal/scheduler/replica/identity_store.go
+++ b/internal/scheduler/replica/identity_store.go
@@ -53,8 +53,12 @@
 	return id, err
 }
 
-// RecordContact records that a message of a founder has arrived. It is durable when RecordContact returns without an error.
+// RecordContact records that a message of a founder has arrived. It is durable when RecordContact returns without an error. What is recorded already
+// takes no write.
 func (s *IdentityStore) RecordContact(founder string) error {
+	if met, err := s.HasContact(founder); met || err != nil {
+		return err
+	}
 	return s.db.Update(func(tx *buntdb.Tx) error {
 		_, _, err := tx.Set(metPrefix+founder, "1", nil)
 		return err
