--- a/cmd/saffronquay/policy_propose.go
+++ b/cmd/saffronquay/policy_propose.go
@@ -10,7 +10,6 @@
 	"net/netip"
 	"os/user"
 	"saffronquay/internal/cluster/peering"
-	"saffronquay/internal/cluster/rollout"
 	"saffronquay/internal/cluster/rollout/wire"
 	"slices"
 	"strings"
@@ -46,7 +45,7 @@
 }
 
 // propose sends a proposal to one voter after the other until the leader accepts it, and waits for the decision.
-// text is the policy; nil where the proposal is not a version. A proposal that is refused for a reason that passes is made again. After p.wait without a decision the outcome is in doubt, and the command
+// text is the policy; nil where the proposal is not a version. After p.wait without a decision the outcome is in doubt, and the command
 // ends with exitUnreachable.
 func (c *cli) propose(ctx context.Context, p proposal, text []byte) error {
 	voters, err := c.findVoters(p)
@@ -74,7 +73,10 @@
 
 // newProposeRequest returns the request for a proposal, in the name of the system's user where it is known.
 func newProposeRequest(p proposal, text []byte) *wire.Propose {
-	request := &wire.Propose{Nonce: newNonce(), Base: uint64(p.base), Text: text, By: "operator", Dry: p.dry, Abort: p.abort, Keep: p.keep}
+	var random [8]byte
+	rand.Read(random[:])                            // it never fails
+	nonce := binary.BigEndian.Uint64(random[:]) | 1 // never zero
+	request := &wire.Propose{Nonce: nonce, Base: uint64(p.base), Text: text, By: "operator", Dry: p.dry, Abort: p.abort, Keep: p.keep}
 	if p.change != nil {
 		p.change(request)
 	}
@@ -84,13 +86,6 @@
 	return request
 }
 
-// newNonce returns a random number that is not zero.
-func newNonce() uint64 {
-	var random [8]byte
-	rand.Read(random[:]) // it never fails
-	return binary.BigEndian.Uint64(random[:]) | 1
-}
-
 // passOver records that a voter gave no answer. The next attempt goes to the next one.
 func (s *submission) passOver(err error) {
 	s.lastErr = err
@@ -107,10 +102,6 @@
 	case answerMade:
 		return s.made(answer)
 	case answerRefused:
-		if !s.proposal.abort && rollout.MayProposeAgain(answer.Reason) {
-			s.request.Nonce = newNonce() // the refused one never comes into force: this is a new proposal
-			return false, nil
-		}
 		return true, s.refused(answer)
 	default: // answerUnknown
 		s.next++
--- a/cmd/saffronquay/try_fleet.go
+++ b/cmd/saffronquay/try_fleet.go
@@ -17,7 +17,6 @@
 	"saffronquay/internal/broker/config"
 	"saffronquay/internal/broker/server"
 	"saffronquay/internal/cluster/peering"
-	"saffronquay/internal/cluster/rollout"
 	"saffronquay/internal/cluster/rollout/wire"
 	"strings"
 	"sync"
@@ -175,8 +174,6 @@
 		case answer.End == answerMade:
 			say("version %d of the policy is in force everywhere, %s after it was proposed", answer.Number, time.Since(began).Round(time.Millisecond))
 			return
-		case answer.End == answerRefused && rollout.MayProposeAgain(answer.Reason):
-			request.Nonce++ // as a new proposal
 		case answer.End == answerRefused:
 			say("the policy is refused: %s", answer.Reason)
 			return
--- a/internal/cluster/rollout/lease_test.go
+++ b/internal/cluster/rollout/lease_test.go
@@ -142,18 +142,3 @@
 		t.Errorf("answered in the order %v", nonces)
 	}
 }
-
-// Only reasons that pass let the same change be proposed again.
-func TestMayProposeAgain(t *testing.T) {
-	for reason, want := range map[string]bool{
-		reasonLeaderLost:                                   true,
-		"g04" + reasonUnresponsive:                         true,
-		"it replaces version 1, and version 2 is in force": false,
-		"g01: settings: unknown key":                       false,
-		"":                                                 false,
-	} {
-		if MayProposeAgain(reason) != want {
-			t.Errorf("%q: %t", reason, !want)
-		}
-	}
-}
--- a/internal/cluster/rollout/proposal.go
+++ b/internal/cluster/rollout/proposal.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"saffronquay/internal/cluster/rollout/wire"
-	"strings"
 )
 
 // What Answer.End says of a proposal.
@@ -13,18 +12,8 @@
 	endUnknown = 3 // this voter can't tell: it does not lead, or may not
 )
 
-const (
-	// reasonLeaderLost is why a new leader aborts a proposal that it finds open.
-	reasonLeaderLost = "the leader was lost"
-	// reasonUnresponsive ends the reason why a leader aborts a change for which not everyone has paused in time.
-	reasonUnresponsive = " fell silent while queries were held"
-)
-
-// MayProposeAgain reports whether a proposal was refused for a reason that passes: the leader was lost, or a gatherer was unresponsive. The refused
-// proposal never comes into force, so that the same change may be proposed again, as a new proposal.
-func MayProposeAgain(reason string) bool {
-	return reason == reasonLeaderLost || strings.HasSuffix(reason, reasonUnresponsive)
-}
+// reasonLeaderLost is why a new leader aborts a proposal that it finds open.
+const reasonLeaderLost = "the leader was lost"
 
 // isPausing reports that queries are paused for the open proposal.
 func (v *voter) isPausing() bool { return v.phase >= pausing }
@@ -170,7 +159,7 @@
 	case awaited == "":
 		v.proposeEnd(now, entryCommit, "")
 	case now-v.phaseSince >= v.cfg.MaxPause*3/4:
-		v.proposeEnd(now, entryAbort, awaited+reasonUnresponsive)
+		v.proposeEnd(now, entryAbort, awaited+" fell silent while queries were held")
 	}
 }
 
