--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target
-go build -tags review -o target/review-rig ./review/rig
+go build -tags review -o target/review-rig ./review/_rig
