--- a/review/_rig/main.go
+++ b/review/_rig/main.go
@@ -31,10 +31,11 @@
 type scene func(p *play) (broken []string, err error)
 
 var scenes = map[string]scene{
-	"new-route":   newRoute,
-	"half-event":  halfEvent,
-	"taken-twice": takenTwice,
-	"late-stop":   lateStop,
+	"new-route":    newRoute,
+	"half-event":   halfEvent,
+	"taken-twice":  takenTwice,
+	"late-stop":    lateStop,
+	"many-workers": manyWorkers,
 }
 
 func main() {
--- a/review/_rig/streams.go
+++ b/review/_rig/streams.go
@@ -10,6 +10,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 )
 
@@ -197,3 +198,39 @@
 	p.note("client: got events %v, then %q, then the end: %v", got.ids, got.rest, got.err)
 	return checkOrder(got.ids, last), nil
 }
+
+// manyWorkers has workers break off one in a hundred streams of a route that allows one worker for each
+// request.
+func manyWorkers(p *play) ([]string, error) {
+	texts := textRoute()
+	texts["maxAttempts"] = 1
+	share := "0"
+	if p.trouble {
+		share = "0.01"
+	}
+	if err := p.startStreaming(texts, "-pace", "20ms", "-break-off", share); err != nil {
+		return nil, err
+	}
+	var calls sync.WaitGroup
+	for range 30 {
+		calls.Go(func() {
+			for range 30 {
+				_, _ = openStream(p.machine("edge-"+zones[0]+"-1"), streamHeader(newID()), func(int) {}) // cuts are allowed here
+			}
+		})
+	}
+	calls.Wait()
+	p.mu.Lock()
+	over := 0
+	for _, runs := range p.runs {
+		if runs > 1 {
+			over++
+		}
+	}
+	p.mu.Unlock()
+	p.note("%d of %d requests reached more than one worker", over, len(p.runs))
+	if over > 3 {
+		return []string{fmt.Sprintf("BUDGET: %d requests ran on more workers than maxAttempts, which is 1; no worker ended", over)}, nil
+	}
+	return nil, nil
+}
--- a/review/_rig/worker.go
+++ b/review/_rig/worker.go
@@ -9,6 +9,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -27,7 +28,8 @@
 	models                     []string
 	capacity, events           int
 	pace                       time.Duration
-	withoutLength              bool // streams have no length and end with their connection
+	withoutLength              bool    // streams have no length and end with their connection
+	breakOff                   float64 // share of streams that are broken off
 
 	mu       sync.Mutex
 	versions map[string]uint64
@@ -48,6 +50,7 @@
 	flags.IntVar(&w.events, "events", streamEvents, "events of an answer")
 	flags.DurationVar(&w.pace, "pace", 20*time.Millisecond, "time for an event")
 	flags.BoolVar(&w.withoutLength, "without-length", false, "")
+	flags.Float64Var(&w.breakOff, "break-off", 0, "share of streams that are broken off")
 	controls, models := flags.String("controls", "", ""), flags.String("models", "", "")
 	if err := flags.Parse(arguments); err != nil {
 		return err
@@ -203,8 +206,16 @@
 		_, err := fmt.Fprintf(conn, "%x\r\n%s\r\n", len(text), text)
 		return err
 	}
+	breakAt := 0
+	if rand.Float64() < w.breakOff {
+		breakAt = after + 2 + rand.IntN(max(events-after-2, 1))
+	}
 	for event := after + 1; event <= events; event++ {
 		time.Sleep(w.pace / 2)
+		if event == breakAt {
+			fmt.Printf("break-off %s at %d\n", id, event)
+			return false
+		}
 		if send(fmt.Sprintf("id: %d\ndata: to", event)) != nil {
 			fmt.Printf("dropped %s at %d\n", id, event)
 			return false
