Batch jobs: give an item up only under a configuration as new as its job's

Cause: leases go by model and free slots, so a gatherer whose own configuration was older than the job (up to 1.1 s while its agent watches the machine that stands still) leased items too. It found no route for them and reported an empty result, which the owner committed as final. A lease did not tell under which configuration its job was accepted. The same held for the route of a reward call, and a gatherer could have run an item by an older route.

Change: a job stores the configuration version of the gatherer that accepted it. A lease names it, and the newest version that any gatherer has reported to the owner. A gatherer hands items back if its own version is older than the job's, or if it has no route and the owner knows of a newer version; only otherwise does a missing route end an item, with a log line. The owner does not lease the job's items to that gatherer again until it reports a newer version. Why this suffices: versions only rise, so a version not older than the job's without the route proves its end. Fields were added only: an earlier build ignores them and behaves as before; version 0 (a job stored by an earlier build) is treated as before.

--- a/internal/scheduler/batchjobs/grants.go
+++ b/internal/scheduler/batchjobs/grants.go
@@ -48,7 +48,8 @@
 // GrantLeases leases up to want items to a gatherer, limited by its free slots. Jobs are ordered by
 // timeliness, then by deadline; within a job, started groups come first. Groups beyond the wanted
 // ones and the spare ones are started only if no job has other items to grant. It grants nothing to a
-// gatherer that Observe has not recorded, and nothing until adoptionWaitMS has passed.
+// gatherer that Observe has not recorded, nothing until adoptionWaitMS has passed, and no items of a job
+// that the gatherer's configuration is too old for.
 func (s *Scheduler) GrantLeases(now int64, name string, want int, free []*rpc.Room) []*rpc.Lease {
 	if want <= 0 || !s.granting || s.gatherers[name] == nil {
 		return nil
@@ -57,7 +58,7 @@
 	for _, allGroups := range []bool{false, true} {
 		for class := onTime; class <= valueless; class++ {
 			for _, j := range s.byDeadline {
-				if j.timeliness(now) != class {
+				if j.timeliness(now) != class || s.isOutdated(name, j) {
 					continue
 				}
 				s.grantFromJob(request, j, allGroups)
@@ -70,6 +71,13 @@
 	return request.leases
 }
 
+// isOutdated reports whether a gatherer handed items of a job back because of its configuration, and
+// has reported no newer one since.
+func (s *Scheduler) isOutdated(name string, j *openJob) bool {
+	version, outdated := j.outdated[name]
+	return outdated && s.gatherers[name].configuration <= version
+}
+
 // grantFromJob leases items of a job until the request is met or no slot fits. allGroups removes the
 // limit on started groups.
 func (s *Scheduler) grantFromJob(r *grantRequest, j *openJob, allGroups bool) {
@@ -122,5 +130,6 @@
 	return &rpc.Lease{
 		Job: spec.Id, Number: number, Item: state.item, Host: spec.Host, Model: spec.Model, MinVersion: spec.MinVersion,
 		DueInMs: state.job.deadlineAt - now, Failures: uint32(len(state.failedLeases)), MaxAttempts: spec.MaxAttempts, SingleVersion: spec.SingleVersion,
+		ConfigurationVersion: spec.ConfigurationVersion, NewestConfiguration: max(spec.ConfigurationVersion, s.newestConfiguration),
 	}
 }
--- a/internal/scheduler/batchjobs/leases.go
+++ b/internal/scheduler/batchjobs/leases.go
@@ -19,9 +19,10 @@
 
 // gatherer is a gatherer that has not timed out.
 type gatherer struct {
-	lastSeenAt   int64
-	leaseNumbers map[uint64]bool
-	cancelled    []uint64 // numbers of leases whose cancellation was not sent yet
+	lastSeenAt    int64
+	configuration uint64 // version that it reported last
+	leaseNumbers  map[uint64]bool
+	cancelled     []uint64 // numbers of leases whose cancellation was not sent yet
 }
 
 // recordLease records a lease of an item to a gatherer, which must be known.
@@ -78,6 +79,17 @@
 	g.lastSeenAt = now
 }
 
+// ObserveConfiguration records the version of the configuration that is in force at a gatherer. It does
+// nothing if Observe has not recorded the gatherer.
+func (s *Scheduler) ObserveConfiguration(name string, version uint64) {
+	g := s.gatherers[name]
+	if g == nil {
+		return
+	}
+	g.configuration = max(g.configuration, version)
+	s.newestConfiguration = max(s.newestConfiguration, version)
+}
+
 // Adopt reconciles the leases recorded for a gatherer with the complete list that the gatherer
 // reports. A reported lease that is not recorded, as after a change of the owner, is recorded if its
 // item is pending and cancelled otherwise. A recorded lease that is not reported and older than
--- a/internal/scheduler/batchjobs/openjob.go
+++ b/internal/scheduler/batchjobs/openjob.go
@@ -29,6 +29,9 @@
 	groups         []*group
 	items          map[string]*itemState // by id
 	completeGroups int
+	// outdated has the versions of the configuration under which gatherers could not run the job, by
+	// gatherer.
+	outdated map[string]uint64
 }
 
 // group is a set of items of a job that count as one towards the number of groups that the trainer
@@ -68,6 +71,7 @@
 		valuelessAt: sentAt + int64(max(spec.GiveUpMs, spec.DeadlineMs)),
 		abandonAt:   firstSeenAt + int64(spec.MaxQueueMs),
 		items:       map[string]*itemState{},
+		outdated:    map[string]uint64{},
 	}
 	groups := map[string]*group{}
 	for _, item := range spec.Items {
--- a/internal/scheduler/batchjobs/reports.go
+++ b/internal/scheduler/batchjobs/reports.go
@@ -38,6 +38,9 @@
 	case r.Failed:
 		return s.handleFailure(state, r)
 	case reported != nil:
+		if r.OutdatedConfiguration != 0 {
+			j.outdated[reported.gatherer] = r.OutdatedConfiguration
+		}
 		s.dropLease(reported)
 	}
 	return Decision{}
--- a/internal/scheduler/batchjobs/scheduler.go
+++ b/internal/scheduler/batchjobs/scheduler.go
@@ -25,6 +25,8 @@
 	incarnations map[string]string  // by machine: the name of its latest gatherer process
 	leases       map[uint64]*lease  // by number
 	meanItemMS   map[string]float64 // moving average of an item's duration, by model
+	// newestConfiguration is the newest version of the configuration that a gatherer has reported.
+	newestConfiguration uint64
 }
 
 const (
--- a/internal/scheduler/batchjobs/scheduler_test.go
+++ b/internal/scheduler/batchjobs/scheduler_test.go
@@ -402,3 +402,43 @@
 	is.Equal(response.Leases[0].Number>>32, uint64(7))
 	is.Equal(response.Epoch, uint64(7))
 }
+
+// Guards against a new job whose items return again and again to a gatherer that does not have the
+// configuration of the job yet: it gets none of them until it reports a newer version, other gatherers
+// and other jobs are not affected, and leases name the versions.
+func TestGrantLeases_OutdatedGatherer(t *testing.T) {
+	is := is.New(t)
+	added := newCreate("added", 2, 1, 2, 5000)
+	added.ConfigurationVersion = 7
+	s := newGrantingScheduler(added, newCreate("earlier", 2, 1, 2, 9000))
+	s.ObserveConfiguration("g", 6)
+	leases := s.GrantLeases(adoptionWaitMS, "g", 1, slots(1))
+	is.Equal(leases[0].Job, "added")
+	is.Equal(leases[0].ConfigurationVersion, uint64(7))
+	is.Equal(leases[0].NewestConfiguration, uint64(7))
+	is.Equal(s.HandleReport(adoptionWaitMS, &rpc.Report{
+		Job: "added", Item: leases[0].Item.Id, Number: leases[0].Number, Released: true, OutdatedConfiguration: 6,
+	}), Decision{})
+	leases = s.GrantLeases(adoptionWaitMS, "g", 1, slots(1))
+	is.Equal(leases[0].Job, "earlier")
+	s.Observe(adoptionWaitMS, "current")
+	s.ObserveConfiguration("current", 8)
+	leases = s.GrantLeases(adoptionWaitMS, "current", 1, slots(1))
+	is.Equal(leases[0].Job, "added")
+	is.Equal(leases[0].NewestConfiguration, uint64(8))
+	s.ObserveConfiguration("g", 7)
+	leases = s.GrantLeases(adoptionWaitMS, "g", 1, slots(1))
+	is.Equal(leases[0].Job, "added")
+}
+
+// The versions that a gatherer reports reach the scheduler with each request for work.
+func TestShardGrant_ObservesConfiguration(t *testing.T) {
+	is := is.New(t)
+	sh := newShard(ShardName(0))
+	request := &rpc.WorkRequest{Gatherer: "g", ConfigurationVersion: 3}
+	sh.takeReports(1, request)
+	is.Equal(sh.scheduler.gatherers["g"].configuration, uint64(3))
+	request.ConfigurationVersion = 4
+	sh.grant(1, request, &rpc.WorkResponse{})
+	is.Equal(sh.scheduler.gatherers["g"].configuration, uint64(4))
+}
--- a/internal/scheduler/batchjobs/shard.go
+++ b/internal/scheduler/batchjobs/shard.go
@@ -78,6 +78,7 @@
 	defer sh.mu.Unlock()
 	scheduler := sh.schedulerFor(epoch)
 	scheduler.Observe(monotonicMS(), r.Gatherer)
+	scheduler.ObserveConfiguration(r.Gatherer, r.ConfigurationVersion)
 	if r.HeldTold && scheduler.Adopt(monotonicMS(), r.Gatherer, r.Held) {
 		sh.notifyWorkers()
 	}
@@ -118,6 +119,7 @@
 	defer sh.mu.Unlock()
 	scheduler := sh.schedulerFor(epoch)
 	scheduler.Observe(monotonicMS(), r.Gatherer)
+	scheduler.ObserveConfiguration(r.Gatherer, r.ConfigurationVersion)
 	response.Cancelled = append(response.Cancelled, scheduler.TakeCancelled(r.Gatherer)...)
 	if r.Leaving {
 		scheduler.RemoveGatherer(r.Gatherer)
--- a/internal/scheduler/batchrunner/item.go
+++ b/internal/scheduler/batchrunner/item.go
@@ -31,9 +31,9 @@
 	run := &itemRun{Runner: r, lease: lease, text: newText()}
 	defer run.setPlaced()
 	for range maxAttempts {
-		route := r.Configuration().Find(lease.Host, lease.Item.Path)
+		route, report := run.findRoute(lease.Host, lease.Item.Path)
 		if route == nil {
-			return incompleteReport() // the route was removed from the configuration
+			return report
 		}
 		reservation := run.waitForWorker(ctx, route)
 		run.setPlaced()
@@ -57,6 +57,26 @@
 	return releaseReport()
 }
 
+// findRoute returns the route of a request of the lease: the item itself or its reward call. If the
+// configuration in force has none, or is older than the one under which the job was accepted, it
+// returns the report that ends the lease instead.
+func (r *itemRun) findRoute(host, path string) (*configuration.Route, *rpc.Report) {
+	table := r.Configuration()
+	if table.Version < r.lease.ConfigurationVersion {
+		return nil, outdatedReport(table.Version)
+	}
+	route := table.Find(host, path)
+	switch {
+	case route != nil:
+		return route, nil
+	case table.Version < r.lease.NewestConfiguration:
+		return nil, outdatedReport(table.Version) // a newer configuration may have the route
+	}
+	r.Log.Warn("item abandoned: its route was removed", "job", r.lease.Job, "item", r.lease.Item.Id, "host", host, "path", path,
+		"configuration", table.Version, "accepted", r.lease.ConfigurationVersion)
+	return nil, incompleteReport()
+}
+
 // attemptAt makes an attempt at a reserved worker and releases the reservation, even if the attempt
 // panics.
 func (r *itemRun) attemptAt(ctx context.Context, route *configuration.Route, reservation *routing.Reservation) attemptOutcome {
@@ -70,6 +90,12 @@
 // releaseReport hands an item back to the owner, which may lease it again.
 func releaseReport() *rpc.Report { return &rpc.Report{Released: true} }
 
+// outdatedReport hands an item back to the owner, which doesn't lease the job's items to this gatherer
+// again until its configuration is newer than version.
+func outdatedReport(version uint64) *rpc.Report {
+	return &rpc.Report{Released: true, OutdatedConfiguration: version}
+}
+
 // setPlaced removes the lease from the count of leases that wait for a worker. Only the first call
 // has an effect.
 func (r *itemRun) setPlaced() {
--- a/internal/scheduler/batchrunner/item_test.go
+++ b/internal/scheduler/batchrunner/item_test.go
@@ -7,18 +7,24 @@
 	"log/slog"
 	"math/rand/v2"
 	"net"
+	"net/http/httptest"
 	"net/textproto"
+	"saffronquay/internal/scheduler/batchclient"
+	"saffronquay/internal/scheduler/batchjobs"
 	"saffronquay/internal/scheduler/compression"
 	"saffronquay/internal/scheduler/configuration"
 	"saffronquay/internal/scheduler/featuregate"
 	"saffronquay/internal/scheduler/forward"
 	"saffronquay/internal/scheduler/routing"
 	"saffronquay/internal/scheduler/rpc"
+	"saffronquay/internal/scheduler/transport"
 	"saffronquay/internal/scheduler/worker"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
 )
 
 // startFakeWorker starts a worker that sends one answer on each connection and then closes it, or
@@ -182,3 +188,64 @@
 	is.True(listed)
 	is.Equal(len(leases), 0)
 }
+
+// Guards against items that were given up by a gatherer whose configuration did not have the route of
+// their new job yet: only a configuration that is as new as the job and as any that the owner knows of
+// proves that a route is gone.
+func TestRunItem_RouteMissing(t *testing.T) {
+	abandoned := &rpc.Report{Result: &rpc.Result{}}
+	outdated := &rpc.Report{Released: true, OutdatedConfiguration: 1}
+	for name, test := range map[string]struct {
+		host, scorerHost string
+		accepted, newest uint64
+		want             *rpc.Report
+	}{
+		"route removed": {host: "gone", accepted: 1, newest: 1, want: abandoned},
+		"route removed, owner of an earlier build": {host: "gone", want: abandoned},
+		"route added later":                        {host: "new", accepted: 2, newest: 2, want: outdated},
+		"other gatherers have a newer version":     {host: "new", accepted: 1, newest: 2, want: outdated},
+		"route changed later":                      {host: "h", accepted: 2, newest: 2, want: outdated},
+		"reward route removed":                     {host: "h", scorerHost: "gone", accepted: 1, newest: 1, want: abandoned},
+		"reward route added later":                 {host: "h", scorerHost: "new", accepted: 1, newest: 2, want: outdated},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			heads := make(chan textproto.MIMEHeader, 1)
+			r := newRunner(t, startFakeWorker(t, heads, lastPart, false)) // of configuration version 1
+			lease := newLease(0)
+			lease.Host, lease.ConfigurationVersion, lease.NewestConfiguration = test.host, test.accepted, test.newest
+			if test.scorerHost != "" {
+				lease.Item.Scorer = &rpc.Scorer{Id: "score", Host: test.scorerHost, Path: "/score"}
+			}
+			report := r.runItem(context.Background(), lease)
+			is.True(proto.Equal(report, test.want))
+			is.Equal(len(heads) == 1, test.scorerHost != "") // an item without a usable route reaches no worker
+		})
+	}
+}
+
+// The owner of a shard is told which configuration is in force at the gatherer.
+func TestCallOwner_ReportsConfigurationVersion(t *testing.T) {
+	is := is.New(t)
+	requests := make(chan *rpc.WorkRequest, 1)
+	server := httptest.NewServer(rpc.NewLedgerServer(fakeOwner{requests: requests}))
+	defer server.Close()
+	r := newRunner(t)
+	r.initialize()
+	r.JobOwners = batchclient.New(transport.NewClient(), "zone")
+	shard := batchjobs.ShardName(0)
+	r.JobOwners.UpdatePlacement(&rpc.Placement{Group: shard, Replicas: []*rpc.Replica{{Address: strings.TrimPrefix(server.URL, "http://")}}})
+	is.True(r.callOwner(context.Background(), shard, &rpc.WorkRequest{}) != nil)
+	is.Equal((<-requests).ConfigurationVersion, uint64(1))
+}
+
+// fakeOwner records the requests for work. The other calls are not implemented.
+type fakeOwner struct {
+	rpc.Ledger
+	requests chan<- *rpc.WorkRequest
+}
+
+func (o fakeOwner) Work(_ context.Context, r *rpc.WorkRequest) (*rpc.WorkResponse, error) {
+	o.requests <- r
+	return &rpc.WorkResponse{Outcome: rpc.Outcome_DONE, Epoch: 1}, nil
+}
--- a/internal/scheduler/batchrunner/owner.go
+++ b/internal/scheduler/batchrunner/owner.go
@@ -61,6 +61,15 @@
 	return table.DeploymentServices()
 }
 
+// configurationVersion returns the version of the configuration in force; 0 until there is one.
+func (r *Runner) configurationVersion() uint64 {
+	table := r.Configuration()
+	if table == nil {
+		return 0
+	}
+	return table.Version
+}
+
 // requestWork requests up to want items from a shard's owner and starts those that it grants. It
 // returns nil if the call failed.
 func (r *Runner) requestWork(ctx context.Context, shard string, request *rpc.WorkRequest, want int) *rpc.WorkResponse {
@@ -82,7 +91,7 @@
 // answered within callTimeout. The request contains the list of this gatherer's leases if
 // leasesToNotify returns one.
 func (r *Runner) callOwner(ctx context.Context, shard string, request *rpc.WorkRequest) *rpc.WorkResponse {
-	request.Shard, request.Gatherer = shard, r.Name
+	request.Shard, request.Gatherer, request.ConfigurationVersion = shard, r.Name, r.configurationVersion()
 	var response *rpc.WorkResponse
 	call := func(ctx context.Context, owner rpc.Ledger) (rpc.Outcome, string, error) {
 		request.Held, request.HeldTold = r.leasesToNotify(shard)
--- a/internal/scheduler/batchrunner/score.go
+++ b/internal/scheduler/batchrunner/score.go
@@ -35,9 +35,9 @@
 	serverErrors := 0
 	var end time.Time
 	for range maxScoreAttempts {
-		route := r.Configuration().Find(scorer.Host, scorer.Path)
+		route, report := r.findRoute(scorer.Host, scorer.Path)
 		if route == nil {
-			return incompleteReport()
+			return report
 		}
 		timeout := time.Duration(max(route.TimeoutMS, minScoreAttemptMS)) * time.Millisecond
 		if end.IsZero() {
--- a/internal/scheduler/proxy/handler.go
+++ b/internal/scheduler/proxy/handler.go
@@ -61,7 +61,7 @@
 	case route == nil:
 		answer(ctx, fasthttp.StatusNotFound, "no such route")
 	case route.Type == configuration.TypeDeployment:
-		p.submitJob(ctx, route, host)
+		p.submitJob(ctx, table.Version, route, host)
 	default:
 		p.forwardRequest(ctx, route, host, path)
 	}
--- a/internal/scheduler/proxy/jobs_test.go
+++ b/internal/scheduler/proxy/jobs_test.go
@@ -19,9 +19,14 @@
 	found   bool
 	absent  bool // its shard has no replicas, so that it is never called
 	refuses bool // its address refuses connections
+	// submitted receives the jobs of submissions if it is not nil.
+	submitted chan<- *rpc.CreateJob
 }
 
-func (o fakeOwner) Submit(context.Context, *rpc.SubmitRequest) (*rpc.SubmitResponse, error) {
+func (o fakeOwner) Submit(_ context.Context, r *rpc.SubmitRequest) (*rpc.SubmitResponse, error) {
+	if o.submitted != nil {
+		o.submitted <- r.Job
+	}
 	return &rpc.SubmitResponse{Outcome: o.outcome}, nil
 }
 
@@ -115,3 +120,21 @@
 		})
 	}
 }
+
+// A stored batch job names the configuration under which it was accepted, so that no gatherer with an
+// older one runs its items or gives them up.
+func TestSubmitJob_ConfigurationVersion(t *testing.T) {
+	is := is.New(t)
+	submitted := make(chan *rpc.CreateJob, 1)
+	var request fasthttp.Request
+	var response fasthttp.Response
+	request.Header.SetMethod(fasthttp.MethodPost)
+	request.SetRequestURI("http://" + serveJobs(t, fakeOwner{outcome: rpc.Outcome_DONE, submitted: submitted}) + "/x")
+	request.UseHostHeader = true
+	request.Header.SetHost("deployment")
+	request.Header.Set("Request-Id", "r")
+	request.SetBodyString(`{"requests":[{"id":"a","path":"/x"}]}`)
+	is.NoErr(fasthttp.DoTimeout(&request, &response, 20*time.Second))
+	is.Equal(response.StatusCode(), fasthttp.StatusAccepted)
+	is.Equal((<-submitted).ConfigurationVersion, uint64(1))
+}
--- a/internal/scheduler/proxy/submit.go
+++ b/internal/scheduler/proxy/submit.go
@@ -21,8 +21,8 @@
 
 // submitJob stores a batch job at the owner of its host's shard. Status 202 means that a majority
 // of the replicas has stored it. The trainer may repeat the submission after 503 and 504, since the
-// job is identified by its Request-Id.
-func (p *Proxy) submitJob(ctx *fasthttp.RequestCtx, route *configuration.Route, host string) {
+// job is identified by its Request-Id. version is that of the configuration that has the route.
+func (p *Proxy) submitJob(ctx *fasthttp.RequestCtx, version uint64, route *configuration.Route, host string) {
 	id := string(ctx.Request.Header.Peek("Request-Id"))
 	if id == "" || !utf8.ValidString(id) || !ctx.IsPost() {
 		answer(ctx, fasthttp.StatusBadRequest, "batch job must be a POST request with a UTF-8 Request-Id header")
@@ -38,6 +38,7 @@
 		return
 	}
 	job.Id, job.Host, job.Path, job.SentUnixMs = id, host, string(ctx.Path()), time.Now().UnixMilli()
+	job.ConfigurationVersion = version
 	setLimits(job, route)
 	p.reportPolicy(job.Model, route.OnPolicy)
 	shard := p.jobOwners.ShardOfHost(host)
