Stopping proxy: admit no requests that its end might cut

Cause: the drain waited until nothing was in progress, for at most graceS less 0.9 s, and admitted requests all that time. Connection: close was only said in answers, so a connection that rested was told nothing and stayed open; the HTTP server closed idle connections only in the last 0.3 s. With steady traffic on kept connections the drain never got empty.

Change: the drain has two phases. For 2.6 s, while the platform may still pass connections on, everything is served. What is in flight has the remaining 4.5 s. A client whose idle connection is closed may send its request again, since nothing was read. The length of the phases is a parameter, so that the test needs no real time.

--- a/internal/scheduler/proxy/doc.go
+++ b/internal/scheduler/proxy/doc.go
@@ -19,6 +19,8 @@
 //
 //   - "no configuration is known yet" (dispatch): the process has just started, or
 //     can't reach its agent.
+//   - "process is stopping" (dispatch): the request arrived when the process only finished those in
+//     flight. Another proxy serves it.
 //   - "no worker available for the request" (failureStatus): no worker of the route's services is
 //     eligible, or all workers that were attempted rejected the request or could not be reached,
 //     or the deadline passed before a worker accepted it.
--- a/internal/scheduler/proxy/forward_test.go
+++ b/internal/scheduler/proxy/forward_test.go
@@ -61,8 +61,8 @@
 	return listener.Addr().String(), opened, closed
 }
 
-// startProxy starts the HTTP server of a proxy with one worker.
-func startProxy(t *testing.T, workerAddress string) (address string) {
+// newTestProxy returns a proxy with one worker.
+func newTestProxy(t *testing.T, workerAddress string) *Proxy {
 	t.Helper()
 	document, err := configuration.Parse([]byte(`{"version":1,"routes":[{"name":"r","host":"h","pathPrefix":"/","type":"idempotent","timeoutMs":60000,"targetLatencyMs":30000,"service":"s"}],"services":[{"name":"s"}]}`))
 	if err != nil {
@@ -72,7 +72,13 @@
 	table.PutWorker(&rpc.Instance{Id: "w", Service: "s", Address: workerAddress, Capacity: 4})
 	p := &Proxy{log: slog.New(slog.DiscardHandler), configured: make(chan struct{}), forwarder: &forward.Forwarder{Table: table, Pool: worker.NewPool(), Clock: clock}}
 	p.config.Store(configuration.NewTable(document))
-	return serveProxy(t, p)
+	return p
+}
+
+// startProxy starts the HTTP server of a proxy with one worker.
+func startProxy(t *testing.T, workerAddress string) (address string) {
+	t.Helper()
+	return serveProxy(t, newTestProxy(t, workerAddress))
 }
 
 // serveProxy starts the HTTP server of a proxy.
--- a/internal/scheduler/proxy/handler.go
+++ b/internal/scheduler/proxy/handler.go
@@ -42,6 +42,10 @@
 	if p.stopping.Load() {
 		ctx.SetConnectionClose()
 	}
+	if p.closed.Load() {
+		reject(ctx, "process is stopping")
+		return
+	}
 	table := p.awaitConfiguration(ctx)
 	if table == nil {
 		rejectWithRetryAfter(ctx, formatSeconds(startRetryAfter), "no configuration is known yet")
--- a/internal/scheduler/proxy/proxy.go
+++ b/internal/scheduler/proxy/proxy.go
@@ -31,8 +31,7 @@
 	maxBodyBytes    = 64 << 20
 	readTimeout     = 15 * time.Second
 	idleTimeout     = 90 * time.Second
-	// shutdownTimeout bounds the shutdown of the HTTP server after the drain. Connections that are
-	// still open end with the process.
+	// shutdownTimeout bounds the wait for open connections after the drain. They end with the process.
 	shutdownTimeout = 300 * time.Millisecond
 )
 
@@ -46,6 +45,7 @@
 	config     atomic.Pointer[configuration.Table] // nil until the first configuration
 	configured chan struct{}                       // closed after the first configuration was applied
 	stopping   atomic.Bool                         // the process is draining
+	closed     atomic.Bool                         // the process admits no more requests
 	active     atomic.Int64                        // handlers and streams in progress
 
 	mu          sync.Mutex      // guards the fields below
@@ -62,8 +62,8 @@
 // clock returns a monotonic time in milliseconds.
 func clock() int64 { return time.Since(processStart).Milliseconds() + clockOffsetMS }
 
-// Run serves until ctx ends and then drains: readiness fails immediately, requests are still served
-// for a while, and leased items are finished or handed back. It returns an error only if it can't
+// Run serves until ctx ends and then drains: readiness fails immediately, requests are still admitted
+// for a while, those in flight are finished, and leased items are finished or handed back. It returns an error only if it can't
 // listen on an address. Later changes of the settings have no effect.
 func Run(ctx context.Context, source *settings.Source, log *slog.Logger) error {
 	s := source.Current()
@@ -92,10 +92,7 @@
 	}()
 	go p.sweepConnections(serving)
 	<-ctx.Done()
-	p.drain(grace, runnerDone)
-	shutdown, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
-	defer cancel()
-	_ = server.ShutdownWithContext(shutdown) // an error means that connections are still open; they end with the process
+	p.drain(server, newDrainTimeouts(grace), runnerDone)
 	return nil
 }
 
