Resumed streams and items: replace Last-Event-Id instead of adding a second

Cause: resumeRequest appended a Last-Event-Id field and left the client's own one in. The worker got two fields, 29 and 32, and went by the first.

Change: worker.SetHeader replaces all fields of the name, in any case. The same was looked for wherever fields are appended: items of batch jobs passed a trainer's own Request-Id, Deadline-Ms, Expect-Instance, Expect-Version, Last-Event-Id and hop-by-hop fields on beside the scheduler's. They are left out now, by the list that client requests already went by, which moved to package worker (IsReserved). Other places (forward.Request.headers, reward calls, orders, internal calls) add to lists without such fields. Why this suffices: the worker gets one field, with the id of the last event that was passed on.

--- a/internal/scheduler/batchrunner/attempt.go
+++ b/internal/scheduler/batchrunner/attempt.go
@@ -8,6 +8,7 @@
 	"saffronquay/internal/scheduler/rpc"
 	"saffronquay/internal/scheduler/worker"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -112,14 +113,19 @@
 	return version
 }
 
-// requestHeaders returns the header fields of the item and those of the worker protocol. For a text
-// that is continued these include its last event and, if the lease requires a single weight
-// version, the text's version.
+// lastEventIDHeader continues a text after the event with this id.
+const lastEventIDHeader = "Last-Event-Id"
+
+// requestHeaders returns the header fields of the item and those of the worker protocol, which replace
+// fields of the item with the same names. For a text that is continued these include its last event
+// and, if the lease requires a single weight version, the text's version.
 func requestHeaders(lease *rpc.Lease, instance string, text *generatedText) []worker.Header {
 	deadline := max(time.Duration(lease.DueInMs)*time.Millisecond+deadlineSlack, minDeadline)
 	headers := make([]worker.Header, 0, len(lease.Item.Headers)+addedHeaders)
 	for _, h := range lease.Item.Headers {
-		headers = append(headers, worker.Header{Name: h.Name, Value: h.Value})
+		if !worker.IsReserved(h.Name) && !strings.EqualFold(h.Name, lastEventIDHeader) {
+			headers = append(headers, worker.Header{Name: h.Name, Value: h.Value})
+		}
 	}
 	headers = append(headers,
 		worker.Header{Name: "Request-Id", Value: lease.Item.Id},
@@ -128,7 +134,7 @@
 	if text.events == 0 {
 		return headers
 	}
-	headers = append(headers, worker.Header{Name: "Last-Event-Id", Value: strconv.FormatInt(text.lastID, 10)})
+	headers = append(headers, worker.Header{Name: lastEventIDHeader, Value: strconv.FormatInt(text.lastID, 10)})
 	if lease.SingleVersion {
 		headers = append(headers, worker.Header{Name: "Expect-Version", Value: strconv.FormatUint(text.currentVersion, 10)})
 	}
--- a/internal/scheduler/batchrunner/item_test.go
+++ b/internal/scheduler/batchrunner/item_test.go
@@ -249,3 +249,34 @@
 	o.requests <- r
 	return &rpc.WorkResponse{Outcome: rpc.Outcome_DONE, Epoch: 1}, nil
 }
+
+// Guards against fields of an item that reach the worker beside those of the scheduler, such as a
+// second Last-Event-Id: the worker gets one field of each name.
+func TestRequestHeaders_ReplaceItemHeaders(t *testing.T) {
+	is := is.New(t)
+	lease := newLease(0)
+	lease.SingleVersion = true
+	for _, name := range []string{"Connection", "Deadline-Ms", "Expect-Instance", "Expect-Version", "Model", "Request-Id", "last-event-id"} {
+		lease.Item.Headers = append(lease.Item.Headers, &rpc.Header{Name: name, Value: "of the item"})
+	}
+	text := newText()
+	is.Equal(valuesByName(requestHeaders(lease, "w", &text)), map[string][]string{
+		"Model": {"of the item"}, "Request-Id": {"item"}, "Expect-Instance": {"w"}, "Deadline-Ms": {"19000"},
+	})
+	text.currentVersion = 3
+	text.append(32, []byte("data"))
+	is.Equal(valuesByName(requestHeaders(lease, "w", &text)), map[string][]string{
+		"Model": {"of the item"}, "Request-Id": {"item"}, "Expect-Instance": {"w"}, "Deadline-Ms": {"19000"},
+		"Last-Event-Id": {"32"}, "Expect-Version": {"3"},
+	})
+}
+
+// valuesByName returns the values of header fields by their canonical names.
+func valuesByName(headers []worker.Header) map[string][]string {
+	values := map[string][]string{}
+	for _, h := range headers {
+		name := textproto.CanonicalMIMEHeaderKey(h.Name)
+		values[name] = append(values[name], h.Value)
+	}
+	return values
+}
--- a/internal/scheduler/proxy/headers.go
+++ b/internal/scheduler/proxy/headers.go
@@ -10,24 +10,13 @@
 // forwardedHeaders returns the header fields of a request that are passed on to the worker.
 func forwardedHeaders(ctx *fasthttp.RequestCtx) (headers []worker.Header) {
 	for name, value := range ctx.Request.Header.All() {
-		if !isReplacedInRequest(string(name)) {
+		if !worker.IsReserved(string(name)) {
 			headers = append(headers, worker.Header{Name: string(name), Value: string(value)})
 		}
 	}
 	return headers
 }
 
-// isReplacedInRequest reports whether a header field of a request is not passed on: hop-by-hop
-// fields, and fields that only the scheduler may send to workers.
-func isReplacedInRequest(name string) bool {
-	switch strings.ToLower(name) {
-	case "connection", "keep-alive", "proxy-connection", "proxy-authenticate", "proxy-authorization", "te", "trailer", "transfer-encoding", "upgrade",
-		"content-length", "host", "expect", "request-id", "deadline-ms", "expect-instance", "priority", "expect-version":
-		return true
-	}
-	return false
-}
-
 // copyResponseHead copies a worker's status and header fields, except hop-by-hop fields and those
 // that the HTTP server sets.
 func copyResponseHead(ctx *fasthttp.RequestCtx, from *worker.Answer) {
--- a/internal/scheduler/proxy/stream.go
+++ b/internal/scheduler/proxy/stream.go
@@ -13,11 +13,15 @@
 	"github.com/valyala/fasthttp"
 )
 
+// lastEventIDHeader is the request header that resumes a stream: its value is the id of the last event
+// that arrived.
+const lastEventIDHeader = "Last-Event-Id"
+
 // forwardStream forwards a request and relays the events of its answer. The context client ends if
 // the client disconnects before the head of the answer has arrived; after that, a failed write ends
 // the stream. stop ends the watch of the client.
 func (p *Proxy) forwardStream(client context.Context, stop func(), ctx *fasthttp.RequestCtx, request *forward.Request) {
-	if last := ctx.Request.Header.Peek("Last-Event-Id"); len(last) > 0 && !request.Route.Resumable {
+	if last := ctx.Request.Header.Peek(lastEventIDHeader); len(last) > 0 && !request.Route.Resumable {
 		stop()
 		answer(ctx, fasthttp.StatusBadRequest, "Last-Event-Id header not allowed: streams of this route are not resumable")
 		return
@@ -137,11 +141,11 @@
 	return true
 }
 
-// resumeRequest returns the request for the part of a stream that follows lastEvent. It has no time
-// of arrival, so that the time since the client's request is not counted as a wait for a worker.
+// resumeRequest returns the request for the part of a stream that follows lastEvent, in the place of
+// the event after which the client may have resumed the stream itself. It has no time of arrival, so that the time since the client's request is not counted as a wait for a worker.
 func resumeRequest(request *forward.Request, lastEvent string) *forward.Request {
 	next := *request
-	next.Headers = append(next.Headers[:len(next.Headers):len(next.Headers)], worker.Header{Name: "Last-Event-Id", Value: lastEvent})
+	next.Headers = worker.SetHeader(request.Headers, lastEventIDHeader, lastEvent)
 	next.Arrived = time.Time{}
 	return &next
 }
