--- a/internal/scheduler/proxy/drain.go
+++ b/internal/scheduler/proxy/drain.go
@@ -34,14 +34,14 @@
 // might be cut by the end of the process. runnerDone is closed when the leased items are finished or
 // handed back. drain returns when the server is shut down, at most shutdownTimeout after the second
 // phase.
-func (p *Proxy) drain(server *fasthttp.Server, timeouts drainTimeouts, runnerDone <-chan struct{}) {
+func (p *Proxy) drain(ctx context.Context, server *fasthttp.Server, timeouts drainTimeouts, runnerDone <-chan struct{}) {
 	p.stopping.Store(true)
 	start := time.Now()
 	p.log.Info("draining", "active", p.active.Load())
 	time.Sleep(timeouts.admission)
 	p.closed.Store(true)
 	p.log.Info("no more requests are admitted", "active", p.active.Load())
-	stopWaiting, serverDone := shutDown(server)
+	stopWaiting, serverDone := shutDown(ctx, server)
 	for time.Since(start) < timeouts.finish && (p.active.Load() > 0 || !isClosed(runnerDone)) {
 		time.Sleep(drainInterval)
 	}
@@ -55,9 +55,9 @@
 }
 
 // shutDown closes the server's listener and, until stopWaiting is called, every connection as soon
-// as it is idle. done is closed when no connection is left, or after stopWaiting.
-func shutDown(server *fasthttp.Server) (stopWaiting context.CancelFunc, done <-chan struct{}) {
-	ctx, stopWaiting := context.WithCancel(context.Background())
+// as it is idle. done is closed when no connection is left, or after stopWaiting or the end of ctx.
+func shutDown(ctx context.Context, server *fasthttp.Server) (stopWaiting context.CancelFunc, done <-chan struct{}) {
+	ctx, stopWaiting = context.WithCancel(ctx)
 	closed := make(chan struct{})
 	go func() {
 		defer close(closed)
--- a/internal/scheduler/proxy/drain_test.go
+++ b/internal/scheduler/proxy/drain_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -114,7 +115,7 @@
 	runnerDone, drained := make(chan struct{}), make(chan struct{})
 	close(runnerDone)
 	go func() {
-		p.drain(server, drainTimeouts{finish: testTimeout}, runnerDone)
+		p.drain(context.Background(), server, drainTimeouts{finish: testTimeout}, runnerDone)
 		close(drained)
 	}()
 	_, err = idle.reader.ReadByte()
@@ -151,5 +152,5 @@
 	go server.Serve(listener)
 	dialProxy(t, listener.Addr().String()).send(t, "held")
 	<-received
-	p.drain(server, drainTimeouts{}, make(chan struct{}))
+	p.drain(context.Background(), server, drainTimeouts{}, make(chan struct{}))
 }
--- a/internal/scheduler/proxy/proxy.go
+++ b/internal/scheduler/proxy/proxy.go
@@ -92,7 +92,7 @@
 	}()
 	go p.sweepConnections(serving)
 	<-ctx.Done()
-	p.drain(server, newDrainTimeouts(grace), runnerDone)
+	p.drain(context.WithoutCancel(ctx), server, newDrainTimeouts(grace), runnerDone)
 	return nil
 }
 
