Batch runner: wait for the last leases without a WaitGroup

A call in flight when the runner is stopped may still bring a lease. It then added to a WaitGroup that a goroutine waited for: where the counter had just reached 0, sync panics ("reused before previous Wait has returned"), which would end a proxy in the middle of its drain. Found by reading, while looking for other drains that still accept; not reproduced, since it needs the lease to arrive between the last release and the return of Wait.

The runner now waits until its table of leases is empty. Leases that come later still are handed back with the others, as before.

--- a/internal/scheduler/batchrunner/item_test.go
+++ b/internal/scheduler/batchrunner/item_test.go
@@ -163,8 +163,8 @@
 	second, _ = r.leasesToNotify("ledger-1")
 	is.Equal(len(second), 1) // still running
 	cancel()
-	r.active.Wait()
-	is.Equal(len(r.leases), 0)
+	r.waitForLeases(20 * time.Second)
+	is.Equal(r.leaseCount(), 0)
 }
 
 // A lease is listed until the owner has acknowledged its report, so that the owner doesn't lease
@@ -182,7 +182,7 @@
 	leases, _ := r.leasesToNotify("s")
 	is.Equal(len(leases), 1)
 	r.release(reported.key)
-	r.active.Wait()
+	is.Equal(r.leaseCount(), 0)
 	delete(r.notifiedAt, "s")
 	leases, listed := r.leasesToNotify("s")
 	is.True(listed)
--- a/internal/scheduler/batchrunner/owner.go
+++ b/internal/scheduler/batchrunner/owner.go
@@ -162,7 +162,6 @@
 		}
 		itemCtx, cancel := context.WithCancel(ctx)
 		r.leases[key] = &activeLease{lease, cancel}
-		r.active.Add(1)
 		r.unplaced++
 		go r.runLease(itemCtx, shard, lease)
 	}
--- a/internal/scheduler/batchrunner/report.go
+++ b/internal/scheduler/batchrunner/report.go
@@ -60,12 +60,11 @@
 // release ends a lease: it is no longer listed to the owner.
 func (r *Runner) release(key leaseKey) {
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	if l := r.leases[key]; l != nil {
 		l.cancel()
 		delete(r.leases, key)
 	}
-	r.mu.Unlock()
-	r.active.Done()
 }
 
 // deliverReports sends the queued reports of a shard to its owner in batches, until ctx ends.
--- a/internal/scheduler/batchrunner/runner.go
+++ b/internal/scheduler/batchrunner/runner.go
@@ -37,8 +37,6 @@
 	unplaced       int                           // leases that wait for a worker
 	reportQueues   map[string]chan pendingReport // by shard
 	stopping       bool                          // no new items are requested
-
-	active sync.WaitGroup // leases that are running or whose reports the owner has not acknowledged
 }
 
 // leaseKey identifies a lease. Each shard has its own counter for lease numbers, so that a number
@@ -60,6 +58,8 @@
 	// ownerTimeout is how long items continue to run while the owner of their shard doesn't answer.
 	// After that other gatherers may have leased them, or their job may have ended.
 	ownerTimeout = 2400 * time.Millisecond
+	// leaseCheckInterval is how often a stopping Runner checks whether it has any leases left.
+	leaseCheckInterval = 50 * time.Millisecond
 	// leaveTimeout bounds the call that hands the leases of one shard back.
 	leaveTimeout = 500 * time.Millisecond
 )
@@ -94,18 +94,30 @@
 	r.mu.Lock()
 	r.stopping = true
 	r.mu.Unlock()
-	done := make(chan struct{})
-	go func() { r.active.Wait(); close(done) }()
-	select {
-	case <-done:
-	case <-time.After(finish):
-	}
+	r.waitForLeases(finish)
 	cancel()
 	for shard := range known {
 		r.leave(context.WithoutCancel(ctx), shard)
 	}
 }
 
+// waitForLeases waits until no lease is left, but at most for timeout. A call that was in flight when
+// the Runner was stopped may still add leases meanwhile; those that come later are handed back with the
+// others.
+func (r *Runner) waitForLeases(timeout time.Duration) {
+	for end := time.Now().Add(timeout); r.leaseCount() > 0 && time.Now().Before(end); {
+		time.Sleep(min(leaseCheckInterval, timeout))
+	}
+}
+
+// leaseCount returns the number of leases that are running or whose reports the owner has not
+// acknowledged.
+func (r *Runner) leaseCount() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.leases)
+}
+
 // startShard starts the goroutines that call a shard's owner. They end with ctx.
 func (r *Runner) startShard(ctx context.Context, shard string) {
 	queue := make(chan pendingReport, reportQueueSize)
