Streams: never pass half an event on as the end of a complete stream

Cause: the relay took the end of the connection for the end of the stream, and passed the remaining bytes on.

Change: if a body without a length ends in the middle of an event, its worker broke off: the stream is resumed at another worker, or cut so that the client notices. An answer with a length or in chunks still ends as it says. Answer.EndIsCertain tells the two apart. Why this suffices: an event ends with an empty line, so that a complete stream never ends in the middle of one; an end between two events can't be told from a complete stream.

--- a/internal/scheduler/proxy/eventbuffer.go
+++ b/internal/scheduler/proxy/eventbuffer.go
@@ -52,5 +52,8 @@
 	return n
 }
 
+// hasPartial reports whether bytes follow the last complete event.
+func (c *eventBuffer) hasPartial() bool { return len(c.buffer) > c.complete }
+
 // discardPartial discards the incomplete event at the end of the buffer.
 func (c *eventBuffer) discardPartial() { c.buffer = c.buffer[:c.complete] }
--- a/internal/scheduler/proxy/stream.go
+++ b/internal/scheduler/proxy/stream.go
@@ -108,6 +108,9 @@
 		if n > 0 {
 			continue
 		}
+		if errors.Is(err, io.EOF) && r.brokeOff() {
+			err = io.ErrUnexpectedEOF
+		}
 		if errors.Is(err, io.EOF) {
 			if n := r.events.readRemainder(b); n > 0 {
 				return n, nil
@@ -120,6 +123,11 @@
 	}
 }
 
+// brokeOff reports whether a stream that ended with its connection ended in the middle of an event.
+func (r *streamRelay) brokeOff() bool {
+	return r.events.hasPartial() && !r.result.Answer.EndIsCertain()
+}
+
 // resume opens the stream at another worker, after the last complete event. It returns false if the
 // route is not resumable, no event with an id has arrived, the deadline has passed, or no worker
 // accepts the request.
@@ -142,7 +150,8 @@
 }
 
 // resumeRequest returns the request for the part of a stream that follows lastEvent, in the place of
-// the event after which the client may have resumed the stream itself. It has no time of arrival, so that the time since the client's request is not counted as a wait for a worker.
+// the event after which the client may have resumed the stream itself. It has no time of arrival,
+// so that the time since the client's request is not counted as a wait for a worker.
 func resumeRequest(request *forward.Request, lastEvent string) *forward.Request {
 	next := *request
 	next.Headers = worker.SetHeader(request.Headers, lastEventIDHeader, lastEvent)
--- a/internal/scheduler/worker/answer.go
+++ b/internal/scheduler/worker/answer.go
@@ -112,7 +112,7 @@
 	}
 }
 
-// Read reads from the body. It returns io.EOF only if the body is complete.
+// Read reads from the body. It returns io.EOF only if the body is complete, as far as EndIsCertain.
 func (a *Answer) Read(b []byte) (int, error) { return a.body.Read(b) }
 
 // ReadAll reads the complete body. It must not be called after Read. After an error the returned
@@ -150,6 +150,10 @@
 	a.Close()
 }
 
+// EndIsCertain reports whether the body had a length or was in chunks, so that it was complete when Read
+// returned io.EOF. Without either, a worker that breaks off looks like one that has finished.
+func (a *Answer) EndIsCertain() bool { return a.complete }
+
 // IsSuccess reports whether the status is below 300.
 func (a *Answer) IsSuccess() bool { return a.Status < fasthttp.StatusMultipleChoices }
 
