Streams: count a resumed stream towards maxAttempts

Cause: resuming a stream opened it as a new request, with a new count.

Change: the result of a request says how often it has or may have run, and the request that resumes it goes on from there; no run left means that the stream is cut, and the client may resume it. PROTOCOL.md: "maxAttempts is the greatest number of workers to which one try may be sent". On a route with maxAttempts 1 the proxy therefore resumes no stream any more.

Without the limit, rows "no attempt left" of TestForwardStream_Resume failed.

--- a/internal/scheduler/forward/attempts.go
+++ b/internal/scheduler/forward/attempts.go
@@ -21,6 +21,9 @@
 	return &Attempts{idempotent: idempotent, maxRuns: max(maxRuns, 1)}
 }
 
+// Runs returns the number of recorded attempts that have run or may have run.
+func (a *Attempts) Runs() int { return a.runs }
+
 // IsLast reports whether the next attempt that may have run is the last one allowed.
 func (a *Attempts) IsLast() bool { return !a.idempotent || a.runs+1 >= a.maxRuns }
 
--- a/internal/scheduler/forward/forward.go
+++ b/internal/scheduler/forward/forward.go
@@ -81,7 +81,7 @@
 		mode:      mode,
 		services:  drawServices(r.Route),
 		attempted: map[string]bool{},
-		attempts:  NewAttempts(r.Route.Idempotent(), r.Route.MaxAttempts),
+		attempts:  NewAttempts(r.Route.Idempotent(), r.maxRuns()-r.RunsBefore),
 		failure:   Result{Outcome: outcome.NotRun, Err: ErrNoWorker},
 	}
 }
@@ -105,6 +105,7 @@
 			}
 			continue
 		}
+		result.Runs = d.request.RunsBefore + d.attempts.Runs() + 1
 		if !d.retryServerError(ctx, &result) {
 			result.ServerErrors = d.serverErrors
 			return result, true
--- a/internal/scheduler/forward/request.go
+++ b/internal/scheduler/forward/request.go
@@ -22,8 +22,16 @@
 	Model                 string
 	SharedPrompt          string    // see ParseSharedPrompt; empty: none
 	Arrived               time.Time // arrival of the client's request; zero: no client waits, and the wait is not counted
+	RunsBefore            int       // how often the request has or may have run already: Result.Runs of the stream that it resumes
 }
 
+// maxRuns returns how often the request may run in total.
+func (r *Request) maxRuns() int { return max(r.Route.MaxAttempts, 1) }
+
+// MayRunAgain reports whether a request that has or may have run the given number of times may run
+// once more.
+func (r *Request) MayRunAgain(runs int) bool { return r.Route.Idempotent() && runs < r.maxRuns() }
+
 // headers returns the request's header fields and those added for a worker.
 func (r *Request) headers(workerID string) []worker.Header {
 	deadline := r.Deadline
--- a/internal/scheduler/forward/result.go
+++ b/internal/scheduler/forward/result.go
@@ -15,6 +15,7 @@
 	Body         []byte          // the complete body, only from Do; after Open the caller reads Answer
 	Outcome      outcome.Outcome // after an error: whether any worker may have run the request
 	Err          error           // nil if there is an answer
+	Runs         int             // with an answer: attempts that have or may have run, including the one that answered and RunsBefore
 	ServerErrors int             // number of answers with status 500, including one that is passed on
 
 	reservation   *routing.Reservation // released with the result if the caller reads the body
--- a/internal/scheduler/proxy/stream.go
+++ b/internal/scheduler/proxy/stream.go
@@ -129,17 +129,17 @@
 }
 
 // resume opens the stream at another worker, after the last complete event. It returns false if the
-// route is not resumable, no event with an id has arrived, the deadline has passed, or no worker
-// accepts the request.
+// route is not resumable, its maximum of attempts is used up, no event with an id has arrived, the
+// deadline has passed, or no worker accepts the request.
 func (r *streamRelay) resume() bool {
-	if !r.request.Route.Resumable || !r.events.hasID || time.Until(r.request.Deadline) <= 0 {
+	if !r.request.Route.Resumable || !r.request.MayRunAgain(r.result.Runs) || !r.events.hasID || time.Until(r.request.Deadline) <= 0 {
 		return false
 	}
 	r.result.Release()
 	r.result.Answer = nil
 	// The call is bounded by the request's deadline. A disconnect of the client is detected at the
 	// next write.
-	result := r.proxy.forwarder.Open(context.Background(), resumeRequest(r.request, r.events.lastID))
+	result := r.proxy.forwarder.Open(context.Background(), resumeRequest(r.request, r.events.lastID, r.result.Runs))
 	if result.Err != nil || result.Status >= fasthttp.StatusMultipleChoices {
 		result.Release()
 		return false
@@ -150,12 +150,14 @@
 }
 
 // resumeRequest returns the request for the part of a stream that follows lastEvent, in the place of
-// the event after which the client may have resumed the stream itself. It has no time of arrival,
-// so that the time since the client's request is not counted as a wait for a worker.
-func resumeRequest(request *forward.Request, lastEvent string) *forward.Request {
+// the event after which the client may have resumed the stream itself. runs is the number of runs of
+// the stream until then. The request has no time of arrival, so that the time since the client's
+// request is not counted as a wait for a worker.
+func resumeRequest(request *forward.Request, lastEvent string, runs int) *forward.Request {
 	next := *request
 	next.Headers = worker.SetHeader(request.Headers, lastEventIDHeader, lastEvent)
 	next.Arrived = time.Time{}
+	next.RunsBefore = runs
 	return &next
 }
 
--- a/internal/scheduler/proxy/stream_test.go
+++ b/internal/scheduler/proxy/stream_test.go
@@ -23,12 +23,14 @@
 	is := is.New(t)
 	headers := append(make([]worker.Header, 0, 4), worker.Header{Name: "Model", Value: "m"})
 	first := &forward.Request{ID: "r1", URI: "/x", Headers: headers, Arrived: time.Unix(1, 0)}
-	next := resumeRequest(first, "41")
-	other := resumeRequest(first, "42")
+	next := resumeRequest(first, "41", 1)
+	other := resumeRequest(first, "42", 2)
 	is.Equal(next.Headers, []worker.Header{{Name: "Model", Value: "m"}, {Name: "Last-Event-Id", Value: "41"}})
 	is.Equal(other.Headers[1].Value, "42")
 	is.Equal(next.ID, "r1")
 	is.True(next.Arrived.IsZero())
+	is.Equal(next.RunsBefore, 1)
+	is.Equal(first.RunsBefore, 0)
 	is.Equal(len(first.Headers), 1)
 	is.Equal(first.Arrived, time.Unix(1, 0))
 }
@@ -86,7 +88,8 @@
 
 // A client resumes a stream after event 29, and its next worker breaks off in the middle of event 31.
 // Guards against events that arrive twice because the following worker gets two Last-Event-Id fields,
-// and against half an event that is passed on as the end of a complete stream.
+// against half an event that is passed on as the end of a complete stream, and against a stream that
+// runs more often than its route allows.
 func TestForwardStream_Resume(t *testing.T) {
 	const resumed = "id: 30\ndata: a\n\nid: 31\ndata: b\n\nid: 32\ndata: c\n\n"
 	for name, test := range map[string]struct {
@@ -96,9 +99,12 @@
 		broken        bool
 		resumedAfter  []string // values of Last-Event-Id, one for each request
 	}{
-		"in chunks":            {2, brokenChunks, completeBody, resumed, false, []string{"29", "30"}},
-		"without a length":     {2, brokenBody, completeBody, resumed, false, []string{"29", "30"}},
-		"without a terminator": {2, brokenChunks, unterminated, strings.TrimSuffix(resumed, "\n"), false, []string{"29", "30"}},
+		"in chunks":                  {2, brokenChunks, completeBody, resumed, false, []string{"29", "30"}},
+		"without a length":           {2, brokenBody, completeBody, resumed, false, []string{"29", "30"}},
+		"without a terminator":       {2, brokenChunks, unterminated, strings.TrimSuffix(resumed, "\n"), false, []string{"29", "30"}},
+		"no attempt left":            {1, brokenChunks, "", "id: 30\ndata: a\n\n", true, []string{"29"}},
+		"no attempt left, no length": {1, brokenBody, "", "id: 30\ndata: a\n\n", true, []string{"29"}},
+		"two workers break off":      {2, brokenChunks, brokenLater, "id: 30\ndata: a\n\nid: 31\ndata: b\n\n", true, []string{"29", "30"}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
