--- a/internal/scheduler/proxy/jobs_test.go
+++ b/internal/scheduler/proxy/jobs_test.go
@@ -7,7 +7,6 @@
 	"saffronquay/internal/scheduler/rpc"
 	"strings"
 	"testing"
-	"time"
 
 	"github.com/matryer/is"
 	"github.com/valyala/fasthttp"
@@ -63,6 +62,23 @@
 	return serveProxy(t, p)
 }
 
+// callJobs sends a request to a proxy whose batch jobs all belong to one owner, and returns the answer.
+func callJobs(t *testing.T, owner fakeOwner, method, host, path, body string) *fasthttp.Response {
+	t.Helper()
+	var request fasthttp.Request
+	request.Header.SetMethod(method)
+	request.SetRequestURI("http://" + serveJobs(t, owner) + path)
+	request.UseHostHeader = true
+	request.Header.SetHost(host)
+	request.Header.Set("Request-Id", "r")
+	request.SetBodyString(body)
+	response := &fasthttp.Response{}
+	if err := fasthttp.DoTimeout(&request, response, testTimeout); err != nil {
+		t.Fatal(err)
+	}
+	return response
+}
+
 // Each outcome of a call to the owner leads to the status that the package documentation lists.
 // Since 503 guarantees that nothing was stored, only reads and calls without effect get it.
 func TestJobStatusByOwnerOutcome(t *testing.T) {
@@ -105,15 +121,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel() // the failure cases take seconds
 			is := is.New(t)
-			var request fasthttp.Request
-			var response fasthttp.Response
-			request.Header.SetMethod(test.method)
-			request.SetRequestURI("http://" + serveJobs(t, test.owner) + test.path)
-			request.UseHostHeader = true
-			request.Header.SetHost("deployment")
-			request.Header.Set("Request-Id", "r")
-			request.SetBodyString(test.body)
-			is.NoErr(fasthttp.DoTimeout(&request, &response, 20*time.Second))
+			response := callJobs(t, test.owner, test.method, "deployment", test.path, test.body)
 			is.Equal(response.StatusCode(), test.status)
 			is.True(strings.HasPrefix(string(response.Body()), test.text))
 			is.Equal(len(response.Header.Peek("Retry-After")) > 0, test.status == 503)
@@ -126,15 +134,8 @@
 func TestSubmitJob_ConfigurationVersion(t *testing.T) {
 	is := is.New(t)
 	submitted := make(chan *rpc.CreateJob, 1)
-	var request fasthttp.Request
-	var response fasthttp.Response
-	request.Header.SetMethod(fasthttp.MethodPost)
-	request.SetRequestURI("http://" + serveJobs(t, fakeOwner{outcome: rpc.Outcome_DONE, submitted: submitted}) + "/x")
-	request.UseHostHeader = true
-	request.Header.SetHost("deployment")
-	request.Header.Set("Request-Id", "r")
-	request.SetBodyString(`{"requests":[{"id":"a","path":"/x"}]}`)
-	is.NoErr(fasthttp.DoTimeout(&request, &response, 20*time.Second))
+	owner := fakeOwner{outcome: rpc.Outcome_DONE, submitted: submitted}
+	response := callJobs(t, owner, fasthttp.MethodPost, "deployment", "/x", `{"requests":[{"id":"a","path":"/x"}]}`)
 	is.Equal(response.StatusCode(), fasthttp.StatusAccepted)
 	is.Equal((<-submitted).ConfigurationVersion, uint64(1))
 }
@@ -157,13 +158,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel() // the failure cases take seconds
 			is := is.New(t)
-			var request fasthttp.Request
-			var response fasthttp.Response
-			request.Header.SetMethod(test.method)
-			request.SetRequestURI("http://" + serveJobs(t, test.owner) + test.path)
-			request.UseHostHeader = true
-			request.Header.SetHost("not-configured")
-			is.NoErr(fasthttp.DoTimeout(&request, &response, testTimeout))
+			response := callJobs(t, test.owner, test.method, "not-configured", test.path, "")
 			is.Equal(response.StatusCode(), test.status)
 		})
 	}
