--- a/review/_rig2/surplus.go
+++ b/review/_rig2/surplus.go
@@ -27,7 +27,7 @@
 	surplusWork    = 25 * time.Millisecond
 	surplusClients = 12
 	surplusPause   = 120 * time.Millisecond // at most, between two requests of a client
-	surplusShare   = 33                     // one answer in so many is followed by a second one: 3 in 100
+	surplusShare   = 34                     // one answer in so many is followed by a second one: less than 3 in 100
 	troubleFor     = 5 * time.Second
 	troubleEvery   = 7 * time.Second
 	troubleCount   = 9
