--- a/internal/scheduler/batchjobs/job_test.go
+++ b/internal/scheduler/batchjobs/job_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"fmt"
 	"saffronquay/internal/scheduler/compression"
 	"saffronquay/internal/scheduler/replica"
 	"saffronquay/internal/scheduler/rpc"
@@ -11,7 +12,9 @@
 
 	"github.com/mailru/easyjson"
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/reflect/protoreflect"
 )
 
 const submission = `{"step":7,"model":"m1","minVersion":6,"desired":12,"later":{"unknown":[1]},"requests":[{"id":"e5","path":"/p/1","headers":{"Model":"m1","Token-Usage":"540,400"},
@@ -92,6 +95,64 @@
 	is.Equal(len(again.jobs), 0)
 }
 
+// Guards against a snapshot that leaves out a field of a job, such as the version of the configuration under
+// which the job was accepted: every field is restored, and unknown ones of a newer build too.
+func TestSnapshot_KeepsEveryFieldOfJob(t *testing.T) {
+	is := is.New(t)
+	create := &rpc.CreateJob{}
+	setEveryField(create.ProtoReflect())
+	create.ProtoReflect().SetUnknown(protowire.AppendVarint(protowire.AppendTag(nil, 999, protowire.VarintType), 7))
+	want := proto.Clone(create)
+	state := NewState(nil, monotonicMS)
+	state.apply(&rpc.LedgerCommand{Command: &rpc.LedgerCommand_Create{Create: create}})
+	snapshot, err := replica.EncodeState(state.Snapshot())
+	is.NoErr(err)
+	again := NewState(nil, monotonicMS)
+	is.NoErr(again.Restore(9, snapshot))
+	is.True(proto.Equal(again.Jobs()[0].Job, want))
+	is.True(proto.Equal(create, want)) // the snapshot does not change the job
+}
+
+// setEveryField sets every field of a message, and those of the messages in it, to a value that differs from the
+// default. A list gets one element.
+func setEveryField(message protoreflect.Message) {
+	fields := message.Descriptor().Fields()
+	for i := range fields.Len() {
+		field := fields.Get(i)
+		switch {
+		case field.IsList() && field.Message() != nil:
+			setEveryField(message.Mutable(field).List().AppendMutable().Message())
+		case field.IsList():
+			message.Mutable(field).List().Append(sampleValue(field))
+		case field.Message() != nil:
+			setEveryField(message.Mutable(field).Message())
+		default:
+			message.Set(field, sampleValue(field))
+		}
+	}
+}
+
+// sampleValue returns a value for a scalar field that is not the default.
+func sampleValue(field protoreflect.FieldDescriptor) protoreflect.Value {
+	number := int64(field.Number())
+	switch field.Kind() {
+	case protoreflect.BoolKind:
+		return protoreflect.ValueOfBool(true)
+	case protoreflect.StringKind:
+		return protoreflect.ValueOfString(string(field.Name()))
+	case protoreflect.BytesKind:
+		return protoreflect.ValueOfBytes([]byte(field.Name()))
+	case protoreflect.Int64Kind:
+		return protoreflect.ValueOfInt64(number)
+	case protoreflect.Uint32Kind:
+		return protoreflect.ValueOfUint32(uint32(number))
+	case protoreflect.Uint64Kind:
+		return protoreflect.ValueOfUint64(uint64(number))
+	default:
+		panic(fmt.Sprintf("no sample value for %s of kind %s", field.FullName(), field.Kind()))
+	}
+}
+
 // The buffer of a request's body is reused, so no part of a job may refer to it.
 func TestParseSubmission_DoesNotReferToInput(t *testing.T) {
 	is := is.New(t)
--- a/internal/scheduler/batchjobs/snapshot.go
+++ b/internal/scheduler/batchjobs/snapshot.go
@@ -8,6 +8,7 @@
 	"saffronquay/internal/scheduler/rpc"
 
 	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/reflect/protoreflect"
 )
 
 // errNoJob is returned for a snapshot with a record that has no job id.
@@ -38,11 +39,7 @@
 // snapshotRecords returns the records of a job, in order. The first one has all fields of the job, the
 // continued ones only its id.
 func (j *job) snapshotRecords() (records []*rpc.StoredJob) {
-	head := &rpc.CreateJob{
-		Id: j.spec.Id, Host: j.spec.Host, Path: j.spec.Path, Model: j.spec.Model, MinVersion: j.spec.MinVersion,
-		Step: j.spec.Step, Desired: j.spec.Desired, SentUnixMs: j.spec.SentUnixMs, DeadlineMs: j.spec.DeadlineMs, MaxQueueMs: j.spec.MaxQueueMs,
-		MaxAttempts: j.spec.MaxAttempts, SingleVersion: j.spec.SingleVersion, Priority: j.spec.Priority, GiveUpMs: j.spec.GiveUpMs,
-	}
+	head := copyFields(j.spec)
 	items, results, failures := j.spec.Items, j.results, j.failureRecords()
 	for {
 		recordItems := items[:min(len(items), itemsPerRecord)]
@@ -61,6 +58,19 @@
 	}
 }
 
+// copyFields returns a copy of a spec that shares the values of its fields. It copies every field, also one
+// that is added later or that only a newer build knows.
+func copyFields(spec *rpc.CreateJob) *rpc.CreateJob {
+	copied := &rpc.CreateJob{}
+	source, target := spec.ProtoReflect(), copied.ProtoReflect()
+	target.SetUnknown(source.GetUnknown())
+	source.Range(func(field protoreflect.FieldDescriptor, value protoreflect.Value) bool {
+		target.Set(field, value)
+		return true
+	})
+	return copied
+}
+
 // Restore implements replica.StateMachine. If the snapshot cannot be read, the state is unchanged. Jobs
 // that were known before keep the time at which this process first saw them.
 func (s *State) Restore(_ uint64, snapshot *bufio.Reader) error {
--- a/internal/scheduler/batchrunner/item.go
+++ b/internal/scheduler/batchrunner/item.go
@@ -69,7 +69,7 @@
 	switch {
 	case route != nil:
 		return route, nil
-	case table.Version < r.lease.NewestConfiguration:
+	case table.Version < r.lease.NewestConfiguration || r.isVersionUnknown():
 		return nil, outdatedReport(table.Version) // a newer configuration may have the route
 	}
 	r.Log.Warn("item abandoned: its route was removed", "job", r.lease.Job, "item", r.lease.Item.Id, "host", host, "path", path,
@@ -77,6 +77,13 @@
 	return nil, incompleteReport()
 }
 
+// isVersionUnknown reports whether the shard no longer has the configuration version of the lease's job, since
+// an earlier build left it out of a snapshot. No configuration proves then that the route was removed. An
+// owner of an earlier build names neither version and would grant the item again at once.
+func (r *itemRun) isVersionUnknown() bool {
+	return r.lease.ConfigurationVersion == 0 && r.lease.NewestConfiguration > 0
+}
+
 // attemptAt makes an attempt at a reserved worker and releases the reservation, even if the attempt
 // panics.
 func (r *itemRun) attemptAt(ctx context.Context, route *configuration.Route, reservation *routing.Reservation) attemptOutcome {
--- a/internal/scheduler/batchrunner/item_test.go
+++ b/internal/scheduler/batchrunner/item_test.go
@@ -201,12 +201,13 @@
 		want             *rpc.Report
 	}{
 		"route removed": {host: "gone", accepted: 1, newest: 1, want: abandoned},
-		"route removed, owner of an earlier build": {host: "gone", want: abandoned},
-		"route added later":                        {host: "new", accepted: 2, newest: 2, want: outdated},
-		"other gatherers have a newer version":     {host: "new", accepted: 1, newest: 2, want: outdated},
-		"route changed later":                      {host: "h", accepted: 2, newest: 2, want: outdated},
-		"reward route removed":                     {host: "h", scorerHost: "gone", accepted: 1, newest: 1, want: abandoned},
-		"reward route added later":                 {host: "h", scorerHost: "new", accepted: 1, newest: 2, want: outdated},
+		"route removed, owner of an earlier build":       {host: "gone", want: abandoned},
+		"version lost by a snapshot of an earlier build": {host: "gone", newest: 1, want: outdated},
+		"route added later":                              {host: "new", accepted: 2, newest: 2, want: outdated},
+		"other gatherers have a newer version":           {host: "new", accepted: 1, newest: 2, want: outdated},
+		"route changed later":                            {host: "h", accepted: 2, newest: 2, want: outdated},
+		"reward route removed":                           {host: "h", scorerHost: "gone", accepted: 1, newest: 1, want: abandoned},
+		"reward route added later":                       {host: "h", scorerHost: "new", accepted: 1, newest: 2, want: outdated},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
