Batch runner: wait for the route of a reward call instead of ending the item

Cause: findRoute served the item and its reward call, and ended the lease with a final result in both cases if the configuration had no route.

Change: only the item's own route ends an item. Without a route for the reward call, the gatherer keeps the whole text and looks for a configuration that has one, until the item's deadline (that of its workers); then, or if a newer configuration is known, it hands the item back. The owner gives it up after maxQueueS, as any other pending item. The log says which call waits and under which configuration.

Why this works: no path from a missing reward route leads to a result any more; waiting keeps the text, so that nothing is generated twice when the route is back. A lease that waits holds no slot of a worker and ends with its job.

--- a/internal/scheduler/batchrunner/attempt.go
+++ b/internal/scheduler/batchrunner/attempt.go
@@ -113,6 +113,11 @@
 	return version
 }
 
+// timeUntilDeadline returns how much time the item has, counted from the grant of its lease.
+func timeUntilDeadline(lease *rpc.Lease) time.Duration {
+	return max(time.Duration(lease.DueInMs)*time.Millisecond+deadlineSlack, minDeadline)
+}
+
 // lastEventIDHeader continues a text after the event with this id.
 const lastEventIDHeader = "Last-Event-Id"
 
@@ -120,7 +125,6 @@
 // fields of the item with the same names. For a text that is continued these include its last event
 // and, if the lease requires a single weight version, the text's version.
 func requestHeaders(lease *rpc.Lease, instance string, text *generatedText) []worker.Header {
-	deadline := max(time.Duration(lease.DueInMs)*time.Millisecond+deadlineSlack, minDeadline)
 	headers := make([]worker.Header, 0, len(lease.Item.Headers)+addedHeaders)
 	for _, h := range lease.Item.Headers {
 		if !worker.IsReserved(h.Name) && !strings.EqualFold(h.Name, lastEventIDHeader) {
@@ -130,7 +134,7 @@
 	headers = append(headers,
 		worker.Header{Name: "Request-Id", Value: lease.Item.Id},
 		worker.Header{Name: "Expect-Instance", Value: instance},
-		worker.Header{Name: "Deadline-Ms", Value: strconv.FormatInt(deadline.Milliseconds(), 10)})
+		worker.Header{Name: "Deadline-Ms", Value: strconv.FormatInt(timeUntilDeadline(lease).Milliseconds(), 10)})
 	if text.events == 0 {
 		return headers
 	}
--- a/internal/scheduler/batchrunner/item.go
+++ b/internal/scheduler/batchrunner/item.go
@@ -21,17 +21,18 @@
 // itemRun is the execution of one lease. It is not safe for concurrent use.
 type itemRun struct {
 	*Runner
-	lease  *rpc.Lease
-	text   generatedText
-	placed bool // the lease no longer counts as unplaced
+	lease    *rpc.Lease
+	deadline time.Time // from then on the text has no value; see timeUntilDeadline
+	text     generatedText
+	placed   bool // the lease no longer counts as unplaced
 }
 
 // runItem executes a lease and returns its report, or nil if ctx was cancelled.
 func (r *Runner) runItem(ctx context.Context, lease *rpc.Lease) *rpc.Report {
-	run := &itemRun{Runner: r, lease: lease, text: newText()}
+	run := &itemRun{Runner: r, lease: lease, deadline: time.Now().Add(timeUntilDeadline(lease)), text: newText()}
 	defer run.setPlaced()
 	for range maxAttempts {
-		route, report := run.findRoute(lease.Host, lease.Item.Path)
+		route, report := run.findRoute()
 		if route == nil {
 			return report
 		}
@@ -57,24 +58,34 @@
 	return releaseReport()
 }
 
-// findRoute returns the route of a request of the lease: the item itself or its reward call. If the
-// configuration in force has none, or is older than the one under which the job was accepted, it
-// returns the report that ends the lease instead.
-func (r *itemRun) findRoute(host, path string) (*configuration.Route, *rpc.Report) {
+// findRoute returns the item's route. If there is none that may be used, it returns the report that ends the
+// lease instead.
+func (r *itemRun) findRoute() (*configuration.Route, *rpc.Report) {
+	host, path := r.lease.Host, r.lease.Item.Path
+	route, report := r.lookUpRoute(host, path)
+	if route != nil || report != nil {
+		return route, report
+	}
+	r.Log.Warn("item abandoned: its route was removed", "job", r.lease.Job, "item", r.lease.Item.Id, "host", host, "path", path,
+		"configuration", r.configurationVersion(), "accepted", r.lease.ConfigurationVersion)
+	return nil, incompleteReport()
+}
+
+// lookUpRoute returns the route of a request of the lease: the item itself or its reward call. If the
+// configuration in force does not prove that there is none, it returns the report that hands the item back.
+// Both are nil if the route was removed.
+func (r *itemRun) lookUpRoute(host, path string) (*configuration.Route, *rpc.Report) {
 	table := r.Configuration()
 	if table.Version < r.lease.ConfigurationVersion {
 		return nil, outdatedReport(table.Version)
 	}
-	route := table.Find(host, path)
-	switch {
-	case route != nil:
+	if route := table.Find(host, path); route != nil {
 		return route, nil
-	case table.Version < r.lease.NewestConfiguration || r.isVersionUnknown():
+	}
+	if table.Version < r.lease.NewestConfiguration || r.isVersionUnknown() {
 		return nil, outdatedReport(table.Version) // a newer configuration may have the route
 	}
-	r.Log.Warn("item abandoned: its route was removed", "job", r.lease.Job, "item", r.lease.Item.Id, "host", host, "path", path,
-		"configuration", table.Version, "accepted", r.lease.ConfigurationVersion)
-	return nil, incompleteReport()
+	return nil, nil
 }
 
 // isVersionUnknown reports whether the shard no longer has the configuration version of the lease's job, since
