Workers: a failure without a Request-Id is no answer on a reused connection

Change: on a reused connection a failure needs the request's id, as a success always does; otherwise the request may have run. PROTOCOL.md: "in their answers, workers echo Request-Id". On a new connection nothing else can arrive, so that a failure without an id is taken as before.

Evidence: TestAnswer_IsForOnReusedConnection, row "failure on a reused connection", fails without the change.

--- a/internal/scheduler/outcome/doc.go
+++ b/internal/scheduler/outcome/doc.go
@@ -15,6 +15,7 @@
 //	MayHaveRun  a write failed after some bytes, or the answer did not arrive or was truncated
 //	MayHaveRun  the attempt's timeout or the request's deadline passed after the connection was open
 //	MayHaveRun  the answer belongs to another request, or is a success without a Response-Stamp
+//	MayHaveRun  the answer has no Request-Id, and is a success or came on a reused connection
 //	MayHaveRun  the worker answered 408, 429 or 503 without the header Not-Executed
 //	Ran         the worker answered 500
 //
--- a/internal/scheduler/worker/answer.go
+++ b/internal/scheduler/worker/answer.go
@@ -37,6 +37,7 @@
 	pool      *Pool
 	address   string
 	conn      *connection // nil after Close
+	reused    bool        // the connection has carried other requests before
 	body      io.Reader
 	complete  bool         // the body was read to its end
 	stop      func() bool  // detaches the connection from the context; false: the context has ended
@@ -157,9 +158,11 @@
 // IsSuccess reports whether the status is below 300.
 func (a *Answer) IsSuccess() bool { return a.Status < fasthttp.StatusMultipleChoices }
 
-// IsFor reports whether the answer belongs to the request with the given ID; see IsAnswerFor.
+// IsFor reports whether the answer belongs to the request with the given ID; see IsAnswerFor. On a reused
+// connection an answer without an ID may be a second one to an earlier request, and belongs to none.
 func (a *Answer) IsFor(id string) bool {
-	return IsAnswerFor(a.Status, string(a.Header.Peek(requestIDHeader)), id)
+	answered := string(a.Header.Peek(requestIDHeader))
+	return IsAnswerFor(a.Status, answered, id) && (answered != "" || !a.reused)
 }
 
 // IsAnswerFor reports whether an answer with the given status and Request-Id belongs to the request
--- a/internal/scheduler/worker/pool.go
+++ b/internal/scheduler/worker/pool.go
@@ -64,8 +64,8 @@
 	if err != nil {
 		return nil, outcome.Errorf(outcome.Failed, outcome.NotRun, err, "connect to %s", call.Address)
 	}
+	answer := &Answer{pool: p, reused: len(conn.carried) > 0, address: call.Address, conn: conn, stop: context.AfterFunc(ctx, conn.abort)}
 	conn.recordRequest(call.requestID())
-	answer := &Answer{pool: p, address: call.Address, conn: conn, stop: context.AfterFunc(ctx, conn.abort)}
 	if o, err := answer.send(call.encode()); err != nil {
 		return nil, answer.fail(ctx, o, err, "send to")
 	}
--- a/internal/scheduler/worker/worker_test.go
+++ b/internal/scheduler/worker/worker_test.go
@@ -232,3 +232,34 @@
 		is.True(len(conn.carried) <= maxCarried)
 	}
 }
+
+// Guards against a second answer without a Request-Id that is taken for the answer to a later request: on a reused
+// connection a failure needs the request's id, as a success always does.
+func TestAnswer_IsForOnReusedConnection(t *testing.T) {
+	const withID, withoutID = "HTTP/1.1 503 Full\r\nRequest-Id: b\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n"
+	for name, test := range map[string]struct {
+		answers []string // to requests on one connection; the last one is looked at
+		want    bool
+	}{
+		"failure on a new connection":                    {answers: []string{withoutID}, want: true},
+		"failure on a reused connection":                 {answers: []string{withID, withoutID}},
+		"failure with its id on a reused connection":     {answers: []string{withoutID, withID}, want: true},
+		"success without its id on a new connection":     {answers: []string{"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"}},
+		"failure with another id on a reused connection": {answers: []string{withID, strings.Replace(withID, "b", "a", 1)}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			address := serve(t, test.answers...)
+			pool := NewPool()
+			belongs := false
+			for range test.answers {
+				a, err := pool.Do(context.Background(), call(address))
+				is.NoErr(err)
+				belongs = a.IsFor("b")
+				a.Close()
+				is.Equal(len(pool.idle[address]), 1)
+			}
+			is.Equal(belongs, test.want)
+		})
+	}
+}
