Orders to workers: a connection for each order

A second answer to a query (200), which a worker may send late, was taken for the answer to an order: "it holds already", so that the worker was recorded with a version that it does not have and got no order.

Change: each order has a connection of its own. Queries share connections still: a second answer to a query is an older report, and the next query corrects it.

Price: one connection more for an order.

--- a/internal/scheduler/weights/worker_client.go
+++ b/internal/scheduler/weights/worker_client.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	// maxIdleConnection is how long an idle connection to a worker is kept for the next order: new
+	// maxIdleConnection is how long an idle connection to a worker is kept for the next query: new
 	// versions arrive within seconds. It is shorter than the workers' idle timeout.
 	maxIdleConnection = 9 * time.Second
 	orderTimeout      = 800 * time.Millisecond
@@ -23,15 +23,23 @@
 const expectInstance = "Expect-Instance"
 
 // workerClient sends orders and queries to workers, without retries.
+//
+// Workers do not echo an id in these answers, and may send a second answer late, where the next one on the
+// connection is due. Each order therefore has a connection of its own. Queries share connections: a second
+// answer to an earlier query is only an older report.
 type workerClient struct {
-	http fasthttp.Client
+	orders, queries *fasthttp.Client
 }
 
 func newWorkerClient() *workerClient {
-	return &workerClient{http: fasthttp.Client{
+	return &workerClient{orders: newHTTPClient(), queries: newHTTPClient()}
+}
+
+func newHTTPClient() *fasthttp.Client {
+	return &fasthttp.Client{
 		Dial: transport.Dial, MaxIdemponentCallAttempts: 1, MaxIdleConnDuration: maxIdleConnection, NoDefaultUserAgentHeader: true,
 		RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-	}}
+	}
 }
 
 // orderBody is the body of an order.
@@ -64,7 +72,8 @@
 	request.Header.SetContentType("application/json")
 	request.Header.Set(expectInstance, order.Instance.Id)
 	request.SetBody(body)
-	if err := c.http.DoTimeout(request, response, orderTimeout); err != nil {
+	request.SetConnectionClose() // the client then keeps no connection of an order
+	if err := c.orders.DoTimeout(request, response, orderTimeout); err != nil {
 		return 0, err
 	}
 	return response.StatusCode(), nil
@@ -83,7 +92,7 @@
 	defer fasthttp.ReleaseResponse(response)
 	request.SetRequestURI("http://" + instance.Address + "/api/report")
 	request.Header.Set(expectInstance, instance.Id)
-	if err := c.http.DoTimeout(request, response, reportTimeout); err != nil {
+	if err := c.queries.DoTimeout(request, response, reportTimeout); err != nil {
 		return workerReport{}, err
 	}
 	if response.StatusCode() != fasthttp.StatusOK {
