Tests: one stand-in listener for workers; routes of items in a file of their own

Six tests had the same loop that accepts connections; fakeworker.Start has it once. The tests of faulty workers and of rejections, and those of missing routes, have files of their own, and so have the decisions about routes (batchrunner/route.go). Checks, rows and random draws are the same; moved only.

--- a/internal/scheduler/batchrunner/doc.go
+++ b/internal/scheduler/batchrunner/doc.go
@@ -11,6 +11,8 @@
 //   - The Runner waits for a free worker and sends the item to it. If the worker rejects the
 //     item, closes its connection or exceeds Timeouts, another worker continues the text after
 //     the last event that arrived.
+//   - A whole text is kept while the configuration has no route for the reward call, until the
+//     item's deadline. Only the end of the item's own route ends the item (route.go).
 //   - The lease ends with one of three reports: a result, a failure (a worker answered 500), or a
 //     release (any gatherer may lease the item again). The owner counts failures and decides
 //     whether the item is leased again.
--- a/internal/scheduler/batchrunner/score.go
+++ b/internal/scheduler/batchrunner/score.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"saffronquay/internal/scheduler/compression"
-	"saffronquay/internal/scheduler/configuration"
 	"saffronquay/internal/scheduler/forward"
 	"saffronquay/internal/scheduler/rpc"
 	"time"
@@ -17,8 +16,6 @@
 	// minScoreAttemptMS is the minimum timeout of one reward call, in milliseconds. Otherwise the
 	// timeout is that of its route.
 	minScoreAttemptMS = 500
-	// scoreRouteInterval is how often a missing route of the reward call is looked up again.
-	scoreRouteInterval = 100 * time.Millisecond
 	// scoreBudgetTimeouts is the time budget for all reward calls of a text, as a multiple of the
 	// timeout of one call. The end of the budget is the workers' deadline for each call, since a
 	// repeated call must not be given more time than the first.
@@ -71,29 +68,6 @@
 	return releaseReport()
 }
 
-// awaitScoreRoute returns the route of a reward call. If the configuration in force has none, it keeps the
-// text and waits for a configuration that has one, until the item's deadline: the operator may add the
-// route again, and only the end of the item's own route ends the item. Without a route it returns the
-// report that hands the item back, or neither if ctx was cancelled.
-func (r *itemRun) awaitScoreRoute(ctx context.Context, scorer *rpc.Scorer) (*configuration.Route, *rpc.Report) {
-	for waiting := false; ctx.Err() == nil; waiting = true {
-		route, report := r.lookUpRoute(scorer.Host, scorer.Path)
-		if route != nil || report != nil {
-			return route, report
-		}
-		log := r.Log.With("job", r.lease.Job, "item", r.lease.Item.Id, "host", scorer.Host, "path", scorer.Path, "configuration", r.configurationVersion())
-		if !time.Now().Before(r.deadline) {
-			log.Warn("item handed back: its reward call has no route")
-			return nil, releaseReport()
-		}
-		if !waiting {
-			log.Info("reward call waits: the configuration has no route for it")
-		}
-		backOff(ctx, scoreRouteInterval)
-	}
-	return nil, nil
-}
-
 // earlier returns the earlier of two times.
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
--- a/internal/scheduler/proxy/forward_test.go
+++ b/internal/scheduler/proxy/forward_test.go
@@ -14,6 +14,7 @@
 	"saffronquay/internal/scheduler/routing"
 	"saffronquay/internal/scheduler/rpc"
 	"saffronquay/internal/scheduler/worker"
+	"saffronquay/internal/testing/fakeworker"
 	"testing"
 	"time"
 
@@ -26,39 +27,25 @@
 func startFakeWorker(t *testing.T) (address string, opened, closed chan struct{}) {
 	t.Helper()
 	opened, closed = make(chan struct{}, 16), make(chan struct{}, 16)
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { listener.Close() })
-	go func() {
+	address = fakeworker.Start(t, func(conn *net.TCPConn) {
+		opened <- struct{}{}
+		defer func() { closed <- struct{}{} }()
+		reader := textproto.NewReader(bufio.NewReader(conn))
 		for {
-			conn, err := listener.Accept()
+			line, err := reader.ReadLine()
 			if err != nil {
 				return
 			}
-			opened <- struct{}{}
-			go func() {
-				defer func() { closed <- struct{}{} }()
-				defer conn.Close()
-				reader := textproto.NewReader(bufio.NewReader(conn))
-				for {
-					line, err := reader.ReadLine()
-					if err != nil {
-						return
-					}
-					head, err := reader.ReadMIMEHeader()
-					if err != nil {
-						return
-					}
-					if line != "GET /silent HTTP/1.1" {
-						fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Stamp: s\r\nContent-Length: 2\r\n\r\nok", head.Get("Request-Id"))
-					}
-				}
-			}()
+			head, err := reader.ReadMIMEHeader()
+			if err != nil {
+				return
+			}
+			if line != "GET /silent HTTP/1.1" {
+				fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Stamp: s\r\nContent-Length: 2\r\n\r\nok", head.Get("Request-Id"))
+			}
 		}
-	}()
-	return listener.Addr().String(), opened, closed
+	})
+	return address, opened, closed
 }
 
 // newTestProxy returns a proxy with one worker.
--- a/internal/scheduler/weights/worker_client_test.go
+++ b/internal/scheduler/weights/worker_client_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"saffronquay/internal/scheduler/rpc"
+	"saffronquay/internal/testing/fakeworker"
 	"testing"
 
 	"github.com/matryer/is"
@@ -16,11 +17,6 @@
 // is due. It answers the first order with 202 and later ones with 409, and returns its address.
 func startRepeatingWorker(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { listener.Close() })
 	orders := make(chan int, 1)
 	orders <- http.StatusAccepted
 	answer := func(r *http.Request) string {
@@ -32,30 +28,20 @@
 		const report = `{"models":[{"name":"m","version":3}],"utilization":false}`
 		return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(report), report)
 	}
-	go func() {
+	return fakeworker.Start(t, func(conn *net.TCPConn) {
+		reader := bufio.NewReader(conn)
+		late := ""
 		for {
-			conn, err := listener.Accept()
+			r, err := http.ReadRequest(reader)
 			if err != nil {
 				return
 			}
-			go func() {
-				defer conn.Close()
-				reader := bufio.NewReader(conn)
-				late := ""
-				for {
-					r, err := http.ReadRequest(reader)
-					if err != nil {
-						return
-					}
-					_, _ = io.Copy(io.Discard, r.Body)
-					text := answer(r)
-					io.WriteString(conn, late+text)
-					late = text
-				}
-			}()
+			_, _ = io.Copy(io.Discard, r.Body)
+			text := answer(r)
+			io.WriteString(conn, late+text)
+			late = text
 		}
-	}()
-	return listener.Addr().String()
+	})
 }
 
 // Guards against a second, late answer to an earlier call that is taken for the answer to an order: a report's 200
--- a/internal/scheduler/worker/worker_test.go
+++ b/internal/scheduler/worker/worker_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"saffronquay/internal/scheduler/outcome"
+	"saffronquay/internal/testing/fakeworker"
 	"strings"
 	"testing"
 	"time"
@@ -19,29 +20,14 @@
 // returns its address. An empty text closes the connection.
 func serve(t *testing.T, answers ...string) string {
 	t.Helper()
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { listener.Close() })
 	texts := make(chan string, len(answers))
 	for _, a := range answers {
 		texts <- a
 	}
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go answer(conn, texts)
-		}
-	}()
-	return listener.Addr().String()
+	return fakeworker.Start(t, func(conn *net.TCPConn) { answer(conn, texts) })
 }
 
 func answer(conn net.Conn, texts <-chan string) {
-	defer conn.Close()
 	reader := bufio.NewReader(conn)
 	for {
 		for {
