End-to-end scenarios: an address of its own for the servers of each scenario

Cause: all scenarios of a test process listened at one address, in parallel. After "down" a port is free again, and the server of another scenario got it ("expect c refused later: got answered 0": a stranger answered).

Change: each scenario has one (newHost). No check, bound or step is changed.

--- a/internal/testing/endtoend/scenario_test.go
+++ b/internal/testing/endtoend/scenario_test.go
@@ -54,6 +54,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -101,6 +102,7 @@
 	t       *testing.T
 	d       dialect
 	servers []*fakeServer
+	host    string // where the servers listen; see newHost
 	address string
 	process
 	replaced     process  // replaced by process
@@ -184,10 +186,19 @@
 	}
 }
 
+// worldCount is the number of worlds of this test process.
+var worldCount atomic.Int64
+
+// newHost returns an address of the loopback that no other world uses, in this process or in another: after "down"
+// the port must stay closed, although other tests open ports at the same time.
+func newHost() string {
+	const values = 250 // of each part of the address
+	process, world := os.Getpid(), int(worldCount.Add(1))
+	return fmt.Sprintf("127.%d.%d.%d", 1+process%values, 1+process/values%values, 1+world%values)
+}
+
 func (s *fakeServer) listen(w *world) {
-	// The address is unique to this test process: after "down" the port must stay closed, although
-	// tests in other processes open ports at the same time.
-	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.1:0", 1+os.Getpid()%250, 1+os.Getpid()/250%250))
+	l, err := net.Listen("tcp", net.JoinHostPort(w.host, "0"))
 	if err != nil {
 		w.t.Fatal(err)
 	}
@@ -251,7 +262,7 @@
 // prepare returns a world whose fake servers listen and whose program is not started.
 func prepare(t *testing.T, d dialect) *world {
 	w := &world{
-		t: t, d: d, classes: defaultClasses, maxAttempts: defaultMaxAttempts, handoverDir: t.TempDir(), sent: map[string][]byte{}, clients: map[string]*client{}, fleetChanges: make(chan string, 8),
+		t: t, d: d, host: newHost(), classes: defaultClasses, maxAttempts: defaultMaxAttempts, handoverDir: t.TempDir(), sent: map[string][]byte{}, clients: map[string]*client{}, fleetChanges: make(chan string, 8),
 		received: map[int]int{}, dropped: map[int]int{}, logged: map[int]int{},
 	}
 	w.changed = sync.NewCond(&w.mu)
