--- a/internal/testing/endtoend/outage_test.go
+++ b/internal/testing/endtoend/outage_test.go
@@ -23,7 +23,7 @@
 	var mu sync.Mutex
 	var conns []net.Conn
 	back = func() {
-		l.Close()
+		stopListening(t, l)
 		mu.Lock()
 		defer mu.Unlock()
 		for _, c := range conns {
@@ -33,7 +33,7 @@
 	}
 	t.Cleanup(back)
 	if !silent {
-		l.Close()
+		stopListening(t, l)
 		return l.Addr().String(), back
 	}
 	go func() {
--- a/internal/testing/endtoend/scenario_test.go
+++ b/internal/testing/endtoend/scenario_test.go
@@ -42,6 +42,7 @@
 import (
 	"bufio"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -182,19 +183,37 @@
 	close(s.changed)
 	s.changed = make(chan struct{})
 	if behaviour == "down" {
-		s.l.Close()
+		stopListening(w.t, s.l)
 	}
 }
 
+// stopListening closes a listener, so that its port refuses connections from now on. Close alone does not: a program
+// that is being started has a copy of the socket until its exec.
+func stopListening(t *testing.T, l net.Listener) {
+	t.Helper()
+	socket, err := l.(*net.TCPListener).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	err = socket.Control(func(descriptor uintptr) { _ = syscall.Shutdown(int(descriptor), syscall.SHUT_RDWR) })
+	if err != nil && !errors.Is(err, net.ErrClosed) {
+		t.Fatal(err)
+	}
+	l.Close()
+}
+
 // worldCount is the number of worlds of this test process.
 var worldCount atomic.Int64
 
 // newHost returns an address of the loopback that no other world uses, in this process or in another: after "down"
 // the port must stay closed, although other tests open ports at the same time.
 func newHost() string {
-	const values = 250 // of each part of the address
+	const (
+		values = 250 // of each part of the address
+		first  = 3   // of the last part; unavailableDiscovery has the one before
+	)
 	process, world := os.Getpid(), int(worldCount.Add(1))
-	return fmt.Sprintf("127.%d.%d.%d", 1+process%values, 1+process/values%values, 1+world%values)
+	return fmt.Sprintf("127.%d.%d.%d", 1+process%values, 1+process/values%values, first+world%values)
 }
 
 func (s *fakeServer) listen(w *world) {
