Rollout: never change a document that messages may contain

Cause: a Word shares the document of the open proposal with the state, and the commit wrote the budgets' parts into it. The encoder may write more than the length that it has announced.

Change: the version in force is a copy with the new parts, as putMember already copies the roster's list. Members, voter changes and the open proposal were read: what messages contain of them is replaced, not changed.

The race could not be called up again.

--- a/internal/cluster/rollout/state.go
+++ b/internal/cluster/rollout/state.go
@@ -113,13 +113,21 @@
 	}
 	if s.Committed {
 		if len(e.Parts) > 0 {
-			p.Document.Parts = e.Parts
+			p.Document = withParts(p.Document, e.Parts)
 		}
 		s.Previous, s.Current, s.CurrentAttempt = s.Current, p.Document, p.Attempt
 	}
 	s.recordOutcome(p, s.Committed, e.Reason)
 }
 
+// withParts returns a copy of a document with other parts. The document itself does not change, because messages
+// that are being encoded may contain it.
+func withParts(d *wire.Document, parts []*wire.Part) *wire.Document {
+	copied := proto.CloneOf(d)
+	copied.Parts = parts
+	return copied
+}
+
 // recordOutcome adds the outcome of a proposal to the history.
 func (s *state) recordOutcome(p *wire.Proposal, committed bool, reason string) {
 	s.addDecision(&wire.Decision{
